--- /dev/null
+++ b/libs/base/include/amaranthwind/base/ManualClock.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "amaranthwind/base/Clock.h"
+
+#include <atomic>
+
+namespace amaranthwind::base {
+
+/** A clock that stands still until it is advanced; for tests. Thread-safe. */
+class ManualClock final : public Clock
+{
+public:
+  TimePoint Now() const override;
+  WallTime WallNow() const override;
+  void Advance(Duration aBy);
+
+private:
+  std::atomic<Duration::rep> elapsed{ 0 };
+};
+
+} // namespace amaranthwind::base
--- /dev/null
+++ b/libs/journal/include/amaranthwind/journal/Record.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "amaranthwind/base/Error.h"
+#include "amaranthwind/base/Ids.h"
+#include "amaranthwind/job/GangPlan.h"
+#include "amaranthwind/job/JobSpec.h"
+#include "amaranthwind/policy/Policy.h"
+#include "amaranthwind/policy/ReleaseNote.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace amaranthwind::journal {
+
+/** Stream "notes": an operator's release note. */
+struct NoteRecord
+{
+  policy::ReleaseNote note;
+  bool operator==(const NoteRecord&) const = default;
+};
+
+/** Stream "notes": the policy after all notes below its nextOffset. */
+struct PolicyCheckpointRecord
+{
+  policy::Policy policy;
+  bool operator==(const PolicyCheckpointRecord&) const = default;
+};
+
+/** Makes its writer the coordinator of the cell; its offset is the token. */
+struct EpochRecord
+{
+  base::EntryId writer;
+  bool operator==(const EpochRecord&) const = default;
+};
+
+struct JobAcceptedRecord
+{
+  base::FencingToken token;
+  job::JobSpec spec;
+  bool operator==(const JobAcceptedRecord&) const = default;
+};
+
+struct JobCancelledRecord
+{
+  base::FencingToken token;
+  base::JobId job;
+  bool operator==(const JobCancelledRecord&) const = default;
+};
+
+/** Decides an attempt. Valid only if its token is that of the newest epoch. */
+struct GangDecisionRecord
+{
+  base::FencingToken token;
+  job::GangId gang;
+  bool isCommit = false;
+  std::vector<base::TargetId> members;
+  bool operator==(const GangDecisionRecord&) const = default;
+};
+
+enum class AttemptOutcome : std::uint8_t
+{
+  Succeeded,
+  Failed,
+  Preempted, // Stopped by the scheduler; may continue from a checkpoint.
+  NotRun,    // Proven not to have run; does not count as a run.
+};
+
+/** The end of a committed attempt. */
+struct AttemptEndedRecord
+{
+  base::FencingToken token;
+  job::GangId gang;
+  AttemptOutcome outcome = AttemptOutcome::Failed;
+  bool operator==(const AttemptEndedRecord&) const = default;
+};
+
+enum class JobOutcome : std::uint8_t
+{
+  Succeeded,
+  Failed,
+  Cancelled,
+  Refused, // Accepted, then found never to fit; it did not run.
+};
+
+/** The end of a job. */
+struct JobEndedRecord
+{
+  base::FencingToken token;
+  base::JobId job;
+  JobOutcome outcome = JobOutcome::Failed;
+  /** Why, unless it succeeded. */
+  std::optional<base::Error> error;
+  bool operator==(const JobEndedRecord&) const = default;
+};
+
+enum class JobPhase : std::uint8_t
+{
+  Queued,
+  Committed, // An attempt has been committed and has not ended.
+  Ended,
+};
+
+/** What the log says about one job. */
+struct JobState
+{
+  job::JobSpec spec;
+  JobPhase phase = JobPhase::Queued;
+  /** Number of the newest attempt that was decided; 0 before the first. */
+  base::Attempt lastAttempt;
+  /** Committed attempts that were not proven not to have run. */
+  std::uint32_t runs = 0;
+  bool isCancelRequested = false;
+  /** Members of the committed attempt. */
+  std::vector<base::TargetId> members;
+  std::optional<JobOutcome> outcome;
+  std::optional<base::Error> error;
+  bool operator==(const JobState&) const = default;
+};
+
+/** A part of the state of a cell after all records below coversBelow. */
+struct CheckpointRecord
+{
+  base::FencingToken token;
+  base::LogOffset coversBelow;
+  std::uint32_t index = 0;
+  std::uint32_t count = 1;
+  std::vector<JobState> jobs;
+  bool operator==(const CheckpointRecord&) const = default;
+};
+
+using RecordBody = std::variant<NoteRecord,
+                                PolicyCheckpointRecord,
+                                EpochRecord,
+                                JobAcceptedRecord,
+                                JobCancelledRecord,
+                                GangDecisionRecord,
+                                AttemptEndedRecord,
+                                JobEndedRecord,
+                                CheckpointRecord>;
+
+/** One record. Readers discard a record whose id they have seen. */
+struct Record
+{
+  base::RecordId id;
+  RecordBody body;
+  bool operator==(const Record&) const = default;
+};
+
+} // namespace amaranthwind::journal
--- /dev/null
+++ b/libs/policy/include/amaranthwind/policy/ReleaseNote.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "amaranthwind/base/Ids.h"
+#include "amaranthwind/policy/Policy.h"
+
+#include <variant>
+#include <vector>
+
+namespace amaranthwind::policy {
+
+/** Adds an account, or replaces the one with the same id. */
+struct PutAccount
+{
+  Account account;
+  bool operator==(const PutAccount&) const = default;
+};
+
+struct WithdrawAccount
+{
+  base::AccountId id;
+  bool operator==(const WithdrawAccount&) const = default;
+};
+
+/** Adds a kind of work, or replaces the one with the same id. */
+struct PutKind
+{
+  WorkKind kind;
+  bool operator==(const PutKind&) const = default;
+};
+
+struct WithdrawKind
+{
+  base::WorkKindId id;
+  bool operator==(const WithdrawKind&) const = default;
+};
+
+using Change = std::variant<PutAccount, WithdrawAccount, PutKind, WithdrawKind>;
+
+/** What operators publish: changes to the policy of a stated base version. */
+struct ReleaseNote
+{
+  base::RecordId id;
+  /** Version that was in force when the note was written. */
+  base::PolicyVersion base;
+  std::vector<Change> changes;
+
+  bool operator==(const ReleaseNote&) const = default;
+};
+
+} // namespace amaranthwind::policy
