Add the inner protocol: schema, frame codec and connections

Frames are verified before use and decoded into plain structs, so that only this package knows FlatBuffers. A call reports whether it may have been sent, which is what "not run" rests on.

--- /dev/null
+++ b/libs/protocol/src/Connection.cpp
@@ -0,0 +1,392 @@
+#include "Connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace amaranthwind::protocol {
+
+namespace asio = boost::asio;
+using base::Error;
+using base::ErrorCode;
+using boost::system::error_code;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::memory_order kRelaxed = std::memory_order_relaxed;
+// Frames that go out in one system call at most.
+constexpr std::size_t kMaxFramesPerWrite = 64;
+
+std::string
+ToText(const Connection::Endpoint& aEndpoint)
+{
+  return aEndpoint.address().to_string() + ":" +
+         std::to_string(aEndpoint.port());
+}
+
+} // namespace
+
+Connection::Connection(ConnectionId aId,
+                       asio::io_context& aContext,
+                       const NodeOptions& aOptions,
+                       std::shared_ptr<SharedCounters> aCounters,
+                       std::weak_ptr<ConnectionOwner> aOwner)
+  : id(aId)
+  , context(aContext)
+  , socket(aContext)
+  , options(aOptions)
+  , pingInterval(aOptions.pingInterval)
+  , silenceTimeout(aOptions.silenceTimeout)
+  , counters(std::move(aCounters))
+  , owner(std::move(aOwner))
+  , callTimer(aContext)
+  , livenessTimer(aContext)
+  , connectTimer(aContext)
+{
+}
+
+void
+Connection::StartInbound(Socket aSocket)
+{
+  this->socket = std::move(aSocket);
+  asio::post(this->context,
+             [self = this->shared_from_this()] { self->Open(true); });
+}
+
+void
+Connection::StartOutbound(const Endpoint& aEndpoint)
+{
+  asio::post(this->context, [self = this->shared_from_this(), aEndpoint] {
+    self->connectTimer.expires_after(self->options.connectTimeout);
+    self->connectTimer.async_wait([self](const error_code& aError) {
+      if (!aError && self->state.Phase() == ConnectionPhase::Connecting) {
+        self->CloseNow({ ErrorCode::ConnectFailed, "connect timeout" });
+      }
+    });
+    self->socket.async_connect(aEndpoint, [self](const error_code& aError) {
+      if (aError) {
+        self->CloseNow({ ErrorCode::ConnectFailed, aError.message() });
+        return;
+      }
+      self->connectTimer.cancel();
+      self->Open(false);
+    });
+  });
+}
+
+void
+Connection::Send(std::vector<std::byte> aFrame)
+{
+  asio::post(
+    this->context,
+    [self = this->shared_from_this(), frame = std::move(aFrame)]() mutable {
+      self->Enqueue(std::move(frame));
+    });
+}
+
+void
+Connection::Call(Envelope aEnvelope,
+                 base::Duration aTimeout,
+                 CallHandler aHandler)
+{
+  asio::post(
+    this->context,
+    [self = this->shared_from_this(),
+     envelope = std::move(aEnvelope),
+     aTimeout,
+     handler = std::move(aHandler)]() mutable {
+      if (self->state.Phase() == ConnectionPhase::Closed) {
+        handler({ nullptr, { { ErrorCode::ConnectionClosed, {} }, false } });
+        return;
+      }
+      const std::uint64_t correlation = self->nextCorrelation++;
+      const auto deadline = steady_clock::now() + aTimeout;
+      self->calls.emplace(correlation,
+                          PendingCall{ std::move(handler), deadline });
+      self->deadlines.emplace(deadline, correlation);
+      self->ArmCallTimer();
+      envelope.correlation = CorrelationId(correlation);
+      self->Enqueue(EncodeFrame(envelope));
+    });
+}
+
+void
+Connection::SetLiveness(std::chrono::milliseconds aPingInterval,
+                        std::chrono::milliseconds aSilenceTimeout)
+{
+  asio::post(this->context,
+             [self = this->shared_from_this(), aPingInterval, aSilenceTimeout] {
+               self->pingInterval = aPingInterval;
+               self->silenceTimeout = aSilenceTimeout;
+               if (self->state.Phase() == ConnectionPhase::Open) {
+                 self->ArmLivenessTimer();
+               }
+             });
+}
+
+void
+Connection::Close(const Error& aReason)
+{
+  asio::post(this->context, [self = this->shared_from_this(), aReason] {
+    self->CloseNow(aReason);
+  });
+}
+
+void
+Connection::Open(bool aIsInbound)
+{
+  error_code ignored;
+  const auto endpoint = this->socket.remote_endpoint(ignored);
+  if (ignored) {
+    this->CloseNow({ ErrorCode::ConnectFailed, ignored.message() });
+    return;
+  }
+  if (!this->state.OnEstablished()) {
+    return;
+  }
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->lastReceived = steady_clock::now();
+  this->lastSent = this->lastReceived;
+  if (auto receiver = this->owner.lock()) {
+    receiver->OnConnectionOpened(this->id, aIsInbound, ToText(endpoint));
+  }
+  this->ArmLivenessTimer();
+  this->ReadHeader();
+  this->WriteQueued();
+}
+
+void
+Connection::Enqueue(std::vector<std::byte> aFrame)
+{
+  if (this->state.Phase() == ConnectionPhase::Closed) {
+    return;
+  }
+  this->queuedBytes += aFrame.size();
+  if (this->queuedBytes > this->options.maxQueuedBytes) {
+    this->CloseNow({ ErrorCode::TooLarge, "send queue" });
+    return;
+  }
+  this->queue.push_back(std::move(aFrame));
+  this->WriteQueued();
+}
+
+void
+Connection::WriteQueued()
+{
+  if (this->state.Phase() != ConnectionPhase::Open || !this->writing.empty() ||
+      this->queue.empty()) {
+    return;
+  }
+  const std::size_t count = std::min(this->queue.size(), kMaxFramesPerWrite);
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(count);
+  this->writing.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    this->writing.push_back(std::move(this->queue.front()));
+    this->queue.pop_front();
+    buffers.emplace_back(this->writing.back().data(),
+                         this->writing.back().size());
+  }
+  asio::async_write(
+    this->socket,
+    buffers,
+    [self = this->shared_from_this()](const error_code& aError, std::size_t) {
+      self->OnWritten(aError);
+    });
+}
+
+void
+Connection::OnWritten(const error_code& aError)
+{
+  if (aError) {
+    this->CloseNow({ ErrorCode::ConnectionClosed, aError.message() });
+    return;
+  }
+  for (const auto& sent : this->writing) {
+    this->queuedBytes -= sent.size();
+    this->counters->bytesSent.fetch_add(sent.size(), kRelaxed);
+  }
+  this->counters->framesSent.fetch_add(this->writing.size(), kRelaxed);
+  this->writing.clear();
+  this->lastSent = steady_clock::now();
+  this->WriteQueued();
+}
+
+void
+Connection::ReadHeader()
+{
+  asio::async_read(
+    this->socket,
+    asio::buffer(this->header),
+    [self = this->shared_from_this()](const error_code& aError, std::size_t) {
+      if (aError) {
+        self->CloseNow({ ErrorCode::ConnectionClosed, aError.message() });
+        return;
+      }
+      const auto length = DecodeFrameLength(self->header);
+      if (length.has_error()) {
+        self->counters->badFrames.fetch_add(1, kRelaxed);
+        self->CloseNow(length.error());
+        return;
+      }
+      self->ReadBody(length.value());
+    });
+}
+
+void
+Connection::ReadBody(std::size_t aLength)
+{
+  this->frame.resize(aLength);
+  asio::async_read(
+    this->socket,
+    asio::buffer(this->frame),
+    [self = this->shared_from_this()](const error_code& aError, std::size_t) {
+      if (aError) {
+        self->CloseNow({ ErrorCode::ConnectionClosed, aError.message() });
+        return;
+      }
+      self->OnFrame();
+    });
+}
+
+void
+Connection::OnFrame()
+{
+  this->lastReceived = steady_clock::now();
+  this->counters->framesReceived.fetch_add(1, kRelaxed);
+  this->counters->bytesReceived.fetch_add(
+    this->frame.size() + kFrameHeaderBytes, kRelaxed);
+  const auto envelope = DecodeFrame(this->frame);
+  if (envelope.has_error()) {
+    // The length was right, so that the stream is still in step; but a peer
+    // that sends what cannot be read is of another version or broken.
+    this->counters->badFrames.fetch_add(1, kRelaxed);
+    this->CloseNow(envelope.error());
+    return;
+  }
+  if (envelope.value().isReply) {
+    this->CompleteCall(envelope.value());
+  } else if (!std::holds_alternative<Ping>(envelope.value().message)) {
+    if (auto receiver = this->owner.lock()) {
+      receiver->OnConnectionMessage(this->id, envelope.value());
+    }
+  }
+  if (this->state.Phase() == ConnectionPhase::Open) {
+    this->ReadHeader();
+  }
+}
+
+void
+Connection::CompleteCall(const Envelope& aEnvelope)
+{
+  const auto found = this->calls.find(aEnvelope.correlation.Get());
+  if (found == this->calls.end()) {
+    this->counters->lateReplies.fetch_add(1, kRelaxed);
+    return;
+  }
+  PendingCall call = std::move(found->second);
+  this->deadlines.erase({ call.deadline, found->first });
+  this->calls.erase(found);
+  call.handler({ &aEnvelope.message, {} });
+}
+
+void
+Connection::ArmCallTimer()
+{
+  if (this->deadlines.empty()) {
+    return;
+  }
+  const auto next = this->deadlines.begin()->first;
+  if (this->callTimer.expiry() <= next &&
+      this->callTimer.expiry() > steady_clock::now()) {
+    return;
+  }
+  this->callTimer.expires_at(next);
+  this->callTimer.async_wait(
+    [self = this->shared_from_this()](const error_code& aError) {
+      if (!aError) {
+        self->ExpireCalls();
+      }
+    });
+}
+
+void
+Connection::ExpireCalls()
+{
+  const auto now = steady_clock::now();
+  while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+    const std::uint64_t correlation = this->deadlines.begin()->second;
+    this->deadlines.erase(this->deadlines.begin());
+    auto call = this->calls.extract(correlation);
+    call.mapped().handler({ nullptr, { { ErrorCode::TimedOut, {} }, true } });
+  }
+  this->ArmCallTimer();
+}
+
+void
+Connection::ArmLivenessTimer()
+{
+  this->livenessTimer.expires_after(
+    std::min(this->pingInterval, this->silenceTimeout));
+  this->livenessTimer.async_wait(
+    [self = this->shared_from_this()](const error_code& aError) {
+      if (!aError) {
+        self->CheckLiveness();
+      }
+    });
+}
+
+void
+Connection::CheckLiveness()
+{
+  if (this->state.Phase() != ConnectionPhase::Open) {
+    return;
+  }
+  const auto now = steady_clock::now();
+  if (now - this->lastReceived >= this->silenceTimeout) {
+    this->CloseNow({ ErrorCode::TimedOut, "silent connection" });
+    return;
+  }
+  if (now - this->lastSent >= this->pingInterval) {
+    this->Enqueue(EncodeFrame({ CorrelationId(0), false, Ping{} }));
+  }
+  this->ArmLivenessTimer();
+}
+
+void
+Connection::CloseNow(const Error& aReason)
+{
+  if (!this->state.OnClosing()) {
+    return;
+  }
+  error_code ignored;
+  this->socket.close(ignored);
+  this->callTimer.cancel();
+  this->livenessTimer.cancel();
+  this->connectTimer.cancel();
+  this->FailCalls(aReason);
+  if (auto receiver = this->owner.lock()) {
+    receiver->OnConnectionClosed(this->id, aReason);
+  }
+}
+
+void
+Connection::FailCalls(const Error& aReason)
+{
+  auto failed = std::move(this->calls);
+  this->calls.clear();
+  this->deadlines.clear();
+  // Calls on a connection that never opened were certainly not sent.
+  const bool mayHaveBeenSent = aReason.code != ErrorCode::ConnectFailed;
+  for (auto& [correlation, call] : failed) {
+    call.handler({ nullptr,
+                   { { ErrorCode::ConnectionClosed, aReason.subject },
+                     mayHaveBeenSent } });
+  }
+}
+
+} // namespace amaranthwind::protocol
--- /dev/null
+++ b/libs/protocol/src/Connection.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "ConnectionState.h"
+#include "amaranthwind/base/Error.h"
+#include "amaranthwind/protocol/FrameCodec.h"
+#include "amaranthwind/protocol/Node.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace amaranthwind::protocol {
+
+/** Counters that all connections of a node share. */
+struct SharedCounters
+{
+  std::atomic<std::uint64_t> framesSent{ 0 };
+  std::atomic<std::uint64_t> framesReceived{ 0 };
+  std::atomic<std::uint64_t> bytesSent{ 0 };
+  std::atomic<std::uint64_t> bytesReceived{ 0 };
+  std::atomic<std::uint64_t> badFrames{ 0 };
+  std::atomic<std::uint64_t> lateReplies{ 0 };
+};
+
+/** What a connection tells its node. */
+class ConnectionOwner
+{
+public:
+  virtual ~ConnectionOwner() = default;
+  virtual void OnConnectionOpened(ConnectionId aId,
+                                  bool aIsInbound,
+                                  std::string_view aAddress) = 0;
+  virtual void OnConnectionMessage(ConnectionId aId,
+                                   const Envelope& aEnvelope) = 0;
+  virtual void OnConnectionClosed(ConnectionId aId,
+                                  const base::Error& aReason) = 0;
+};
+
+/**
+ * One TCP connection. All state belongs to the thread of its io_context; the
+ * public functions may be called from any thread and post to it.
+ */
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+  using Socket = boost::asio::ip::tcp::socket;
+  using Endpoint = boost::asio::ip::tcp::endpoint;
+
+  Connection(ConnectionId aId,
+             boost::asio::io_context& aContext,
+             const NodeOptions& aOptions,
+             std::shared_ptr<SharedCounters> aCounters,
+             std::weak_ptr<ConnectionOwner> aOwner);
+
+  /** Takes over an accepted socket of the same context. */
+  void StartInbound(Socket aSocket);
+  void StartOutbound(const Endpoint& aEndpoint);
+  void Send(std::vector<std::byte> aFrame);
+  /** aHandler is called on the connection's thread. */
+  void Call(Envelope aEnvelope, base::Duration aTimeout, CallHandler aHandler);
+  void SetLiveness(std::chrono::milliseconds aPingInterval,
+                   std::chrono::milliseconds aSilenceTimeout);
+  void Close(const base::Error& aReason);
+
+private:
+  using Deadline = std::pair<base::TimePoint, std::uint64_t>;
+  struct PendingCall
+  {
+    CallHandler handler;
+    base::TimePoint deadline;
+  };
+
+  void Open(bool aIsInbound);
+  void Enqueue(std::vector<std::byte> aFrame);
+  void WriteQueued();
+  void OnWritten(const boost::system::error_code& aError);
+  void ReadHeader();
+  void ReadBody(std::size_t aLength);
+  void OnFrame();
+  void CompleteCall(const Envelope& aEnvelope);
+  void ArmCallTimer();
+  void ExpireCalls();
+  void ArmLivenessTimer();
+  void CheckLiveness();
+  void CloseNow(const base::Error& aReason);
+  void FailCalls(const base::Error& aReason);
+
+  const ConnectionId id;
+  boost::asio::io_context& context;
+  Socket socket;
+  const NodeOptions options;
+  std::chrono::milliseconds pingInterval;
+  std::chrono::milliseconds silenceTimeout;
+  std::shared_ptr<SharedCounters> counters;
+  std::weak_ptr<ConnectionOwner> owner;
+  ConnectionState state;
+
+  std::array<std::byte, kFrameHeaderBytes> header{};
+  std::vector<std::byte> frame;
+  std::deque<std::vector<std::byte>> queue;
+  std::vector<std::vector<std::byte>> writing;
+  std::size_t queuedBytes = 0;
+
+  std::uint64_t nextCorrelation = 1;
+  std::unordered_map<std::uint64_t, PendingCall> calls;
+  std::set<Deadline> deadlines;
+  boost::asio::steady_timer callTimer;
+  boost::asio::steady_timer livenessTimer;
+  boost::asio::steady_timer connectTimer;
+  base::TimePoint lastReceived{};
+  base::TimePoint lastSent{};
+};
+
+} // namespace amaranthwind::protocol
--- /dev/null
+++ b/libs/protocol/src/ConnectionState.cpp
@@ -0,0 +1,81 @@
+#include "ConnectionState.h"
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace amaranthwind::protocol {
+
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::Row;
+
+struct Established
+{};
+struct Closing
+{};
+
+struct ConnectionTable : msm::front::state_machine_def<ConnectionTable>
+{
+  // The index of a state is its order of first use in the table below.
+  struct Connecting : msm::front::state<>
+  {};
+  struct Open : msm::front::state<>
+  {};
+  struct Closed : msm::front::state<>
+  {};
+  using initial_state = Connecting;
+
+  struct transition_table
+    : boost::mpl::vector<Row<Connecting, Established, Open>,
+                         Row<Connecting, Closing, Closed>,
+                         Row<Open, Closing, Closed>>
+  {};
+
+  // An event without a row is one that came too late; it has no effect.
+  template<typename Fsm, typename Event>
+  void no_transition(const Event&, Fsm&, int)
+  {
+  }
+};
+
+using ConnectionMachine = msm::back::state_machine<ConnectionTable>;
+
+} // namespace
+
+struct ConnectionState::Impl
+{
+  ConnectionMachine machine;
+};
+
+ConnectionState::ConnectionState()
+  : impl(std::make_unique<Impl>())
+{
+  this->impl->machine.start();
+}
+
+ConnectionState::~ConnectionState() = default;
+
+ConnectionPhase
+ConnectionState::Phase() const noexcept
+{
+  return static_cast<ConnectionPhase>(this->impl->machine.current_state()[0]);
+}
+
+bool
+ConnectionState::OnEstablished()
+{
+  return this->impl->machine.process_event(Established{}) ==
+         msm::back::HANDLED_TRUE;
+}
+
+bool
+ConnectionState::OnClosing()
+{
+  return this->impl->machine.process_event(Closing{}) ==
+         msm::back::HANDLED_TRUE;
+}
+
+} // namespace amaranthwind::protocol
--- /dev/null
+++ b/libs/protocol/src/FrameCodec.cpp
@@ -0,0 +1,83 @@
+#include "amaranthwind/protocol/FrameCodec.h"
+
+#include "WireDecoder.h"
+#include "WireEncoder.h"
+
+#include <cstring>
+#include <string>
+
+namespace amaranthwind::protocol {
+
+namespace {
+
+constexpr std::size_t kInitialBufferBytes = 512;
+constexpr unsigned kBitsPerByte = 8;
+
+wire::Body
+BodyType(const Message& aMessage)
+{
+  // The union of the schema lists the messages in the order of the variant.
+  return static_cast<wire::Body>(aMessage.index() + 1);
+}
+
+} // namespace
+
+std::vector<std::byte>
+EncodeFrame(const Envelope& aEnvelope)
+{
+  flatbuffers::FlatBufferBuilder builder(kInitialBufferBytes);
+  WireEncoder encoder(builder);
+  const flatbuffers::Offset<void> body =
+    std::visit([&](const auto& aMessage) { return encoder(aMessage).Union(); },
+               aEnvelope.message);
+  builder.Finish(wire::CreateEnvelope(builder,
+                                      aEnvelope.correlation.Get(),
+                                      aEnvelope.isReply,
+                                      BodyType(aEnvelope.message),
+                                      body));
+  const std::size_t length = builder.GetSize();
+  std::vector<std::byte> frame(kFrameHeaderBytes + length);
+  for (std::size_t i = 0; i < kFrameHeaderBytes; ++i) {
+    frame[i] = static_cast<std::byte>(length >> (i * kBitsPerByte));
+  }
+  std::memcpy(
+    frame.data() + kFrameHeaderBytes, builder.GetBufferPointer(), length);
+  return frame;
+}
+
+base::Result<std::size_t>
+DecodeFrameLength(std::span<const std::byte> aHeader)
+{
+  if (aHeader.size() < kFrameHeaderBytes) {
+    return base::Fail(base::ErrorCode::Truncated, "frame header");
+  }
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < kFrameHeaderBytes; ++i) {
+    length |= std::to_integer<std::size_t>(aHeader[i]) << (i * kBitsPerByte);
+  }
+  if (length == 0) {
+    return base::Fail(base::ErrorCode::Truncated, "frame length 0");
+  }
+  if (length > kMaxFrameBytes) {
+    return base::Fail(base::ErrorCode::TooLarge,
+                      "frame length " + std::to_string(length));
+  }
+  return length;
+}
+
+base::Result<Envelope>
+DecodeFrame(std::span<const std::byte> aFrame)
+{
+  flatbuffers::Verifier verifier(
+    reinterpret_cast<const std::uint8_t*>(aFrame.data()), aFrame.size());
+  if (!wire::VerifyEnvelopeBuffer(verifier)) {
+    return base::Fail(base::ErrorCode::Malformed, "frame");
+  }
+  const auto& envelope = *wire::GetEnvelope(aFrame.data());
+  BOOST_OUTCOME_TRY(auto message, DecodeBody(envelope));
+  return Envelope{ CorrelationId(envelope.correlation()),
+                   envelope.is_reply(),
+                   std::move(message) };
+}
+
+} // namespace amaranthwind::protocol
--- /dev/null
+++ b/libs/protocol/src/WireEncoder.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "amaranthwind/protocol/Messages.h"
+#include "generated/envelope_generated.h"
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace amaranthwind::protocol {
+
+/** Writes messages into a FlatBuffers builder, one overload a message. */
+class WireEncoder
+{
+public:
+  explicit WireEncoder(flatbuffers::FlatBufferBuilder& aBuilder)
+    : builder(aBuilder)
+  {
+  }
+
+  flatbuffers::Offset<wire::TargetHello> operator()(const TargetHello& aHello);
+  flatbuffers::Offset<wire::EntryHello> operator()(const EntryHello& aHello);
+  flatbuffers::Offset<wire::Topology> operator()(const Topology& aTopology);
+  flatbuffers::Offset<wire::Heartbeat> operator()(const Heartbeat& aBeat);
+  flatbuffers::Offset<wire::HeartbeatAck> operator()(const HeartbeatAck& aAck);
+  flatbuffers::Offset<wire::Ping> operator()(const Ping& aPing);
+  flatbuffers::Offset<wire::Execute> operator()(const Execute& aExecute);
+  flatbuffers::Offset<wire::ExecuteReply> operator()(
+    const ExecuteReply& aReply);
+  flatbuffers::Offset<wire::Claim> operator()(const Claim& aClaim);
+  flatbuffers::Offset<wire::ClaimReply> operator()(const ClaimReply& aReply);
+  flatbuffers::Offset<wire::Prepare> operator()(const Prepare& aPrepare);
+  flatbuffers::Offset<wire::GangSignal> operator()(const GangSignal& aSignal);
+  flatbuffers::Offset<wire::GangEnded> operator()(const GangEnded& aEnded);
+  flatbuffers::Offset<wire::GangReport> operator()(const GangReport& aReport);
+  flatbuffers::Offset<wire::ForwardJob> operator()(const ForwardJob& aForward);
+  flatbuffers::Offset<wire::ForwardJobReply> operator()(
+    const ForwardJobReply& aReply);
+  flatbuffers::Offset<wire::FetchPolicy> operator()(const FetchPolicy& aFetch);
+  flatbuffers::Offset<wire::PolicyReply> operator()(const PolicyReply& aReply);
+
+private:
+  using StringOffset = flatbuffers::Offset<flatbuffers::String>;
+  using BytesOffset = flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>>;
+  using MembersOffset = flatbuffers::Offset<
+    flatbuffers::Vector<flatbuffers::Offset<wire::GangMember>>>;
+
+  StringOffset String(std::string_view aText);
+  BytesOffset Bytes(std::span<const std::byte> aBytes);
+  flatbuffers::Offset<wire::Resources> Resources(
+    const fleet::Resources& aResources);
+  flatbuffers::Offset<wire::EntryInfo> Entry(const EntryInfo& aEntry);
+  MembersOffset Members(std::span<const job::GangMemberPlan> aMembers);
+
+  flatbuffers::FlatBufferBuilder& builder;
+};
+
+} // namespace amaranthwind::protocol
--- /dev/null
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -0,0 +1,204 @@
+#include "amaranthwind/protocol/FrameCodec.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <string>
+
+using namespace amaranthwind;
+using namespace amaranthwind::protocol;
+using base::ErrorCode;
+
+namespace {
+
+job::GangPlan
+MakePlan()
+{
+  return { { base::JobId("j1"), base::Attempt(2) },
+           base::FencingToken(9),
+           { { base::TargetId("w1"), "127.0.0.1:9", { 8, 32, 1024 } },
+             { base::TargetId("w2"), "127.0.0.1:8", { 8, 32, 1024 } } },
+           "payload" };
+}
+
+std::vector<std::byte>
+ToBytes(std::string_view aText)
+{
+  const auto* first = reinterpret_cast<const std::byte*>(aText.data());
+  return { first, first + aText.size() };
+}
+
+/** One message of each type, with every field set. */
+std::vector<Message>
+AllMessages()
+{
+  const base::Error error{ ErrorCode::Draining, "subject" };
+  const EntryInfo entry{ base::EntryId("e1"), "127.0.0.1:1" };
+  const job::GangPlan plan = MakePlan();
+  job::GangPlan held = plan;
+  held.payload.clear();
+  fleet::Target target;
+  target.id = base::TargetId("t");
+  target.kind = fleet::TargetKind::Worker;
+  target.region = base::RegionId("r");
+  target.zone = base::ZoneId("z");
+  target.rack = base::RackId("k");
+  target.resources = { 8, 64, 1 };
+  target.slots = 3;
+  target.address = "127.0.0.1:2";
+  target.incarnation = base::Incarnation(77);
+  using std::chrono::milliseconds;
+  return {
+    TargetHello{ target, base::PolicyVersion(4) },
+    EntryHello{ entry, base::Incarnation(1), base::PolicyVersion(2), true },
+    Topology{ base::EntryId("e2"),
+              base::PolicyVersion(3),
+              milliseconds(1000),
+              { entry },
+              { { base::ZoneId("z"), entry, base::FencingToken(5) } } },
+    Heartbeat{ base::PolicyVersion(1), 2, 3, true },
+    HeartbeatAck{ base::PolicyVersion(1), milliseconds(5) },
+    Ping{},
+    Execute{ base::AccountId("a"),
+             base::CallerId("c"),
+             base::WorkKindId("k"),
+             base::IdempotencyKey("i"),
+             1,
+             true,
+             milliseconds(7),
+             ToBytes("body") },
+    ExecuteReply{
+      ExecuteOutcome::NotRun, 503, error, milliseconds(9), ToBytes("answer") },
+    Claim{ base::IdempotencyKey("i"), base::TargetId("t"), 12, 1 },
+    ClaimReply{ ClaimVerdict::ClaimedByOther },
+    Prepare{ base::ZoneId("z"), plan, 1 },
+    GangSignal{ GangSignalKind::Stop,
+                base::ZoneId("z"),
+                plan.gang,
+                base::FencingToken(6),
+                1,
+                true,
+                error,
+                AttemptStatus::Aborted },
+    GangEnded{ base::ZoneId("z"),
+               plan.gang,
+               GangEndOutcome::Preempted,
+               { { 1, true, error } } },
+    GangReport{ base::ZoneId("z"), { { held, 1, HeldPhase::Running } } },
+    ForwardJob{
+      "POST", "/v1/jobs", base::AccountId("a"), base::CallerId("c"), "{}" },
+    ForwardJobReply{ 202, milliseconds(3), "{}" },
+    FetchPolicy{},
+    PolicyReply{ base::PolicyVersion(8), "{}" },
+  };
+}
+
+std::vector<std::byte>
+BodyOf(const std::vector<std::byte>& aFrame)
+{
+  return { aFrame.begin() + kFrameHeaderBytes, aFrame.end() };
+}
+
+} // namespace
+
+// Guards against a field that gets lost between two processes.
+TEST_CASE("every message survives encoding and decoding with every field")
+{
+  const auto messages = AllMessages();
+  REQUIRE(messages.size() == std::variant_size_v<Message>);
+  for (std::size_t i = 0; i < messages.size(); ++i) {
+    CAPTURE(i);
+    REQUIRE(messages[i].index() == i);
+    const Envelope envelope{ CorrelationId(3), true, messages[i] };
+    const auto frame = EncodeFrame(envelope);
+    const auto length = DecodeFrameLength(frame);
+    REQUIRE(length.has_value());
+    CHECK(length.value() == frame.size() - kFrameHeaderBytes);
+    const auto decoded = DecodeFrame(BodyOf(frame));
+    REQUIRE(decoded.has_value());
+    CHECK(decoded.value() == envelope);
+  }
+}
+
+TEST_CASE("a bad frame header is refused with its reason")
+{
+  struct Case
+  {
+    std::vector<std::byte> header;
+    ErrorCode code;
+  };
+  const std::vector<Case> cases{
+    { {}, ErrorCode::Truncated },
+    { { std::byte{ 1 }, std::byte{ 0 } }, ErrorCode::Truncated },
+    { std::vector<std::byte>(kFrameHeaderBytes), ErrorCode::Truncated },
+    { std::vector<std::byte>(kFrameHeaderBytes, std::byte{ 0xFF }),
+      ErrorCode::TooLarge },
+  };
+  for (const auto& each : cases) {
+    const auto length = DecodeFrameLength(each.header);
+    REQUIRE(length.has_error());
+    CHECK(length.error().code == each.code);
+  }
+}
+
+TEST_CASE("a message without a field that it needs is refused by name")
+{
+  struct Case
+  {
+    Message message;
+    ErrorCode code;
+    std::string subject;
+  };
+  const std::vector<Case> cases{
+    { TargetHello{}, ErrorCode::MissingField, "TargetHello.target.id" },
+    { EntryHello{}, ErrorCode::MissingField, "EntryHello.entry.id" },
+    { Execute{}, ErrorCode::MissingField, "Execute.account" },
+    { Claim{}, ErrorCode::MissingField, "Claim.key" },
+    { Prepare{}, ErrorCode::MissingField, "Prepare.job" },
+    { Prepare{ base::ZoneId("z"), MakePlan(), 2 },
+      ErrorCode::OutOfRange,
+      "Prepare.rank" },
+    { GangSignal{}, ErrorCode::MissingField, "GangSignal.job" },
+    { GangSignal{ static_cast<GangSignalKind>(200),
+                  {},
+                  MakePlan().gang,
+                  {},
+                  0,
+                  false,
+                  {},
+                  AttemptStatus::Unknown },
+      ErrorCode::OutOfRange,
+      "GangSignal.kind" },
+    { ForwardJob{}, ErrorCode::MissingField, "ForwardJob.path" },
+  };
+  for (const auto& each : cases) {
+    CAPTURE(each.subject);
+    const auto decoded =
+      DecodeFrame(BodyOf(EncodeFrame({ {}, false, each.message })));
+    REQUIRE(decoded.has_error());
+    CHECK(decoded.error().code == each.code);
+    CHECK(decoded.error().subject == each.subject);
+  }
+}
+
+// Guards against a crash or an overrun on bytes from a broken peer.
+TEST_CASE("mutated and truncated frames give a message or a typed error")
+{
+  constexpr int kRounds = 20'000;
+  constexpr std::uint64_t kSeed = 4;
+  std::mt19937_64 random(kSeed);
+  std::vector<std::vector<std::byte>> bodies;
+  for (const auto& message : AllMessages()) {
+    bodies.push_back(BodyOf(EncodeFrame({ {}, false, message })));
+  }
+  int refused = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    auto body = bodies[random() % bodies.size()];
+    body[random() % body.size()] ^= static_cast<std::byte>(random() | 1U);
+    if (random() % 2 == 0) {
+      body.resize(random() % body.size() + 1);
+    }
+    refused += DecodeFrame(body).has_error() ? 1 : 0;
+  }
+  CHECK(refused > 0);
+}
--- /dev/null
+++ b/libs/protocol/tests/NodeTest.cpp
@@ -0,0 +1,225 @@
+#include "amaranthwind/protocol/Node.h"
+
+#include "amaranthwind/net/IoPool.h"
+#include "amaranthwind/protocol/FrameCodec.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <vector>
+
+using namespace amaranthwind;
+using namespace amaranthwind::protocol;
+using namespace std::chrono_literals;
+using base::ErrorCode;
+
+namespace {
+
+constexpr base::Duration kLongTime = 20s;
+
+/** Answers each ForwardJob with its own body, and records the rest. */
+class EchoHandler : public MessageHandler
+{
+public:
+  void OnOpened(ConnectionId aConnection, bool, std::string_view) override
+  {
+    std::lock_guard lock(this->mutex);
+    this->opened.push_back(aConnection);
+    this->changed.notify_all();
+  }
+
+  void OnMessage(ConnectionId aConnection, const Envelope& aEnvelope) override
+  {
+    std::lock_guard lock(this->mutex);
+    ++this->messages;
+    this->changed.notify_all();
+    const auto* forward = std::get_if<ForwardJob>(&aEnvelope.message);
+    if (forward != nullptr && forward->method != "IGNORE") {
+      this->node->Reply(aConnection,
+                        aEnvelope.correlation,
+                        ForwardJobReply{ 200, {}, forward->body });
+    }
+  }
+
+  void OnClosed(ConnectionId, const base::Error& aReason) override
+  {
+    std::lock_guard lock(this->mutex);
+    this->closed.push_back(aReason.code);
+    this->changed.notify_all();
+  }
+
+  template<typename Predicate>
+  bool WaitUntil(Predicate aPredicate)
+  {
+    std::unique_lock lock(this->mutex);
+    return this->changed.wait_for(lock, kLongTime, aPredicate);
+  }
+
+  Node* node = nullptr;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<ConnectionId> opened;
+  std::vector<ErrorCode> closed;
+  int messages = 0;
+};
+
+/** Two nodes with a connection from the client to the server. */
+struct Pair
+{
+  explicit Pair(const NodeOptions& aOptions = {})
+    : server(pool, aOptions, serverHandler)
+    , client(pool, aOptions, clientHandler)
+  {
+    this->serverHandler.node = &this->server;
+    this->clientHandler.node = &this->client;
+    this->address = this->server.Listen("127.0.0.1:0").value();
+    this->connection = this->client.Connect(this->address);
+  }
+  ~Pair()
+  {
+    this->client.Stop();
+    this->server.Stop();
+    this->pool.Stop();
+  }
+  Pair(const Pair&) = delete;
+  Pair& operator=(const Pair&) = delete;
+
+  net::IoPool pool{ 2 };
+  EchoHandler serverHandler;
+  EchoHandler clientHandler;
+  Node server;
+  Node client;
+  std::string address;
+  ConnectionId connection;
+};
+
+ForwardJob
+MakeCall(std::string_view aBody, std::string_view aMethod = "POST")
+{
+  return { std::string(aMethod), "/", {}, {}, std::string(aBody) };
+}
+
+} // namespace
+
+// Guards against a reply that reaches another caller on a shared connection.
+TEST_CASE("each of many calls on one connection gets its own reply")
+{
+  constexpr int kCalls = 500;
+  Pair pair;
+  std::vector<std::promise<std::string>> promises(kCalls);
+  for (int i = 0; i < kCalls; ++i) {
+    pair.client.Call(
+      pair.connection,
+      MakeCall(std::to_string(i)),
+      kLongTime,
+      [&promises, i](const CallResult& aResult) {
+        const auto* reply = aResult.reply == nullptr
+                              ? nullptr
+                              : std::get_if<ForwardJobReply>(aResult.reply);
+        promises[i].set_value(reply == nullptr ? "failed" : reply->body);
+      });
+  }
+  for (int i = 0; i < kCalls; ++i) {
+    CHECK(promises[i].get_future().get() == std::to_string(i));
+  }
+}
+
+TEST_CASE("a call without a reply fails once with a time-out")
+{
+  Pair pair;
+  std::promise<CallError> failed;
+  pair.client.Call(
+    pair.connection,
+    MakeCall("x", "IGNORE"),
+    10ms,
+    [&](const CallResult& aResult) { failed.set_value(aResult.failure); });
+  const CallError failure = failed.get_future().get();
+  CHECK(failure.error.code == ErrorCode::TimedOut);
+  CHECK(failure.mayHaveBeenSent);
+}
+
+// Guards against "not run" being claimed for a request that was sent.
+TEST_CASE("a call says whether it may have been sent before the loss")
+{
+  Pair pair;
+  std::promise<CallError> sent;
+  pair.client.Call(
+    pair.connection,
+    MakeCall("x", "IGNORE"),
+    kLongTime,
+    [&](const CallResult& aResult) { sent.set_value(aResult.failure); });
+  REQUIRE(pair.serverHandler.WaitUntil(
+    [&] { return pair.serverHandler.messages == 1; }));
+  pair.server.Stop();
+  CHECK(sent.get_future().get().mayHaveBeenSent);
+
+  std::promise<CallError> notSent;
+  pair.client.Call(
+    ConnectionId(999),
+    MakeCall("x"),
+    kLongTime,
+    [&](const CallResult& aResult) { notSent.set_value(aResult.failure); });
+  CHECK_FALSE(notSent.get_future().get().mayHaveBeenSent);
+}
+
+TEST_CASE("a connection to a port without a listener fails")
+{
+  Pair pair;
+  pair.client.Connect("127.0.0.1:1");
+  CHECK(pair.clientHandler.WaitUntil([&] {
+    return pair.clientHandler.closed ==
+           std::vector<ErrorCode>{ ErrorCode::ConnectFailed };
+  }));
+}
+
+// Guards against connections that something in between has forgotten.
+TEST_CASE("a silent peer is given up, a peer that only pings is not")
+{
+  NodeOptions options;
+  options.pingInterval = 50ms;
+  options.silenceTimeout = 1s;
+  Pair pair(options);
+  REQUIRE(pair.serverHandler.WaitUntil(
+    [&] { return pair.serverHandler.opened.size() == 1; }));
+
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket silent(context);
+  const auto colon = pair.address.rfind(':');
+  silent.connect(
+    { boost::asio::ip::make_address("127.0.0.1"),
+      static_cast<std::uint16_t>(std::stoi(pair.address.substr(colon + 1))) });
+  CHECK(pair.serverHandler.WaitUntil(
+    [&] { return pair.serverHandler.closed.size() == 1; }));
+  CHECK(pair.serverHandler.closed.front() == ErrorCode::TimedOut);
+  CHECK(pair.clientHandler.closed.empty());
+}
+
+TEST_CASE("a peer that sends an oversized or unreadable frame is cut off")
+{
+  Pair pair;
+  const std::vector<std::vector<unsigned char>> cases{
+    { 0xFF, 0xFF, 0xFF, 0xFF },
+    { 4, 0, 0, 0, 1, 2, 3, 4 },
+  };
+  boost::asio::io_context context;
+  const auto colon = pair.address.rfind(':');
+  for (std::size_t i = 0; i < cases.size(); ++i) {
+    boost::asio::ip::tcp::socket peer(context);
+    peer.connect({ boost::asio::ip::make_address("127.0.0.1"),
+                   static_cast<std::uint16_t>(
+                     std::stoi(pair.address.substr(colon + 1))) });
+    boost::asio::write(peer, boost::asio::buffer(cases[i]));
+    CHECK(pair.serverHandler.WaitUntil(
+      [&] { return pair.serverHandler.closed.size() == i + 1; }));
+  }
+  CHECK(pair.server.Counters().badFrames == cases.size());
+  CHECK(pair.serverHandler.closed ==
+        std::vector<ErrorCode>{ ErrorCode::TooLarge, ErrorCode::Malformed });
+}
