Add the HTTP front end, the log client and the platform stand-ins

The HTTP server and client run on Boost.Beast behind plain structs. The log client maps each answer to a typed result; an answer that cannot be read after the service took the request counts as unconfirmed, not as failed.

--- /dev/null
+++ b/libs/frontend/src/HttpClient.cpp
@@ -0,0 +1,311 @@
+#include "amaranthwind/frontend/HttpClient.h"
+
+#include "BeastConversion.h"
+#include "amaranthwind/net/IoPool.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+
+#include <deque>
+#include <future>
+#include <mutex>
+#include <optional>
+
+namespace amaranthwind::frontend {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using base::ErrorCode;
+using std::chrono::steady_clock;
+
+namespace {
+
+struct PendingRequest
+{
+  HttpRequest request;
+  base::TimePoint deadline;
+  HttpResultHandler handler;
+};
+
+HttpResult
+Failure(ErrorCode aCode, std::string_view aSubject, bool aMayHaveBeenSent)
+{
+  return { base::Fail(aCode, aSubject), aMayHaveBeenSent };
+}
+
+BeastRequest
+Convert(HttpRequest& aRequest, std::string_view aHost)
+{
+  std::string target = aRequest.path;
+  if (!aRequest.query.empty()) {
+    target += '?';
+    target += aRequest.query;
+  }
+  BeastRequest request;
+  request.version(11);
+  request.method_string(aRequest.method);
+  request.target(target);
+  request.set(http::field::host, std::string(aHost));
+  for (const auto& header : aRequest.headers) {
+    request.set(header.name, header.value);
+  }
+  request.keep_alive(true);
+  request.body() = std::move(aRequest.body);
+  request.prepare_payload();
+  return request;
+}
+
+/** One connection to the server; serves one request at a time. */
+class ClientSession : public std::enable_shared_from_this<ClientSession>
+{
+public:
+  /** Called after each request: the session, or null if it cannot be reused. */
+  using FreeHandler = std::function<void(std::shared_ptr<ClientSession>)>;
+
+  ClientSession(asio::io_context& aContext, const HttpClientOptions& aOptions)
+    : stream(aContext)
+    , options(aOptions)
+  {
+  }
+
+  void Run(PendingRequest aPending, FreeHandler aOnFree)
+  {
+    asio::post(this->stream.get_executor(),
+               [self = this->shared_from_this(),
+                pending = std::move(aPending),
+                onFree = std::move(aOnFree)]() mutable {
+                 self->pending = std::move(pending);
+                 self->onFree = std::move(onFree);
+                 self->isConnected ? self->Write() : self->Connect();
+               });
+  }
+
+private:
+  void Connect()
+  {
+    const auto endpoint = ToEndpoint(this->options.address);
+    if (endpoint.has_error()) {
+      this->Finish(
+        Failure(ErrorCode::Malformed, endpoint.error().subject, false), false);
+      return;
+    }
+    this->stream.expires_at(
+      std::min(steady_clock::now() + this->options.connectTimeout,
+               this->pending.deadline));
+    this->stream.async_connect(
+      endpoint.value(),
+      [self = this->shared_from_this()](beast::error_code aError) {
+        if (aError) {
+          self->Finish(
+            Failure(ErrorCode::ConnectFailed, aError.message(), false), false);
+          return;
+        }
+        self->isConnected = true;
+        beast::error_code ignored;
+        self->stream.socket().set_option(tcp::no_delay(true), ignored);
+        self->Write();
+      });
+  }
+
+  void Write()
+  {
+    this->request = Convert(this->pending.request, this->options.address);
+    this->stream.expires_at(this->pending.deadline);
+    http::async_write(
+      this->stream,
+      this->request,
+      [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
+        if (aError) {
+          self->Finish(ToFailure(aError), false);
+          return;
+        }
+        self->Read();
+      });
+  }
+
+  void Read()
+  {
+    this->parser.emplace();
+    this->parser->body_limit(this->options.maxBodyBytes);
+    http::async_read(
+      this->stream,
+      this->buffer,
+      *this->parser,
+      [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
+        self->OnRead(aError);
+      });
+  }
+
+  void OnRead(beast::error_code aError)
+  {
+    if (aError) {
+      this->Finish(ToFailure(aError), false);
+      return;
+    }
+    BeastResponse answer = this->parser->release();
+    HttpResponse response;
+    response.status = static_cast<std::uint16_t>(answer.result_int());
+    response.contentType = ToView(answer[http::field::content_type]);
+    response.headers = ToHeaders(answer);
+    response.body = std::move(answer.body());
+    this->Finish({ std::move(response), true }, answer.keep_alive());
+  }
+
+  static HttpResult ToFailure(beast::error_code aError)
+  {
+    const ErrorCode code = aError == beast::error::timeout
+                             ? ErrorCode::TimedOut
+                             : ErrorCode::ConnectionClosed;
+    return Failure(code, aError.message(), true);
+  }
+
+  void Finish(HttpResult aResult, bool aIsReusable)
+  {
+    this->stream.expires_never();
+    if (!aIsReusable) {
+      this->stream.close();
+      this->isConnected = false;
+    }
+    auto handler = std::move(this->pending.handler);
+    auto onFreed = std::move(this->onFree);
+    onFreed(aIsReusable ? this->shared_from_this() : nullptr);
+    handler(std::move(aResult));
+  }
+
+  beast::tcp_stream stream;
+  const HttpClientOptions options;
+  bool isConnected = false;
+  beast::flat_buffer buffer;
+  PendingRequest pending;
+  FreeHandler onFree;
+  BeastRequest request;
+  std::optional<http::response_parser<http::string_body>> parser;
+};
+
+} // namespace
+
+struct HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl>
+{
+  Impl(net::IoPool& aPool, const HttpClientOptions& aOptions)
+    : pool(aPool)
+    , options(aOptions)
+  {
+  }
+
+  void Send(PendingRequest aPending)
+  {
+    std::shared_ptr<ClientSession> session;
+    {
+      std::lock_guard lock(this->mutex);
+      session = this->TakeSession();
+      if (session == nullptr && this->queue.size() < this->options.maxQueued) {
+        this->queue.push_back(std::move(aPending));
+        return;
+      }
+    }
+    if (session == nullptr) {
+      aPending.handler(
+        Failure(ErrorCode::QueueFull, this->options.address, false));
+      return;
+    }
+    this->Run(std::move(session), std::move(aPending));
+  }
+
+  /** An idle or a new session; null if all connections are in use. */
+  std::shared_ptr<ClientSession> TakeSession()
+  {
+    if (!this->idle.empty()) {
+      auto session = std::move(this->idle.back());
+      this->idle.pop_back();
+      ++this->busy;
+      return session;
+    }
+    if (this->busy >= this->options.maxConnections) {
+      return nullptr;
+    }
+    ++this->busy;
+    return std::make_shared<ClientSession>(this->pool.Next(), this->options);
+  }
+
+  void Run(std::shared_ptr<ClientSession> aSession, PendingRequest aPending)
+  {
+    aSession->Run(
+      std::move(aPending),
+      [weak = this->weak_from_this()](std::shared_ptr<ClientSession> aFree) {
+        if (const auto self = weak.lock()) {
+          self->OnFree(std::move(aFree));
+        }
+      });
+  }
+
+  void OnFree(std::shared_ptr<ClientSession> aSession)
+  {
+    std::optional<PendingRequest> next;
+    std::vector<PendingRequest> expired;
+    {
+      std::lock_guard lock(this->mutex);
+      --this->busy;
+      if (aSession != nullptr) {
+        this->idle.push_back(std::move(aSession));
+      }
+      const auto now = steady_clock::now();
+      while (!this->queue.empty() && !next.has_value()) {
+        PendingRequest first = std::move(this->queue.front());
+        this->queue.pop_front();
+        if (first.deadline <= now) {
+          expired.push_back(std::move(first));
+        } else {
+          next.emplace(std::move(first));
+        }
+      }
+      if (next.has_value()) {
+        aSession = this->TakeSession();
+      }
+    }
+    for (auto& late : expired) {
+      late.handler(Failure(ErrorCode::TimedOut, "no free connection", false));
+    }
+    if (next.has_value()) {
+      this->Run(std::move(aSession), std::move(*next));
+    }
+  }
+
+  net::IoPool& pool;
+  const HttpClientOptions options;
+  std::mutex mutex;
+  std::vector<std::shared_ptr<ClientSession>> idle;
+  std::size_t busy = 0;
+  std::deque<PendingRequest> queue;
+};
+
+HttpClient::HttpClient(net::IoPool& aPool, const HttpClientOptions& aOptions)
+  : impl(std::make_shared<Impl>(aPool, aOptions))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void
+HttpClient::Send(HttpRequest aRequest,
+                 base::Duration aTimeout,
+                 HttpResultHandler aHandler)
+{
+  this->impl->Send({ std::move(aRequest),
+                     steady_clock::now() + aTimeout,
+                     std::move(aHandler) });
+}
+
+HttpResult
+HttpClient::SendAndWait(HttpRequest aRequest, base::Duration aTimeout)
+{
+  auto promise = std::make_shared<std::promise<HttpResult>>();
+  auto future = promise->get_future();
+  this->Send(std::move(aRequest), aTimeout, [promise](HttpResult aResult) {
+    promise->set_value(std::move(aResult));
+  });
+  return future.get();
+}
+
+} // namespace amaranthwind::frontend
--- /dev/null
+++ b/libs/frontend/tests/HttpTest.cpp
@@ -0,0 +1,255 @@
+#include "amaranthwind/frontend/HttpClient.h"
+#include "amaranthwind/frontend/HttpLogClient.h"
+#include "amaranthwind/frontend/HttpServer.h"
+
+#include "amaranthwind/net/IoPool.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <future>
+#include <mutex>
+#include <vector>
+
+using namespace amaranthwind;
+using namespace amaranthwind::frontend;
+using namespace std::chrono_literals;
+using base::ErrorCode;
+
+namespace {
+
+constexpr base::Duration kLongTime = 20s;
+
+/** Serves each request with a function that a test sets. */
+class FunctionHandler : public HttpHandler
+{
+public:
+  void Handle(HttpRequest aRequest, HttpResponder aRespond) override
+  {
+    this->serve(std::move(aRequest), std::move(aRespond));
+  }
+
+  std::function<void(HttpRequest, HttpResponder)> serve =
+    [](HttpRequest aRequest, const HttpResponder& aRespond) {
+      HttpResponse response;
+      response.body = aRequest.method + " " + aRequest.path + "?" +
+                      aRequest.query + " " + aRequest.body;
+      aRespond(std::move(response));
+    };
+};
+
+struct Fixture
+{
+  explicit Fixture(const HttpServerOptions& aOptions = {})
+    : server(pool, aOptions, handler)
+    , address(server.Listen("127.0.0.1:0").value())
+    , client(pool, { .address = address, .maxConnections = 4 })
+  {
+  }
+  ~Fixture()
+  {
+    this->server.Stop();
+    this->pool.Stop();
+  }
+  Fixture(const Fixture&) = delete;
+  Fixture& operator=(const Fixture&) = delete;
+
+  net::IoPool pool{ 2 };
+  FunctionHandler handler;
+  HttpServer server;
+  std::string address;
+  HttpClient client;
+};
+
+HttpRequest
+MakePost(std::string_view aPath, std::string_view aBody)
+{
+  HttpRequest request;
+  request.method = "POST";
+  request.path = aPath;
+  request.query = "a=1&b=2";
+  request.body = aBody;
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("a request reaches the handler whole and its answer the caller")
+{
+  Fixture fixture;
+  const auto result =
+    fixture.client.SendAndWait(MakePost("/p", "body"), kLongTime);
+  REQUIRE(result.response.has_value());
+  CHECK(result.response.value().status == 200);
+  CHECK(result.response.value().body == "POST /p?a=1&b=2 body");
+}
+
+TEST_CASE("headers are found in any case and query values by name")
+{
+  HttpRequest request = MakePost("/", "");
+  request.headers.push_back({ "X-Caller", "c" });
+  CHECK(request.Header("x-caller") == "c");
+  CHECK(request.Header("x-call").empty());
+  CHECK(request.QueryValue("b") == "2");
+  CHECK(request.QueryValue("c").empty());
+}
+
+// Guards against answers that reach the wrong request on kept connections.
+TEST_CASE("many requests over few connections each get their own answer")
+{
+  constexpr int kRequests = 200;
+  Fixture fixture;
+  std::vector<std::promise<std::string>> answers(kRequests);
+  for (int i = 0; i < kRequests; ++i) {
+    fixture.client.Send(
+      MakePost("/", std::to_string(i)), kLongTime, [&, i](HttpResult aResult) {
+        answers[i].set_value(aResult.response.has_value()
+                               ? aResult.response.value().body
+                               : base::Describe(aResult.response.error()));
+      });
+  }
+  for (int i = 0; i < kRequests; ++i) {
+    CHECK(answers[i].get_future().get() ==
+          "POST /?a=1&b=2 " + std::to_string(i));
+  }
+}
+
+TEST_CASE("a body beyond the limit is refused and the server goes on")
+{
+  HttpServerOptions options;
+  options.maxBodyBytes = 10;
+  Fixture fixture(options);
+  const auto large =
+    fixture.client.SendAndWait(MakePost("/", std::string(11, 'x')), kLongTime);
+  REQUIRE(large.response.has_value());
+  CHECK(large.response.value().status == 413);
+  CHECK(large.response.value().body ==
+        R"({"error":"too-large","subject":"body","notRun":true})");
+  const auto small = fixture.client.SendAndWait(MakePost("/", "x"), kLongTime);
+  CHECK(small.response.value().status == 200);
+}
+
+// Guards against "not run" being claimed for a request that was sent.
+TEST_CASE("the client says whether a failed request may have been sent")
+{
+  Fixture fixture;
+  std::promise<HttpResponder> held;
+  fixture.handler.serve = [&](const HttpRequest&, HttpResponder aRespond) {
+    held.set_value(std::move(aRespond));
+  };
+  const auto late = fixture.client.SendAndWait(MakePost("/", ""), 50ms);
+  REQUIRE(late.response.has_error());
+  CHECK(late.response.error().code == ErrorCode::TimedOut);
+  CHECK(late.mayHaveBeenSent);
+  held.get_future().get()({});
+
+  HttpClient nobody(fixture.pool, { .address = "127.0.0.1:1" });
+  const auto refused = nobody.SendAndWait(MakePost("/", ""), kLongTime);
+  REQUIRE(refused.response.has_error());
+  CHECK(refused.response.error().code == ErrorCode::ConnectFailed);
+  CHECK_FALSE(refused.mayHaveBeenSent);
+}
+
+// Guards against a planned stop that cuts a request in flight.
+TEST_CASE("a draining server answers what it has and closes the connection")
+{
+  Fixture fixture;
+  std::promise<HttpResponder> held;
+  fixture.handler.serve = [&](const HttpRequest&, HttpResponder aRespond) {
+    held.set_value(std::move(aRespond));
+  };
+  std::promise<HttpResult> answer;
+  fixture.client.Send(MakePost("/", ""), kLongTime, [&](HttpResult aResult) {
+    answer.set_value(std::move(aResult));
+  });
+  const auto respond = held.get_future().get();
+  CHECK(fixture.server.ActiveRequests() == 1);
+  fixture.server.StartDraining();
+  fixture.server.StopAccepting();
+  respond({});
+  const auto result = answer.get_future().get();
+  REQUIRE(result.response.has_value());
+  HttpRequest asRequest;
+  asRequest.headers = result.response.value().headers;
+  CHECK(asRequest.Header("Connection") == "close");
+}
+
+TEST_CASE("the log client maps each answer of the service to a typed result")
+{
+  struct Case
+  {
+    std::uint16_t status;
+    std::string body;
+    ErrorCode append;
+    ErrorCode read;
+    std::string readSubject;
+  };
+  const std::vector<Case> cases{
+    { 500,
+      "",
+      ErrorCode::AppendUnconfirmed,
+      ErrorCode::LogUnavailable,
+      "status 500" },
+    { 503,
+      "",
+      ErrorCode::LogUnavailable,
+      ErrorCode::LogUnavailable,
+      "status 503" },
+    { 413, "", ErrorCode::TooLarge, ErrorCode::LogUnavailable, "status 413" },
+    { 410,
+      R"({"first":7})",
+      ErrorCode::LogUnavailable,
+      ErrorCode::OffsetExpired,
+      "7" },
+    { 416, "", ErrorCode::LogUnavailable, ErrorCode::OffsetInvalid, "3" },
+    { 200,
+      "no json",
+      ErrorCode::AppendUnconfirmed,
+      ErrorCode::Malformed,
+      "log service: answer" },
+    { 200,
+      R"({"first":0,"end":"x"})",
+      ErrorCode::AppendUnconfirmed,
+      ErrorCode::Malformed,
+      "log service: end" },
+    { 200,
+      R"({"first":0,"end":1,"records":[{"offset":0}]})",
+      ErrorCode::AppendUnconfirmed,
+      ErrorCode::Malformed,
+      "log service: payload" },
+  };
+  Fixture fixture;
+  HttpLogClient log(fixture.pool, { .address = fixture.address });
+  for (const auto& each : cases) {
+    CAPTURE(each.status);
+    CAPTURE(each.body);
+    fixture.handler.serve = [&](const HttpRequest&,
+                                const HttpResponder& aRespond) {
+      aRespond({ each.status, "application/json", {}, each.body });
+    };
+    const auto appended = log.Append("notes", {});
+    REQUIRE(appended.has_error());
+    CHECK(appended.error().code == each.append);
+    const auto read = log.Read("notes", base::LogOffset(3), 10);
+    REQUIRE(read.has_error());
+    CHECK(read.error().code == each.read);
+    CHECK(read.error().subject == each.readSubject);
+  }
+}
+
+// Guards against a writer that takes a lost answer for a failed append.
+TEST_CASE("an append whose answer is lost is unconfirmed, not unavailable")
+{
+  Fixture fixture;
+  fixture.handler.serve = [&](const HttpRequest&, const HttpResponder&) {};
+  HttpLogClient log(fixture.pool,
+                    { .address = fixture.address, .timeout = 50ms });
+  const auto lost = log.Append("notes", {});
+  REQUIRE(lost.has_error());
+  CHECK(lost.error().code == ErrorCode::AppendUnconfirmed);
+
+  HttpLogClient down(fixture.pool, { .address = "127.0.0.1:1" });
+  const auto refused = down.Append("notes", {});
+  REQUIRE(refused.has_error());
+  CHECK(refused.error().code == ErrorCode::LogUnavailable);
+}
