Add links to entries and the event loop of decision threads

A process that reaches an entry by way of the load balancer asks it for its own address first: two registrations of one target at the same entry would count its capacity twice.

--- /dev/null
+++ b/libs/base/tests/EventLoopTest.cpp
@@ -0,0 +1,56 @@
+#include "amaranthwind/base/EventLoop.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+#include <utility>
+#include <vector>
+
+using namespace amaranthwind::base;
+using namespace std::chrono_literals;
+
+TEST_CASE("tasks run in order, and those posted before Stop() all run")
+{
+  constexpr int kTasks = 100;
+  EventLoop loop(kTasks);
+  std::vector<int> ran;
+  loop.Start();
+  for (int i = 0; i < kTasks; ++i) {
+    loop.Post([&ran, i] { ran.push_back(i); });
+  }
+  loop.Stop();
+  REQUIRE(ran.size() == kTasks);
+  CHECK(ran.front() == 0);
+  CHECK(ran.back() == kTasks - 1);
+  CHECK_FALSE(loop.TryPost([] {}));
+}
+
+// Guards against unbounded memory when a decision thread falls behind.
+TEST_CASE("a full loop refuses new work but not answers to accepted work")
+{
+  EventLoop loop(1);
+  int ran = 0;
+  REQUIRE(loop.TryPost([&] { ++ran; }));
+  CHECK_FALSE(loop.TryPost([&] { ++ran; }));
+  loop.Post([&] { ++ran; });
+  CHECK(loop.Pending() == 2);
+  loop.Start();
+  loop.Stop();
+  CHECK(ran == 2);
+}
+
+TEST_CASE("the tick runs without any task")
+{
+  EventLoop loop(1);
+  std::promise<void> ticked;
+  bool isFirst = true;
+  loop.SetTick(1ms, [&] {
+    if (std::exchange(isFirst, false)) {
+      ticked.set_value();
+    }
+  });
+  loop.Start();
+  ticked.get_future().get();
+  loop.Stop();
+  CHECK_FALSE(isFirst);
+}
--- a/libs/protocol/include/amaranthwind/protocol/Messages.h
+++ b/libs/protocol/include/amaranthwind/protocol/Messages.h
@@ -50,6 +50,12 @@
   bool operator==(const EntryHello&) const = default;
 };
 
+/** Asks an entry for its Topology; does not announce the sender. */
+struct FetchTopology
+{
+  bool operator==(const FetchTopology&) const = default;
+};
+
 /** What an entry knows of the entries and coordinators; sent on change. */
 struct Topology
 {
@@ -292,7 +298,8 @@
                              ForwardJob,
                              ForwardJobReply,
                              FetchPolicy,
-                             PolicyReply>;
+                             PolicyReply,
+                             FetchTopology>;
 
 /** Matches a reply to its call on one connection; 0: no reply expected. */
 using CorrelationId = base::StrongNumber<struct CorrelationTag>;
--- a/libs/protocol/src/WireDecoder.cpp
+++ b/libs/protocol/src/WireDecoder.cpp
@@ -367,6 +367,12 @@
                       std::string(View(aReply.document())) };
 }
 
+Result<Message>
+Decode(const wire::FetchTopology&)
+{
+  return FetchTopology{};
+}
+
 } // namespace
 
 Result<Message>
@@ -412,6 +418,8 @@
       return Decode(*aEnvelope.body_as_FetchPolicy());
     case wire::Body::PolicyReply:
       return Decode(*aEnvelope.body_as_PolicyReply());
+    case wire::Body::FetchTopology:
+      return Decode(*aEnvelope.body_as_FetchTopology());
     case wire::Body::NONE:
       break;
   }
--- a/libs/protocol/src/WireEncoder.cpp
+++ b/libs/protocol/src/WireEncoder.cpp
@@ -317,4 +317,10 @@
     this->builder, aReply.policyVersion.Get(), document);
 }
 
+Offset<wire::FetchTopology>
+WireEncoder::operator()(const FetchTopology&)
+{
+  return wire::CreateFetchTopology(this->builder);
+}
+
 } // namespace amaranthwind::protocol
--- a/libs/protocol/src/WireEncoder.h
+++ b/libs/protocol/src/WireEncoder.h
@@ -40,6 +40,8 @@
     const ForwardJobReply& aReply);
   flatbuffers::Offset<wire::FetchPolicy> operator()(const FetchPolicy& aFetch);
   flatbuffers::Offset<wire::PolicyReply> operator()(const PolicyReply& aReply);
+  flatbuffers::Offset<wire::FetchTopology> operator()(
+    const FetchTopology& aFetch);
 
 private:
   using StringOffset = flatbuffers::Offset<flatbuffers::String>;
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -90,6 +90,7 @@
     ForwardJobReply{ 202, milliseconds(3), "{}" },
     FetchPolicy{},
     PolicyReply{ base::PolicyVersion(8), "{}" },
+    FetchTopology{},
   };
 }
 
