--- a/libs/peering/include/amaranthwind/peering/EntryLinks.h
+++ b/libs/peering/include/amaranthwind/peering/EntryLinks.h
@@ -37,9 +37,9 @@
 struct EntryLinksOptions
 {
   /** Inner addresses of the load balancer or of entries. */
-  std::vector<std::string> bootstrap;
+  std::vector<std::string> bootstrap{};
   /** Address of this process, which it does not connect to. */
-  std::string ownAddress;
+  std::string ownAddress{};
   std::chrono::milliseconds retryInterval{ 500 };
   /** How often a process with links asks the bootstrap addresses again. */
   std::chrono::milliseconds rediscoverInterval{ 10'000 };
