--- a/libs/journal/include/amaranthwind/journal/Record.h
+++ b/libs/journal/include/amaranthwind/journal/Record.h
@@ -102,12 +102,23 @@
   Ended,
 };
 
+/** What became of an attempt. Every answer but the first two is final. */
+enum class AttemptFate : std::uint8_t
+{
+  Unknown,   // The job is not known, or it ended long ago.
+  Undecided, // The coordinator of the newest epoch may still decide.
+  Aborted,   // By a decision record, or the job ended without this attempt.
+  Voided,    // By an epoch record; the number is never used again.
+  Committed,
+  Ended, // It was decided and is over, or a later attempt was decided.
+};
+
 /** What the log says about one job. */
 struct JobState
 {
   job::JobSpec spec;
   JobPhase phase = JobPhase::Queued;
-  /** Number of the newest attempt that was decided; 0 before the first. */
+  /** Number of the newest attempt that was decided or voided; at first 0. */
   base::Attempt lastAttempt;
   /** Committed attempts that were not proven not to have run. */
   std::uint32_t runs = 0;
@@ -116,6 +127,8 @@
   std::vector<base::TargetId> members;
   std::optional<JobOutcome> outcome;
   std::optional<base::Error> error;
+  /** Of lastAttempt; Unknown before the first. */
+  AttemptFate lastFate = AttemptFate::Unknown;
   bool operator==(const JobState&) const = default;
 };
 
--- /dev/null
+++ b/libs/journal/tests/CellReplayTest.cpp
@@ -0,0 +1,243 @@
+#include "amaranthwind/journal/CellReplay.h"
+
+#include "JournalFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <span>
+
+using namespace amaranthwind;
+using namespace amaranthwind::journal;
+using base::ErrorCode;
+
+namespace {
+
+job::GangId
+Gang(std::string_view aJob, std::uint32_t aAttempt)
+{
+  return { base::JobId(aJob), base::Attempt(aAttempt) };
+}
+
+CellState
+StateOf(JournalFixture& aFixture)
+{
+  CellReplay replay(aFixture.codec);
+  REQUIRE(ReadToEnd(aFixture.log, kCell, replay).has_value());
+  REQUIRE(replay.IsComplete());
+  return replay.State();
+}
+
+/** Appends the state after all records as a checkpoint of aChunks chunks. */
+void
+PutCheckpoint(JournalFixture& aFixture,
+              base::FencingToken aToken,
+              std::uint32_t aChunks,
+              std::uint32_t aWritten)
+{
+  const CellState state = StateOf(aFixture);
+  const base::LogOffset covers = aFixture.log.End(kCell);
+  for (std::uint32_t i = 0; i < aWritten; ++i) {
+    CheckpointRecord chunk{ aToken, covers, i, aChunks, {} };
+    const std::size_t first = state.jobs.size() * i / aChunks;
+    const std::size_t last = state.jobs.size() * (i + 1) / aChunks;
+    const auto part = std::span(state.jobs).subspan(first, last - first);
+    chunk.jobs.assign(part.begin(), part.end());
+    aFixture.Put(kCell, chunk);
+  }
+}
+
+} // namespace
+
+// Guards against a job that is started more often than allowed, and against a
+// run that is counted although it is proven not to have happened.
+TEST_CASE("runs of a job are counted through commits, ends and proofs")
+{
+  JournalFixture fixture;
+  const auto token = fixture.PutEpoch("e1");
+  fixture.Put(kCell, Accepted(token, "j", 2));
+  fixture.Put(kCell, Decision(token, "j", 1, false));
+  fixture.Put(kCell, Decision(token, "j", 2));
+  fixture.Put(kCell, AttemptEnded(token, "j", 2, AttemptOutcome::NotRun));
+  fixture.Put(kCell, Decision(token, "j", 3));
+  fixture.Put(kCell, AttemptEnded(token, "j", 3, AttemptOutcome::Failed));
+  fixture.Put(kCell, Decision(token, "j", 4));
+  fixture.Put(kCell, AttemptEnded(token, "j", 4, AttemptOutcome::Preempted));
+  fixture.Put(kCell, Decision(token, "j", 5));
+  CellReplay replay(fixture.codec);
+  const auto report = ReadToEnd(fixture.log, kCell, replay);
+  REQUIRE(report.has_value());
+  CHECK(report.value().back().verdict == Verdict::Rejected);
+  CHECK(report.value().back().error.subject == "maxRuns");
+  const JobState* const job = replay.Find(base::JobId("j"));
+  REQUIRE(job != nullptr);
+  CHECK(job->runs == 2);
+  CHECK(job->phase == JobPhase::Queued);
+  CHECK(replay.FateOf(Gang("j", 5)) == AttemptFate::Aborted);
+}
+
+// Guards against a member that keeps a reservation, or runs, on a wrong answer.
+TEST_CASE("the fate of an attempt follows from the log alone")
+{
+  JournalFixture fixture;
+  const auto first = fixture.PutEpoch("e1");
+  for (const char* const job :
+       { "queued", "aborted", "running", "cancelled" }) {
+    fixture.Put(kCell, Accepted(first, job));
+  }
+  fixture.Put(kCell, Decision(first, "aborted", 1, false));
+  fixture.Put(kCell, Decision(first, "running", 1));
+  fixture.Put(kCell, JobCancelledRecord{ first, base::JobId("cancelled") });
+  fixture.Put(kCell, Decision(first, "cancelled", 1));
+  const auto second = fixture.PutEpoch("e2");
+  fixture.Put(kCell, Accepted(second, "ended"));
+  fixture.Put(kCell, Decision(second, "ended", 1));
+  fixture.Put(kCell,
+              AttemptEnded(second, "ended", 1, AttemptOutcome::Succeeded));
+  // The former coordinator's decisions arrive late.
+  fixture.Put(kCell, Decision(first, "queued", 1));
+  fixture.Put(kCell, Decision(first, "queued", 2));
+  PutCheckpoint(fixture, second, 2, 2);
+  struct Case
+  {
+    std::string_view job;
+    std::uint32_t attempt;
+    AttemptFate fate;
+  };
+  const std::array<Case, 9> cases{ {
+    { "queued", 1, AttemptFate::Voided },
+    { "queued", 2, AttemptFate::Undecided },
+    { "aborted", 1, AttemptFate::Ended },
+    { "aborted", 2, AttemptFate::Voided },
+    { "running", 1, AttemptFate::Committed },
+    { "cancelled", 1, AttemptFate::Ended },
+    { "ended", 1, AttemptFate::Ended },
+    { "ended", 2, AttemptFate::Aborted },
+    { "never seen", 1, AttemptFate::Unknown },
+  } };
+  for (const std::uint64_t firstKept : { 0, 13 }) {
+    fixture.log.ExpireBelow(kCell, base::LogOffset(firstKept));
+    CellReplay replay(fixture.codec);
+    REQUIRE(ReadToEnd(fixture.log, kCell, replay).has_value());
+    for (const Case& each : cases) {
+      CAPTURE(each.job);
+      CAPTURE(each.attempt);
+      CAPTURE(firstKept);
+      CHECK(replay.FateOf(Gang(each.job, each.attempt)) == each.fate);
+    }
+  }
+}
+
+// Guards against a paused former coordinator that changes the cell.
+TEST_CASE("no record with a stale token has an effect")
+{
+  JournalFixture fixture;
+  const auto stale = fixture.PutEpoch("e1");
+  fixture.Put(kCell, Accepted(stale, "j", 3));
+  fixture.PutEpoch("e2");
+  const CellState expected = StateOf(fixture);
+  const std::vector<RecordBody> records{
+    Accepted(stale, "late"),
+    JobCancelledRecord{ stale, base::JobId("j") },
+    Decision(stale, "j", 2),
+    Decision(base::FencingToken(99), "j", 2),
+    AttemptEnded(stale, "j", 1, AttemptOutcome::NotRun),
+    JobEndedRecord{ stale, base::JobId("j"), JobOutcome::Failed, {} },
+    CheckpointRecord{ stale, base::LogOffset(3), 0, 1, {} },
+  };
+  for (const RecordBody& body : records) {
+    fixture.Put(kCell, body);
+  }
+  CellReplay replay(fixture.codec);
+  const auto report = ReadToEnd(fixture.log, kCell, replay);
+  REQUIRE(report.has_value());
+  for (std::size_t i = 3; i < report.value().size(); ++i) {
+    CAPTURE(i);
+    CHECK(report.value()[i].verdict == Verdict::StaleToken);
+    CHECK(report.value()[i].error.code == ErrorCode::StaleToken);
+  }
+  CHECK(replay.State() == expected);
+}
+
+// Guards against a state that depends on when its reader started: everything
+// is lost, and a new process comes to the same state as before.
+TEST_CASE("replay from a checkpoint gives the same state as a full replay")
+{
+  JournalFixture fixture;
+  const auto token = fixture.PutEpoch("e1");
+  for (const char* const job : { "a", "b", "c", "d" }) {
+    fixture.Put(kCell, Accepted(token, job, 2));
+  }
+  fixture.Put(kCell, Decision(token, "b", 1));
+  fixture.Put(kCell, JobEndedRecord{ token, base::JobId("c"), {}, {} });
+  // Not complete: to be ignored.
+  PutCheckpoint(fixture, token, 3, 2);
+  const auto incompleteEnd = fixture.log.End(kCell);
+  fixture.Put(kCell, Accepted(token, "e"));
+  PutCheckpoint(fixture, token, 3, 3);
+  fixture.Put(kCell, Decision(token, "a", 1));
+  const CellState expected = StateOf(fixture);
+  for (std::uint64_t first = 1; first <= incompleteEnd.Get() + 1; ++first) {
+    CAPTURE(first);
+    fixture.log.ExpireBelow(kCell, base::LogOffset(first));
+    CHECK(StateOf(fixture) == expected);
+  }
+  // The first chunk expires: nothing complete is left.
+  fixture.log.ExpireBelow(kCell, base::LogOffset(incompleteEnd.Get() + 2));
+  CellReplay tooLate(fixture.codec);
+  REQUIRE(ReadToEnd(fixture.log, kCell, tooLate).has_value());
+  CHECK(!tooLate.IsComplete());
+}
+
+// Guards against two answers to one job id, and against ended jobs that pile
+// up.
+TEST_CASE("a job id submitted again gets the same answer for a bounded number")
+{
+  JournalFixture fixture;
+  const auto token = fixture.PutEpoch("e1");
+  CellReplay replay(fixture.codec, 2);
+  for (const char* const job : { "a", "b", "c" }) {
+    fixture.Put(kCell, Accepted(token, job));
+    fixture.Put(kCell,
+                JobEndedRecord{ token,
+                                base::JobId(job),
+                                JobOutcome::Refused,
+                                base::Error{ ErrorCode::NeverFits, "shape" } });
+  }
+  fixture.Put(kCell, Accepted(token, "c"));
+  fixture.Put(kCell, Accepted(token, "c", 7));
+  const auto report = ReadToEnd(fixture.log, kCell, replay);
+  REQUIRE(report.has_value());
+  const auto& records = report.value();
+  CHECK(records[records.size() - 2].error.code == ErrorCode::DuplicateKey);
+  CHECK(records.back().error.code == ErrorCode::KeyReused);
+  CHECK(replay.Find(base::JobId("a")) == nullptr);
+  REQUIRE(replay.Find(base::JobId("c")) != nullptr);
+  CHECK(replay.Find(base::JobId("c"))->error->code == ErrorCode::NeverFits);
+  CHECK(replay.EndedJobs().size() == 2);
+}
+
+// Guards against a bad record that stops the cell or takes memory at will.
+TEST_CASE("malformed and impossible records are skipped with an error")
+{
+  JournalFixture fixture;
+  const auto token = fixture.PutEpoch("e1");
+  const std::array<std::byte, 1> bad{};
+  REQUIRE(fixture.log.Append(kCell, bad).has_value());
+  fixture.Put(kCell, Note(0, "a"));
+  fixture.Put(kCell, CheckpointRecord{ token, base::LogOffset(9), 0, 1, {} });
+  fixture.Put(
+    kCell, CheckpointRecord{ token, base::LogOffset(1), 0, 4'000'000'000, {} });
+  fixture.Put(kCell, CheckpointRecord{ token, base::LogOffset(1), 0, 0, {} });
+  fixture.Put(kCell, Decision(token, "unknown", 1));
+  fixture.Put(kCell, Accepted(token, "j"));
+  CellReplay replay(fixture.codec);
+  const auto report = ReadToEnd(fixture.log, kCell, replay);
+  REQUIRE(report.has_value());
+  CHECK(report.value()[1].verdict == Verdict::Malformed);
+  for (std::size_t i = 2; i < 7; ++i) {
+    CAPTURE(i);
+    CHECK(report.value()[i].verdict == Verdict::Rejected);
+  }
+  CHECK(replay.LiveJobs().size() == 1);
+}
--- /dev/null
+++ b/libs/journal/tests/NoteReplayTest.cpp
@@ -0,0 +1,164 @@
+#include "amaranthwind/journal/NoteReplay.h"
+
+#include "JournalFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace amaranthwind;
+using namespace amaranthwind::journal;
+using base::ErrorCode;
+
+namespace {
+
+policy::Policy
+PolicyOf(JournalFixture& aFixture)
+{
+  NoteReplay replay(aFixture.codec);
+  REQUIRE(ReadToEnd(aFixture.log, kNotesStream, replay).has_value());
+  REQUIRE(replay.IsComplete());
+  return replay.Current();
+}
+
+} // namespace
+
+// Guards against operators overwriting each other, and against a loser who is
+// not told who won.
+TEST_CASE("of two notes on one base the first in the log wins")
+{
+  JournalFixture fixture;
+  const Record first = fixture.Make(Note(0, "a"));
+  fixture.Put(kNotesStream, first);
+  const Record second = fixture.Make(Note(0, "b"));
+  fixture.Put(kNotesStream, second);
+  NoteReplay replay(fixture.codec);
+  const auto report = ReadToEnd(fixture.log, kNotesStream, replay);
+  REQUIRE(report.has_value());
+  REQUIRE(report.value().size() == 2);
+  CHECK(report.value()[0].verdict == Verdict::Applied);
+  CHECK(report.value()[1].id == second.id);
+  CHECK(report.value()[1].verdict == Verdict::Rejected);
+  CHECK(report.value()[1].error.code == ErrorCode::BaseVersionConflict);
+  CHECK(report.value()[1].error.subject == first.id.View());
+  CHECK(replay.Current().nextOffset.Get() == 2);
+}
+
+// Guards against a second copy that takes effect, and against a bad record that
+// stops everything behind it.
+TEST_CASE("a second copy and bad records have no effect and block nothing")
+{
+  JournalFixture fixture;
+  const Record note = fixture.Make(Note(0, "a"));
+  fixture.Put(kNotesStream, note);
+  fixture.Put(kNotesStream, note);
+  const std::array<std::byte, 3> bad{};
+  REQUIRE(fixture.log.Append(kNotesStream, bad).has_value());
+  fixture.Put(kNotesStream, EpochRecord{});
+  policy::Policy tooNew;
+  tooNew.nextOffset = base::LogOffset(1000);
+  fixture.Put(kNotesStream, PolicyCheckpointRecord{ tooNew });
+  fixture.Put(kNotesStream, Note(1, "b"));
+  NoteReplay replay(fixture.codec);
+  const auto report = ReadToEnd(fixture.log, kNotesStream, replay);
+  REQUIRE(report.has_value());
+  CHECK(Verdicts(report.value()) == std::vector<Verdict>{ Verdict::Applied,
+                                                          Verdict::Duplicate,
+                                                          Verdict::Malformed,
+                                                          Verdict::Rejected,
+                                                          Verdict::Rejected,
+                                                          Verdict::Applied });
+  CHECK(replay.Current().version.Get() == 2);
+}
+
+// Guards against a note ahead of its base that takes effect for readers that
+// started late, after the others rejected its first copy.
+TEST_CASE("a second copy of a rejected note stays without effect everywhere")
+{
+  JournalFixture fixture;
+  const Record early = fixture.Make(Note(1, "early"));
+  fixture.Put(kNotesStream, early);
+  policy::Policy covered;
+  covered.nextOffset = base::LogOffset(1);
+  fixture.Put(kNotesStream, PolicyCheckpointRecord{ covered });
+  fixture.Put(kNotesStream, Note(0, "a"));
+  const policy::Policy peer = PolicyOf(fixture);
+  fixture.Put(kNotesStream, early);
+  NoteReplay withPeer(fixture.codec);
+  std::vector<ReplayedRecord> report;
+  CHECK(withPeer.Adopt(peer, report));
+  REQUIRE(ReadToEnd(fixture.log, kNotesStream, withPeer).has_value());
+  CHECK(withPeer.Current() == PolicyOf(fixture));
+  CHECK(withPeer.Current().version.Get() == 1);
+}
+
+// Guards against a new process without the notes that the log has deleted.
+TEST_CASE("the newest checkpoint stands in for expired notes")
+{
+  JournalFixture fixture;
+  fixture.Put(kNotesStream, Note(0, "a"));
+  fixture.Put(kNotesStream, Note(1, "b"));
+  const policy::Policy before = PolicyOf(fixture);
+  fixture.Put(kNotesStream, Note(2, "c"));
+  fixture.Put(kNotesStream, PolicyCheckpointRecord{ before });
+  fixture.Put(kNotesStream, Note(3, "d"));
+  const policy::Policy expected = PolicyOf(fixture);
+  for (const std::uint64_t first : { 1, 2, 3 }) {
+    CAPTURE(first);
+    fixture.log.ExpireBelow(kNotesStream, base::LogOffset(first));
+    NoteReplay replay(fixture.codec);
+    REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+    // With the first three gone, the checkpoint leaves note "c" uncovered.
+    CHECK(replay.IsComplete() == (first < 3));
+    CHECK((replay.Current() == expected) == (first < 3));
+  }
+}
+
+// Guards against a policy that reverts, and against a process that cannot start
+// while the log is down.
+TEST_CASE("a peer's policy is adopted only if newer and the log continues it")
+{
+  JournalFixture fixture;
+  fixture.Put(kNotesStream, Note(0, "a"));
+  const policy::Policy older = PolicyOf(fixture);
+  fixture.Put(kNotesStream, Note(1, "b"));
+  const policy::Policy newer = PolicyOf(fixture);
+  fixture.log.SetDown(true);
+
+  NoteReplay replay(fixture.codec);
+  std::vector<ReplayedRecord> report;
+  CHECK(ReadToEnd(fixture.log, kNotesStream, replay).has_error());
+  CHECK(replay.Adopt(newer, report));
+  CHECK(!replay.Adopt(older, report));
+  CHECK(!replay.Adopt(newer, report));
+  CHECK(replay.Current() == newer);
+
+  fixture.log.SetDown(false);
+  fixture.Put(kNotesStream, Note(2, "c"));
+  REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+  CHECK(replay.Current() == PolicyOf(fixture));
+}
+
+// Guards against a reader that was paused past the retention and goes back, or
+// loses the notes that it read behind the gap.
+TEST_CASE("a gap is closed by a peer's policy and the notes read behind it")
+{
+  JournalFixture fixture;
+  fixture.Put(kNotesStream, Note(0, "a"));
+  NoteReplay paused(fixture.codec);
+  REQUIRE(ReadToEnd(fixture.log, kNotesStream, paused).has_value());
+  fixture.Put(kNotesStream, Note(1, "b"));
+  const policy::Policy peer = PolicyOf(fixture);
+  fixture.Put(kNotesStream, Note(2, "c"));
+  const policy::Policy expected = PolicyOf(fixture);
+  fixture.log.ExpireBelow(kNotesStream, base::LogOffset(2));
+
+  REQUIRE(ReadToEnd(fixture.log, kNotesStream, paused).has_value());
+  CHECK(!paused.IsComplete());
+  CHECK(paused.Current().version.Get() == 1);
+  std::vector<ReplayedRecord> report;
+  CHECK(paused.Adopt(peer, report));
+  CHECK(Verdicts(report) == std::vector<Verdict>{ Verdict::Applied });
+  CHECK(paused.IsComplete());
+  CHECK(paused.Current() == expected);
+}
