Add the settings structs and the JSON codec of records, notes and jobs

Change: package settings with the plain structs of the two daemon roles. Package codec with a strict reader (unknown, missing, duplicate, mistyped and out-of-range fields, depth, size; the error names the path), JsonRecordCodec for all record types, and the codecs of notes, policies, job specifications, job states and error replies. Boost.JSON is used in .cpp files and private headers only.

--- /dev/null
+++ b/libs/codec/src/JsonParse.cpp
@@ -0,0 +1,230 @@
+#include "JsonParse.h"
+
+#include <boost/json/basic_parser_impl.hpp>
+#include <boost/json/value_stack.hpp>
+
+#include <cstdint>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace amaranthwind::codec {
+
+namespace {
+
+namespace json = boost::json;
+using base::ErrorCode;
+using json::error_code;
+
+/** Longest part of a field name that is copied into an error message. */
+constexpr std::size_t kMaxNameInPath = 64;
+
+/** One object or array that is open. */
+struct OpenContainer
+{
+  bool isObject = false;
+  /** Of an array: number of elements that have begun. */
+  std::size_t begun = 0;
+  std::string key;
+  std::set<std::string, std::less<>> keys;
+};
+
+/**
+ * Builds a json::value from the events of the parser. json::parse() lets the
+ * last of two equal keys win; this handler refuses them, and it knows the path
+ * of the place where the parser stopped.
+ */
+struct TreeHandler
+{
+  // Names and limits that json::basic_parser prescribes.
+  // NOLINTBEGIN(readability-identifier-naming)
+  static constexpr std::size_t max_object_size = json::object::max_size();
+  static constexpr std::size_t max_array_size = json::array::max_size();
+  static constexpr std::size_t max_key_size = json::string::max_size();
+  static constexpr std::size_t max_string_size = json::string::max_size();
+
+  bool on_document_begin(error_code&)
+  {
+    this->stack.reset();
+    return true;
+  }
+  bool on_document_end(error_code&) { return true; }
+  bool on_object_begin(error_code&) { return this->Open(true); }
+  bool on_object_end(std::size_t aCount, error_code&)
+  {
+    this->open.pop_back();
+    this->stack.push_object(aCount);
+    return true;
+  }
+  bool on_array_begin(error_code&) { return this->Open(false); }
+  bool on_array_end(std::size_t aCount, error_code&)
+  {
+    this->open.pop_back();
+    this->stack.push_array(aCount);
+    return true;
+  }
+  bool on_key_part(json::string_view aPart, std::size_t, error_code&)
+  {
+    this->partialKey.append(aPart.data(), aPart.size());
+    this->stack.push_chars(aPart);
+    return true;
+  }
+  bool on_key(json::string_view aPart, std::size_t, error_code& aError)
+  {
+    this->partialKey.append(aPart.data(), aPart.size());
+    OpenContainer& object = this->open.back();
+    object.key = std::exchange(this->partialKey, {});
+    if (!object.keys.insert(object.key).second) {
+      this->isDuplicate = true;
+      aError = json::error::syntax;
+      return false;
+    }
+    this->stack.push_key(aPart);
+    return true;
+  }
+  bool on_string_part(json::string_view aPart, std::size_t, error_code&)
+  {
+    this->stack.push_chars(aPart);
+    return true;
+  }
+  bool on_string(json::string_view aPart, std::size_t, error_code&)
+  {
+    this->BeginValue();
+    this->stack.push_string(aPart);
+    return true;
+  }
+  bool on_number_part(json::string_view, error_code&) { return true; }
+  bool on_int64(std::int64_t aValue, json::string_view, error_code&)
+  {
+    this->BeginValue();
+    this->stack.push_int64(aValue);
+    return true;
+  }
+  bool on_uint64(std::uint64_t aValue, json::string_view, error_code&)
+  {
+    this->BeginValue();
+    this->stack.push_uint64(aValue);
+    return true;
+  }
+  bool on_double(double aValue, json::string_view, error_code&)
+  {
+    this->BeginValue();
+    this->stack.push_double(aValue);
+    return true;
+  }
+  bool on_bool(bool aValue, error_code&)
+  {
+    this->BeginValue();
+    this->stack.push_bool(aValue);
+    return true;
+  }
+  bool on_null(error_code&)
+  {
+    this->BeginValue();
+    this->stack.push_null();
+    return true;
+  }
+  bool on_comment_part(json::string_view, error_code&) { return true; }
+  bool on_comment(json::string_view, error_code&) { return true; }
+  // NOLINTEND(readability-identifier-naming)
+
+  std::string Path() const
+  {
+    std::string path;
+    for (const OpenContainer& container : this->open) {
+      if (container.isObject && !container.key.empty()) {
+        AppendName(path, container.key);
+      } else if (!container.isObject && container.begun > 0) {
+        AppendIndex(path, container.begun - 1);
+      }
+    }
+    return path;
+  }
+
+  json::value_stack stack;
+  std::vector<OpenContainer> open;
+  std::string partialKey;
+  bool isDuplicate = false;
+
+private:
+  bool Open(bool aIsObject)
+  {
+    this->BeginValue();
+    this->open.emplace_back().isObject = aIsObject;
+    return true;
+  }
+
+  void BeginValue()
+  {
+    if (!this->open.empty() && !this->open.back().isObject) {
+      ++this->open.back().begun;
+    }
+  }
+};
+
+base::Error
+ParseError(const TreeHandler& aHandler,
+           const error_code& aError,
+           std::size_t aPosition)
+{
+  const std::string path = aHandler.Path();
+  if (aHandler.isDuplicate) {
+    return { ErrorCode::DuplicateKey, path };
+  }
+  if (aError == json::error::too_deep) {
+    return { ErrorCode::OutOfRange,
+             path + (path.empty() ? "" : " ") + "nested too deep" };
+  }
+  const ErrorCode code = aError == json::error::incomplete
+                           ? ErrorCode::Truncated
+                           : ErrorCode::Malformed;
+  return { code,
+           path + (path.empty() ? "" : " ") + "at byte " +
+             std::to_string(aPosition) };
+}
+
+} // namespace
+
+base::Result<json::value>
+ParseJson(std::string_view aText)
+{
+  if (aText.size() > kMaxDocumentBytes) {
+    return base::Fail(ErrorCode::TooLarge, "document");
+  }
+  json::parse_options options;
+  options.max_depth = kMaxDepth;
+  json::basic_parser<TreeHandler> parser(options);
+  error_code error;
+  const std::size_t position =
+    parser.write_some(false, aText.data(), aText.size(), error);
+  if (!error && position < aText.size()) {
+    error = json::error::extra_data;
+  }
+  if (error) {
+    return base::failure(ParseError(parser.handler(), error, position));
+  }
+  return parser.handler().stack.release();
+}
+
+std::string_view
+TextOf(std::span<const std::byte> aBytes) noexcept
+{
+  return { reinterpret_cast<const char*>(aBytes.data()), aBytes.size() };
+}
+
+void
+AppendName(std::string& aPath, std::string_view aName)
+{
+  if (!aPath.empty()) {
+    aPath += '.';
+  }
+  aPath += aName.substr(0, kMaxNameInPath);
+}
+
+void
+AppendIndex(std::string& aPath, std::size_t aIndex)
+{
+  aPath += '[' + std::to_string(aIndex) + ']';
+}
+
+} // namespace amaranthwind::codec
--- /dev/null
+++ b/libs/codec/src/JsonReader.cpp
@@ -0,0 +1,200 @@
+#include "JsonReader.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace amaranthwind::codec {
+
+namespace {
+
+using base::ErrorCode;
+
+/** Enough to correct a file in one go, and a bound for hostile documents. */
+constexpr std::size_t kMaxErrors = 64;
+/** Doubles from here on are integers that do not fit 64 bits. */
+constexpr double kTwoTo64 = 18446744073709551616.0;
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kDelete = 0x7F;
+
+bool
+IsControl(char aChar)
+{
+  const auto byte = static_cast<unsigned char>(aChar);
+  return byte < kFirstPrintable || byte == kDelete;
+}
+
+} // namespace
+
+void
+ErrorList::Add(ErrorCode aCode, std::string aPath)
+{
+  if (this->errors.size() < kMaxErrors) {
+    this->errors.push_back({ aCode, std::move(aPath) });
+  }
+}
+
+std::string
+Path::Text() const
+{
+  if (this->parent == nullptr) {
+    return {};
+  }
+  std::string text = this->parent->Text();
+  if (this->name.empty()) {
+    AppendIndex(text, this->index);
+  } else {
+    AppendName(text, this->name);
+  }
+  return text;
+}
+
+void
+ValueReader::Fail(ErrorCode aCode) const
+{
+  std::string text = this->path.Text();
+  this->errors.Add(aCode, text.empty() ? "document" : std::move(text));
+}
+
+void
+ValueReader::FailAt(ErrorCode aCode, std::string_view aName) const
+{
+  std::string text = this->path.Text();
+  AppendName(text, aName);
+  this->errors.Add(aCode, std::move(text));
+}
+
+void
+Read(const ValueReader& aReader, bool& aOut)
+{
+  if (const bool* value = aReader.value.if_bool()) {
+    aOut = *value;
+  } else {
+    aReader.Fail(ErrorCode::WrongType);
+  }
+}
+
+const boost::json::string*
+ReadText(const ValueReader& aReader)
+{
+  const boost::json::string* text = aReader.value.if_string();
+  if (text == nullptr) {
+    aReader.Fail(ErrorCode::WrongType);
+  }
+  return text;
+}
+
+void
+Read(const ValueReader& aReader, std::string& aOut)
+{
+  if (const boost::json::string* text = ReadText(aReader)) {
+    aOut.assign(text->data(), text->size());
+  }
+}
+
+void
+Read(const ValueReader& aReader, BoundedText aOut)
+{
+  const boost::json::string* text = ReadText(aReader);
+  if (text == nullptr) {
+    return;
+  }
+  if (text->size() > aOut.max) {
+    aReader.Fail(ErrorCode::TooLarge);
+  } else if (text->size() < aOut.min ||
+             std::any_of(text->begin(), text->end(), IsControl)) {
+    aReader.Fail(ErrorCode::OutOfRange);
+  } else {
+    aOut.out.assign(text->data(), text->size());
+  }
+}
+
+bool
+ReadInteger(const ValueReader& aReader,
+            std::uint64_t aMin,
+            std::uint64_t aMax,
+            std::uint64_t& aOut)
+{
+  const boost::json::value& value = aReader.value;
+  std::uint64_t number = 0;
+  if (value.is_uint64()) {
+    number = value.get_uint64();
+  } else if (value.is_int64()) {
+    if (value.get_int64() < 0) {
+      aReader.Fail(ErrorCode::OutOfRange);
+      return false;
+    }
+    number = static_cast<std::uint64_t>(value.get_int64());
+  } else {
+    const bool isTooBig =
+      value.is_double() &&
+      (value.get_double() >= kTwoTo64 || value.get_double() <= -kTwoTo64);
+    aReader.Fail(isTooBig ? ErrorCode::OutOfRange : ErrorCode::WrongType);
+    return false;
+  }
+  if (number < aMin || number > aMax) {
+    aReader.Fail(ErrorCode::OutOfRange);
+    return false;
+  }
+  aOut = number;
+  return true;
+}
+
+void
+Read(const ValueReader& aReader, Millis aOut)
+{
+  std::uint64_t number = 0;
+  if (ReadInteger(aReader, aOut.min, aOut.max, number)) {
+    aOut.out = std::chrono::milliseconds(number);
+  }
+}
+
+void
+Read(const ValueReader& aReader, Seconds aOut)
+{
+  std::uint64_t number = 0;
+  if (ReadInteger(aReader, aOut.min, aOut.max, number)) {
+    aOut.out = std::chrono::seconds(number);
+  }
+}
+
+ObjectReader::ObjectReader(const ValueReader& aReader)
+  : reader(aReader)
+  , object(aReader.value.if_object())
+{
+  if (this->object == nullptr) {
+    this->reader.Fail(ErrorCode::WrongType);
+  }
+}
+
+const boost::json::value*
+ObjectReader::Find(std::string_view aName)
+{
+  this->known.push_back(aName);
+  return this->object == nullptr
+           ? nullptr
+           : this->object->if_contains({ aName.data(), aName.size() });
+}
+
+bool
+ObjectReader::Has(std::string_view aName) const
+{
+  return this->object != nullptr &&
+         this->object->contains({ aName.data(), aName.size() });
+}
+
+void
+ObjectReader::Finish()
+{
+  if (this->object == nullptr) {
+    return;
+  }
+  for (const auto& field : *this->object) {
+    const std::string_view name(field.key().data(), field.key().size());
+    if (std::find(this->known.begin(), this->known.end(), name) ==
+        this->known.end()) {
+      this->reader.FailAt(ErrorCode::UnknownField, name);
+    }
+  }
+}
+
+} // namespace amaranthwind::codec
--- /dev/null
+++ b/libs/codec/src/JsonReader.h
@@ -0,0 +1,288 @@
+#pragma once
+
+#include "JsonParse.h"
+
+#include "amaranthwind/base/Clock.h"
+#include "amaranthwind/base/Result.h"
+#include "amaranthwind/base/StrongId.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace amaranthwind::codec {
+
+/** Longest duration in a document, 100 years: it fits a base::Duration. */
+inline constexpr std::uint64_t kMaxDurationMs =
+  std::uint64_t{ 100 } * 365 * 24 * 3600 * 1000;
+
+/** The faults found in one document. */
+class ErrorList
+{
+public:
+  /** Faults above a fixed number are dropped. */
+  void Add(base::ErrorCode aCode, std::string aPath);
+  bool IsEmpty() const noexcept { return this->errors.empty(); }
+  const base::Error& First() const noexcept { return this->errors.front(); }
+  std::vector<base::Error> Take() { return std::move(this->errors); }
+
+private:
+  std::vector<base::Error> errors;
+};
+
+/** Place of a value; linked to its parent, so only an error builds the text. */
+struct Path
+{
+  const Path* parent = nullptr;
+  /** Empty for the document and for an array element. */
+  std::string_view name;
+  std::size_t index = 0;
+
+  std::string Text() const;
+};
+
+/** One JSON value, where it stands, and where its faults go. */
+struct ValueReader
+{
+  const boost::json::value& value;
+  const Path& path;
+  ErrorList& errors;
+
+  void Fail(base::ErrorCode aCode) const;
+  void FailAt(base::ErrorCode aCode, std::string_view aName) const;
+};
+
+/** An integer with limits. */
+template<typename T>
+struct Bounded
+{
+  T& out;
+  std::uint64_t min = 0;
+  std::uint64_t max = std::numeric_limits<T>::max();
+};
+
+/** A duration as an integer number of milliseconds or seconds. */
+struct Millis
+{
+  base::Duration& out;
+  std::uint64_t min = 0;
+  std::uint64_t max = kMaxDurationMs;
+};
+
+struct Seconds
+{
+  base::Duration& out;
+  std::uint64_t min = 0;
+  std::uint64_t max = kMaxDurationMs / 1000;
+};
+
+/** A text with limits on its length; control characters are refused. */
+struct BoundedText
+{
+  std::string& out;
+  std::size_t min = 1;
+  std::size_t max = 128;
+};
+
+template<typename E>
+using EnumName = std::pair<E, std::string_view>;
+
+/** An enumeration by its names. */
+template<typename E>
+struct Enum
+{
+  E& out;
+  std::span<const EnumName<E>> names;
+};
+
+/** An id that must not be empty. */
+template<typename Tag>
+struct NonEmpty
+{
+  base::StrongId<Tag>& out;
+};
+
+// The Read() functions leave the destination as it is when they report a
+// fault.
+void
+Read(const ValueReader& aReader, bool& aOut);
+void
+Read(const ValueReader& aReader, std::string& aOut);
+void
+Read(const ValueReader& aReader, Millis aOut);
+void
+Read(const ValueReader& aReader, Seconds aOut);
+void
+Read(const ValueReader& aReader, BoundedText aOut);
+/** Reads an integer; false if there was a fault. */
+bool
+ReadInteger(const ValueReader& aReader,
+            std::uint64_t aMin,
+            std::uint64_t aMax,
+            std::uint64_t& aOut);
+/** The text of the value, or null after a fault. */
+const boost::json::string*
+ReadText(const ValueReader& aReader);
+
+template<typename T>
+void
+Read(const ValueReader& aReader, Bounded<T> aOut)
+{
+  std::uint64_t number = 0;
+  if (ReadInteger(aReader, aOut.min, aOut.max, number)) {
+    aOut.out = static_cast<T>(number);
+  }
+}
+
+inline void
+Read(const ValueReader& aReader, std::uint32_t& aOut)
+{
+  Read(aReader, Bounded<std::uint32_t>{ aOut });
+}
+
+inline void
+Read(const ValueReader& aReader, std::uint64_t& aOut)
+{
+  Read(aReader, Bounded<std::uint64_t>{ aOut });
+}
+
+template<typename Tag, typename Value>
+void
+Read(const ValueReader& aReader, base::StrongNumber<Tag, Value>& aOut)
+{
+  Value number{};
+  Read(aReader, number);
+  aOut = base::StrongNumber<Tag, Value>(number);
+}
+
+template<typename Tag>
+void
+Read(const ValueReader& aReader, base::StrongId<Tag>& aOut)
+{
+  std::string text;
+  Read(aReader, BoundedText{ text, 0 });
+  aOut = base::StrongId<Tag>(text);
+}
+
+template<typename Tag>
+void
+Read(const ValueReader& aReader, NonEmpty<Tag> aOut)
+{
+  std::string text;
+  Read(aReader, BoundedText{ text });
+  aOut.out = base::StrongId<Tag>(text);
+}
+
+template<typename E>
+void
+Read(const ValueReader& aReader, Enum<E> aOut)
+{
+  const boost::json::string* text = ReadText(aReader);
+  if (text == nullptr) {
+    return;
+  }
+  for (const auto& [value, name] : aOut.names) {
+    if (name == std::string_view(text->data(), text->size())) {
+      aOut.out = value;
+      return;
+    }
+  }
+  aReader.Fail(base::ErrorCode::OutOfRange);
+}
+
+template<typename T>
+void
+Read(const ValueReader& aReader, std::vector<T>& aOut)
+{
+  const boost::json::array* array = aReader.value.if_array();
+  if (array == nullptr) {
+    aReader.Fail(base::ErrorCode::WrongType);
+    return;
+  }
+  aOut.clear();
+  aOut.reserve(array->size());
+  for (const auto& element : *array) {
+    const Path path{ &aReader.path, {}, aOut.size() };
+    Read(ValueReader{ element, path, aReader.errors }, aOut.emplace_back());
+  }
+}
+
+/**
+ * Reads the fields of one object. Finish() reports every field that no call
+ * has asked for.
+ */
+class ObjectReader
+{
+public:
+  explicit ObjectReader(const ValueReader& aReader);
+
+  template<typename T>
+  void Required(std::string_view aName, T&& aOut)
+  {
+    if (!this->Optional(aName, std::forward<T>(aOut)) &&
+        this->object != nullptr) {
+      this->reader.FailAt(base::ErrorCode::MissingField, aName);
+    }
+  }
+
+  /** False if the field is absent; the destination then keeps its value. */
+  template<typename T>
+  bool Optional(std::string_view aName, T&& aOut)
+  {
+    const boost::json::value* field = this->Find(aName);
+    if (field == nullptr) {
+      return false;
+    }
+    const Path path{ &this->reader.path, aName };
+    Read(ValueReader{ *field, path, this->reader.errors },
+         std::forward<T>(aOut));
+    return true;
+  }
+
+  bool Has(std::string_view aName) const;
+  void Finish();
+
+private:
+  const boost::json::value* Find(std::string_view aName);
+
+  ValueReader reader;
+  const boost::json::object* object;
+  std::vector<std::string_view> known;
+};
+
+/** Parses aText and reads it into aOut; every fault goes to aErrors. */
+template<typename T>
+void
+ReadDocument(std::string_view aText, T&& aOut, ErrorList& aErrors)
+{
+  base::Result<boost::json::value> parsed = ParseJson(aText);
+  if (parsed.has_error()) {
+    aErrors.Add(parsed.error().code, parsed.error().subject);
+    return;
+  }
+  const Path root;
+  Read(ValueReader{ parsed.value(), root, aErrors }, std::forward<T>(aOut));
+}
+
+/** The document as a T, or its first fault. */
+template<typename T>
+base::Result<T>
+DecodeDocument(std::string_view aText)
+{
+  T out;
+  ErrorList errors;
+  ReadDocument(aText, out, errors);
+  if (!errors.IsEmpty()) {
+    return base::failure(errors.First());
+  }
+  return out;
+}
+
+} // namespace amaranthwind::codec
--- /dev/null
+++ b/libs/codec/src/JsonWriter.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "amaranthwind/base/Clock.h"
+#include "amaranthwind/base/StrongId.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace amaranthwind::codec {
+
+bool
+IsUtf8(std::string_view aText) noexcept;
+
+/** aText as a JSON string; each byte that is not UTF-8 becomes U+FFFD. */
+boost::json::string
+ToText(std::string_view aText);
+
+/** Whole milliseconds, rounded down, within the range that is read back. */
+std::uint64_t
+ToMs(base::Duration aDuration);
+
+template<typename Tag>
+boost::json::string
+ToText(const base::StrongId<Tag>& aId)
+{
+  return ToText(aId.View());
+}
+
+template<typename E>
+boost::json::string
+ToText(E aValue, std::span<const std::pair<E, std::string_view>> aNames)
+{
+  for (const auto& [value, name] : aNames) {
+    if (value == aValue) {
+      return ToText(name);
+    }
+  }
+  return {};
+}
+
+} // namespace amaranthwind::codec
--- /dev/null
+++ b/libs/codec/tests/ApiCodecTest.cpp
@@ -0,0 +1,107 @@
+#include "amaranthwind/codec/ErrorCodec.h"
+#include "amaranthwind/codec/JobCodec.h"
+
+#include "Samples.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace amaranthwind;
+using namespace amaranthwind::codec;
+using namespace std::chrono_literals;
+using base::ErrorCode;
+
+// Guards against a job that runs with another shape than was asked for.
+TEST_CASE("a job specification is read back as it was written")
+{
+  for (const auto& record : SampleRecords()) {
+    if (const auto* body =
+          std::get_if<journal::JobAcceptedRecord>(&record.body)) {
+      const auto spec = DecodeJobSpec(EncodeJobSpec(body->spec));
+      REQUIRE(spec.has_value());
+      CHECK(spec.value() == body->spec);
+    }
+  }
+}
+
+// Guards against a job that is accepted and can never be placed or fetched.
+TEST_CASE("a bad job specification gives one typed error")
+{
+  struct Case
+  {
+    std::string_view text;
+    ErrorCode code;
+    std::string_view subject;
+  };
+  const std::vector<Case> cases{
+    { R"({"shape":{"members":1,"perMember":{"accelerators":1}}})",
+      ErrorCode::MissingField,
+      "kind" },
+    { R"({"kind":"k"})", ErrorCode::MissingField, "shape" },
+    { R"({"kind":"","shape":{"members":1,"perMember":{"accelerators":1}}})",
+      ErrorCode::OutOfRange,
+      "kind" },
+    { R"({"kind":"k","shape":{"members":0,"perMember":{"accelerators":1}}})",
+      ErrorCode::OutOfRange,
+      "shape.members" },
+    { R"({"kind":"k","shape":{"members":1,"perMember":{"accelerators":0}}})",
+      ErrorCode::OutOfRange,
+      "shape.perMember.accelerators" },
+    { R"({"kind":"k","shape":{"members":1,"perMember":{"cores":1}}})",
+      ErrorCode::MissingField,
+      "shape.perMember.accelerators" },
+    { R"({"kind":"k","maxRuns":0,)"
+      R"("shape":{"members":1,"perMember":{"accelerators":1}}})",
+      ErrorCode::OutOfRange,
+      "maxRuns" },
+    { R"({"kind":"k","id":"a/b",)"
+      R"("shape":{"members":1,"perMember":{"accelerators":1}}})",
+      ErrorCode::OutOfRange,
+      "id" },
+    { R"({"kind":"k","payload":"x","payloadBase64":"eA==",)"
+      R"("shape":{"members":1,"perMember":{"accelerators":1}}})",
+      ErrorCode::DuplicateKey,
+      "payloadBase64" },
+  };
+  for (const Case& each : cases) {
+    CAPTURE(each.text);
+    const auto spec = DecodeJobSpec(each.text);
+    REQUIRE(spec.has_error());
+    CHECK(spec.error().code == each.code);
+    CHECK(spec.error().subject == each.subject);
+  }
+}
+
+// Guards against a state that hides from the caller why the job waits.
+TEST_CASE("the state of a job names the reason why it waits")
+{
+  journal::JobState state;
+  state.spec.kind = base::WorkKindId("k");
+  CHECK(EncodeJobState(state).find("waitReason") == std::string::npos);
+  const std::string text = EncodeJobState(state, "reservation");
+  CHECK(text.find(R"("phase":"queued")") != std::string::npos);
+  CHECK(text.find(R"("waitReason":"reservation")") != std::string::npos);
+}
+
+// Guards against an answer that does not say truthfully whether it ran (P4).
+TEST_CASE("an error reply says whether the request ran")
+{
+  const ErrorReply reply{ { ErrorCode::QueueTimeout, "kind=quote-check" },
+                          true,
+                          1500ms };
+  const std::string text = EncodeErrorReply(reply);
+  CHECK(text == R"({"error":"queue-timeout","subject":"kind=quote-check",)"
+                R"("notRun":true,"retryAfterMs":1500})");
+  const auto decoded = DecodeErrorReply(text);
+  REQUIRE(decoded.has_value());
+  CHECK(decoded.value() == reply);
+  CHECK(EncodeErrorReply({ { ErrorCode::OutcomeUnknown, "" }, false, {} }) ==
+        R"({"error":"outcome-unknown","subject":"","notRun":false})");
+  const auto bad = DecodeErrorReply(R"({"error":"no","subject":""})");
+  REQUIRE(bad.has_error());
+  CHECK(bad.error() == base::Error{ ErrorCode::OutOfRange, "error" });
+}
--- /dev/null
+++ b/libs/settings/include/amaranthwind/settings/LogSettings.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace amaranthwind::settings {
+
+/** Least severe level that is written. */
+enum class LogLevel : std::uint8_t
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+/** What a process logs and how a line looks. */
+struct LogSettings
+{
+  LogLevel level = LogLevel::Info;
+  /** A log4cplus pattern: UTC time, level, thread, message. */
+  std::string layout = "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p [%t] %m%n";
+
+  bool operator==(const LogSettings&) const = default;
+};
+
+} // namespace amaranthwind::settings
