--- /dev/null
+++ b/libs/codec/include/amaranthwind/codec/SettingsCodec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "amaranthwind/base/Result.h"
+#include "amaranthwind/settings/EntrySettings.h"
+#include "amaranthwind/settings/TargetSettings.h"
+
+#include <string_view>
+#include <vector>
+
+namespace amaranthwind::codec {
+
+/** A value, or every fault that was found (at most 64). */
+template<typename T>
+using CheckedResult =
+  boost::outcome_v2::basic_result<T,
+                                  std::vector<base::Error>,
+                                  boost::outcome_v2::policy::all_narrow>;
+
+/**
+ * The settings file of a daemon, described in docs/settings.md. Reports all
+ * faults at once, so that an operator corrects the file in one go; the subject
+ * of each is the path of the key.
+ */
+CheckedResult<settings::EntrySettings>
+DecodeEntrySettings(std::string_view aText);
+
+CheckedResult<settings::TargetSettings>
+DecodeTargetSettings(std::string_view aText);
+
+} // namespace amaranthwind::codec
--- /dev/null
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -0,0 +1,251 @@
+#include "amaranthwind/codec/SettingsCodec.h"
+
+#include "JsonReader.h"
+#include "ModelJson.h"
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <charconv>
+#include <string>
+#include <utility>
+
+namespace amaranthwind::codec {
+
+namespace {
+
+using base::ErrorCode;
+using fleet::TargetKind;
+using settings::LogLevel;
+
+constexpr std::uint32_t kMaxIoThreads = 64;
+constexpr std::uint32_t kMinBodyBytes = 1024;
+/** Leaves 48 KiB of an inner frame of 1 MiB for the rest of the message. */
+constexpr std::uint32_t kMaxBodyBytes = 1'000'000;
+constexpr std::uint32_t kMinHeaderBytes = 1024;
+constexpr std::uint32_t kMaxHeaderBytes = 1024 * 1024;
+constexpr std::uint32_t kMaxConnections = 1'000'000;
+constexpr std::uint32_t kMaxSlots = 65'536;
+constexpr std::uint64_t kMinIdleTimeoutMs = 100;
+constexpr std::uint64_t kMaxNoticeMs = 600'000;
+/** A checkpoint every quarter of it must be possible. */
+constexpr std::uint64_t kMinRetentionS = 60;
+constexpr std::size_t kMaxLayoutBytes = 256;
+constexpr std::uint32_t kMaxPort = 65'535;
+
+constexpr std::array<EnumName<LogLevel>, 4> kLogLevelNames{
+  { { LogLevel::Debug, "debug" },
+    { LogLevel::Info, "info" },
+    { LogLevel::Warning, "warning" },
+    { LogLevel::Error, "error" } }
+};
+
+constexpr std::array<EnumName<TargetKind>, 2> kTargetKindNames{
+  { { TargetKind::Executor, "executor" }, { TargetKind::Worker, "worker" } }
+};
+
+/** What an address is for. */
+enum class AddressUse : std::uint8_t
+{
+  Connect,  // A peer: a concrete IP and port.
+  Listen,   // Wildcard and port 0 are allowed.
+  Announce, // Listened on and told to peers: no wildcard.
+};
+
+struct Address
+{
+  std::string& out;
+  AddressUse use;
+};
+
+/** True if aIp is an IPv4 or IPv6 address; sets whether it is a wildcard. */
+bool
+ParseIp(const std::string& aIp, bool aIsV6, bool& aIsWildcard)
+{
+  std::array<unsigned char, sizeof(in6_addr)> bytes{};
+  if (inet_pton(aIsV6 ? AF_INET6 : AF_INET, aIp.c_str(), bytes.data()) != 1) {
+    return false;
+  }
+  aIsWildcard = bytes == decltype(bytes){};
+  return true;
+}
+
+bool
+IsAddress(std::string_view aText, AddressUse aUse)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  std::string_view host = aText.substr(0, colon);
+  const std::string_view digits = aText.substr(colon + 1);
+  std::uint32_t port = 0;
+  const auto [end, error] =
+    std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc() || end != digits.data() + digits.size() ||
+      port > kMaxPort) {
+    return false;
+  }
+  const bool isV6 = host.starts_with('[') && host.ends_with(']');
+  if (isV6) {
+    host = host.substr(1, host.size() - 2);
+  }
+  bool isWildcard = false;
+  if (!ParseIp(std::string(host), isV6, isWildcard)) {
+    return false;
+  }
+  const bool isPortAllowed = port != 0 || aUse != AddressUse::Connect;
+  const bool isHostAllowed = !isWildcard || aUse == AddressUse::Listen;
+  return isPortAllowed && isHostAllowed;
+}
+
+} // namespace
+
+static void
+Read(const ValueReader& aReader, Address aOut)
+{
+  std::string text;
+  Read(aReader, text);
+  if (!aReader.value.is_string()) {
+    return;
+  }
+  if (IsAddress(text, aOut.use)) {
+    aOut.out = std::move(text);
+  } else {
+    aReader.Fail(ErrorCode::OutOfRange);
+  }
+}
+
+/** An address of a peer in a list. */
+struct PeerAddress
+{
+  std::string text;
+};
+
+static void
+Read(const ValueReader& aReader, PeerAddress& aOut)
+{
+  Read(aReader, Address{ aOut.text, AddressUse::Connect });
+}
+
+static void
+Read(const ValueReader& aReader, settings::HttpLimits& aOut)
+{
+  ObjectReader object(aReader);
+  object.Optional(
+    "maxBodyBytes",
+    Bounded<std::uint32_t>{ aOut.maxBodyBytes, kMinBodyBytes, kMaxBodyBytes });
+  object.Optional("maxHeaderBytes",
+                  Bounded<std::uint32_t>{
+                    aOut.maxHeaderBytes, kMinHeaderBytes, kMaxHeaderBytes });
+  object.Optional(
+    "maxConnections",
+    Bounded<std::uint32_t>{ aOut.maxConnections, 1, kMaxConnections });
+  object.Optional("idleTimeoutMs",
+                  Millis{ aOut.idleTimeout, kMinIdleTimeoutMs });
+  object.Finish();
+}
+
+namespace {
+
+void
+ReadCommon(ObjectReader& aObject, settings::CommonSettings& aOut)
+{
+  aObject.Required("region", NonEmpty<base::RegionTag>{ aOut.region });
+  aObject.Required("zone", NonEmpty<base::ZoneTag>{ aOut.zone });
+  aObject.Required("innerListen",
+                   Address{ aOut.innerListen, AddressUse::Announce });
+  aObject.Required("adminListen",
+                   Address{ aOut.adminListen, AddressUse::Listen });
+  aObject.Optional("ioThreads",
+                   Bounded<std::uint32_t>{ aOut.ioThreads, 1, kMaxIoThreads });
+  std::vector<PeerAddress> bootstrap;
+  aObject.Optional("bootstrap", bootstrap);
+  for (PeerAddress& peer : bootstrap) {
+    aOut.bootstrap.push_back(std::move(peer.text));
+  }
+  aObject.Optional("logLevel",
+                   Enum<LogLevel>{ aOut.log.level, kLogLevelNames });
+  aObject.Optional("logLayout",
+                   BoundedText{ aOut.log.layout, 1, kMaxLayoutBytes });
+}
+
+} // namespace
+
+static void
+Read(const ValueReader& aReader, settings::EntrySettings& aOut)
+{
+  ObjectReader object(aReader);
+  object.Required("id", NonEmpty<base::EntryTag>{ aOut.id });
+  ReadCommon(object, aOut.common);
+  object.Required("httpListen", Address{ aOut.httpListen, AddressUse::Listen });
+  object.Required("logService",
+                  Address{ aOut.logService, AddressUse::Connect });
+  if (!object.Optional("coordinatedZones", aOut.coordinatedZones)) {
+    aOut.coordinatedZones = { aOut.common.zone };
+  }
+  object.Optional("limits", aOut.limits);
+  object.Optional("noticePeriodMs",
+                  Millis{ aOut.noticePeriod, 0, kMaxNoticeMs });
+  object.Optional("logRetentionS",
+                  Seconds{ aOut.logRetention, kMinRetentionS });
+  object.Finish();
+}
+
+static void
+Read(const ValueReader& aReader, settings::TargetSettings& aOut)
+{
+  ObjectReader object(aReader);
+  object.Required("id", NonEmpty<base::TargetTag>{ aOut.id });
+  ReadCommon(object, aOut.common);
+  if (aReader.value.is_object() && aOut.common.bootstrap.empty()) {
+    // A target that knows no entry would never be found.
+    aReader.FailAt(object.Has("bootstrap") ? ErrorCode::OutOfRange
+                                           : ErrorCode::MissingField,
+                   "bootstrap");
+  }
+  object.Required("kind", Enum<TargetKind>{ aOut.kind, kTargetKindNames });
+  object.Required("rack", NonEmpty<base::RackTag>{ aOut.rack });
+  object.Required("serviceAddress",
+                  Address{ aOut.serviceAddress, AddressUse::Connect });
+  if (aOut.kind == TargetKind::Worker) {
+    object.Required("resources", aOut.resources);
+  } else {
+    object.Required("slots",
+                    Bounded<std::uint32_t>{ aOut.slots, 1, kMaxSlots });
+    object.Required("connections",
+                    Bounded<std::uint32_t>{ aOut.connections, 1, kMaxSlots });
+  }
+  object.Finish();
+}
+
+namespace {
+
+template<typename T>
+CheckedResult<T>
+DecodeChecked(std::string_view aText)
+{
+  T out;
+  ErrorList errors;
+  ReadDocument(aText, out, errors);
+  if (!errors.IsEmpty()) {
+    return boost::outcome_v2::failure(errors.Take());
+  }
+  return out;
+}
+
+} // namespace
+
+CheckedResult<settings::EntrySettings>
+DecodeEntrySettings(std::string_view aText)
+{
+  return DecodeChecked<settings::EntrySettings>(aText);
+}
+
+CheckedResult<settings::TargetSettings>
+DecodeTargetSettings(std::string_view aText)
+{
+  return DecodeChecked<settings::TargetSettings>(aText);
+}
+
+} // namespace amaranthwind::codec
