--- /dev/null
+++ b/libs/routing/src/TargetState.cpp
@@ -0,0 +1,171 @@
+#include "amaranthwind/routing/TargetState.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace amaranthwind::routing {
+
+namespace {
+
+// Weight 1/8 of the newest sample: follows a change within about ten requests.
+constexpr std::int64_t kLatencySmoothing = 8;
+constexpr std::uint32_t kMaxBackoffShift = 16;
+
+base::Duration::rep
+Ticks(base::TimePoint aTime) noexcept
+{
+  return aTime.time_since_epoch().count();
+}
+
+} // namespace
+
+std::uint32_t
+TargetState::EffectiveLimit(base::TimePoint aNow) const noexcept
+{
+  const std::uint32_t full = this->limit.load(std::memory_order_relaxed);
+  const Health now = this->health.load(std::memory_order_acquire);
+  if (now != Health::Healthy) {
+    if (now == Health::Ejected &&
+        Ticks(aNow) < this->ejectedUntil.load(std::memory_order_relaxed)) {
+      return 0;
+    }
+    return std::min(full, this->options.probationLimit);
+  }
+  const base::Duration age(Ticks(aNow) -
+                           this->joinedAt.load(std::memory_order_relaxed));
+  if (age >= this->options.slowStart || full <= 1) {
+    return full;
+  }
+  const auto grown =
+    static_cast<std::uint32_t>(std::max<base::Duration::rep>(age.count(), 0) *
+                               (full - 1) / this->options.slowStart.count());
+  return 1 + grown;
+}
+
+bool
+TableCounters::TryTakeOut() noexcept
+{
+  std::uint32_t out = this->outOfService.load();
+  do {
+    if (out >= this->maxOutOfService.load()) {
+      return false;
+    }
+  } while (!this->outOfService.compare_exchange_weak(out, out + 1));
+  return true;
+}
+
+bool
+TargetState::TryAcquire(base::TimePoint aNow) noexcept
+{
+  const std::uint32_t allowed = this->EffectiveLimit(aNow);
+  std::uint32_t held = this->inFlight.load(std::memory_order_relaxed);
+  do {
+    if (held >= allowed) {
+      return false;
+    }
+  } while (!this->inFlight.compare_exchange_weak(
+    held, held + 1, std::memory_order_acq_rel, std::memory_order_relaxed));
+  Health expected = Health::Ejected;
+  if (this->health.load(std::memory_order_relaxed) == Health::Ejected) {
+    this->health.compare_exchange_strong(expected, Health::Probation);
+  }
+  return true;
+}
+
+void
+TargetState::Release(Outcome aOutcome,
+                     base::Duration aLatency,
+                     base::TimePoint aNow) noexcept
+{
+  if (aOutcome == Outcome::Success) {
+    this->OnSuccess(aLatency);
+  } else if (aOutcome == Outcome::Failure) {
+    this->OnFailure(aNow);
+  }
+  this->inFlight.fetch_sub(1, std::memory_order_acq_rel);
+}
+
+void
+TargetState::OnSuccess(base::Duration aLatency) noexcept
+{
+  this->successes.fetch_add(1, std::memory_order_relaxed);
+  if (this->failuresInRow.load(std::memory_order_relaxed) != 0) {
+    this->failuresInRow.store(0, std::memory_order_relaxed);
+  }
+  // A lost update between two threads drops one sample, which is harmless.
+  const std::int64_t sample = std::clamp<std::int64_t>(
+    std::chrono::duration_cast<std::chrono::microseconds>(aLatency).count(),
+    1,
+    std::numeric_limits<std::uint32_t>::max());
+  const std::int64_t old = this->latencyMicros.load(std::memory_order_relaxed);
+  const std::int64_t next =
+    old == 0 ? sample : old + (sample - old) / kLatencySmoothing;
+  this->latencyMicros.store(static_cast<std::uint32_t>(next),
+                            std::memory_order_relaxed);
+  if (this->health.load(std::memory_order_relaxed) == Health::Probation &&
+      this->successesInRow.fetch_add(1) + 1 >=
+        this->options.successesToReturn) {
+    Health expected = Health::Probation;
+    if (this->health.compare_exchange_strong(expected, Health::Healthy)) {
+      this->ejectionsInRow.store(0);
+      this->counters.outOfService.fetch_sub(1);
+    }
+  }
+}
+
+void
+TargetState::OnFailure(base::TimePoint aNow) noexcept
+{
+  this->failures.fetch_add(1, std::memory_order_relaxed);
+  const std::uint32_t inRow = this->failuresInRow.fetch_add(1) + 1;
+  const Health now = this->health.load();
+  if (now == Health::Probation ||
+      (now == Health::Healthy && inRow >= this->options.failuresToEject)) {
+    this->Eject(now, aNow);
+  }
+}
+
+void
+TargetState::Eject(Health aFrom, base::TimePoint aNow) noexcept
+{
+  const bool isNew = aFrom == Health::Healthy;
+  if (isNew && !this->counters.TryTakeOut()) {
+    return;
+  }
+  const std::uint32_t shift =
+    std::min(this->ejectionsInRow.load(), kMaxBackoffShift);
+  const base::Duration time =
+    std::min(this->options.ejectionTime * (std::int64_t{ 1 } << shift),
+             this->options.maxEjectionTime);
+  this->successesInRow.store(0);
+  this->ejectedUntil.store(Ticks(aNow + time));
+  if (this->health.compare_exchange_strong(aFrom, Health::Ejected)) {
+    this->ejectionsInRow.fetch_add(1);
+  } else if (isNew) {
+    // Another thread ejected it at the same time, or it has departed.
+    this->counters.outOfService.fetch_sub(1);
+  }
+}
+
+void
+TargetState::Retire() noexcept
+{
+  this->limit.store(0);
+  if (this->health.exchange(Health::Departed) != Health::Healthy) {
+    this->counters.outOfService.fetch_sub(1);
+  }
+}
+
+void
+TargetState::Reset(std::uint32_t aLimit, base::TimePoint aNow) noexcept
+{
+  this->limit.store(aLimit);
+  this->latencyMicros.store(0);
+  this->failuresInRow.store(0);
+  this->successesInRow.store(0);
+  this->ejectionsInRow.store(0);
+  this->joinedAt.store(Ticks(aNow));
+  this->health.store(Health::Healthy);
+}
+
+} // namespace amaranthwind::routing
--- /dev/null
+++ b/libs/routing/tests/TargetPickerTest.cpp
@@ -0,0 +1,268 @@
+#include "amaranthwind/routing/TargetPicker.h"
+#include "amaranthwind/base/RcuCell.h"
+#include "amaranthwind/routing/TargetTable.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace amaranthwind;
+using namespace amaranthwind::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::TimePoint kStart{ 1h };
+constexpr base::Incarnation kFirst{ 1 };
+
+base::TargetId
+Id(int aNumber)
+{
+  return base::TargetId("executor-" + std::to_string(aNumber));
+}
+
+/** A table of aCount targets whose slow start is over at kStart. */
+void
+Fill(TargetTable& aTable, int aCount, std::uint32_t aLimit)
+{
+  for (int i = 0; i < aCount; ++i) {
+    aTable.Put(Id(i), kFirst, aLimit, kStart - 1min);
+  }
+}
+
+} // namespace
+
+// Guards against a permit that is counted down twice, or never, when it is
+// moved, finished again or dropped.
+TEST_CASE("a permit is counted down exactly once")
+{
+  TargetTable table(kStart);
+  const TargetHandle handle = table.Put(Id(0), kFirst, 8, kStart - 1min);
+  const auto snapshot = table.Build(kStart);
+  const TargetState& state = *table.Find(handle);
+  const RoutingEntry& entry = snapshot->Serving()[0];
+  {
+    auto first = snapshot->TryAcquire(entry, kStart);
+    auto second = snapshot->TryAcquire(entry, kStart);
+    REQUIRE(first);
+    REQUIRE(second);
+    CHECK(state.InFlight() == 2);
+    InFlight moved(std::move(*first));
+    CHECK(state.InFlight() == 2);
+    moved = std::move(*second);
+    CHECK(state.InFlight() == 1);
+    moved.Finish(Outcome::Success, kStart + 1ms);
+    moved.Finish(Outcome::Failure, kStart + 2ms);
+    CHECK(state.InFlight() == 0);
+    CHECK(state.Failures() == 0);
+  }
+  CHECK(state.InFlight() == 0);
+  CHECK(state.Successes() == 1);
+}
+
+// Guards against a picker that exceeds the limit of a target, or refuses
+// while one still has room.
+TEST_CASE("all limits can be filled and none is exceeded")
+{
+  TargetTable table(kStart);
+  Fill(table, 11, 8);
+  const auto snapshot = table.Build(kStart);
+  const PowerOfTwoPicker picker;
+  base::RandomEngine random(1);
+  std::vector<InFlight> permits;
+  while (auto permit = picker.Pick(*snapshot, kStart, random)) {
+    permits.push_back(std::move(*permit));
+  }
+  CHECK(permits.size() == 88);
+  CHECK(snapshot->Capacity(kStart) == 88);
+  for (const RoutingEntry& entry : snapshot->Serving()) {
+    CHECK(entry.state->InFlight() == 8);
+  }
+}
+
+// Guards against a target that fails at once, is therefore always the emptiest,
+// and attracts the requests of all others.
+TEST_CASE("a target that fails everything is ejected and returns when healed")
+{
+  TargetTable table(kStart);
+  Fill(table, 11, 8);
+  const auto snapshot = table.Build(kStart);
+  const PowerOfTwoPicker picker;
+  base::RandomEngine random(2);
+  const TargetHandle bad = snapshot->Serving()[3].handle;
+  auto run = [&](base::TimePoint aNow, bool aIsBroken, int aCount) {
+    int onBad = 0;
+    for (int i = 0; i < aCount; ++i) {
+      auto permit = picker.Pick(*snapshot, aNow, random);
+      REQUIRE(permit);
+      const bool isBad = permit->Target() == bad;
+      onBad += isBad ? 1 : 0;
+      permit->Finish(isBad && aIsBroken ? Outcome::Failure : Outcome::Success,
+                     aNow + 1ms);
+    }
+    return onBad;
+  };
+  CHECK(run(kStart, true, 1000) == 5);
+  CHECK(run(kStart + 1s, true, 1000) == 0);
+  // One trial after the ejection time; it fails, and the time doubles.
+  CHECK(run(kStart + 3s, true, 1000) == 1);
+  CHECK(run(kStart + 6s, true, 1000) == 0);
+  CHECK(run(kStart + 8s, false, 1100) > 50);
+  CHECK(table.Find(bad)->CurrentHealth() == Health::Healthy);
+}
+
+// Guards against ejecting the whole fleet when a fault common to all targets,
+// for example a bad request, fails everything.
+TEST_CASE("when all targets fail, at most half of them are ejected")
+{
+  TargetTable table(kStart);
+  Fill(table, 11, 8);
+  const auto snapshot = table.Build(kStart);
+  const PowerOfTwoPicker picker;
+  base::RandomEngine random(3);
+  for (base::TimePoint now = kStart; now < kStart + 100s; now += 100ms) {
+    for (int i = 0; i < 50; ++i) {
+      auto permit = picker.Pick(*snapshot, now, random);
+      REQUIRE(permit);
+      permit->Finish(Outcome::Failure, now);
+    }
+    CHECK(snapshot->Capacity(now) >= 6 * 8);
+  }
+}
+
+// Guards against new work on a target that drains or has left (P6), and
+// against a target whose place is reused while an old permit counts on it.
+TEST_CASE("draining and departed targets get no work and keep their counters")
+{
+  TargetTable table(kStart);
+  Fill(table, 2, 8);
+  auto snapshot = table.Build(kStart);
+  const PowerOfTwoPicker picker;
+  base::RandomEngine random(4);
+  auto old = snapshot->TryAcquire(snapshot->Serving()[0], kStart);
+  const TargetHandle handle = old->Target();
+  REQUIRE(table.SetDraining(Id(0)).has_value());
+  snapshot = table.Build(kStart);
+  CHECK(snapshot->Serving().size() == 1);
+  CHECK(snapshot->Entries().size() == 2);
+  CHECK(picker.Pick(*snapshot, kStart, random)->Target() != handle);
+  REQUIRE(table.Remove(Id(0), kStart).has_value());
+  CHECK(table.Remove(Id(0), kStart).error().code == base::ErrorCode::NoTarget);
+  snapshot = table.Build(kStart);
+  CHECK(table.Find(handle) == nullptr);
+  table.Put(Id(7), kFirst, 8, kStart);
+  CHECK(table.Places() == 3);
+  old->Finish(Outcome::Success, kStart);
+  table.Put(Id(8), kFirst, 8, kStart);
+  CHECK(table.Places() == 3);
+}
+
+// Guards against a key whose owner or witness changes when other targets come
+// and go, and against forgetting a departed owner within the key window (P5).
+TEST_CASE("the rendezvous order is stable and keeps departed targets")
+{
+  TargetTable table(kStart);
+  Fill(table, 11, 8);
+  auto before = table.Build(kStart);
+  std::map<std::string, std::vector<base::TargetId>> orders;
+  std::map<base::TargetId, int> owners;
+  std::array<const RoutingEntry*, 3> space{};
+  for (int i = 0; i < 1100; ++i) {
+    const std::string key = "key-" + std::to_string(i);
+    for (const RoutingEntry* entry : before->Rank(key, space)) {
+      orders[key].push_back(entry->id);
+    }
+    REQUIRE(orders[key].size() == 3);
+    ++owners[orders[key][0]];
+  }
+  for (const auto& [id, count] : owners) {
+    CHECK(count > 60);
+    CHECK(count < 140);
+  }
+  REQUIRE(table.Remove(Id(5), kStart).has_value());
+  auto within = table.Build(kStart + kKeyWindow);
+  auto after = table.Build(kStart + kKeyWindow + 1s);
+  for (const auto& [key, order] : orders) {
+    auto now = within->Rank(key, space);
+    CHECK(now[0]->id == order[0]);
+    CHECK((now[0]->status == TargetStatus::Departed) == (order[0] == Id(5)));
+    CHECK(after->Rank(key, space)[0]->id ==
+          (order[0] == Id(5) ? order[1] : order[0]));
+  }
+}
+
+// Guards against a target that is flooded with its full share right after it
+// joined, and against one that stays limited.
+TEST_CASE("the limit of a new target grows during the slow start")
+{
+  TargetTable table(kStart);
+  const TargetHandle handle = table.Put(Id(0), kFirst, 8, kStart);
+  const std::vector<std::pair<base::Duration, std::uint32_t>> cases = {
+    { 0s, 1 }, { 2s, 2 }, { 5s, 4 }, { 9999ms, 7 }, { 10s, 8 }, { 1h, 8 }
+  };
+  for (const auto& [age, limit] : cases) {
+    CHECK(table.Find(handle)->EffectiveLimit(kStart + age) == limit);
+  }
+  const TargetHandle next =
+    table.Put(Id(0), base::Incarnation(2), 8, kStart + 1h);
+  CHECK(next != handle);
+  CHECK(table.Find(next)->EffectiveLimit(kStart + 1h) == 1);
+}
+
+// Guards against freed or recycled counters when snapshots are replaced while
+// other threads pick targets and hold permits. Run it under ThreadSanitizer.
+TEST_CASE("snapshots are replaced while requests hold permits")
+{
+  TargetTable table(kStart);
+  Fill(table, 4, 1000);
+  base::RcuCell<RoutingSnapshot> cell(table.Build(kStart));
+  const PowerOfTwoPicker picker;
+  std::atomic<bool> stop{ false };
+  std::vector<std::thread> threads;
+  threads.reserve(3);
+  for (int seed = 0; seed < 3; ++seed) {
+    threads.emplace_back([&, seed] {
+      base::RandomEngine random(static_cast<std::uint64_t>(seed));
+      std::vector<InFlight> held;
+      while (!stop.load()) {
+        {
+          auto snapshot = cell.Read();
+          if (auto permit = picker.Pick(*snapshot, kStart, random)) {
+            held.push_back(std::move(*permit));
+          }
+        }
+        if (held.size() > 20) {
+          held[held.size() / 2].Finish(Outcome::Success, kStart + 1ms);
+          held.erase(held.begin(), held.begin() + 10);
+        }
+      }
+    });
+  }
+  for (std::uint64_t round = 2; round < 302; ++round) {
+    const int target = static_cast<int>(round % 4);
+    if (round % 3 == 0) {
+      CHECK(table.Remove(Id(target), kStart).has_value());
+      cell.Publish(table.Build(kStart));
+    }
+    table.Put(Id(target), base::Incarnation(round), 1000, kStart - 1min);
+    cell.Publish(table.Build(kStart));
+  }
+  stop.store(true);
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  for (std::uint32_t index = 0; index < table.Places(); ++index) {
+    for (std::uint32_t generation = 1; generation < 400; ++generation) {
+      if (const TargetState* state = table.Find({ index, generation })) {
+        CHECK(state->InFlight() == 0);
+      }
+    }
+  }
+  // Places of departed incarnations are reused, so memory stays bounded.
+  CHECK(table.Places() < 100);
+}
