Add the gang coordinator and member state machines

Cause: a gang may only run as a whole, although the coordinator, the members and the log fail independently.

Change: GangCoordinator holds all attempts of a cell: prepare, decision record, commit or abort, end. GangMember holds the ledger and all gangs of one worker, and, for rank 0, releases the start and watches the members. Both take a time and an event and return typed effects. Messages carry the token of the plan beside the attempt number, since two coordinators may use the same number when the first of them never decided.

--- /dev/null
+++ b/libs/gang/include/amaranthwind/gang/GangCoordinator.h
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "amaranthwind/base/Clock.h"
+#include "amaranthwind/gang/Messages.h"
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace amaranthwind::gang {
+
+struct CoordinatorSettings
+{
+  /** From Prepare until every member must have promised. */
+  base::Duration prepareTimeout = std::chrono::seconds(3);
+  /** Between two tries to write a decision record while the log is down. */
+  base::Duration logRetryInterval = std::chrono::seconds(1);
+  /**
+   * From Commit until the first rank must have reported. The first rank's own
+   * start timeout and the bound for stopping pass before it.
+   */
+  base::Duration startReportTimeout = std::chrono::seconds(20);
+  /** From a stop order without grace until the end must be reported. */
+  base::Duration stopReportTimeout = std::chrono::seconds(12);
+};
+
+// Events besides the messages of the members.
+
+struct StartGang
+{
+  std::shared_ptr<const job::GangPlan> plan;
+};
+
+/**
+ * A committed attempt that the log holds when this coordinator takes over. Its
+ * plan keeps the token of the coordinator that made it.
+ */
+struct ResumeGang
+{
+  std::shared_ptr<const job::GangPlan> plan;
+};
+
+/** The decision record was read back and no newer epoch precedes it. */
+struct DecisionConfirmed
+{
+  AttemptKey key;
+};
+
+/** The decision record may or may not be in the log. */
+struct DecisionUnconfirmed
+{
+  AttemptKey key;
+};
+
+/** Membership gave the worker up; a single broken connection is no such case.
+ */
+struct WorkerLost
+{
+  base::TargetId worker;
+};
+
+/** Of the caller or the scheduler. */
+struct StopRequested
+{
+  AttemptKey key;
+  /** Cancelled or Preempted. */
+  StopReason reason = StopReason::Cancelled;
+  base::Duration grace{};
+};
+
+/** A newer epoch exists, or a decision record was refused as stale. */
+struct TokenLost
+{};
+
+struct Tick
+{};
+
+using CoordinatorEvent = std::variant<StartGang,
+                                      ResumeGang,
+                                      Promise,
+                                      DecisionConfirmed,
+                                      DecisionUnconfirmed,
+                                      CommitRefused,
+                                      GangStarted,
+                                      MemberEnded,
+                                      GangEnded,
+                                      WorkerLost,
+                                      StopRequested,
+                                      TokenLost,
+                                      Tick>;
+
+enum class AttemptOutcome : std::uint8_t
+{
+  Succeeded,
+  Failed,
+  Preempted, // Stopped on request, also by cancelling.
+  NotRun,    // Proven not to have run.
+};
+
+// Effects.
+
+struct SendToMember
+{
+  /** Empty: to the sender of the event. */
+  base::TargetId worker;
+  CoordinatorToMember message;
+};
+
+/** To be written with the coordinator's token, read back, then reported. */
+struct WriteDecision
+{
+  AttemptKey key;
+  Decision decision = Decision::Abort;
+  std::vector<base::TargetId> members;
+};
+
+/** The attempt is undecided and waits for the log. */
+struct AttemptWaits
+{
+  AttemptKey key;
+};
+
+struct AttemptStarted
+{
+  AttemptKey key;
+};
+
+struct AttemptEnded
+{
+  AttemptKey key;
+  AttemptOutcome outcome = AttemptOutcome::Failed;
+  std::optional<Rank> rankAtFault;
+  std::optional<StopReason> reason;
+  /** Of a refused Prepare or Commit. */
+  std::optional<base::Error> error;
+};
+
+/** This coordinator is no longer one; it gave up all its attempts. */
+struct CoordinatorSuperseded
+{};
+
+using CoordinatorEffect = std::variant<SendToMember,
+                                       WriteDecision,
+                                       AttemptWaits,
+                                       AttemptStarted,
+                                       AttemptEnded,
+                                       CoordinatorSuperseded>;
+
+/**
+ * Life cycles of all gang attempts that one coordinator of one cell starts or
+ * takes over. Has no thread: every call belongs on the cell's decision thread.
+ */
+class GangCoordinator
+{
+public:
+  explicit GangCoordinator(Fence aFence, CoordinatorSettings aSettings = {});
+  ~GangCoordinator();
+  GangCoordinator(GangCoordinator&&) noexcept;
+  GangCoordinator& operator=(GangCoordinator&&) noexcept;
+
+  /** Times never go back between calls. Late and repeated events do nothing. */
+  std::vector<CoordinatorEffect> Handle(base::TimePoint aNow,
+                                        const CoordinatorEvent& aEvent);
+
+  /** When the next Tick is due; empty when nothing waits for time. */
+  std::optional<base::TimePoint> NextDeadline() const;
+
+  /** Unknown once an attempt has ended: then the log answers. */
+  AttemptState StateOf(const AttemptKey& aKey) const;
+
+  std::size_t AttemptCount() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+} // namespace amaranthwind::gang
--- /dev/null
+++ b/libs/gang/src/GangMember.cpp
@@ -0,0 +1,1005 @@
+#include "amaranthwind/gang/GangMember.h"
+
+#include "FirstRankLifeCycle.h"
+#include "MemberLifeCycle.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace amaranthwind::gang {
+
+namespace {
+
+using Effects = std::vector<MemberEffect>;
+
+/** An ended member repeats its result to the first rank for this long. */
+constexpr base::Duration kResultRepeatTime = std::chrono::seconds(10);
+
+/** Proves that messages from a peer still arrive. */
+struct Contact
+{
+  base::TimePoint lastHeard;
+  base::Duration allowance{};
+  std::uint64_t sequence = 0;
+
+  base::TimePoint LossTime() const { return this->lastHeard + this->allowance; }
+
+  bool IsLost(base::TimePoint aNow) const { return aNow >= this->LossTime(); }
+
+  /** False for a message that is older than one heard before. */
+  bool Hear(base::TimePoint aNow, const MemberAlive& aMessage)
+  {
+    if (aMessage.sequence <= this->sequence) {
+      return false;
+    }
+    this->sequence = aMessage.sequence;
+    this->lastHeard = aNow;
+    this->allowance = aMessage.allowance;
+    return true;
+  }
+};
+
+/** What the first rank knows of one member, itself included. */
+struct Peer
+{
+  MemberPhase phase = MemberPhase::Promised;
+  MemberResult result = MemberResult::None;
+  bool isHeard = false;
+  Contact contact;
+};
+
+struct FirstRank
+{
+  FirstRankLifeCycle life;
+  std::vector<Peer> peers;
+  std::size_t committed = 0;
+  std::size_t running = 0;
+  std::size_t ended = 0;
+  /** A member that ended without success while no stop was ordered. */
+  std::optional<Rank> failedRank;
+  /** When members must run; then when they must have reported a stop. */
+  base::TimePoint deadline;
+  /** When the next member is lost if it stays silent. */
+  std::optional<base::TimePoint> nextLoss;
+  base::TimePoint nextReport;
+  bool isAcknowledged = false;
+  GangEnded report;
+
+  void Advance(Rank aRank, MemberPhase aPhase, MemberResult aResult)
+  {
+    Peer& peer = this->peers[aRank];
+    if (aPhase <= peer.phase || aPhase > MemberPhase::Ended) {
+      return;
+    }
+    const auto passes = [&](MemberPhase aLimit) {
+      return peer.phase < aLimit && aPhase >= aLimit;
+    };
+    this->committed += passes(MemberPhase::Committed) ? 1 : 0;
+    this->running += passes(MemberPhase::Running) ? 1 : 0;
+    this->ended += passes(MemberPhase::Ended) ? 1 : 0;
+    peer.phase = aPhase;
+    if (aPhase == MemberPhase::Ended) {
+      peer.result = aResult;
+      if (aResult != MemberResult::Succeeded && !this->failedRank) {
+        this->failedRank = aRank;
+      }
+    }
+  }
+};
+
+struct Record
+{
+  AttemptKey key;
+  base::ZoneId cell;
+  /** Empty once no message needs it any more. */
+  std::shared_ptr<const job::GangPlan> plan;
+  Rank rank = 0;
+  MemberLifeCycle life;
+  MemberResult result = MemberResult::None;
+  fleet::Resources reserved;
+  base::TimePoint nextQuery;
+  bool hasAskedCoordinator = false;
+  base::TimePoint nextHeartbeat;
+  /** Of a member other than the first rank. */
+  Contact firstRank;
+  StopReason stopReason = StopReason::Cancelled;
+  base::Duration grace{};
+  base::TimePoint nextStopTask;
+  bool mustReportToCoordinator = false;
+  base::TimePoint endedAt;
+  std::unique_ptr<FirstRank> first;
+
+  bool IsOver() const { return this->life.Phase() >= MemberPhase::Ended; }
+
+  bool HasTask() const
+  {
+    return this->life.Phase() >= MemberPhase::Starting && !this->IsOver();
+  }
+};
+
+} // namespace
+
+class GangMember::Impl
+{
+public:
+  Impl(base::TargetId aWorker,
+       fleet::Resources aCapacity,
+       MemberSettings aSettings)
+    : worker(std::move(aWorker))
+    , capacity(aCapacity)
+    , settings(aSettings)
+  {
+  }
+
+  Effects Handle(base::TimePoint aNow, const MemberEvent& aEvent)
+  {
+    Effects result;
+    this->now = aNow;
+    this->effects = &result;
+    std::visit([this](const auto& aAlternative) { this->On(aAlternative); },
+               aEvent);
+    this->effects = nullptr;
+    return result;
+  }
+
+  std::optional<base::TimePoint> NextDeadline() const
+  {
+    std::optional<base::TimePoint> next;
+    const auto consider = [&](base::TimePoint aTime) {
+      next = next ? std::min(*next, aTime) : aTime;
+    };
+    for (const auto& [key, record] : this->records) {
+      this->ForEachDeadline(record, consider);
+    }
+    return next;
+  }
+
+  fleet::Resources Reserved() const { return this->reserved; }
+
+  bool IsIdle() const
+  {
+    return std::all_of(
+      this->records.begin(), this->records.end(), [](const auto& aItem) {
+        return aItem.second.IsOver() && !MustReportEnd(aItem.second);
+      });
+  }
+
+  std::vector<MemberStatus> Status() const
+  {
+    std::vector<MemberStatus> status;
+    for (const auto& [key, record] : this->records) {
+      if (!record.IsOver()) {
+        status.push_back({ key,
+                           record.rank,
+                           record.life.Phase(),
+                           record.result,
+                           record.reserved });
+      }
+    }
+    return status;
+  }
+
+private:
+  /** Carries out the transitions of one record. */
+  class Actions final
+    : public MemberActions
+    , public FirstRankActions
+  {
+  public:
+    Actions(Impl& aOwner, Record& aRecord)
+      : owner(aOwner)
+      , record(aRecord)
+    {
+    }
+
+    void Free() override { this->owner.Free(this->record); }
+    void SendCommitted() override { this->owner.SendCommitted(this->record); }
+    void StartTask() override { this->owner.StartTask(this->record); }
+    void StopTask() override { this->owner.StopTask(this->record); }
+    void SendRelease() override { this->owner.SendRelease(this->record); }
+    void ReportStarted() override { this->owner.ReportStarted(this->record); }
+    void SendStop() override { this->owner.SendStop(this->record); }
+    void ReportEnded() override { this->owner.ReportEnded(this->record); }
+
+  private:
+    Impl& owner;
+    Record& record;
+  };
+
+  // Events.
+
+  void On(const Prepare& aEvent)
+  {
+    const job::GangPlan& plan = *aEvent.plan;
+    const AttemptKey key = KeyOf(plan);
+    if (!this->Accept(aEvent.fence)) {
+      this->RefusePrepare(aEvent, base::ErrorCode::StaleToken);
+      return;
+    }
+    if (const Record* known = this->Find(key); known != nullptr) {
+      if (known->IsOver()) {
+        this->RefusePrepare(aEvent, base::ErrorCode::Cancelled);
+      } else {
+        this->PostToCoordinator(aEvent.fence.cell,
+                                Promise{ key, aEvent.rank, std::nullopt });
+      }
+      return;
+    }
+    this->DropVoidPromises(key);
+    if (aEvent.rank >= plan.members.size() ||
+        plan.members[aEvent.rank].worker != this->worker) {
+      this->RefusePrepare(aEvent, base::ErrorCode::Malformed);
+      return;
+    }
+    if (this->isDraining) {
+      this->RefusePrepare(aEvent, base::ErrorCode::Draining);
+      return;
+    }
+    const fleet::Resources& need = plan.members[aEvent.rank].resources;
+    fleet::Resources wanted = this->reserved;
+    wanted += need;
+    if (!this->capacity.Covers(wanted)) {
+      this->RefusePrepare(aEvent, base::ErrorCode::NoTarget);
+      return;
+    }
+    Record& record =
+      this->Add(key, aEvent.fence.cell, aEvent.plan, aEvent.rank);
+    record.nextQuery = this->now + this->settings.queryAfter;
+    this->PostToCoordinator(record.cell,
+                            Promise{ key, aEvent.rank, std::nullopt });
+  }
+
+  void On(const Commit& aEvent)
+  {
+    const auto refuse = [&](base::ErrorCode aCode) {
+      this->PostToCoordinator(
+        aEvent.fence.cell,
+        CommitRefused{ aEvent.key, aEvent.rank, { aCode, "commit" } });
+    };
+    if (!this->Accept(aEvent.fence)) {
+      refuse(base::ErrorCode::StaleToken);
+      return;
+    }
+    Record* record = this->Find(aEvent.key);
+    if (record == nullptr) {
+      refuse(base::ErrorCode::UnknownJob);
+    } else if (record->life.Phase() == MemberPhase::Aborted) {
+      refuse(base::ErrorCode::Cancelled);
+    } else if (record->life.Phase() == MemberPhase::Promised) {
+      this->Step(*record, MemberStep::CommitSeen);
+    } else {
+      this->RepeatReport(*record);
+    }
+  }
+
+  void On(const Abort& aEvent)
+  {
+    if (!this->Accept(aEvent.fence)) {
+      return;
+    }
+    Record* record = this->Find(aEvent.key);
+    if (record == nullptr) {
+      // Remembered, so that a Prepare that arrives late gets no promise.
+      record = &this->records[aEvent.key];
+      record->key = aEvent.key;
+      record->cell = aEvent.fence.cell;
+    }
+    this->Step(*record, MemberStep::AbortSeen);
+  }
+
+  void On(const StopGang& aEvent)
+  {
+    if (aEvent.fence && !this->Accept(*aEvent.fence)) {
+      return;
+    }
+    Record* record = this->Find(aEvent.key);
+    if (record == nullptr) {
+      return;
+    }
+    if (IsGangActive(*record)) {
+      this->StopAll(*record, aEvent.reason, aEvent.grace, std::nullopt);
+    } else if (record->IsOver() && aEvent.fence) {
+      this->RepeatReport(*record);
+    } else if (record->IsOver()) {
+      this->SendAlive(*record, this->settings.silenceTimeout);
+    } else {
+      record->mustReportToCoordinator =
+        record->mustReportToCoordinator || aEvent.fence.has_value();
+      this->StopSelf(*record, aEvent.reason, aEvent.grace);
+    }
+  }
+
+  void On(const GangEndedAck& aEvent)
+  {
+    Record* record = this->Find(aEvent.key);
+    if (record != nullptr && record->first != nullptr &&
+        record->first->life.Phase() == FirstRankPhase::Over) {
+      record->first->isAcknowledged = true;
+      record->first->peers.clear();
+      record->plan.reset();
+    }
+  }
+
+  void On(const OutcomeReply& aEvent)
+  {
+    Record* record = this->Find(aEvent.key);
+    if (record == nullptr) {
+      return;
+    }
+    if (aEvent.state == AttemptState::Committed) {
+      this->Step(*record, MemberStep::CommitSeen);
+    } else if (aEvent.state == AttemptState::Aborted) {
+      this->Step(*record, MemberStep::AbortSeen);
+    }
+  }
+
+  void On(const Committed& aEvent)
+  {
+    this->HearMember(
+      aEvent.key, aEvent.rank, MemberPhase::Committed, MemberResult::None);
+  }
+
+  void On(const Release& aEvent)
+  {
+    Record* record = this->Find(aEvent.key);
+    if (record != nullptr && record->first == nullptr) {
+      // A Release proves the commit.
+      this->Step(*record, MemberStep::CommitSeen);
+      this->Step(*record, MemberStep::ReleaseSeen);
+    }
+  }
+
+  void On(const MemberAlive& aEvent)
+  {
+    Record* record = this->Find(aEvent.key);
+    if (aEvent.rank != 0) {
+      if (record != nullptr && record->first != nullptr &&
+          aEvent.rank < record->first->peers.size()) {
+        Peer& peer = record->first->peers[aEvent.rank];
+        peer.isHeard = peer.contact.Hear(this->now, aEvent) || peer.isHeard;
+      }
+      this->HearMember(aEvent.key, aEvent.rank, aEvent.phase, aEvent.result);
+      return;
+    }
+    if (record == nullptr || record->first != nullptr ||
+        !record->firstRank.Hear(this->now, aEvent)) {
+      return;
+    }
+    // The first rank sends this only after it has committed itself, and its
+    // own task only starts after Release.
+    this->Step(*record, MemberStep::CommitSeen);
+    if (aEvent.phase == MemberPhase::Starting ||
+        aEvent.phase == MemberPhase::Running) {
+      this->Step(*record, MemberStep::ReleaseSeen);
+    }
+  }
+
+  void On(const TaskStarted& aEvent)
+  {
+    if (Record* record = this->Find(aEvent.key); record != nullptr) {
+      this->Step(*record, MemberStep::TaskStartSeen);
+    }
+  }
+
+  void On(const TaskEnded& aEvent)
+  {
+    Record* record = this->Find(aEvent.key);
+    if (record == nullptr || !record->HasTask()) {
+      return;
+    }
+    const bool isStopping = record->life.Phase() == MemberPhase::Stopping;
+    if (aEvent.result == MemberResult::Succeeded) {
+      record->result = MemberResult::Succeeded;
+    } else {
+      record->result =
+        isStopping ? MemberResult::Stopped : MemberResult::Failed;
+    }
+    this->Step(*record, MemberStep::TaskEndSeen);
+  }
+
+  void On(const AdoptTask& aEvent)
+  {
+    const AttemptKey key = KeyOf(*aEvent.plan);
+    if (aEvent.rank >= aEvent.plan->members.size() ||
+        this->Find(key) != nullptr) {
+      return;
+    }
+    Record& record = this->Add(key, aEvent.cell, aEvent.plan, aEvent.rank);
+    record.firstRank.lastHeard = this->now;
+    record.firstRank.allowance = this->settings.silenceTimeout;
+    if (record.first != nullptr) {
+      for (Peer& peer : record.first->peers) {
+        peer.isHeard = true;
+        peer.contact.lastHeard = this->now;
+        peer.contact.allowance = this->settings.silenceTimeout;
+      }
+      Actions actions(*this, record);
+      record.first->life.Process(FirstRankStep::TaskFound, actions);
+    }
+    this->Step(record, MemberStep::TaskFound);
+    this->Beat(record);
+  }
+
+  void On(const Drain&) { this->isDraining = true; }
+
+  void On(const HandOver&)
+  {
+    this->isDraining = true;
+    this->isHandedOver = true;
+    for (auto& [key, record] : this->records) {
+      if (record.life.Phase() == MemberPhase::Starting ||
+          record.life.Phase() == MemberPhase::Running) {
+        this->effects->emplace_back(
+          RenewLease{ key, this->settings.handoverTimeout });
+        this->SendAlive(record, this->settings.handoverTimeout);
+      }
+    }
+  }
+
+  void On(const Tick&)
+  {
+    if (this->isHandedOver) {
+      return; // A heartbeat now would take the longer allowance back.
+    }
+    for (auto position = this->records.begin();
+         position != this->records.end();) {
+      Record& record = position->second;
+      this->OnTime(record);
+      const bool isForgotten =
+        record.IsOver() && !MustReportEnd(record) &&
+        this->now - record.endedAt >= this->settings.endedRetention;
+      position =
+        isForgotten ? this->records.erase(position) : std::next(position);
+    }
+    this->LimitEnded();
+  }
+
+  // Time.
+
+  template<typename Consider>
+  void ForEachDeadline(const Record& aRecord, Consider aConsider) const
+  {
+    const MemberPhase phase = aRecord.life.Phase();
+    if (phase == MemberPhase::Promised) {
+      aConsider(aRecord.nextQuery);
+    } else if (!aRecord.IsOver() || this->RepeatsResult(aRecord)) {
+      aConsider(aRecord.nextHeartbeat);
+    }
+    if (phase == MemberPhase::Stopping) {
+      aConsider(aRecord.nextStopTask);
+    }
+    if (aRecord.first == nullptr) {
+      if (phase > MemberPhase::Promised && phase < MemberPhase::Stopping) {
+        aConsider(aRecord.firstRank.LossTime());
+      }
+    } else if (aRecord.first->life.Phase() == FirstRankPhase::Over) {
+      if (!aRecord.first->isAcknowledged) {
+        aConsider(aRecord.first->nextReport);
+      }
+    } else if (phase != MemberPhase::Promised &&
+               phase != MemberPhase::Aborted) {
+      aConsider(aRecord.nextHeartbeat);
+      if (aRecord.first->life.Phase() != FirstRankPhase::Running) {
+        aConsider(aRecord.first->deadline);
+      }
+      if (aRecord.first->nextLoss) {
+        aConsider(*aRecord.first->nextLoss);
+      }
+    }
+  }
+
+  void OnTime(Record& aRecord)
+  {
+    const MemberPhase phase = aRecord.life.Phase();
+    if (phase == MemberPhase::Promised) {
+      this->AskOutcome(aRecord);
+      return;
+    }
+    if (aRecord.first == nullptr && phase > MemberPhase::Promised &&
+        phase < MemberPhase::Stopping && aRecord.firstRank.IsLost(this->now)) {
+      aRecord.mustReportToCoordinator = true;
+      this->StopSelf(aRecord, StopReason::FirstRankLost, {});
+    }
+    if (phase == MemberPhase::Stopping && this->now >= aRecord.nextStopTask) {
+      aRecord.grace = {};
+      this->Step(aRecord, MemberStep::StopSeen);
+    }
+    if (aRecord.first != nullptr && phase != MemberPhase::Aborted) {
+      this->OnTimeOfFirstRank(aRecord);
+    }
+    const bool isActive = !aRecord.IsOver() || this->RepeatsResult(aRecord) ||
+                          IsGangActive(aRecord);
+    if (isActive && this->now >= aRecord.nextHeartbeat) {
+      this->Beat(aRecord);
+    }
+    if (!isActive && !MustReportEnd(aRecord)) {
+      aRecord.plan.reset();
+    }
+  }
+
+  void OnTimeOfFirstRank(Record& aRecord)
+  {
+    FirstRank& first = *aRecord.first;
+    const FirstRankPhase phase = first.life.Phase();
+    if (phase == FirstRankPhase::Over) {
+      if (!first.isAcknowledged && this->now >= first.nextReport) {
+        this->RepeatReport(aRecord);
+      }
+      return;
+    }
+    if (phase == FirstRankPhase::Stopping) {
+      if (this->now >= first.deadline) {
+        for (Rank rank = 0; rank < first.peers.size(); ++rank) {
+          if (rank != aRecord.rank) {
+            first.Advance(rank, MemberPhase::Ended, MemberResult::Lost);
+          }
+        }
+        this->Settle(aRecord);
+      }
+      return;
+    }
+    first.nextLoss.reset();
+    for (Rank rank = 1; rank < first.peers.size(); ++rank) {
+      const Peer& peer = first.peers[rank];
+      if (!peer.isHeard || peer.phase == MemberPhase::Ended) {
+        continue;
+      }
+      if (peer.contact.IsLost(this->now)) {
+        this->StopAll(aRecord, StopReason::MemberLost, {}, rank);
+        return;
+      }
+      const base::TimePoint loss = peer.contact.LossTime();
+      first.nextLoss = first.nextLoss ? std::min(*first.nextLoss, loss) : loss;
+    }
+    if (phase != FirstRankPhase::Running && this->now >= first.deadline) {
+      const auto late = std::find_if(
+        first.peers.begin(), first.peers.end(), [&](const Peer& aPeer) {
+          return aPeer.phase < (phase == FirstRankPhase::Collecting
+                                  ? MemberPhase::Committed
+                                  : MemberPhase::Running);
+        });
+      this->StopAll(aRecord,
+                    StopReason::StartTimeout,
+                    {},
+                    static_cast<Rank>(late - first.peers.begin()));
+    }
+  }
+
+  void AskOutcome(Record& aRecord)
+  {
+    if (this->now < aRecord.nextQuery) {
+      return;
+    }
+    this->effects->emplace_back(QueryOutcome{ { aRecord.key, aRecord.cell },
+                                              aRecord.hasAskedCoordinator });
+    aRecord.hasAskedCoordinator = !aRecord.hasAskedCoordinator;
+    aRecord.nextQuery = this->now + this->settings.queryInterval;
+  }
+
+  void Beat(Record& aRecord)
+  {
+    aRecord.nextHeartbeat = this->now + this->settings.heartbeatInterval;
+    // Not renewed while a task is killed: the lease then ends it even if the
+    // worker does not carry the order out.
+    if (aRecord.HasTask() && (aRecord.life.Phase() != MemberPhase::Stopping ||
+                              aRecord.grace > base::Duration::zero())) {
+      this->effects->emplace_back(
+        RenewLease{ aRecord.key, this->settings.silenceTimeout });
+    }
+    if (aRecord.first != nullptr &&
+        aRecord.first->life.Phase() == FirstRankPhase::Stopping) {
+      this->SendStopToPeers(aRecord);
+    } else {
+      this->SendAlive(aRecord, this->settings.silenceTimeout);
+    }
+  }
+
+  // Transitions of a member.
+
+  void Step(Record& aRecord, MemberStep aStep)
+  {
+    const MemberPhase before = aRecord.life.Phase();
+    Actions actions(*this, aRecord);
+    aRecord.life.Process(aStep, actions);
+    const MemberPhase phase = aRecord.life.Phase();
+    if (phase == before) {
+      return;
+    }
+    if (aRecord.first != nullptr) {
+      aRecord.first->Advance(aRecord.rank, phase, aRecord.result);
+      this->Settle(aRecord);
+    } else if (phase >= MemberPhase::Running && phase <= MemberPhase::Ended) {
+      this->SendAlive(aRecord, this->settings.silenceTimeout);
+    }
+  }
+
+  void Free(Record& aRecord)
+  {
+    if (!aRecord.HasTask()) {
+      aRecord.result = MemberResult::NotStarted;
+    }
+    this->reserved -= aRecord.reserved;
+    aRecord.reserved = {};
+    aRecord.endedAt = this->now;
+    if (aRecord.mustReportToCoordinator) {
+      this->PostToCoordinator(
+        aRecord.cell, MemberEnded{ aRecord.key, aRecord.rank, aRecord.result });
+    }
+  }
+
+  void SendCommitted(Record& aRecord)
+  {
+    aRecord.nextHeartbeat = this->now;
+    aRecord.firstRank.lastHeard = this->now;
+    aRecord.firstRank.allowance = this->settings.silenceTimeout;
+    if (aRecord.first != nullptr) {
+      aRecord.first->deadline = this->now + this->settings.startTimeout;
+    } else {
+      this->PostToPeer(aRecord, 0, Committed{ aRecord.key, aRecord.rank });
+    }
+  }
+
+  void StartTask(Record& aRecord)
+  {
+    this->effects->emplace_back(gang::StartTask{
+      aRecord.key, aRecord.rank, aRecord.plan, this->settings.silenceTimeout });
+  }
+
+  void StopTask(Record& aRecord)
+  {
+    aRecord.nextStopTask = this->now + (aRecord.grace > base::Duration::zero()
+                                          ? aRecord.grace
+                                          : this->settings.reportInterval);
+    this->effects->emplace_back(gang::StopTask{ aRecord.key, aRecord.grace });
+  }
+
+  void StopSelf(Record& aRecord, StopReason aReason, base::Duration aGrace)
+  {
+    const bool isHarder = this->now + aGrace < aRecord.nextStopTask &&
+                          aRecord.grace > base::Duration::zero();
+    if (aRecord.life.Phase() == MemberPhase::Stopping && !isHarder) {
+      return;
+    }
+    aRecord.stopReason = aReason;
+    aRecord.grace = aGrace;
+    this->Step(aRecord, MemberStep::StopSeen);
+  }
+
+  // Transitions of the first rank.
+
+  void Step(Record& aRecord, FirstRankStep aStep)
+  {
+    Actions actions(*this, aRecord);
+    aRecord.first->life.Process(aStep, actions);
+  }
+
+  /** Takes the first rank as far as what it knows of the members allows. */
+  void Settle(Record& aRecord)
+  {
+    FirstRank& first = *aRecord.first;
+    const std::size_t count = first.peers.size();
+    if (first.life.Phase() == FirstRankPhase::Collecting &&
+        first.committed == count && !first.failedRank) {
+      this->Step(aRecord, FirstRankStep::AllCommitted);
+      this->Step(aRecord, MemberStep::ReleaseSeen);
+    }
+    if (first.life.Phase() < FirstRankPhase::Stopping && first.failedRank) {
+      this->StopAll(aRecord, StopReason::MemberFailed, {}, *first.failedRank);
+    }
+    if (first.life.Phase() == FirstRankPhase::Released &&
+        first.running == count) {
+      this->Step(aRecord, FirstRankStep::AllRunning);
+    }
+    if (first.ended == count) {
+      this->Step(aRecord, FirstRankStep::AllEnded);
+    }
+  }
+
+  void SendRelease(Record& aRecord)
+  {
+    FirstRank& first = *aRecord.first;
+    first.report.wasReleased = true;
+    first.deadline = this->now + this->settings.releaseTimeout;
+    for (Rank rank = 1; rank < first.peers.size(); ++rank) {
+      this->PostToPeer(aRecord, rank, Release{ aRecord.key });
+    }
+  }
+
+  void ReportStarted(Record& aRecord)
+  {
+    this->PostToCoordinator(aRecord.cell, GangStarted{ aRecord.key });
+  }
+
+  void StopAll(Record& aRecord,
+               StopReason aReason,
+               base::Duration aGrace,
+               std::optional<Rank> aRankAtFault)
+  {
+    FirstRank& first = *aRecord.first;
+    const bool isStopping = first.life.Phase() == FirstRankPhase::Stopping;
+    if (isStopping && aGrace >= aRecord.grace) {
+      return;
+    }
+    if (!isStopping) {
+      first.report.reason = aReason;
+      first.report.rankAtFault = aRankAtFault;
+    }
+    first.deadline = this->now + aGrace + this->settings.stopTimeout;
+    aRecord.stopReason = first.report.reason.value_or(aReason);
+    aRecord.grace = aGrace;
+    // First, so that the end of the own task counts as a part of the stop.
+    this->Step(aRecord, FirstRankStep::StopNeeded);
+    this->Step(aRecord, MemberStep::StopSeen);
+    this->Settle(aRecord);
+  }
+
+  void SendStop(Record& aRecord)
+  {
+    aRecord.nextHeartbeat = this->now + this->settings.heartbeatInterval;
+    this->SendStopToPeers(aRecord);
+  }
+
+  void SendStopToPeers(Record& aRecord)
+  {
+    for (Rank rank = 1; rank < aRecord.first->peers.size(); ++rank) {
+      if (aRecord.first->peers[rank].phase != MemberPhase::Ended) {
+        this->PostToPeer(
+          aRecord,
+          rank,
+          StopGang{
+            aRecord.key, std::nullopt, aRecord.stopReason, aRecord.grace });
+      }
+    }
+  }
+
+  void ReportEnded(Record& aRecord)
+  {
+    GangEnded& report = aRecord.first->report;
+    for (const Peer& peer : aRecord.first->peers) {
+      report.results.push_back(peer.result);
+    }
+    aRecord.first->nextReport = this->now + this->settings.reportInterval;
+    this->PostToCoordinator(aRecord.cell, report);
+  }
+
+  // Helpers.
+
+  /** What a coordinator that repeats an order has not heard yet. */
+  void RepeatReport(Record& aRecord)
+  {
+    if (aRecord.first == nullptr) {
+      if (aRecord.life.Phase() == MemberPhase::Ended) {
+        this->PostToCoordinator(
+          aRecord.cell,
+          MemberEnded{ aRecord.key, aRecord.rank, aRecord.result });
+      }
+    } else if (aRecord.first->life.Phase() == FirstRankPhase::Over) {
+      aRecord.first->nextReport = this->now + this->settings.reportInterval;
+      this->PostToCoordinator(aRecord.cell, aRecord.first->report);
+    } else if (aRecord.first->life.Phase() == FirstRankPhase::Running) {
+      this->ReportStarted(aRecord);
+    }
+  }
+
+  /** The first rank hears of a member's phase. */
+  void HearMember(const AttemptKey& aKey,
+                  Rank aRank,
+                  MemberPhase aPhase,
+                  MemberResult aResult)
+  {
+    Record* record = this->Find(aKey);
+    if (record == nullptr ||
+        (record->first != nullptr && !IsGangActive(*record))) {
+      if (aPhase < MemberPhase::Ended) {
+        this->effects->emplace_back(SendToPeer{
+          {},
+          {},
+          StopGang{ aKey, std::nullopt, StopReason::UnknownAttempt, {} } });
+      }
+      return;
+    }
+    if (record->first == nullptr || aRank >= record->first->peers.size()) {
+      return;
+    }
+    // A member commits only on a decision, which holds for the first rank too.
+    this->Step(*record, MemberStep::CommitSeen);
+    record->first->Advance(aRank, aPhase, aResult);
+    this->Settle(*record);
+  }
+
+  bool Accept(const Fence& aFence)
+  {
+    base::FencingToken& highest = this->tokens[aFence.cell];
+    if (aFence.token < highest) {
+      return false;
+    }
+    highest = aFence.token;
+    return true;
+  }
+
+  Record* Find(const AttemptKey& aKey)
+  {
+    const auto found = this->records.find(aKey);
+    return found == this->records.end() ? nullptr : &found->second;
+  }
+
+  Record& Add(const AttemptKey& aKey,
+              const base::ZoneId& aCell,
+              const std::shared_ptr<const job::GangPlan>& aPlan,
+              Rank aRank)
+  {
+    Record& record = this->records[aKey];
+    record.key = aKey;
+    record.cell = aCell;
+    record.plan = aPlan;
+    record.rank = aRank;
+    record.reserved = aPlan->members[aRank].resources;
+    this->reserved += record.reserved;
+    if (aRank == 0) {
+      record.first = std::make_unique<FirstRank>();
+      record.first->peers.resize(aPlan->members.size());
+      record.first->report.key = aKey;
+      record.first->report.wasReleased = false;
+    }
+    return record;
+  }
+
+  /**
+   * A coordinator uses an attempt number again only if the log held no decision
+   * on it when its epoch began: older plans of that attempt are void.
+   */
+  void DropVoidPromises(const AttemptKey& aKey)
+  {
+    for (auto position = this->records.lower_bound({ aKey.gang, {} });
+         position != this->records.end() && position->first < aKey;
+         ++position) {
+      this->Step(position->second, MemberStep::AbortSeen);
+    }
+  }
+
+  void RefusePrepare(const Prepare& aPrepare, base::ErrorCode aCode)
+  {
+    this->PostToCoordinator(aPrepare.fence.cell,
+                            Promise{ KeyOf(*aPrepare.plan),
+                                     aPrepare.rank,
+                                     base::Error{ aCode, "prepare" } });
+  }
+
+  void PostToCoordinator(const base::ZoneId& aCell,
+                         MemberToCoordinator aMessage)
+  {
+    this->effects->emplace_back(
+      SendToCoordinator{ aCell, std::move(aMessage) });
+  }
+
+  void PostToPeer(const Record& aRecord, Rank aRank, PeerMessage aMessage)
+  {
+    if (aRecord.plan != nullptr) {
+      const job::GangMemberPlan& peer = aRecord.plan->members[aRank];
+      this->effects->emplace_back(
+        SendToPeer{ peer.worker, peer.address, std::move(aMessage) });
+    }
+  }
+
+  void SendAlive(const Record& aRecord, base::Duration aAllowance)
+  {
+    const auto time =
+      static_cast<std::uint64_t>(this->now.time_since_epoch().count());
+    // Grows also over a restart of the daemon, as the clock of the VM does.
+    this->sequence = std::max(this->sequence + 1, time);
+    const MemberAlive alive{ aRecord.key,    aRecord.rank,
+                             this->sequence, aRecord.life.Phase(),
+                             aRecord.result, aAllowance };
+    if (aRecord.first == nullptr) {
+      this->PostToPeer(aRecord, 0, alive);
+      return;
+    }
+    for (Rank rank = 1; rank < aRecord.first->peers.size(); ++rank) {
+      if (aRecord.first->peers[rank].phase != MemberPhase::Ended) {
+        this->PostToPeer(aRecord, rank, alive);
+      }
+    }
+  }
+
+  static bool IsGangActive(const Record& aRecord)
+  {
+    return aRecord.first != nullptr &&
+           aRecord.life.Phase() != MemberPhase::Aborted &&
+           aRecord.first->life.Phase() != FirstRankPhase::Over;
+  }
+
+  static bool MustReportEnd(const Record& aRecord)
+  {
+    return aRecord.first != nullptr &&
+           aRecord.life.Phase() != MemberPhase::Aborted &&
+           !aRecord.first->isAcknowledged;
+  }
+
+  bool RepeatsResult(const Record& aRecord) const
+  {
+    return aRecord.first == nullptr &&
+           aRecord.life.Phase() == MemberPhase::Ended &&
+           this->now - aRecord.endedAt < kResultRepeatTime;
+  }
+
+  /** Forgets the attempts that ended first. */
+  void LimitEnded()
+  {
+    const auto isEnded = [](const auto& aItem) {
+      return aItem.second.IsOver();
+    };
+    auto ended =
+      std::count_if(this->records.begin(), this->records.end(), isEnded);
+    while (ended > static_cast<std::ptrdiff_t>(this->settings.endedLimit)) {
+      auto oldest = this->records.end();
+      for (auto position = this->records.begin();
+           position != this->records.end();
+           ++position) {
+        if (isEnded(*position) &&
+            (oldest == this->records.end() ||
+             position->second.endedAt < oldest->second.endedAt)) {
+          oldest = position;
+        }
+      }
+      this->records.erase(oldest);
+      --ended;
+    }
+  }
+
+  const base::TargetId worker;
+  const fleet::Resources capacity;
+  const MemberSettings settings;
+  fleet::Resources reserved;
+  bool isDraining = false;
+  bool isHandedOver = false;
+  std::uint64_t sequence = 0;
+  std::map<base::ZoneId, base::FencingToken> tokens;
+  std::map<AttemptKey, Record> records;
+  base::TimePoint now;
+  Effects* effects = nullptr;
+};
+
+GangMember::GangMember(base::TargetId aWorker,
+                       fleet::Resources aCapacity,
+                       MemberSettings aSettings)
+  : impl(std::make_unique<Impl>(std::move(aWorker), aCapacity, aSettings))
+{
+}
+
+GangMember::~GangMember() = default;
+GangMember::GangMember(GangMember&&) noexcept = default;
+GangMember&
+GangMember::operator=(GangMember&&) noexcept = default;
+
+std::vector<MemberEffect>
+GangMember::Handle(base::TimePoint aNow, const MemberEvent& aEvent)
+{
+  return this->impl->Handle(aNow, aEvent);
+}
+
+std::optional<base::TimePoint>
+GangMember::NextDeadline() const
+{
+  return this->impl->NextDeadline();
+}
+
+fleet::Resources
+GangMember::Reserved() const
+{
+  return this->impl->Reserved();
+}
+
+bool
+GangMember::IsIdle() const
+{
+  return this->impl->IsIdle();
+}
+
+std::vector<MemberStatus>
+GangMember::Status() const
+{
+  return this->impl->Status();
+}
+
+} // namespace amaranthwind::gang
