Carry the gang protocol's own types over the inner protocol

One set is left: the decision package defines the steps, the protocol package encodes them. Offsets of the notes stream replace policy versions, since peers compare offsets.

--- a/libs/protocol/include/amaranthwind/protocol/Messages.h
+++ b/libs/protocol/include/amaranthwind/protocol/Messages.h
@@ -4,6 +4,7 @@
 #include "amaranthwind/base/Error.h"
 #include "amaranthwind/base/Ids.h"
 #include "amaranthwind/fleet/Target.h"
+#include "amaranthwind/gang/Messages.h"
 #include "amaranthwind/job/GangPlan.h"
 
 #include <chrono>
@@ -36,7 +37,7 @@
 struct TargetHello
 {
   fleet::Target target;
-  base::PolicyVersion policyVersion;
+  base::LogOffset noteOffset;
   bool operator==(const TargetHello&) const = default;
 };
 
@@ -45,7 +46,7 @@
 {
   EntryInfo entry;
   base::Incarnation incarnation;
-  base::PolicyVersion policyVersion;
+  base::LogOffset noteOffset;
   bool isDraining = false;
   bool operator==(const EntryHello&) const = default;
 };
@@ -60,7 +61,7 @@
 struct Topology
 {
   base::EntryId sender;
-  base::PolicyVersion policyVersion;
+  base::LogOffset noteOffset;
   std::chrono::milliseconds heartbeatInterval{};
   std::vector<EntryInfo> entries;
   std::vector<CellInfo> cells;
@@ -69,7 +70,7 @@
 
 struct Heartbeat
 {
-  base::PolicyVersion policyVersion;
+  base::LogOffset noteOffset;
   std::uint32_t inFlight = 0;
   std::uint32_t queued = 0;
   bool isDraining = false;
@@ -78,7 +79,7 @@
 
 struct HeartbeatAck
 {
-  base::PolicyVersion policyVersion;
+  base::LogOffset noteOffset;
   std::chrono::milliseconds heartbeatInterval{};
   bool operator==(const HeartbeatAck&) const = default;
 };
@@ -149,101 +150,19 @@
   bool operator==(const ClaimReply&) const = default;
 };
 
-/** Asks a worker's daemon to reserve its part of a gang. */
-struct Prepare
-{
-  base::ZoneId zone;
-  job::GangPlan plan;
-  std::uint32_t rank = 0;
-  bool operator==(const Prepare&) const = default;
-};
-
-enum class GangSignalKind : std::uint8_t
-{
-  Promise,      // Member to coordinator; flag: accepted.
-  Commit,       // Coordinator to member.
-  Abort,        // Coordinator to member.
-  Committed,    // Member to first rank.
-  Release,      // First rank to member.
-  Started,      // First rank to coordinator.
-  MemberAlive,  // Both ways between member and first rank.
-  MemberEnded,  // Member to first rank; flag: success.
-  Stop,         // To a member; flag: checkpoint first.
-  QueryOutcome, // Member to any entry.
-  Outcome,      // Entry to member.
-};
-
-/** What is known of an attempt that was prepared. */
-enum class AttemptStatus : std::uint8_t
-{
-  Unknown,
-  Undecided,
-  Committed,
-  Aborted,
-};
-
-/** A step of the gang protocol other than Prepare. */
-struct GangSignal
-{
-  GangSignalKind kind = GangSignalKind::Promise;
-  base::ZoneId zone;
-  job::GangId gang;
-  base::FencingToken token;
-  std::uint32_t rank = 0;
-  bool flag = false;
-  /** Why a promise was refused, a member failed or a gang is stopped. */
-  base::Error error;
-  AttemptStatus outcome = AttemptStatus::Unknown;
-  bool operator==(const GangSignal&) const = default;
-};
-
-struct MemberResult
-{
-  std::uint32_t rank = 0;
-  bool isSuccess = false;
-  base::Error error;
-  bool operator==(const MemberResult&) const = default;
-};
-
-enum class GangEndOutcome : std::uint8_t
-{
-  Succeeded,
-  Failed,
-  Preempted,
-  NotRun,
-};
-
-/** First rank to coordinator. */
-struct GangEnded
-{
-  base::ZoneId zone;
-  job::GangId gang;
-  GangEndOutcome outcome = GangEndOutcome::Failed;
-  std::vector<MemberResult> members;
-  bool operator==(const GangEnded&) const = default;
-};
-
-/** Where an attempt stands on one member. */
-enum class HeldPhase : std::uint8_t
-{
-  Promised,
-  Committed,
-  Running,
-  Ended,
-};
-
+/** A gang as one member holds it. */
 struct HeldGang
 {
   job::GangPlan plan;
-  std::uint32_t rank = 0;
-  HeldPhase phase = HeldPhase::Promised;
+  gang::Rank rank = 0;
+  gang::MemberPhase phase = gang::MemberPhase::Promised;
   bool operator==(const HeldGang&) const = default;
 };
 
-/** All gangs of a worker; sent to each new coordinator of its cell. */
+/** All gangs that a worker holds; sent to each new coordinator of its cell. */
 struct GangReport
 {
-  base::ZoneId zone;
+  base::ZoneId cell;
   std::vector<HeldGang> gangs;
   bool operator==(const GangReport&) const = default;
 };
@@ -275,7 +194,7 @@
 
 struct PolicyReply
 {
-  base::PolicyVersion policyVersion;
+  base::LogOffset noteOffset;
   /** The policy as a JSON document. */
   std::string document;
   bool operator==(const PolicyReply&) const = default;
@@ -283,6 +202,7 @@
 
 using Message = std::variant<TargetHello,
                              EntryHello,
+                             FetchTopology,
                              Topology,
                              Heartbeat,
                              HeartbeatAck,
@@ -291,15 +211,26 @@
                              ExecuteReply,
                              Claim,
                              ClaimReply,
-                             Prepare,
-                             GangSignal,
-                             GangEnded,
+                             gang::Prepare,
+                             gang::Commit,
+                             gang::Abort,
+                             gang::StopGang,
+                             gang::GangEndedAck,
+                             gang::Promise,
+                             gang::CommitRefused,
+                             gang::GangStarted,
+                             gang::MemberEnded,
+                             gang::GangEnded,
+                             gang::OutcomeQuery,
+                             gang::OutcomeReply,
+                             gang::Committed,
+                             gang::Release,
+                             gang::MemberAlive,
                              GangReport,
                              ForwardJob,
                              ForwardJobReply,
                              FetchPolicy,
-                             PolicyReply,
-                             FetchTopology>;
+                             PolicyReply>;
 
 /** Matches a reply to its call on one connection; 0: no reply expected. */
 using CorrelationId = base::StrongNumber<struct CorrelationTag>;
@@ -309,7 +240,6 @@
   CorrelationId correlation;
   bool isReply = false;
   Message message;
-  bool operator==(const Envelope&) const = default;
 };
 
 } // namespace amaranthwind::protocol
--- a/libs/protocol/src/FrameCodec.cpp
+++ b/libs/protocol/src/FrameCodec.cpp
@@ -13,12 +13,31 @@
 constexpr std::size_t kInitialBufferBytes = 512;
 constexpr unsigned kBitsPerByte = 8;
 
-wire::Body
-BodyType(const Message& aMessage)
+/** Encodes the message of an envelope; the type follows from the table. */
+struct BodyEncoder
 {
-  // The union of the schema lists the messages in the order of the variant.
-  return static_cast<wire::Body>(aMessage.index() + 1);
-}
+  flatbuffers::FlatBufferBuilder& builder;
+  WireEncoder& encoder;
+
+  template<typename M>
+  flatbuffers::Offset<wire::Envelope> operator()(
+    const M& aMessage,
+    const Envelope& aEnvelope) const
+  {
+    return this->Finish(this->encoder(aMessage), aEnvelope);
+  }
+
+  template<typename Table>
+  flatbuffers::Offset<wire::Envelope> Finish(flatbuffers::Offset<Table> aBody,
+                                             const Envelope& aEnvelope) const
+  {
+    return wire::CreateEnvelope(this->builder,
+                                aEnvelope.correlation.Get(),
+                                aEnvelope.isReply,
+                                wire::BodyTraits<Table>::enum_value,
+                                aBody.Union());
+  }
+};
 
 } // namespace
 
@@ -27,14 +46,10 @@
 {
   flatbuffers::FlatBufferBuilder builder(kInitialBufferBytes);
   WireEncoder encoder(builder);
-  const flatbuffers::Offset<void> body =
-    std::visit([&](const auto& aMessage) { return encoder(aMessage).Union(); },
-               aEnvelope.message);
-  builder.Finish(wire::CreateEnvelope(builder,
-                                      aEnvelope.correlation.Get(),
-                                      aEnvelope.isReply,
-                                      BodyType(aEnvelope.message),
-                                      body));
+  const BodyEncoder encodeBody{ builder, encoder };
+  builder.Finish(std::visit(
+    [&](const auto& aMessage) { return encodeBody(aMessage, aEnvelope); },
+    aEnvelope.message));
   const std::size_t length = builder.GetSize();
   std::vector<std::byte> frame(kFrameHeaderBytes + length);
   for (std::size_t i = 0; i < kFrameHeaderBytes; ++i) {
--- a/libs/protocol/src/WireDecoder.cpp
+++ b/libs/protocol/src/WireDecoder.cpp
@@ -1,5 +1,9 @@
 #include "WireDecoder.h"
 
+#include "GangStepKind.h"
+
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace amaranthwind::protocol {
@@ -37,6 +41,18 @@
   return static_cast<Enum>(aValue);
 }
 
+Result<gang::MemberResult>
+ToMemberResult(std::uint8_t aValue)
+{
+  return ToEnum(aValue, gang::MemberResult::Lost, "GangStep.result");
+}
+
+Result<gang::MemberPhase>
+ToPhase(std::uint8_t aValue)
+{
+  return ToEnum(aValue, gang::MemberPhase::Aborted, "GangStep.phase");
+}
+
 Result<std::string_view>
 Required(const flatbuffers::String* aString, std::string_view aField)
 {
@@ -95,13 +111,25 @@
   return members;
 }
 
-Result<job::GangId>
-ToGang(const flatbuffers::String* aJob,
-       std::uint32_t aAttempt,
-       std::string_view aField)
+Result<gang::AttemptKey>
+ToKey(const wire::AttemptKey* aKey, std::string_view aField)
 {
-  BOOST_OUTCOME_TRY(const auto job, Required(aJob, aField));
-  return job::GangId{ base::JobId(job), base::Attempt(aAttempt) };
+  if (aKey == nullptr) {
+    return Fail(ErrorCode::MissingField, aField);
+  }
+  BOOST_OUTCOME_TRY(const auto job, Required(aKey->job(), aField));
+  return gang::AttemptKey{ { base::JobId(job), base::Attempt(aKey->attempt()) },
+                           base::FencingToken(aKey->plan_token()) };
+}
+
+Result<gang::Fence>
+ToFence(const wire::Fence* aFence, std::string_view aField)
+{
+  if (aFence == nullptr) {
+    return Fail(ErrorCode::MissingField, aField);
+  }
+  return gang::Fence{ base::ZoneId(View(aFence->cell())),
+                      base::FencingToken(aFence->token()) };
 }
 
 Result<Message>
@@ -129,7 +157,7 @@
   hello.target.slots = wireTarget->slots();
   hello.target.address = View(wireTarget->address());
   hello.target.incarnation = base::Incarnation(wireTarget->incarnation());
-  hello.policyVersion = base::PolicyVersion(aHello.policy_version());
+  hello.noteOffset = base::LogOffset(aHello.note_offset());
   return hello;
 }
 
@@ -142,7 +170,7 @@
   BOOST_OUTCOME_TRY(Required(aHello.entry()->id(), "EntryHello.entry.id"));
   return EntryHello{ ToEntry(*aHello.entry()),
                      base::Incarnation(aHello.incarnation()),
-                     base::PolicyVersion(aHello.policy_version()),
+                     base::LogOffset(aHello.note_offset()),
                      aHello.is_draining() };
 }
 
@@ -151,7 +179,7 @@
 {
   Topology topology;
   topology.sender = base::EntryId(View(aTopology.sender()));
-  topology.policyVersion = base::PolicyVersion(aTopology.policy_version());
+  topology.noteOffset = base::LogOffset(aTopology.note_offset());
   topology.heartbeatInterval =
     std::chrono::milliseconds(aTopology.heartbeat_interval_ms());
   if (aTopology.entries() != nullptr) {
@@ -175,7 +203,7 @@
 Result<Message>
 Decode(const wire::Heartbeat& aBeat)
 {
-  return Heartbeat{ base::PolicyVersion(aBeat.policy_version()),
+  return Heartbeat{ base::LogOffset(aBeat.note_offset()),
                     aBeat.in_flight(),
                     aBeat.queued(),
                     aBeat.is_draining() };
@@ -184,7 +212,7 @@
 Result<Message>
 Decode(const wire::HeartbeatAck& aAck)
 {
-  return HeartbeatAck{ base::PolicyVersion(aAck.policy_version()),
+  return HeartbeatAck{ base::LogOffset(aAck.note_offset()),
                        std::chrono::milliseconds(
                          aAck.heartbeat_interval_ms()) };
 }
@@ -249,83 +277,193 @@
 Result<Message>
 Decode(const wire::Prepare& aPrepare)
 {
-  BOOST_OUTCOME_TRY(auto gang,
-                    ToGang(aPrepare.job(), aPrepare.attempt(), "Prepare.job"));
-  Prepare prepare;
-  prepare.zone = base::ZoneId(View(aPrepare.zone()));
-  prepare.plan.gang = std::move(gang);
-  prepare.plan.token = base::FencingToken(aPrepare.token());
-  prepare.plan.members = ToMembers(aPrepare.members());
-  prepare.plan.payload = View(aPrepare.payload());
-  prepare.rank = aPrepare.rank();
-  if (prepare.rank >= prepare.plan.members.size()) {
+  BOOST_OUTCOME_TRY(auto key, ToKey(aPrepare.key(), "Prepare.key"));
+  BOOST_OUTCOME_TRY(auto fence, ToFence(aPrepare.fence(), "Prepare.fence"));
+  auto plan = std::make_shared<job::GangPlan>();
+  plan->gang = std::move(key.gang);
+  plan->token = key.planToken;
+  plan->members = ToMembers(aPrepare.members());
+  plan->payload = View(aPrepare.payload());
+  if (aPrepare.rank() >= plan->members.size()) {
     return Fail(ErrorCode::OutOfRange, "Prepare.rank");
   }
-  return prepare;
+  return gang::Prepare{ std::move(fence), std::move(plan), aPrepare.rank() };
 }
 
-Result<Message>
-Decode(const wire::GangSignal& aSignal)
+/** Reads the fields that some step needs, with the checks that all share. */
+class StepReader
 {
-  BOOST_OUTCOME_TRY(
-    const auto kind,
-    ToEnum(aSignal.kind(), GangSignalKind::Outcome, "GangSignal.kind"));
-  BOOST_OUTCOME_TRY(
-    const auto outcome,
-    ToEnum(aSignal.outcome(), AttemptStatus::Aborted, "GangSignal.outcome"));
-  BOOST_OUTCOME_TRY(const auto code, ToErrorCode(aSignal.error_code()));
-  BOOST_OUTCOME_TRY(auto gang,
-                    ToGang(aSignal.job(), aSignal.attempt(), "GangSignal.job"));
-  return GangSignal{ kind,
-                     base::ZoneId(View(aSignal.zone())),
-                     std::move(gang),
-                     base::FencingToken(aSignal.token()),
-                     aSignal.rank(),
-                     aSignal.flag(),
-                     ToError(code, aSignal.error_subject()),
-                     outcome };
-}
+public:
+  StepReader(const wire::GangStep& aStep, gang::AttemptKey aKey)
+    : step(aStep)
+    , key(std::move(aKey))
+  {
+  }
+
+  Result<Message> Read(GangStepKind aKind) const
+  {
+    switch (aKind) {
+      case GangStepKind::Commit:
+        return this->ReadCommit();
+      case GangStepKind::Abort:
+        return this->ReadAbort();
+      case GangStepKind::StopGang:
+        return this->ReadStop();
+      case GangStepKind::GangEndedAck:
+        return gang::GangEndedAck{ this->key };
+      case GangStepKind::Promise:
+        return this->ReadPromise();
+      case GangStepKind::CommitRefused:
+        return this->ReadCommitRefused();
+      case GangStepKind::GangStarted:
+        return gang::GangStarted{ this->key };
+      case GangStepKind::MemberEnded:
+        return this->ReadMemberEnded();
+      case GangStepKind::GangEnded:
+        return this->ReadGangEnded();
+      case GangStepKind::OutcomeQuery:
+        return gang::OutcomeQuery{ this->key,
+                                   base::ZoneId(View(this->step.cell())) };
+      case GangStepKind::OutcomeReply:
+        return this->ReadOutcomeReply();
+      case GangStepKind::Committed:
+        return gang::Committed{ this->key, this->step.rank() };
+      case GangStepKind::Release:
+        return gang::Release{ this->key };
+      case GangStepKind::MemberAlive:
+        return this->ReadMemberAlive();
+    }
+    return Fail(ErrorCode::OutOfRange, "GangStep.kind");
+  }
+
+private:
+  Result<Message> ReadCommit() const
+  {
+    BOOST_OUTCOME_TRY(auto fence, ToFence(this->step.fence(), "Commit.fence"));
+    return gang::Commit{ std::move(fence), this->key, this->step.rank() };
+  }
+
+  Result<Message> ReadAbort() const
+  {
+    BOOST_OUTCOME_TRY(auto fence, ToFence(this->step.fence(), "Abort.fence"));
+    return gang::Abort{ std::move(fence), this->key };
+  }
+
+  Result<Message> ReadStop() const
+  {
+    BOOST_OUTCOME_TRY(const auto reason, this->Reason());
+    gang::StopGang stop;
+    stop.key = this->key;
+    if (this->step.fence() != nullptr) {
+      BOOST_OUTCOME_TRY(stop.fence,
+                        ToFence(this->step.fence(), "StopGang.fence"));
+    }
+    stop.reason = reason;
+    stop.grace = std::chrono::milliseconds(this->step.duration_ms());
+    return stop;
+  }
+
+  Result<Message> ReadPromise() const
+  {
+    gang::Promise promise{ this->key, this->step.rank(), std::nullopt };
+    if (this->step.has_error()) {
+      BOOST_OUTCOME_TRY(const auto code, ToErrorCode(this->step.error_code()));
+      promise.refusal = ToError(code, this->step.error_subject());
+    }
+    return promise;
+  }
+
+  Result<Message> ReadCommitRefused() const
+  {
+    BOOST_OUTCOME_TRY(const auto code, ToErrorCode(this->step.error_code()));
+    return gang::CommitRefused{ this->key,
+                                this->step.rank(),
+                                ToError(code, this->step.error_subject()) };
+  }
+
+  Result<Message> ReadMemberEnded() const
+  {
+    BOOST_OUTCOME_TRY(const auto result, ToMemberResult(this->step.result()));
+    return gang::MemberEnded{ this->key, this->step.rank(), result };
+  }
+
+  Result<Message> ReadGangEnded() const
+  {
+    BOOST_OUTCOME_TRY(const auto reason, this->Reason());
+    gang::GangEnded ended;
+    ended.key = this->key;
+    ended.wasReleased = this->step.was_released();
+    if (this->step.results() != nullptr) {
+      for (const std::uint8_t value : *this->step.results()) {
+        BOOST_OUTCOME_TRY(const auto result, ToMemberResult(value));
+        ended.results.push_back(result);
+      }
+    }
+    if (this->step.has_reason()) {
+      ended.reason = reason;
+    }
+    if (this->step.has_rank_at_fault()) {
+      ended.rankAtFault = this->step.rank_at_fault();
+    }
+    return ended;
+  }
+
+  Result<Message> ReadOutcomeReply() const
+  {
+    BOOST_OUTCOME_TRY(const auto state,
+                      ToEnum(this->step.state(),
+                             gang::AttemptState::Aborted,
+                             "OutcomeReply.state"));
+    return gang::OutcomeReply{ this->key, state };
+  }
+
+  Result<Message> ReadMemberAlive() const
+  {
+    BOOST_OUTCOME_TRY(const auto phase, ToPhase(this->step.phase()));
+    BOOST_OUTCOME_TRY(const auto result, ToMemberResult(this->step.result()));
+    return gang::MemberAlive{ this->key,
+                              this->step.rank(),
+                              this->step.sequence(),
+                              phase,
+                              result,
+                              std::chrono::milliseconds(
+                                this->step.duration_ms()) };
+  }
+
+  Result<gang::StopReason> Reason() const
+  {
+    return ToEnum(
+      this->step.reason(), gang::StopReason::UnknownAttempt, "GangStep.reason");
+  }
+
+  const wire::GangStep& step;
+  const gang::AttemptKey key;
+};
 
 Result<Message>
-Decode(const wire::GangEnded& aEnded)
+Decode(const wire::GangStep& aStep)
 {
   BOOST_OUTCOME_TRY(
-    const auto outcome,
-    ToEnum(aEnded.outcome(), GangEndOutcome::NotRun, "GangEnded.outcome"));
-  BOOST_OUTCOME_TRY(auto gang,
-                    ToGang(aEnded.job(), aEnded.attempt(), "GangEnded.job"));
-  GangEnded ended;
-  ended.zone = base::ZoneId(View(aEnded.zone()));
-  ended.gang = std::move(gang);
-  ended.outcome = outcome;
-  if (aEnded.members() != nullptr) {
-    for (const auto* member : *aEnded.members()) {
-      BOOST_OUTCOME_TRY(const auto code, ToErrorCode(member->error_code()));
-      ended.members.push_back({ member->rank(),
-                                member->is_success(),
-                                ToError(code, member->error_subject()) });
-    }
-  }
-  return ended;
+    const auto kind,
+    ToEnum(aStep.kind(), GangStepKind::MemberAlive, "GangStep.kind"));
+  BOOST_OUTCOME_TRY(auto key, ToKey(aStep.key(), "GangStep.key"));
+  return StepReader(aStep, std::move(key)).Read(kind);
 }
 
 Result<Message>
 Decode(const wire::GangReport& aReport)
 {
   GangReport report;
-  report.zone = base::ZoneId(View(aReport.zone()));
+  report.cell = base::ZoneId(View(aReport.cell()));
   if (aReport.gangs() == nullptr) {
     return report;
   }
   for (const auto* held : *aReport.gangs()) {
-    BOOST_OUTCOME_TRY(
-      auto gang, ToGang(held->job(), held->attempt(), "GangReport.gangs.job"));
-    BOOST_OUTCOME_TRY(
-      const auto phase,
-      ToEnum(held->phase(), HeldPhase::Ended, "GangReport.gangs.phase"));
+    BOOST_OUTCOME_TRY(auto key, ToKey(held->key(), "GangReport.gangs.key"));
+    BOOST_OUTCOME_TRY(const auto phase, ToPhase(held->phase()));
     HeldGang decoded;
-    decoded.plan.gang = std::move(gang);
-    decoded.plan.token = base::FencingToken(held->token());
+    decoded.plan.gang = std::move(key.gang);
+    decoded.plan.token = key.planToken;
     decoded.plan.members = ToMembers(held->members());
     decoded.rank = held->rank();
     decoded.phase = phase;
@@ -363,7 +501,7 @@
 Result<Message>
 Decode(const wire::PolicyReply& aReply)
 {
-  return PolicyReply{ base::PolicyVersion(aReply.policy_version()),
+  return PolicyReply{ base::LogOffset(aReply.note_offset()),
                       std::string(View(aReply.document())) };
 }
 
@@ -404,10 +542,8 @@
       return Decode(*aEnvelope.body_as_ClaimReply());
     case wire::Body::Prepare:
       return Decode(*aEnvelope.body_as_Prepare());
-    case wire::Body::GangSignal:
-      return Decode(*aEnvelope.body_as_GangSignal());
-    case wire::Body::GangEnded:
-      return Decode(*aEnvelope.body_as_GangEnded());
+    case wire::Body::GangStep:
+      return Decode(*aEnvelope.body_as_GangStep());
     case wire::Body::GangReport:
       return Decode(*aEnvelope.body_as_GangReport());
     case wire::Body::ForwardJob:
--- a/libs/protocol/src/WireEncoder.cpp
+++ b/libs/protocol/src/WireEncoder.cpp
@@ -1,5 +1,11 @@
 #include "WireEncoder.h"
 
+#include "GangStepKind.h"
+
+#include <algorithm>
+#include <limits>
+#include <memory>
+
 namespace amaranthwind::protocol {
 
 namespace {
@@ -12,6 +18,44 @@
   return static_cast<std::uint32_t>(aDuration.count());
 }
 
+/** Durations that are negative or too long for the field are cut. */
+std::uint32_t
+ToMilliseconds(base::Duration aDuration)
+{
+  const auto count =
+    std::chrono::ceil<std::chrono::milliseconds>(aDuration).count();
+  constexpr std::int64_t kMax = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, kMax));
+}
+
+wire::GangStepT
+MakeStep(GangStepKind aKind, const gang::AttemptKey& aKey)
+{
+  wire::GangStepT step;
+  step.kind = static_cast<std::uint8_t>(aKind);
+  step.key = std::make_unique<wire::AttemptKeyT>();
+  step.key->job = aKey.gang.job.View();
+  step.key->attempt = aKey.gang.attempt.Get();
+  step.key->plan_token = aKey.planToken.Get();
+  return step;
+}
+
+void
+SetFence(wire::GangStepT& aStep, const gang::Fence& aFence)
+{
+  aStep.fence = std::make_unique<wire::FenceT>();
+  aStep.fence->cell = aFence.cell.View();
+  aStep.fence->token = aFence.token.Get();
+}
+
+void
+SetError(wire::GangStepT& aStep, const base::Error& aError)
+{
+  aStep.has_error = true;
+  aStep.error_code = static_cast<std::uint8_t>(aError.code);
+  aStep.error_subject = aError.subject;
+}
+
 std::uint8_t
 Code(const base::Error& aError)
 {
@@ -87,7 +131,7 @@
                        address,
                        target.incarnation.Get());
   return wire::CreateTargetHello(
-    this->builder, encoded, aHello.policyVersion.Get());
+    this->builder, encoded, aHello.noteOffset.Get());
 }
 
 Offset<wire::EntryHello>
@@ -97,7 +141,7 @@
   return wire::CreateEntryHello(this->builder,
                                 entry,
                                 aHello.incarnation.Get(),
-                                aHello.policyVersion.Get(),
+                                aHello.noteOffset.Get(),
                                 aHello.isDraining);
 }
 
@@ -123,7 +167,7 @@
   const auto cellVector = this->builder.CreateVector(cells);
   return wire::CreateTopology(this->builder,
                               sender,
-                              aTopology.policyVersion.Get(),
+                              aTopology.noteOffset.Get(),
                               Milliseconds(aTopology.heartbeatInterval),
                               entryVector,
                               cellVector);
@@ -133,7 +177,7 @@
 WireEncoder::operator()(const Heartbeat& aBeat)
 {
   return wire::CreateHeartbeat(this->builder,
-                               aBeat.policyVersion.Get(),
+                               aBeat.noteOffset.Get(),
                                aBeat.inFlight,
                                aBeat.queued,
                                aBeat.isDraining);
@@ -142,9 +186,8 @@
 Offset<wire::HeartbeatAck>
 WireEncoder::operator()(const HeartbeatAck& aAck)
 {
-  return wire::CreateHeartbeatAck(this->builder,
-                                  aAck.policyVersion.Get(),
-                                  Milliseconds(aAck.heartbeatInterval));
+  return wire::CreateHeartbeatAck(
+    this->builder, aAck.noteOffset.Get(), Milliseconds(aAck.heartbeatInterval));
 }
 
 Offset<wire::Ping>
@@ -202,64 +245,164 @@
                                 static_cast<std::uint8_t>(aReply.verdict));
 }
 
+Offset<wire::AttemptKey>
+WireEncoder::Key(const gang::AttemptKey& aKey)
+{
+  const auto job = this->String(aKey.gang.job.View());
+  return wire::CreateAttemptKey(
+    this->builder, job, aKey.gang.attempt.Get(), aKey.planToken.Get());
+}
+
+Offset<wire::Fence>
+WireEncoder::Fence(const gang::Fence& aFence)
+{
+  const auto cell = this->String(aFence.cell.View());
+  return wire::CreateFence(this->builder, cell, aFence.token.Get());
+}
+
+Offset<wire::GangStep>
+WireEncoder::Step(const wire::GangStepT& aStep)
+{
+  return wire::CreateGangStep(this->builder, &aStep);
+}
+
 Offset<wire::Prepare>
-WireEncoder::operator()(const Prepare& aPrepare)
-{
-  const auto zone = this->String(aPrepare.zone.View());
-  const auto job = this->String(aPrepare.plan.gang.job.View());
-  const auto members = this->Members(aPrepare.plan.members);
-  const auto payload = this->String(aPrepare.plan.payload);
-  return wire::CreatePrepare(this->builder,
-                             zone,
-                             job,
-                             aPrepare.plan.gang.attempt.Get(),
-                             aPrepare.plan.token.Get(),
-                             aPrepare.rank,
-                             members,
-                             payload);
-}
-
-Offset<wire::GangSignal>
-WireEncoder::operator()(const GangSignal& aSignal)
-{
-  const auto zone = this->String(aSignal.zone.View());
-  const auto job = this->String(aSignal.gang.job.View());
-  const auto subject = this->String(aSignal.error.subject);
-  return wire::CreateGangSignal(this->builder,
-                                static_cast<std::uint8_t>(aSignal.kind),
-                                zone,
-                                job,
-                                aSignal.gang.attempt.Get(),
-                                aSignal.token.Get(),
-                                aSignal.rank,
-                                aSignal.flag,
-                                Code(aSignal.error),
-                                subject,
-                                static_cast<std::uint8_t>(aSignal.outcome));
-}
-
-Offset<wire::GangEnded>
-WireEncoder::operator()(const GangEnded& aEnded)
-{
-  std::vector<Offset<wire::MemberResult>> members;
-  members.reserve(aEnded.members.size());
-  for (const auto& member : aEnded.members) {
-    const auto subject = this->String(member.error.subject);
-    members.push_back(wire::CreateMemberResult(this->builder,
-                                               member.rank,
-                                               member.isSuccess,
-                                               Code(member.error),
-                                               subject));
+WireEncoder::operator()(const gang::Prepare& aPrepare)
+{
+  const auto fence = this->Fence(aPrepare.fence);
+  const auto key = this->Key(gang::KeyOf(*aPrepare.plan));
+  const auto members = this->Members(aPrepare.plan->members);
+  const auto payload = this->String(aPrepare.plan->payload);
+  return wire::CreatePrepare(
+    this->builder, fence, key, aPrepare.rank, members, payload);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::Commit& aCommit)
+{
+  auto step = MakeStep(GangStepKind::Commit, aCommit.key);
+  SetFence(step, aCommit.fence);
+  step.rank = aCommit.rank;
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::Abort& aAbort)
+{
+  auto step = MakeStep(GangStepKind::Abort, aAbort.key);
+  SetFence(step, aAbort.fence);
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::StopGang& aStop)
+{
+  auto step = MakeStep(GangStepKind::StopGang, aStop.key);
+  if (aStop.fence) {
+    SetFence(step, *aStop.fence);
   }
-  const auto zone = this->String(aEnded.zone.View());
-  const auto job = this->String(aEnded.gang.job.View());
-  const auto results = this->builder.CreateVector(members);
-  return wire::CreateGangEnded(this->builder,
-                               zone,
-                               job,
-                               aEnded.gang.attempt.Get(),
-                               static_cast<std::uint8_t>(aEnded.outcome),
-                               results);
+  step.reason = static_cast<std::uint8_t>(aStop.reason);
+  step.duration_ms = ToMilliseconds(aStop.grace);
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::GangEndedAck& aAck)
+{
+  return this->Step(MakeStep(GangStepKind::GangEndedAck, aAck.key));
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::Promise& aPromise)
+{
+  auto step = MakeStep(GangStepKind::Promise, aPromise.key);
+  step.rank = aPromise.rank;
+  if (aPromise.refusal) {
+    SetError(step, *aPromise.refusal);
+  }
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::CommitRefused& aRefused)
+{
+  auto step = MakeStep(GangStepKind::CommitRefused, aRefused.key);
+  step.rank = aRefused.rank;
+  SetError(step, aRefused.error);
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::GangStarted& aStarted)
+{
+  return this->Step(MakeStep(GangStepKind::GangStarted, aStarted.key));
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::MemberEnded& aEnded)
+{
+  auto step = MakeStep(GangStepKind::MemberEnded, aEnded.key);
+  step.rank = aEnded.rank;
+  step.result = static_cast<std::uint8_t>(aEnded.result);
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::GangEnded& aEnded)
+{
+  auto step = MakeStep(GangStepKind::GangEnded, aEnded.key);
+  step.was_released = aEnded.wasReleased;
+  for (const auto result : aEnded.results) {
+    step.results.push_back(static_cast<std::uint8_t>(result));
+  }
+  step.has_reason = aEnded.reason.has_value();
+  step.reason = static_cast<std::uint8_t>(
+    aEnded.reason.value_or(gang::StopReason::Cancelled));
+  step.has_rank_at_fault = aEnded.rankAtFault.has_value();
+  step.rank_at_fault = aEnded.rankAtFault.value_or(0);
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::OutcomeQuery& aQuery)
+{
+  auto step = MakeStep(GangStepKind::OutcomeQuery, aQuery.key);
+  step.cell = aQuery.cell.View();
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::OutcomeReply& aReply)
+{
+  auto step = MakeStep(GangStepKind::OutcomeReply, aReply.key);
+  step.state = static_cast<std::uint8_t>(aReply.state);
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::Committed& aCommitted)
+{
+  auto step = MakeStep(GangStepKind::Committed, aCommitted.key);
+  step.rank = aCommitted.rank;
+  return this->Step(step);
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::Release& aRelease)
+{
+  return this->Step(MakeStep(GangStepKind::Release, aRelease.key));
+}
+
+Offset<wire::GangStep>
+WireEncoder::operator()(const gang::MemberAlive& aAlive)
+{
+  auto step = MakeStep(GangStepKind::MemberAlive, aAlive.key);
+  step.rank = aAlive.rank;
+  step.sequence = aAlive.sequence;
+  step.phase = static_cast<std::uint8_t>(aAlive.phase);
+  step.result = static_cast<std::uint8_t>(aAlive.result);
+  step.duration_ms = ToMilliseconds(aAlive.allowance);
+  return this->Step(step);
 }
 
 Offset<wire::GangReport>
@@ -268,19 +411,17 @@
   std::vector<Offset<wire::HeldGang>> gangs;
   gangs.reserve(aReport.gangs.size());
   for (const auto& held : aReport.gangs) {
-    const auto job = this->String(held.plan.gang.job.View());
+    const auto key = this->Key(gang::KeyOf(held.plan));
     const auto members = this->Members(held.plan.members);
     gangs.push_back(wire::CreateHeldGang(this->builder,
-                                         job,
-                                         held.plan.gang.attempt.Get(),
-                                         held.plan.token.Get(),
+                                         key,
                                          held.rank,
                                          static_cast<std::uint8_t>(held.phase),
                                          members));
   }
-  const auto zone = this->String(aReport.zone.View());
+  const auto cell = this->String(aReport.cell.View());
   const auto gangVector = this->builder.CreateVector(gangs);
-  return wire::CreateGangReport(this->builder, zone, gangVector);
+  return wire::CreateGangReport(this->builder, cell, gangVector);
 }
 
 Offset<wire::ForwardJob>
@@ -314,7 +455,7 @@
 {
   const auto document = this->String(aReply.document);
   return wire::CreatePolicyReply(
-    this->builder, aReply.policyVersion.Get(), document);
+    this->builder, aReply.noteOffset.Get(), document);
 }
 
 Offset<wire::FetchTopology>
--- a/libs/protocol/src/WireEncoder.h
+++ b/libs/protocol/src/WireEncoder.h
@@ -31,9 +31,29 @@
     const ExecuteReply& aReply);
   flatbuffers::Offset<wire::Claim> operator()(const Claim& aClaim);
   flatbuffers::Offset<wire::ClaimReply> operator()(const ClaimReply& aReply);
-  flatbuffers::Offset<wire::Prepare> operator()(const Prepare& aPrepare);
-  flatbuffers::Offset<wire::GangSignal> operator()(const GangSignal& aSignal);
-  flatbuffers::Offset<wire::GangEnded> operator()(const GangEnded& aEnded);
+  flatbuffers::Offset<wire::Prepare> operator()(const gang::Prepare& aPrepare);
+  flatbuffers::Offset<wire::GangStep> operator()(const gang::Commit& aCommit);
+  flatbuffers::Offset<wire::GangStep> operator()(const gang::Abort& aAbort);
+  flatbuffers::Offset<wire::GangStep> operator()(const gang::StopGang& aStop);
+  flatbuffers::Offset<wire::GangStep> operator()(
+    const gang::GangEndedAck& aAck);
+  flatbuffers::Offset<wire::GangStep> operator()(const gang::Promise& aPromise);
+  flatbuffers::Offset<wire::GangStep> operator()(
+    const gang::CommitRefused& aRefused);
+  flatbuffers::Offset<wire::GangStep> operator()(
+    const gang::GangStarted& aStarted);
+  flatbuffers::Offset<wire::GangStep> operator()(
+    const gang::MemberEnded& aEnded);
+  flatbuffers::Offset<wire::GangStep> operator()(const gang::GangEnded& aEnded);
+  flatbuffers::Offset<wire::GangStep> operator()(
+    const gang::OutcomeQuery& aQuery);
+  flatbuffers::Offset<wire::GangStep> operator()(
+    const gang::OutcomeReply& aReply);
+  flatbuffers::Offset<wire::GangStep> operator()(
+    const gang::Committed& aCommitted);
+  flatbuffers::Offset<wire::GangStep> operator()(const gang::Release& aRelease);
+  flatbuffers::Offset<wire::GangStep> operator()(
+    const gang::MemberAlive& aAlive);
   flatbuffers::Offset<wire::GangReport> operator()(const GangReport& aReport);
   flatbuffers::Offset<wire::ForwardJob> operator()(const ForwardJob& aForward);
   flatbuffers::Offset<wire::ForwardJobReply> operator()(
@@ -55,6 +75,9 @@
     const fleet::Resources& aResources);
   flatbuffers::Offset<wire::EntryInfo> Entry(const EntryInfo& aEntry);
   MembersOffset Members(std::span<const job::GangMemberPlan> aMembers);
+  flatbuffers::Offset<wire::AttemptKey> Key(const gang::AttemptKey& aKey);
+  flatbuffers::Offset<wire::Fence> Fence(const gang::Fence& aFence);
+  flatbuffers::Offset<wire::GangStep> Step(const wire::GangStepT& aStep);
 
   flatbuffers::FlatBufferBuilder& builder;
 };
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/pfr.hpp>
+
+#include <concepts>
+#include <memory>
 #include <random>
 #include <string>
 
@@ -37,6 +41,8 @@
   const job::GangPlan plan = MakePlan();
   job::GangPlan held = plan;
   held.payload.clear();
+  const gang::AttemptKey key = gang::KeyOf(plan);
+  const gang::Fence fence{ base::ZoneId("z"), base::FencingToken(6) };
   fleet::Target target;
   target.id = base::TargetId("t");
   target.kind = fleet::TargetKind::Worker;
@@ -49,15 +55,16 @@
   target.incarnation = base::Incarnation(77);
   using std::chrono::milliseconds;
   return {
-    TargetHello{ target, base::PolicyVersion(4) },
-    EntryHello{ entry, base::Incarnation(1), base::PolicyVersion(2), true },
+    TargetHello{ target, base::LogOffset(4) },
+    EntryHello{ entry, base::Incarnation(1), base::LogOffset(2), true },
+    FetchTopology{},
     Topology{ base::EntryId("e2"),
-              base::PolicyVersion(3),
+              base::LogOffset(3),
               milliseconds(1000),
               { entry },
               { { base::ZoneId("z"), entry, base::FencingToken(5) } } },
-    Heartbeat{ base::PolicyVersion(1), 2, 3, true },
-    HeartbeatAck{ base::PolicyVersion(1), milliseconds(5) },
+    Heartbeat{ base::LogOffset(1), 2, 3, true },
+    HeartbeatAck{ base::LogOffset(1), milliseconds(5) },
     Ping{},
     Execute{ base::AccountId("a"),
              base::CallerId("c"),
@@ -71,29 +78,64 @@
       ExecuteOutcome::NotRun, 503, error, milliseconds(9), ToBytes("answer") },
     Claim{ base::IdempotencyKey("i"), base::TargetId("t"), 12, 1 },
     ClaimReply{ ClaimVerdict::ClaimedByOther },
-    Prepare{ base::ZoneId("z"), plan, 1 },
-    GangSignal{ GangSignalKind::Stop,
-                base::ZoneId("z"),
-                plan.gang,
-                base::FencingToken(6),
-                1,
-                true,
-                error,
-                AttemptStatus::Aborted },
-    GangEnded{ base::ZoneId("z"),
-               plan.gang,
-               GangEndOutcome::Preempted,
-               { { 1, true, error } } },
-    GangReport{ base::ZoneId("z"), { { held, 1, HeldPhase::Running } } },
+    gang::Prepare{ fence, std::make_shared<job::GangPlan>(plan), 1 },
+    gang::Commit{ fence, key, 1 },
+    gang::Abort{ fence, key },
+    gang::StopGang{ key, fence, gang::StopReason::MemberLost, milliseconds(7) },
+    gang::GangEndedAck{ key },
+    gang::Promise{ key, 1, error },
+    gang::CommitRefused{ key, 1, error },
+    gang::GangStarted{ key },
+    gang::MemberEnded{ key, 1, gang::MemberResult::Stopped },
+    gang::GangEnded{ key,
+                     true,
+                     { gang::MemberResult::Failed, gang::MemberResult::Lost },
+                     gang::StopReason::StartTimeout,
+                     1 },
+    gang::OutcomeQuery{ key, base::ZoneId("z") },
+    gang::OutcomeReply{ key, gang::AttemptState::Committed },
+    gang::Committed{ key, 1 },
+    gang::Release{ key },
+    gang::MemberAlive{ key,
+                       1,
+                       44,
+                       gang::MemberPhase::Running,
+                       gang::MemberResult::Failed,
+                       milliseconds(9) },
+    GangReport{ base::ZoneId("z"),
+                { { held, 1, gang::MemberPhase::Running } } },
     ForwardJob{
       "POST", "/v1/jobs", base::AccountId("a"), base::CallerId("c"), "{}" },
     ForwardJobReply{ 202, milliseconds(3), "{}" },
     FetchPolicy{},
-    PolicyReply{ base::PolicyVersion(8), "{}" },
-    FetchTopology{},
+    PolicyReply{ base::LogOffset(8), "{}" },
   };
 }
 
+/** Compares field by field; plans by value. */
+struct SameMessage
+{
+  bool operator()(const gang::Prepare& aLeft, const gang::Prepare& aRight) const
+  {
+    return aLeft.fence == aRight.fence && *aLeft.plan == *aRight.plan &&
+           aLeft.rank == aRight.rank;
+  }
+  template<typename M>
+  bool operator()(const M& aLeft, const M& aRight) const
+  {
+    if constexpr (std::equality_comparable<M>) {
+      return aLeft == aRight;
+    } else {
+      return boost::pfr::eq_fields(aLeft, aRight);
+    }
+  }
+  template<typename Left, typename Right>
+  bool operator()(const Left&, const Right&) const
+  {
+    return false;
+  }
+};
+
 std::vector<std::byte>
 BodyOf(const std::vector<std::byte>& aFrame)
 {
@@ -117,7 +159,9 @@
     CHECK(length.value() == frame.size() - kFrameHeaderBytes);
     const auto decoded = DecodeFrame(BodyOf(frame));
     REQUIRE(decoded.has_value());
-    CHECK(decoded.value() == envelope);
+    CHECK(decoded.value().correlation == envelope.correlation);
+    CHECK(decoded.value().isReply == envelope.isReply);
+    CHECK(std::visit(SameMessage{}, decoded.value().message, envelope.message));
   }
 }
 
@@ -150,26 +194,27 @@
     ErrorCode code;
     std::string subject;
   };
+  gang::Prepare emptyPrepare;
+  emptyPrepare.plan = std::make_shared<job::GangPlan>();
+  gang::Prepare prepareBeyondPlan;
+  prepareBeyondPlan.plan = std::make_shared<job::GangPlan>(MakePlan());
+  prepareBeyondPlan.rank = 2;
   const std::vector<Case> cases{
     { TargetHello{}, ErrorCode::MissingField, "TargetHello.target.id" },
     { EntryHello{}, ErrorCode::MissingField, "EntryHello.entry.id" },
     { Execute{}, ErrorCode::MissingField, "Execute.account" },
     { Claim{}, ErrorCode::MissingField, "Claim.key" },
-    { Prepare{}, ErrorCode::MissingField, "Prepare.job" },
-    { Prepare{ base::ZoneId("z"), MakePlan(), 2 },
+    { emptyPrepare, ErrorCode::MissingField, "Prepare.key" },
+    { prepareBeyondPlan, ErrorCode::OutOfRange, "Prepare.rank" },
+    { gang::Commit{}, ErrorCode::MissingField, "GangStep.key" },
+    { gang::MemberEnded{
+        gang::KeyOf(MakePlan()), 0, static_cast<gang::MemberResult>(200) },
       ErrorCode::OutOfRange,
-      "Prepare.rank" },
-    { GangSignal{}, ErrorCode::MissingField, "GangSignal.job" },
-    { GangSignal{ static_cast<GangSignalKind>(200),
-                  {},
-                  MakePlan().gang,
-                  {},
-                  0,
-                  false,
-                  {},
-                  AttemptStatus::Unknown },
+      "GangStep.result" },
+    { gang::StopGang{
+        gang::KeyOf(MakePlan()), {}, static_cast<gang::StopReason>(200), {} },
       ErrorCode::OutOfRange,
-      "GangSignal.kind" },
+      "GangStep.reason" },
     { ForwardJob{}, ErrorCode::MissingField, "ForwardJob.path" },
   };
   for (const auto& each : cases) {
