--- /dev/null
+++ b/libs/admission/src/AdmissionQueue.cpp
@@ -0,0 +1,484 @@
+#include "amaranthwind/admission/AdmissionQueue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <tuple>
+
+namespace amaranthwind::admission {
+
+using base::ErrorCode;
+
+namespace {
+
+/** Cost that a caller may send in one round. */
+constexpr std::uint32_t kQuantum = 1;
+constexpr std::uint32_t kMaxCost = 100;
+// Weight 1/8 of the newest sample, used after as many samples.
+constexpr std::int64_t kIntervalSmoothing = 8;
+
+std::uint32_t
+CostOf(const Request& aRequest)
+{
+  return std::clamp(aRequest.cost, 1U, kMaxCost);
+}
+
+base::Error
+MakeError(ErrorCode aCode, std::string_view aSubject)
+{
+  return { aCode, std::string(aSubject) };
+}
+
+/** Slots in use relative to the share; lower goes first. */
+double
+Ratio(std::uint32_t aInUse, std::uint32_t aShare)
+{
+  return static_cast<double>(aInUse) / static_cast<double>(aShare);
+}
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(CapacityGate& aGate,
+                               std::unique_ptr<const ShareSnapshot> aShares,
+                               QueueOptions aOptions)
+  : gate(aGate)
+  , shares(std::move(aShares))
+  , options(aOptions)
+  , classes(this->shares->Accounts().size() * this->shares->Kinds().size())
+{
+}
+
+AdmissionQueue::~AdmissionQueue()
+{
+  this->gate.SetWaiting(0);
+}
+
+const AccountShare&
+AdmissionQueue::AccountOf(std::size_t aClass) const
+{
+  return this->shares->Accounts()[aClass / this->shares->Kinds().size()];
+}
+
+const KindShare&
+AdmissionQueue::KindOf(std::size_t aClass) const
+{
+  return this->shares->Kinds()[aClass % this->shares->Kinds().size()];
+}
+
+base::Duration
+AdmissionQueue::ServiceTime(std::size_t aClass) const
+{
+  const std::uint32_t micros =
+    this->KindOf(aClass).usage->meanServiceMicros.load();
+  return micros == 0 ? this->options.assumedService
+                     : base::Duration(std::chrono::microseconds(micros));
+}
+
+base::Duration
+AdmissionQueue::DispatchInterval(std::size_t aClass, base::TimePoint aNow) const
+{
+  const Class& queue = this->classes[aClass];
+  if (queue.waiting > 0 && queue.intervals >= kIntervalSmoothing) {
+    return std::max(queue.interval, aNow - queue.lastDispatch);
+  }
+  // Too few dispatches seen: assume that account and kind spread their slots
+  // over each other, and that the class gets at least one slot.
+  const std::uint64_t account = this->AccountOf(aClass).usage->inUse.load();
+  const std::uint64_t kind = this->KindOf(aClass).usage->inUse.load();
+  const std::uint64_t all = std::max(this->gate.InUse(), 1U);
+  const std::uint64_t slots = std::max<std::uint64_t>(account * kind / all, 1);
+  return this->ServiceTime(aClass) / static_cast<std::int64_t>(slots);
+}
+
+base::Duration
+AdmissionQueue::ExpectedWait(std::size_t aClass,
+                             const base::CallerId& aCaller,
+                             base::TimePoint aNow) const
+{
+  const Class& queue = this->classes[aClass];
+  auto known = queue.byCaller.find(aCaller);
+  std::size_t ahead = 0;
+  if (known == queue.byCaller.end()) {
+    ahead = queue.newCallers.size() + 1;
+  } else {
+    // Round robin serves every caller once before a caller's next request.
+    ahead = (known->second->waiting.size() + 1) * queue.activeCallers;
+  }
+  return this->DispatchInterval(aClass, aNow) *
+         static_cast<std::int64_t>(std::min(queue.waiting, ahead) + 1);
+}
+
+base::Duration
+AdmissionQueue::RetryAfter(base::Duration aExcess) const
+{
+  return std::clamp(
+    aExcess, this->options.minRetryAfter, this->options.maxRetryAfter);
+}
+
+base::Result<std::size_t>
+AdmissionQueue::FindClass(const Request& aRequest) const
+{
+  const AccountShare* account =
+    this->shares->FindAccount(aRequest.account.View());
+  if (account == nullptr) {
+    return base::Fail(ErrorCode::UnknownAccount, aRequest.account.View());
+  }
+  const KindShare* kind = this->shares->FindKind(aRequest.kind.View());
+  if (kind == nullptr) {
+    return base::Fail(ErrorCode::UnknownKind, aRequest.kind.View());
+  }
+  const auto accountIndex =
+    static_cast<std::size_t>(account - this->shares->Accounts().data());
+  const auto kindIndex =
+    static_cast<std::size_t>(kind - this->shares->Kinds().data());
+  return accountIndex * this->shares->Kinds().size() + kindIndex;
+}
+
+base::TimePoint
+AdmissionQueue::Expiry(std::size_t aClass, const Request& aRequest) const
+{
+  return std::min(aRequest.arrival + this->KindOf(aClass).queueLimit,
+                  aRequest.deadline - this->ServiceTime(aClass));
+}
+
+Effects
+AdmissionQueue::Submit(const Request& aRequest, base::TimePoint aNow)
+{
+  Effects effects;
+  this->RefuseExpired(aNow, effects);
+  auto refuse = [&](ErrorCode aCode, base::Duration aRetryAfter) {
+    effects.emplace_back(Refuse{
+      aRequest.id, MakeError(aCode, aRequest.kind.View()), aRetryAfter });
+  };
+  const auto index = this->FindClass(aRequest);
+  if (!index.has_value()) {
+    effects.emplace_back(Refuse{ aRequest.id, index.error(), {} });
+  } else if (this->byId.contains(aRequest.id)) {
+    refuse(ErrorCode::DuplicateKey, {});
+  } else if (aRequest.deadline <= aNow) {
+    refuse(ErrorCode::QueueTimeout, {});
+  } else {
+    const bool mustWait =
+      !this->byId.empty() || this->gate.InUse() >= this->gate.Capacity();
+    const base::Duration wait =
+      mustWait ? this->ExpectedWait(index.value(), aRequest.caller, aNow)
+               : base::Duration::zero();
+    const base::TimePoint expiry = this->Expiry(index.value(), aRequest);
+    if (mustWait && aNow + wait > expiry) {
+      refuse(ErrorCode::QueueFull, this->RetryAfter(aNow + wait - expiry));
+    } else if (!this->MakeRoom(index.value(), aRequest.caller, aNow, effects)) {
+      refuse(ErrorCode::QueueFull, this->RetryAfter(wait));
+    } else {
+      this->Enqueue(index.value(), aRequest, expiry, aNow);
+    }
+  }
+  this->DispatchReady(aNow, effects);
+  return effects;
+}
+
+Effects
+AdmissionQueue::Requeue(const Request& aRequest, base::TimePoint aNow)
+{
+  Effects effects;
+  const auto index = this->FindClass(aRequest);
+  if (!index.has_value()) {
+    effects.emplace_back(Refuse{ aRequest.id, index.error(), {} });
+  } else {
+    this->Enqueue(index.value(),
+                  aRequest,
+                  this->Expiry(index.value(), aRequest),
+                  aNow,
+                  true);
+  }
+  this->RefuseExpired(aNow, effects);
+  this->gate.SetWaiting(static_cast<std::uint32_t>(this->byId.size()));
+  return effects;
+}
+
+bool
+AdmissionQueue::MakeRoom(std::size_t aClass,
+                         const base::CallerId& aCaller,
+                         base::TimePoint aNow,
+                         Effects& aEffects)
+{
+  Class& queue = this->classes[aClass];
+  // Every class has its own part of the memory, so that a flood of one cannot
+  // use up what the others need.
+  const std::size_t part =
+    std::max<std::size_t>(this->options.maxWaiting / this->classes.size(), 1);
+  if (queue.waiting < part) {
+    return true;
+  }
+  auto longest = queue.byCaller.end();
+  std::size_t length = 0;
+  for (auto item = queue.byCaller.begin(); item != queue.byCaller.end();
+       ++item) {
+    if (item->second->waiting.size() > length) {
+      longest = item;
+      length = item->second->waiting.size();
+    }
+  }
+  auto own = queue.byCaller.find(aCaller);
+  const std::size_t ownLength =
+    own == queue.byCaller.end() ? 0 : own->second->waiting.size();
+  if (ownLength + 1 >= length) {
+    return false;
+  }
+  const RequestId last = longest->second->waiting.back().request.id;
+  aEffects.emplace_back(
+    Refuse{ last,
+            MakeError(ErrorCode::QueueFull, this->KindOf(aClass).id.View()),
+            this->RetryAfter(
+              this->ExpectedWait(aClass, longest->second->caller, aNow)) });
+  this->Take(last);
+  return true;
+}
+
+void
+AdmissionQueue::Enqueue(std::size_t aClass,
+                        const Request& aRequest,
+                        base::TimePoint aExpiry,
+                        base::TimePoint aNow,
+                        bool aIsFirst)
+{
+  Class& queue = this->classes[aClass];
+  if (queue.waiting == 0) {
+    queue.lastDispatch = aNow;
+    queue.interval = {};
+    queue.intervals = 0;
+  }
+  auto known = queue.byCaller.find(aRequest.caller);
+  if (known == queue.byCaller.end()) {
+    queue.newCallers.push_back(CallerQueue{
+      .caller = aRequest.caller, .waiting = {}, .deficit = kQuantum });
+    known =
+      queue.byCaller.emplace(aRequest.caller, std::prev(queue.newCallers.end()))
+        .first;
+  }
+  auto caller = known->second;
+  queue.activeCallers += caller->waiting.empty() ? 1 : 0;
+  auto waiter = caller->waiting.insert(aIsFirst ? caller->waiting.begin()
+                                                : caller->waiting.end(),
+                                       Waiter{ aRequest, aExpiry });
+  this->byId.emplace(aRequest.id, Place{ aClass, caller, waiter });
+  this->byExpiry.emplace(aExpiry, aRequest.id);
+  ++queue.waiting;
+}
+
+AdmissionQueue::Waiter
+AdmissionQueue::Take(RequestId aId)
+{
+  auto found = this->byId.find(aId);
+  const Place place = found->second;
+  this->byId.erase(found);
+  Class& queue = this->classes[place.classIndex];
+  Waiter waiter = std::move(*place.waiter);
+  place.caller->waiting.erase(place.waiter);
+  this->byExpiry.erase({ waiter.expiry, aId });
+  --queue.waiting;
+  queue.activeCallers -= place.caller->waiting.empty() ? 1 : 0;
+  // A caller that was served in this round stays in the round, without a
+  // request, until its next turn: otherwise it would come back as new at once.
+  if (place.caller->waiting.empty() && place.caller->isNew) {
+    queue.byCaller.erase(place.caller->caller);
+    queue.newCallers.erase(place.caller);
+  }
+  if (queue.waiting == 0) {
+    queue.byCaller.clear();
+    queue.newCallers.clear();
+    queue.oldCallers.clear();
+  }
+  return waiter;
+}
+
+std::size_t
+AdmissionQueue::ChooseClass() const
+{
+  const std::size_t kindCount = this->shares->Kinds().size();
+  // Lower goes first; the last part keeps the choice among equals in turns.
+  using Rank = std::tuple<int, double, double, double, std::uint32_t>;
+  std::optional<Rank> best;
+  std::size_t chosen = 0;
+  for (std::size_t i = 0; i < this->classes.size(); ++i) {
+    if (this->classes[i].waiting == 0) {
+      continue;
+    }
+    const AccountShare& account = this->shares->Accounts()[i / kindCount];
+    const KindShare& kind = this->shares->Kinds()[i % kindCount];
+    const std::uint32_t byAccount = account.usage->inUse.load();
+    const std::uint32_t byKind = kind.usage->inUse.load();
+    const bool isAccountBelow =
+      this->gate.IsBelow(byAccount, account.floorPercent);
+    const double accountFloor =
+      isAccountBelow ? Ratio(byAccount, account.floorPercent) : 1e9;
+    const double accountShare = Ratio(byAccount, account.weight);
+    Rank rank;
+    if (this->gate.IsBelow(byKind, kind.floorPercent)) {
+      rank = { 0,
+               Ratio(byKind, kind.floorPercent),
+               accountFloor,
+               accountShare,
+               kind.urgency };
+    } else if (isAccountBelow) {
+      rank = { 1,
+               accountFloor,
+               static_cast<double>(kind.urgency),
+               accountShare,
+               kind.urgency };
+    } else {
+      rank = {
+        2, static_cast<double>(kind.urgency), accountShare, 0, kind.urgency
+      };
+    }
+    if (!best || rank < *best) {
+      best = rank;
+      chosen = i;
+    }
+  }
+  return chosen;
+}
+
+RequestId
+AdmissionQueue::ChooseRequest(Class& aClass)
+{
+  while (true) {
+    const bool useNew = !aClass.newCallers.empty() &&
+                        (aClass.newTurns > 0 || aClass.oldCallers.empty());
+    Callers& callers = useNew ? aClass.newCallers : aClass.oldCallers;
+    auto caller = callers.begin();
+    if (caller->waiting.empty()) {
+      aClass.byCaller.erase(caller->caller);
+      callers.erase(caller);
+      continue;
+    }
+    const Request& next = caller->waiting.front().request;
+    const bool isAffordable = caller->deficit >= CostOf(next);
+    if (isAffordable) {
+      caller->deficit -= CostOf(next);
+      aClass.newTurns = useNew
+                          ? std::max<std::size_t>(aClass.newTurns, 1) - 1
+                          : std::max<std::size_t>(aClass.newCallers.size(), 1);
+    }
+    // The turn of a new caller ends with its first request; that of another
+    // one when its deficit is used up.
+    if (useNew || !isAffordable) {
+      caller->isNew = false;
+      caller->deficit += kQuantum;
+      aClass.oldCallers.splice(aClass.oldCallers.end(), callers, caller);
+    }
+    if (isAffordable) {
+      return next.id;
+    }
+  }
+}
+
+void
+AdmissionQueue::RefuseExpired(base::TimePoint aNow, Effects& aEffects)
+{
+  while (!this->byExpiry.empty() && this->byExpiry.begin()->first <= aNow) {
+    const RequestId id = this->byExpiry.begin()->second;
+    const std::size_t index = this->byId.at(id).classIndex;
+    const Waiter waiter = this->Take(id);
+    aEffects.emplace_back(
+      Refuse{ id,
+              MakeError(ErrorCode::QueueTimeout, waiter.request.kind.View()),
+              this->RetryAfter(
+                this->ExpectedWait(index, waiter.request.caller, aNow)) });
+  }
+}
+
+void
+AdmissionQueue::DispatchReady(base::TimePoint aNow, Effects& aEffects)
+{
+  // Published before the gate is asked; see CapacityGate::TryAcquire().
+  this->gate.SetWaiting(static_cast<std::uint32_t>(this->byId.size()));
+  while (!this->byId.empty()) {
+    const std::size_t index = this->ChooseClass();
+    auto slot =
+      this->gate.TryAcquire(this->AccountOf(index), this->KindOf(index));
+    if (!slot) {
+      break;
+    }
+    Class& queue = this->classes[index];
+    const base::Duration sample = aNow - queue.lastDispatch;
+    queue.lastDispatch = aNow;
+    ++queue.intervals;
+    queue.interval +=
+      (sample - queue.interval) /
+      std::min<std::int64_t>(queue.intervals, kIntervalSmoothing);
+    const RequestId id = this->ChooseRequest(queue);
+    this->Take(id);
+    aEffects.emplace_back(Dispatch{ id, std::move(*slot) });
+  }
+  this->gate.SetWaiting(static_cast<std::uint32_t>(this->byId.size()));
+}
+
+Effects
+AdmissionQueue::Complete(base::TimePoint aNow)
+{
+  return this->Tick(aNow);
+}
+
+Effects
+AdmissionQueue::Tick(base::TimePoint aNow)
+{
+  Effects effects;
+  this->RefuseExpired(aNow, effects);
+  this->DispatchReady(aNow, effects);
+  return effects;
+}
+
+bool
+AdmissionQueue::Cancel(RequestId aId)
+{
+  if (!this->byId.contains(aId)) {
+    return false;
+  }
+  this->Take(aId);
+  this->gate.SetWaiting(static_cast<std::uint32_t>(this->byId.size()));
+  return true;
+}
+
+Effects
+AdmissionQueue::PolicyChanged(std::unique_ptr<const ShareSnapshot> aShares,
+                              base::TimePoint aNow)
+{
+  Effects effects;
+  this->RefuseExpired(aNow, effects);
+  // In the order of expiry, which keeps the order within each caller.
+  std::vector<Waiter> waiters;
+  waiters.reserve(this->byId.size());
+  while (!this->byExpiry.empty()) {
+    waiters.push_back(this->Take(this->byExpiry.begin()->second));
+  }
+  this->shares = std::move(aShares);
+  this->classes = std::vector<Class>(this->shares->Accounts().size() *
+                                     this->shares->Kinds().size());
+  for (const Waiter& waiter : waiters) {
+    const Request& request = waiter.request;
+    const auto index = this->FindClass(request);
+    if (index.has_value()) {
+      this->Enqueue(index.value(), request, waiter.expiry, aNow);
+    } else {
+      effects.emplace_back(Refuse{ request.id, index.error(), {} });
+    }
+  }
+  this->DispatchReady(aNow, effects);
+  return effects;
+}
+
+Effects
+AdmissionQueue::CapacityChanged(std::uint32_t aSlots, base::TimePoint aNow)
+{
+  this->gate.SetCapacity(aSlots);
+  return this->Tick(aNow);
+}
+
+base::TimePoint
+AdmissionQueue::NextTick() const noexcept
+{
+  return this->byExpiry.empty() ? base::TimePoint::max()
+                                : this->byExpiry.begin()->first;
+}
+
+} // namespace amaranthwind::admission
