--- a/libs/fleet/include/amaranthwind/fleet/CellTable.h
+++ b/libs/fleet/include/amaranthwind/fleet/CellTable.h
@@ -32,12 +32,20 @@
   Lost,     // Known from before; counts for "can it ever fit".
 };
 
-struct WorkerRow
+/** Where a worker stands. */
+struct RackPlace
 {
-  Target target;
   RackIndex rack = 0;
   /** Position in the rack row, below kWorkersPerRackRow. */
   std::uint32_t position = 0;
+
+  bool operator==(const RackPlace&) const = default;
+};
+
+struct WorkerRow
+{
+  Target target;
+  RackPlace place;
   WorkerPresence presence = WorkerPresence::Lost;
   base::TimePoint lostAt{};
   /** False once the row has been forgotten and waits to be used again. */
--- a/libs/fleet/src/CellTable.cpp
+++ b/libs/fleet/src/CellTable.cpp
@@ -118,15 +118,14 @@
     static_cast<std::uint32_t>(std::countr_one(row.occupied));
   row.occupied |= std::uint64_t{ 1 } << position;
   row.workers[position] = aWorker;
-  this->workers[aWorker].rack = rack;
-  this->workers[aWorker].position = position;
+  this->workers[aWorker].place = RackPlace{ rack, position };
 }
 
 void
 CellTable::LeaveRack(WorkerIndex aWorker)
 {
-  const WorkerRow& row = this->workers[aWorker];
-  this->racks[row.rack].occupied &= ~(std::uint64_t{ 1 } << row.position);
+  const RackPlace& place = this->workers[aWorker].place;
+  this->racks[place.rack].occupied &= ~(std::uint64_t{ 1 } << place.position);
 }
 
 } // namespace amaranthwind::fleet
--- a/libs/scheduling/include/amaranthwind/scheduling/CapacityIndex.h
+++ b/libs/scheduling/include/amaranthwind/scheduling/CapacityIndex.h
@@ -37,7 +37,7 @@
    * any resources is not offered.
    */
   void Set(fleet::WorkerIndex aWorker,
-           const fleet::WorkerRow& aRow,
+           const fleet::RackPlace& aPlace,
            const fleet::Resources& aTotal,
            const fleet::Resources& aAvailable);
 
--- a/libs/scheduling/include/amaranthwind/scheduling/CellScheduler.h
+++ b/libs/scheduling/include/amaranthwind/scheduling/CellScheduler.h
@@ -17,6 +17,7 @@
 
 struct SchedulerSettings
 {
+  base::ZoneId zone;
   /** Of the coordinator; goes into every plan. */
   base::FencingToken token;
   /** Longest time from claiming a guarantee to having it. */
--- a/libs/scheduling/include/amaranthwind/scheduling/Effect.h
+++ b/libs/scheduling/include/amaranthwind/scheduling/Effect.h
@@ -30,7 +30,6 @@
 enum class StopReason : std::uint8_t
 {
   GuaranteeClaimed,
-  ReservationDue, // The start that was reserved for another gang has come.
   Cancelled,
 };
 
--- /dev/null
+++ b/libs/scheduling/src/CellScheduler.cpp
@@ -0,0 +1,724 @@
+#include "amaranthwind/scheduling/CellScheduler.h"
+
+#include "ResourceMath.h"
+#include "SchedulerState.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace amaranthwind::scheduling {
+
+using base::ErrorCode;
+using fleet::Resources;
+using fleet::WorkerIndex;
+
+namespace {
+
+/** First delay after an attempt that did not run; doubles up to the longest. */
+constexpr base::Duration kFirstDelay = std::chrono::seconds(1);
+constexpr std::uint32_t kMostDoublings = 6;
+
+} // namespace
+
+CellScheduler::CellScheduler(const SchedulerSettings& aSettings,
+                             std::unique_ptr<PlacementPolicy> aPlacement)
+  : state(std::make_unique<State>(aSettings, std::move(aPlacement)))
+{
+}
+
+CellScheduler::~CellScheduler() = default;
+
+void
+CellScheduler::Handle(base::TimePoint aNow,
+                      const Event& aEvent,
+                      std::vector<Effect>& aEffects)
+{
+  State& cell = *this->state;
+  cell.now = aNow;
+  cell.effects = &aEffects;
+  if (!cell.settledAt) {
+    cell.settledAt = aNow + cell.settings.settleTime;
+  }
+  std::visit([&cell](const auto& aBody) { cell.On(aBody); }, aEvent);
+  cell.ledger.Repair();
+  cell.SyncLedger();
+  for (const Shortfall& shortfall : cell.ledger.TakeShortfallChanges()) {
+    aEffects.emplace_back(
+      ReportShortfall{ cell.ledger.AccountName(shortfall.account),
+                       shortfall.units,
+                       shortfall.accelerators });
+  }
+  cell.Dispatch();
+  cell.effects = nullptr;
+}
+
+base::Result<WaitReport>
+CellScheduler::ExplainWait(base::TimePoint aNow, const base::JobId& aJob) const
+{
+  const auto found = this->state->jobsById.find(aJob);
+  if (found == this->state->jobsById.end() ||
+      this->state->jobs[found->second].phase == Phase::Placed) {
+    return base::Fail(ErrorCode::UnknownJob, aJob.View());
+  }
+  this->state->now = std::max(this->state->now, aNow);
+  return this->state->Explain(this->state->jobs[found->second]);
+}
+
+CellUsage
+CellScheduler::Usage() const
+{
+  CellUsage usage;
+  for (const WorkerUse& use : this->state->uses) {
+    usage.accelerators += use.total.accelerators;
+  }
+  for (const JobRow& job : this->state->jobs) {
+    if (job.phase == Phase::Placed) {
+      ++usage.runningJobs;
+      const std::uint64_t accelerators = job.spec.shape.TotalAccelerators();
+      usage.guaranteed += job.tenure == Tenure::Guaranteed ? accelerators : 0;
+      usage.spare += job.tenure == Tenure::Spare ? accelerators : 0;
+      usage.borrowed += job.tenure == Tenure::Borrowed ? accelerators : 0;
+    } else if (job.phase != Phase::Unused) {
+      ++usage.waitingJobs;
+    }
+  }
+  return usage;
+}
+
+CellScheduler::State::State(const SchedulerSettings& aSettings,
+                            std::unique_ptr<PlacementPolicy> aPlacement)
+  : settings(aSettings)
+  , placement(std::move(aPlacement))
+  , ledger(*this->placement)
+  , health(HealthSettings{ aSettings.isolationTime,
+                           aSettings.longestIsolation,
+                           aSettings.failuresToIsolate })
+{
+}
+
+void
+CellScheduler::State::On(const WorkerJoined& aEvent)
+{
+  const fleet::Target& target = aEvent.target;
+  if (target.kind != fleet::TargetKind::Worker ||
+      target.zone != this->settings.zone) {
+    return;
+  }
+  const auto known = this->cell.Find(target.id);
+  if (known &&
+      !this->cell.Worker(*known).target.resources.Covers(target.resources)) {
+    this->mustCheckHopeless = true;
+  }
+  const WorkerIndex worker = this->cell.Put(target);
+  this->SetUsable(worker);
+  const std::vector<JobIndex> here = this->uses[worker].jobs;
+  for (const JobIndex job : here) {
+    if (this->jobs[job].isRestored) {
+      this->TryPromote(job);
+    }
+  }
+}
+
+void
+CellScheduler::State::On(const WorkerLost& aEvent)
+{
+  const auto worker = this->cell.Find(aEvent.worker);
+  if (worker &&
+      this->cell.Worker(*worker).presence != fleet::WorkerPresence::Lost) {
+    this->lostWorkers.push_back(*worker);
+    this->cell.SetPresence(*worker, fleet::WorkerPresence::Lost, this->now);
+    this->SetUsable(*worker);
+  }
+}
+
+void
+CellScheduler::State::On(const WorkerDraining& aEvent)
+{
+  const auto worker = this->cell.Find(aEvent.worker);
+  if (worker &&
+      this->cell.Worker(*worker).presence == fleet::WorkerPresence::Present) {
+    this->cell.SetPresence(*worker, fleet::WorkerPresence::Draining, this->now);
+    this->SetUsable(*worker);
+  }
+}
+
+void
+CellScheduler::State::On(const JobSubmitted& aEvent)
+{
+  if (this->jobsById.contains(aEvent.spec.id)) {
+    return;
+  }
+  const JobIndex job = this->AddJob(aEvent.spec, aEvent.urgency);
+  this->Enqueue(job);
+  this->RefuseIfHopeless(job);
+}
+
+void
+CellScheduler::State::On(const JobCancelled& aEvent)
+{
+  const auto found = this->jobsById.find(aEvent.job);
+  if (found == this->jobsById.end()) {
+    return;
+  }
+  JobRow& job = this->jobs[found->second];
+  if (job.phase != Phase::Placed) {
+    this->EndJobWith(found->second,
+                     base::Error{ ErrorCode::Cancelled, job.spec.id.Text() });
+    return;
+  }
+  job.isCancelled = true;
+  if (!job.isStopping) {
+    this->StopGang(found->second, StopReason::Cancelled);
+  }
+}
+
+void
+CellScheduler::State::On(const GangStarted& aEvent)
+{
+  const auto found = this->jobsById.find(aEvent.gang.job);
+  if (found == this->jobsById.end()) {
+    return;
+  }
+  JobRow& job = this->jobs[found->second];
+  if (job.phase == Phase::Placed &&
+      job.lastAttempt == aEvent.gang.attempt.Get() && !job.isReleased) {
+    job.isReleased = true;
+    job.started = this->now;
+    job.expectedEnd =
+      this->now +
+      this->runTimes.Estimate(job.work, job.spec.declaredRunTime).high;
+  }
+}
+
+void
+CellScheduler::State::On(const GangEnded& aEvent)
+{
+  const auto found = this->jobsById.find(aEvent.gang.job);
+  if (found == this->jobsById.end()) {
+    return;
+  }
+  const JobIndex index = found->second;
+  JobRow& job = this->jobs[index];
+  if (job.phase != Phase::Placed ||
+      job.lastAttempt != aEvent.gang.attempt.Get()) {
+    return;
+  }
+  std::erase_if(this->trials, [&](const Trial& aTrial) {
+    if (aTrial.job != index) {
+      return false;
+    }
+    if (aEvent.outcome == AttemptOutcome::Succeeded ||
+        aEvent.outcome == AttemptOutcome::Failed) {
+      this->health.EndTrial(
+        this->now, aTrial.worker, aEvent.outcome == AttemptOutcome::Succeeded);
+      this->ReportHealth(aTrial.worker);
+    }
+    return true;
+  });
+  const std::vector<WorkerIndex> workers = job.workers;
+  const AccountIndex account = job.account;
+  const bool wasGuaranteed = job.tenure == Tenure::Guaranteed;
+  this->ReleaseAttempt(index);
+  switch (aEvent.outcome) {
+    case AttemptOutcome::Succeeded:
+      if (job.isReleased && job.runs == 1) {
+        this->runTimes.Add(job.work, this->now - job.started);
+      }
+      this->health.AddSuccessOfWork(job.work);
+      for (const WorkerIndex worker : workers) {
+        this->health.AddSuccess(worker);
+      }
+      for (const WorkerIndex worker : job.failedOn) {
+        if (this->health.AddProof(this->now, worker)) {
+          this->ReportHealth(worker);
+        }
+      }
+      this->EndJobWith(index, std::nullopt);
+      break;
+    case AttemptOutcome::Preempted:
+      if (job.isCancelled) {
+        this->EndJobWith(
+          index, base::Error{ ErrorCode::Cancelled, job.spec.id.Text() });
+      } else {
+        this->Retry(index, false);
+      }
+      break;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::NotRun:
+      this->EndFailed(index, aEvent);
+      break;
+  }
+  if (wasGuaranteed) {
+    this->Promote(account);
+  }
+}
+
+void
+CellScheduler::State::EndFailed(JobIndex aJob, const GangEnded& aEvent)
+{
+  JobRow& job = this->jobs[aJob];
+  const bool hasRun = aEvent.outcome == AttemptOutcome::Failed;
+  if (!hasRun) {
+    --job.runs;
+  }
+  std::optional<WorkerIndex> culprit;
+  if (aEvent.culprit) {
+    culprit = this->cell.Find(*aEvent.culprit);
+  } else if (hasRun && std::equal(job.workers.begin() + 1,
+                                  job.workers.end(),
+                                  job.workers.begin())) {
+    culprit = job.workers.front();
+  }
+  // The failure of a lost worker says nothing about the job or its health.
+  if (culprit &&
+      this->cell.Worker(*culprit).presence == fleet::WorkerPresence::Lost) {
+    culprit.reset();
+  }
+  if (culprit) {
+    if (this->health.AddFailure(this->now, *culprit, job.work)) {
+      this->ReportHealth(*culprit);
+    }
+    if (std::find(job.failedOn.begin(), job.failedOn.end(), *culprit) ==
+        job.failedOn.end()) {
+      job.failedOn.push_back(*culprit);
+    }
+  }
+  if (job.isCancelled) {
+    this->EndJobWith(aJob,
+                     base::Error{ ErrorCode::Cancelled, job.spec.id.Text() });
+    return;
+  }
+  const auto healthy =
+    std::count_if(job.failedOn.begin(), job.failedOn.end(), [&](auto aWorker) {
+      return this->health.Health(aWorker) == WorkerHealth::Healthy;
+    });
+  if (hasRun &&
+      healthy >= static_cast<std::ptrdiff_t>(this->settings.failuresToGiveUp)) {
+    for (const WorkerIndex worker : job.failedOn) {
+      this->health.TakeBack(worker);
+    }
+    this->EndJobWith(
+      aJob, base::Error{ ErrorCode::TargetFailed, job.spec.id.Text() });
+    return;
+  }
+  const auto placeable = this->CountPlaceable(
+    job.spec.shape, job.failedOn, [this](WorkerIndex aWorker) {
+      return this->uses[aWorker].total;
+    });
+  if (placeable < job.spec.shape.members) {
+    // A place that failed before is better than none.
+    job.failedOn.clear();
+  }
+  this->Retry(aJob, !hasRun);
+}
+
+void
+CellScheduler::State::On(const JobEnded& aEvent)
+{
+  const auto found = this->jobsById.find(aEvent.job);
+  if (found != this->jobsById.end()) {
+    this->RemoveJob(found->second);
+  }
+}
+
+void
+CellScheduler::State::On(const PolicyChanged& aEvent)
+{
+  this->ledger.SetGuarantees(aEvent.accounts, this->settings.zone);
+  this->ledger.Repair();
+  this->SyncLedger();
+  this->hasFreed = true;
+  for (JobIndex job = 0; job < this->jobs.size(); ++job) {
+    if (this->jobs[job].phase == Phase::Placed) {
+      this->TryPromote(job);
+    }
+  }
+}
+
+void
+CellScheduler::State::On(const JobRestored& aEvent)
+{
+  if (this->jobsById.contains(aEvent.spec.id)) {
+    return;
+  }
+  const JobIndex index = this->AddJob(aEvent.spec, aEvent.urgency);
+  JobRow& job = this->jobs[index];
+  job.lastAttempt = aEvent.lastAttempt.Get();
+  job.runs = aEvent.runs;
+  if (aEvent.workers.empty()) {
+    this->Enqueue(index);
+    return;
+  }
+  for (const base::TargetId& id : aEvent.workers) {
+    const bool isKnown = this->cell.Find(id).has_value();
+    const WorkerIndex worker = this->cell.PutUnknown(id, this->now);
+    job.workers.push_back(worker);
+    if (!isKnown) {
+      this->lostWorkers.push_back(worker);
+      this->SetUsable(worker);
+    }
+  }
+  job.phase = Phase::Placed;
+  job.isRestored = true;
+  job.isReleased = true;
+  job.started = this->now;
+  job.expectedEnd =
+    this->now +
+    this->runTimes.Estimate(job.work, job.spec.declaredRunTime).high;
+  // The run that goes on is counted already.
+  job.tenure = job.spec.isPreemptible && job.runs < job.spec.maxRuns
+                 ? Tenure::Borrowed
+                 : Tenure::Spare;
+  if (job.tenure == Tenure::Spare) {
+    this->ledger.ForceFirm(job.workers, job.spec.shape.perMember);
+  }
+  this->AddUse(&WorkerUse::used, job.workers, job.spec.shape.perMember);
+  for (const WorkerIndex worker : job.workers) {
+    this->uses[worker].jobs.push_back(index);
+  }
+  this->TryPromote(index);
+}
+
+void
+CellScheduler::State::On(const Tick&)
+{
+  std::vector<JobIndex> due;
+  std::erase_if(this->delayed, [&](JobIndex aJob) {
+    const bool isDue = this->jobs[aJob].notBefore <= this->now;
+    if (isDue) {
+      due.push_back(aJob);
+    }
+    return isDue;
+  });
+  for (const JobIndex job : due) {
+    this->Enqueue(job);
+  }
+  std::vector<WorkerIndex> onProbation;
+  this->health.StartProbations(this->now, onProbation);
+  for (const WorkerIndex worker : onProbation) {
+    this->trials.push_back(Trial{ worker, kNoJob });
+    this->ReportHealth(worker);
+  }
+  for (JobIndex job = 0; job < this->jobs.size(); ++job) {
+    JobRow& row = this->jobs[job];
+    if (row.isStopping && row.stopDeadline <= this->now) {
+      this->StopGang(job,
+                     row.isCancelled ? StopReason::Cancelled
+                                     : StopReason::GuaranteeClaimed);
+    }
+  }
+  this->ForgetLostWorkers();
+  const bool hasJustSettled =
+    *this->settledAt <= this->now && *this->settledAt != base::TimePoint::min();
+  if (hasJustSettled) {
+    // Checked once for jobs that came before the fleet was known.
+    this->settledAt = base::TimePoint::min();
+  }
+  if (hasJustSettled || this->mustCheckHopeless) {
+    this->mustCheckHopeless = false;
+    std::vector<JobIndex> waiting;
+    for (const ClassRow& row : this->classes) {
+      waiting.insert(waiting.end(), row.waiting.begin(), row.waiting.end());
+    }
+    for (const JobIndex job : waiting) {
+      this->RefuseIfHopeless(job);
+    }
+  }
+}
+
+JobIndex
+CellScheduler::State::AddJob(const job::JobSpec& aSpec, std::uint32_t aUrgency)
+{
+  JobIndex index = 0;
+  if (this->unusedJobs.empty()) {
+    index = static_cast<JobIndex>(this->jobs.size());
+    this->jobs.emplace_back();
+  } else {
+    index = this->unusedJobs.back();
+    this->unusedJobs.pop_back();
+  }
+  JobRow& job = this->jobs[index];
+  job.spec = aSpec;
+  job.urgency = aUrgency;
+  job.account = this->ledger.FindAccount(aSpec.account);
+  job.work = this->runTimes.Find(aSpec.account, aSpec.kind);
+  job.submitted = this->now;
+  this->jobsById.emplace(aSpec.id, index);
+  return index;
+}
+
+void
+CellScheduler::State::RemoveJob(JobIndex aJob)
+{
+  JobRow& job = this->jobs[aJob];
+  switch (job.phase) {
+    case Phase::Waiting:
+      this->Dequeue(aJob);
+      break;
+    case Phase::Delayed:
+      std::erase(this->delayed, aJob);
+      break;
+    case Phase::Reclaiming:
+      this->CancelClaim(aJob);
+      this->Dequeue(aJob);
+      break;
+    case Phase::Placed:
+      for (Trial& trial : this->trials) {
+        trial.job = trial.job == aJob ? kNoJob : trial.job;
+      }
+      this->ReleaseAttempt(aJob);
+      break;
+    case Phase::Unused:
+      break;
+  }
+  this->jobsById.erase(job.spec.id);
+  job = JobRow{};
+  this->unusedJobs.push_back(aJob);
+}
+
+void
+CellScheduler::State::EndJobWith(JobIndex aJob,
+                                 std::optional<base::Error> aError)
+{
+  this->effects->emplace_back(
+    EndJob{ this->jobs[aJob].spec.id, std::move(aError) });
+  this->RemoveJob(aJob);
+}
+
+void
+CellScheduler::State::Enqueue(JobIndex aJob)
+{
+  JobRow& job = this->jobs[aJob];
+  const JobClass key{ job.account,
+                      job.work,
+                      job.urgency,
+                      job.MayBorrow(),
+                      job.failedOn.empty() ? kNoJob : aJob,
+                      job.spec.shape };
+  auto found = this->classesByKey.find(key);
+  if (found == this->classesByKey.end()) {
+    ClassIndex index = 0;
+    if (this->unusedClasses.empty()) {
+      index = static_cast<ClassIndex>(this->classes.size());
+      this->classes.emplace_back();
+    } else {
+      index = this->unusedClasses.back();
+      this->unusedClasses.pop_back();
+    }
+    this->classes[index].key = key;
+    this->classes[index].coverGeneration = ~std::uint64_t{ 0 };
+    found = this->classesByKey.emplace(key, index).first;
+  }
+  job.phase = Phase::Waiting;
+  job.jobClass = found->second;
+  auto& waiting = this->classes[job.jobClass].waiting;
+  const auto at = std::upper_bound(waiting.begin(),
+                                   waiting.end(),
+                                   job.submitted,
+                                   [this](base::TimePoint aTime, JobIndex aAt) {
+                                     return aTime < this->jobs[aAt].submitted;
+                                   });
+  const bool isFirst = at == waiting.begin();
+  waiting.insert(at, aJob);
+  if (isFirst) {
+    this->freshClasses.push_back(job.jobClass);
+  }
+}
+
+void
+CellScheduler::State::Dequeue(JobIndex aJob)
+{
+  ClassRow& row = this->classes[this->jobs[aJob].jobClass];
+  if (this->reservation.job == aJob) {
+    this->DropReservation();
+  }
+  const auto at = std::find(row.waiting.begin(), row.waiting.end(), aJob);
+  if (at == row.waiting.begin()) {
+    this->freshClasses.push_back(this->jobs[aJob].jobClass);
+  }
+  row.waiting.erase(at);
+  if (row.waiting.empty()) {
+    std::erase(this->freshClasses, this->jobs[aJob].jobClass);
+    this->classesByKey.erase(row.key);
+    this->unusedClasses.push_back(this->jobs[aJob].jobClass);
+  }
+}
+
+void
+CellScheduler::State::Retry(JobIndex aJob, bool aIsDelayed)
+{
+  JobRow& job = this->jobs[aJob];
+  if (job.runs >= job.spec.maxRuns) {
+    this->EndJobWith(
+      aJob, base::Error{ ErrorCode::TargetFailed, job.spec.id.Text() });
+    return;
+  }
+  job.workers.clear();
+  if (!aIsDelayed) {
+    this->Enqueue(aJob);
+    return;
+  }
+  job.notBefore =
+    this->now + kFirstDelay * (1 << std::min(job.delays, kMostDoublings));
+  ++job.delays;
+  job.phase = Phase::Delayed;
+  this->delayed.push_back(aJob);
+}
+
+void
+CellScheduler::State::ReleaseAttempt(JobIndex aJob)
+{
+  JobRow& job = this->jobs[aJob];
+  const Resources& need = job.spec.shape.perMember;
+  for (const WorkerIndex worker : job.workers) {
+    std::erase(this->uses[worker].jobs, aJob);
+  }
+  this->DropUse(&WorkerUse::used, job.workers, need);
+  if (job.tenure == Tenure::Guaranteed) {
+    this->ledger.ReleaseCharge(job.charge, need);
+    job.charge.clear();
+  } else if (job.tenure == Tenure::Spare) {
+    this->ledger.ReleaseFirm(job.workers, need);
+  }
+  job.phase = Phase::Unused;
+  job.isStopping = false;
+  job.isRestored = false;
+  this->ledger.Repair();
+  this->SyncLedger();
+  this->hasFreed = true;
+}
+
+void
+CellScheduler::State::RefuseIfHopeless(JobIndex aJob)
+{
+  JobRow& job = this->jobs[aJob];
+  if (this->now < *this->settledAt || this->CouldEverFit(job.spec.shape)) {
+    return;
+  }
+  this->effects->emplace_back(RefuseJob{
+    job.spec.id, base::Error{ ErrorCode::NeverFits, job.spec.id.Text() } });
+  this->RemoveJob(aJob);
+}
+
+bool
+CellScheduler::State::CouldEverFit(const fleet::Shape& aShape)
+{
+  const PlacementRequest request{ aShape, {} };
+  if (this->placement->Place(this->announced, request, this->chosen)) {
+    return true;
+  }
+  // The index splits racks of more than 64 workers; this count does not.
+  return aShape.members != 0 &&
+         this->CountPlaceable(aShape, {}, [this](WorkerIndex aWorker) {
+           return this->cell.Worker(aWorker).target.resources;
+         }) >= aShape.members;
+}
+
+void
+CellScheduler::State::SetUsable(WorkerIndex aWorker)
+{
+  if (aWorker >= this->uses.size()) {
+    this->uses.resize(aWorker + 1);
+  }
+  const fleet::WorkerRow& row = this->cell.Worker(aWorker);
+  const bool isUsable = row.presence == fleet::WorkerPresence::Present &&
+                        this->health.Health(aWorker) == WorkerHealth::Healthy;
+  this->uses[aWorker].total = isUsable ? row.target.resources : Resources{};
+  this->announced.Set(
+    aWorker, row.place, row.target.resources, row.target.resources);
+  this->ledger.SetWorker(aWorker, row.place, this->uses[aWorker].total);
+  this->ledger.Repair();
+  this->Refresh(aWorker);
+  this->SyncLedger();
+  this->hasFreed = true;
+}
+
+void
+CellScheduler::State::Refresh(WorkerIndex aWorker)
+{
+  const WorkerUse& use = this->uses[aWorker];
+  Resources taken = use.used;
+  taken += use.claimed;
+  taken += use.reserved;
+  const Resources available = Remaining(use.total, taken);
+  const fleet::RackPlace& place = this->cell.Worker(aWorker).place;
+  this->free.Set(aWorker, place, use.total, available);
+  this->spare.Set(
+    aWorker,
+    place,
+    use.total,
+    Smaller(available, this->ledger.Unpromised().Available(aWorker)));
+}
+
+void
+CellScheduler::State::SyncLedger()
+{
+  this->ledger.TakeChangedWorkers(this->changedWorkers);
+  for (const WorkerIndex worker : this->changedWorkers) {
+    this->Refresh(worker);
+  }
+}
+
+void
+CellScheduler::State::ReportHealth(WorkerIndex aWorker)
+{
+  this->effects->emplace_back(
+    ChangeWorkerHealth{ this->cell.Worker(aWorker).target.id,
+                        this->health.Health(aWorker),
+                        this->health.IsolatedUntil(aWorker) });
+  this->SetUsable(aWorker);
+}
+
+void
+CellScheduler::State::ForgetLostWorkers()
+{
+  std::vector<WorkerIndex> stillLost;
+  for (const WorkerIndex worker : this->lostWorkers) {
+    const fleet::WorkerRow& row = this->cell.Worker(worker);
+    if (!row.isInUse || row.presence != fleet::WorkerPresence::Lost) {
+      continue; // It has come back, or is listed twice.
+    }
+    if (row.lostAt + this->settings.lostWorkerMemory > this->now ||
+        !this->uses[worker].jobs.empty() ||
+        this->uses[worker].claimed != Resources{} ||
+        this->uses[worker].reserved != Resources{}) {
+      stillLost.push_back(worker);
+      continue;
+    }
+    this->announced.Set(worker, row.place, {}, {});
+    this->health.Reset(worker);
+    std::erase_if(this->trials, [worker](const Trial& aTrial) {
+      return aTrial.worker == worker;
+    });
+    for (JobRow& job : this->jobs) {
+      std::erase(job.failedOn, worker);
+    }
+    this->cell.Forget(worker);
+    this->mustCheckHopeless = true;
+  }
+  this->lostWorkers = std::move(stillLost);
+}
+
+void
+CellScheduler::State::AddUse(Resources WorkerUse::*aField,
+                             std::span<const WorkerIndex> aWorkers,
+                             const Resources& aNeed)
+{
+  for (const WorkerIndex worker : aWorkers) {
+    this->uses[worker].*aField += aNeed;
+    this->Refresh(worker);
+  }
+}
+
+void
+CellScheduler::State::DropUse(Resources WorkerUse::*aField,
+                              std::span<const WorkerIndex> aWorkers,
+                              const Resources& aNeed)
+{
+  for (const WorkerIndex worker : aWorkers) {
+    this->uses[worker].*aField -= aNeed;
+    this->Refresh(worker);
+  }
+}
+
+} // namespace amaranthwind::scheduling
--- /dev/null
+++ b/libs/scheduling/src/Dispatch.cpp
@@ -0,0 +1,280 @@
+#include "ResourceMath.h"
+#include "SchedulerState.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace amaranthwind::scheduling {
+
+using fleet::Resources;
+using fleet::WorkerIndex;
+
+void
+CellScheduler::State::Dispatch()
+{
+  this->AdvanceClaims();
+  this->AdvanceReservation();
+  if (!this->hasFreed && this->freshClasses.empty()) {
+    return;
+  }
+  if (this->hasFreed) {
+    this->hasFreed = false;
+    this->freshClasses.clear();
+    this->RunPass();
+  } else {
+    // Only these have a first job that has not been tried.
+    std::vector<ClassIndex> fresh;
+    fresh.swap(this->freshClasses);
+    std::sort(fresh.begin(), fresh.end());
+    fresh.erase(std::unique(fresh.begin(), fresh.end()), fresh.end());
+    this->TryClasses(fresh);
+  }
+  this->StartTrials();
+  this->ChooseReservation();
+}
+
+void
+CellScheduler::State::RunPass()
+{
+  this->TryClasses(this->ClassesInOrder());
+}
+
+void
+CellScheduler::State::TryClasses(std::span<const ClassIndex> aClasses)
+{
+  // What has failed once in a pass fails again: a pass only takes capacity.
+  std::vector<std::pair<fleet::Shape, bool>> failed;
+  const auto tryAll = [&](bool aIsBackfill) {
+    failed.clear();
+    for (const ClassIndex index : aClasses) {
+      while (!this->classes[index].waiting.empty()) {
+        const JobIndex first = this->classes[index].waiting.front();
+        const JobRow& job = this->jobs[first];
+        if (first == this->reservation.job) {
+          break;
+        }
+        if (aIsBackfill && !this->CanBackfill(job)) {
+          break;
+        }
+        const std::pair tried(job.spec.shape, job.MayBorrow());
+        const bool isKnownToFail =
+          !this->IsCovered(index) &&
+          std::find(failed.begin(), failed.end(), tried) != failed.end();
+        if (isKnownToFail) {
+          break;
+        }
+        if (!this->TryStart(first)) {
+          if (job.failedOn.empty()) {
+            failed.push_back(tried);
+          }
+          break;
+        }
+      }
+    }
+  };
+  tryAll(false);
+  if (this->reservation.job != kNoJob && this->now < this->reservation.start) {
+    this->LiftReservation();
+    tryAll(true);
+    this->HoldReservation();
+  }
+  this->freshClasses.clear();
+}
+
+std::vector<ClassIndex>
+CellScheduler::State::ClassesInOrder()
+{
+  using Rank = std::tuple<bool, std::uint32_t, base::TimePoint, ClassIndex>;
+  std::vector<Rank> ranks;
+  for (ClassIndex index = 0; index < this->classes.size(); ++index) {
+    const ClassRow& row = this->classes[index];
+    if (!row.waiting.empty()) {
+      ranks.emplace_back(!this->IsCovered(index),
+                         row.key.urgency,
+                         this->jobs[row.waiting.front()].submitted,
+                         index);
+    }
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<ClassIndex> order;
+  order.reserve(ranks.size());
+  for (const Rank& rank : ranks) {
+    order.push_back(std::get<3>(rank));
+  }
+  return order;
+}
+
+bool
+CellScheduler::State::IsCovered(ClassIndex aClass)
+{
+  ClassRow& row = this->classes[aClass];
+  const std::uint64_t generation = this->ledger.Generation(row.key.account);
+  if (row.coverGeneration != generation) {
+    row.coverGeneration = generation;
+    std::vector<WorkerIndex> workers;
+    row.isCovered = this->PlaceInGuarantee(
+      row.key.account,
+      row.key.shape,
+      row.waiting.empty() ? std::span<const WorkerIndex>{}
+                          : std::span<const WorkerIndex>(
+                              this->jobs[row.waiting.front()].failedOn),
+      OfferUse::Any,
+      workers);
+  }
+  return row.isCovered;
+}
+
+bool
+CellScheduler::State::TryStart(JobIndex aJob)
+{
+  if (this->IsCovered(this->jobs[aJob].jobClass)) {
+    return this->TryGuaranteed(aJob) || this->TryUnguaranteed(aJob) ||
+           this->Reclaim(aJob);
+  }
+  return this->TryUnguaranteed(aJob);
+}
+
+bool
+CellScheduler::State::TryGuaranteed(JobIndex aJob)
+{
+  JobRow& job = this->jobs[aJob];
+  const Resources& need = job.spec.shape.perMember;
+  const auto charge = [&] {
+    const bool isCharged =
+      this->ledger.TryCharge(job.account, this->chosen, need, job.charge);
+    this->SyncLedger();
+    if (isCharged) {
+      this->Start(aJob, Tenure::Guaranteed);
+    }
+    return isCharged;
+  };
+  // Units in part use first, so that whole ones stay for large jobs.
+  return (this->PlaceInGuarantee(job.account,
+                                 job.spec.shape,
+                                 job.failedOn,
+                                 OfferUse::PartlyUsedAndFree,
+                                 this->chosen) &&
+          charge()) ||
+         (this->placement->Place(
+            this->free,
+            PlacementRequest{ job.spec.shape, job.failedOn },
+            this->chosen) &&
+          charge()) ||
+         (this->PlaceInGuarantee(job.account,
+                                 job.spec.shape,
+                                 job.failedOn,
+                                 OfferUse::Free,
+                                 this->chosen) &&
+          charge());
+}
+
+bool
+CellScheduler::State::TryUnguaranteed(JobIndex aJob)
+{
+  JobRow& job = this->jobs[aJob];
+  const PlacementRequest request{ job.spec.shape, job.failedOn };
+  if (job.MayBorrow()) {
+    if (!this->placement->Place(this->free, request, this->chosen)) {
+      return false;
+    }
+    this->Start(aJob, Tenure::Borrowed);
+    return true;
+  }
+  // Guarantees that have no place are restored before firm use grows.
+  if (this->ledger.HasShortfall()) {
+    return false;
+  }
+  for (const CapacityIndex* index : { &this->spare, &this->free }) {
+    if (!this->placement->Place(*index, request, this->chosen)) {
+      continue;
+    }
+    const bool isTaken =
+      this->ledger.TryTakeFirm(this->chosen, job.spec.shape.perMember);
+    this->SyncLedger();
+    if (isTaken) {
+      this->Start(aJob, Tenure::Spare);
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+CellScheduler::State::Start(JobIndex aJob, Tenure aTenure)
+{
+  JobRow& job = this->jobs[aJob];
+  if (job.phase == Phase::Waiting) {
+    this->Dequeue(aJob);
+  }
+  job.phase = Phase::Placed;
+  job.tenure = aTenure;
+  job.workers = this->chosen;
+  job.isReleased = false;
+  job.isStopping = false;
+  job.started = this->now;
+  job.expectedEnd =
+    this->now +
+    this->runTimes.Estimate(job.work, job.spec.declaredRunTime).high;
+  ++job.lastAttempt;
+  ++job.runs;
+  this->AddUse(&WorkerUse::used, job.workers, job.spec.shape.perMember);
+  job::GangPlan plan{ { job.spec.id, base::Attempt(job.lastAttempt) },
+                      this->settings.token,
+                      {},
+                      job.spec.payload };
+  plan.members.reserve(job.workers.size());
+  WorkerIndex before = fleet::kNoWorker;
+  for (const WorkerIndex worker : job.workers) {
+    // Members of one worker follow each other.
+    if (worker != before) {
+      this->uses[worker].jobs.push_back(aJob);
+      before = worker;
+    }
+    const fleet::Target& target = this->cell.Worker(worker).target;
+    plan.members.push_back(job::GangMemberPlan{
+      target.id, target.address, job.spec.shape.perMember });
+  }
+  this->effects->emplace_back(StartGang{ std::move(plan), aTenure });
+}
+
+void
+CellScheduler::State::StartTrials()
+{
+  for (std::size_t at = 0; at < this->trials.size(); ++at) {
+    const WorkerIndex worker = this->trials[at].worker;
+    if (this->trials[at].job != kNoJob ||
+        this->cell.Worker(worker).presence != fleet::WorkerPresence::Present) {
+      continue;
+    }
+    const Resources& total = this->cell.Worker(worker).target.resources;
+    for (ClassIndex index = 0; index < this->classes.size(); ++index) {
+      const ClassRow& row = this->classes[index];
+      if (row.waiting.empty()) {
+        continue;
+      }
+      const JobIndex first = row.waiting.front();
+      const JobRow& job = this->jobs[first];
+      const fleet::Shape& shape = job.spec.shape;
+      const bool isOneTask =
+        shape.members == 1 || shape.adjacency == fleet::Adjacency::SameWorker;
+      // The job needs a further run for the case that the trial fails.
+      if (!isOneTask || job.runs + 1 >= job.spec.maxRuns ||
+          !total.Covers(Times(shape.perMember, shape.members)) ||
+          !Remaining(total, this->uses[worker].used)
+             .Covers(Times(shape.perMember, shape.members)) ||
+          std::find(job.failedOn.begin(), job.failedOn.end(), worker) !=
+            job.failedOn.end()) {
+        continue;
+      }
+      this->chosen.assign(shape.members, worker);
+      if (!job.MayBorrow()) {
+        this->ledger.ForceFirm(this->chosen, shape.perMember);
+      }
+      this->trials[at].job = first;
+      this->Start(first, job.MayBorrow() ? Tenure::Borrowed : Tenure::Spare);
+      break;
+    }
+  }
+}
+
+} // namespace amaranthwind::scheduling
--- /dev/null
+++ b/libs/scheduling/src/GuaranteeLedger.cpp
@@ -0,0 +1,731 @@
+#include "amaranthwind/scheduling/GuaranteeLedger.h"
+
+#include "ResourceMath.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace amaranthwind::scheduling {
+
+using fleet::Resources;
+using fleet::WorkerIndex;
+
+GuaranteeLedger::GuaranteeLedger(const PlacementPolicy& aPlacement)
+  : placement(aPlacement)
+{
+}
+
+void
+GuaranteeLedger::SetWorker(WorkerIndex aWorker,
+                           const fleet::RackPlace& aPlace,
+                           const Resources& aTotal)
+{
+  WorkerRow& worker = this->Row(aWorker);
+  const bool isMoved = worker.place != aPlace;
+  worker.place = aPlace;
+  worker.total = aTotal;
+  this->Refresh(aWorker);
+  this->mayRepair = true;
+  for (const SlotIndex slot : worker.slots) {
+    ++this->accounts[this->units[this->slots[slot].unit].account].generation;
+  }
+  if (!isMoved && !this->IsOvercommitted(aWorker)) {
+    return;
+  }
+  // Units in use stay until their jobs have ended.
+  const std::vector<SlotIndex> here = this->Row(aWorker).slots;
+  for (const SlotIndex slot : here) {
+    const UnitIndex unit = this->slots[slot].unit;
+    if (this->units[unit].charges == 0 && this->units[unit].isPlaced) {
+      this->Unplace(unit);
+    }
+  }
+}
+
+void
+GuaranteeLedger::SetGuarantees(std::span<const policy::Account> aAccounts,
+                               const base::ZoneId& aZone)
+{
+  struct Wanted
+  {
+    AccountIndex account;
+    std::uint32_t slots;
+    Resources size;
+  };
+  std::vector<Wanted> added;
+  for (Unit& unit : this->units) {
+    unit.isKept = false;
+  }
+  for (const policy::Account& account : aAccounts) {
+    const AccountIndex index = this->FindAccount(account.id);
+    for (const policy::Guarantee& guarantee : account.guarantees) {
+      if (guarantee.zone != aZone || guarantee.shape.members == 0) {
+        continue;
+      }
+      const fleet::Shape& shape = guarantee.shape;
+      // Only members that must share a rack have to be moved together.
+      std::uint32_t slotCount = 1;
+      std::uint32_t count = guarantee.count;
+      Resources size = shape.perMember;
+      if (shape.adjacency == fleet::Adjacency::SameWorker) {
+        size = Times(size, shape.members);
+      } else if (shape.adjacency == fleet::Adjacency::SameRack) {
+        slotCount = shape.members;
+      } else {
+        count *= shape.members;
+      }
+      // Units in use are kept first.
+      std::vector<UnitIndex> equal;
+      for (const UnitIndex unit : this->accounts[index].units) {
+        if (!this->units[unit].isKept && this->units[unit].slots == slotCount &&
+            this->slots[this->units[unit].firstSlot].size == size) {
+          equal.push_back(unit);
+        }
+      }
+      std::stable_sort(
+        equal.begin(), equal.end(), [this](UnitIndex aLeft, UnitIndex aRight) {
+          return this->units[aLeft].charges > this->units[aRight].charges;
+        });
+      for (std::uint32_t at = 0; at < count; ++at) {
+        if (at < equal.size()) {
+          this->units[equal[at]].isKept = true;
+        } else {
+          added.push_back(Wanted{ index, slotCount, size });
+        }
+      }
+    }
+  }
+  for (UnitIndex unit = 0; unit < this->units.size(); ++unit) {
+    if (this->units[unit].isKept || !this->units[unit].isInUse ||
+        this->units[unit].isWithdrawn) {
+      continue;
+    }
+    if (this->units[unit].charges == 0) {
+      this->RemoveUnit(unit);
+      continue;
+    }
+    this->Shrink(unit);
+  }
+  for (const Wanted& wanted : added) {
+    this->unplaced.push_back(
+      this->AddUnit(wanted.account, wanted.slots, wanted.size));
+    ++this->accounts[wanted.account].unplacedUnits;
+    this->changed.push_back(wanted.account);
+  }
+  this->mayRepair = true;
+}
+
+AccountIndex
+GuaranteeLedger::FindAccount(const base::AccountId& aAccount)
+{
+  const auto [found, isNew] = this->accountsById.try_emplace(
+    aAccount, static_cast<AccountIndex>(this->accounts.size()));
+  if (isNew) {
+    this->accounts.emplace_back();
+    this->accounts.back().id = aAccount;
+  }
+  return found->second;
+}
+
+const base::AccountId&
+GuaranteeLedger::AccountName(AccountIndex aAccount) const
+{
+  return this->accounts[aAccount].id;
+}
+
+bool
+GuaranteeLedger::TryTakeFirm(std::span<const WorkerIndex> aWorkers,
+                             const Resources& aNeed)
+{
+  this->ForceFirm(aWorkers, aNeed);
+  std::vector<Move> moves;
+  if (this->Settle(aWorkers, {}, moves)) {
+    return true;
+  }
+  this->ReleaseFirm(aWorkers, aNeed);
+  return false;
+}
+
+void
+GuaranteeLedger::ForceFirm(std::span<const WorkerIndex> aWorkers,
+                           const Resources& aNeed)
+{
+  for (const WorkerIndex worker : aWorkers) {
+    this->Row(worker).committed += aNeed;
+    this->Refresh(worker);
+  }
+}
+
+void
+GuaranteeLedger::ReleaseFirm(std::span<const WorkerIndex> aWorkers,
+                             const Resources& aNeed)
+{
+  for (const WorkerIndex worker : aWorkers) {
+    this->Row(worker).committed -= aNeed;
+    this->Refresh(worker);
+  }
+  this->mayRepair = true;
+}
+
+void
+GuaranteeLedger::FindOffers(AccountIndex aAccount,
+                            const Resources& aNeed,
+                            std::vector<SlotOffer>& aOffers) const
+{
+  aOffers.clear();
+  for (const UnitIndex unitIndex : this->accounts[aAccount].units) {
+    const Unit& unit = this->units[unitIndex];
+    if (!unit.isPlaced) {
+      continue;
+    }
+    for (std::uint32_t at = 0; at < unit.slots; ++at) {
+      const Slot& slot = this->slots[unit.firstSlot + at];
+      if (!this->workers[slot.worker].total.Covers(slot.size)) {
+        continue; // Lost or isolated since the unit was charged.
+      }
+      const std::uint32_t members = CountFitting(
+        Remaining(slot.size, slot.used), aNeed, ~std::uint32_t{ 0 });
+      if (members != 0) {
+        aOffers.push_back(SlotOffer{ slot.worker, members, slot.charges != 0 });
+      }
+    }
+  }
+}
+
+bool
+GuaranteeLedger::TryCharge(AccountIndex aAccount,
+                           std::span<const WorkerIndex> aWorkers,
+                           const Resources& aNeed,
+                           Charge& aCharge)
+{
+  std::vector<WorkerIndex> missing;
+  if (this->ChargeInPlace(aAccount, aWorkers, aNeed, aCharge, &missing)) {
+    return true;
+  }
+  std::vector<UnitIndex> moved;
+  std::vector<Move> moves;
+  if (!this->MoveUnitsTo(aAccount, missing, aNeed, moved, moves)) {
+    this->Undo(moves);
+    return false;
+  }
+  std::vector<WorkerIndex> touched;
+  for (const UnitIndex unit : moved) {
+    for (std::uint32_t at = 0; at < this->units[unit].slots; ++at) {
+      touched.push_back(this->slots[this->units[unit].firstSlot + at].worker);
+    }
+  }
+  // Charging first pins the units, so that Settle() leaves them in place.
+  if (!this->ChargeInPlace(aAccount, aWorkers, aNeed, aCharge, nullptr)) {
+    this->Undo(moves);
+    return false;
+  }
+  if (!this->Settle(touched, moved, moves)) {
+    this->Uncharge(aCharge, aNeed);
+    aCharge.clear();
+    return false;
+  }
+  for (const UnitIndex unit : moved) {
+    if (std::erase(this->unplaced, unit) != 0) {
+      --this->accounts[aAccount].unplacedUnits;
+      this->changed.push_back(aAccount);
+    }
+  }
+  return true;
+}
+
+void
+GuaranteeLedger::ReleaseCharge(const Charge& aCharge, const Resources& aNeed)
+{
+  for (const SlotIndex index : aCharge) {
+    Slot& slot = this->slots[index];
+    Unit& unit = this->units[slot.unit];
+    slot.used -= aNeed;
+    --slot.charges;
+    --unit.charges;
+    ++this->accounts[unit.account].generation;
+    if (unit.charges != 0) {
+      continue;
+    }
+    if (unit.isWithdrawn) {
+      this->RemoveUnit(slot.unit);
+    } else if (unit.isPlaced) {
+      for (std::uint32_t at = 0; at < unit.slots; ++at) {
+        if (this->IsOvercommitted(this->slots[unit.firstSlot + at].worker)) {
+          this->Unplace(slot.unit);
+          break;
+        }
+      }
+    }
+  }
+  this->mayRepair = true;
+}
+
+void
+GuaranteeLedger::Repair()
+{
+  if (!this->mayRepair || this->unplaced.empty()) {
+    return;
+  }
+  this->mayRepair = false;
+  const auto sizeOf = [this](UnitIndex aUnit) {
+    const Unit& unit = this->units[aUnit];
+    return std::tuple(unit.slots, this->slots[unit.firstSlot].size);
+  };
+  std::stable_sort(this->unplaced.begin(),
+                   this->unplaced.end(),
+                   [&](UnitIndex aLeft, UnitIndex aRight) {
+                     return sizeOf(aRight) < sizeOf(aLeft);
+                   });
+  std::vector<UnitIndex> stillUnplaced;
+  std::vector<WorkerIndex> workersFound;
+  std::optional<UnitIndex> failed;
+  for (const UnitIndex unit : this->unplaced) {
+    const bool isHopeless = failed && sizeOf(*failed) == sizeOf(unit);
+    if (!isHopeless && this->FindPlace(unit, workersFound)) {
+      this->Attach(unit, workersFound);
+      const AccountIndex account = this->units[unit].account;
+      --this->accounts[account].unplacedUnits;
+      this->changed.push_back(account);
+    } else {
+      failed = unit;
+      stillUnplaced.push_back(unit);
+    }
+  }
+  this->unplaced = std::move(stillUnplaced);
+}
+
+std::vector<Shortfall>
+GuaranteeLedger::TakeShortfallChanges()
+{
+  std::vector<Shortfall> result;
+  for (const AccountIndex index : this->changed) {
+    AccountRow& account = this->accounts[index];
+    if (account.unplacedUnits == account.reportedUnits) {
+      continue;
+    }
+    account.reportedUnits = account.unplacedUnits;
+    Shortfall shortfall{ index, account.unplacedUnits, 0 };
+    for (const UnitIndex unit : account.units) {
+      if (!this->units[unit].isPlaced) {
+        shortfall.accelerators +=
+          std::uint64_t{ this->units[unit].slots } *
+          this->slots[this->units[unit].firstSlot].size.accelerators;
+      }
+    }
+    result.push_back(shortfall);
+  }
+  this->changed.clear();
+  return result;
+}
+
+bool
+GuaranteeLedger::IsConsistent() const
+{
+  for (const WorkerRow& worker : this->workers) {
+    if (worker.total != Resources{} && !worker.total.Covers(worker.committed)) {
+      return false;
+    }
+    Resources slotSizes;
+    for (const SlotIndex slot : worker.slots) {
+      slotSizes += this->slots[slot].size;
+      if (!this->slots[slot].size.Covers(this->slots[slot].used)) {
+        return false;
+      }
+    }
+    if (!worker.committed.Covers(slotSizes)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+GuaranteeLedger::UnitIndex
+GuaranteeLedger::AddUnit(AccountIndex aAccount,
+                         std::uint32_t aSlots,
+                         const Resources& aSize)
+{
+  UnitIndex index = 0;
+  std::vector<UnitIndex>& unused = this->unusedUnits[aSlots];
+  if (unused.empty()) {
+    index = static_cast<UnitIndex>(this->units.size());
+    this->units.emplace_back();
+    this->units.back().firstSlot = static_cast<SlotIndex>(this->slots.size());
+    this->slots.resize(this->slots.size() + aSlots);
+  } else {
+    index = unused.back();
+    unused.pop_back();
+  }
+  Unit& unit = this->units[index];
+  unit = Unit{ aAccount, unit.firstSlot, aSlots };
+  unit.isInUse = true;
+  for (std::uint32_t at = 0; at < aSlots; ++at) {
+    this->slots[unit.firstSlot + at] =
+      Slot{ fleet::kNoWorker, index, aSize, {}, 0 };
+  }
+  this->accounts[aAccount].units.push_back(index);
+  ++this->accounts[aAccount].generation;
+  return index;
+}
+
+void
+GuaranteeLedger::RemoveUnit(UnitIndex aUnit)
+{
+  Unit& unit = this->units[aUnit];
+  AccountRow& account = this->accounts[unit.account];
+  if (unit.isPlaced) {
+    this->Detach(aUnit);
+  } else {
+    std::erase(this->unplaced, aUnit);
+    --account.unplacedUnits;
+    this->changed.push_back(unit.account);
+  }
+  std::erase(account.units, aUnit);
+  ++account.generation;
+  unit.isInUse = false;
+  this->unusedUnits[unit.slots].push_back(aUnit);
+}
+
+void
+GuaranteeLedger::Attach(UnitIndex aUnit, std::span<const WorkerIndex> aWorkers)
+{
+  Unit& unit = this->units[aUnit];
+  for (std::uint32_t at = 0; at < unit.slots; ++at) {
+    Slot& slot = this->slots[unit.firstSlot + at];
+    slot.worker = aWorkers[at];
+    WorkerRow& worker = this->Row(slot.worker);
+    worker.committed += slot.size;
+    worker.slots.push_back(unit.firstSlot + at);
+    this->Refresh(slot.worker);
+  }
+  unit.isPlaced = true;
+  ++this->accounts[unit.account].generation;
+}
+
+std::vector<WorkerIndex>
+GuaranteeLedger::Detach(UnitIndex aUnit)
+{
+  Unit& unit = this->units[aUnit];
+  std::vector<WorkerIndex> before;
+  before.reserve(unit.slots);
+  for (std::uint32_t at = 0; at < unit.slots; ++at) {
+    Slot& slot = this->slots[unit.firstSlot + at];
+    before.push_back(slot.worker);
+    WorkerRow& worker = this->Row(slot.worker);
+    worker.committed -= slot.size;
+    std::erase(worker.slots, unit.firstSlot + at);
+    this->Refresh(slot.worker);
+    slot.worker = fleet::kNoWorker;
+  }
+  unit.isPlaced = false;
+  ++this->accounts[unit.account].generation;
+  return before;
+}
+
+bool
+GuaranteeLedger::FindPlace(UnitIndex aUnit, std::vector<WorkerIndex>& aWorkers)
+{
+  const Unit& unit = this->units[aUnit];
+  const PlacementRequest request{
+    fleet::Shape{ unit.slots,
+                  this->slots[unit.firstSlot].size,
+                  fleet::Adjacency::SameRack },
+    {},
+  };
+  return this->placement.Place(this->unpromised, request, aWorkers);
+}
+
+bool
+GuaranteeLedger::IsOvercommitted(WorkerIndex aWorker) const
+{
+  const WorkerRow& worker = this->workers[aWorker];
+  return !worker.total.Covers(worker.committed);
+}
+
+bool
+GuaranteeLedger::Displace(WorkerIndex aWorker,
+                          std::span<const UnitIndex> aKept,
+                          std::vector<Move>& aMoves)
+{
+  while (this->IsOvercommitted(aWorker)) {
+    if (aMoves.size() >= this->kMostDisplaced + aKept.size()) {
+      return false;
+    }
+    const WorkerRow& worker = this->workers[aWorker];
+    const Resources excess = Remaining(worker.committed, worker.total);
+    // The smallest unit that makes enough room, else the largest.
+    std::optional<SlotIndex> best;
+    bool isEnough = false;
+    for (const SlotIndex index : worker.slots) {
+      const Slot& slot = this->slots[index];
+      if (this->units[slot.unit].charges != 0 ||
+          std::find(aKept.begin(), aKept.end(), slot.unit) != aKept.end()) {
+        continue;
+      }
+      const bool covers = slot.size.Covers(excess);
+      const bool isSmaller = best && slot.size < this->slots[*best].size;
+      if (!best || (covers && !isEnough) ||
+          (covers == isEnough && isSmaller == covers)) {
+        best = index;
+        isEnough = covers;
+      }
+    }
+    if (!best) {
+      return false;
+    }
+    const UnitIndex unit = this->slots[*best].unit;
+    aMoves.push_back(Move{ unit, this->Detach(unit) });
+  }
+  return true;
+}
+
+bool
+GuaranteeLedger::PlaceDisplaced(std::vector<Move>& aMoves)
+{
+  std::vector<UnitIndex> waiting;
+  for (const Move& move : aMoves) {
+    if (!this->units[move.unit].isPlaced) {
+      waiting.push_back(move.unit);
+    }
+  }
+  std::stable_sort(
+    waiting.begin(), waiting.end(), [this](UnitIndex aLeft, UnitIndex aRight) {
+      const Unit& left = this->units[aLeft];
+      const Unit& right = this->units[aRight];
+      return std::tuple(right.slots, this->slots[right.firstSlot].size) <
+             std::tuple(left.slots, this->slots[left.firstSlot].size);
+    });
+  std::vector<WorkerIndex> found;
+  for (const UnitIndex unit : waiting) {
+    if (!this->FindPlace(unit, found)) {
+      return false;
+    }
+    this->Attach(unit, found);
+  }
+  return true;
+}
+
+void
+GuaranteeLedger::Undo(std::vector<Move>& aMoves)
+{
+  for (const Move& move : aMoves) {
+    if (this->units[move.unit].isPlaced) {
+      this->Detach(move.unit);
+    }
+  }
+  for (const Move& move : aMoves) {
+    if (!move.before.empty()) {
+      this->Attach(move.unit, move.before);
+    }
+  }
+  aMoves.clear();
+}
+
+bool
+GuaranteeLedger::Settle(std::span<const WorkerIndex> aWorkers,
+                        std::span<const UnitIndex> aKept,
+                        std::vector<Move>& aMoves)
+{
+  for (const WorkerIndex worker : aWorkers) {
+    if (!this->Displace(worker, aKept, aMoves)) {
+      this->Undo(aMoves);
+      return false;
+    }
+  }
+  if (!this->PlaceDisplaced(aMoves)) {
+    this->Undo(aMoves);
+    return false;
+  }
+  return true;
+}
+
+bool
+GuaranteeLedger::MoveUnitsTo(AccountIndex aAccount,
+                             std::span<const WorkerIndex> aWorkers,
+                             const Resources& aNeed,
+                             std::vector<UnitIndex>& aMoved,
+                             std::vector<Move>& aMoves)
+{
+  std::vector<UnitIndex> movable;
+  for (const UnitIndex unit : this->accounts[aAccount].units) {
+    if (this->units[unit].charges == 0 &&
+        this->slots[this->units[unit].firstSlot].size.Covers(aNeed)) {
+      movable.push_back(unit);
+    }
+  }
+  // The smallest first, so that large units stay whole for large jobs.
+  std::stable_sort(
+    movable.begin(), movable.end(), [this](UnitIndex aLeft, UnitIndex aRight) {
+      const Unit& left = this->units[aLeft];
+      const Unit& right = this->units[aRight];
+      return std::tuple(left.slots, this->slots[left.firstSlot].size) <
+             std::tuple(right.slots, this->slots[right.firstSlot].size);
+    });
+  std::size_t done = 0;
+  for (const UnitIndex index : movable) {
+    if (done == aWorkers.size()) {
+      break;
+    }
+    const Unit& unit = this->units[index];
+    const Resources& size = this->slots[unit.firstSlot].size;
+    const fleet::RackIndex rack = this->Row(aWorkers[done]).place.rack;
+    std::vector<WorkerIndex> target;
+    while (target.size() < unit.slots && done < aWorkers.size() &&
+           this->Row(aWorkers[done]).place.rack == rack) {
+      // Members on one worker share a slot as far as they fit.
+      const WorkerIndex worker = aWorkers[done];
+      std::uint32_t fitting = CountFitting(size, aNeed, ~std::uint32_t{ 0 });
+      while (done < aWorkers.size() && aWorkers[done] == worker &&
+             fitting != 0) {
+        --fitting;
+        ++done;
+      }
+      target.push_back(worker);
+    }
+    aMoves.push_back(Move{ index, {} });
+    if (unit.isPlaced) {
+      aMoves.back().before = this->Detach(index);
+    }
+    aMoved.push_back(index);
+    if (!this->FillUnit(index, target)) {
+      return false;
+    }
+    this->Attach(index, target);
+  }
+  return done == aWorkers.size();
+}
+
+bool
+GuaranteeLedger::ChargeInPlace(AccountIndex aAccount,
+                               std::span<const WorkerIndex> aWorkers,
+                               const Resources& aNeed,
+                               Charge& aCharge,
+                               std::vector<WorkerIndex>* aMissing)
+{
+  aCharge.clear();
+  for (const WorkerIndex worker : aWorkers) {
+    std::optional<SlotIndex> best;
+    for (const SlotIndex index : this->Row(worker).slots) {
+      const Slot& slot = this->slots[index];
+      const Unit& unit = this->units[slot.unit];
+      if (unit.account != aAccount || unit.isWithdrawn ||
+          !Remaining(slot.size, slot.used).Covers(aNeed)) {
+        continue;
+      }
+      // The fullest slot, so that empty ones stay whole.
+      if (!best ||
+          Remaining(slot.size, slot.used) <
+            Remaining(this->slots[*best].size, this->slots[*best].used)) {
+        best = index;
+      }
+    }
+    if (best) {
+      this->slots[*best].used += aNeed;
+      ++this->slots[*best].charges;
+      ++this->units[this->slots[*best].unit].charges;
+      aCharge.push_back(*best);
+    } else if (aMissing == nullptr) {
+      break;
+    } else {
+      aMissing->push_back(worker);
+    }
+  }
+  if (aCharge.size() == aWorkers.size()) {
+    ++this->accounts[aAccount].generation;
+    return true;
+  }
+  this->Uncharge(aCharge, aNeed);
+  aCharge.clear();
+  return false;
+}
+
+void
+GuaranteeLedger::Uncharge(const Charge& aCharge, const Resources& aNeed)
+{
+  for (const SlotIndex index : aCharge) {
+    this->slots[index].used -= aNeed;
+    --this->slots[index].charges;
+    --this->units[this->slots[index].unit].charges;
+  }
+}
+
+bool
+GuaranteeLedger::FillUnit(UnitIndex aUnit, std::vector<WorkerIndex>& aWorkers)
+{
+  const Unit& unit = this->units[aUnit];
+  const Resources& size = this->slots[unit.firstSlot].size;
+  const fleet::RackIndex rack = this->workers[aWorkers.front()].place.rack;
+  const std::size_t named = aWorkers.size();
+  for (std::uint32_t position = 0;
+       position < fleet::kWorkersPerRackRow && aWorkers.size() < unit.slots;
+       ++position) {
+    const WorkerIndex worker = this->unpromised.WorkerAt(rack, position);
+    if (worker >= this->workers.size() ||
+        this->workers[worker].place != fleet::RackPlace{ rack, position }) {
+      continue;
+    }
+    const auto taken = static_cast<std::uint32_t>(
+      std::count(aWorkers.begin(),
+                 aWorkers.begin() + static_cast<std::ptrdiff_t>(named),
+                 worker));
+    const std::uint32_t fitting =
+      CountFitting(this->unpromised.Available(worker), size, unit.slots);
+    for (std::uint32_t at = taken; at < fitting && aWorkers.size() < unit.slots;
+         ++at) {
+      aWorkers.push_back(worker);
+    }
+  }
+  return aWorkers.size() == unit.slots;
+}
+
+void
+GuaranteeLedger::Shrink(UnitIndex aUnit)
+{
+  const std::vector<WorkerIndex> workersBefore = this->Detach(aUnit);
+  Unit& unit = this->units[aUnit];
+  for (std::uint32_t at = 0; at < unit.slots; ++at) {
+    Slot& slot = this->slots[unit.firstSlot + at];
+    slot.size = slot.used;
+  }
+  this->Attach(aUnit, workersBefore);
+  unit.isWithdrawn = true;
+  std::erase(this->accounts[unit.account].units, aUnit);
+}
+
+void
+GuaranteeLedger::TakeChangedWorkers(std::vector<WorkerIndex>& aWorkers)
+{
+  aWorkers.swap(this->changedWorkers);
+  this->changedWorkers.clear();
+}
+
+void
+GuaranteeLedger::Unplace(UnitIndex aUnit)
+{
+  this->Detach(aUnit);
+  this->unplaced.push_back(aUnit);
+  ++this->accounts[this->units[aUnit].account].unplacedUnits;
+  this->changed.push_back(this->units[aUnit].account);
+}
+
+void
+GuaranteeLedger::Refresh(WorkerIndex aWorker)
+{
+  const WorkerRow& worker = this->workers[aWorker];
+  this->unpromised.Set(aWorker,
+                       worker.place,
+                       worker.total,
+                       Remaining(worker.total, worker.committed));
+  this->changedWorkers.push_back(aWorker);
+}
+
+GuaranteeLedger::WorkerRow&
+GuaranteeLedger::Row(WorkerIndex aWorker)
+{
+  if (aWorker >= this->workers.size()) {
+    this->workers.resize(aWorker + 1);
+  }
+  return this->workers[aWorker];
+}
+
+} // namespace amaranthwind::scheduling
--- /dev/null
+++ b/libs/scheduling/src/HealthTracker.cpp
@@ -0,0 +1,153 @@
+#include "amaranthwind/scheduling/HealthTracker.h"
+
+#include <algorithm>
+
+namespace amaranthwind::scheduling {
+namespace {
+
+/** Work that fails on this many workers without a success is at fault. */
+constexpr std::size_t kWorkersToBlameWork = 3;
+/** Proven failures that isolate a worker even if others succeed there. */
+constexpr double kProofToIsolate = 2;
+/** A worker that fails less than one job in five is not worth isolating. */
+constexpr double kProofPerSuccess = 0.25;
+
+} // namespace
+
+HealthTracker::HealthTracker(const HealthSettings& aSettings)
+  : settings(aSettings)
+{
+}
+
+void
+HealthTracker::Reset(fleet::WorkerIndex aWorker)
+{
+  this->At(aWorker) = Row{};
+  std::erase(this->isolated, aWorker);
+}
+
+bool
+HealthTracker::AddFailure(base::TimePoint aNow,
+                          fleet::WorkerIndex aWorker,
+                          RunTimeIndex aWork)
+{
+  if (aWork >= this->works.size()) {
+    this->works.resize(aWork + 1);
+  }
+  std::vector<fleet::WorkerIndex>& failedOn = this->works[aWork].failedOn;
+  if (std::find(failedOn.begin(), failedOn.end(), aWorker) == failedOn.end() &&
+      failedOn.size() < kWorkersToBlameWork) {
+    failedOn.push_back(aWorker);
+  }
+  Row& row = this->At(aWorker);
+  if (failedOn.size() >= kWorkersToBlameWork ||
+      row.health != WorkerHealth::Healthy ||
+      ++row.failuresInRow < this->settings.failuresToIsolate) {
+    return false;
+  }
+  this->Isolate(aNow, aWorker);
+  return true;
+}
+
+void
+HealthTracker::AddSuccess(fleet::WorkerIndex aWorker)
+{
+  Row& row = this->At(aWorker);
+  row.failuresInRow = 0;
+  row.proof = std::max(0.0, row.proof - kProofPerSuccess);
+}
+
+void
+HealthTracker::AddSuccessOfWork(RunTimeIndex aWork)
+{
+  if (aWork < this->works.size()) {
+    this->works[aWork].failedOn.clear();
+  }
+}
+
+bool
+HealthTracker::AddProof(base::TimePoint aNow, fleet::WorkerIndex aWorker)
+{
+  Row& row = this->At(aWorker);
+  row.proof += 1;
+  if (row.health != WorkerHealth::Healthy || row.proof < kProofToIsolate) {
+    return false;
+  }
+  this->Isolate(aNow, aWorker);
+  return true;
+}
+
+void
+HealthTracker::TakeBack(fleet::WorkerIndex aWorker)
+{
+  Row& row = this->At(aWorker);
+  row.failuresInRow -= row.failuresInRow == 0 ? 0 : 1;
+}
+
+WorkerHealth
+HealthTracker::Health(fleet::WorkerIndex aWorker) const
+{
+  return aWorker < this->rows.size() ? this->rows[aWorker].health
+                                     : WorkerHealth::Healthy;
+}
+
+base::TimePoint
+HealthTracker::IsolatedUntil(fleet::WorkerIndex aWorker) const
+{
+  return this->rows[aWorker].until;
+}
+
+void
+HealthTracker::StartProbations(base::TimePoint aNow,
+                               std::vector<fleet::WorkerIndex>& aWorkers)
+{
+  aWorkers.clear();
+  for (const fleet::WorkerIndex worker : this->isolated) {
+    Row& row = this->rows[worker];
+    if (row.health == WorkerHealth::Isolated && row.until <= aNow) {
+      row.health = WorkerHealth::Probation;
+      aWorkers.push_back(worker);
+    }
+  }
+}
+
+void
+HealthTracker::EndTrial(base::TimePoint aNow,
+                        fleet::WorkerIndex aWorker,
+                        bool aHasSucceeded)
+{
+  if (aHasSucceeded) {
+    this->Reset(aWorker);
+  } else {
+    this->Isolate(aNow, aWorker);
+  }
+}
+
+void
+HealthTracker::Isolate(base::TimePoint aNow, fleet::WorkerIndex aWorker)
+{
+  Row& row = this->At(aWorker);
+  row.isolation =
+    row.isolation == base::Duration{}
+      ? this->settings.isolationTime
+      : std::min(row.isolation * 2, this->settings.longestIsolation);
+  row.until = aNow + row.isolation;
+  row.health = WorkerHealth::Isolated;
+  row.failuresInRow = 0;
+  row.proof = 0;
+  if (std::find(this->isolated.begin(), this->isolated.end(), aWorker) ==
+      this->isolated.end()) {
+    this->isolated.push_back(aWorker);
+  }
+}
+
+HealthTracker::Row&
+HealthTracker::At(fleet::WorkerIndex aWorker)
+{
+  if (aWorker >= this->rows.size()) {
+    this->rows.resize(aWorker + 1);
+  }
+  return this->rows[aWorker];
+}
+
+} // namespace amaranthwind::scheduling
--- /dev/null
+++ b/libs/scheduling/src/Reclaim.cpp
@@ -0,0 +1,358 @@
+#include "ResourceMath.h"
+#include "SchedulerState.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace amaranthwind::scheduling {
+
+using fleet::Adjacency;
+using fleet::Resources;
+using fleet::WorkerIndex;
+
+bool
+CellScheduler::State::PlaceInGuarantee(AccountIndex aAccount,
+                                       const fleet::Shape& aShape,
+                                       std::span<const WorkerIndex> aAvoid,
+                                       OfferUse aUse,
+                                       std::vector<WorkerIndex>& aWorkers)
+{
+  aWorkers.clear();
+  this->ledger.FindOffers(aAccount, aShape.perMember, this->slotOffers);
+  std::vector<Offer>& offers = this->offers;
+  offers.clear();
+  std::stable_sort(this->slotOffers.begin(),
+                   this->slotOffers.end(),
+                   [](const SlotOffer& aLeft, const SlotOffer& aRight) {
+                     return aLeft.worker < aRight.worker;
+                   });
+  for (const SlotOffer& offer : this->slotOffers) {
+    if ((aUse == OfferUse::PartlyUsedAndFree && !offer.isPartlyUsed) ||
+        std::find(aAvoid.begin(), aAvoid.end(), offer.worker) != aAvoid.end()) {
+      continue;
+    }
+    if (offers.empty() || offers.back().worker != offer.worker) {
+      offers.push_back(Offer{ offer.worker, 0, 0 });
+    }
+    const std::uint64_t members =
+      std::uint64_t{ offers.back().members } + offer.members;
+    offers.back().members = static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(members, aShape.members));
+  }
+  for (Offer& offer : offers) {
+    if (aUse == OfferUse::Any) {
+      continue;
+    }
+    if (aUse == OfferUse::Reclaimed) {
+      offer.cost =
+        this->CostOf(offer.worker, Times(aShape.perMember, offer.members));
+    } else {
+      offer.members = CountFitting(
+        this->free.Available(offer.worker), aShape.perMember, offer.members);
+    }
+  }
+  std::erase_if(offers,
+                [](const Offer& aOffer) { return aOffer.members == 0; });
+  const auto cheapestFirst = [](const Offer& aLeft, const Offer& aRight) {
+    return aLeft.cost < aRight.cost;
+  };
+  // The cheapest offers of a group that together hold all members.
+  double least = std::numeric_limits<double>::max();
+  const auto consider = [&](std::span<Offer> aGroup) {
+    std::stable_sort(aGroup.begin(), aGroup.end(), cheapestFirst);
+    std::uint32_t missing = aShape.members;
+    double cost = 0;
+    std::size_t end = 0;
+    while (end < aGroup.size() && missing != 0) {
+      missing -= std::min(missing, aGroup[end].members);
+      cost += aGroup[end].cost;
+      ++end;
+    }
+    if (missing != 0 || cost >= least) {
+      return;
+    }
+    least = cost;
+    aWorkers.clear();
+    for (const Offer& offer : aGroup.first(end)) {
+      const auto left =
+        aShape.members - static_cast<std::uint32_t>(aWorkers.size());
+      aWorkers.insert(
+        aWorkers.end(), std::min(left, offer.members), offer.worker);
+    }
+  };
+  if (aShape.members == 1 || aShape.adjacency == Adjacency::SameWorker) {
+    for (Offer& offer : offers) {
+      consider(std::span(&offer, 1));
+    }
+  } else if (aShape.adjacency == Adjacency::SameZone) {
+    consider(offers);
+  } else {
+    const auto rackOf = [this](const Offer& aOffer) {
+      return this->cell.Worker(aOffer.worker).place.rack;
+    };
+    std::stable_sort(offers.begin(),
+                     offers.end(),
+                     [&](const Offer& aLeft, const Offer& aRight) {
+                       return rackOf(aLeft) < rackOf(aRight);
+                     });
+    for (std::size_t first = 0; first < offers.size();) {
+      std::size_t end = first;
+      while (end < offers.size() &&
+             rackOf(offers[end]) == rackOf(offers[first])) {
+        ++end;
+      }
+      consider(std::span(offers).subspan(first, end - first));
+      first = end;
+    }
+  }
+  return !aWorkers.empty();
+}
+
+double
+CellScheduler::State::LostWork(const JobRow& aJob) const
+{
+  const std::chrono::duration<double> elapsed = this->now - aJob.started;
+  return elapsed.count() *
+         static_cast<double>(aJob.spec.shape.TotalAccelerators() + 1);
+}
+
+double
+CellScheduler::State::CostOf(WorkerIndex aWorker, const Resources& aNeed) const
+{
+  const WorkerUse& use = this->uses[aWorker];
+  Resources taken = use.used;
+  taken += use.claimed;
+  taken += aNeed;
+  if (use.total.Covers(taken)) {
+    return 0;
+  }
+  double cost = 0;
+  for (const JobIndex job : use.jobs) {
+    const JobRow& row = this->jobs[job];
+    if (row.tenure == Tenure::Borrowed && !row.isStopping) {
+      cost += this->LostWork(row);
+    }
+  }
+  return cost;
+}
+
+bool
+CellScheduler::State::Reclaim(JobIndex aJob)
+{
+  JobRow& job = this->jobs[aJob];
+  const Resources& need = job.spec.shape.perMember;
+  if (!this->PlaceInGuarantee(job.account,
+                              job.spec.shape,
+                              job.failedOn,
+                              OfferUse::Reclaimed,
+                              this->chosen)) {
+    return false;
+  }
+  const bool isCharged =
+    this->ledger.TryCharge(job.account, this->chosen, need, job.charge);
+  this->SyncLedger();
+  if (!isCharged) {
+    return false;
+  }
+  this->Dequeue(aJob);
+  job.phase = Phase::Reclaiming;
+  job.workers = this->chosen;
+  job.stopDeadline = this->now + this->settings.reclaimTime;
+  this->AddUse(&WorkerUse::claimed, job.workers, need);
+  this->claims.push_back(aJob);
+  this->StopBorrowers(job.workers);
+  this->AdvanceClaims();
+  return true;
+}
+
+void
+CellScheduler::State::StopBorrowers(std::span<const WorkerIndex> aWorkers)
+{
+  struct Deficit
+  {
+    WorkerIndex worker;
+    Resources missing;
+  };
+  std::vector<Deficit> deficits;
+  WorkerIndex before = fleet::kNoWorker;
+  for (const WorkerIndex worker : aWorkers) {
+    if (worker == before) {
+      continue;
+    }
+    before = worker;
+    const WorkerUse& use = this->uses[worker];
+    Resources taken = use.used;
+    taken += use.claimed;
+    Resources missing = Remaining(taken, use.total);
+    for (const JobIndex job : use.jobs) {
+      if (this->jobs[job].isStopping) {
+        missing = Remaining(missing, this->UseOn(job, worker));
+      }
+    }
+    if (missing != Resources{}) {
+      deficits.push_back(Deficit{ worker, missing });
+    }
+  }
+  while (!deficits.empty()) {
+    // The gang that loses the least work for each accelerator that it frees.
+    std::optional<JobIndex> victim;
+    double least = 0;
+    for (const Deficit& deficit : deficits) {
+      for (const JobIndex job : this->uses[deficit.worker].jobs) {
+        const JobRow& row = this->jobs[job];
+        if (row.tenure != Tenure::Borrowed || row.isStopping) {
+          continue;
+        }
+        double freed = 0;
+        for (const Deficit& other : deficits) {
+          const Resources useful =
+            Smaller(this->UseOn(job, other.worker), other.missing);
+          freed += useful.accelerators + useful.cores * 1e-3 +
+                   static_cast<double>(useful.memoryMiB) * 1e-6;
+        }
+        const double cost = (this->LostWork(row) + 1) / std::max(freed, 1e-9);
+        if (!victim || cost < least) {
+          victim = job;
+          least = cost;
+        }
+      }
+    }
+    if (!victim) {
+      return; // What blocks the claim ends by itself, for example a restart.
+    }
+    this->StopGang(*victim, StopReason::GuaranteeClaimed);
+    for (Deficit& deficit : deficits) {
+      deficit.missing =
+        Remaining(deficit.missing, this->UseOn(*victim, deficit.worker));
+    }
+    std::erase_if(deficits, [](const Deficit& aDeficit) {
+      return aDeficit.missing == Resources{};
+    });
+  }
+}
+
+Resources
+CellScheduler::State::UseOn(JobIndex aJob, WorkerIndex aWorker) const
+{
+  const JobRow& job = this->jobs[aJob];
+  return Times(job.spec.shape.perMember,
+               static_cast<std::uint32_t>(
+                 std::count(job.workers.begin(), job.workers.end(), aWorker)));
+}
+
+void
+CellScheduler::State::StopGang(JobIndex aJob, StopReason aReason)
+{
+  JobRow& job = this->jobs[aJob];
+  job.isStopping = true;
+  job.stopDeadline = this->now + this->settings.reclaimTime;
+  this->effects->emplace_back(
+    PreemptGang{ { job.spec.id, base::Attempt(job.lastAttempt) },
+                 job.stopDeadline,
+                 aReason });
+}
+
+void
+CellScheduler::State::AdvanceClaims()
+{
+  const std::vector<JobIndex> open = this->claims;
+  for (const JobIndex index : open) {
+    JobRow& job = this->jobs[index];
+    const Resources& need = job.spec.shape.perMember;
+    bool isReady = true;
+    bool isBroken = false;
+    for (std::size_t first = 0; first < job.workers.size();) {
+      std::size_t end = first;
+      while (end < job.workers.size() &&
+             job.workers[end] == job.workers[first]) {
+        ++end;
+      }
+      const WorkerUse& use = this->uses[job.workers[first]];
+      isBroken = isBroken || use.total == Resources{};
+      isReady = isReady &&
+                Remaining(use.total, use.used)
+                  .Covers(Times(need, static_cast<std::uint32_t>(end - first)));
+      first = end;
+    }
+    if (isBroken) {
+      this->CancelClaim(index);
+      this->Enqueue(index);
+    } else if (isReady) {
+      std::erase(this->claims, index);
+      this->DropUse(&WorkerUse::claimed, job.workers, need);
+      this->chosen = job.workers;
+      this->Start(index, Tenure::Guaranteed);
+    }
+  }
+}
+
+void
+CellScheduler::State::CancelClaim(JobIndex aJob)
+{
+  JobRow& job = this->jobs[aJob];
+  const Resources& need = job.spec.shape.perMember;
+  std::erase(this->claims, aJob);
+  this->DropUse(&WorkerUse::claimed, job.workers, need);
+  this->ledger.ReleaseCharge(job.charge, need);
+  job.charge.clear();
+  job.workers.clear();
+  job.phase = Phase::Unused;
+  this->ledger.Repair();
+  this->SyncLedger();
+  this->hasFreed = true;
+}
+
+void
+CellScheduler::State::Promote(AccountIndex aAccount)
+{
+  // The borrower that would lose the most work is protected first.
+  std::vector<JobIndex> borrowers;
+  for (JobIndex index = 0; index < this->jobs.size(); ++index) {
+    const JobRow& job = this->jobs[index];
+    if (job.phase == Phase::Placed && job.account == aAccount &&
+        job.tenure == Tenure::Borrowed && !job.isStopping) {
+      borrowers.push_back(index);
+    }
+  }
+  std::stable_sort(borrowers.begin(),
+                   borrowers.end(),
+                   [this](JobIndex aLeft, JobIndex aRight) {
+                     return this->LostWork(this->jobs[aLeft]) >
+                            this->LostWork(this->jobs[aRight]);
+                   });
+  for (const JobIndex job : borrowers) {
+    if (!this->TryPromote(job)) {
+      return;
+    }
+  }
+}
+
+bool
+CellScheduler::State::TryPromote(JobIndex aJob)
+{
+  JobRow& job = this->jobs[aJob];
+  const Resources& need = job.spec.shape.perMember;
+  const bool isTrial =
+    std::any_of(this->trials.begin(),
+                this->trials.end(),
+                [aJob](const Trial& aTrial) { return aTrial.job == aJob; });
+  if (job.tenure == Tenure::Guaranteed || job.isStopping || isTrial) {
+    return false;
+  }
+  if (job.tenure == Tenure::Spare) {
+    this->ledger.ReleaseFirm(job.workers, need);
+  }
+  const bool isCharged =
+    this->ledger.TryCharge(job.account, job.workers, need, job.charge);
+  if (isCharged) {
+    job.tenure = Tenure::Guaranteed;
+    job.isRestored = false;
+  } else if (job.tenure == Tenure::Spare) {
+    this->ledger.ForceFirm(job.workers, need);
+  }
+  this->SyncLedger();
+  return isCharged;
+}
+
+} // namespace amaranthwind::scheduling
--- /dev/null
+++ b/libs/scheduling/src/Reservation.cpp
@@ -0,0 +1,175 @@
+#include "ResourceMath.h"
+#include "SchedulerState.h"
+
+#include <algorithm>
+
+namespace amaranthwind::scheduling {
+namespace {
+
+using fleet::Resources;
+using fleet::WorkerIndex;
+
+/** Waiting this long counts as much as one step of urgency: less urgent gangs
+ * are reserved a start even while urgent work overloads the cell. */
+constexpr base::Duration kUrgencyAge = std::chrono::minutes(10);
+/** Candidates that are planned before none is reserved a start. */
+constexpr std::size_t kCandidates = 4;
+/** Placements that are tried in one plan; bounds its cost. */
+constexpr std::size_t kPlanSteps = 16;
+
+} // namespace
+
+void
+CellScheduler::State::HoldReservation()
+{
+  if (this->reservation.job != kNoJob) {
+    this->AddUse(&WorkerUse::reserved,
+                 this->reservation.workers,
+                 this->jobs[this->reservation.job].spec.shape.perMember);
+  }
+}
+
+void
+CellScheduler::State::LiftReservation()
+{
+  if (this->reservation.job != kNoJob) {
+    this->DropUse(&WorkerUse::reserved,
+                  this->reservation.workers,
+                  this->jobs[this->reservation.job].spec.shape.perMember);
+  }
+}
+
+void
+CellScheduler::State::DropReservation()
+{
+  this->LiftReservation();
+  this->reservation = Reservation{};
+  this->hasFreed = true;
+}
+
+bool
+CellScheduler::State::CanBackfill(const JobRow& aJob) const
+{
+  return this->now +
+           this->runTimes.Estimate(aJob.work, aJob.spec.declaredRunTime).high <=
+         this->reservation.start;
+}
+
+void
+CellScheduler::State::AdvanceReservation()
+{
+  if (this->reservation.job == kNoJob || !this->hasFreed) {
+    return;
+  }
+  const JobIndex owner = this->reservation.job;
+  this->LiftReservation();
+  // Starting removes the owner from the queue, which ends the reservation.
+  const Reservation held = std::exchange(this->reservation, Reservation{});
+  if (this->TryStart(owner)) {
+    return;
+  }
+  const bool isBroken = std::any_of(
+    held.workers.begin(), held.workers.end(), [this](WorkerIndex aWorker) {
+      const WorkerUse& use = this->uses[aWorker];
+      return use.total == Resources{} || !use.total.Covers(use.claimed);
+    });
+  if (!isBroken) {
+    this->reservation = held;
+    this->HoldReservation();
+  }
+}
+
+void
+CellScheduler::State::ChooseReservation()
+{
+  if (this->reservation.job != kNoJob) {
+    return;
+  }
+  std::vector<std::pair<base::TimePoint, JobIndex>> candidates;
+  for (ClassIndex index = 0; index < this->classes.size(); ++index) {
+    const ClassRow& row = this->classes[index];
+    if (!row.waiting.empty()) {
+      const JobIndex first = row.waiting.front();
+      candidates.emplace_back(
+        this->jobs[first].submitted + kUrgencyAge * row.key.urgency, first);
+    }
+  }
+  const std::size_t count = std::min(candidates.size(), kCandidates);
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                    candidates.end());
+  for (std::size_t at = 0; at < count; ++at) {
+    if (this->PlanReservation(candidates[at].second)) {
+      this->HoldReservation();
+      return;
+    }
+  }
+}
+
+bool
+CellScheduler::State::PlanReservation(JobIndex aJob)
+{
+  const JobRow& job = this->jobs[aJob];
+  const PlacementRequest request{ job.spec.shape, job.failedOn };
+  const bool isFirm = !job.MayBorrow();
+  struct End
+  {
+    base::TimePoint at;
+    JobIndex job;
+  };
+  std::vector<End> ends;
+  for (JobIndex index = 0; index < this->jobs.size(); ++index) {
+    const JobRow& row = this->jobs[index];
+    if (row.phase != Phase::Placed) {
+      continue;
+    }
+    // A run that is overdue is taken to need half as long again.
+    ends.push_back(End{ row.expectedEnd > this->now
+                          ? row.expectedEnd
+                          : this->now + (this->now - row.started) / 2,
+                        index });
+  }
+  std::sort(ends.begin(), ends.end(), [](const End& aLeft, const End& aRight) {
+    return std::tuple(aLeft.at, aLeft.job) < std::tuple(aRight.at, aRight.job);
+  });
+  // The index is changed in place and restored: copying it costs more.
+  CapacityIndex& index = isFirm ? this->spare : this->free;
+  std::vector<WorkerIndex> touched;
+  this->released.resize(this->uses.size());
+  const std::size_t step = std::max<std::size_t>(1, ends.size() / kPlanSteps);
+  bool isPlaced = false;
+  for (std::size_t at = 0; at < ends.size() && !isPlaced; ++at) {
+    const JobRow& ending = this->jobs[ends[at].job];
+    for (const WorkerIndex worker : ending.workers) {
+      Released& gain = this->released[worker];
+      gain.used += ending.spec.shape.perMember;
+      if (ending.tenure == Tenure::Spare) {
+        gain.firm += ending.spec.shape.perMember;
+      }
+      touched.push_back(worker);
+      const WorkerUse& use = this->uses[worker];
+      Resources taken = use.used;
+      taken += use.claimed;
+      Resources available = Remaining(use.total, Remaining(taken, gain.used));
+      if (isFirm) {
+        Resources unpromised = this->ledger.Unpromised().Available(worker);
+        unpromised += gain.firm;
+        available = Smaller(available, unpromised);
+      }
+      index.Set(worker, this->cell.Worker(worker).place, use.total, available);
+    }
+    if ((at + 1) % step == 0 || at + 1 == ends.size()) {
+      isPlaced = this->placement->Place(index, request, this->chosen);
+      if (isPlaced) {
+        this->reservation = Reservation{ aJob, ends[at].at, this->chosen };
+      }
+    }
+  }
+  for (const WorkerIndex worker : touched) {
+    this->released[worker] = Released{};
+    this->Refresh(worker);
+  }
+  return isPlaced;
+}
+
+} // namespace amaranthwind::scheduling
--- /dev/null
+++ b/libs/scheduling/src/ResourceMath.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "amaranthwind/fleet/Resources.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+namespace amaranthwind::scheduling {
+
+/** Each quantity of aTotal less that of aUsed, and 0 where more is used. */
+constexpr fleet::Resources
+Remaining(const fleet::Resources& aTotal,
+          const fleet::Resources& aUsed) noexcept
+{
+  const auto less = [](auto aLeft, auto aRight) {
+    return aLeft > aRight ? aLeft - aRight : 0;
+  };
+  return { less(aTotal.accelerators, aUsed.accelerators),
+           less(aTotal.cores, aUsed.cores),
+           less(aTotal.memoryMiB, aUsed.memoryMiB) };
+}
+
+constexpr fleet::Resources
+Smaller(const fleet::Resources& aLeft, const fleet::Resources& aRight) noexcept
+{
+  return { std::min(aLeft.accelerators, aRight.accelerators),
+           std::min(aLeft.cores, aRight.cores),
+           std::min(aLeft.memoryMiB, aRight.memoryMiB) };
+}
+
+/** Saturates: a product that overflows must not look small enough to fit. */
+constexpr fleet::Resources
+Times(const fleet::Resources& aOne, std::uint32_t aCount) noexcept
+{
+  const auto times = [aCount]<typename T>(T aValue) {
+    constexpr T kMax = std::numeric_limits<T>::max();
+    return aCount != 0 && aValue > kMax / aCount
+             ? kMax
+             : static_cast<T>(aValue * aCount);
+  };
+  return { times(aOne.accelerators), times(aOne.cores), times(aOne.memoryMiB) };
+}
+
+/** How many equal members fit into aAvailable, at most aLimit. */
+constexpr std::uint32_t
+CountFitting(const fleet::Resources& aAvailable,
+             const fleet::Resources& aNeed,
+             std::uint32_t aLimit) noexcept
+{
+  std::uint64_t count = aLimit;
+  if (aNeed.accelerators != 0) {
+    count = std::min<std::uint64_t>(
+      count, aAvailable.accelerators / aNeed.accelerators);
+  }
+  if (aNeed.cores != 0) {
+    count = std::min<std::uint64_t>(count, aAvailable.cores / aNeed.cores);
+  }
+  if (aNeed.memoryMiB != 0) {
+    count =
+      std::min<std::uint64_t>(count, aAvailable.memoryMiB / aNeed.memoryMiB);
+  }
+  return static_cast<std::uint32_t>(count);
+}
+
+} // namespace amaranthwind::scheduling
--- /dev/null
+++ b/libs/scheduling/src/RunTimeModel.cpp
@@ -0,0 +1,49 @@
+#include "amaranthwind/scheduling/RunTimeModel.h"
+
+#include <algorithm>
+
+namespace amaranthwind::scheduling {
+
+RunTimeIndex
+RunTimeModel::Find(const base::AccountId& aAccount,
+                   const base::WorkKindId& aKind)
+{
+  const auto [found, isNew] = this->byName.try_emplace(
+    std::pair(aAccount, aKind), static_cast<RunTimeIndex>(this->rows.size()));
+  if (isNew) {
+    this->rows.emplace_back();
+  }
+  return found->second;
+}
+
+void
+RunTimeModel::Add(RunTimeIndex aIndex, base::Duration aRunTime)
+{
+  Row& row = this->rows[aIndex];
+  if (row.samples.size() < this->kSamples) {
+    row.samples.push_back(aRunTime);
+  } else {
+    row.samples[row.next] = aRunTime;
+    row.next = (row.next + 1) % this->kSamples;
+  }
+  std::vector<base::Duration> sorted = row.samples;
+  std::sort(sorted.begin(), sorted.end());
+  row.estimate.median = sorted[sorted.size() / 2];
+  row.estimate.high = sorted[sorted.size() * 9 / 10];
+  if (sorted.size() < 10) {
+    // The highest of few samples is not yet a high quantile.
+    row.estimate.high = sorted.back() * 2;
+  }
+}
+
+RunTimeEstimate
+RunTimeModel::Estimate(RunTimeIndex aIndex, base::Duration aDeclared) const
+{
+  const Row& row = this->rows[aIndex];
+  if (row.samples.size() >= this->kFewestSamples) {
+    return row.estimate;
+  }
+  return { aDeclared, aDeclared * this->kDeclaredSpread };
+}
+
+} // namespace amaranthwind::scheduling
