--- /dev/null
+++ b/libs/requests/src/MayRun.cpp
@@ -0,0 +1,15 @@
+#include "amaranthwind/requests/MayRun.h"
+
+namespace amaranthwind::requests {
+
+bool
+MayRun(const RunEvidence& aEvidence) noexcept
+{
+  if (!aEvidence.isRetry) {
+    return true;
+  }
+  return aEvidence.lostTargets < 2 &&
+         (aEvidence.doesTargetVouch || aEvidence.doesWitnessVouch);
+}
+
+} // namespace amaranthwind::requests
