Carry claims of idempotency keys between target daemons

The owner of a key asks the witness itself: only it knows whether a claim is needed at all. An Execute names the witness and the number of targets lost within the key window.

--- a/libs/protocol/include/amaranthwind/protocol/Messages.h
+++ b/libs/protocol/include/amaranthwind/protocol/Messages.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/fleet/Target.h"
 #include "amaranthwind/gang/Messages.h"
 #include "amaranthwind/job/GangPlan.h"
+#include "amaranthwind/requests/RequestLedger.h"
 
 #include <chrono>
 #include <cstddef>
@@ -103,6 +104,10 @@
   bool isIdempotent = false;
   /** Time left when it was sent. */
   std::chrono::milliseconds deadline{};
+  /** Inner address of the key's witness; empty if there is none. */
+  std::string witnessAddress;
+  /** Targets that left or restarted within the key window. */
+  std::uint32_t lostTargets = 0;
   std::vector<std::byte> body;
   bool operator==(const Execute&) const = default;
 };
@@ -126,28 +131,26 @@
   bool operator==(const ExecuteReply&) const = default;
 };
 
-/** Asks a witness to remember that aOwner is about to run the request. */
+/** Owner of a key to its witness, before the request runs. */
 struct Claim
 {
-  base::IdempotencyKey key;
-  base::TargetId owner;
-  std::uint64_t fingerprint = 0;
-  std::uint32_t retryAttempt = 0;
-  bool operator==(const Claim&) const = default;
+  requests::Claim claim;
 };
 
-enum class ClaimVerdict : std::uint8_t
+/** Answer of the witness. */
+struct ClaimReply
 {
-  Recorded,       // The owner may run it.
-  ClaimedByOther, // Another target may have run it.
-  CannotVouch,    // The witness is too young to know of earlier claims.
-  Refused,        // No room, or draining.
+  requests::ClaimReply reply;
 };
 
-struct ClaimReply
+/** Owner to witness: the claimed request has run, or never will. */
+struct ClaimEnded
 {
-  ClaimVerdict verdict = ClaimVerdict::Refused;
-  bool operator==(const ClaimReply&) const = default;
+  requests::RequestKey key;
+  bool hasRun = false;
+  /** Only if it has run. */
+  requests::Answer answer;
+  bool operator==(const ClaimEnded&) const = default;
 };
 
 /** A gang as one member holds it. */
@@ -211,6 +214,7 @@
                              ExecuteReply,
                              Claim,
                              ClaimReply,
+                             ClaimEnded,
                              gang::Prepare,
                              gang::Commit,
                              gang::Abort,
--- a/libs/protocol/src/WireDecoder.cpp
+++ b/libs/protocol/src/WireDecoder.cpp
@@ -237,6 +237,8 @@
   execute.retryAttempt = aExecute.retry_attempt();
   execute.isIdempotent = aExecute.is_idempotent();
   execute.deadline = std::chrono::milliseconds(aExecute.deadline_ms());
+  execute.witnessAddress = View(aExecute.witness_address());
+  execute.lostTargets = aExecute.lost_targets();
   execute.body = Bytes(aExecute.body());
   return execute;
 }
@@ -259,19 +261,43 @@
 Decode(const wire::Claim& aClaim)
 {
   BOOST_OUTCOME_TRY(const auto key, Required(aClaim.key(), "Claim.key"));
-  return Claim{ base::IdempotencyKey(key),
-                base::TargetId(View(aClaim.owner())),
-                aClaim.fingerprint(),
-                aClaim.retry_attempt() };
+  BOOST_OUTCOME_TRY(const auto holder,
+                    Required(aClaim.holder(), "Claim.holder"));
+  requests::Claim claim;
+  claim.key.account = base::AccountId(View(aClaim.account()));
+  claim.key.key = base::IdempotencyKey(key);
+  claim.fingerprint = aClaim.fingerprint();
+  claim.attempt = aClaim.retry_attempt();
+  claim.holder = base::TargetId(holder);
+  claim.incarnation = base::Incarnation(aClaim.incarnation());
+  return Claim{ std::move(claim) };
 }
 
 Result<Message>
 Decode(const wire::ClaimReply& aReply)
 {
-  BOOST_OUTCOME_TRY(
-    const auto verdict,
-    ToEnum(aReply.verdict(), ClaimVerdict::Refused, "ClaimReply.verdict"));
-  return ClaimReply{ verdict };
+  BOOST_OUTCOME_TRY(const auto result,
+                    ToEnum(aReply.result(),
+                           requests::ClaimResult::Unreachable,
+                           "ClaimReply.result"));
+  requests::ClaimReply reply;
+  reply.result = result;
+  reply.doesVouch = aReply.does_vouch();
+  if (aReply.has_answer()) {
+    reply.answer = std::make_shared<requests::Answer>(
+      requests::Answer{ aReply.status(), Bytes(aReply.body()) });
+  }
+  return ClaimReply{ std::move(reply) };
+}
+
+Result<Message>
+Decode(const wire::ClaimEnded& aEnded)
+{
+  BOOST_OUTCOME_TRY(const auto key, Required(aEnded.key(), "ClaimEnded.key"));
+  return ClaimEnded{ { base::AccountId(View(aEnded.account())),
+                       base::IdempotencyKey(key) },
+                     aEnded.has_run(),
+                     { aEnded.status(), Bytes(aEnded.body()) } };
 }
 
 Result<Message>
@@ -540,6 +566,8 @@
       return Decode(*aEnvelope.body_as_Claim());
     case wire::Body::ClaimReply:
       return Decode(*aEnvelope.body_as_ClaimReply());
+    case wire::Body::ClaimEnded:
+      return Decode(*aEnvelope.body_as_ClaimEnded());
     case wire::Body::Prepare:
       return Decode(*aEnvelope.body_as_Prepare());
     case wire::Body::GangStep:
--- a/libs/protocol/src/WireEncoder.cpp
+++ b/libs/protocol/src/WireEncoder.cpp
@@ -203,6 +203,7 @@
   const auto caller = this->String(aExecute.caller.View());
   const auto kind = this->String(aExecute.kind.View());
   const auto key = this->String(aExecute.key.View());
+  const auto witness = this->String(aExecute.witnessAddress);
   const auto body = this->Bytes(aExecute.body);
   return wire::CreateExecute(this->builder,
                              account,
@@ -212,6 +213,8 @@
                              aExecute.retryAttempt,
                              aExecute.isIdempotent,
                              Milliseconds(aExecute.deadline),
+                             witness,
+                             aExecute.lostTargets,
                              body);
 }
 
@@ -232,17 +235,43 @@
 Offset<wire::Claim>
 WireEncoder::operator()(const Claim& aClaim)
 {
-  const auto key = this->String(aClaim.key.View());
-  const auto owner = this->String(aClaim.owner.View());
-  return wire::CreateClaim(
-    this->builder, key, owner, aClaim.fingerprint, aClaim.retryAttempt);
+  const auto& claim = aClaim.claim;
+  const auto account = this->String(claim.key.account.View());
+  const auto key = this->String(claim.key.key.View());
+  const auto holder = this->String(claim.holder.View());
+  return wire::CreateClaim(this->builder,
+                           account,
+                           key,
+                           claim.fingerprint,
+                           claim.attempt,
+                           holder,
+                           claim.incarnation.Get());
 }
 
 Offset<wire::ClaimReply>
 WireEncoder::operator()(const ClaimReply& aReply)
 {
+  const auto& reply = aReply.reply;
+  const auto* answer = reply.answer.get();
+  const auto body =
+    this->Bytes(answer == nullptr ? std::span<const std::byte>{}
+                                  : std::span<const std::byte>(answer->body));
   return wire::CreateClaimReply(this->builder,
-                                static_cast<std::uint8_t>(aReply.verdict));
+                                static_cast<std::uint8_t>(reply.result),
+                                reply.doesVouch,
+                                answer != nullptr,
+                                answer == nullptr ? 0 : answer->status,
+                                body);
+}
+
+Offset<wire::ClaimEnded>
+WireEncoder::operator()(const ClaimEnded& aEnded)
+{
+  const auto account = this->String(aEnded.key.account.View());
+  const auto key = this->String(aEnded.key.key.View());
+  const auto body = this->Bytes(aEnded.answer.body);
+  return wire::CreateClaimEnded(
+    this->builder, account, key, aEnded.hasRun, aEnded.answer.status, body);
 }
 
 Offset<wire::AttemptKey>
--- a/libs/protocol/src/WireEncoder.h
+++ b/libs/protocol/src/WireEncoder.h
@@ -31,6 +31,7 @@
     const ExecuteReply& aReply);
   flatbuffers::Offset<wire::Claim> operator()(const Claim& aClaim);
   flatbuffers::Offset<wire::ClaimReply> operator()(const ClaimReply& aReply);
+  flatbuffers::Offset<wire::ClaimEnded> operator()(const ClaimEnded& aEnded);
   flatbuffers::Offset<wire::Prepare> operator()(const gang::Prepare& aPrepare);
   flatbuffers::Offset<wire::GangStep> operator()(const gang::Commit& aCommit);
   flatbuffers::Offset<wire::GangStep> operator()(const gang::Abort& aAbort);
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -54,6 +54,10 @@
   target.address = "127.0.0.1:2";
   target.incarnation = base::Incarnation(77);
   using std::chrono::milliseconds;
+  const requests::RequestKey requestKey{ base::AccountId("a"),
+                                         base::IdempotencyKey("i") };
+  const auto answer = std::make_shared<const requests::Answer>(
+    requests::Answer{ 201, ToBytes("kept") });
   return {
     TargetHello{ target, base::LogOffset(4) },
     EntryHello{ entry, base::Incarnation(1), base::LogOffset(2), true },
@@ -73,11 +77,14 @@
              1,
              true,
              milliseconds(7),
+             "127.0.0.1:5",
+             3,
              ToBytes("body") },
     ExecuteReply{
       ExecuteOutcome::NotRun, 503, error, milliseconds(9), ToBytes("answer") },
-    Claim{ base::IdempotencyKey("i"), base::TargetId("t"), 12, 1 },
-    ClaimReply{ ClaimVerdict::ClaimedByOther },
+    Claim{ { requestKey, 12, 1, base::TargetId("t"), base::Incarnation(8) } },
+    ClaimReply{ { requests::ClaimResult::Answered, true, answer } },
+    ClaimEnded{ requestKey, true, *answer },
     gang::Prepare{ fence, std::make_shared<job::GangPlan>(plan), 1 },
     gang::Commit{ fence, key, 1 },
     gang::Abort{ fence, key },
@@ -120,6 +127,16 @@
     return aLeft.fence == aRight.fence && *aLeft.plan == *aRight.plan &&
            aLeft.rank == aRight.rank;
   }
+  bool operator()(const Claim& aLeft, const Claim& aRight) const
+  {
+    return boost::pfr::eq_fields(aLeft.claim, aRight.claim);
+  }
+  bool operator()(const ClaimReply& aLeft, const ClaimReply& aRight) const
+  {
+    return aLeft.reply.result == aRight.reply.result &&
+           aLeft.reply.doesVouch == aRight.reply.doesVouch &&
+           *aLeft.reply.answer == *aRight.reply.answer;
+  }
   template<typename M>
   bool operator()(const M& aLeft, const M& aRight) const
   {
