Add Logger with rate limits over log4cplus

Cause: a fault that repeats for each request must neither fill the log nor hide other lines, and ids from callers must not forge lines.

Change: Logger writes a component prefix, one sentence and key=value fields with escapes. Lock-free limits for each call site and each component count what they leave out and report it with the next line.

--- /dev/null
+++ b/libs/telemetry/src/Logger.cpp
@@ -0,0 +1,170 @@
+#include "amaranthwind/telemetry/Logger.h"
+
+#include <algorithm>
+
+namespace amaranthwind::telemetry {
+
+namespace {
+
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kDelete = 0x7F;
+constexpr unsigned kBitsPerDigit = 4;
+constexpr unsigned kDigitMask = 0xF;
+/** Longest value in a line; the rest is cut. */
+constexpr std::size_t kMaxValueBytes = 256;
+
+bool
+IsControl(char aChar) noexcept
+{
+  const auto byte = static_cast<unsigned char>(aChar);
+  return byte < kFirstPrintable || byte == kDelete;
+}
+
+/** Quotes a text that would otherwise be taken for more than one value. */
+void
+AppendText(std::string& aLine, std::string_view aText)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  const std::string_view text = aText.substr(0, kMaxValueBytes);
+  const bool isPlain =
+    !text.empty() && std::none_of(text.begin(), text.end(), [](char aChar) {
+      return IsControl(aChar) || aChar == ' ' || aChar == '"' || aChar == '=' ||
+             aChar == '\\';
+    });
+  if (isPlain) {
+    aLine += text;
+    return;
+  }
+  aLine += '"';
+  for (const char each : text) {
+    if (IsControl(each)) {
+      const auto byte = static_cast<unsigned char>(each);
+      aLine += "\\x";
+      aLine += kDigits[byte >> kBitsPerDigit];
+      aLine += kDigits[byte & kDigitMask];
+    } else {
+      if (each == '"' || each == '\\') {
+        aLine += '\\';
+      }
+      aLine += each;
+    }
+  }
+  aLine += '"';
+}
+
+void
+AppendField(std::string& aLine, const LogField& aField)
+{
+  aLine += ' ';
+  aLine += aField.key;
+  aLine += '=';
+  if (const auto* text = std::get_if<std::string_view>(&aField.value)) {
+    AppendText(aLine, *text);
+  } else if (const auto* number = std::get_if<std::int64_t>(&aField.value)) {
+    aLine += std::to_string(*number);
+  } else {
+    aLine += std::to_string(std::get<std::uint64_t>(aField.value));
+  }
+}
+
+} // namespace
+
+Logger::Logger(LogSink& aSink,
+               const base::Clock& aClock,
+               std::string_view aComponent,
+               LogLimits aLimits)
+  : sink(aSink)
+  , clock(aClock)
+  , component(aComponent)
+  , limits(aLimits)
+{
+}
+
+void
+Logger::Debug(std::string_view aSentence, Fields aFields, LogSite aSite)
+{
+  this->Log(LogLevel::Debug, aSentence, aFields, aSite);
+}
+
+void
+Logger::Info(std::string_view aSentence, Fields aFields, LogSite aSite)
+{
+  this->Log(LogLevel::Info, aSentence, aFields, aSite);
+}
+
+void
+Logger::Warning(std::string_view aSentence, Fields aFields, LogSite aSite)
+{
+  this->Log(LogLevel::Warning, aSentence, aFields, aSite);
+}
+
+void
+Logger::Error(std::string_view aSentence, Fields aFields, LogSite aSite)
+{
+  this->Log(LogLevel::Error, aSentence, aFields, aSite);
+}
+
+std::uint64_t
+Logger::SuppressedLines() const noexcept
+{
+  return this->suppressedLines.load(std::memory_order_relaxed);
+}
+
+void
+Logger::Log(LogLevel aLevel,
+            std::string_view aSentence,
+            Fields aFields,
+            LogSite aSite)
+{
+  if (!this->sink.IsEnabled(aLevel)) {
+    return;
+  }
+  const base::TimePoint now = this->clock.Now();
+  RateLimit& siteLimit = this->FindSite(aSite).limit;
+  const bool isAllowed =
+    siteLimit.TryTake(now, this->limits.perSite, this->limits.window) &&
+    this->componentLimit.TryTake(
+      now, this->limits.perComponent, this->limits.window);
+  if (!isAllowed) {
+    this->suppressedLines.fetch_add(1, std::memory_order_relaxed);
+    return;
+  }
+  std::string line = this->component;
+  line += ": ";
+  line += aSentence;
+  for (const LogField& field : aFields) {
+    AppendField(line, field);
+  }
+  const std::uint64_t suppressed =
+    siteLimit.TakeRefused() + this->componentLimit.TakeRefused();
+  if (suppressed > 0) {
+    AppendField(line, { "suppressed", suppressed });
+  }
+  this->sink.Write(aLevel, line);
+}
+
+Logger::Site&
+Logger::FindSite(LogSite aSite) noexcept
+{
+  // The name of a file has one address within a translation unit; two units
+  // that include the same header count as two sites.
+  constexpr std::uint64_t kMultiplier = 0x9E37'79B9'7F4A'7C15;
+  constexpr unsigned kUpperHalf = 32;
+  const auto file = reinterpret_cast<std::uintptr_t>(aSite.file);
+  const std::uint64_t key =
+    (((file * kMultiplier) ^ aSite.line) * kMultiplier) | 1U;
+  std::size_t index = (key >> kUpperHalf) % kMaxSites;
+  for (std::size_t probes = 0; probes < kMaxSites; ++probes) {
+    Site& site = this->sites[index];
+    std::uint64_t seen = site.key.load(std::memory_order_relaxed);
+    if (seen == key || (seen == 0 && (site.key.compare_exchange_strong(
+                                        seen, key, std::memory_order_relaxed) ||
+                                      seen == key))) {
+      return site;
+    }
+    index = (index + 1) % kMaxSites;
+  }
+  return this->sites.back();
+}
+
+} // namespace amaranthwind::telemetry
--- /dev/null
+++ b/libs/telemetry/tests/LoggerTest.cpp
@@ -0,0 +1,147 @@
+#include "amaranthwind/telemetry/Logger.h"
+#include "amaranthwind/telemetry/Log4cplusSink.h"
+
+#include "amaranthwind/base/Ids.h"
+#include "amaranthwind/base/ManualClock.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace amaranthwind;
+using namespace amaranthwind::telemetry;
+using namespace std::chrono_literals;
+
+namespace {
+
+class MemorySink final : public LogSink
+{
+public:
+  bool IsEnabled(LogLevel aLevel) const noexcept override
+  {
+    return aLevel >= LogLevel::Info;
+  }
+  void Write(LogLevel, std::string_view aLine) noexcept override
+  {
+    std::lock_guard lock(this->mutex);
+    this->lines.emplace_back(aLine);
+  }
+
+  std::vector<std::string> lines;
+
+private:
+  std::mutex mutex;
+};
+
+} // namespace
+
+// Guards against a caller that forges log lines through an id.
+TEST_CASE("a line has a prefix, a sentence and escaped fields")
+{
+  MemorySink sink;
+  base::ManualClock clock;
+  Logger logger(sink, clock, "routing");
+  logger.Info("target left",
+              { { "target", base::TargetId("w-1") },
+                { "offset", base::LogOffset(7) },
+                { "delta", -3 },
+                { "note", "a \"b\"\nrouting: forged" },
+                { "empty", "" } });
+  logger.Debug("not written");
+  REQUIRE(sink.lines.size() == 1);
+  CHECK(sink.lines[0] == R"(routing: target left target=w-1 offset=7 delta=-3 )"
+                         R"(note="a \"b\"\x0arouting: forged" empty="")");
+}
+
+// Guards against a fault that fills the log and hides every other line.
+TEST_CASE("lines above the limit of a site are counted and left out")
+{
+  MemorySink sink;
+  base::ManualClock clock;
+  Logger logger(sink, clock, "net", { 2, 100, 10s });
+  const auto logOnce = [&] { logger.Warning("connection lost"); };
+  for (int i = 0; i < 5; ++i) {
+    logOnce();
+  }
+  logger.Warning("other site");
+  CHECK(logger.SuppressedLines() == 3);
+  clock.Advance(10s);
+  logOnce();
+  logOnce();
+  CHECK(sink.lines ==
+        std::vector<std::string>{ "net: connection lost",
+                                  "net: connection lost",
+                                  "net: other site",
+                                  "net: connection lost suppressed=3",
+                                  "net: connection lost" });
+}
+
+// Guards against an outage at many sites that fills the log all the same.
+TEST_CASE("lines above the limit of a component are counted and left out")
+{
+  MemorySink sink;
+  base::ManualClock clock;
+  Logger logger(sink, clock, "net", { 10, 3, 10s });
+  for (int round = 0; round < 2; ++round) {
+    for (int i = 0; i < 2; ++i) {
+      logger.Info("first");
+    }
+    for (int i = 0; i < 3; ++i) {
+      logger.Info("second");
+    }
+    clock.Advance(10s);
+  }
+  CHECK(sink.lines == std::vector<std::string>{ "net: first",
+                                                "net: first",
+                                                "net: second",
+                                                "net: first suppressed=2",
+                                                "net: first",
+                                                "net: second" });
+}
+
+// Guards against lines lost or counted twice when threads log at once.
+TEST_CASE("written and suppressed lines of concurrent threads add up")
+{
+  constexpr int kThreads = 4;
+  constexpr int kLines = 1000;
+  MemorySink sink;
+  base::ManualClock clock;
+  Logger logger(sink, clock, "net", { 50, 1000, 1s });
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      for (int j = 0; j < kLines; ++j) {
+        logger.Info("busy", { { "line", j } });
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(sink.lines.size() == 50);
+  CHECK(logger.SuppressedLines() == kThreads * kLines - 50);
+}
+
+// Guards against a daemon whose level and layout differ from its settings.
+TEST_CASE("the log4cplus sink follows the settings")
+{
+  std::ostringstream captured;
+  std::streambuf* const previous = std::cerr.rdbuf(captured.rdbuf());
+  {
+    Log4cplusSink sink({ LogLevel::Warning, "%p|%m%n" });
+    base::ManualClock clock;
+    Logger logger(sink, clock, "net");
+    logger.Info("not written");
+    logger.Warning("kept", { { "peer", "a" } });
+    logger.Error("kept too");
+  }
+  std::cerr.rdbuf(previous);
+  CHECK(captured.str() == "WARN|net: kept peer=a\nERROR|net: kept too\n");
+}
--- /dev/null
+++ b/libs/telemetry/tests/MetricsTest.cpp
@@ -0,0 +1,128 @@
+#include "amaranthwind/telemetry/Metrics.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <chrono>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace amaranthwind;
+using namespace amaranthwind::telemetry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::array<double, 2> kBounds{ 0.5, 1.0 };
+
+bool
+HasLine(const std::string& aText, const std::string& aLine)
+{
+  return ("\n" + aText).find("\n" + aLine + "\n") != std::string::npos;
+}
+
+} // namespace
+
+// Guards against metrics that a Prometheus server cannot read.
+TEST_CASE("metrics are rendered in the Prometheus text format")
+{
+  Metrics metrics;
+  const std::array<MetricLabel, 1> quote{ { { "kind", "quote" } } };
+  metrics.MakeCounter({ "requests_total", "Requests." }, quote).Increment(3);
+  metrics.MakeGauge({ "queue_length", "Length." }).Set(7);
+  metrics.MakeGauge({ "queue_length", "Length." }).Add(-2);
+  const Histogram wait =
+    metrics.MakeHistogram({ "wait_seconds", "Wait." }, kBounds, quote);
+  wait.Observe(500ms);
+  wait.Observe(750ms);
+  wait.Observe(2.0);
+  Counter{}.Increment();
+  const std::string text = metrics.Render();
+  CAPTURE(text);
+  for (const auto* line :
+       { "# HELP amaranthwind_requests_total Requests.",
+         "# TYPE amaranthwind_requests_total counter",
+         R"(amaranthwind_requests_total{kind="quote"} 3)",
+         "amaranthwind_queue_length 5",
+         "# TYPE amaranthwind_wait_seconds histogram",
+         R"(amaranthwind_wait_seconds_bucket{kind="quote",le="0.5"} 1)",
+         R"(amaranthwind_wait_seconds_bucket{kind="quote",le="1"} 2)",
+         R"(amaranthwind_wait_seconds_bucket{kind="quote",le="+Inf"} 3)",
+         R"(amaranthwind_wait_seconds_count{kind="quote"} 3)",
+         R"(amaranthwind_wait_seconds_sum{kind="quote"} 3.25)" }) {
+    CAPTURE(line);
+    CHECK(HasLine(text, line));
+  }
+}
+
+// Guards against a process that registers a metric it cannot show.
+TEST_CASE("invalid registrations are refused")
+{
+  Metrics metrics;
+  metrics.MakeCounter({ "a_total", "" });
+  const std::array<MetricLabel, 1> le{ { { "le", "1" } } };
+  const std::array<double, 2> falling{ 1.0, 0.5 };
+  CHECK_THROWS_AS(metrics.MakeGauge({ "a_total", "" }), std::invalid_argument);
+  CHECK_THROWS_AS(metrics.MakeCounter({ "a-b", "" }), std::invalid_argument);
+  CHECK_THROWS_AS(metrics.MakeCounter({ "b_total", "" }, le),
+                  std::invalid_argument);
+  CHECK_THROWS_AS(metrics.MakeHistogram({ "c", "" }, falling),
+                  std::invalid_argument);
+  CHECK(metrics.Render().find("amaranthwind_c") == std::string::npos);
+}
+
+// Guards against ever new accounts that fill the memory with series.
+TEST_CASE("the number of series of a family is bounded")
+{
+  Metrics metrics;
+  for (std::size_t i = 0; i < Metrics::kMaxSeries + 10; ++i) {
+    const std::string account = std::to_string(i);
+    const std::array<MetricLabel, 1> labels{ { { "account", account } } };
+    metrics.MakeCounter({ "n_total", "" }, labels).Increment();
+    metrics.MakeHistogram({ "h", "" }, kBounds, labels).Observe(0.1);
+  }
+  const std::string text = metrics.Render();
+  CHECK(HasLine(text, R"(amaranthwind_n_total{account="0"} 1)"));
+  CHECK(HasLine(text, R"(amaranthwind_n_total{account="other"} 10)"));
+  CHECK(HasLine(text, R"(amaranthwind_h_count{account="other"} 10)"));
+}
+
+// Guards against lost updates and races between requests and a scrape.
+TEST_CASE("concurrent updates are all counted")
+{
+  constexpr int kThreads = 4;
+  constexpr int kUpdates = 5000;
+  Metrics metrics;
+  const Counter counter = metrics.MakeCounter({ "n_total", "" });
+  const Gauge gauge = metrics.MakeGauge({ "g", "" });
+  const Histogram histogram = metrics.MakeHistogram({ "h", "" }, kBounds);
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      for (int j = 0; j < kUpdates; ++j) {
+        counter.Increment();
+        gauge.Add(j % 2 == 0 ? 1 : -1);
+        histogram.Observe(0.5);
+        if (j % 500 == 0) {
+          const std::string value = std::to_string(j);
+          const std::array<MetricLabel, 1> label{ { { "j", value } } };
+          metrics.MakeCounter({ "late_total", "" }, label).Increment();
+          metrics.MakeHistogram({ "late", "" }, kBounds, label).Observe(1);
+          CHECK_FALSE(metrics.Render().empty());
+        }
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  const std::string text = metrics.Render();
+  CHECK(HasLine(text, "amaranthwind_n_total 20000"));
+  CHECK(HasLine(text, "amaranthwind_g 0"));
+  CHECK(HasLine(text, "amaranthwind_h_count 20000"));
+  CHECK(HasLine(text, "amaranthwind_h_sum 10000"));
+  CHECK(HasLine(text, R"(amaranthwind_late_total{j="500"} 4)"));
+}
