Add the target daemon: requests, gangs, links and graceful stop

One event loop owns all state; I/O threads only post to it. The worker keeps the plan of each task as its label, so that a restarted daemon adopts tasks that still run.

The daemon itself is not tested yet.

--- a/libs/target/include/amaranthwind/target/TargetDaemon.h
+++ b/libs/target/include/amaranthwind/target/TargetDaemon.h
@@ -3,6 +3,7 @@
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/Result.h"
 #include "amaranthwind/settings/TargetSettings.h"
+#include "amaranthwind/telemetry/LogSink.h"
 
 #include <memory>
 #include <string>
@@ -23,8 +24,10 @@
 class TargetDaemon
 {
 public:
-  /** aClock must outlive the daemon. */
-  TargetDaemon(settings::TargetSettings aSettings, const base::Clock& aClock);
+  /** aClock and aSink must outlive the daemon. */
+  TargetDaemon(settings::TargetSettings aSettings,
+               const base::Clock& aClock,
+               telemetry::LogSink& aSink);
   ~TargetDaemon();
   TargetDaemon(const TargetDaemon&) = delete;
   TargetDaemon& operator=(const TargetDaemon&) = delete;
--- a/libs/target/include/amaranthwind/target/WorkerClient.h
+++ b/libs/target/include/amaranthwind/target/WorkerClient.h
@@ -27,6 +27,8 @@
   std::string id;
   TaskState state = TaskState::Running;
   std::uint32_t accelerators = 0;
+  /** As given when the task was started. */
+  std::string label;
 };
 
 /** A task to start. */
@@ -35,6 +37,8 @@
   std::string id;
   std::uint32_t accelerators = 0;
   std::string payload;
+  /** Kept by the worker, for a daemon that restarts while the task runs. */
+  std::string label;
   /** The worker ends the task when the lease is not renewed in time. */
   std::chrono::milliseconds lease{};
 };
--- /dev/null
+++ b/libs/target/src/GangServer.cpp
@@ -0,0 +1,385 @@
+#include "GangServer.h"
+
+#include "TaskLabel.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace amaranthwind::target {
+
+using gang::AttemptKey;
+using protocol::ConnectionId;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::Duration kPollInterval = 200ms;
+
+std::chrono::milliseconds
+ToMilliseconds(base::Duration aDuration)
+{
+  return std::chrono::ceil<std::chrono::milliseconds>(aDuration);
+}
+
+/** Fence of a message, if its type has one. */
+struct FenceOf
+{
+  std::optional<gang::Fence> operator()(const gang::Prepare& aMessage) const
+  {
+    return aMessage.fence;
+  }
+  std::optional<gang::Fence> operator()(const gang::Commit& aMessage) const
+  {
+    return aMessage.fence;
+  }
+  std::optional<gang::Fence> operator()(const gang::Abort& aMessage) const
+  {
+    return aMessage.fence;
+  }
+  std::optional<gang::Fence> operator()(const gang::StopGang& aMessage) const
+  {
+    return aMessage.fence;
+  }
+  template<typename M>
+  std::optional<gang::Fence> operator()(const M&) const
+  {
+    return std::nullopt;
+  }
+};
+
+gang::MemberResult
+ToResult(TaskState aState)
+{
+  switch (aState) {
+    case TaskState::Succeeded:
+      return gang::MemberResult::Succeeded;
+    case TaskState::Stopped:
+      return gang::MemberResult::Stopped;
+    default:
+      return gang::MemberResult::Failed;
+  }
+}
+
+} // namespace
+
+GangServer::GangServer(const base::TargetId& aWorker,
+                       const base::ZoneId& aCell,
+                       const fleet::Resources& aCapacity,
+                       const base::Clock& aClock,
+                       base::EventLoop& aLoop,
+                       protocol::Node& aNode,
+                       WorkerClient& aClient,
+                       EntryDirectory& aEntries,
+                       telemetry::Logger& aLogger)
+  : cell(aCell)
+  , clock(aClock)
+  , loop(aLoop)
+  , node(aNode)
+  , client(aClient)
+  , entries(aEntries)
+  , logger(aLogger)
+  , member(aWorker, aCapacity)
+{
+}
+
+void
+GangServer::Start(std::function<void()> aReady)
+{
+  this->client.List([this, ready = std::move(aReady)](auto aResult) {
+    this->loop.Post([this, ready, result = std::move(aResult)] {
+      if (result.has_error()) {
+        // Announcing the worker now would offer accelerators that tasks of
+        // the former daemon may hold.
+        this->logger.Warning("worker does not list its tasks",
+                             { { "error", base::Describe(result.error()) } });
+        this->Start(ready);
+        return;
+      }
+      this->Adopt(result.value());
+      ready();
+    });
+  });
+}
+
+void
+GangServer::Adopt(std::span<const WorkerTask> aTasks)
+{
+  for (const auto& task : aTasks) {
+    if (task.state != TaskState::Running) {
+      continue;
+    }
+    const auto adopted = DecodeTaskLabel(task.label);
+    if (adopted.has_error()) {
+      this->logger.Warning("task of an unknown owner", { { "task", task.id } });
+      continue;
+    }
+    const auto& plan = adopted.value().plan;
+    this->tasks[gang::KeyOf(*plan)] = {
+      task.id, plan, adopted.value().rank, true, false
+    };
+    this->logger.Info("task adopted", { { "task", task.id } });
+    this->Handle(adopted.value(), std::nullopt);
+  }
+}
+
+void
+GangServer::OnMessage(ConnectionId aConnection, const gang::MemberEvent& aEvent)
+{
+  if (const auto fence = std::visit(FenceOf{}, aEvent)) {
+    Coordinator& coordinator = this->coordinators[fence->cell];
+    if (fence->token >= coordinator.token) {
+      coordinator = { fence->token, aConnection };
+    }
+  }
+  this->Handle(aEvent, aConnection);
+}
+
+void
+GangServer::Handle(const gang::MemberEvent& aEvent,
+                   std::optional<ConnectionId> aSender)
+{
+  this->sender = aSender;
+  const auto effects = this->member.Handle(this->clock.Now(), aEvent);
+  for (const auto& effect : effects) {
+    std::visit([this](const auto& aEffect) { this->CarryOut(aEffect); },
+               effect);
+  }
+}
+
+void
+GangServer::OnTick()
+{
+  const auto now = this->clock.Now();
+  const auto due = this->member.NextDeadline();
+  if (due && now >= *due) {
+    this->Handle(gang::Tick{}, std::nullopt);
+  }
+  if (!this->tasks.empty() && !this->isPolling && now >= this->nextPoll) {
+    this->PollTasks();
+  }
+}
+
+void
+GangServer::PollTasks()
+{
+  this->isPolling = true;
+  this->nextPoll = this->clock.Now() + kPollInterval;
+  this->client.List([this](auto aResult) {
+    this->loop.Post([this, result = std::move(aResult)] {
+      this->isPolling = false;
+      if (result.has_value()) {
+        this->OnTaskList(result.value());
+      }
+    });
+  });
+}
+
+void
+GangServer::OnTaskList(const std::vector<WorkerTask>& aTasks)
+{
+  std::vector<std::pair<AttemptKey, TaskState>> ended;
+  for (const auto& [key, task] : this->tasks) {
+    if (!task.isStarted) {
+      continue;
+    }
+    const auto found =
+      std::find_if(aTasks.begin(), aTasks.end(), [&](const auto& aTask) {
+        return aTask.id == task.id;
+      });
+    if (found == aTasks.end()) {
+      // The worker has restarted and knows nothing of the task.
+      ended.emplace_back(key, TaskState::Expired);
+    } else if (found->state != TaskState::Running) {
+      ended.emplace_back(key, found->state);
+    }
+  }
+  for (const auto& [key, state] : ended) {
+    this->EndTask(key, state);
+  }
+}
+
+void
+GangServer::EndTask(const AttemptKey& aKey, TaskState aState)
+{
+  const auto found = this->tasks.find(aKey);
+  if (found == this->tasks.end()) {
+    return;
+  }
+  this->logger.Info("task ended",
+                    { { "task", found->second.id },
+                      { "state", static_cast<unsigned>(aState) } });
+  this->tasks.erase(found);
+  this->Handle(gang::TaskEnded{ aKey, ToResult(aState) }, std::nullopt);
+}
+
+void
+GangServer::CarryOut(const gang::SendToCoordinator& aEffect)
+{
+  const auto connection = this->CoordinatorOf(aEffect.cell);
+  if (!connection) {
+    this->logger.Warning("coordinator is not known",
+                         { { "cell", aEffect.cell } });
+    return;
+  }
+  std::visit(
+    [&](const auto& aMessage) { this->node.Send(*connection, aMessage); },
+    aEffect.message);
+}
+
+void
+GangServer::CarryOut(const gang::SendToPeer& aEffect)
+{
+  const auto connection = aEffect.worker.IsEmpty()
+                            ? this->sender
+                            : this->PeerConnection(aEffect.address);
+  if (!connection) {
+    return;
+  }
+  std::visit(
+    [&](const auto& aMessage) { this->node.Send(*connection, aMessage); },
+    aEffect.message);
+}
+
+void
+GangServer::CarryOut(const gang::QueryOutcome& aEffect)
+{
+  const auto connection = aEffect.askAnyEntry
+                            ? this->entries.NextEntry()
+                            : this->CoordinatorOf(aEffect.query.cell);
+  if (connection) {
+    this->node.Send(*connection, aEffect.query);
+  }
+}
+
+void
+GangServer::CarryOut(const gang::StartTask& aEffect)
+{
+  const AttemptKey key = aEffect.key;
+  Task task{
+    MakeTaskId(key, aEffect.rank), aEffect.plan, aEffect.rank, false, false
+  };
+  TaskSpec spec;
+  spec.id = task.id;
+  spec.accelerators =
+    aEffect.plan->members[aEffect.rank].resources.accelerators;
+  spec.payload = aEffect.plan->payload;
+  spec.label = EncodeTaskLabel({ this->cell, aEffect.plan, aEffect.rank });
+  spec.lease = ToMilliseconds(aEffect.lease);
+  this->logger.Info("task starts", { { "task", task.id } });
+  this->tasks[key] = std::move(task);
+  this->client.Start(spec, [this, key](const base::Result<void>& aResult) {
+    this->loop.Post(
+      [this, key, result = aResult] { this->OnStartResult(key, result); });
+  });
+}
+
+void
+GangServer::OnStartResult(const AttemptKey& aKey,
+                          const base::Result<void>& aResult)
+{
+  const auto found = this->tasks.find(aKey);
+  if (found == this->tasks.end()) {
+    return;
+  }
+  if (aResult.has_value()) {
+    found->second.isStarted = true;
+    this->Handle(gang::TaskStarted{ aKey }, std::nullopt);
+    return;
+  }
+  this->logger.Warning("task did not start",
+                       { { "task", found->second.id },
+                         { "error", base::Describe(aResult.error()) } });
+  // The answer may have been lost after the start.
+  this->client.Stop(found->second.id, false, [](const auto&) {});
+  this->EndTask(aKey, TaskState::Failed);
+}
+
+void
+GangServer::CarryOut(const gang::RenewLease& aEffect)
+{
+  const auto found = this->tasks.find(aEffect.key);
+  if (found != this->tasks.end()) {
+    this->client.Renew(
+      found->second.id, ToMilliseconds(aEffect.lease), [](const auto&) {});
+  }
+}
+
+void
+GangServer::CarryOut(const gang::StopTask& aEffect)
+{
+  const auto found = this->tasks.find(aEffect.key);
+  if (found == this->tasks.end()) {
+    return;
+  }
+  found->second.isStopping = true;
+  this->logger.Info("task stops", { { "task", found->second.id } });
+  this->client.Stop(found->second.id,
+                    aEffect.grace > base::Duration::zero(),
+                    [](const auto&) {});
+}
+
+std::optional<ConnectionId>
+GangServer::CoordinatorOf(const base::ZoneId& aCell) const
+{
+  const auto found = this->coordinators.find(aCell);
+  if (found != this->coordinators.end()) {
+    return found->second.connection;
+  }
+  return this->entries.CoordinatorOf(aCell);
+}
+
+ConnectionId
+GangServer::PeerConnection(const std::string& aAddress)
+{
+  const auto found = this->peers.find(aAddress);
+  if (found != this->peers.end()) {
+    return found->second;
+  }
+  const auto connection = this->node.Connect(aAddress);
+  this->peers[aAddress] = connection;
+  return connection;
+}
+
+void
+GangServer::OnClosed(ConnectionId aConnection)
+{
+  std::erase_if(this->peers,
+                [&](const auto& aPeer) { return aPeer.second == aConnection; });
+  std::erase_if(this->coordinators, [&](const auto& aCoordinator) {
+    return aCoordinator.second.connection == aConnection;
+  });
+}
+
+std::vector<protocol::HeldGang>
+GangServer::HeldGangs() const
+{
+  std::vector<protocol::HeldGang> held;
+  for (const auto& status : this->member.Status()) {
+    const auto found = this->tasks.find(status.key);
+    protocol::HeldGang gang;
+    gang.plan.gang = status.key.gang;
+    gang.plan.token = status.key.planToken;
+    if (found != this->tasks.end()) {
+      gang.plan.members = found->second.plan->members;
+    }
+    gang.rank = status.rank;
+    gang.phase = status.phase;
+    held.push_back(std::move(gang));
+  }
+  return held;
+}
+
+void
+GangServer::Drain()
+{
+  this->Handle(gang::Drain{}, std::nullopt);
+}
+
+void
+GangServer::HandOver()
+{
+  this->Handle(gang::HandOver{}, std::nullopt);
+}
+
+} // namespace amaranthwind::target
--- a/libs/target/src/HttpWorkerClient.cpp
+++ b/libs/target/src/HttpWorkerClient.cpp
@@ -75,9 +75,11 @@
   if (!state || accelerators == nullptr || !accelerators->is_int64()) {
     return Fail(ErrorCode::Malformed, "worker: task " + std::string(id));
   }
+  BOOST_OUTCOME_TRY(const auto label, StringField(object, "label"));
   return WorkerTask{ std::string(id),
                      *state,
-                     static_cast<std::uint32_t>(accelerators->get_int64()) };
+                     static_cast<std::uint32_t>(accelerators->get_int64()),
+                     std::string(label) };
 }
 
 Result<std::vector<WorkerTask>>
@@ -112,7 +114,8 @@
   const json::object body{ { "task", aTask.id },
                            { "accelerators", aTask.accelerators },
                            { "leaseMs", aTask.lease.count() },
-                           { "payload", aTask.payload } };
+                           { "payload", aTask.payload },
+                           { "label", aTask.label } };
   this->Post("/tasks", json::serialize(body), std::move(aHandler));
 }
 
--- a/libs/target/src/RequestServer.cpp
+++ b/libs/target/src/RequestServer.cpp
@@ -75,7 +75,8 @@
   , node(aNode)
   , executor(aExecutor)
   , ledger(aClock.Now())
-{}
+{
+}
 
 void
 RequestServer::OnExecute(protocol::ConnectionId aConnection,
@@ -156,10 +157,9 @@
     claim,
     kClaimTimeout,
     [this, shared, aLostTargets](const protocol::CallResult& aResult) {
-      const auto* reply =
-        aResult.reply == nullptr
-          ? nullptr
-          : std::get_if<protocol::ClaimReply>(aResult.reply);
+      const auto* reply = aResult.reply == nullptr
+                            ? nullptr
+                            : std::get_if<protocol::ClaimReply>(aResult.reply);
       const requests::ClaimReply answer =
         reply == nullptr
           ? requests::ClaimReply{ ClaimResult::Unreachable, false, nullptr }
@@ -279,12 +279,15 @@
   ++this->running;
   const auto timeout = aWork.deadline - this->clock.Now();
   auto shared = std::make_shared<const Work>(std::move(aWork));
-  this->executor.Run(
-    shared->kind, shared->body, timeout, [this, shared](ExecutorResult aResult) {
-      this->loop.Post([this, shared, result = std::move(aResult)] {
-        this->OnResult(*shared, result);
-      });
-    });
+  this->executor.Run(shared->kind,
+                     shared->body,
+                     timeout,
+                     [this, shared](ExecutorResult aResult) {
+                       this->loop.Post(
+                         [this, shared, result = std::move(aResult)] {
+                           this->OnResult(*shared, result);
+                         });
+                     });
 }
 
 void
@@ -305,11 +308,10 @@
   if (aWork.tracked) {
     // A tracked request that never reached the executor also counts as
     // unknown: it is marked as running, and that is not taken back.
-    tickets =
-      isAnswered
-        ? this->ledger.Finish(
-            now, aWork.tracked->key, aResult.status, aResult.body)
-        : this->ledger.FinishUnknown(now, aWork.tracked->key);
+    tickets = isAnswered
+                ? this->ledger.Finish(
+                    now, aWork.tracked->key, aResult.status, aResult.body)
+                : this->ledger.FinishUnknown(now, aWork.tracked->key);
     if (!isAnswered) {
       reply = MakeUnknown(aResult.error);
     }
@@ -403,8 +405,7 @@
   if (found == this->replies.end()) {
     return;
   }
-  this->node.Reply(
-    found->second.connection, found->second.correlation, aReply);
+  this->node.Reply(found->second.connection, found->second.correlation, aReply);
   this->replies.erase(found);
 }
 
--- /dev/null
+++ b/libs/target/src/TargetDaemon.cpp
@@ -0,0 +1,472 @@
+#include "amaranthwind/target/TargetDaemon.h"
+
+#include "GangServer.h"
+#include "RequestServer.h"
+#include "amaranthwind/base/EventLoop.h"
+#include "amaranthwind/base/Random.h"
+#include "amaranthwind/net/IoPool.h"
+#include "amaranthwind/peering/EntryLinks.h"
+#include "amaranthwind/target/HttpExecutorClient.h"
+#include "amaranthwind/target/HttpWorkerClient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace amaranthwind::target {
+
+using protocol::ConnectionId;
+using protocol::Envelope;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kLoopCapacity = 8192;
+constexpr base::Duration kTickInterval = 50ms;
+constexpr std::chrono::milliseconds kFirstHeartbeatInterval = 1000ms;
+// The silence that ends a connection, in heartbeat intervals.
+constexpr int kSilentIntervals = 2;
+// A drain that takes longer than this ends anyway: the platform replaces VMs
+// whether they are idle or not.
+constexpr base::Duration kDrainLimit = 60s;
+
+/** Turns the gang messages that a member handles into its events. */
+struct ToMemberEvent
+{
+  template<typename M>
+  std::optional<gang::MemberEvent> operator()(const M& aMessage) const
+  {
+    if constexpr (std::is_constructible_v<gang::MemberEvent, const M&>) {
+      return gang::MemberEvent(aMessage);
+    } else {
+      return std::nullopt;
+    }
+  }
+};
+
+} // namespace
+
+class TargetDaemon::Impl
+  : public protocol::MessageHandler
+  , public peering::EntryLinksObserver
+  , public EntryDirectory
+{
+public:
+  Impl(settings::TargetSettings aSettings,
+       const base::Clock& aClock,
+       telemetry::LogSink& aSink)
+    : settings(std::move(aSettings))
+    , clock(aClock)
+    , logger(aSink, aClock, "target")
+    , pool(this->settings.common.ioThreads)
+    , node(this->pool, {}, *this)
+    , loop(kLoopCapacity)
+  {
+    this->target.id = this->settings.id;
+    this->target.kind = this->settings.kind;
+    this->target.region = this->settings.common.region;
+    this->target.zone = this->settings.common.zone;
+    this->target.rack = this->settings.rack;
+    this->target.resources = this->settings.resources;
+    this->target.slots = this->settings.slots;
+    // Entries take the higher incarnation for the newer one, and a VM without
+    // a disk has no counter that would survive a restart.
+    this->target.incarnation = base::Incarnation(
+      static_cast<std::uint64_t>(aClock.WallNow().time_since_epoch().count()));
+  }
+
+  ~Impl() override { this->StopNow(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  base::Result<TargetAddresses> Start()
+  {
+    BOOST_OUTCOME_TRY(this->target.address,
+                      this->node.Listen(this->settings.common.innerListen));
+    this->MakeServer();
+    peering::EntryLinksOptions options;
+    options.bootstrap = this->settings.common.bootstrap;
+    options.ownAddress = this->target.address;
+    this->links = std::make_unique<peering::EntryLinks>(
+      this->node,
+      this->pool,
+      std::move(options),
+      [this] {
+        return protocol::TargetHello{ this->target, this->NoteOffset() };
+      },
+      *this);
+    this->loop.SetTick(kTickInterval, [this] { this->OnTick(); });
+    this->loop.Start();
+    this->loop.Post([this] { this->Begin(); });
+    this->logger.Info(
+      "started",
+      { { "target", this->target.id }, { "address", this->target.address } });
+    return TargetAddresses{ this->target.address, {} };
+  }
+
+  void Stop()
+  {
+    this->logger.Info("drains", { { "target", this->target.id } });
+    this->loop.Post([this] { this->Drain(); });
+    this->WaitUntilIdle();
+    this->StopNow();
+    this->logger.Info("stopped", { { "target", this->target.id } });
+  }
+
+  // protocol::MessageHandler, on I/O threads.
+
+  void OnOpened(ConnectionId aConnection, bool, std::string_view) override
+  {
+    this->links->OnOpened(aConnection);
+  }
+
+  void OnMessage(ConnectionId aConnection, const Envelope& aEnvelope) override
+  {
+    const bool isAccepted =
+      this->loop.TryPost([this, aConnection, envelope = aEnvelope] {
+        this->Handle(aConnection, envelope);
+      });
+    if (!isAccepted) {
+      this->RefuseOverload(aConnection, aEnvelope);
+    }
+  }
+
+  void OnClosed(ConnectionId aConnection, const base::Error&) override
+  {
+    this->links->OnClosed(aConnection);
+    this->loop.Post([this, aConnection] {
+      if (this->requestServer) {
+        this->requestServer->OnClosed(aConnection);
+      }
+      if (this->gangServer) {
+        this->gangServer->OnClosed(aConnection);
+      }
+    });
+  }
+
+  // peering::EntryLinksObserver, on I/O threads.
+
+  void OnLinkUp(const peering::EntryLink& aLink,
+                const protocol::Topology& aTopology) override
+  {
+    this->logger.Info("entry linked", { { "entry", aLink.entry.id } });
+    this->loop.Post([this, aLink, aTopology] {
+      this->Learn(aTopology);
+      this->SetLiveness(aLink.connection, aTopology.heartbeatInterval);
+      this->SendHeartbeat(aLink.connection);
+      this->SendGangReport(aLink.connection);
+    });
+  }
+
+  void OnLinkDown(const peering::EntryLink& aLink) override
+  {
+    this->logger.Warning("entry lost", { { "entry", aLink.entry.id } });
+  }
+
+  // EntryDirectory, on the loop.
+
+  std::optional<ConnectionId> CoordinatorOf(
+    const base::ZoneId& aCell) const override
+  {
+    const auto cell = this->cells.find(aCell);
+    if (cell == this->cells.end()) {
+      return std::nullopt;
+    }
+    for (const auto& link : this->links->Links()) {
+      if (link.entry.id == cell->second.coordinator.id) {
+        return link.connection;
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::optional<ConnectionId> NextEntry() override
+  {
+    const auto linked = this->links->Links();
+    if (linked.empty()) {
+      return std::nullopt;
+    }
+    return linked[this->nextEntry++ % linked.size()].connection;
+  }
+
+private:
+  void MakeServer()
+  {
+    frontend::HttpClientOptions options;
+    options.address = this->settings.serviceAddress;
+    if (this->settings.kind == fleet::TargetKind::Executor) {
+      options.maxConnections = this->settings.connections;
+      this->executor =
+        std::make_unique<HttpExecutorClient>(this->pool, options);
+      RequestServerOptions serverOptions;
+      serverOptions.id = this->target.id;
+      serverOptions.incarnation = this->target.incarnation;
+      serverOptions.slots = this->settings.slots;
+      serverOptions.maxQueued = 2 * this->settings.slots;
+      this->requestServer = std::make_unique<RequestServer>(
+        serverOptions, this->clock, this->loop, this->node, *this->executor);
+    } else {
+      this->worker = std::make_unique<HttpWorkerClient>(this->pool, options);
+      this->gangServer = std::make_unique<GangServer>(this->target.id,
+                                                      this->target.zone,
+                                                      this->target.resources,
+                                                      this->clock,
+                                                      this->loop,
+                                                      this->node,
+                                                      *this->worker,
+                                                      *this,
+                                                      this->logger);
+    }
+  }
+
+  void Begin()
+  {
+    if (this->gangServer) {
+      this->gangServer->Start([this] { this->links->Start(); });
+    } else {
+      this->links->Start();
+    }
+  }
+
+  base::LogOffset NoteOffset() const
+  {
+    return base::LogOffset(this->noteOffset.load());
+  }
+
+  void LearnNoteOffset(base::LogOffset aOffset)
+  {
+    std::uint64_t known = this->noteOffset.load();
+    while (known < aOffset.Get() &&
+           !this->noteOffset.compare_exchange_weak(known, aOffset.Get())) {
+    }
+  }
+
+  void Handle(ConnectionId aConnection, const Envelope& aEnvelope)
+  {
+    if (const auto* topology =
+          std::get_if<protocol::Topology>(&aEnvelope.message)) {
+      this->Learn(*topology);
+    } else if (const auto* ack =
+                 std::get_if<protocol::HeartbeatAck>(&aEnvelope.message)) {
+      this->LearnNoteOffset(ack->noteOffset);
+      this->SetLiveness(aConnection, ack->heartbeatInterval);
+    } else if (this->requestServer) {
+      this->HandleRequest(aConnection, aEnvelope);
+    } else if (const auto event =
+                 std::visit(ToMemberEvent{}, aEnvelope.message)) {
+      this->gangServer->OnMessage(aConnection, *event);
+    }
+  }
+
+  void HandleRequest(ConnectionId aConnection, const Envelope& aEnvelope)
+  {
+    if (const auto* execute =
+          std::get_if<protocol::Execute>(&aEnvelope.message)) {
+      this->requestServer->OnExecute(
+        aConnection, aEnvelope.correlation, *execute);
+    } else if (const auto* claim =
+                 std::get_if<protocol::Claim>(&aEnvelope.message)) {
+      this->requestServer->OnClaim(aConnection, aEnvelope.correlation, *claim);
+    } else if (const auto* ended =
+                 std::get_if<protocol::ClaimEnded>(&aEnvelope.message)) {
+      this->requestServer->OnClaimEnded(*ended);
+    }
+  }
+
+  /** Answers a request that the full loop never took: it has not run. */
+  void RefuseOverload(ConnectionId aConnection, const Envelope& aEnvelope)
+  {
+    const auto* execute = std::get_if<protocol::Execute>(&aEnvelope.message);
+    if (execute == nullptr) {
+      return;
+    }
+    protocol::ExecuteReply reply;
+    reply.outcome = execute->retryAttempt == 0
+                      ? protocol::ExecuteOutcome::NotRun
+                      : protocol::ExecuteOutcome::Unknown;
+    reply.error = { base::ErrorCode::QueueFull, this->target.id.Text() };
+    this->node.Reply(aConnection, aEnvelope.correlation, reply);
+  }
+
+  void Learn(const protocol::Topology& aTopology)
+  {
+    this->LearnNoteOffset(aTopology.noteOffset);
+    for (const auto& cell : aTopology.cells) {
+      protocol::CellInfo& known = this->cells[cell.zone];
+      const bool isNewer = cell.token > known.token;
+      if (cell.token >= known.token) {
+        known = cell;
+      }
+      if (isNewer && cell.zone == this->target.zone) {
+        this->TellCoordinator(cell.zone);
+      }
+    }
+    this->links->OnTopology(aTopology);
+  }
+
+  void TellCoordinator(const base::ZoneId& aCell)
+  {
+    if (const auto connection = this->CoordinatorOf(aCell)) {
+      this->SendGangReport(*connection);
+    }
+  }
+
+  void SendGangReport(ConnectionId aConnection)
+  {
+    if (this->gangServer) {
+      this->node.Send(aConnection,
+                      protocol::GangReport{ this->target.zone,
+                                            this->gangServer->HeldGangs() });
+    }
+  }
+
+  void SetLiveness(ConnectionId aConnection,
+                   std::chrono::milliseconds aInterval)
+  {
+    if (aInterval > 0ms && aInterval != this->heartbeatInterval) {
+      this->heartbeatInterval = aInterval;
+    }
+    this->node.SetLiveness(aConnection,
+                           this->heartbeatInterval,
+                           kSilentIntervals * this->heartbeatInterval);
+  }
+
+  void OnTick()
+  {
+    if (this->requestServer) {
+      this->requestServer->OnTick();
+    }
+    if (this->gangServer) {
+      this->gangServer->OnTick();
+    }
+    const auto now = this->clock.Now();
+    if (now >= this->nextHeartbeat) {
+      this->nextHeartbeat = now + this->heartbeatInterval;
+      this->links->SendToAll(this->MakeHeartbeat());
+    }
+    if (this->isDraining && this->IsIdle()) {
+      this->ReportIdle();
+    }
+  }
+
+  protocol::Heartbeat MakeHeartbeat() const
+  {
+    protocol::Heartbeat beat;
+    beat.noteOffset = this->NoteOffset();
+    beat.isDraining = this->isDraining;
+    if (this->requestServer) {
+      beat.inFlight = this->requestServer->InFlight();
+      beat.queued = this->requestServer->Queued();
+    } else {
+      beat.inFlight = this->gangServer->GangCount();
+    }
+    return beat;
+  }
+
+  void SendHeartbeat(ConnectionId aConnection)
+  {
+    this->node.Send(aConnection, this->MakeHeartbeat());
+  }
+
+  void Drain()
+  {
+    if (std::exchange(this->isDraining, true)) {
+      return;
+    }
+    if (this->requestServer) {
+      this->requestServer->Drain();
+    }
+    if (this->gangServer) {
+      this->gangServer->Drain();
+      this->gangServer->HandOver();
+    }
+    this->links->SendToAll(this->MakeHeartbeat());
+    // Entries may have sent requests before the heartbeat reached them.
+    this->idleNotBefore = this->clock.Now() + this->heartbeatInterval;
+  }
+
+  bool IsIdle() const
+  {
+    if (this->clock.Now() < this->idleNotBefore) {
+      return false;
+    }
+    // The tasks of gangs stay on the worker for the next daemon.
+    return !this->requestServer || this->requestServer->IsIdle();
+  }
+
+  void ReportIdle()
+  {
+    std::lock_guard lock(this->idleMutex);
+    this->isIdle = true;
+    this->idleChanged.notify_all();
+  }
+
+  void WaitUntilIdle()
+  {
+    std::unique_lock lock(this->idleMutex);
+    this->idleChanged.wait_for(
+      lock, kDrainLimit, [this] { return this->isIdle; });
+  }
+
+  void StopNow()
+  {
+    if (std::exchange(this->isStopped, true)) {
+      return;
+    }
+    if (this->links) {
+      this->links->Stop();
+    }
+    this->node.Stop();
+    this->loop.Stop();
+    this->pool.Stop();
+  }
+
+  settings::TargetSettings settings;
+  const base::Clock& clock;
+  telemetry::Logger logger;
+  fleet::Target target;
+  net::IoPool pool;
+  protocol::Node node;
+  base::EventLoop loop;
+  std::unique_ptr<peering::EntryLinks> links;
+  std::unique_ptr<ExecutorClient> executor;
+  std::unique_ptr<WorkerClient> worker;
+  std::unique_ptr<RequestServer> requestServer;
+  std::unique_ptr<GangServer> gangServer;
+  std::atomic<std::uint64_t> noteOffset{ 0 };
+  std::map<base::ZoneId, protocol::CellInfo> cells;
+  std::size_t nextEntry = 0;
+  std::chrono::milliseconds heartbeatInterval = kFirstHeartbeatInterval;
+  base::TimePoint nextHeartbeat{};
+  bool isDraining = false;
+  base::TimePoint idleNotBefore{};
+  bool isStopped = false;
+  std::mutex idleMutex;
+  std::condition_variable idleChanged;
+  bool isIdle = false;
+};
+
+TargetDaemon::TargetDaemon(settings::TargetSettings aSettings,
+                           const base::Clock& aClock,
+                           telemetry::LogSink& aSink)
+  : impl(std::make_unique<Impl>(std::move(aSettings), aClock, aSink))
+{
+}
+
+TargetDaemon::~TargetDaemon() = default;
+
+base::Result<TargetAddresses>
+TargetDaemon::Start()
+{
+  return this->impl->Start();
+}
+
+void
+TargetDaemon::Stop()
+{
+  this->impl->Stop();
+}
+
+} // namespace amaranthwind::target
--- a/libs/target/tests/HttpWorkerClientTest.cpp
+++ b/libs/target/tests/HttpWorkerClientTest.cpp
@@ -56,12 +56,13 @@
 TEST_CASE("a task is started, listed, renewed and stopped")
 {
   Fixture fixture;
-  const TaskSpec task{ "job.1.0", 8, std::string(kLongRun), 1h };
+  const TaskSpec task{ "job.1.0", 8, std::string(kLongRun), "label", 1h };
   REQUIRE(fixture.Start(task).has_value());
   REQUIRE(fixture.List().size() == 1);
   CHECK(fixture.List()[0].id == task.id);
   CHECK(fixture.List()[0].state == TaskState::Running);
   CHECK(fixture.List()[0].accelerators == 8);
+  CHECK(fixture.List()[0].label == "label");
 
   std::promise<bool> renewed;
   fixture.client.Renew(
@@ -80,8 +81,10 @@
 TEST_CASE("a worker without room refuses with a typed error")
 {
   Fixture fixture;
-  REQUIRE(fixture.Start({ "a", 5, std::string(kLongRun), 1h }).has_value());
-  const auto refused = fixture.Start({ "b", 4, std::string(kLongRun), 1h });
+  REQUIRE(
+    fixture.Start({ "a", 5, std::string(kLongRun), "label", 1h }).has_value());
+  const auto refused =
+    fixture.Start({ "b", 4, std::string(kLongRun), "label", 1h });
   REQUIRE(refused.has_error());
   CHECK(refused.error().code == base::ErrorCode::TargetFailed);
   CHECK(refused.error().subject == "worker status 409");
--- a/tests/standins/WorkerService.cpp
+++ b/tests/standins/WorkerService.cpp
@@ -93,6 +93,9 @@
     return MakeResponse(409);
   }
   task.payload = payload->get_string();
+  if (const auto* label = object.if_contains("label")) {
+    task.label = label->as_string();
+  }
   const auto parameters = ParseObject(task.payload);
   const auto* fails = parameters.if_contains("fail");
   task.fails = fails != nullptr && fails->is_bool() && fails->get_bool();
@@ -137,7 +140,8 @@
     list.push_back(json::object{ { "task", id },
                                  { "state", task.state },
                                  { "accelerators", task.accelerators },
-                                 { "payload", task.payload } });
+                                 { "payload", task.payload },
+                                 { "label", task.label } });
   }
   return MakeResponse(200, list);
 }
--- a/tests/standins/WorkerService.h
+++ b/tests/standins/WorkerService.h
@@ -13,11 +13,11 @@
 /**
  * Stand-in for a worker, which runs tasks under leases.
  *
- * POST /tasks {"task", "accelerators", "leaseMs", "payload"} starts a task; it
- * runs for {"runMs": N} of its payload, and fails if that has "fail": true.
- * POST /tasks/<task>/renew {"leaseMs"}, POST /tasks/<task>/stop, GET /tasks
- * lists {"task", "state", "accelerators", "payload"}, where the state is
- * "running", "succeeded", "failed", "stopped" or "expired".
+ * POST /tasks {"task", "accelerators", "leaseMs", "payload", "label"} starts a
+ * task; it runs for {"runMs": N} of its payload, and fails if that has "fail":
+ * true. POST /tasks/<task>/renew {"leaseMs"}, POST /tasks/<task>/stop, GET
+ * /tasks lists {"task", "state", "accelerators", "payload", "label"}, where the
+ * state is "running", "succeeded", "failed", "stopped" or "expired".
  */
 class WorkerService final : public frontend::HttpHandler
 {
@@ -35,6 +35,7 @@
     std::string state = "running";
     std::uint32_t accelerators = 0;
     std::string payload;
+    std::string label;
     bool fails = false;
     Clock::time_point end;
     Clock::time_point leaseEnd;
