Add the benchmark of decision cost

The goals are 50 us median on 11 workers and 2 ms p99 for a gang of 256 on 24,000 workers with 31,000 accelerators.

--- /dev/null
+++ b/libs/scheduling/benchmark/DecisionBenchmark.cpp
@@ -0,0 +1,164 @@
+#include "amaranthwind/base/ManualClock.h"
+#include "amaranthwind/base/Random.h"
+#include "amaranthwind/scheduling/CellScheduler.h"
+
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+// Cost of one decision: the call that starts a gang on a loaded cell.
+
+namespace {
+
+using namespace amaranthwind;
+using namespace amaranthwind::scheduling;
+
+/** A cell that is loaded to about four fifths, with guarantees for a third. */
+class LoadedCell
+{
+public:
+  /** One worker in 24 has 8 accelerators, the others 1, so that 24,000 workers
+   * have 31,000; a small cell has 8 on each. */
+  LoadedCell(int aWorkers, int aPerRack, bool aIsMixed)
+    : random(1)
+    , scheduler(MakeSettings())
+  {
+    std::uint32_t accelerators = 0;
+    for (int worker = 0; worker < aWorkers; ++worker) {
+      fleet::Target target;
+      target.id = base::TargetId("worker-" + std::to_string(worker));
+      target.kind = fleet::TargetKind::Worker;
+      target.zone = base::ZoneId("z");
+      target.rack = base::RackId("rack-" + std::to_string(worker / aPerRack));
+      target.resources = { !aIsMixed || worker % 24 == 0 ? 8U : 1U,
+                           64,
+                           262144 };
+      target.address = "10.0.0.1:7000";
+      accelerators += target.resources.accelerators;
+      this->Send(WorkerJoined{ target });
+    }
+    PolicyChanged change;
+    const std::uint32_t teams = aIsMixed ? 150 : 4;
+    for (std::uint32_t team = 0; team < teams; ++team) {
+      policy::Account account;
+      account.id = base::AccountId("team-" + std::to_string(team));
+      account.guarantees.push_back(
+        { base::ZoneId("z"),
+          std::max(1U, accelerators / (3 * teams)),
+          { 1, { 1, 4, 1024 }, fleet::Adjacency::SameZone } });
+      change.accounts.push_back(account);
+    }
+    this->Send(change);
+    for (std::uint32_t used = 0; used < accelerators * 4 / 5;) {
+      const std::uint32_t members = this->Draw(1, aIsMixed ? 16 : 4);
+      this->Submit(members, 1, teams);
+      used += members;
+    }
+  }
+
+  std::uint32_t Draw(std::uint32_t aLow, std::uint32_t aHigh)
+  {
+    return std::uniform_int_distribution<std::uint32_t>(aLow,
+                                                        aHigh)(this->random);
+  }
+
+  base::JobId Submit(std::uint32_t aMembers,
+                     std::uint32_t aAccelerators,
+                     std::uint32_t aTeams)
+  {
+    job::JobSpec spec;
+    spec.id = base::JobId("job-" + std::to_string(this->names++));
+    spec.account =
+      base::AccountId("team-" + std::to_string(this->Draw(0, aTeams - 1)));
+    spec.kind = base::WorkKindId("study");
+    spec.zone = base::ZoneId("z");
+    spec.shape = { aMembers,
+                   { aAccelerators, 1, 1024 },
+                   fleet::Adjacency::SameZone };
+    spec.declaredRunTime = std::chrono::hours(1);
+    spec.maxRuns = 5;
+    spec.isPreemptible = true;
+    this->Send(JobSubmitted{ spec, 1 });
+    return spec.id;
+  }
+
+  void End(const base::JobId& aJob)
+  {
+    this->Send(
+      GangEnded{ { aJob, base::Attempt(1) }, AttemptOutcome::Succeeded, {} });
+  }
+
+  void Send(const Event& aEvent)
+  {
+    this->effects.clear();
+    this->scheduler.Handle(this->clock.Now(), aEvent, this->effects);
+  }
+
+  std::vector<Effect> effects;
+
+private:
+  static SchedulerSettings MakeSettings()
+  {
+    SchedulerSettings settings;
+    settings.zone = base::ZoneId("z");
+    return settings;
+  }
+
+  base::RandomEngine random;
+  base::ManualClock clock;
+  CellScheduler scheduler;
+  std::uint64_t names = 0;
+};
+
+void
+Decide(benchmark::State& aState,
+       int aWorkers,
+       int aPerRack,
+       bool aIsMixed,
+       std::uint32_t aMembers)
+{
+  LoadedCell cell(aWorkers, aPerRack, aIsMixed);
+  std::vector<double> times;
+  std::int64_t started = 0;
+  for (auto _ : aState) {
+    const auto before = std::chrono::steady_clock::now();
+    const base::JobId job = cell.Submit(aMembers, 1, aIsMixed ? 150 : 4);
+    const std::chrono::duration<double> time =
+      std::chrono::steady_clock::now() - before;
+    aState.SetIterationTime(time.count());
+    times.push_back(time.count() * 1e6);
+    started += std::any_of(
+      cell.effects.begin(), cell.effects.end(), [](const Effect& aEffect) {
+        return std::holds_alternative<StartGang>(aEffect);
+      });
+    cell.End(job);
+  }
+  std::sort(times.begin(), times.end());
+  aState.counters["median_us"] = times[times.size() / 2];
+  aState.counters["p99_us"] = times[times.size() * 99 / 100];
+  aState.counters["started"] =
+    static_cast<double>(started) / static_cast<double>(times.size());
+}
+
+void
+SmallCell(benchmark::State& aState)
+{
+  Decide(aState, 11, 3, false, 2);
+}
+
+void
+LargeGang(benchmark::State& aState)
+{
+  Decide(aState, static_cast<int>(aState.range(0)), 10, true, 256);
+}
+
+BENCHMARK(SmallCell)->UseManualTime()->Iterations(20000);
+BENCHMARK(LargeGang)->UseManualTime()->Arg(2400)->Arg(24000)->Iterations(2000);
+
+} // namespace
+
+BENCHMARK_MAIN();
