--- /dev/null
+++ b/libs/membership/tests/CoordinatorElectionTest.cpp
@@ -0,0 +1,334 @@
+#include "amaranthwind/membership/CoordinatorElection.h"
+
+#include "amaranthwind/base/ManualClock.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+using namespace amaranthwind;
+using namespace amaranthwind::membership;
+using namespace std::chrono_literals;
+using base::EntryId;
+
+namespace {
+
+const base::ZoneId kZone("z1");
+
+/** Entries that coordinate one cell over a log of epochs, on a manual clock. */
+struct Cell
+{
+  struct Node
+  {
+    EntryId id;
+    CoordinatorElection election;
+    std::size_t read = 0;
+    bool isAlive = true;
+    bool isPaused = false;
+    bool isReading = true;
+    std::vector<StopReason> stops{};
+  };
+
+  base::ManualClock clock;
+  std::vector<EntryId> epochs;
+  std::deque<Node> nodes;
+  bool isLogDown = false;
+  /** Appends take effect, but no entry hears of it. */
+  bool areAnswersLost = false;
+  std::size_t appendCalls = 0;
+
+  explicit Cell(std::size_t aCount)
+  {
+    std::vector<EntryId> ids;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      ids.emplace_back("e" + std::to_string(i));
+    }
+    for (const EntryId& id : RendezvousOrder(kZone, ids)) {
+      this->nodes.push_back(
+        { id, CoordinatorElection(kZone, id, this->clock.Now()) });
+    }
+    this->TellEntries();
+  }
+
+  /** What membership would say: everyone who is alive or only paused. */
+  void TellEntries()
+  {
+    std::vector<EntryId> live;
+    for (const Node& node : this->nodes) {
+      if (node.isAlive && !node.isPaused) {
+        live.push_back(node.id);
+      }
+    }
+    for (Node& node : this->nodes) {
+      if (node.isAlive && !node.isPaused) {
+        this->Do(node, node.election.OnEntries(live, this->clock.Now()));
+      }
+    }
+  }
+
+  void Do(Node& aNode, const ElectionEffects& aEffects)
+  {
+    for (const ElectionEffect& effect : aEffects) {
+      if (const auto* const stop = std::get_if<StopActing>(&effect)) {
+        aNode.stops.push_back(stop->reason);
+      } else if (std::holds_alternative<AppendEpoch>(effect)) {
+        this->Append(aNode);
+      }
+    }
+  }
+
+  void Append(Node& aNode)
+  {
+    ++this->appendCalls;
+    base::Result<base::FencingToken> result =
+      base::Fail(base::ErrorCode::LogUnavailable);
+    if (!this->isLogDown) {
+      this->epochs.push_back(aNode.id);
+      result = base::FencingToken(this->epochs.size() - 1);
+      if (this->areAnswersLost) {
+        result = base::Fail(base::ErrorCode::AppendUnconfirmed);
+      }
+    }
+    this->Do(aNode, aNode.election.OnEpochAppended(result, this->clock.Now()));
+  }
+
+  void Read(Node& aNode)
+  {
+    if (this->isLogDown || !aNode.isReading) {
+      return;
+    }
+    while (aNode.read < this->epochs.size()) {
+      const std::size_t at = aNode.read++;
+      this->Do(aNode,
+               aNode.election.OnEpoch(
+                 base::FencingToken(at), this->epochs[at], this->clock.Now()));
+    }
+    this->Do(aNode, aNode.election.OnCaughtUp(this->clock.Now()));
+  }
+
+  void Pass(base::Duration aTime)
+  {
+    for (base::Duration passed{}; passed < aTime; passed += 250ms) {
+      this->clock.Advance(250ms);
+      for (Node& node : this->nodes) {
+        if (node.isAlive && !node.isPaused) {
+          this->Read(node);
+          this->Do(node, node.election.OnTick(this->clock.Now()));
+        }
+      }
+    }
+  }
+
+  /** Entries that believe to coordinate, by their place in the order. */
+  std::vector<std::size_t> Acting() const
+  {
+    std::vector<std::size_t> acting;
+    for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+      if (this->nodes[i].isAlive && this->nodes[i].election.IsActing()) {
+        acting.push_back(i);
+      }
+    }
+    return acting;
+  }
+};
+
+/** A cell in which the first in order coordinates. */
+struct SettledCell : Cell
+{
+  explicit SettledCell(std::size_t aCount)
+    : Cell(aCount)
+  {
+    this->Pass(4s);
+    REQUIRE(this->Acting() == std::vector<std::size_t>{ 0 });
+    REQUIRE(this->epochs.size() == 1);
+  }
+};
+
+using Places = std::vector<std::size_t>;
+
+} // namespace
+
+// Guards against cells that all land on one entry, and against an order that
+// two entries see differently.
+TEST_CASE("the rendezvous order spreads cells and ignores the order of input")
+{
+  const std::vector<EntryId> ids{ EntryId("e0"), EntryId("e1"), EntryId("e2") };
+  const std::vector<EntryId> reversed(ids.rbegin(), ids.rend());
+  std::set<EntryId> first;
+  for (int i = 0; i < 20; ++i) {
+    const base::ZoneId zone("z" + std::to_string(i));
+    CHECK(RendezvousOrder(zone, ids) == RendezvousOrder(zone, reversed));
+    first.insert(RendezvousOrder(zone, ids).front());
+  }
+  CHECK(first.size() == 3);
+}
+
+// Guards against a cell without a coordinator after a crash, and against a
+// needless race of all entries.
+TEST_CASE("the next in order takes over 3 s after the coordinator is gone")
+{
+  SettledCell cell(4);
+  cell.nodes[0].isAlive = false;
+  cell.TellEntries();
+  cell.Pass(2750ms);
+  CHECK(cell.Acting().empty());
+  cell.Pass(500ms);
+  CHECK(cell.Acting() == Places{ 1 });
+  cell.Pass(1min);
+  CHECK(cell.epochs.size() == 2);
+}
+
+// Guards against a planned stop that leaves the cell idle for 3 s.
+TEST_CASE("an announced hand-over is taken over at once")
+{
+  SettledCell cell(3);
+  Cell::Node& leaving = cell.nodes[0];
+  cell.Do(leaving, leaving.election.HandOver(cell.clock.Now()));
+  CHECK(leaving.stops == std::vector{ StopReason::HandedOver });
+  CHECK(leaving.election.Successor() == cell.nodes[1].id);
+  // A hand-over under an older token, or by another, changes nothing.
+  Cell::Node& next = cell.nodes[1];
+  cell.Do(next,
+          next.election.OnHandOver(
+            leaving.id, base::FencingToken(7), cell.clock.Now()));
+  cell.Do(next,
+          next.election.OnHandOver(
+            cell.nodes[2].id, base::FencingToken(0), cell.clock.Now()));
+  CHECK(cell.epochs.size() == 1);
+  cell.Do(next,
+          next.election.OnHandOver(
+            leaving.id, base::FencingToken(0), cell.clock.Now()));
+  CHECK(cell.epochs.size() == 2);
+  cell.Pass(250ms);
+  CHECK(cell.Acting() == Places{ 1 });
+  cell.Pass(1min);
+  CHECK(cell.Acting() == Places{ 1 });
+}
+
+// Guards against a coordinator that gives up, or is replaced, during hours
+// without a log, and against appends that flood the log when it returns.
+TEST_CASE("an outage of the log leaves the coordinator its role")
+{
+  SettledCell cell(3);
+  cell.isLogDown = true;
+  cell.Pass(5h);
+  CHECK(cell.Acting() == Places{ 0 });
+  CHECK(cell.appendCalls == 1);
+
+  cell.nodes[0].isAlive = false;
+  cell.TellEntries();
+  cell.Pass(1h);
+  CHECK(cell.Acting().empty());
+  // Two entries try once per second.
+  CHECK(cell.appendCalls <= 2 * 3600);
+  cell.isLogDown = false;
+  cell.Pass(3s);
+  CHECK(cell.Acting().size() == 1);
+  CHECK(cell.epochs.size() <= 3);
+}
+
+// Guards against two coordinators after a pause: the former one finds the newer
+// epoch in the log, or is refused by a target first.
+TEST_CASE("a coordinator that was paused stops acting")
+{
+  for (const bool isTargetFirst : { false, true }) {
+    CAPTURE(isTargetFirst);
+    SettledCell cell(3);
+    cell.nodes[0].isPaused = true;
+    cell.TellEntries();
+    cell.Pass(1h);
+    CHECK(cell.Acting() == Places{ 0, 1 });
+    cell.nodes[0].isPaused = false;
+    Cell::Node& former = cell.nodes[0];
+    if (isTargetFirst) {
+      cell.Do(
+        former,
+        former.election.OnStaleToken(base::FencingToken(0), cell.clock.Now()));
+    } else {
+      former.isReading = false;
+      cell.Do(former, former.election.OnTick(cell.clock.Now()));
+    }
+    CHECK(former.stops == std::vector{ isTargetFirst ? StopReason::StaleToken
+                                                     : StopReason::Paused });
+    former.isReading = true;
+    cell.TellEntries();
+    cell.Pass(1min);
+    CHECK(cell.Acting() == Places{ 1 });
+    CHECK(cell.epochs.size() == 2);
+  }
+}
+
+// Guards against a coordinator that was only slow and never acts again.
+TEST_CASE("a paused coordinator that nobody replaced goes on")
+{
+  SettledCell cell(1);
+  cell.clock.Advance(1h);
+  cell.Pass(500ms);
+  CHECK(cell.nodes[0].stops == std::vector{ StopReason::Paused });
+  CHECK(cell.Acting() == Places{ 0 });
+  CHECK(cell.epochs.size() == 1);
+}
+
+// Guards against a race that leaves two coordinators, or none.
+TEST_CASE("of two that race the one with the newer epoch stays")
+{
+  SettledCell cell(3);
+  cell.nodes[0].isAlive = false;
+  cell.TellEntries();
+  // The second does not read, so that it does not see the first's epoch.
+  cell.nodes[2].isReading = false;
+  cell.Pass(4s);
+  CHECK(cell.epochs.size() == 3);
+  cell.nodes[2].isReading = true;
+  cell.Pass(500ms);
+  CHECK(cell.Acting() == Places{ 2 });
+  CHECK(cell.nodes[1].stops == std::vector{ StopReason::NewerEpoch });
+  cell.Pass(1min);
+  CHECK(cell.epochs.size() == 3);
+}
+
+// Guards against a cell that stays without a coordinator, because the entry
+// that the log names runs as a new process, or does not know that it is named.
+TEST_CASE("an entry that the log names without its knowledge takes over again")
+{
+  SettledCell cell(2);
+  Cell::Node& node = cell.nodes[0];
+  SUBCASE("restarted under the same id")
+  {
+    node.election = CoordinatorElection(kZone, node.id, cell.clock.Now());
+    node.read = 0;
+    cell.TellEntries();
+    cell.Pass(500ms);
+  }
+  SUBCASE("answer to the append lost")
+  {
+    node.isAlive = false;
+    cell.areAnswersLost = true;
+    cell.TellEntries();
+    cell.Pass(4s);
+    CHECK(cell.Acting().empty());
+    cell.areAnswersLost = false;
+    cell.Pass(5s);
+  }
+  CHECK(cell.Acting().size() == 1);
+}
+
+// Guards against a takeover from a coordinator that is well, by an entry that
+// started after the epoch record had expired.
+TEST_CASE("a peer names the coordinator when its epoch record has expired")
+{
+  base::ManualClock clock;
+  CoordinatorElection election(kZone, EntryId("e1"), clock.Now());
+  const std::vector<EntryId> live{ EntryId("e1"), EntryId("e2") };
+  election.OnEntries(live, clock.Now());
+  election.OnEpoch(base::FencingToken(7), EntryId(), clock.Now());
+  election.OnCaughtUp(clock.Now());
+  election.OnCoordinatorTold(base::FencingToken(7), EntryId("e2"), clock.Now());
+  for (int i = 0; i < 100; ++i) {
+    clock.Advance(250ms);
+    CHECK(election.OnTick(clock.Now()).empty());
+  }
+  CHECK(election.Coordinator() == EntryId("e2"));
+}
