Date a gang peer's presence by echoes, not by arrivals

Cause: a delayed heartbeat, or one read after a pause, looked like a sign of life, so that the time until a gang stops grew with the network's delays.

Change: a heartbeat echoes the newest sequence heard from its receiver. The receiver takes the time at which it sent that sequence as the proof, and task leases end when the proof is too old. AdoptTask says what is left of the lease.

--- a/libs/gang/include/amaranthwind/gang/GangMember.h
+++ b/libs/gang/include/amaranthwind/gang/GangMember.h
@@ -22,9 +22,10 @@
   base::Duration queryInterval = std::chrono::seconds(2);
   base::Duration heartbeatInterval = std::chrono::milliseconds(500);
   /**
-   * Silence after which a peer is lost. A loss may have to be found twice, by
-   * the first rank and then by a member that misses its StopGang. Twice this
-   * time plus network delay stays below the 5 s in which a gang stops.
+   * A peer is lost when the newest proof of its presence is older than this;
+   * task leases end then, too. A loss may have to be found twice, by the first
+   * rank and then by a member that misses its StopGang, so that a gang stops
+   * within twice this time, whatever the network delays. The limit is 5 s.
    */
   base::Duration silenceTimeout = std::chrono::seconds(2);
   /** From Commit until all tasks must run. */
@@ -63,6 +64,8 @@
   base::ZoneId cell;
   std::shared_ptr<const job::GangPlan> plan;
   Rank rank = 0;
+  /** What is left of the lease that the daemon before renewed. */
+  base::Duration leaseLeft{};
 };
 
 /** No new promises from now on. */
--- a/libs/gang/include/amaranthwind/gang/Messages.h
+++ b/libs/gang/include/amaranthwind/gang/Messages.h
@@ -201,11 +201,20 @@
 {
   AttemptKey key;
   Rank rank = 0;
-  /** Grows with each message of one daemon; older ones are out of date. */
+  /**
+   * The sender's monotonic time in ticks, made to grow with each message. A
+   * message with a lower one than the last is out of date.
+   */
   std::uint64_t sequence = 0;
+  /**
+   * The newest sequence that the sender has heard from the receiver; 0: none.
+   * It proves that the sender was there after the receiver sent that message.
+   * The arrival of this message alone proves nothing, as it may be delayed.
+   */
+  std::uint64_t echo = 0;
   MemberPhase phase = MemberPhase::Promised;
   MemberResult result = MemberResult::None;
-  /** The next message follows within this time, or the sender is lost. */
+  /** The sender is lost when its newest proof is older than this. */
   base::Duration allowance{};
 };
 
--- a/libs/gang/src/GangMember.cpp
+++ b/libs/gang/src/GangMember.cpp
@@ -16,25 +16,30 @@
 /** An ended member repeats its result to the first rank for this long. */
 constexpr base::Duration kResultRepeatTime = std::chrono::seconds(10);
 
-/** Proves that messages from a peer still arrive. */
+/** When a peer was there for certain. */
 struct Contact
 {
-  base::TimePoint lastHeard;
+  base::TimePoint provenAt;
   base::Duration allowance{};
   std::uint64_t sequence = 0;
 
-  base::TimePoint LossTime() const { return this->lastHeard + this->allowance; }
+  base::TimePoint LossTime() const { return this->provenAt + this->allowance; }
 
   bool IsLost(base::TimePoint aNow) const { return aNow >= this->LossTime(); }
 
-  /** False for a message that is older than one heard before. */
+  /** True if the message proves more than the ones before. */
   bool Hear(base::TimePoint aNow, const MemberAlive& aMessage)
   {
     if (aMessage.sequence <= this->sequence) {
       return false;
     }
     this->sequence = aMessage.sequence;
-    this->lastHeard = aNow;
+    if (aMessage.echo == 0) {
+      return false;
+    }
+    const base::TimePoint echoed{ base::Duration(
+      static_cast<base::Duration::rep>(aMessage.echo)) };
+    this->provenAt = std::max(this->provenAt, std::min(echoed, aNow));
     this->allowance = aMessage.allowance;
     return true;
   }
@@ -45,7 +50,8 @@
 {
   MemberPhase phase = MemberPhase::Promised;
   MemberResult result = MemberResult::None;
-  bool isHeard = false;
+  /** Whether its silence counts; until then the start timeout does. */
+  bool isWatched = false;
   Contact contact;
 };
 
@@ -302,7 +308,9 @@
     } else if (record->IsOver() && aEvent.fence) {
       this->RepeatReport(*record);
     } else if (record->IsOver()) {
-      this->SendAlive(*record, this->settings.silenceTimeout);
+      if (record->first == nullptr) {
+        this->SendAlive(*record, this->settings.silenceTimeout);
+      }
     } else {
       record->mustReportToCoordinator =
         record->mustReportToCoordinator || aEvent.fence.has_value();
@@ -346,7 +354,7 @@
     if (record != nullptr && record->first == nullptr) {
       // A Release proves the commit.
       this->Step(*record, MemberStep::CommitSeen);
-      this->Step(*record, MemberStep::ReleaseSeen);
+      this->BeReleased(*record);
     }
   }
 
@@ -357,21 +365,21 @@
       if (record != nullptr && record->first != nullptr &&
           aEvent.rank < record->first->peers.size()) {
         Peer& peer = record->first->peers[aEvent.rank];
-        peer.isHeard = peer.contact.Hear(this->now, aEvent) || peer.isHeard;
+        peer.isWatched = peer.contact.Hear(this->now, aEvent) || peer.isWatched;
       }
       this->HearMember(aEvent.key, aEvent.rank, aEvent.phase, aEvent.result);
       return;
     }
-    if (record == nullptr || record->first != nullptr ||
-        !record->firstRank.Hear(this->now, aEvent)) {
+    if (record == nullptr || record->first != nullptr) {
       return;
     }
+    record->firstRank.Hear(this->now, aEvent);
     // The first rank sends this only after it has committed itself, and its
     // own task only starts after Release.
     this->Step(*record, MemberStep::CommitSeen);
     if (aEvent.phase == MemberPhase::Starting ||
         aEvent.phase == MemberPhase::Running) {
-      this->Step(*record, MemberStep::ReleaseSeen);
+      this->BeReleased(*record);
     }
   }
 
@@ -406,13 +414,14 @@
       return;
     }
     Record& record = this->Add(key, aEvent.cell, aEvent.plan, aEvent.rank);
-    record.firstRank.lastHeard = this->now;
-    record.firstRank.allowance = this->settings.silenceTimeout;
+    record.firstRank.provenAt = this->now;
+    record.firstRank.allowance = aEvent.leaseLeft;
     if (record.first != nullptr) {
+      record.first->report.wasReleased = true;
       for (Peer& peer : record.first->peers) {
-        peer.isHeard = true;
-        peer.contact.lastHeard = this->now;
-        peer.contact.allowance = this->settings.silenceTimeout;
+        peer.isWatched = true;
+        peer.contact.provenAt = this->now;
+        peer.contact.allowance = aEvent.leaseLeft;
       }
       Actions actions(*this, record);
       record.first->life.Process(FirstRankStep::TaskFound, actions);
@@ -498,8 +507,7 @@
     }
     if (aRecord.first == nullptr && phase > MemberPhase::Promised &&
         phase < MemberPhase::Stopping && aRecord.firstRank.IsLost(this->now)) {
-      aRecord.mustReportToCoordinator = true;
-      this->StopSelf(aRecord, StopReason::FirstRankLost, {});
+      this->LoseFirstRank(aRecord);
     }
     if (phase == MemberPhase::Stopping && this->now >= aRecord.nextStopTask) {
       aRecord.grace = {};
@@ -542,7 +550,7 @@
     first.nextLoss.reset();
     for (Rank rank = 1; rank < first.peers.size(); ++rank) {
       const Peer& peer = first.peers[rank];
-      if (!peer.isHeard || peer.phase == MemberPhase::Ended) {
+      if (!peer.isWatched || peer.phase == MemberPhase::Ended) {
         continue;
       }
       if (peer.contact.IsLost(this->now)) {
@@ -585,7 +593,7 @@
     if (aRecord.HasTask() && (aRecord.life.Phase() != MemberPhase::Stopping ||
                               aRecord.grace > base::Duration::zero())) {
       this->effects->emplace_back(
-        RenewLease{ aRecord.key, this->settings.silenceTimeout });
+        RenewLease{ aRecord.key, this->LeaseLeft(aRecord) });
     }
     if (aRecord.first != nullptr &&
         aRecord.first->life.Phase() == FirstRankPhase::Stopping) {
@@ -631,7 +639,7 @@
   void SendCommitted(Record& aRecord)
   {
     aRecord.nextHeartbeat = this->now;
-    aRecord.firstRank.lastHeard = this->now;
+    aRecord.firstRank.provenAt = this->now;
     aRecord.firstRank.allowance = this->settings.silenceTimeout;
     if (aRecord.first != nullptr) {
       aRecord.first->deadline = this->now + this->settings.startTimeout;
@@ -643,7 +651,44 @@
   void StartTask(Record& aRecord)
   {
     this->effects->emplace_back(gang::StartTask{
-      aRecord.key, aRecord.rank, aRecord.plan, this->settings.silenceTimeout });
+      aRecord.key, aRecord.rank, aRecord.plan, this->LeaseLeft(aRecord) });
+  }
+
+  /**
+   * Until the first peer would be lost if all stayed silent; for a task that
+   * writes its checkpoint, until it is killed.
+   */
+  base::Duration LeaseLeft(const Record& aRecord) const
+  {
+    if (aRecord.life.Phase() == MemberPhase::Stopping) {
+      return aRecord.nextStopTask - this->now;
+    }
+    if (aRecord.first == nullptr) {
+      return aRecord.firstRank.LossTime() - this->now;
+    }
+    base::Duration left = this->settings.silenceTimeout;
+    for (const Peer& peer : aRecord.first->peers) {
+      if (peer.isWatched && peer.phase != MemberPhase::Ended) {
+        left = std::min(left, peer.contact.LossTime() - this->now);
+      }
+    }
+    return left;
+  }
+
+  void BeReleased(Record& aRecord)
+  {
+    if (aRecord.life.Phase() == MemberPhase::Committed &&
+        aRecord.firstRank.IsLost(this->now)) {
+      this->LoseFirstRank(aRecord);
+    } else {
+      this->Step(aRecord, MemberStep::ReleaseSeen);
+    }
+  }
+
+  void LoseFirstRank(Record& aRecord)
+  {
+    aRecord.mustReportToCoordinator = true;
+    this->StopSelf(aRecord, StopReason::FirstRankLost, {});
   }
 
   void StopTask(Record& aRecord)
@@ -702,6 +747,12 @@
     first.report.wasReleased = true;
     first.deadline = this->now + this->settings.releaseTimeout;
     for (Rank rank = 1; rank < first.peers.size(); ++rank) {
+      Peer& peer = first.peers[rank];
+      if (!peer.isWatched) {
+        peer.isWatched = true;
+        peer.contact.provenAt = this->now;
+        peer.contact.allowance = this->settings.silenceTimeout;
+      }
       this->PostToPeer(aRecord, rank, Release{ aRecord.key });
     }
   }
@@ -888,15 +939,22 @@
       static_cast<std::uint64_t>(this->now.time_since_epoch().count());
     // Grows also over a restart of the daemon, as the clock of the VM does.
     this->sequence = std::max(this->sequence + 1, time);
-    const MemberAlive alive{ aRecord.key,    aRecord.rank,
-                             this->sequence, aRecord.life.Phase(),
-                             aRecord.result, aAllowance };
+    MemberAlive alive;
+    alive.key = aRecord.key;
+    alive.rank = aRecord.rank;
+    alive.sequence = this->sequence;
+    alive.phase = aRecord.life.Phase();
+    alive.result = aRecord.result;
+    alive.allowance = aAllowance;
     if (aRecord.first == nullptr) {
+      alive.echo = aRecord.firstRank.sequence;
       this->PostToPeer(aRecord, 0, alive);
       return;
     }
     for (Rank rank = 1; rank < aRecord.first->peers.size(); ++rank) {
-      if (aRecord.first->peers[rank].phase != MemberPhase::Ended) {
+      const Peer& peer = aRecord.first->peers[rank];
+      if (peer.phase != MemberPhase::Ended) {
+        alive.echo = peer.contact.sequence;
         this->PostToPeer(aRecord, rank, alive);
       }
     }
--- a/libs/gang/tests/GangMemberTest.cpp
+++ b/libs/gang/tests/GangMemberTest.cpp
@@ -60,7 +60,10 @@
 
   MemberAlive Alive(Rank aFrom, MemberPhase aPhase)
   {
-    return { this->Key(),        aFrom, ++this->sequence, aPhase,
+    // As if it answered a message sent just now.
+    const auto echo =
+      static_cast<std::uint64_t>(this->now.time_since_epoch().count());
+    return { this->Key(),        aFrom, ++this->sequence, echo, aPhase,
              MemberResult::None, 2s };
   }
 
@@ -224,7 +227,7 @@
 
   GangMember successor(WorkerId(1), { 8, 64, 1024 });
   const auto adopted =
-    successor.Handle(bench.now, AdoptTask{ kFence.cell, bench.plan, 1 });
+    successor.Handle(bench.now, AdoptTask{ kFence.cell, bench.plan, 1, 4s });
   REQUIRE(Find<MemberAlive>(adopted) != nullptr);
   CHECK(Find<MemberAlive>(adopted)->phase == MemberPhase::Running);
   CHECK(successor.Reserved().accelerators == 4);
@@ -251,7 +254,10 @@
   const auto stop =
     bench.Give(StopGang{ bench.Key(), {}, StopReason::Preempted, 30s });
   CHECK(Find<StopTask>(stop)->grace == 30s);
-  CHECK(Has<RenewLease>(bench.Wait(29s)));
+  const auto beat = bench.Wait(20s);
+  REQUIRE(Find<RenewLease>(beat) != nullptr);
+  CHECK(Find<RenewLease>(beat)->lease == 10s);
+  bench.Wait(9s);
   // The same order again does not extend the time.
   bench.Give(StopGang{ bench.Key(), {}, StopReason::Preempted, 30s });
   const auto kill = bench.Wait(1s);
