--- a/libs/protocol/src/WireDecoder.cpp
+++ b/libs/protocol/src/WireDecoder.cpp
@@ -450,6 +450,7 @@
     return gang::MemberAlive{ this->key,
                               this->step.rank(),
                               this->step.sequence(),
+                              this->step.echo(),
                               phase,
                               result,
                               std::chrono::milliseconds(
--- a/libs/protocol/src/WireEncoder.cpp
+++ b/libs/protocol/src/WireEncoder.cpp
@@ -428,6 +428,7 @@
   auto step = MakeStep(GangStepKind::MemberAlive, aAlive.key);
   step.rank = aAlive.rank;
   step.sequence = aAlive.sequence;
+  step.echo = aAlive.echo;
   step.phase = static_cast<std::uint8_t>(aAlive.phase);
   step.result = static_cast<std::uint8_t>(aAlive.result);
   step.duration_ms = ToMilliseconds(aAlive.allowance);
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -106,6 +106,7 @@
     gang::MemberAlive{ key,
                        1,
                        44,
+                       45,
                        gang::MemberPhase::Running,
                        gang::MemberResult::Failed,
                        milliseconds(9) },
--- a/libs/target/include/amaranthwind/target/WorkerClient.h
+++ b/libs/target/include/amaranthwind/target/WorkerClient.h
@@ -29,6 +29,8 @@
   std::uint32_t accelerators = 0;
   /** As given when the task was started. */
   std::string label;
+  /** Time until the worker ends the task unless its lease is renewed. */
+  std::chrono::milliseconds leaseLeft{};
 };
 
 /** A task to start. */
--- a/libs/target/src/GangServer.cpp
+++ b/libs/target/src/GangServer.cpp
@@ -119,7 +119,9 @@
       task.id, plan, adopted.value().rank, true, false
     };
     this->logger.Info("task adopted", { { "task", task.id } });
-    this->Handle(adopted.value(), std::nullopt);
+    gang::AdoptTask event = adopted.value();
+    event.leaseLeft = task.leaseLeft;
+    this->Handle(event, std::nullopt);
   }
 }
 
@@ -264,7 +266,7 @@
   spec.accelerators =
     aEffect.plan->members[aEffect.rank].resources.accelerators;
   spec.payload = aEffect.plan->payload;
-  spec.label = EncodeTaskLabel({ this->cell, aEffect.plan, aEffect.rank });
+  spec.label = EncodeTaskLabel({ this->cell, aEffect.plan, aEffect.rank, {} });
   spec.lease = ToMilliseconds(aEffect.lease);
   this->logger.Info("task starts", { { "task", task.id } });
   this->tasks[key] = std::move(task);
--- a/libs/target/src/HttpWorkerClient.cpp
+++ b/libs/target/src/HttpWorkerClient.cpp
@@ -72,14 +72,17 @@
   BOOST_OUTCOME_TRY(const auto stateText, StringField(object, "state"));
   const auto state = ToState(stateText);
   const auto* accelerators = object.if_contains("accelerators");
-  if (!state || accelerators == nullptr || !accelerators->is_int64()) {
+  const auto* leaseLeft = object.if_contains("leaseLeftMs");
+  if (!state || accelerators == nullptr || !accelerators->is_int64() ||
+      leaseLeft == nullptr || !leaseLeft->is_int64()) {
     return Fail(ErrorCode::Malformed, "worker: task " + std::string(id));
   }
   BOOST_OUTCOME_TRY(const auto label, StringField(object, "label"));
   return WorkerTask{ std::string(id),
                      *state,
                      static_cast<std::uint32_t>(accelerators->get_int64()),
-                     std::string(label) };
+                     std::string(label),
+                     std::chrono::milliseconds(leaseLeft->get_int64()) };
 }
 
 Result<std::vector<WorkerTask>>
--- a/libs/target/src/TaskLabel.cpp
+++ b/libs/target/src/TaskLabel.cpp
@@ -52,7 +52,9 @@
   if (prepare == nullptr) {
     return base::Fail(base::ErrorCode::Malformed, "task label");
   }
-  return gang::AdoptTask{ prepare->fence.cell, prepare->plan, prepare->rank };
+  return gang::AdoptTask{
+    prepare->fence.cell, prepare->plan, prepare->rank, {}
+  };
 }
 
 } // namespace amaranthwind::target
--- a/tests/standins/WorkerService.cpp
+++ b/tests/standins/WorkerService.cpp
@@ -136,12 +136,17 @@
 WorkerService::List() const
 {
   json::array list;
+  const auto now = Clock::now();
   for (const auto& [id, task] : this->tasks) {
-    list.push_back(json::object{ { "task", id },
-                                 { "state", task.state },
-                                 { "accelerators", task.accelerators },
-                                 { "payload", task.payload },
-                                 { "label", task.label } });
+    list.push_back(json::object{
+      { "task", id },
+      { "state", task.state },
+      { "accelerators", task.accelerators },
+      { "payload", task.payload },
+      { "label", task.label },
+      { "leaseLeftMs",
+        std::chrono::duration_cast<milliseconds>(task.leaseEnd - now)
+          .count() } });
   }
   return MakeResponse(200, list);
 }
