--- /dev/null
+++ b/apps/amaranthwindctl/NoteCommands.cpp
@@ -0,0 +1,228 @@
+#include "NoteCommands.h"
+
+#include "amaranthwind/base/Random.h"
+#include "amaranthwind/codec/JsonRecordCodec.h"
+#include "amaranthwind/codec/NoteCodec.h"
+#include "amaranthwind/frontend/HttpLogClient.h"
+#include "amaranthwind/journal/Appender.h"
+#include "amaranthwind/journal/NoteReplay.h"
+#include "amaranthwind/policy/ApplyNote.h"
+
+#include <iostream>
+#include <thread>
+
+namespace amaranthwind::ctl {
+
+using base::Result;
+using policy::Policy;
+using policy::ReleaseNote;
+
+namespace {
+
+/** Sleeps; the tool has nothing else to do meanwhile. */
+class SleepingWaiter final : public journal::Waiter
+{
+public:
+  bool Wait(base::Duration aTime) override
+  {
+    std::this_thread::sleep_for(aTime);
+    return true;
+  }
+};
+
+/** The stream of notes, as far as this tool uses it. */
+class NoteLog
+{
+public:
+  explicit NoteLog(const std::string& aAddress)
+    : log(this->pool, { .address = aAddress })
+    , replay(this->codec)
+  {
+  }
+  ~NoteLog() { this->pool.Stop(); }
+  NoteLog(const NoteLog&) = delete;
+  NoteLog& operator=(const NoteLog&) = delete;
+
+  Result<Policy> ReadPolicy()
+  {
+    BOOST_OUTCOME_TRY(
+      journal::ReadToEnd(this->log, journal::kNotesStream, this->replay));
+    return this->replay.Current();
+  }
+
+  /** The verdict on the note after it was appended. */
+  Result<journal::ReplayedRecord> Publish(const ReleaseNote& aNote)
+  {
+    const auto from = this->replay.NextOffset();
+    SleepingWaiter waiter;
+    journal::Appender appender(this->log, this->codec, this->clock, waiter);
+    journal::AppendTask task;
+    task.stream = journal::kNotesStream;
+    task.record = { aNote.id, journal::NoteRecord{ aNote } };
+    task.from = from;
+    BOOST_OUTCOME_TRY(appender.Append(task));
+    BOOST_OUTCOME_TRY(
+      const auto records,
+      journal::ReadToEnd(this->log, journal::kNotesStream, this->replay));
+    for (const auto& record : records) {
+      if (record.id == aNote.id) {
+        return record;
+      }
+    }
+    return base::Fail(base::ErrorCode::AppendUnconfirmed, aNote.id.View());
+  }
+
+private:
+  net::IoPool pool{ 1 };
+  frontend::HttpLogClient log;
+  const codec::JsonRecordCodec codec;
+  const base::SystemClock clock;
+  journal::NoteReplay replay;
+};
+
+Result<ReleaseNote>
+ReadNote(const Arguments& aArguments)
+{
+  BOOST_OUTCOME_TRY(const auto text, ReadInput(Option(aArguments, "FILE")));
+  BOOST_OUTCOME_TRY(auto note, codec::DecodeNote(text));
+  BOOST_OUTCOME_TRY(policy::CheckNote(note));
+  base::RandomEngine random(base::MakeSeed());
+  note.id = base::MakeRecordId(random);
+  return note;
+}
+
+template<typename Item>
+void
+PrintChanges(std::string_view aName,
+             const std::vector<Item>& aBefore,
+             const std::vector<Item>& aAfter)
+{
+  const auto find = [](const std::vector<Item>& aItems, const auto& aId) {
+    for (const auto& item : aItems) {
+      if (item.id == aId) {
+        return &item;
+      }
+    }
+    return static_cast<const Item*>(nullptr);
+  };
+  for (const auto& item : aAfter) {
+    const auto* before = find(aBefore, item.id);
+    if (before == nullptr) {
+      std::cout << "added      " << aName << " " << item.id.View() << "\n";
+    } else if (!(*before == item)) {
+      std::cout << "changed    " << aName << " " << item.id.View() << "\n";
+    }
+  }
+  for (const auto& item : aBefore) {
+    if (find(aAfter, item.id) == nullptr) {
+      std::cout << "withdrawn  " << aName << " " << item.id.View() << "\n";
+    }
+  }
+}
+
+void
+PrintDiff(const Policy& aBefore, const Policy& aAfter)
+{
+  PrintChanges("account", aBefore.accounts, aAfter.accounts);
+  PrintChanges("kind", aBefore.kinds, aAfter.kinds);
+}
+
+} // namespace
+
+Exit
+CheckNoteFile(const Arguments& aArguments)
+{
+  const auto note = ReadNote(aArguments);
+  if (note.has_error()) {
+    return ReportError(note.error());
+  }
+  std::cout << "note is right, changes: " << note.value().changes.size()
+            << "\n";
+  return Exit::Done;
+}
+
+Exit
+DiffNote(const Arguments& aArguments)
+{
+  const auto note = ReadNote(aArguments);
+  if (note.has_error()) {
+    return ReportError(note.error());
+  }
+  NoteLog log(Option(aArguments, "--log"));
+  const auto before = log.ReadPolicy();
+  if (before.has_error()) {
+    return ReportError(before.error());
+  }
+  const auto after = policy::ApplyNote(before.value(), note.value());
+  if (after.has_error()) {
+    return ReportError(after.error());
+  }
+  PrintDiff(before.value(), after.value());
+  return Exit::Done;
+}
+
+Exit
+PublishNote(const Arguments& aArguments)
+{
+  const auto note = ReadNote(aArguments);
+  if (note.has_error()) {
+    return ReportError(note.error());
+  }
+  NoteLog log(Option(aArguments, "--log"));
+  const auto before = log.ReadPolicy();
+  if (before.has_error()) {
+    return ReportError(before.error());
+  }
+  // A note that cannot be accepted is not worth a record.
+  const auto after = policy::ApplyNote(before.value(), note.value());
+  if (after.has_error()) {
+    return ReportError(after.error());
+  }
+  const auto published = log.Publish(note.value());
+  if (published.has_error()) {
+    return ReportError(published.error());
+  }
+  const auto& record = published.value();
+  if (record.verdict != journal::Verdict::Applied) {
+    return ReportError(record.error);
+  }
+  PrintDiff(before.value(), after.value());
+  std::cout << "accepted   note " << record.id.View() << " offset "
+            << record.offset.Get() << " version " << after.value().version.Get()
+            << "\n";
+  return Exit::Done;
+}
+
+Exit
+ShowNote(const Arguments& aArguments)
+{
+  EntryClient entry(Option(aArguments, "--entry"));
+  const auto response = entry.Get("/v1/note");
+  if (response.has_error()) {
+    return ReportError(response.error());
+  }
+  const auto policy = codec::DecodePolicy(response.value().body);
+  if (policy.has_error()) {
+    return ReportError(policy.error());
+  }
+  if (aArguments.at("--json").asBool()) {
+    std::cout << response.value().body << "\n";
+    return Exit::Done;
+  }
+  const auto& inForce = policy.value();
+  std::cout << "version  " << inForce.version.Get() << "\n"
+            << "note     " << inForce.noteId.View() << "\n"
+            << "offset   " << inForce.nextOffset.Get() << "\n";
+  for (const auto& account : inForce.accounts) {
+    std::cout << "account  " << account.id.View() << " weight "
+              << account.weight << " floor " << account.floorPercent
+              << "% guarantees " << account.guarantees.size() << "\n";
+  }
+  for (const auto& kind : inForce.kinds) {
+    std::cout << "kind     " << kind.id.View() << " urgency " << kind.urgency
+              << " floor " << kind.floorPercent << "%\n";
+  }
+  return Exit::Done;
+}
+
+} // namespace amaranthwind::ctl
--- /dev/null
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -0,0 +1,366 @@
+#include "amaranthwind/entry/EntryDaemon.h"
+
+#include "HttpReplies.h"
+#include "MembershipService.h"
+#include "PolicyKeeper.h"
+#include "RequestService.h"
+#include "amaranthwind/codec/JsonRecordCodec.h"
+#include "amaranthwind/codec/NoteCodec.h"
+#include "amaranthwind/frontend/HttpLogClient.h"
+#include "amaranthwind/frontend/HttpServer.h"
+#include "amaranthwind/net/IoPool.h"
+#include "amaranthwind/peering/EntryLinks.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <utility>
+
+namespace amaranthwind::entry {
+
+using protocol::ConnectionId;
+using protocol::Envelope;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view kRequestsPrefix = "/v1/requests/";
+constexpr std::string_view kJobsPath = "/v1/jobs";
+constexpr std::string_view kNotePath = "/v1/note";
+constexpr std::chrono::milliseconds kHeartbeatInterval = 500ms;
+// A stop that takes longer ends anyway: the platform replaces VMs whether
+// they are idle or not.
+constexpr base::Duration kDrainLimit = 60s;
+constexpr base::Duration kDrainPoll = 20ms;
+
+frontend::HttpServerOptions
+ToServerOptions(const settings::HttpLimits& aLimits)
+{
+  frontend::HttpServerOptions options;
+  options.maxBodyBytes = aLimits.maxBodyBytes;
+  options.maxHeaderBytes = aLimits.maxHeaderBytes;
+  options.maxConnections = aLimits.maxConnections;
+  options.idleTimeout =
+    std::chrono::ceil<std::chrono::milliseconds>(aLimits.idleTimeout);
+  return options;
+}
+
+/** Passes requests to a member function of the daemon. */
+class HandlerFunction final : public frontend::HttpHandler
+{
+public:
+  using Function =
+    std::function<void(frontend::HttpRequest, frontend::HttpResponder)>;
+  explicit HandlerFunction(Function aFunction)
+    : function(std::move(aFunction))
+  {
+  }
+  void Handle(frontend::HttpRequest aRequest,
+              frontend::HttpResponder aRespond) override
+  {
+    this->function(std::move(aRequest), std::move(aRespond));
+  }
+
+private:
+  const Function function;
+};
+
+} // namespace
+
+class EntryDaemon::Impl
+  : public protocol::MessageHandler
+  , public peering::EntryLinksObserver
+  , public MembershipObserver
+  , public PolicyObserver
+{
+public:
+  Impl(settings::EntrySettings aSettings,
+       const base::Clock& aClock,
+       telemetry::LogSink& aSink)
+    : settings(std::move(aSettings))
+    , clock(aClock)
+    , logger(aSink, aClock, "entry")
+    , policyLogger(aSink, aClock, "policy")
+    , memberLogger(aSink, aClock, "membership")
+    , requestLogger(aSink, aClock, "requests")
+    , pool(this->settings.common.ioThreads)
+    , node(this->pool, {}, *this)
+    , log(this->pool, { .address = this->settings.logService })
+    , policy(this->log, this->codec, this->policyLogger, *this)
+    , self{ this->settings.id,
+            base::Incarnation(static_cast<std::uint64_t>(
+              aClock.WallNow().time_since_epoch().count())),
+            {} }
+    , membership(this->self,
+                 aClock,
+                 this->node,
+                 this->policy,
+                 this->memberLogger,
+                 *this)
+    , requests(aClock,
+               this->node,
+               this->pool,
+               this->membership,
+               this->requestLogger)
+    , callers([this](auto aRequest, auto aRespond) {
+      this->HandleCaller(std::move(aRequest), std::move(aRespond));
+    })
+    , admins([this](auto aRequest, auto aRespond) {
+      this->HandleAdmin(aRequest, aRespond);
+    })
+    , http(this->pool, ToServerOptions(this->settings.limits), this->callers)
+    , admin(this->pool, {}, this->admins)
+  {
+  }
+
+  ~Impl() override { this->StopNow(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  base::Result<EntryAddresses> Start()
+  {
+    EntryAddresses addresses;
+    BOOST_OUTCOME_TRY(addresses.inner,
+                      this->node.Listen(this->settings.common.innerListen));
+    this->self.address = addresses.inner;
+    this->membership.SetAddress(addresses.inner);
+    this->membership.Start();
+    this->requests.Start();
+    this->policy.Start();
+    this->StartLinks(addresses.inner);
+    BOOST_OUTCOME_TRY(addresses.admin,
+                      this->admin.Listen(this->settings.common.adminListen));
+    BOOST_OUTCOME_TRY(addresses.http,
+                      this->http.Listen(this->settings.httpListen));
+    this->logger.Info(
+      "started",
+      { { "entry", this->self.id }, { "address", addresses.inner } });
+    return addresses;
+  }
+
+  void Stop()
+  {
+    this->logger.Info("drains", { { "entry", this->self.id } });
+    this->isDraining.store(true);
+    this->membership.SetDraining();
+    this->http.StartDraining();
+    this->WaitFor(this->settings.noticePeriod, [] { return false; });
+    this->http.StopAccepting();
+    this->WaitFor(kDrainLimit,
+                  [this] { return this->http.ActiveRequests() == 0; });
+    protocol::Heartbeat farewell = this->membership.MakeHeartbeat();
+    farewell.isDraining = true;
+    this->links->SendToAll(farewell);
+    this->StopNow();
+    this->logger.Info("stopped", { { "entry", this->self.id } });
+  }
+
+  // protocol::MessageHandler, on I/O threads.
+
+  void OnOpened(ConnectionId aConnection, bool, std::string_view) override
+  {
+    this->links->OnOpened(aConnection);
+  }
+
+  void OnMessage(ConnectionId aConnection, const Envelope& aEnvelope) override
+  {
+    if (this->membership.OnMessage(aConnection, aEnvelope)) {
+      return;
+    }
+    if (std::holds_alternative<protocol::FetchPolicy>(aEnvelope.message)) {
+      const auto current = this->policy.Current();
+      this->node.Reply(aConnection,
+                       aEnvelope.correlation,
+                       protocol::PolicyReply{ current->nextOffset,
+                                              codec::EncodePolicy(*current) });
+    } else if (const auto* topology =
+                 std::get_if<protocol::Topology>(&aEnvelope.message)) {
+      this->links->OnTopology(*topology);
+      this->membership.OnEntryTopology(aConnection, *topology);
+    }
+  }
+
+  void OnClosed(ConnectionId aConnection, const base::Error&) override
+  {
+    this->links->OnClosed(aConnection);
+    this->membership.OnClosed(aConnection);
+  }
+
+  // peering::EntryLinksObserver, on I/O threads.
+
+  void OnLinkUp(const peering::EntryLink& aLink,
+                const protocol::Topology& aTopology) override
+  {
+    this->membership.OnEntryTopology(aLink.connection, aTopology);
+  }
+
+  void OnLinkDown(const peering::EntryLink& aLink) override
+  {
+    this->logger.Warning("entry lost", { { "entry", aLink.entry.id } });
+  }
+
+  // MembershipObserver, on the membership loop.
+
+  void OnWorkerUsable(const fleet::Target&, ConnectionId) override {}
+  void OnWorkerDraining(const fleet::Target&) override {}
+  void OnWorkerGone(const fleet::Target&) override {}
+  void OnEntries(const std::vector<base::EntryId>&) override {}
+  void OnRoutes() override { this->requests.OnRoutes(); }
+
+  // PolicyObserver, on the thread that reads the log.
+
+  void OnPolicy(const policy::Policy& aPolicy) override
+  {
+    this->requests.OnPolicy(aPolicy);
+    this->membership.OnOwnPolicy();
+  }
+
+private:
+  void StartLinks(const std::string& aAddress)
+  {
+    peering::EntryLinksOptions options;
+    options.bootstrap = this->settings.common.bootstrap;
+    options.ownAddress = aAddress;
+    this->links = std::make_unique<peering::EntryLinks>(
+      this->node,
+      this->pool,
+      std::move(options),
+      [this] {
+        return protocol::EntryHello{ { this->self.id, this->self.address },
+                                     this->self.incarnation,
+                                     this->policy.Offset(),
+                                     this->isDraining.load() };
+      },
+      *this);
+    this->links->Start();
+    this->ScheduleHeartbeat();
+  }
+
+  void ScheduleHeartbeat()
+  {
+    this->pool.RunAfter(kHeartbeatInterval, [this] {
+      auto beat = this->membership.MakeHeartbeat();
+      this->links->SendToAll(beat);
+      this->ScheduleHeartbeat();
+    });
+  }
+
+  void HandleCaller(frontend::HttpRequest aRequest,
+                    frontend::HttpResponder aRespond)
+  {
+    const std::string path = aRequest.path;
+    if (path == kNotePath) {
+      this->AnswerNote(aRespond);
+    } else if (!this->policy.IsLoaded()) {
+      aRespond(MakeErrorResponse(
+        { { base::ErrorCode::NotReady, "policy" }, true, 1s }));
+    } else if (path.starts_with(kRequestsPrefix) && aRequest.method == "POST") {
+      this->requests.Handle(
+        std::string_view(path).substr(kRequestsPrefix.size()),
+        std::move(aRequest),
+        std::move(aRespond));
+    } else {
+      aRespond(MakeErrorResponse(
+        { { base::ErrorCode::UnknownPath, path }, true, std::nullopt }));
+    }
+  }
+
+  void AnswerNote(const frontend::HttpResponder& aRespond)
+  {
+    frontend::HttpResponse response;
+    response.body = codec::EncodePolicy(*this->policy.Current());
+    aRespond(std::move(response));
+  }
+
+  void HandleAdmin(const frontend::HttpRequest& aRequest,
+                   const frontend::HttpResponder& aRespond)
+  {
+    frontend::HttpResponse response;
+    response.contentType = "text/plain";
+    if (aRequest.path == "/live") {
+      response.body = "live\n";
+    } else if (aRequest.path == "/ready") {
+      const bool isReady = this->membership.IsReady();
+      response.status = isReady ? 200 : 503;
+      response.body = isReady ? "ready\n" : "not ready\n";
+    } else {
+      response.status = 404;
+    }
+    aRespond(std::move(response));
+  }
+
+  /** Waits until aIsDone, but no longer than aLimit. */
+  void WaitFor(base::Duration aLimit, const std::function<bool()>& aIsDone)
+  {
+    const auto end = this->clock.Now() + aLimit;
+    std::unique_lock lock(this->stopMutex);
+    while (!aIsDone() && this->clock.Now() < end) {
+      this->stopChanged.wait_for(
+        lock, std::min<base::Duration>(kDrainPoll, end - this->clock.Now()));
+    }
+  }
+
+  void StopNow()
+  {
+    if (std::exchange(this->isStopped, true)) {
+      return;
+    }
+    if (this->links) {
+      this->links->Stop();
+    }
+    this->http.Stop();
+    this->admin.Stop();
+    this->policy.Stop();
+    this->node.Stop();
+    this->requests.Stop();
+    this->membership.Stop();
+    this->pool.Stop();
+  }
+
+  const settings::EntrySettings settings;
+  const base::Clock& clock;
+  telemetry::Logger logger;
+  telemetry::Logger policyLogger;
+  telemetry::Logger memberLogger;
+  telemetry::Logger requestLogger;
+  const codec::JsonRecordCodec codec;
+  net::IoPool pool;
+  protocol::Node node;
+  frontend::HttpLogClient log;
+  PolicyKeeper policy;
+  membership::EntryInfo self;
+  MembershipService membership;
+  RequestService requests;
+  HandlerFunction callers;
+  HandlerFunction admins;
+  frontend::HttpServer http;
+  frontend::HttpServer admin;
+  std::unique_ptr<peering::EntryLinks> links;
+  std::atomic<bool> isDraining{ false };
+  bool isStopped = false;
+  std::mutex stopMutex;
+  std::condition_variable stopChanged;
+};
+
+EntryDaemon::EntryDaemon(settings::EntrySettings aSettings,
+                         const base::Clock& aClock,
+                         telemetry::LogSink& aSink)
+  : impl(std::make_unique<Impl>(std::move(aSettings), aClock, aSink))
+{
+}
+
+EntryDaemon::~EntryDaemon() = default;
+
+base::Result<EntryAddresses>
+EntryDaemon::Start()
+{
+  return this->impl->Start();
+}
+
+void
+EntryDaemon::Stop()
+{
+  this->impl->Stop();
+}
+
+} // namespace amaranthwind::entry
--- /dev/null
+++ b/libs/entry/src/MembershipService.cpp
@@ -0,0 +1,550 @@
+#include "MembershipService.h"
+
+#include "amaranthwind/codec/NoteCodec.h"
+
+#include <algorithm>
+#include <future>
+#include <memory>
+#include <utility>
+
+namespace amaranthwind::entry {
+
+using protocol::ConnectionId;
+using protocol::CorrelationId;
+using protocol::Envelope;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kLoopCapacity = 16384;
+constexpr base::Duration kFetchTimeout = 2s;
+
+std::unique_ptr<const Routes>
+MakeEmptyRoutes(routing::TargetTable& aTable, base::TimePoint aNow)
+{
+  auto routes = std::make_unique<Routes>();
+  routes->snapshot = aTable.Build(aNow);
+  return routes;
+}
+
+} // namespace
+
+MembershipService::MembershipService(const membership::EntryInfo& aSelf,
+                                     const base::Clock& aClock,
+                                     protocol::Node& aNode,
+                                     PolicyKeeper& aPolicy,
+                                     telemetry::Logger& aLogger,
+                                     MembershipObserver& aObserver)
+  : self(aSelf)
+  , clock(aClock)
+  , node(aNode)
+  , policy(aPolicy)
+  , logger(aLogger)
+  , observer(aObserver)
+  , entryRegistry(aSelf)
+  , table(aClock.Now())
+  , startedAt(aClock.Now())
+  , routes(MakeEmptyRoutes(this->table, aClock.Now()))
+  , loop(kLoopCapacity)
+{
+}
+
+void
+MembershipService::SetAddress(std::string_view aAddress)
+{
+  this->self.address = aAddress;
+  this->entryRegistry = membership::EntryRegistry(this->self);
+}
+
+void
+MembershipService::Start()
+{
+  this->loop.SetTick(membership::kTickInterval, [this] { this->OnTick(); });
+  this->loop.Start();
+}
+
+void
+MembershipService::Stop()
+{
+  this->loop.Stop();
+}
+
+void
+MembershipService::Post(std::function<void()> aTask)
+{
+  this->loop.Post(std::move(aTask));
+}
+
+bool
+MembershipService::OnMessage(ConnectionId aConnection,
+                             const Envelope& aEnvelope)
+{
+  const auto& message = aEnvelope.message;
+  const CorrelationId correlation = aEnvelope.correlation;
+  if (const auto* hello = std::get_if<protocol::TargetHello>(&message)) {
+    this->Post([this, aConnection, correlation, hello = *hello] {
+      this->OnTargetHello(aConnection, correlation, hello);
+    });
+  } else if (const auto* entry = std::get_if<protocol::EntryHello>(&message)) {
+    this->Post([this, aConnection, correlation, hello = *entry] {
+      this->OnEntryHello(aConnection, correlation, hello);
+    });
+  } else if (const auto* beat = std::get_if<protocol::Heartbeat>(&message)) {
+    this->Post([this, aConnection, beat = *beat] {
+      this->OnHeartbeat(aConnection, beat);
+    });
+  } else if (std::holds_alternative<protocol::FetchTopology>(message)) {
+    this->Post([this, aConnection, correlation] {
+      this->node.Reply(aConnection, correlation, this->MakeTopology());
+    });
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void
+MembershipService::OnClosed(ConnectionId aConnection)
+{
+  this->Post([this, aConnection] { this->OnClosedOnLoop(aConnection); });
+}
+
+void
+MembershipService::OnTargetHello(ConnectionId aConnection,
+                                 CorrelationId aCorrelation,
+                                 const protocol::TargetHello& aHello)
+{
+  const auto& target = aHello.target;
+  const auto effects = this->targetRegistry.OnHello(
+    target.id, target.incarnation, false, this->clock.Now());
+  KnownTarget& known = this->targets[target.id];
+  if (known.target.incarnation <= target.incarnation) {
+    if (known.target.incarnation != target.incarnation) {
+      known.connections.clear();
+    }
+    known.target = target;
+    known.connections.insert(aConnection);
+    known.newest = aConnection;
+    this->targetOf[aConnection] = target.id;
+  }
+  this->node.Reply(aConnection, aCorrelation, this->MakeTopology());
+  this->CarryOut(effects);
+}
+
+void
+MembershipService::OnEntryHello(ConnectionId aConnection,
+                                CorrelationId aCorrelation,
+                                const protocol::EntryHello& aHello)
+{
+  const membership::EntryInfo peer{ aHello.entry.id,
+                                    aHello.incarnation,
+                                    aHello.entry.address };
+  this->entryOf[aConnection] = peer;
+  this->CarryOut(
+    this->entryRegistry.OnSeen(peer, aHello.noteOffset, this->clock.Now()));
+  this->node.Reply(aConnection, aCorrelation, this->MakeTopology());
+}
+
+void
+MembershipService::OnEntryTopology(ConnectionId,
+                                   const protocol::Topology& aTopology)
+{
+  this->Post([this, aTopology] {
+    for (const auto& cell : aTopology.cells) {
+      this->SetCell(cell);
+    }
+    if (aTopology.noteOffset > this->policy.Offset()) {
+      this->FetchPolicy(aTopology.sender);
+    }
+  });
+}
+
+void
+MembershipService::OnHeartbeat(ConnectionId aConnection,
+                               const protocol::Heartbeat& aBeat)
+{
+  if (const auto found = this->targetOf.find(aConnection);
+      found != this->targetOf.end()) {
+    this->OnTargetHeartbeat(aConnection, found->second, aBeat);
+    return;
+  }
+  const auto entry = this->entryOf.find(aConnection);
+  if (entry == this->entryOf.end()) {
+    return;
+  }
+  if (aBeat.isDraining) {
+    this->CarryOut(
+      this->entryRegistry.OnGone(entry->second.id, entry->second.incarnation));
+  } else {
+    this->CarryOut(this->entryRegistry.OnSeen(
+      entry->second, aBeat.noteOffset, this->clock.Now()));
+  }
+}
+
+void
+MembershipService::OnTargetHeartbeat(ConnectionId aConnection,
+                                     const base::TargetId& aTarget,
+                                     const protocol::Heartbeat& aBeat)
+{
+  KnownTarget& known = this->targets[aTarget];
+  known.inFlight = aBeat.inFlight;
+  known.queued = aBeat.queued;
+  const auto effects = this->targetRegistry.OnHeartbeat(
+    aTarget, known.target.incarnation, aBeat.isDraining, this->clock.Now());
+  protocol::HeartbeatAck ack;
+  ack.noteOffset = this->policy.Offset();
+  ack.heartbeatInterval = this->HeartbeatInterval();
+  this->node.Send(aConnection, ack);
+  this->CarryOut(effects);
+}
+
+void
+MembershipService::OnClosedOnLoop(ConnectionId aConnection)
+{
+  if (const auto entry = this->entryOf.find(aConnection);
+      entry != this->entryOf.end()) {
+    const membership::EntryInfo peer = entry->second;
+    this->entryOf.erase(entry);
+    this->CarryOut(this->entryRegistry.OnGone(peer.id, peer.incarnation));
+    return;
+  }
+  const auto found = this->targetOf.find(aConnection);
+  if (found == this->targetOf.end()) {
+    return;
+  }
+  const base::TargetId id = found->second;
+  this->targetOf.erase(found);
+  KnownTarget& known = this->targets[id];
+  known.connections.erase(aConnection);
+  if (!known.connections.empty()) {
+    known.newest = *known.connections.rbegin();
+    this->PublishRoutes();
+    return;
+  }
+  this->CarryOut(this->targetRegistry.OnConnectionClosed(
+    id, known.target.incarnation, this->clock.Now()));
+}
+
+void
+MembershipService::OnTick()
+{
+  const auto now = this->clock.Now();
+  this->CarryOut(this->targetRegistry.OnTick(now));
+  this->CarryOut(this->entryRegistry.OnTick(now));
+  this->UpdateReady();
+}
+
+void
+MembershipService::CarryOut(const membership::TargetEffects& aEffects)
+{
+  for (const auto& effect : aEffects) {
+    if (const auto* usable = std::get_if<membership::BecameUsable>(&effect)) {
+      this->OnUsable(usable->target);
+    } else if (const auto* draining =
+                 std::get_if<membership::StopNewWork>(&effect)) {
+      this->OnDraining(draining->target);
+    } else if (const auto* lost =
+                 std::get_if<membership::TargetLost>(&effect)) {
+      this->logger.Warning("target lost",
+                           { { "target", lost->target },
+                             { "reason", static_cast<int>(lost->reason) } });
+      this->OnGone(lost->target);
+    } else if (const auto* left =
+                 std::get_if<membership::TargetLeft>(&effect)) {
+      this->logger.Info("target left", { { "target", left->target } });
+      this->OnGone(left->target);
+    }
+  }
+}
+
+void
+MembershipService::CarryOut(const membership::EntryEffects& aEffects)
+{
+  bool hasChanged = false;
+  for (const auto& effect : aEffects) {
+    if (const auto* fetch = std::get_if<membership::FetchPolicyFrom>(&effect)) {
+      this->FetchPolicy(fetch->entry);
+    } else {
+      hasChanged = true;
+    }
+  }
+  if (hasChanged) {
+    this->UpdateLimits();
+    this->PushTopology();
+    this->observer.OnEntries(this->entryRegistry.LiveIds());
+  }
+  this->UpdateReady();
+}
+
+void
+MembershipService::OnUsable(const base::TargetId& aTarget)
+{
+  const KnownTarget& known = this->targets[aTarget];
+  this->logger.Info("target usable",
+                    { { "target", aTarget }, { "zone", known.target.zone } });
+  if (known.target.kind == fleet::TargetKind::Worker) {
+    this->observer.OnWorkerUsable(known.target, known.newest);
+    return;
+  }
+  this->table.Put(aTarget,
+                  known.target.incarnation,
+                  this->ExecutorLimit(known.target),
+                  this->clock.Now());
+  this->PublishRoutes();
+}
+
+void
+MembershipService::OnDraining(const base::TargetId& aTarget)
+{
+  const KnownTarget& known = this->targets[aTarget];
+  this->logger.Info("target drains", { { "target", aTarget } });
+  if (known.target.kind == fleet::TargetKind::Worker) {
+    this->observer.OnWorkerDraining(known.target);
+  } else if (this->table.SetDraining(aTarget).has_value()) {
+    this->PublishRoutes();
+  }
+}
+
+void
+MembershipService::OnGone(const base::TargetId& aTarget)
+{
+  const auto found = this->targets.find(aTarget);
+  if (found == this->targets.end()) {
+    return;
+  }
+  for (const auto connection : found->second.connections) {
+    this->node.Close(connection);
+  }
+  const fleet::Target target = found->second.target;
+  if (target.kind == fleet::TargetKind::Worker) {
+    this->observer.OnWorkerGone(target);
+  } else if (this->table.Remove(aTarget, this->clock.Now()).has_value()) {
+    this->PublishRoutes();
+  }
+}
+
+void
+MembershipService::FetchPolicy(const base::EntryId& aFrom)
+{
+  const auto found =
+    std::find_if(this->entryOf.begin(),
+                 this->entryOf.end(),
+                 [&](const auto& aEntry) { return aEntry.second.id == aFrom; });
+  if (found == this->entryOf.end()) {
+    return;
+  }
+  this->node.Call(
+    found->first,
+    protocol::FetchPolicy{},
+    kFetchTimeout,
+    [this](const protocol::CallResult& aResult) {
+      const auto* reply = aResult.reply == nullptr
+                            ? nullptr
+                            : std::get_if<protocol::PolicyReply>(aResult.reply);
+      if (reply == nullptr) {
+        return;
+      }
+      const auto fetched = codec::DecodePolicy(reply->document);
+      if (fetched.has_value()) {
+        this->policy.Adopt(fetched.value());
+      } else {
+        this->logger.Warning("policy of a peer is not readable",
+                             { { "error", base::Describe(fetched.error()) } });
+      }
+    });
+}
+
+std::uint32_t
+MembershipService::ExecutorLimit(const fleet::Target& aTarget) const
+{
+  // Each entry takes its share of the slots, and one more: callers are not
+  // spread evenly, and the daemon queues what is too much for a moment.
+  const auto entries =
+    static_cast<std::uint32_t>(this->entryRegistry.Live().size());
+  return (aTarget.slots + entries - 1) / entries + (entries > 1 ? 1 : 0);
+}
+
+void
+MembershipService::UpdateLimits()
+{
+  for (const auto& [id, known] : this->targets) {
+    if (known.target.kind == fleet::TargetKind::Executor) {
+      // A target that is not in the table has no limit to change.
+      (void)this->table.SetLimit(id, this->ExecutorLimit(known.target));
+    }
+  }
+  this->observer.OnRoutes();
+}
+
+void
+MembershipService::PublishRoutes()
+{
+  auto next = std::make_unique<Routes>();
+  next->snapshot = this->table.Build(this->clock.Now());
+  for (const auto& entry : next->snapshot->Entries()) {
+    const auto found = this->targets.find(entry.id);
+    if (found == this->targets.end() || entry.state == nullptr) {
+      continue;
+    }
+    if (next->byIndex.size() <= entry.handle.index) {
+      next->byIndex.resize(entry.handle.index + 1);
+    }
+    next->byIndex[entry.handle.index] = { entry.id,
+                                          found->second.newest,
+                                          found->second.target.address };
+  }
+  next->lostTargets = this->CountLostTargets(*next->snapshot);
+  this->routes.Publish(std::move(next));
+  this->observer.OnRoutes();
+}
+
+std::uint32_t
+MembershipService::CountLostTargets(
+  const routing::RoutingSnapshot& aSnapshot) const
+{
+  std::uint32_t lost = 0;
+  for (const auto& entry : aSnapshot.Entries()) {
+    lost += entry.status == routing::TargetStatus::Departed ? 1 : 0;
+  }
+  return lost;
+}
+
+protocol::Topology
+MembershipService::MakeTopology() const
+{
+  protocol::Topology topology;
+  topology.sender = this->self.id;
+  topology.noteOffset = this->policy.Offset();
+  topology.heartbeatInterval = this->HeartbeatInterval();
+  for (const auto& entry : this->entryRegistry.Live()) {
+    const bool isLeaving = this->isDraining && entry.id == this->self.id;
+    if (!isLeaving) {
+      topology.entries.push_back({ entry.id, entry.address });
+    }
+  }
+  std::lock_guard lock(this->cellsMutex);
+  for (const auto& [zone, cell] : this->cells) {
+    topology.cells.push_back(cell);
+  }
+  return topology;
+}
+
+void
+MembershipService::PushTopology()
+{
+  const auto topology = this->MakeTopology();
+  for (const auto& [connection, target] : this->targetOf) {
+    this->node.Send(connection, topology);
+  }
+  for (const auto& [connection, entry] : this->entryOf) {
+    this->node.Send(connection, topology);
+  }
+}
+
+void
+MembershipService::SetCell(const protocol::CellInfo& aCell)
+{
+  this->Post([this, aCell] {
+    {
+      std::lock_guard lock(this->cellsMutex);
+      protocol::CellInfo& known = this->cells[aCell.zone];
+      const bool isNews =
+        aCell.token > known.token ||
+        (aCell.token == known.token && known.coordinator.id.IsEmpty());
+      if (!isNews) {
+        return;
+      }
+      known = aCell;
+      // A coordinator names itself before its address is known to the cell.
+      for (const auto& entry : this->entryRegistry.Live()) {
+        if (entry.id == aCell.coordinator.id) {
+          known.coordinator.address = entry.address;
+        }
+      }
+    }
+    this->PushTopology();
+  });
+}
+
+std::optional<protocol::CellInfo>
+MembershipService::FindCell(const base::ZoneId& aZone) const
+{
+  std::lock_guard lock(this->cellsMutex);
+  const auto found = this->cells.find(aZone);
+  if (found == this->cells.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void
+MembershipService::OnOwnPolicy()
+{
+  this->Post([this] {
+    this->entryRegistry.OnOwnOffset(this->policy.Offset(), this->clock.Now());
+    this->UpdateReady();
+    this->PushTopology();
+  });
+}
+
+void
+MembershipService::SetDraining()
+{
+  this->Post([this] {
+    this->isDraining = true;
+    this->UpdateReady();
+    this->PushTopology();
+  });
+}
+
+void
+MembershipService::UpdateReady()
+{
+  const bool isNowReady = !this->isDraining && this->policy.IsLoaded() &&
+                          this->entryRegistry.IsReady(this->clock.Now());
+  if (this->isReady.exchange(isNowReady) != isNowReady) {
+    this->logger.Info(isNowReady ? "ready" : "not ready",
+                      { { "offset", this->policy.Offset() } });
+  }
+}
+
+std::chrono::milliseconds
+MembershipService::HeartbeatInterval() const
+{
+  return std::chrono::ceil<std::chrono::milliseconds>(
+    this->targetRegistry.Interval());
+}
+
+protocol::Heartbeat
+MembershipService::MakeHeartbeat() const
+{
+  protocol::Heartbeat beat;
+  beat.noteOffset = this->policy.Offset();
+  return beat;
+}
+
+MembershipStatus
+MembershipService::Status()
+{
+  std::promise<MembershipStatus> promise;
+  this->Post([&] {
+    MembershipStatus status;
+    for (const auto& [id, known] : this->targets) {
+      status.targets.push_back({ known.target,
+                                 this->targetRegistry.StateOf(id).value_or(
+                                   membership::TargetState::Lost),
+                                 known.inFlight,
+                                 known.queued });
+    }
+    const auto live = this->entryRegistry.Live();
+    status.entries.assign(live.begin(), live.end());
+    std::lock_guard lock(this->cellsMutex);
+    for (const auto& [zone, cell] : this->cells) {
+      status.cells.push_back(cell);
+    }
+    promise.set_value(std::move(status));
+  });
+  return promise.get_future().get();
+}
+
+} // namespace amaranthwind::entry
--- /dev/null
+++ b/libs/entry/src/PolicyKeeper.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "StreamFollower.h"
+#include "amaranthwind/base/RcuCell.h"
+#include "amaranthwind/journal/NoteReplay.h"
+#include "amaranthwind/policy/Policy.h"
+#include "amaranthwind/telemetry/Logger.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace amaranthwind::entry {
+
+/** Told about each new policy, on the thread that reads the log. */
+class PolicyObserver
+{
+public:
+  virtual ~PolicyObserver() = default;
+  virtual void OnPolicy(const policy::Policy& aPolicy) = 0;
+};
+
+/**
+ * Keeps the policy in force: follows the stream of notes, and takes a newer
+ * policy from a peer while the log is down. The offset in use only rises.
+ */
+class PolicyKeeper
+{
+public:
+  /** The arguments must outlive the keeper. */
+  PolicyKeeper(journal::LogClient& aLog,
+               const journal::RecordCodec& aCodec,
+               telemetry::Logger& aLogger,
+               PolicyObserver& aObserver);
+
+  void Start();
+  void Stop();
+
+  /** The policy in force; for the path of a request. */
+  base::RcuCell<policy::Policy>::ReadGuard Current() const noexcept
+  {
+    return this->current.Read();
+  }
+  /** Behind every record that the policy takes into account. */
+  base::LogOffset Offset() const noexcept
+  {
+    return base::LogOffset(this->offset.load());
+  }
+  /** False until the whole log, or a peer's policy, has been taken. */
+  bool IsLoaded() const noexcept { return this->isLoaded.load(); }
+  /** False during an outage of the log. */
+  bool IsLogReachable() const noexcept { return this->isLogReachable.load(); }
+
+  /** A peer's policy; taken if it is newer. */
+  void Adopt(const policy::Policy& aPolicy);
+
+private:
+  base::LogOffset OnRead(const StreamRead& aRead);
+  void Report(const std::vector<journal::ReplayedRecord>& aRecords);
+  void PublishIfNew();
+
+  telemetry::Logger& logger;
+  PolicyObserver& observer;
+  /** Guards the replay and the order of publications. */
+  std::mutex mutex;
+  journal::NoteReplay replay;
+  base::RcuCell<policy::Policy> current;
+  std::atomic<std::uint64_t> offset{ 0 };
+  std::atomic<bool> isLoaded{ false };
+  std::atomic<bool> isLogReachable{ false };
+  StreamFollower follower;
+};
+
+} // namespace amaranthwind::entry
--- /dev/null
+++ b/libs/entry/src/RequestService.cpp
@@ -0,0 +1,531 @@
+#include "RequestService.h"
+
+#include "HttpReplies.h"
+#include "amaranthwind/base/Random.h"
+#include "amaranthwind/net/IoPool.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace amaranthwind::entry {
+
+using base::ErrorCode;
+using protocol::ExecuteOutcome;
+using protocol::ExecuteReply;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kLoopCapacity = 16384;
+constexpr base::Duration kTickInterval = 20ms;
+constexpr base::Duration kDefaultDeadline = 30s;
+constexpr std::chrono::milliseconds kLongestDeadline = 10min;
+constexpr base::Duration kRetryAfter = 500ms;
+// The target answers at the deadline at the latest; the rest is for the way.
+constexpr base::Duration kReplyMargin = 500ms;
+constexpr std::uint32_t kMaxSends = 3;
+constexpr base::Duration kNoPermitDelay = 2ms;
+constexpr std::uint16_t kFirstServerError = 500;
+constexpr std::size_t kMaxKeyLength = 256;
+constexpr std::size_t kRankedTargets = 8;
+
+base::RandomEngine&
+ThreadRandom()
+{
+  thread_local base::RandomEngine random(base::MakeSeed());
+  return random;
+}
+
+base::Result<std::uint64_t>
+ParseNumber(std::string_view aText, std::string_view aField)
+{
+  std::uint64_t number = 0;
+  const auto parsed =
+    std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  if (parsed.ec != std::errc{} || parsed.ptr != aText.data() + aText.size()) {
+    return base::Fail(ErrorCode::WrongType, aField);
+  }
+  return number;
+}
+
+base::Result<base::Duration>
+ParseDeadline(std::string_view aText)
+{
+  if (aText.empty()) {
+    return kDefaultDeadline;
+  }
+  BOOST_OUTCOME_TRY(const auto number, ParseNumber(aText, "X-Deadline-Ms"));
+  constexpr std::uint64_t kLongest = kLongestDeadline.count();
+  if (number == 0 || number > kLongest) {
+    return base::Fail(ErrorCode::OutOfRange, "X-Deadline-Ms");
+  }
+  return std::chrono::milliseconds(number);
+}
+
+base::Result<std::uint32_t>
+ParseAttempt(std::string_view aText)
+{
+  if (aText.empty()) {
+    return 0U;
+  }
+  BOOST_OUTCOME_TRY(const auto number, ParseNumber(aText, "Retry-Attempt"));
+  if (number > UINT32_MAX) {
+    return base::Fail(ErrorCode::OutOfRange, "Retry-Attempt");
+  }
+  return static_cast<std::uint32_t>(number);
+}
+
+std::vector<std::byte>
+ToBytes(std::string_view aText)
+{
+  const auto* first = reinterpret_cast<const std::byte*>(aText.data());
+  return { first, first + aText.size() };
+}
+
+/** Whether a target that does not run the request has a fault of its own. */
+routing::Outcome
+OutcomeOf(const ExecuteReply& aReply)
+{
+  switch (aReply.outcome) {
+    case ExecuteOutcome::Done:
+      return aReply.status >= kFirstServerError ? routing::Outcome::Failure
+                                                : routing::Outcome::Success;
+    case ExecuteOutcome::NotRun:
+      return routing::Outcome::Neutral;
+    case ExecuteOutcome::Unknown:
+      break;
+  }
+  return routing::Outcome::Failure;
+}
+
+} // namespace
+
+/** One request on its way through the entry. */
+struct RequestService::Context
+{
+  admission::Request request;
+  base::IdempotencyKey key;
+  std::uint32_t attempt = 0;
+  bool isIdempotent = false;
+  std::vector<std::byte> body;
+  frontend::HttpResponder respond;
+  std::optional<admission::Slot> slot;
+  std::optional<routing::InFlight> permit;
+  routing::TargetHandle avoid;
+  std::string witness;
+  std::uint32_t lostTargets = 0;
+  base::TimePoint dispatched;
+  std::uint32_t sends = 0;
+  /** An earlier attempt or an earlier send may have run. */
+  bool mayHaveRun = false;
+};
+
+RequestService::RequestService(const base::Clock& aClock,
+                               protocol::Node& aNode,
+                               net::IoPool& aPool,
+                               MembershipService& aMembership,
+                               telemetry::Logger& aLogger)
+  : clock(aClock)
+  , node(aNode)
+  , pool(aPool)
+  , membership(aMembership)
+  , logger(aLogger)
+  , gate(0)
+  , shares(this->shareTable.Build({}))
+  , queue(this->gate, this->shareTable.Build({}))
+  , picker(std::make_unique<routing::PowerOfTwoPicker>())
+  , loop(kLoopCapacity)
+{
+}
+
+RequestService::~RequestService() = default;
+
+void
+RequestService::Start()
+{
+  this->loop.SetTick(kTickInterval, [this] {
+    this->RefreshCapacity();
+    this->CarryOut(this->queue.Tick(this->clock.Now()));
+  });
+  this->loop.Start();
+}
+
+void
+RequestService::Stop()
+{
+  this->loop.Stop();
+  this->waiting.clear();
+}
+
+void
+RequestService::OnPolicy(const policy::Policy& aPolicy)
+{
+  this->shares.Publish(this->shareTable.Build(aPolicy));
+  // The admission thread has a snapshot of its own, since it keeps it for
+  // longer than a read section may last.
+  auto holder =
+    std::make_shared<std::unique_ptr<const admission::ShareSnapshot>>(
+      this->shareTable.Build(aPolicy));
+  this->loop.Post([this, holder] {
+    this->CarryOut(
+      this->queue.PolicyChanged(std::move(*holder), this->clock.Now()));
+  });
+}
+
+void
+RequestService::OnRoutes()
+{
+  this->loop.Post([this] { this->RefreshCapacity(); });
+}
+
+void
+RequestService::RefreshCapacity()
+{
+  const auto now = this->clock.Now();
+  const std::uint32_t capacity =
+    this->membership.CurrentRoutes()->snapshot->Capacity(now);
+  if (capacity != this->gate.Capacity()) {
+    this->CarryOut(this->queue.CapacityChanged(capacity, now));
+  }
+}
+
+void
+RequestService::Handle(std::string_view aKind,
+                       frontend::HttpRequest aRequest,
+                       frontend::HttpResponder aRespond)
+{
+  auto context = this->Parse(aKind, aRequest);
+  if (context.has_error()) {
+    this->counters.notRun.fetch_add(1, std::memory_order_relaxed);
+    aRespond(MakeErrorResponse({ context.error(), true, std::nullopt }));
+    return;
+  }
+  context.value()->respond = std::move(aRespond);
+  this->retryBudget.CountFirstAttempt();
+  if (this->TryAdmit(*context.value())) {
+    this->Dispatch(context.value());
+  } else {
+    this->Submit(context.value());
+  }
+}
+
+base::Result<RequestService::ContextPtr>
+RequestService::Parse(std::string_view aKind, frontend::HttpRequest& aRequest)
+{
+  const auto account = aRequest.Header("X-Client-Account");
+  if (account.empty()) {
+    return base::Fail(ErrorCode::MissingField, "X-Client-Account");
+  }
+  const auto key = aRequest.Header("Idempotency-Key");
+  if (key.size() > kMaxKeyLength) {
+    return base::Fail(ErrorCode::TooLarge, "Idempotency-Key");
+  }
+  BOOST_OUTCOME_TRY(const auto deadline,
+                    ParseDeadline(aRequest.Header("X-Deadline-Ms")));
+  BOOST_OUTCOME_TRY(const auto attempt,
+                    ParseAttempt(aRequest.Header("Retry-Attempt")));
+  auto context = std::make_shared<Context>();
+  {
+    const auto guard = this->shares.Read();
+    if (guard->FindAccount(account) == nullptr) {
+      return base::Fail(ErrorCode::UnknownAccount, account);
+    }
+    const auto* kind = guard->FindKind(aKind);
+    if (kind == nullptr) {
+      return base::Fail(ErrorCode::UnknownKind, aKind);
+    }
+    context->isIdempotent = kind->isIdempotent;
+  }
+  if (!context->isIdempotent && key.empty()) {
+    return base::Fail(ErrorCode::MissingField, "Idempotency-Key");
+  }
+  const auto now = this->clock.Now();
+  auto& request = context->request;
+  request.id = admission::RequestId(
+    this->lastId.fetch_add(1, std::memory_order_relaxed) + 1);
+  request.account = base::AccountId(account);
+  request.kind = base::WorkKindId(aKind);
+  request.caller = base::CallerId(aRequest.Header("X-Caller"));
+  request.arrival = now;
+  request.deadline = now + deadline;
+  context->key = base::IdempotencyKey(key);
+  context->attempt = attempt;
+  context->mayHaveRun = attempt > 0;
+  context->body = ToBytes(aRequest.body);
+  return context;
+}
+
+bool
+RequestService::TryAdmit(Context& aContext)
+{
+  const auto guard = this->shares.Read();
+  const auto* account = guard->FindAccount(aContext.request.account.View());
+  const auto* kind = guard->FindKind(aContext.request.kind.View());
+  if (account == nullptr || kind == nullptr) {
+    return false;
+  }
+  aContext.slot = this->gate.TryAdmit(*account, *kind);
+  return aContext.slot.has_value();
+}
+
+void
+RequestService::Submit(const ContextPtr& aContext)
+{
+  this->counters.queued.fetch_add(1, std::memory_order_relaxed);
+  const bool isAccepted =
+    this->loop.TryPost([this, aContext] { this->SubmitOnLoop(aContext); });
+  if (!isAccepted) {
+    this->RespondNotRun(
+      *aContext, { ErrorCode::QueueFull, "admission" }, kRetryAfter);
+  }
+}
+
+void
+RequestService::SubmitOnLoop(const ContextPtr& aContext)
+{
+  this->waiting.emplace(aContext->request.id, aContext);
+  this->CarryOut(this->queue.Submit(aContext->request, this->clock.Now()));
+}
+
+void
+RequestService::RequeueOnLoop(const ContextPtr& aContext)
+{
+  this->waiting.emplace(aContext->request.id, aContext);
+  this->CarryOut(this->queue.Requeue(aContext->request, this->clock.Now()));
+}
+
+void
+RequestService::CarryOut(admission::Effects aEffects)
+{
+  for (auto& effect : aEffects) {
+    if (auto* dispatch = std::get_if<admission::Dispatch>(&effect)) {
+      auto found = this->waiting.extract(dispatch->id);
+      found.mapped()->slot.emplace(std::move(dispatch->slot));
+      this->Dispatch(found.mapped());
+    } else if (const auto* refuse = std::get_if<admission::Refuse>(&effect)) {
+      const auto found = this->waiting.extract(refuse->id);
+      this->RespondNotRun(*found.mapped(), refuse->error, refuse->retryAfter);
+    }
+  }
+}
+
+void
+RequestService::Dispatch(const ContextPtr& aContext)
+{
+  const auto routes = this->membership.CurrentRoutes();
+  aContext->dispatched = this->clock.Now();
+  if (aContext->dispatched >= aContext->request.deadline) {
+    this->ReleaseSlot(*aContext);
+    this->RespondNotRun(
+      *aContext, { ErrorCode::QueueTimeout, "deadline" }, kRetryAfter);
+    return;
+  }
+  const bool isChosen = aContext->isIdempotent
+                          ? this->ChooseTarget(*aContext, *routes)
+                          : this->ChooseOwner(*aContext, *routes);
+  if (!isChosen) {
+    this->OnNoPermit(aContext, !routes->snapshot->Serving().empty());
+    return;
+  }
+  this->Send(aContext, routes->Of(aContext->permit->Target()));
+}
+
+bool
+RequestService::ChooseTarget(Context& aContext, const Routes& aRoutes) const
+{
+  aContext.permit = this->picker->Pick(
+    *aRoutes.snapshot, this->clock.Now(), ThreadRandom(), aContext.avoid);
+  return aContext.permit.has_value();
+}
+
+bool
+RequestService::ChooseOwner(Context& aContext, const Routes& aRoutes) const
+{
+  std::array<const routing::RoutingEntry*, kRankedTargets> order{};
+  const auto ranked =
+    aRoutes.snapshot->Rank(aContext.key.View(), std::span(order));
+  const routing::RoutingEntry* owner = nullptr;
+  const routing::RoutingEntry* witness = nullptr;
+  for (const auto* entry : ranked) {
+    if (entry->status != routing::TargetStatus::Serving) {
+      continue;
+    }
+    if (owner == nullptr) {
+      owner = entry;
+    } else if (witness == nullptr) {
+      witness = entry;
+    }
+  }
+  if (owner == nullptr) {
+    return false;
+  }
+  aContext.witness =
+    witness == nullptr ? std::string{} : aRoutes.Of(witness->handle).address;
+  aContext.lostTargets = aRoutes.lostTargets;
+  aContext.permit = aRoutes.snapshot->TryAcquire(*owner, this->clock.Now());
+  return aContext.permit.has_value();
+}
+
+void
+RequestService::OnNoPermit(const ContextPtr& aContext, bool aHasTargets)
+{
+  this->ReleaseSlot(*aContext);
+  if (!aHasTargets) {
+    this->RespondNotRun(
+      *aContext, { ErrorCode::NoTarget, "executors" }, kRetryAfter);
+    return;
+  }
+  // The targets are full although the gate had a slot, for instance the owner
+  // of a key. Trying again at once would meet the same full target.
+  this->pool.RunAfter(kNoPermitDelay, [this, aContext] {
+    this->loop.Post([this, aContext] { this->RequeueOnLoop(aContext); });
+  });
+}
+
+void
+RequestService::Send(const ContextPtr& aContext, const Route& aRoute)
+{
+  ++aContext->sends;
+  const auto& request = aContext->request;
+  protocol::Execute execute;
+  execute.account = request.account;
+  execute.caller = request.caller;
+  execute.kind = request.kind;
+  execute.key = aContext->key;
+  execute.retryAttempt = aContext->attempt;
+  execute.isIdempotent = aContext->isIdempotent;
+  const auto left = request.deadline - aContext->dispatched;
+  execute.deadline = std::chrono::ceil<std::chrono::milliseconds>(left);
+  execute.witnessAddress = aContext->witness;
+  execute.lostTargets = aContext->lostTargets;
+  execute.body = aContext->body;
+  this->node.Call(aRoute.connection,
+                  execute,
+                  left + kReplyMargin,
+                  [this, aContext](const protocol::CallResult& aResult) {
+                    this->OnResult(aContext, aResult);
+                  });
+}
+
+void
+RequestService::OnResult(const ContextPtr& aContext,
+                         const protocol::CallResult& aResult)
+{
+  const auto* reply = aResult.reply == nullptr
+                        ? nullptr
+                        : std::get_if<ExecuteReply>(aResult.reply);
+  if (reply != nullptr) {
+    if (reply->outcome == ExecuteOutcome::NotRun && !aContext->isIdempotent) {
+      // The owner of the key speaks for all attempts with it.
+      aContext->mayHaveRun = false;
+    }
+    this->OnReply(aContext, *reply);
+    return;
+  }
+  ExecuteReply failed;
+  failed.error = aResult.failure.error;
+  failed.outcome = aResult.failure.mayHaveBeenSent ? ExecuteOutcome::Unknown
+                                                   : ExecuteOutcome::NotRun;
+  this->OnReply(aContext, failed);
+}
+
+void
+RequestService::OnReply(const ContextPtr& aContext, const ExecuteReply& aReply)
+{
+  aContext->permit->Finish(OutcomeOf(aReply), this->clock.Now());
+  aContext->avoid = aContext->permit->Target();
+  aContext->permit.reset();
+  this->ReleaseSlot(*aContext);
+  if (aReply.outcome == ExecuteOutcome::Done) {
+    this->RespondDone(*aContext, aReply);
+    return;
+  }
+  if (aReply.outcome == ExecuteOutcome::Unknown) {
+    aContext->mayHaveRun = true;
+  }
+  if (this->TryRetry(aContext)) {
+    return;
+  }
+  if (aReply.outcome == ExecuteOutcome::NotRun) {
+    this->RespondNotRun(
+      *aContext,
+      aReply.error,
+      std::max<base::Duration>(aReply.retryAfter, kRetryAfter));
+  } else {
+    this->RespondUnknown(*aContext, aReply.error);
+  }
+}
+
+bool
+RequestService::TryRetry(const ContextPtr& aContext)
+{
+  // A non-idempotent request is left to its caller: the next attempt has to
+  // carry a higher number, and only the caller gives those out.
+  const bool isAllowed = aContext->isIdempotent &&
+                         aContext->sends < kMaxSends &&
+                         this->clock.Now() < aContext->request.deadline &&
+                         this->retryBudget.TrySpend();
+  if (!isAllowed) {
+    return false;
+  }
+  this->counters.retries.fetch_add(1, std::memory_order_relaxed);
+  if (this->TryAdmit(*aContext)) {
+    this->Dispatch(aContext);
+  } else {
+    this->Submit(aContext);
+  }
+  return true;
+}
+
+void
+RequestService::ReleaseSlot(Context& aContext)
+{
+  if (!aContext.slot) {
+    return;
+  }
+  const auto held = this->clock.Now() - aContext.dispatched;
+  const bool isAwaited = aContext.slot->Release(held);
+  aContext.slot.reset();
+  if (isAwaited) {
+    this->loop.Post(
+      [this] { this->CarryOut(this->queue.Complete(this->clock.Now())); });
+  }
+}
+
+void
+RequestService::RespondDone(Context& aContext, const ExecuteReply& aReply)
+{
+  this->counters.done.fetch_add(1, std::memory_order_relaxed);
+  frontend::HttpResponse response;
+  response.status = aReply.status;
+  response.body.assign(reinterpret_cast<const char*>(aReply.body.data()),
+                       aReply.body.size());
+  aContext.respond(std::move(response));
+}
+
+void
+RequestService::RespondNotRun(Context& aContext,
+                              const base::Error& aError,
+                              base::Duration aRetryAfter)
+{
+  this->counters.notRun.fetch_add(1, std::memory_order_relaxed);
+  aContext.respond(
+    MakeErrorResponse({ aError, !aContext.mayHaveRun, aRetryAfter }));
+}
+
+void
+RequestService::RespondUnknown(Context& aContext, const base::Error& aError)
+{
+  this->counters.unknown.fetch_add(1, std::memory_order_relaxed);
+  this->logger.Warning("outcome is unknown",
+                       { { "request", aContext.request.id },
+                         { "error", base::Describe(aError) } });
+  const base::Error unknown{ ErrorCode::OutcomeUnknown,
+                             base::Describe(aError) };
+  aContext.respond(MakeErrorResponse({ unknown, false, std::nullopt }));
+}
+
+} // namespace amaranthwind::entry
--- /dev/null
+++ b/libs/entry/src/RequestService.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "MembershipService.h"
+#include "PolicyKeeper.h"
+#include "amaranthwind/admission/AdmissionQueue.h"
+#include "amaranthwind/admission/CapacityGate.h"
+#include "amaranthwind/admission/RetryBudget.h"
+#include "amaranthwind/admission/Shares.h"
+#include "amaranthwind/base/EventLoop.h"
+#include "amaranthwind/base/RcuCell.h"
+#include "amaranthwind/frontend/HttpServer.h"
+#include "amaranthwind/protocol/Node.h"
+#include "amaranthwind/routing/TargetPicker.h"
+#include "amaranthwind/telemetry/Logger.h"
+
+#include <atomic>
+#include <memory>
+#include <unordered_map>
+
+namespace amaranthwind::entry {
+
+/** Counts of short requests since the start. */
+struct RequestCounters
+{
+  std::atomic<std::uint64_t> done{ 0 };
+  std::atomic<std::uint64_t> notRun{ 0 };
+  std::atomic<std::uint64_t> unknown{ 0 };
+  std::atomic<std::uint64_t> retries{ 0 };
+  std::atomic<std::uint64_t> queued{ 0 };
+};
+
+/**
+ * Serves short requests. An I/O thread reads the shares and the routes under
+ * read-copy-update, takes a slot and a permit from atomics, and sends. Only a
+ * request that finds no free slot goes through the admission thread.
+ */
+class RequestService
+{
+public:
+  RequestService(const base::Clock& aClock,
+                 protocol::Node& aNode,
+                 net::IoPool& aPool,
+                 MembershipService& aMembership,
+                 telemetry::Logger& aLogger);
+  ~RequestService();
+  RequestService(const RequestService&) = delete;
+  RequestService& operator=(const RequestService&) = delete;
+
+  void Start();
+  void Stop();
+
+  /** POST /v1/requests/<kind>. */
+  void Handle(std::string_view aKind,
+              frontend::HttpRequest aRequest,
+              frontend::HttpResponder aRespond);
+
+  /** On the thread that reads the log. */
+  void OnPolicy(const policy::Policy& aPolicy);
+  /** The routes, and with them the capacity, have changed. */
+  void OnRoutes();
+
+  const RequestCounters& Counters() const noexcept { return this->counters; }
+  std::uint32_t InUse() const noexcept { return this->gate.InUse(); }
+  std::uint32_t Waiting() const noexcept { return this->gate.Waiting(); }
+  std::uint32_t Capacity() const noexcept { return this->gate.Capacity(); }
+
+private:
+  struct Context;
+  using ContextPtr = std::shared_ptr<Context>;
+
+  base::Result<ContextPtr> Parse(std::string_view aKind,
+                                 frontend::HttpRequest& aRequest);
+  bool TryAdmit(Context& aContext);
+  void Submit(const ContextPtr& aContext);
+  void SubmitOnLoop(const ContextPtr& aContext);
+  void RequeueOnLoop(const ContextPtr& aContext);
+  void CarryOut(admission::Effects aEffects);
+  void Dispatch(const ContextPtr& aContext);
+  bool ChooseTarget(Context& aContext, const Routes& aRoutes) const;
+  bool ChooseOwner(Context& aContext, const Routes& aRoutes) const;
+  void OnNoPermit(const ContextPtr& aContext, bool aHasTargets);
+  void Send(const ContextPtr& aContext, const Route& aRoute);
+  void OnResult(const ContextPtr& aContext,
+                const protocol::CallResult& aResult);
+  void OnReply(const ContextPtr& aContext,
+               const protocol::ExecuteReply& aReply);
+  bool TryRetry(const ContextPtr& aContext);
+  void ReleaseSlot(Context& aContext);
+  void RespondDone(Context& aContext, const protocol::ExecuteReply& aReply);
+  void RespondNotRun(Context& aContext,
+                     const base::Error& aError,
+                     base::Duration aRetryAfter);
+  void RespondUnknown(Context& aContext, const base::Error& aError);
+  void RefreshCapacity();
+
+  const base::Clock& clock;
+  protocol::Node& node;
+  net::IoPool& pool;
+  MembershipService& membership;
+  telemetry::Logger& logger;
+  admission::ShareTable shareTable;
+  admission::CapacityGate gate;
+  base::RcuCell<admission::ShareSnapshot> shares;
+  admission::AdmissionQueue queue;
+  admission::RetryBudget retryBudget;
+  std::unique_ptr<routing::TargetPicker> picker;
+  std::atomic<std::uint64_t> lastId{ 0 };
+  RequestCounters counters;
+  /** Requests in the queue; only on the loop. */
+  std::unordered_map<admission::RequestId, ContextPtr> waiting;
+  base::EventLoop loop;
+};
+
+} // namespace amaranthwind::entry
--- a/libs/frontend/include/amaranthwind/frontend/HttpClient.h
+++ b/libs/frontend/include/amaranthwind/frontend/HttpClient.h
@@ -23,7 +23,7 @@
   std::size_t maxConnections = 64;
   /** Requests that wait for a connection. */
   std::size_t maxQueued = 1024;
-  std::size_t maxBodyBytes = 8U * 1024U * 1024U;
+  std::size_t maxBodyBytes = std::size_t{ 8 } * 1024 * 1024;
   std::chrono::milliseconds connectTimeout{ 2000 };
 };
 
--- a/libs/frontend/include/amaranthwind/frontend/HttpServer.h
+++ b/libs/frontend/include/amaranthwind/frontend/HttpServer.h
@@ -29,8 +29,8 @@
 
 struct HttpServerOptions
 {
-  std::size_t maxBodyBytes = 256U * 1024U;
-  std::size_t maxHeaderBytes = 16U * 1024U;
+  std::size_t maxBodyBytes = std::size_t{ 256 } * 1024;
+  std::size_t maxHeaderBytes = std::size_t{ 16 } * 1024;
   std::size_t maxConnections = 1024;
   /** A connection without a request for this time is closed. */
   std::chrono::milliseconds idleTimeout{ 30'000 };
--- a/libs/frontend/src/HttpClient.cpp
+++ b/libs/frontend/src/HttpClient.cpp
@@ -210,7 +210,7 @@
         Failure(ErrorCode::QueueFull, this->options.address, false));
       return;
     }
-    this->Run(std::move(session), std::move(aPending));
+    this->Run(session, std::move(aPending));
   }
 
   /** An idle or a new session; null if all connections are in use. */
@@ -229,7 +229,8 @@
     return std::make_shared<ClientSession>(this->pool.Next(), this->options);
   }
 
-  void Run(std::shared_ptr<ClientSession> aSession, PendingRequest aPending)
+  void Run(const std::shared_ptr<ClientSession>& aSession,
+           PendingRequest aPending)
   {
     aSession->Run(
       std::move(aPending),
@@ -268,7 +269,7 @@
       late.handler(Failure(ErrorCode::TimedOut, "no free connection", false));
     }
     if (next.has_value()) {
-      this->Run(std::move(aSession), std::move(*next));
+      this->Run(aSession, std::move(*next));
     }
   }
 
--- a/libs/frontend/src/HttpLogClient.cpp
+++ b/libs/frontend/src/HttpLogClient.cpp
@@ -141,7 +141,7 @@
     return Fail(ErrorCode::AppendUnconfirmed,
                 "status " + std::to_string(response.status));
   }
-  const auto offset = ReadAppended(response.body);
+  auto offset = ReadAppended(response.body);
   if (offset.has_error()) {
     // The service took the request, so that the record may be in the log.
     return Fail(ErrorCode::AppendUnconfirmed, offset.error().subject);
--- a/libs/frontend/tests/HttpTest.cpp
+++ b/libs/frontend/tests/HttpTest.cpp
@@ -30,7 +30,7 @@
   }
 
   std::function<void(HttpRequest, HttpResponder)> serve =
-    [](HttpRequest aRequest, const HttpResponder& aRespond) {
+    [](const HttpRequest& aRequest, const HttpResponder& aRespond) {
       HttpResponse response;
       response.body = aRequest.method + " " + aRequest.path + "?" +
                       aRequest.query + " " + aRequest.body;
--- a/libs/protocol/include/amaranthwind/protocol/FrameCodec.h
+++ b/libs/protocol/include/amaranthwind/protocol/FrameCodec.h
@@ -13,7 +13,7 @@
 /** Bytes of the little-endian length in front of each frame. */
 constexpr std::size_t kFrameHeaderBytes = 4;
 /** Longest frame without its header. */
-constexpr std::size_t kMaxFrameBytes = 1024U * 1024U;
+constexpr std::size_t kMaxFrameBytes = std::size_t{ 1024 } * 1024;
 
 /** The whole frame, header included. */
 std::vector<std::byte>
--- a/libs/protocol/include/amaranthwind/protocol/Node.h
+++ b/libs/protocol/include/amaranthwind/protocol/Node.h
@@ -27,7 +27,7 @@
   std::chrono::milliseconds silenceTimeout{ 3000 };
   std::chrono::milliseconds connectTimeout{ 2000 };
   /** A connection whose peer reads too slowly is closed beyond this. */
-  std::size_t maxQueuedBytes = 8U * 1024U * 1024U;
+  std::size_t maxQueuedBytes = std::size_t{ 8 } * 1024 * 1024;
   std::size_t maxConnections = 4096;
 };
 
--- a/libs/protocol/src/ConnectionState.cpp
+++ b/libs/protocol/src/ConnectionState.cpp
@@ -28,11 +28,12 @@
   {};
   using initial_state = Connecting;
 
-  struct transition_table
-    : boost::mpl::vector<Row<Connecting, Established, Open>,
-                         Row<Connecting, Closing, Closed>,
-                         Row<Open, Closing, Closed>>
-  {};
+  // clang-format off
+  using transition_table = boost::mpl::vector<
+    Row<Connecting, Established, Open>,
+    Row<Connecting, Closing,     Closed>,
+    Row<Open,       Closing,     Closed>>;
+  // clang-format on
 
   // An event without a row is one that came too late; it has no effect.
   template<typename Fsm, typename Event>
--- a/libs/protocol/src/WireDecoder.h
+++ b/libs/protocol/src/WireDecoder.h
@@ -2,7 +2,7 @@
 
 #include "amaranthwind/base/Result.h"
 #include "amaranthwind/protocol/Messages.h"
-#include "generated/envelope_generated.h"
+#include "envelope_generated.h"
 
 namespace amaranthwind::protocol {
 
--- a/libs/protocol/src/WireEncoder.h
+++ b/libs/protocol/src/WireEncoder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "amaranthwind/protocol/Messages.h"
-#include "generated/envelope_generated.h"
+#include "envelope_generated.h"
 
 #include <flatbuffers/flatbuffers.h>
 
--- a/libs/target/src/GangServer.cpp
+++ b/libs/target/src/GangServer.cpp
@@ -181,7 +181,8 @@
 GangServer::OnTaskList(const std::vector<WorkerTask>& aTasks)
 {
   std::vector<std::pair<AttemptKey, TaskState>> ended;
-  for (const auto& [key, task] : this->tasks) {
+  for (const auto& held : this->tasks) {
+    const Task& task = held.second;
     if (!task.isStarted) {
       continue;
     }
@@ -191,9 +192,9 @@
       });
     if (found == aTasks.end()) {
       // The worker has restarted and knows nothing of the task.
-      ended.emplace_back(key, TaskState::Expired);
+      ended.emplace_back(held.first, TaskState::Expired);
     } else if (found->state != TaskState::Running) {
-      ended.emplace_back(key, found->state);
+      ended.emplace_back(held.first, found->state);
     }
   }
   for (const auto& [key, state] : ended) {
--- a/libs/target/src/HttpWorkerClient.cpp
+++ b/libs/target/src/HttpWorkerClient.cpp
@@ -21,12 +21,15 @@
 Result<frontend::HttpResponse>
 CheckStatus(frontend::HttpResult aResult)
 {
-  BOOST_OUTCOME_TRY(auto response, std::move(aResult.response));
-  if (response.status >= kFirstErrorStatus) {
+  if (aResult.response.has_error()) {
+    return base::failure(aResult.response.error());
+  }
+  const std::uint16_t status = aResult.response.value().status;
+  if (status >= kFirstErrorStatus) {
     return Fail(ErrorCode::TargetFailed,
-                "worker status " + std::to_string(response.status));
+                "worker status " + std::to_string(status));
   }
-  return response;
+  return std::move(aResult.response.value());
 }
 
 std::optional<TaskState>
--- a/libs/target/tests/HttpWorkerClientTest.cpp
+++ b/libs/target/tests/HttpWorkerClientTest.cpp
@@ -31,15 +31,16 @@
   base::Result<void> Start(const TaskSpec& aTask)
   {
     std::promise<base::Result<void>> result;
-    this->client.Start(
-      aTask, [&](base::Result<void> aResult) { result.set_value(aResult); });
+    this->client.Start(aTask, [&](const base::Result<void>& aResult) {
+      result.set_value(aResult);
+    });
     return result.get_future().get();
   }
 
   std::vector<WorkerTask> List()
   {
     std::promise<base::Result<std::vector<WorkerTask>>> result;
-    this->client.List([&](auto aResult) { result.set_value(aResult); });
+    this->client.List([&](const auto& aResult) { result.set_value(aResult); });
     return result.get_future().get().value();
   }
 
