--- /dev/null
+++ b/libs/scheduling/benchmark/Simulation.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "amaranthwind/base/Random.h"
+#include "amaranthwind/scheduling/CellScheduler.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace amaranthwind::scheduling {
+
+inline constexpr std::uint32_t kWorkers = 11;
+inline constexpr std::uint32_t kWorkersPerRack = 3;
+inline constexpr std::uint32_t kAccelerators = 8;
+
+/** What is driven: the scheduler, or a baseline. */
+class Engine
+{
+public:
+  virtual ~Engine() = default;
+  virtual void Handle(base::TimePoint aNow,
+                      const Event& aEvent,
+                      std::vector<Effect>& aEffects) = 0;
+  /** Whether the job runs inside its account's guarantee. */
+  virtual bool IsGuaranteed(const base::JobId& aJob) const = 0;
+};
+
+enum class Baseline : std::uint8_t
+{
+  FirstFitFifo,   // The first job that does not fit blocks the rest.
+  BestFit,        // In order of arrival; what fits starts.
+  StrictPriority, // In order of urgency; what fits starts.
+};
+
+std::unique_ptr<Engine>
+MakeEngine();
+std::unique_ptr<Engine>
+MakeBaseline(Baseline aKind);
+
+struct SimulatedJob
+{
+  job::JobSpec spec;
+  std::uint32_t urgency = 0;
+  base::Duration arrival{};
+  base::Duration runTime{};
+  /** When the caller cancels it, if it has not ended. */
+  base::Duration cancel = base::Duration::max();
+  /** Fails on every worker. */
+  bool isFaulty = false;
+
+  bool IsLargeGang() const
+  {
+    return this->spec.shape.TotalAccelerators() >= 16;
+  }
+};
+
+struct Workload
+{
+  std::vector<policy::Account> accounts;
+  /** In order of arrival. */
+  std::vector<SimulatedJob> jobs;
+  /** Workers that fail every task a few seconds after its start. */
+  std::vector<std::uint32_t> failingWorkers;
+  /** Work that arrives in the window, as a share of the fleet's capacity. */
+  double offeredLoad = 0;
+};
+
+struct Figures
+{
+  double meanCompletion = 0; // Minutes, of the jobs that succeeded.
+  double p99LargeGang = 0;   // Minutes.
+  double smallUrgent = 0;    // Minutes, mean of the most urgent kind.
+  double unusableShare = 0;  // Of the free accelerators, over time.
+  double utilisation = 0;    // Productive share of the fleet in the window.
+  double violations = 0;     // Guarantees not had back in time.
+  double starved = 0;        // Large gangs that waited for over a day.
+  double preemptions = 0;
+  double failedJobs = 0;
+};
+
+/** Hours in which jobs arrive; the run goes on until all have ended. */
+inline constexpr base::Duration kWindow = std::chrono::hours(24);
+
+Figures
+Simulate(const Workload& aWorkload, Engine& aEngine);
+
+enum class Deployment : std::uint8_t
+{
+  Fundacion,
+  Rotaform,
+};
+
+enum class Scenario : std::uint8_t
+{
+  Day,
+  Overload10,
+  Overload30,
+  CancelBurst,
+  FailingWorkers,
+};
+
+Workload
+MakeWorkload(Deployment aDeployment, Scenario aScenario, std::uint64_t aSeed);
+
+} // namespace amaranthwind::scheduling
