Stop less urgent borrowers for the reserved gang and fill units in part use

A flood of the least urgent work held the reservation, since ten minutes of age outweighed a step of urgency, and jobs of an account opened whole units while others of its units were in part use. The reservation now goes by urgency with four hours of age per step, less urgent borrowers are stopped for it, and units in part use are filled first.

--- a/libs/scheduling/benchmark/PolicyBenchmark.cpp
+++ b/libs/scheduling/benchmark/PolicyBenchmark.cpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 // Compares the scheduler with the baselines on the same seeded workloads.
-// Usage: scheduling_policy_benchmark [seeds]
+// Usage: scheduling_policy_benchmark [seeds [scenario]]
 
 namespace {
 
@@ -56,6 +56,9 @@
   };
   for (const auto& [deployment, deploymentName] : deployments) {
     for (const auto& [scenario, scenarioName] : scenarios) {
+      if (aCount > 2 && std::string_view(aArguments[2]) != scenarioName) {
+        continue;
+      }
       std::vector<Figures> results[4];
       std::vector<double> loads;
       for (int seed = 1; seed <= seeds; ++seed) {
--- a/libs/scheduling/benchmark/Simulation.h
+++ b/libs/scheduling/benchmark/Simulation.h
@@ -24,6 +24,7 @@
                       std::vector<Effect>& aEffects) = 0;
   /** Whether the job runs inside its account's guarantee. */
   virtual bool IsGuaranteed(const base::JobId& aJob) const = 0;
+  virtual bool HasGuarantees() const = 0;
 };
 
 enum class Baseline : std::uint8_t
--- a/libs/scheduling/benchmark/Workload.cpp
+++ b/libs/scheduling/benchmark/Workload.cpp
@@ -121,6 +121,8 @@
     workload.accounts.push_back(account);
   }
   const double capacity = kWorkers * kAccelerators * Minutes(kWindow).count();
+  // Two failing workers leave nine.
+  const double usable = aScenario == Scenario::FailingWorkers ? 9.0 / 11 : 1;
   double offered = 0;
   for (const Kind& kind : KindsOf(aDeployment)) {
     double meanWork = 0;
@@ -130,7 +132,7 @@
     }
     meanWork *= kind.medianMinutes * std::exp(kSigma * kSigma / 2);
     const double gap =
-      Minutes(kWindow).count() * meanWork / (kind.load * capacity);
+      Minutes(kWindow).count() * meanWork / (kind.load * capacity * usable);
     const bool isFlood = kind.urgency == 2;
     double at = 0;
     while (true) {
--- a/libs/scheduling/include/amaranthwind/scheduling/Effect.h
+++ b/libs/scheduling/include/amaranthwind/scheduling/Effect.h
@@ -30,6 +30,7 @@
 enum class StopReason : std::uint8_t
 {
   GuaranteeClaimed,
+  UrgentWork, // More urgent work that waits needs the place.
   Cancelled,
 };
 
--- a/libs/scheduling/src/Dispatch.cpp
+++ b/libs/scheduling/src/Dispatch.cpp
@@ -148,24 +148,24 @@
     }
     return isCharged;
   };
-  // Units in part use first, so that whole ones stay for large jobs.
-  return (this->PlaceInGuarantee(job.account,
-                                 job.spec.shape,
-                                 job.failedOn,
-                                 OfferUse::PartlyUsedAndFree,
-                                 this->chosen) &&
-          charge()) ||
-         (this->placement->Place(
+  const auto find = [&](OfferUse aUse) {
+    return this->PlaceInGuarantee(
+      job.account, job.spec.shape, job.failedOn, aUse, this->chosen);
+  };
+  if (find(OfferUse::PartlyUsedAndFree)) {
+    return charge();
+  }
+  // A unit in part use is filled before a whole one is broken, even if
+  // borrowers have to be stopped: else jobs for whole units find none.
+  if (find(OfferUse::PartlyUsed)) {
+    return false;
+  }
+  return (this->placement->Place(
             this->free,
             PlacementRequest{ job.spec.shape, job.failedOn },
             this->chosen) &&
           charge()) ||
-         (this->PlaceInGuarantee(job.account,
-                                 job.spec.shape,
-                                 job.failedOn,
-                                 OfferUse::Free,
-                                 this->chosen) &&
-          charge());
+         (find(OfferUse::Free) && charge());
 }
 
 bool
--- a/libs/scheduling/src/Reclaim.cpp
+++ b/libs/scheduling/src/Reclaim.cpp
@@ -28,7 +28,9 @@
                      return aLeft.worker < aRight.worker;
                    });
   for (const SlotOffer& offer : this->slotOffers) {
-    if ((aUse == OfferUse::PartlyUsedAndFree && !offer.isPartlyUsed) ||
+    if (((aUse == OfferUse::PartlyUsedAndFree ||
+          aUse == OfferUse::PartlyUsed) &&
+         !offer.isPartlyUsed) ||
         std::find(aAvoid.begin(), aAvoid.end(), offer.worker) != aAvoid.end()) {
       continue;
     }
@@ -41,17 +43,26 @@
       std::min<std::uint64_t>(members, aShape.members));
   }
   for (Offer& offer : offers) {
-    if (aUse == OfferUse::Any) {
+    if (aUse == OfferUse::Any || aUse == OfferUse::PartlyUsed) {
       continue;
     }
     if (aUse == OfferUse::Reclaimed) {
-      offer.cost =
-        this->CostOf(offer.worker, Times(aShape.perMember, offer.members));
+      offer.cost = this->CostOf(
+        offer.worker, Times(aShape.perMember, offer.members), std::nullopt);
     } else {
       offer.members = CountFitting(
         this->free.Available(offer.worker), aShape.perMember, offer.members);
     }
   }
+  return this->ChooseOffers(aShape, aWorkers);
+}
+
+bool
+CellScheduler::State::ChooseOffers(const fleet::Shape& aShape,
+                                   std::vector<WorkerIndex>& aWorkers)
+{
+  aWorkers.clear();
+  std::vector<Offer>& offers = this->offers;
   std::erase_if(offers,
                 [](const Offer& aOffer) { return aOffer.members == 0; });
   const auto cheapestFirst = [](const Offer& aLeft, const Offer& aRight) {
@@ -118,7 +129,9 @@
 }
 
 double
-CellScheduler::State::CostOf(WorkerIndex aWorker, const Resources& aNeed) const
+CellScheduler::State::CostOf(WorkerIndex aWorker,
+                             const Resources& aNeed,
+                             std::optional<std::uint32_t> aUrgency) const
 {
   const WorkerUse& use = this->uses[aWorker];
   Resources taken = use.used;
@@ -130,23 +143,31 @@
   double cost = 0;
   for (const JobIndex job : use.jobs) {
     const JobRow& row = this->jobs[job];
-    if (row.tenure == Tenure::Borrowed && !row.isStopping) {
+    if (this->IsStoppable(row, aUrgency)) {
       cost += this->LostWork(row);
     }
   }
   return cost;
 }
 
+bool
+CellScheduler::State::IsStoppable(const JobRow& aJob,
+                                  std::optional<std::uint32_t> aUrgency) const
+{
+  return aJob.tenure == Tenure::Borrowed && !aJob.isStopping &&
+         (!aUrgency || aJob.urgency > *aUrgency);
+}
+
 bool
 CellScheduler::State::Reclaim(JobIndex aJob)
 {
   JobRow& job = this->jobs[aJob];
   const Resources& need = job.spec.shape.perMember;
-  if (!this->PlaceInGuarantee(job.account,
-                              job.spec.shape,
-                              job.failedOn,
-                              OfferUse::Reclaimed,
-                              this->chosen)) {
+  const auto find = [&](OfferUse aUse) {
+    return this->PlaceInGuarantee(
+      job.account, job.spec.shape, job.failedOn, aUse, this->chosen);
+  };
+  if (!find(OfferUse::PartlyUsed) && !find(OfferUse::Reclaimed)) {
     return false;
   }
   const bool isCharged =
@@ -161,13 +182,17 @@
   job.stopDeadline = this->now + this->settings.reclaimTime;
   this->AddUse(&WorkerUse::claimed, job.workers, need);
   this->claims.push_back(aJob);
-  this->StopBorrowers(job.workers);
+  this->StopBorrowers(
+    job.workers, {}, std::nullopt, StopReason::GuaranteeClaimed);
   this->AdvanceClaims();
   return true;
 }
 
 void
-CellScheduler::State::StopBorrowers(std::span<const WorkerIndex> aWorkers)
+CellScheduler::State::StopBorrowers(std::span<const WorkerIndex> aWorkers,
+                                    const Resources& aExtra,
+                                    std::optional<std::uint32_t> aUrgency,
+                                    StopReason aReason)
 {
   struct Deficit
   {
@@ -184,6 +209,9 @@
     const WorkerUse& use = this->uses[worker];
     Resources taken = use.used;
     taken += use.claimed;
+    taken += Times(aExtra,
+                   static_cast<std::uint32_t>(
+                     std::count(aWorkers.begin(), aWorkers.end(), worker)));
     Resources missing = Remaining(taken, use.total);
     for (const JobIndex job : use.jobs) {
       if (this->jobs[job].isStopping) {
@@ -201,7 +229,7 @@
     for (const Deficit& deficit : deficits) {
       for (const JobIndex job : this->uses[deficit.worker].jobs) {
         const JobRow& row = this->jobs[job];
-        if (row.tenure != Tenure::Borrowed || row.isStopping) {
+        if (!this->IsStoppable(row, aUrgency)) {
           continue;
         }
         double freed = 0;
@@ -221,7 +249,7 @@
     if (!victim) {
       return; // What blocks the claim ends by itself, for example a restart.
     }
-    this->StopGang(*victim, StopReason::GuaranteeClaimed);
+    this->StopGang(*victim, aReason);
     for (Deficit& deficit : deficits) {
       deficit.missing =
         Remaining(deficit.missing, this->UseOn(*victim, deficit.worker));
--- a/libs/scheduling/src/Reservation.cpp
+++ b/libs/scheduling/src/Reservation.cpp
@@ -10,8 +10,9 @@
 using fleet::WorkerIndex;
 
 /** Waiting this long counts as much as one step of urgency: less urgent gangs
- * are reserved a start even while urgent work overloads the cell. */
-constexpr base::Duration kUrgencyAge = std::chrono::minutes(10);
+ * are reserved a start even while urgent work overloads the cell. With ten
+ * minutes, a flood of the least urgent work held all reservations. */
+constexpr base::Duration kUrgencyAge = std::chrono::hours(4);
 /** Candidates that are planned before none is reserved a start. */
 constexpr std::size_t kCandidates = 4;
 /** Placements that are tried in one plan; bounds its cost. */
@@ -79,33 +80,95 @@
   }
 }
 
+base::TimePoint
+CellScheduler::State::ReservationRank(JobIndex aJob) const
+{
+  return this->jobs[aJob].submitted + kUrgencyAge * this->jobs[aJob].urgency;
+}
+
 void
 CellScheduler::State::ChooseReservation()
 {
-  if (this->reservation.job != kNoJob) {
+  // A place that is being reclaimed is kept until the stops are overdue.
+  if (this->reservation.isReclaiming && this->now < this->reservation.start) {
     return;
   }
   std::vector<std::pair<base::TimePoint, JobIndex>> candidates;
-  for (ClassIndex index = 0; index < this->classes.size(); ++index) {
-    const ClassRow& row = this->classes[index];
-    if (!row.waiting.empty()) {
-      const JobIndex first = row.waiting.front();
-      candidates.emplace_back(
-        this->jobs[first].submitted + kUrgencyAge * row.key.urgency, first);
+  for (const ClassRow& row : this->classes) {
+    // Firm use does not grow while guarantees have no place.
+    if (!row.waiting.empty() &&
+        (row.key.mayBorrow || !this->ledger.HasShortfall())) {
+      candidates.emplace_back(this->ReservationRank(row.waiting.front()),
+                              row.waiting.front());
     }
   }
   const std::size_t count = std::min(candidates.size(), kCandidates);
   std::partial_sort(candidates.begin(),
                     candidates.begin() + static_cast<std::ptrdiff_t>(count),
                     candidates.end());
+  if (this->reservation.job != kNoJob) {
+    // Only a job that comes before the owner takes the reservation over.
+    if (!this->reservation.isReclaiming &&
+        (count == 0 || candidates.front().first >=
+                         this->ReservationRank(this->reservation.job))) {
+      return;
+    }
+    this->LiftReservation();
+    this->reservation = Reservation{};
+  }
   for (std::size_t at = 0; at < count; ++at) {
-    if (this->PlanReservation(candidates[at].second)) {
+    if (this->PreemptForReservation(candidates[at].second) ||
+        this->PlanReservation(candidates[at].second)) {
       this->HoldReservation();
       return;
     }
   }
 }
 
+bool
+CellScheduler::State::PreemptForReservation(JobIndex aJob)
+{
+  const JobRow& job = this->jobs[aJob];
+  const Resources& need = job.spec.shape.perMember;
+  this->offers.clear();
+  for (WorkerIndex worker = 0; worker < this->uses.size(); ++worker) {
+    const WorkerUse& use = this->uses[worker];
+    if (use.total == Resources{} ||
+        std::find(job.failedOn.begin(), job.failedOn.end(), worker) !=
+          job.failedOn.end()) {
+      continue;
+    }
+    Resources taken = use.used;
+    taken += use.claimed;
+    for (const JobIndex other : use.jobs) {
+      if (this->IsStoppable(this->jobs[other], job.urgency)) {
+        taken = Remaining(taken, this->UseOn(other, worker));
+      }
+    }
+    Resources available = Remaining(use.total, taken);
+    if (!job.MayBorrow()) {
+      available =
+        Smaller(available, this->ledger.Unpromised().Available(worker));
+    }
+    const std::uint32_t members =
+      CountFitting(available, need, job.spec.shape.members);
+    if (members != 0) {
+      this->offers.push_back(
+        Offer{ worker,
+               members,
+               this->CostOf(worker, Times(need, members), job.urgency) });
+    }
+  }
+  if (!this->ChooseOffers(job.spec.shape, this->chosen)) {
+    return false;
+  }
+  this->reservation = Reservation{
+    aJob, this->now + this->settings.reclaimTime, true, this->chosen
+  };
+  this->StopBorrowers(this->chosen, need, job.urgency, StopReason::UrgentWork);
+  return true;
+}
+
 bool
 CellScheduler::State::PlanReservation(JobIndex aJob)
 {
@@ -161,7 +224,8 @@
     if ((at + 1) % step == 0 || at + 1 == ends.size()) {
       isPlaced = this->placement->Place(index, request, this->chosen);
       if (isPlaced) {
-        this->reservation = Reservation{ aJob, ends[at].at, this->chosen };
+        this->reservation =
+          Reservation{ aJob, ends[at].at, false, this->chosen };
       }
     }
   }
--- a/libs/scheduling/src/SchedulerState.h
+++ b/libs/scheduling/src/SchedulerState.h
@@ -99,6 +99,8 @@
 {
   JobIndex job = kNoJob;
   base::TimePoint start{};
+  /** Borrowers are being stopped for it. */
+  bool isReclaiming = false;
   std::vector<fleet::WorkerIndex> workers;
 };
 
@@ -176,6 +178,7 @@
   enum class OfferUse : std::uint8_t
   {
     PartlyUsedAndFree,
+    PartlyUsed,
     Free,
     Reclaimed,
     Any, // Whether it is free or not.
@@ -185,15 +188,26 @@
                         std::span<const fleet::WorkerIndex> aAvoid,
                         OfferUse aUse,
                         std::vector<fleet::WorkerIndex>& aWorkers);
+  /** Chooses the cheapest of this->offers that hold all members. */
+  bool ChooseOffers(const fleet::Shape& aShape,
+                    std::vector<fleet::WorkerIndex>& aWorkers);
   bool Reclaim(JobIndex aJob);
-  void StopBorrowers(std::span<const fleet::WorkerIndex> aWorkers);
+  /** Stops borrowers until what is claimed on the workers, and aExtra for each
+   * member, will be free. Only jobs less urgent than aUrgency, if given. */
+  void StopBorrowers(std::span<const fleet::WorkerIndex> aWorkers,
+                     const fleet::Resources& aExtra,
+                     std::optional<std::uint32_t> aUrgency,
+                     StopReason aReason);
+  bool IsStoppable(const JobRow& aJob,
+                   std::optional<std::uint32_t> aUrgency) const;
   void StopGang(JobIndex aJob, StopReason aReason);
   void AdvanceClaims();
   void CancelClaim(JobIndex aJob);
   fleet::Resources UseOn(JobIndex aJob, fleet::WorkerIndex aWorker) const;
   /** Work lost if aNeed is taken on the worker. */
   double CostOf(fleet::WorkerIndex aWorker,
-                const fleet::Resources& aNeed) const;
+                const fleet::Resources& aNeed,
+                std::optional<std::uint32_t> aUrgency) const;
   double LostWork(const JobRow& aJob) const;
   void Promote(AccountIndex aAccount);
   bool TryPromote(JobIndex aJob);
@@ -205,6 +219,8 @@
   void AdvanceReservation();
   void ChooseReservation();
   bool PlanReservation(JobIndex aJob);
+  bool PreemptForReservation(JobIndex aJob);
+  base::TimePoint ReservationRank(JobIndex aJob) const;
 
   // Queries.
   /** Members of the shape that fit into what aAvailable gives per worker,
