Keep large units whole and try several places for firm use

Small jobs of an account opened its large unit, which then was missing for its large jobs. A job now runs outside a unit more than twice its size while it can. Firm use tries up to four places from which unused units have to move.

--- a/libs/scheduling/include/amaranthwind/scheduling/GuaranteeLedger.h
+++ b/libs/scheduling/include/amaranthwind/scheduling/GuaranteeLedger.h
@@ -89,6 +89,11 @@
   void FindOffers(AccountIndex aAccount,
                   const fleet::Resources& aNeed,
                   std::vector<SlotOffer>& aOffers) const;
+  /** True if the account has an unused unit of at most that many accelerators
+   * whose slots hold a member. */
+  bool HasUnusedUnit(AccountIndex aAccount,
+                     const fleet::Resources& aNeed,
+                     std::uint64_t aMostAccelerators) const;
   /**
    * Charges a job on these workers to its account. Units of the account move
    * there if they must. Otherwise no change.
--- a/libs/scheduling/src/Dispatch.cpp
+++ b/libs/scheduling/src/Dispatch.cpp
@@ -9,6 +9,15 @@
 using fleet::Resources;
 using fleet::WorkerIndex;
 
+namespace {
+
+/** A unit at most this many times as large as a job is filled by it. */
+constexpr std::uint64_t kUnitPerJob = 2;
+/** Places that are tried for firm use before the job waits. */
+constexpr std::uint32_t kMoveTries = 4;
+
+} // namespace
+
 void
 CellScheduler::State::Dispatch()
 {
@@ -127,45 +136,70 @@
 bool
 CellScheduler::State::TryStart(JobIndex aJob)
 {
-  if (this->IsCovered(this->jobs[aJob].jobClass)) {
+  const JobRow& job = this->jobs[aJob];
+  const fleet::Shape& shape = job.spec.shape;
+  if (!this->IsCovered(job.jobClass)) {
+    return this->TryUnguaranteed(aJob);
+  }
+  // A small job does not break a large unit while it can run elsewhere: its
+  // account needs the whole unit for its large jobs.
+  const bool fillsUnit = this->ledger.HasUnusedUnit(
+    job.account, shape.perMember, kUnitPerJob * shape.TotalAccelerators());
+  if (fillsUnit) {
     return this->TryGuaranteed(aJob) || this->TryUnguaranteed(aJob) ||
            this->Reclaim(aJob);
   }
-  return this->TryUnguaranteed(aJob);
+  return this->TryPartlyUsedUnit(aJob) || this->TryUnguaranteed(aJob) ||
+         this->TryGuaranteed(aJob) || this->Reclaim(aJob);
 }
 
 bool
-CellScheduler::State::TryGuaranteed(JobIndex aJob)
+CellScheduler::State::ChargeAndStart(JobIndex aJob)
 {
   JobRow& job = this->jobs[aJob];
-  const Resources& need = job.spec.shape.perMember;
-  const auto charge = [&] {
-    const bool isCharged =
-      this->ledger.TryCharge(job.account, this->chosen, need, job.charge);
-    this->SyncLedger();
-    if (isCharged) {
-      this->Start(aJob, Tenure::Guaranteed);
-    }
-    return isCharged;
-  };
-  const auto find = [&](OfferUse aUse) {
-    return this->PlaceInGuarantee(
-      job.account, job.spec.shape, job.failedOn, aUse, this->chosen);
-  };
-  if (find(OfferUse::PartlyUsedAndFree)) {
-    return charge();
+  const bool isCharged = this->ledger.TryCharge(
+    job.account, this->chosen, job.spec.shape.perMember, job.charge);
+  this->SyncLedger();
+  if (isCharged) {
+    this->Start(aJob, Tenure::Guaranteed);
+  }
+  return isCharged;
+}
+
+bool
+CellScheduler::State::FindInGuarantee(JobIndex aJob, OfferUse aUse)
+{
+  const JobRow& job = this->jobs[aJob];
+  return this->PlaceInGuarantee(
+    job.account, job.spec.shape, job.failedOn, aUse, this->chosen);
+}
+
+bool
+CellScheduler::State::TryPartlyUsedUnit(JobIndex aJob)
+{
+  return this->FindInGuarantee(aJob, OfferUse::PartlyUsedAndFree) &&
+         this->ChargeAndStart(aJob);
+}
+
+bool
+CellScheduler::State::TryGuaranteed(JobIndex aJob)
+{
+  if (this->TryPartlyUsedUnit(aJob)) {
+    return true;
   }
   // A unit in part use is filled before a whole one is broken, even if
   // borrowers have to be stopped: else jobs for whole units find none.
-  if (find(OfferUse::PartlyUsed)) {
+  if (this->FindInGuarantee(aJob, OfferUse::PartlyUsed)) {
     return false;
   }
+  const JobRow& job = this->jobs[aJob];
   return (this->placement->Place(
             this->free,
             PlacementRequest{ job.spec.shape, job.failedOn },
             this->chosen) &&
-          charge()) ||
-         (find(OfferUse::Free) && charge());
+          this->ChargeAndStart(aJob)) ||
+         (this->FindInGuarantee(aJob, OfferUse::Free) &&
+          this->ChargeAndStart(aJob));
 }
 
 bool
@@ -184,17 +218,29 @@
   if (this->ledger.HasShortfall()) {
     return false;
   }
-  for (const CapacityIndex* index : { &this->spare, &this->free }) {
-    if (!this->placement->Place(*index, request, this->chosen)) {
-      continue;
-    }
+  const auto take = [&] {
     const bool isTaken =
       this->ledger.TryTakeFirm(this->chosen, job.spec.shape.perMember);
     this->SyncLedger();
     if (isTaken) {
       this->Start(aJob, Tenure::Spare);
+    }
+    return isTaken;
+  };
+  if (this->placement->Place(this->spare, request, this->chosen) && take()) {
+    return true;
+  }
+  // Places from which unused units have to move.
+  std::vector<WorkerIndex> avoid = job.failedOn;
+  for (std::uint32_t tries = 0; tries < kMoveTries; ++tries) {
+    if (!this->placement->Place(
+          this->free, { job.spec.shape, avoid }, this->chosen)) {
+      return false;
+    }
+    if (take()) {
       return true;
     }
+    avoid.insert(avoid.end(), this->chosen.begin(), this->chosen.end());
   }
   return false;
 }
--- a/libs/scheduling/src/GuaranteeLedger.cpp
+++ b/libs/scheduling/src/GuaranteeLedger.cpp
@@ -203,6 +203,20 @@
   }
 }
 
+bool
+GuaranteeLedger::HasUnusedUnit(AccountIndex aAccount,
+                               const Resources& aNeed,
+                               std::uint64_t aMostAccelerators) const
+{
+  const std::vector<UnitIndex>& own = this->accounts[aAccount].units;
+  return std::any_of(own.begin(), own.end(), [&](UnitIndex aUnit) {
+    const Unit& unit = this->units[aUnit];
+    return unit.isPlaced && unit.charges == 0 &&
+           this->slots[unit.firstSlot].size.Covers(aNeed) &&
+           this->AcceleratorsOf(aUnit) <= aMostAccelerators;
+  });
+}
+
 bool
 GuaranteeLedger::TryCharge(AccountIndex aAccount,
                            std::span<const WorkerIndex> aWorkers,
--- a/libs/scheduling/src/Reclaim.cpp
+++ b/libs/scheduling/src/Reclaim.cpp
@@ -163,11 +163,8 @@
 {
   JobRow& job = this->jobs[aJob];
   const Resources& need = job.spec.shape.perMember;
-  const auto find = [&](OfferUse aUse) {
-    return this->PlaceInGuarantee(
-      job.account, job.spec.shape, job.failedOn, aUse, this->chosen);
-  };
-  if (!find(OfferUse::PartlyUsed) && !find(OfferUse::Reclaimed)) {
+  if (!this->FindInGuarantee(aJob, OfferUse::PartlyUsed) &&
+      !this->FindInGuarantee(aJob, OfferUse::Reclaimed)) {
     return false;
   }
   const bool isCharged =
--- a/libs/scheduling/src/Reservation.cpp
+++ b/libs/scheduling/src/Reservation.cpp
@@ -125,41 +125,59 @@
   }
 }
 
-bool
-CellScheduler::State::PreemptForReservation(JobIndex aJob)
+void
+CellScheduler::State::CollectOffers(const JobRow& aJob, bool aIsUnpromised)
 {
-  const JobRow& job = this->jobs[aJob];
-  const Resources& need = job.spec.shape.perMember;
+  const Resources& need = aJob.spec.shape.perMember;
   this->offers.clear();
   for (WorkerIndex worker = 0; worker < this->uses.size(); ++worker) {
     const WorkerUse& use = this->uses[worker];
     if (use.total == Resources{} ||
-        std::find(job.failedOn.begin(), job.failedOn.end(), worker) !=
-          job.failedOn.end()) {
+        std::find(aJob.failedOn.begin(), aJob.failedOn.end(), worker) !=
+          aJob.failedOn.end()) {
       continue;
     }
     Resources taken = use.used;
     taken += use.claimed;
     for (const JobIndex other : use.jobs) {
-      if (this->IsStoppable(this->jobs[other], job.urgency)) {
+      if (this->IsStoppable(this->jobs[other], aJob.urgency)) {
         taken = Remaining(taken, this->UseOn(other, worker));
       }
     }
     Resources available = Remaining(use.total, taken);
-    if (!job.MayBorrow()) {
+    if (aIsUnpromised) {
       available =
         Smaller(available, this->ledger.Unpromised().Available(worker));
     }
     const std::uint32_t members =
-      CountFitting(available, need, job.spec.shape.members);
+      CountFitting(available, need, aJob.spec.shape.members);
     if (members != 0) {
       this->offers.push_back(
         Offer{ worker,
                members,
-               this->CostOf(worker, Times(need, members), job.urgency) });
+               this->CostOf(worker, Times(need, members), aJob.urgency) });
+    }
+  }
+}
+
+bool
+CellScheduler::State::PreemptForReservation(JobIndex aJob)
+{
+  const JobRow& job = this->jobs[aJob];
+  const Resources& need = job.spec.shape.perMember;
+  this->CollectOffers(job, !job.MayBorrow());
+  bool isPlaced = this->ChooseOffers(job.spec.shape, this->chosen);
+  if (!isPlaced && !job.MayBorrow()) {
+    // Units may have to move; the attempt shows whether they can.
+    this->CollectOffers(job, false);
+    isPlaced = this->ChooseOffers(job.spec.shape, this->chosen) &&
+               this->ledger.TryTakeFirm(this->chosen, need);
+    if (isPlaced) {
+      this->ledger.ReleaseFirm(this->chosen, need);
     }
+    this->SyncLedger();
   }
-  if (!this->ChooseOffers(job.spec.shape, this->chosen)) {
+  if (!isPlaced) {
     return false;
   }
   this->reservation = Reservation{
--- a/libs/scheduling/src/SchedulerState.h
+++ b/libs/scheduling/src/SchedulerState.h
@@ -159,7 +159,9 @@
   void RunPass();
   void TryClasses(std::span<const ClassIndex> aClasses);
   bool TryStart(JobIndex aJob);
+  bool TryPartlyUsedUnit(JobIndex aJob);
   bool TryGuaranteed(JobIndex aJob);
+  bool ChargeAndStart(JobIndex aJob);
   bool TryUnguaranteed(JobIndex aJob);
   void Start(JobIndex aJob, Tenure aTenure);
   bool IsCovered(ClassIndex aClass);
@@ -188,6 +190,7 @@
                         std::span<const fleet::WorkerIndex> aAvoid,
                         OfferUse aUse,
                         std::vector<fleet::WorkerIndex>& aWorkers);
+  bool FindInGuarantee(JobIndex aJob, OfferUse aUse);
   /** Chooses the cheapest of this->offers that hold all members. */
   bool ChooseOffers(const fleet::Shape& aShape,
                     std::vector<fleet::WorkerIndex>& aWorkers);
@@ -220,6 +223,8 @@
   void ChooseReservation();
   bool PlanReservation(JobIndex aJob);
   bool PreemptForReservation(JobIndex aJob);
+  /** What each worker offers when less urgent borrowers are stopped. */
+  void CollectOffers(const JobRow& aJob, bool aIsUnpromised);
   base::TimePoint ReservationRank(JobIndex aJob) const;
 
   // Queries.
