Pack firm use by what is promised and lend reserved places to borrowers

Firm small jobs went wherever borrowers left the fullest worker and so broke every rack; they are now packed next to other firm use and units. Borrowers less urgent than the owner of a reservation may use the reserved workers until the rest of the place is free. The workload lets half of the heavy gangs and all short checks declare that they can be stopped, since the platform can checkpoint.

--- a/libs/scheduling/benchmark/Workload.cpp
+++ b/libs/scheduling/benchmark/Workload.cpp
@@ -19,7 +19,8 @@
   double load;
   /** Median run time; runs are spread log-normally around it. */
   double medianMinutes;
-  bool isPreemptible;
+  /** Share of the jobs that can be checkpointed or stopped. */
+  double preemptible;
   std::uint32_t maxRuns;
   std::vector<Shape> shapes;
 };
@@ -41,22 +42,22 @@
         1,
         0.34,
         50,
-        false,
-        3,
+        0.5,
+        6,
         { MakeShape(2, 8, Adjacency::SameRack),
           MakeShape(3, 8, Adjacency::SameRack) } },
       { "stand-plan",
         0,
         0.06,
         3,
-        false,
-        3,
+        1,
+        6,
         { MakeShape(1, 1, Adjacency::SameZone) } },
       { "tagging",
         2,
         0.45,
         40,
-        true,
+        1,
         6,
         { MakeShape(1, 1, Adjacency::SameZone),
           MakeShape(1, 2, Adjacency::SameZone),
@@ -68,8 +69,8 @@
       1,
       0.45,
       70,
-      false,
-      3,
+      0.5,
+      6,
       { MakeShape(4, 4, Adjacency::SameZone),
         MakeShape(3, 8, Adjacency::SameRack),
         MakeShape(2, 8, Adjacency::SameRack) } },
@@ -77,14 +78,14 @@
       0,
       0.05,
       2,
-      false,
-      3,
+      1,
+      6,
       { MakeShape(1, 1, Adjacency::SameZone) } },
     { "thickness-study",
       2,
       0.35,
       25,
-      true,
+      1,
       6,
       { MakeShape(1, 2, Adjacency::SameZone),
         MakeShape(1, 3, Adjacency::SameZone),
@@ -166,7 +167,7 @@
       job.spec.declaredRunTime = std::chrono::duration_cast<base::Duration>(
         job.runTime * std::exp(uniform(-std::log(10), std::log(10))));
       job.spec.maxRuns = kind.maxRuns;
-      job.spec.isPreemptible = kind.isPreemptible;
+      job.spec.isPreemptible = uniform(0, 1) < kind.preemptible;
       if (aScenario == Scenario::CancelBurst && at >= 540 && at < 660 &&
           uniform(0, 1) < 0.7) {
         job.cancel = std::chrono::duration_cast<base::Duration>(
--- a/libs/scheduling/include/amaranthwind/scheduling/PlacementPolicy.h
+++ b/libs/scheduling/include/amaranthwind/scheduling/PlacementPolicy.h
@@ -14,6 +14,9 @@
   fleet::Shape shape;
   /** Workers that must not be used, for example since the job failed there. */
   std::span<const fleet::WorkerIndex> avoid;
+  /** If given, the members must be available in this index too; the order of
+   * preference is that of the first. */
+  const CapacityIndex* within = nullptr;
 };
 
 /** Chooses workers for a gang among what is available. Stateless. */
--- a/libs/scheduling/src/CellScheduler.cpp
+++ b/libs/scheduling/src/CellScheduler.cpp
@@ -614,7 +614,7 @@
 bool
 CellScheduler::State::CouldEverFit(const fleet::Shape& aShape)
 {
-  const PlacementRequest request{ aShape, {} };
+  const PlacementRequest request{ aShape, {}, nullptr };
   if (this->placement->Place(this->announced, request, this->chosen)) {
     return true;
   }
@@ -652,13 +652,8 @@
   taken += use.claimed;
   taken += use.reserved;
   const Resources available = Remaining(use.total, taken);
-  const fleet::RackPlace& place = this->cell.Worker(aWorker).place;
-  this->free.Set(aWorker, place, use.total, available);
-  this->spare.Set(
-    aWorker,
-    place,
-    use.total,
-    Smaller(available, this->ledger.Unpromised().Available(aWorker)));
+  this->free.Set(
+    aWorker, this->cell.Worker(aWorker).place, use.total, available);
 }
 
 void
--- a/libs/scheduling/src/Dispatch.cpp
+++ b/libs/scheduling/src/Dispatch.cpp
@@ -82,7 +82,7 @@
     }
   };
   tryAll(false);
-  if (this->reservation.job != kNoJob && this->now < this->reservation.start) {
+  if (this->reservation.job != kNoJob) {
     this->LiftReservation();
     tryAll(true);
     this->HoldReservation();
@@ -195,7 +195,7 @@
   const JobRow& job = this->jobs[aJob];
   return (this->placement->Place(
             this->free,
-            PlacementRequest{ job.spec.shape, job.failedOn },
+            PlacementRequest{ job.spec.shape, job.failedOn, nullptr },
             this->chosen) &&
           this->ChargeAndStart(aJob)) ||
          (this->FindInGuarantee(aJob, OfferUse::Free) &&
@@ -206,7 +206,7 @@
 CellScheduler::State::TryUnguaranteed(JobIndex aJob)
 {
   JobRow& job = this->jobs[aJob];
-  const PlacementRequest request{ job.spec.shape, job.failedOn };
+  const PlacementRequest request{ job.spec.shape, job.failedOn, nullptr };
   if (job.MayBorrow()) {
     if (!this->placement->Place(this->free, request, this->chosen)) {
       return false;
@@ -227,14 +227,19 @@
     }
     return isTaken;
   };
-  if (this->placement->Place(this->spare, request, this->chosen) && take()) {
+  // Firm use is packed next to firm use and units: borrowers do not count,
+  // since they can be stopped, and come and go.
+  if (this->placement->Place(this->ledger.Unpromised(),
+                             { job.spec.shape, job.failedOn, &this->free },
+                             this->chosen) &&
+      take()) {
     return true;
   }
   // Places from which unused units have to move.
   std::vector<WorkerIndex> avoid = job.failedOn;
   for (std::uint32_t tries = 0; tries < kMoveTries; ++tries) {
     if (!this->placement->Place(
-          this->free, { job.spec.shape, avoid }, this->chosen)) {
+          this->free, { job.spec.shape, avoid, nullptr }, this->chosen)) {
       return false;
     }
     if (take()) {
--- a/libs/scheduling/src/GuaranteeLedger.cpp
+++ b/libs/scheduling/src/GuaranteeLedger.cpp
@@ -553,6 +553,7 @@
                   this->slots[unit.firstSlot].size,
                   fleet::Adjacency::SameRack },
     {},
+    nullptr,
   };
   return this->placement.Place(this->unpromised, request, aWorkers);
 }
--- a/libs/scheduling/src/Placement.cpp
+++ b/libs/scheduling/src/Placement.cpp
@@ -76,8 +76,12 @@
                   aWorker) != this->request.avoid.end()) {
       return true;
     }
-    const std::uint32_t count = CountFitting(
+    std::uint32_t count = CountFitting(
       this->capacity.Available(aWorker), this->need, this->remaining);
+    if (this->request.within != nullptr) {
+      count = CountFitting(
+        this->request.within->Available(aWorker), this->need, count);
+    }
     this->workers.insert(this->workers.end(), count, aWorker);
     this->remaining -= count;
     return this->remaining != 0;
--- a/libs/scheduling/src/Reservation.cpp
+++ b/libs/scheduling/src/Reservation.cpp
@@ -51,6 +51,10 @@
 bool
 CellScheduler::State::CanBackfill(const JobRow& aJob) const
 {
+  if (aJob.MayBorrow() && !this->reservation.isReclaiming &&
+      aJob.urgency > this->jobs[this->reservation.job].urgency) {
+    return true; // It is stopped as soon as the rest of the place is free.
+  }
   return this->now +
            this->runTimes.Estimate(aJob.work, aJob.spec.declaredRunTime).high <=
          this->reservation.start;
@@ -69,6 +73,10 @@
   if (this->TryStart(owner)) {
     return;
   }
+  if (!held.isReclaiming && this->PreemptForReservation(owner)) {
+    this->HoldReservation();
+    return;
+  }
   const bool isBroken = std::any_of(
     held.workers.begin(), held.workers.end(), [this](WorkerIndex aWorker) {
       const WorkerUse& use = this->uses[aWorker];
@@ -191,7 +199,6 @@
 CellScheduler::State::PlanReservation(JobIndex aJob)
 {
   const JobRow& job = this->jobs[aJob];
-  const PlacementRequest request{ job.spec.shape, job.failedOn };
   const bool isFirm = !job.MayBorrow();
   struct End
   {
@@ -214,7 +221,8 @@
     return std::tuple(aLeft.at, aLeft.job) < std::tuple(aRight.at, aRight.job);
   });
   // The index is changed in place and restored: copying it costs more.
-  CapacityIndex& index = isFirm ? this->spare : this->free;
+  CapacityIndex& index = this->free;
+  const PlacementRequest request{ job.spec.shape, job.failedOn, nullptr };
   std::vector<WorkerIndex> touched;
   this->released.resize(this->uses.size());
   const std::size_t step = std::max<std::size_t>(1, ends.size() / kPlanSteps);
--- a/libs/scheduling/src/SchedulerState.h
+++ b/libs/scheduling/src/SchedulerState.h
@@ -247,8 +247,6 @@
   std::vector<WorkerUse> uses;
   /** Neither used, claimed nor reserved. */
   CapacityIndex free;
-  /** Of that, what no guarantee needs. */
-  CapacityIndex spare;
   /** Every known worker, empty. */
   CapacityIndex announced;
   GuaranteeLedger ledger;
