Let a waiting gang take back the place of later borrowers

A borrower of the same urgency that came over 15 minutes after the waiting gang gives its place back, so that backfilling cannot delay the gang.

--- a/libs/scheduling/include/amaranthwind/scheduling/Effect.h
+++ b/libs/scheduling/include/amaranthwind/scheduling/Effect.h
@@ -30,7 +30,7 @@
 enum class StopReason : std::uint8_t
 {
   GuaranteeClaimed,
-  UrgentWork, // More urgent work that waits needs the place.
+  UrgentWork, // More urgent or earlier work that waits needs the place.
   Cancelled,
 };
 
--- a/libs/scheduling/src/Reclaim.cpp
+++ b/libs/scheduling/src/Reclaim.cpp
@@ -11,6 +11,14 @@
 using fleet::Resources;
 using fleet::WorkerIndex;
 
+namespace {
+
+/** A borrower that came this much later than a waiting gang of the same
+ * urgency gives its place back: the stop costs both up to a checkpoint. */
+constexpr base::Duration kOvertaken = std::chrono::minutes(15);
+
+} // namespace
+
 bool
 CellScheduler::State::PlaceInGuarantee(AccountIndex aAccount,
                                        const fleet::Shape& aShape,
@@ -48,7 +56,7 @@
     }
     if (aUse == OfferUse::Reclaimed) {
       offer.cost = this->CostOf(
-        offer.worker, Times(aShape.perMember, offer.members), std::nullopt);
+        offer.worker, Times(aShape.perMember, offer.members), nullptr);
     } else {
       offer.members = CountFitting(
         this->free.Available(offer.worker), aShape.perMember, offer.members);
@@ -131,7 +139,7 @@
 double
 CellScheduler::State::CostOf(WorkerIndex aWorker,
                              const Resources& aNeed,
-                             std::optional<std::uint32_t> aUrgency) const
+                             const JobRow* aClaimant) const
 {
   const WorkerUse& use = this->uses[aWorker];
   Resources taken = use.used;
@@ -143,7 +151,7 @@
   double cost = 0;
   for (const JobIndex job : use.jobs) {
     const JobRow& row = this->jobs[job];
-    if (this->IsStoppable(row, aUrgency)) {
+    if (this->IsStoppable(row, aClaimant)) {
       cost += this->LostWork(row);
     }
   }
@@ -152,10 +160,12 @@
 
 bool
 CellScheduler::State::IsStoppable(const JobRow& aJob,
-                                  std::optional<std::uint32_t> aUrgency) const
+                                  const JobRow* aClaimant) const
 {
   return aJob.tenure == Tenure::Borrowed && !aJob.isStopping &&
-         (!aUrgency || aJob.urgency > *aUrgency);
+         (aClaimant == nullptr || aJob.urgency > aClaimant->urgency ||
+          (aJob.urgency == aClaimant->urgency &&
+           aJob.submitted > aClaimant->submitted + kOvertaken));
 }
 
 bool
@@ -179,8 +189,7 @@
   job.stopDeadline = this->now + this->settings.reclaimTime;
   this->AddUse(&WorkerUse::claimed, job.workers, need);
   this->claims.push_back(aJob);
-  this->StopBorrowers(
-    job.workers, {}, std::nullopt, StopReason::GuaranteeClaimed);
+  this->StopBorrowers(job.workers, {}, nullptr, StopReason::GuaranteeClaimed);
   this->AdvanceClaims();
   return true;
 }
@@ -188,7 +197,7 @@
 void
 CellScheduler::State::StopBorrowers(std::span<const WorkerIndex> aWorkers,
                                     const Resources& aExtra,
-                                    std::optional<std::uint32_t> aUrgency,
+                                    const JobRow* aClaimant,
                                     StopReason aReason)
 {
   struct Deficit
@@ -226,7 +235,7 @@
     for (const Deficit& deficit : deficits) {
       for (const JobIndex job : this->uses[deficit.worker].jobs) {
         const JobRow& row = this->jobs[job];
-        if (!this->IsStoppable(row, aUrgency)) {
+        if (!this->IsStoppable(row, aClaimant)) {
           continue;
         }
         double freed = 0;
--- a/libs/scheduling/src/Reservation.cpp
+++ b/libs/scheduling/src/Reservation.cpp
@@ -148,7 +148,7 @@
     Resources taken = use.used;
     taken += use.claimed;
     for (const JobIndex other : use.jobs) {
-      if (this->IsStoppable(this->jobs[other], aJob.urgency)) {
+      if (this->IsStoppable(this->jobs[other], &aJob)) {
         taken = Remaining(taken, this->UseOn(other, worker));
       }
     }
@@ -160,10 +160,8 @@
     const std::uint32_t members =
       CountFitting(available, need, aJob.spec.shape.members);
     if (members != 0) {
-      this->offers.push_back(
-        Offer{ worker,
-               members,
-               this->CostOf(worker, Times(need, members), aJob.urgency) });
+      this->offers.push_back(Offer{
+        worker, members, this->CostOf(worker, Times(need, members), &aJob) });
     }
   }
 }
@@ -191,7 +189,7 @@
   this->reservation = Reservation{
     aJob, this->now + this->settings.reclaimTime, true, this->chosen
   };
-  this->StopBorrowers(this->chosen, need, job.urgency, StopReason::UrgentWork);
+  this->StopBorrowers(this->chosen, need, &job, StopReason::UrgentWork);
   return true;
 }
 
--- a/libs/scheduling/src/SchedulerState.h
+++ b/libs/scheduling/src/SchedulerState.h
@@ -196,13 +196,12 @@
                     std::vector<fleet::WorkerIndex>& aWorkers);
   bool Reclaim(JobIndex aJob);
   /** Stops borrowers until what is claimed on the workers, and aExtra for each
-   * member, will be free. Only jobs less urgent than aUrgency, if given. */
+   * member, will be free. Only jobs that yield to aClaimant, if given. */
   void StopBorrowers(std::span<const fleet::WorkerIndex> aWorkers,
                      const fleet::Resources& aExtra,
-                     std::optional<std::uint32_t> aUrgency,
+                     const JobRow* aClaimant,
                      StopReason aReason);
-  bool IsStoppable(const JobRow& aJob,
-                   std::optional<std::uint32_t> aUrgency) const;
+  bool IsStoppable(const JobRow& aJob, const JobRow* aClaimant) const;
   void StopGang(JobIndex aJob, StopReason aReason);
   void AdvanceClaims();
   void CancelClaim(JobIndex aJob);
@@ -210,7 +209,7 @@
   /** Work lost if aNeed is taken on the worker. */
   double CostOf(fleet::WorkerIndex aWorker,
                 const fleet::Resources& aNeed,
-                std::optional<std::uint32_t> aUrgency) const;
+                const JobRow* aClaimant) const;
   double LostWork(const JobRow& aJob) const;
   void Promote(AccountIndex aAccount);
   bool TryPromote(JobIndex aJob);
