Choose the cheapest place for a claim and weigh a gang's restart

A claim stopped whatever ran in the unit's own place, often a gang of three whole workers, which then waits hours for a rack. A claim now moves the unit to the place whose borrowers lose the least, and the loss includes the wait for a new place.

--- a/libs/scheduling/src/Reclaim.cpp
+++ b/libs/scheduling/src/Reclaim.cpp
@@ -16,6 +16,9 @@
 /** A borrower that came this much later than a waiting gang of the same
  * urgency gives its place back: the stop costs both up to a checkpoint. */
 constexpr base::Duration kOvertaken = std::chrono::minutes(15);
+/** Seconds that a stopped gang waits for a new place, for each accelerator: a
+ * gang of three whole workers waits hours for a rack, a small one minutes. */
+constexpr double kRestart = 300;
 
 } // namespace
 
@@ -131,9 +134,10 @@
 double
 CellScheduler::State::LostWork(const JobRow& aJob) const
 {
+  const auto accelerators =
+    static_cast<double>(aJob.spec.shape.TotalAccelerators() + 1);
   const std::chrono::duration<double> elapsed = this->now - aJob.started;
-  return elapsed.count() *
-         static_cast<double>(aJob.spec.shape.TotalAccelerators() + 1);
+  return accelerators * (elapsed.count() + kRestart * accelerators);
 }
 
 double
@@ -173,13 +177,21 @@
 {
   JobRow& job = this->jobs[aJob];
   const Resources& need = job.spec.shape.perMember;
-  if (!this->FindInGuarantee(aJob, OfferUse::PartlyUsed) &&
-      !this->FindInGuarantee(aJob, OfferUse::Reclaimed)) {
-    return false;
-  }
+  const auto charge = [&] {
+    const bool isCharged =
+      this->ledger.TryCharge(job.account, this->chosen, need, job.charge);
+    this->SyncLedger();
+    return isCharged;
+  };
+  // The cheapest place to which a unit can move, else the unit's own place.
+  const auto findCheapest = [&] {
+    this->CollectOffers(job, nullptr, false);
+    return this->ChooseOffers(job.spec.shape, this->chosen);
+  };
   const bool isCharged =
-    this->ledger.TryCharge(job.account, this->chosen, need, job.charge);
-  this->SyncLedger();
+    (this->FindInGuarantee(aJob, OfferUse::PartlyUsed) && charge()) ||
+    (findCheapest() && charge()) ||
+    (this->FindInGuarantee(aJob, OfferUse::Reclaimed) && charge());
   if (!isCharged) {
     return false;
   }
--- a/libs/scheduling/src/Reservation.cpp
+++ b/libs/scheduling/src/Reservation.cpp
@@ -134,7 +134,9 @@
 }
 
 void
-CellScheduler::State::CollectOffers(const JobRow& aJob, bool aIsUnpromised)
+CellScheduler::State::CollectOffers(const JobRow& aJob,
+                                    const JobRow* aClaimant,
+                                    bool aIsUnpromised)
 {
   const Resources& need = aJob.spec.shape.perMember;
   this->offers.clear();
@@ -148,7 +150,7 @@
     Resources taken = use.used;
     taken += use.claimed;
     for (const JobIndex other : use.jobs) {
-      if (this->IsStoppable(this->jobs[other], &aJob)) {
+      if (this->IsStoppable(this->jobs[other], aClaimant)) {
         taken = Remaining(taken, this->UseOn(other, worker));
       }
     }
@@ -160,8 +162,10 @@
     const std::uint32_t members =
       CountFitting(available, need, aJob.spec.shape.members);
     if (members != 0) {
-      this->offers.push_back(Offer{
-        worker, members, this->CostOf(worker, Times(need, members), &aJob) });
+      this->offers.push_back(
+        Offer{ worker,
+               members,
+               this->CostOf(worker, Times(need, members), aClaimant) });
     }
   }
 }
@@ -171,11 +175,11 @@
 {
   const JobRow& job = this->jobs[aJob];
   const Resources& need = job.spec.shape.perMember;
-  this->CollectOffers(job, !job.MayBorrow());
+  this->CollectOffers(job, &job, !job.MayBorrow());
   bool isPlaced = this->ChooseOffers(job.spec.shape, this->chosen);
   if (!isPlaced && !job.MayBorrow()) {
     // Units may have to move; the attempt shows whether they can.
-    this->CollectOffers(job, false);
+    this->CollectOffers(job, &job, false);
     isPlaced = this->ChooseOffers(job.spec.shape, this->chosen) &&
                this->ledger.TryTakeFirm(this->chosen, need);
     if (isPlaced) {
--- a/libs/scheduling/src/SchedulerState.h
+++ b/libs/scheduling/src/SchedulerState.h
@@ -222,8 +222,10 @@
   void ChooseReservation();
   bool PlanReservation(JobIndex aJob);
   bool PreemptForReservation(JobIndex aJob);
-  /** What each worker offers when less urgent borrowers are stopped. */
-  void CollectOffers(const JobRow& aJob, bool aIsUnpromised);
+  /** What each worker offers when the borrowers that yield are stopped. */
+  void CollectOffers(const JobRow& aJob,
+                     const JobRow* aClaimant,
+                     bool aIsUnpromised);
   base::TimePoint ReservationRank(JobIndex aJob) const;
 
   // Queries.
