--- a/libs/scheduling/src/Reclaim.cpp
+++ b/libs/scheduling/src/Reclaim.cpp
@@ -11,6 +11,17 @@
 using fleet::Resources;
 using fleet::WorkerIndex;
 
+namespace {
+
+/** A borrower that came this much later than a waiting gang of the same
+ * urgency gives its place back: the stop costs both up to a checkpoint. */
+constexpr base::Duration kOvertaken = std::chrono::minutes(15);
+/** Seconds that a stopped gang waits for a new place, for each accelerator: a
+ * gang of three whole workers waits hours for a rack, a small one minutes. */
+constexpr double kRestart = 300;
+
+} // namespace
+
 bool
 CellScheduler::State::PlaceInGuarantee(AccountIndex aAccount,
                                        const fleet::Shape& aShape,
@@ -28,7 +39,9 @@
                      return aLeft.worker < aRight.worker;
                    });
   for (const SlotOffer& offer : this->slotOffers) {
-    if ((aUse == OfferUse::PartlyUsedAndFree && !offer.isPartlyUsed) ||
+    if (((aUse == OfferUse::PartlyUsedAndFree ||
+          aUse == OfferUse::PartlyUsed) &&
+         !offer.isPartlyUsed) ||
         std::find(aAvoid.begin(), aAvoid.end(), offer.worker) != aAvoid.end()) {
       continue;
     }
@@ -41,17 +54,26 @@
       std::min<std::uint64_t>(members, aShape.members));
   }
   for (Offer& offer : offers) {
-    if (aUse == OfferUse::Any) {
+    if (aUse == OfferUse::Any || aUse == OfferUse::PartlyUsed) {
       continue;
     }
     if (aUse == OfferUse::Reclaimed) {
-      offer.cost =
-        this->CostOf(offer.worker, Times(aShape.perMember, offer.members));
+      offer.cost = this->CostOf(
+        offer.worker, Times(aShape.perMember, offer.members), nullptr);
     } else {
       offer.members = CountFitting(
         this->free.Available(offer.worker), aShape.perMember, offer.members);
     }
   }
+  return this->ChooseOffers(aShape, aWorkers);
+}
+
+bool
+CellScheduler::State::ChooseOffers(const fleet::Shape& aShape,
+                                   std::vector<WorkerIndex>& aWorkers)
+{
+  aWorkers.clear();
+  std::vector<Offer>& offers = this->offers;
   std::erase_if(offers,
                 [](const Offer& aOffer) { return aOffer.members == 0; });
   const auto cheapestFirst = [](const Offer& aLeft, const Offer& aRight) {
@@ -112,13 +134,16 @@
 double
 CellScheduler::State::LostWork(const JobRow& aJob) const
 {
+  const auto accelerators =
+    static_cast<double>(aJob.spec.shape.TotalAccelerators() + 1);
   const std::chrono::duration<double> elapsed = this->now - aJob.started;
-  return elapsed.count() *
-         static_cast<double>(aJob.spec.shape.TotalAccelerators() + 1);
+  return accelerators * (elapsed.count() + kRestart * accelerators);
 }
 
 double
-CellScheduler::State::CostOf(WorkerIndex aWorker, const Resources& aNeed) const
+CellScheduler::State::CostOf(WorkerIndex aWorker,
+                             const Resources& aNeed,
+                             const JobRow* aClaimant) const
 {
   const WorkerUse& use = this->uses[aWorker];
   Resources taken = use.used;
@@ -130,28 +155,43 @@
   double cost = 0;
   for (const JobIndex job : use.jobs) {
     const JobRow& row = this->jobs[job];
-    if (row.tenure == Tenure::Borrowed && !row.isStopping) {
+    if (this->IsStoppable(row, aClaimant)) {
       cost += this->LostWork(row);
     }
   }
   return cost;
 }
 
+bool
+CellScheduler::State::IsStoppable(const JobRow& aJob,
+                                  const JobRow* aClaimant) const
+{
+  return aJob.tenure == Tenure::Borrowed && !aJob.isStopping &&
+         (aClaimant == nullptr || aJob.urgency > aClaimant->urgency ||
+          (aJob.urgency == aClaimant->urgency &&
+           aJob.submitted > aClaimant->submitted + kOvertaken));
+}
+
 bool
 CellScheduler::State::Reclaim(JobIndex aJob)
 {
   JobRow& job = this->jobs[aJob];
   const Resources& need = job.spec.shape.perMember;
-  if (!this->PlaceInGuarantee(job.account,
-                              job.spec.shape,
-                              job.failedOn,
-                              OfferUse::Reclaimed,
-                              this->chosen)) {
-    return false;
-  }
+  const auto charge = [&] {
+    const bool isCharged =
+      this->ledger.TryCharge(job.account, this->chosen, need, job.charge);
+    this->SyncLedger();
+    return isCharged;
+  };
+  // The cheapest place to which a unit can move, else the unit's own place.
+  const auto findCheapest = [&] {
+    this->CollectOffers(job, nullptr, false);
+    return this->ChooseOffers(job.spec.shape, this->chosen);
+  };
   const bool isCharged =
-    this->ledger.TryCharge(job.account, this->chosen, need, job.charge);
-  this->SyncLedger();
+    (this->FindInGuarantee(aJob, OfferUse::PartlyUsed) && charge()) ||
+    (findCheapest() && charge()) ||
+    (this->FindInGuarantee(aJob, OfferUse::Reclaimed) && charge());
   if (!isCharged) {
     return false;
   }
@@ -161,13 +201,16 @@
   job.stopDeadline = this->now + this->settings.reclaimTime;
   this->AddUse(&WorkerUse::claimed, job.workers, need);
   this->claims.push_back(aJob);
-  this->StopBorrowers(job.workers);
+  this->StopBorrowers(job.workers, {}, nullptr, StopReason::GuaranteeClaimed);
   this->AdvanceClaims();
   return true;
 }
 
 void
-CellScheduler::State::StopBorrowers(std::span<const WorkerIndex> aWorkers)
+CellScheduler::State::StopBorrowers(std::span<const WorkerIndex> aWorkers,
+                                    const Resources& aExtra,
+                                    const JobRow* aClaimant,
+                                    StopReason aReason)
 {
   struct Deficit
   {
@@ -184,6 +227,9 @@
     const WorkerUse& use = this->uses[worker];
     Resources taken = use.used;
     taken += use.claimed;
+    taken += Times(aExtra,
+                   static_cast<std::uint32_t>(
+                     std::count(aWorkers.begin(), aWorkers.end(), worker)));
     Resources missing = Remaining(taken, use.total);
     for (const JobIndex job : use.jobs) {
       if (this->jobs[job].isStopping) {
@@ -201,7 +247,7 @@
     for (const Deficit& deficit : deficits) {
       for (const JobIndex job : this->uses[deficit.worker].jobs) {
         const JobRow& row = this->jobs[job];
-        if (row.tenure != Tenure::Borrowed || row.isStopping) {
+        if (!this->IsStoppable(row, aClaimant)) {
           continue;
         }
         double freed = 0;
@@ -221,7 +267,7 @@
     if (!victim) {
       return; // What blocks the claim ends by itself, for example a restart.
     }
-    this->StopGang(*victim, StopReason::GuaranteeClaimed);
+    this->StopGang(*victim, aReason);
     for (Deficit& deficit : deficits) {
       deficit.missing =
         Remaining(deficit.missing, this->UseOn(*victim, deficit.worker));
--- a/libs/scheduling/src/Reservation.cpp
+++ b/libs/scheduling/src/Reservation.cpp
@@ -10,8 +10,9 @@
 using fleet::WorkerIndex;
 
 /** Waiting this long counts as much as one step of urgency: less urgent gangs
- * are reserved a start even while urgent work overloads the cell. */
-constexpr base::Duration kUrgencyAge = std::chrono::minutes(10);
+ * are reserved a start even while urgent work overloads the cell. With ten
+ * minutes, a flood of the least urgent work held all reservations. */
+constexpr base::Duration kUrgencyAge = std::chrono::hours(4);
 /** Candidates that are planned before none is reserved a start. */
 constexpr std::size_t kCandidates = 4;
 /** Placements that are tried in one plan; bounds its cost. */
@@ -50,6 +51,10 @@
 bool
 CellScheduler::State::CanBackfill(const JobRow& aJob) const
 {
+  if (aJob.MayBorrow() && !this->reservation.isReclaiming &&
+      aJob.urgency > this->jobs[this->reservation.job].urgency) {
+    return true; // It is stopped as soon as the rest of the place is free.
+  }
   return this->now +
            this->runTimes.Estimate(aJob.work, aJob.spec.declaredRunTime).high <=
          this->reservation.start;
@@ -68,6 +73,10 @@
   if (this->TryStart(owner)) {
     return;
   }
+  if (!held.isReclaiming && this->PreemptForReservation(owner)) {
+    this->HoldReservation();
+    return;
+  }
   const bool isBroken = std::any_of(
     held.workers.begin(), held.workers.end(), [this](WorkerIndex aWorker) {
       const WorkerUse& use = this->uses[aWorker];
@@ -79,38 +88,119 @@
   }
 }
 
+base::TimePoint
+CellScheduler::State::ReservationRank(JobIndex aJob) const
+{
+  return this->jobs[aJob].submitted + kUrgencyAge * this->jobs[aJob].urgency;
+}
+
 void
 CellScheduler::State::ChooseReservation()
 {
-  if (this->reservation.job != kNoJob) {
+  // A place that is being reclaimed is kept until the stops are overdue.
+  if (this->reservation.isReclaiming && this->now < this->reservation.start) {
     return;
   }
   std::vector<std::pair<base::TimePoint, JobIndex>> candidates;
-  for (ClassIndex index = 0; index < this->classes.size(); ++index) {
-    const ClassRow& row = this->classes[index];
-    if (!row.waiting.empty()) {
-      const JobIndex first = row.waiting.front();
-      candidates.emplace_back(
-        this->jobs[first].submitted + kUrgencyAge * row.key.urgency, first);
+  for (const ClassRow& row : this->classes) {
+    // Firm use does not grow while guarantees have no place.
+    if (!row.waiting.empty() &&
+        (row.key.mayBorrow || !this->ledger.HasShortfall())) {
+      candidates.emplace_back(this->ReservationRank(row.waiting.front()),
+                              row.waiting.front());
     }
   }
   const std::size_t count = std::min(candidates.size(), kCandidates);
   std::partial_sort(candidates.begin(),
                     candidates.begin() + static_cast<std::ptrdiff_t>(count),
                     candidates.end());
+  if (this->reservation.job != kNoJob) {
+    // Only a job that comes before the owner takes the reservation over.
+    if (!this->reservation.isReclaiming &&
+        (count == 0 || candidates.front().first >=
+                         this->ReservationRank(this->reservation.job))) {
+      return;
+    }
+    this->LiftReservation();
+    this->reservation = Reservation{};
+  }
   for (std::size_t at = 0; at < count; ++at) {
-    if (this->PlanReservation(candidates[at].second)) {
+    if (this->PreemptForReservation(candidates[at].second) ||
+        this->PlanReservation(candidates[at].second)) {
       this->HoldReservation();
       return;
     }
   }
 }
 
+void
+CellScheduler::State::CollectOffers(const JobRow& aJob,
+                                    const JobRow* aClaimant,
+                                    bool aIsUnpromised)
+{
+  const Resources& need = aJob.spec.shape.perMember;
+  this->offers.clear();
+  for (WorkerIndex worker = 0; worker < this->uses.size(); ++worker) {
+    const WorkerUse& use = this->uses[worker];
+    if (use.total == Resources{} ||
+        std::find(aJob.failedOn.begin(), aJob.failedOn.end(), worker) !=
+          aJob.failedOn.end()) {
+      continue;
+    }
+    Resources taken = use.used;
+    taken += use.claimed;
+    for (const JobIndex other : use.jobs) {
+      if (this->IsStoppable(this->jobs[other], aClaimant)) {
+        taken = Remaining(taken, this->UseOn(other, worker));
+      }
+    }
+    Resources available = Remaining(use.total, taken);
+    if (aIsUnpromised) {
+      available =
+        Smaller(available, this->ledger.Unpromised().Available(worker));
+    }
+    const std::uint32_t members =
+      CountFitting(available, need, aJob.spec.shape.members);
+    if (members != 0) {
+      this->offers.push_back(
+        Offer{ worker,
+               members,
+               this->CostOf(worker, Times(need, members), aClaimant) });
+    }
+  }
+}
+
+bool
+CellScheduler::State::PreemptForReservation(JobIndex aJob)
+{
+  const JobRow& job = this->jobs[aJob];
+  const Resources& need = job.spec.shape.perMember;
+  this->CollectOffers(job, &job, !job.MayBorrow());
+  bool isPlaced = this->ChooseOffers(job.spec.shape, this->chosen);
+  if (!isPlaced && !job.MayBorrow()) {
+    // Units may have to move; the attempt shows whether they can.
+    this->CollectOffers(job, &job, false);
+    isPlaced = this->ChooseOffers(job.spec.shape, this->chosen) &&
+               this->ledger.TryTakeFirm(this->chosen, need);
+    if (isPlaced) {
+      this->ledger.ReleaseFirm(this->chosen, need);
+    }
+    this->SyncLedger();
+  }
+  if (!isPlaced) {
+    return false;
+  }
+  this->reservation = Reservation{
+    aJob, this->now + this->settings.reclaimTime, true, this->chosen
+  };
+  this->StopBorrowers(this->chosen, need, &job, StopReason::UrgentWork);
+  return true;
+}
+
 bool
 CellScheduler::State::PlanReservation(JobIndex aJob)
 {
   const JobRow& job = this->jobs[aJob];
-  const PlacementRequest request{ job.spec.shape, job.failedOn };
   const bool isFirm = !job.MayBorrow();
   struct End
   {
@@ -133,7 +223,8 @@
     return std::tuple(aLeft.at, aLeft.job) < std::tuple(aRight.at, aRight.job);
   });
   // The index is changed in place and restored: copying it costs more.
-  CapacityIndex& index = isFirm ? this->spare : this->free;
+  CapacityIndex& index = this->free;
+  const PlacementRequest request{ job.spec.shape, job.failedOn, nullptr };
   std::vector<WorkerIndex> touched;
   this->released.resize(this->uses.size());
   const std::size_t step = std::max<std::size_t>(1, ends.size() / kPlanSteps);
@@ -161,7 +252,8 @@
     if ((at + 1) % step == 0 || at + 1 == ends.size()) {
       isPlaced = this->placement->Place(index, request, this->chosen);
       if (isPlaced) {
-        this->reservation = Reservation{ aJob, ends[at].at, this->chosen };
+        this->reservation =
+          Reservation{ aJob, ends[at].at, false, this->chosen };
       }
     }
   }
--- a/libs/scheduling/src/SchedulerState.h
+++ b/libs/scheduling/src/SchedulerState.h
@@ -99,6 +99,8 @@
 {
   JobIndex job = kNoJob;
   base::TimePoint start{};
+  /** Borrowers are being stopped for it. */
+  bool isReclaiming = false;
   std::vector<fleet::WorkerIndex> workers;
 };
 
@@ -157,7 +159,9 @@
   void RunPass();
   void TryClasses(std::span<const ClassIndex> aClasses);
   bool TryStart(JobIndex aJob);
+  bool TryPartlyUsedUnit(JobIndex aJob);
   bool TryGuaranteed(JobIndex aJob);
+  bool ChargeAndStart(JobIndex aJob);
   bool TryUnguaranteed(JobIndex aJob);
   void Start(JobIndex aJob, Tenure aTenure);
   bool IsCovered(ClassIndex aClass);
@@ -176,6 +180,7 @@
   enum class OfferUse : std::uint8_t
   {
     PartlyUsedAndFree,
+    PartlyUsed,
     Free,
     Reclaimed,
     Any, // Whether it is free or not.
@@ -185,15 +190,26 @@
                         std::span<const fleet::WorkerIndex> aAvoid,
                         OfferUse aUse,
                         std::vector<fleet::WorkerIndex>& aWorkers);
+  bool FindInGuarantee(JobIndex aJob, OfferUse aUse);
+  /** Chooses the cheapest of this->offers that hold all members. */
+  bool ChooseOffers(const fleet::Shape& aShape,
+                    std::vector<fleet::WorkerIndex>& aWorkers);
   bool Reclaim(JobIndex aJob);
-  void StopBorrowers(std::span<const fleet::WorkerIndex> aWorkers);
+  /** Stops borrowers until what is claimed on the workers, and aExtra for each
+   * member, will be free. Only jobs that yield to aClaimant, if given. */
+  void StopBorrowers(std::span<const fleet::WorkerIndex> aWorkers,
+                     const fleet::Resources& aExtra,
+                     const JobRow* aClaimant,
+                     StopReason aReason);
+  bool IsStoppable(const JobRow& aJob, const JobRow* aClaimant) const;
   void StopGang(JobIndex aJob, StopReason aReason);
   void AdvanceClaims();
   void CancelClaim(JobIndex aJob);
   fleet::Resources UseOn(JobIndex aJob, fleet::WorkerIndex aWorker) const;
   /** Work lost if aNeed is taken on the worker. */
   double CostOf(fleet::WorkerIndex aWorker,
-                const fleet::Resources& aNeed) const;
+                const fleet::Resources& aNeed,
+                const JobRow* aClaimant) const;
   double LostWork(const JobRow& aJob) const;
   void Promote(AccountIndex aAccount);
   bool TryPromote(JobIndex aJob);
@@ -205,6 +221,12 @@
   void AdvanceReservation();
   void ChooseReservation();
   bool PlanReservation(JobIndex aJob);
+  bool PreemptForReservation(JobIndex aJob);
+  /** What each worker offers when the borrowers that yield are stopped. */
+  void CollectOffers(const JobRow& aJob,
+                     const JobRow* aClaimant,
+                     bool aIsUnpromised);
+  base::TimePoint ReservationRank(JobIndex aJob) const;
 
   // Queries.
   /** Members of the shape that fit into what aAvailable gives per worker,
@@ -226,8 +248,6 @@
   std::vector<WorkerUse> uses;
   /** Neither used, claimed nor reserved. */
   CapacityIndex free;
-  /** Of that, what no guarantee needs. */
-  CapacityIndex spare;
   /** Every known worker, empty. */
   CapacityIndex announced;
   GuaranteeLedger ledger;
