--- a/libs/admission/tests/GateThreadsTest.cpp
+++ b/libs/admission/tests/GateThreadsTest.cpp
@@ -86,7 +86,7 @@
         }
         if (!slot) {
           const auto id =
-            static_cast<std::uint64_t>(thread * kRequests + i + 1);
+            static_cast<std::uint64_t>(thread) * kRequests + i + 1;
           messages.TryPush(Message(id));
           slot = replies[id].get_future().get();
         }
