--- a/libs/journal/include/amaranthwind/journal/CellReplay.h
+++ b/libs/journal/include/amaranthwind/journal/CellReplay.h
@@ -115,8 +115,9 @@
   {
     base::LogOffset offset;
     base::RecordId id;
+    base::EntryId writer;
   };
-  /** Chunks of one checkpoint that is not complete yet. */
+  /** Chunks of one checkpoint. */
   struct Chunks
   {
     base::FencingToken token;
@@ -129,8 +130,10 @@
 
   void Read(const StoredRecord& aStored, std::vector<ReplayedRecord>& aReport);
   ReplayedRecord Apply(base::LogOffset aOffset, Record&& aRecord);
-  base::Result<bool> TakeChunk(base::LogOffset aOffset,
+  base::Result<void> TakeChunk(base::LogOffset aOffset,
                                CheckpointRecord& aChunk);
+  void TakeCheckpoint(Chunks&& aComplete);
+  /** Closes the gap with the candidate and the records behind it. */
   void Load(std::vector<ReplayedRecord>& aReport);
   void VoidUndecided();
   std::uint32_t AddJob(JobState&& aJob);
@@ -155,10 +158,18 @@
 
   bool hasGap = false;
   base::LogOffset usableFrom;
+  /** Not complete yet. */
+  std::optional<Chunks> chunks;
+  /**
+   * Newest complete checkpoint behind a gap. It is taken at the end of the log
+   * and not before: the ids of the records in front of an old checkpoint may
+   * have expired, so that a second copy behind it would not be recognised.
+   */
+  std::optional<Chunks> candidate;
+  /** Records read behind a gap and not covered by the candidate. */
   std::deque<Pending> pending;
-  /** Newest epoch among the pending records. */
+  /** Newest epoch read behind the gap. */
   std::optional<base::FencingToken> pendingToken;
-  std::optional<Chunks> chunks;
 };
 
 } // namespace amaranthwind::journal
--- a/libs/journal/include/amaranthwind/journal/NoteReplay.h
+++ b/libs/journal/include/amaranthwind/journal/NoteReplay.h
@@ -6,7 +6,9 @@
 #include "amaranthwind/policy/Policy.h"
 
 #include <deque>
+#include <optional>
 #include <string_view>
+#include <vector>
 
 namespace amaranthwind::journal {
 
@@ -56,6 +58,8 @@
 
   void Read(const StoredRecord& aStored, std::vector<ReplayedRecord>& aReport);
   ReplayedRecord Apply(base::LogOffset aOffset, const Record& aRecord);
+  void TakeCheckpoint(const policy::Policy& aPolicy);
+  /** Closes the gap with the policy in force and the records behind it. */
   void ApplyPending(std::vector<ReplayedRecord>& aReport);
 
   const RecordCodec& codec;
@@ -66,7 +70,13 @@
   bool hasGap = false;
   /** From here on, every record is in pending or was applied. */
   base::LogOffset usableFrom;
-  /** Records read behind a gap, until a checkpoint covers it. */
+  /**
+   * Newest checkpoint behind a gap. It is taken at the end of the log and not
+   * before: the ids of the records in front of an old checkpoint may have
+   * expired, so that a second copy behind it would not be recognised.
+   */
+  std::optional<policy::Policy> candidate;
+  /** Records read behind a gap and not covered by the candidate. */
   std::deque<Pending> pending;
 };
 
--- a/libs/journal/src/CellReplay.cpp
+++ b/libs/journal/src/CellReplay.cpp
@@ -183,6 +183,9 @@
       this->Read(stored, report);
     }
   }
+  if (this->candidate && this->next >= aBatch.end) {
+    this->Load(report);
+  }
   return report;
 }
 
@@ -198,6 +201,7 @@
   this->pending.clear();
   this->pendingToken.reset();
   this->chunks.reset();
+  this->candidate.reset();
 }
 
 void
@@ -216,30 +220,27 @@
     aReport.push_back({ offset, record.id, Verdict::Duplicate, {} });
     return;
   }
-  if (std::holds_alternative<EpochRecord>(record.body)) {
+  if (const auto* const epoch = std::get_if<EpochRecord>(&record.body)) {
     while (!this->epochs.empty() &&
            this->epochs.front().offset.Get() + kDuplicateWindow <
              offset.Get()) {
       this->epochs.pop_front();
     }
-    this->epochs.push_back({ offset, record.id });
+    this->epochs.push_back({ offset, record.id, epoch->writer });
     if (this->hasGap) {
       this->pendingToken = base::FencingToken(offset.Get());
     }
   }
   if (auto* const chunk = std::get_if<CheckpointRecord>(&record.body)) {
     ReplayedRecord result{ offset, record.id, Verdict::Checkpoint, {} };
-    const auto isComplete = this->TakeChunk(offset, *chunk);
-    if (isComplete.has_error()) {
-      result.error = isComplete.error();
+    const auto taken = this->TakeChunk(offset, *chunk);
+    if (taken.has_error()) {
+      result.error = taken.error();
       result.verdict = result.error.code == ErrorCode::StaleToken
                          ? Verdict::StaleToken
                          : Verdict::Rejected;
     }
     aReport.push_back(std::move(result));
-    if (isComplete.has_value() && isComplete.value()) {
-      this->Load(aReport);
-    }
     return;
   }
   if (!this->hasGap) {
@@ -247,7 +248,9 @@
     return;
   }
   this->pending.push_back({ offset, std::move(record) });
-  if (this->pending.size() > kMaxPending) {
+  if (this->pending.size() > kMaxPending && this->candidate) {
+    this->Load(aReport);
+  } else if (this->pending.size() > kMaxPending) {
     this->usableFrom = base::LogOffset(this->pending.front().offset.Get() + 1);
     this->pending.pop_front();
   }
@@ -271,8 +274,7 @@
   return result;
 }
 
-/** Returns whether the checkpoint is complete now. */
-Result<bool>
+Result<void>
 CellReplay::TakeChunk(base::LogOffset aOffset, CheckpointRecord& aChunk)
 {
   if (aChunk.coversBelow > aOffset ||
@@ -282,8 +284,12 @@
   if (aChunk.index >= aChunk.count || aChunk.count > kMaxChunks) {
     return Fail(ErrorCode::OutOfRange, "count");
   }
-  const bool isStale = this->hasGap ? this->pendingToken > aChunk.token
-                                    : this->token != aChunk.token;
+  // Behind a gap, an epoch record below coversBelow can only be the second copy
+  // of one that has expired, since the writer of the chunk had read it too.
+  const bool isStale = this->hasGap
+                         ? this->pendingToken && this->pendingToken->Get() >=
+                                                   aChunk.coversBelow.Get()
+                         : this->token != aChunk.token;
   if (isStale) {
     return Fail(ErrorCode::StaleToken, "checkpoint");
   }
@@ -301,49 +307,59 @@
       *part = std::move(aChunk.jobs);
     }
   }
-  return this->chunks->received == this->chunks->parts.size();
+  if (this->chunks->received == this->chunks->parts.size()) {
+    Chunks complete = std::move(*this->chunks);
+    this->chunks.reset();
+    this->TakeCheckpoint(std::move(complete));
+  }
+  return base::success();
 }
 
-/** Takes the state of a complete checkpoint if there is a gap to cover. */
 void
-CellReplay::Load(std::vector<ReplayedRecord>& aReport)
+CellReplay::TakeCheckpoint(Chunks&& aComplete)
 {
-  Chunks complete = std::move(*this->chunks);
-  this->chunks.reset();
-  this->newestCheckpoint =
-    std::max(this->newestCheckpoint, complete.coversBelow);
-  if (!this->hasGap || complete.coversBelow < this->usableFrom) {
+  const base::LogOffset covered = aComplete.coversBelow;
+  this->newestCheckpoint = std::max(this->newestCheckpoint, covered);
+  if (!this->hasGap || covered < this->usableFrom ||
+      (this->candidate && covered <= this->candidate->coversBelow)) {
     return;
   }
+  this->candidate = std::move(aComplete);
+  while (!this->pending.empty() && this->pending.front().offset < covered) {
+    this->pending.pop_front();
+  }
+}
+
+void
+CellReplay::Load(std::vector<ReplayedRecord>& aReport)
+{
+  const Chunks complete = *std::exchange(this->candidate, std::nullopt);
   this->slots.clear();
   this->freeSlots.clear();
   this->slotOf.clear();
   this->endedSlots.clear();
-  for (auto& part : complete.parts) {
-    for (JobState& job : *part) {
-      const bool isEnded = job.phase == JobPhase::Ended;
-      const std::uint32_t slot = this->AddJob(std::move(job));
-      if (isEnded) {
+  for (const auto& part : complete.parts) {
+    for (const JobState& job : *part) {
+      const std::uint32_t slot = this->AddJob(JobState(job));
+      if (job.phase == JobPhase::Ended) {
         this->endedSlots.push_back(slot);
         this->ForgetOldest();
       }
     }
   }
   if (this->token != complete.token) {
-    this->coordinator = {};
+    const auto epoch = std::find_if(
+      this->epochs.begin(), this->epochs.end(), [&](const KnownEpoch& aEpoch) {
+        return aEpoch.offset.Get() == complete.token.Get();
+      });
+    this->coordinator =
+      epoch == this->epochs.end() ? base::EntryId() : epoch->writer;
   }
   this->token = complete.token;
   this->hasGap = false;
   this->pendingToken.reset();
-  auto records = std::exchange(this->pending, {});
-  for (Pending& each : records) {
-    if (each.offset >= complete.coversBelow) {
-      aReport.push_back(this->Apply(each.offset, std::move(each.record)));
-    } else if (const auto* const epoch =
-                 std::get_if<EpochRecord>(&each.record.body);
-               epoch != nullptr && each.offset.Get() == complete.token.Get()) {
-      this->coordinator = epoch->writer;
-    }
+  for (Pending& each : std::exchange(this->pending, {})) {
+    aReport.push_back(this->Apply(each.offset, std::move(each.record)));
   }
 }
 
--- a/libs/journal/src/NoteReplay.cpp
+++ b/libs/journal/src/NoteReplay.cpp
@@ -33,6 +33,10 @@
       this->Read(stored, report);
     }
   }
+  if (this->candidate && this->next >= aBatch.end) {
+    this->policy = std::move(*this->candidate);
+    this->ApplyPending(report);
+  }
   return report;
 }
 
@@ -46,6 +50,7 @@
   if (this->policy.nextOffset < aFirst) {
     this->hasGap = true;
     this->usableFrom = aFirst;
+    this->candidate.reset();
     this->pending.clear();
   }
 }
@@ -66,7 +71,6 @@
   this->next = std::max(this->next, base::LogOffset(windowStart));
   if (this->hasGap && aPolicy.nextOffset >= this->usableFrom) {
     this->ApplyPending(aReport);
-    this->policy.nextOffset = std::max(this->policy.nextOffset, this->next);
   }
   return true;
 }
@@ -101,13 +105,15 @@
         { offset, decoded.value().id, Verdict::Checkpoint, {} });
       this->newestCheckpoint = std::max(this->newestCheckpoint, covered);
       if (this->hasGap && covered >= this->usableFrom) {
-        this->policy = checkpoint->policy;
-        this->ApplyPending(aReport);
+        this->TakeCheckpoint(checkpoint->policy);
       }
     }
   } else if (this->hasGap) {
     this->pending.push_back({ offset, std::move(decoded).value() });
-    if (this->pending.size() > kMaxPending) {
+    if (this->pending.size() > kMaxPending && this->candidate) {
+      this->policy = std::move(*this->candidate);
+      this->ApplyPending(aReport);
+    } else if (this->pending.size() > kMaxPending) {
       this->usableFrom = Behind(this->pending.front().offset);
       this->pending.pop_front();
     }
@@ -141,16 +147,31 @@
   return result;
 }
 
+void
+NoteReplay::TakeCheckpoint(const policy::Policy& aPolicy)
+{
+  if (this->candidate && aPolicy.nextOffset <= this->candidate->nextOffset) {
+    return;
+  }
+  this->candidate = aPolicy;
+  while (!this->pending.empty() &&
+         this->pending.front().offset < aPolicy.nextOffset) {
+    this->pending.pop_front();
+  }
+}
+
 void
 NoteReplay::ApplyPending(std::vector<ReplayedRecord>& aReport)
 {
   this->hasGap = false;
+  this->candidate.reset();
   const auto records = std::exchange(this->pending, {});
   for (const Pending& each : records) {
     if (each.offset >= this->policy.nextOffset) {
       aReport.push_back(this->Apply(each.offset, each.record));
     }
   }
+  this->policy.nextOffset = std::max(this->policy.nextOffset, this->next);
 }
 
 } // namespace amaranthwind::journal
--- a/libs/journal/tests/CellReplayTest.cpp
+++ b/libs/journal/tests/CellReplayTest.cpp
@@ -189,6 +189,22 @@
   CHECK(!tooLate.IsComplete());
 }
 
+// Guards against a second copy that counts as new for a reader that started
+// from an old checkpoint, since the first copy has expired.
+TEST_CASE("a reader starts from the newest checkpoint and not from the first")
+{
+  JournalFixture fixture;
+  const Record epoch = fixture.Make(EpochRecord{ base::EntryId("e1") });
+  const base::FencingToken token(fixture.Put(kCell, epoch).Get());
+  fixture.Put(kCell, Accepted(token, "a"));
+  PutCheckpoint(fixture, token, 1, 1);
+  fixture.Put(kCell, epoch);
+  PutCheckpoint(fixture, token, 1, 1);
+  const CellState expected = StateOf(fixture);
+  fixture.log.ExpireBelow(kCell, base::LogOffset(1));
+  CHECK(StateOf(fixture) == expected);
+}
+
 // Guards against two answers to one job id, and against ended jobs that pile
 // up.
 TEST_CASE("a job id submitted again gets the same answer for a bounded number")
--- /dev/null
+++ b/libs/journal/tests/CheckpointWriterTest.cpp
@@ -0,0 +1,182 @@
+#include "amaranthwind/journal/CheckpointWriter.h"
+
+#include "JournalFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthwind;
+using namespace amaranthwind::journal;
+using namespace std::chrono_literals;
+using base::ErrorCode;
+
+namespace {
+
+constexpr std::size_t kSmallChunk = 1500;
+constexpr base::LogOffset kFour(4);
+
+/** A cell with enough jobs for several small chunks, read by its coordinator.
+ */
+struct CellWithJobs : JournalFixture
+{
+  base::FencingToken token = this->PutEpoch("e1");
+  CellReplay replay{ codec };
+
+  CellWithJobs()
+  {
+    for (const char* const job : { "a", "b", "c", "d", "e" }) {
+      this->Put(kCell, Accepted(this->token, job, 2));
+    }
+    this->Put(kCell, Decision(this->token, "b", 1));
+    this->Put(kCell, JobEndedRecord{ this->token, base::JobId("a"), {}, {} });
+    REQUIRE(ReadToEnd(this->log, kCell, this->replay).has_value());
+  }
+
+  base::Result<void> Write()
+  {
+    const auto records =
+      MakeCellCheckpoint(this->replay, this->random, kSmallChunk);
+    REQUIRE(records.size() == 3);
+    return WriteCheckpoint(this->appender,
+                           kCell,
+                           records,
+                           this->replay.NextOffset(),
+                           this->replay.MakeFence());
+  }
+};
+
+} // namespace
+
+// Guards against a process that replaces one which was lost and comes to
+// another state, whichever chunk's append had a fault.
+TEST_CASE("a checkpoint written through faults gives the state back")
+{
+  using Fault = AppendFault;
+  for (const Fault fault : { Fault::Refused,
+                             Fault::LostBefore,
+                             Fault::LostAfter,
+                             Fault::LateBeforeNext }) {
+    for (std::size_t chunk = 0; chunk < 3; ++chunk) {
+      CAPTURE(chunk);
+      CAPTURE(static_cast<int>(fault));
+      CellWithJobs cell;
+      std::vector<Fault> faults(chunk, Fault::None);
+      faults.push_back(fault);
+      cell.log.PlanAppends(faults);
+      const auto covered = cell.replay.NextOffset();
+      REQUIRE(cell.Write().has_value());
+      cell.Put(kCell, Decision(cell.token, "c", 1));
+      REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+      CHECK(cell.replay.NewestCheckpoint() == covered);
+
+      cell.log.ExpireBelow(kCell, covered);
+      CellReplay fresh(cell.codec);
+      REQUIRE(ReadToEnd(cell.log, kCell, fresh).has_value());
+      CHECK(fresh.IsComplete());
+      CHECK(fresh.State() == cell.replay.State());
+    }
+  }
+}
+
+// Guards against a state that is taken from a part of a checkpoint.
+TEST_CASE("a checkpoint that an outage or a newer epoch cut off is ignored")
+{
+  for (const bool isOutage : { true, false }) {
+    CAPTURE(isOutage);
+    CellWithJobs cell;
+    REQUIRE(cell.Write().has_value());
+    const auto covered = cell.replay.NextOffset();
+    cell.Put(kCell, Accepted(cell.token, "f"));
+    REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+    cell.duringWait = [&] {
+      if (isOutage) {
+        cell.log.SetDown(true);
+      } else if (cell.replay.Token() == cell.token) {
+        cell.PutEpoch("e2");
+        REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+      }
+    };
+    cell.log.PlanAppends(
+      std::vector{ AppendFault::None, AppendFault::Refused });
+    const auto written = cell.Write();
+    REQUIRE(written.has_error());
+    CHECK(written.error().code ==
+          (isOutage ? ErrorCode::LogUnavailable : ErrorCode::StaleToken));
+    cell.log.SetDown(false);
+    REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+    CHECK(cell.replay.NewestCheckpoint() == covered);
+
+    cell.log.ExpireBelow(kCell, covered);
+    CellReplay fresh(cell.codec);
+    REQUIRE(ReadToEnd(cell.log, kCell, fresh).has_value());
+    CHECK(fresh.IsComplete());
+    CHECK(fresh.State() == cell.replay.State());
+  }
+}
+
+// Guards against a reader that was paused past the retention and keeps the
+// state of an earlier epoch.
+TEST_CASE("a reader behind a gap continues from the next checkpoint")
+{
+  CellWithJobs cell;
+  CellReplay paused(cell.codec);
+  REQUIRE(ReadToEnd(cell.log, kCell, paused).has_value());
+  const CellState before = paused.State();
+  const auto second = cell.PutEpoch("e2");
+  cell.Put(kCell, Decision(second, "c", 2));
+  REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+  cell.log.ExpireBelow(kCell, cell.log.End(kCell));
+  REQUIRE(ReadToEnd(cell.log, kCell, paused).has_value());
+  CHECK(!paused.IsComplete());
+  CHECK(paused.State() == before);
+
+  cell.Put(kCell, Decision(second, "d", 2));
+  REQUIRE(cell.Write().has_value());
+  REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+  REQUIRE(ReadToEnd(cell.log, kCell, paused).has_value());
+  CHECK(paused.IsComplete());
+  CHECK(paused.State() == cell.replay.State());
+}
+
+// Guards against a policy that is lost with the notes that made it.
+TEST_CASE("a policy checkpoint written through a lost answer is the policy")
+{
+  JournalFixture fixture;
+  fixture.Put(kNotesStream, Note(0, "a"));
+  fixture.Put(kNotesStream, Note(1, "b"));
+  NoteReplay replay(fixture.codec);
+  REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+  const std::vector records{ MakePolicyCheckpoint(replay, fixture.random) };
+  fixture.log.PlanAppends(std::vector{ AppendFault::LateBeforeNext });
+  REQUIRE(WriteCheckpoint(
+            fixture.appender, kNotesStream, records, replay.NextOffset(), {})
+            .has_value());
+  fixture.log.ExpireBelow(kNotesStream, base::LogOffset(2));
+  NoteReplay fresh(fixture.codec);
+  REQUIRE(ReadToEnd(fixture.log, kNotesStream, fresh).has_value());
+  REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+  CHECK(fresh.IsComplete());
+  CHECK(fresh.Current() == replay.Current());
+  CHECK(fresh.Current().version.Get() == 2);
+}
+
+// Guards against a checkpoint that expires before the next, a process that
+// restarts too often ever to write one, and writers that all write.
+TEST_CASE("a checkpoint is due at the start and every quarter of the retention")
+{
+  base::ManualClock clock;
+  CheckpointSchedule first(24h, kFour, clock.Now());
+  CheckpointSchedule second(24h, kFour, clock.Now(), 1min);
+  CHECK(first.IsDue(clock.Now()));
+  CHECK(!second.IsDue(clock.Now()));
+  first.OnFailed(clock.Now());
+  CHECK(!first.IsDue(clock.Now()));
+  clock.Advance(1min);
+  CHECK(first.IsDue(clock.Now()));
+  first.OnSeen(base::LogOffset(5), clock.Now());
+  second.OnSeen(base::LogOffset(5), clock.Now());
+  clock.Advance(6h);
+  // A second reading of the same checkpoint does not make it younger.
+  first.OnSeen(base::LogOffset(5), clock.Now());
+  CHECK(first.IsDue(clock.Now()));
+  CHECK(!second.IsDue(clock.Now()));
+}
