Acknowledge a gang's end once the log holds it; add the random fault test

Cause: the new random test found four faults. A handed-over daemon and a first rank past its stop deadline named deadlines in the past, on which a runtime spins. A coordinator took a member's StaleToken about another coordinator's order for its own. A gang's end was acknowledged before it was durable, or by a coordinator that did not know the attempt, so that the next coordinator waited for it for ever.

Change: deadlines are reset once handled. A refusal names the token that it refuses. An attempt stays in a state Ending until EndConfirmed; only then, or when the log is known to hold the end, is GangEnded acknowledged. GangNetwork joins real coordinators and members by a network, a log and workers in memory.

--- a/libs/gang/include/amaranthwind/gang/GangCoordinator.h
+++ b/libs/gang/include/amaranthwind/gang/GangCoordinator.h
@@ -55,6 +55,12 @@
   AttemptKey key;
 };
 
+/** The end of a committed attempt is in the log. */
+struct EndConfirmed
+{
+  AttemptKey key;
+};
+
 /** Membership gave the worker up; a single broken connection is no such case.
  */
 struct WorkerLost
@@ -83,6 +89,7 @@
                                       Promise,
                                       DecisionConfirmed,
                                       DecisionUnconfirmed,
+                                      EndConfirmed,
                                       CommitRefused,
                                       GangStarted,
                                       MemberEnded,
@@ -128,9 +135,16 @@
   AttemptKey key;
 };
 
+/**
+ * Unless the attempt was aborted, the end is to be written to the log until
+ * EndConfirmed or TokenLost can be given. The first rank repeats its report
+ * until then, so that the next coordinator hears it if this one is lost.
+ */
 struct AttemptEnded
 {
   AttemptKey key;
+  /** By an abort record; no other record is needed. */
+  bool isAborted = false;
   AttemptOutcome outcome = AttemptOutcome::Failed;
   std::optional<Rank> rankAtFault;
   std::optional<StopReason> reason;
@@ -168,7 +182,7 @@
   /** When the next Tick is due; empty when nothing waits for time. */
   std::optional<base::TimePoint> NextDeadline() const;
 
-  /** Unknown once an attempt has ended: then the log answers. */
+  /** Unknown once the end of an attempt is in the log: then the log answers. */
   AttemptState StateOf(const AttemptKey& aKey) const;
 
   std::size_t AttemptCount() const;
--- a/libs/gang/include/amaranthwind/gang/Messages.h
+++ b/libs/gang/include/amaranthwind/gang/Messages.h
@@ -122,7 +122,7 @@
   base::Duration grace{};
 };
 
-/** Tells the first rank that its GangEnded has arrived. */
+/** Tells the first rank that the end of the gang is in the log. */
 struct GangEndedAck
 {
   AttemptKey key;
@@ -141,6 +141,8 @@
 {
   AttemptKey key;
   Rank rank = 0;
+  /** Of the order that was refused. */
+  base::FencingToken token;
   base::Error error;
 };
 
--- a/libs/gang/src/GangCoordinator.cpp
+++ b/libs/gang/src/GangCoordinator.cpp
@@ -25,6 +25,7 @@
   Committed,
   Running,
   Stopping,
+  Ending, // The end is being written to the log.
   Ended,
 };
 
@@ -76,10 +77,11 @@
     this->effects.emplace_back(std::move(write));
   }
 
-  void End(AttemptOutcome aOutcome)
+  void End(AttemptOutcome aOutcome, bool aIsAborted = false)
   {
     this->attempt.deadline.reset();
     this->effects.emplace_back(AttemptEnded{ this->Key(),
+                                             aIsAborted,
                                              aOutcome,
                                              this->attempt.rankAtFault,
                                              this->attempt.stopReason,
@@ -111,6 +113,8 @@
 {};
 struct StopExpired : WithContext
 {};
+struct EndRecorded : WithContext
+{};
 struct EndReported : WithContext
 {
   const GangEnded& report;
@@ -173,7 +177,7 @@
     context.SendToAll([&](Rank) {
       return Abort{ context.fence, context.Key() };
     });
-    context.End(AttemptOutcome::NotRun);
+    context.End(AttemptOutcome::NotRun, true);
   }
 };
 
@@ -263,6 +267,18 @@
   }
 };
 
+struct AcknowledgeEnd
+{
+  template<typename Event, typename Fsm, typename From, typename To>
+  void operator()(const Event& aEvent, Fsm&, From&, To&)
+  {
+    Context& context = aEvent.context;
+    context.effects.emplace_back(
+      SendToMember{ context.attempt.plan->members.front().worker,
+                    GangEndedAck{ context.Key() } });
+  }
+};
+
 template<AttemptPhase kPhase>
 struct In : msm::front::state<>
 {
@@ -288,6 +304,7 @@
   using InCommitted = In<AttemptPhase::Committed>;
   using Running = In<AttemptPhase::Running>;
   using Stopping = In<AttemptPhase::Stopping>;
+  using Ending = In<AttemptPhase::Ending>;
   using Ended = In<AttemptPhase::Ended>;
   using initial_state = Preparing;
 
@@ -312,12 +329,13 @@
     Row<WaitingAbort,   RecordConfirmed, Ended,          SendAborts>,
     Row<InCommitted,    AllStarted,      Running,        ReportStarted>,
     Row<InCommitted,    StopWanted,      Stopping,       SendStop>,
-    Row<InCommitted,    EndReported,     Ended,          EndFromReport>,
+    Row<InCommitted,    EndReported,     Ending,         EndFromReport>,
     Row<Running,        StopWanted,      Stopping,       SendStop>,
-    Row<Running,        EndReported,     Ended,          EndFromReport>,
+    Row<Running,        EndReported,     Ending,         EndFromReport>,
     Row<Stopping,       StopWanted,      Stopping,       SendStop>,
-    Row<Stopping,       EndReported,     Ended,          EndFromReport>,
-    Row<Stopping,       StopExpired,     Ended,          EndAsFailed>>;
+    Row<Stopping,       EndReported,     Ending,         EndFromReport>,
+    Row<Stopping,       StopExpired,     Ending,         EndAsFailed>,
+    Row<Ending,         EndRecorded,     Ended,          AcknowledgeEnd>>;
   // clang-format on
 
   /** Late and repeated events are no fault. */
@@ -491,7 +509,8 @@
 
   void On(const Promise& aEvent)
   {
-    if (aEvent.refusal && aEvent.refusal->code == base::ErrorCode::StaleToken) {
+    if (aEvent.refusal && aEvent.refusal->code == base::ErrorCode::StaleToken &&
+        aEvent.key.planToken == this->fence.token) {
       this->Supersede();
       return;
     }
@@ -533,8 +552,10 @@
   void On(const CommitRefused& aEvent)
   {
     if (aEvent.error.code == base::ErrorCode::StaleToken) {
-      this->Supersede();
-      return;
+      if (aEvent.token == this->fence.token) {
+        this->Supersede();
+      }
+      return; // Of an older coordinator's order.
     }
     Entry* entry = this->Find(aEvent.key);
     if (entry == nullptr || entry->machine.phase < AttemptPhase::Committed) {
@@ -574,12 +595,21 @@
 
   void On(const GangEnded& aEvent)
   {
-    Entry* entry = this->Find(aEvent.key);
-    // Unacknowledged, the first rank repeats its report. That is needed when it
-    // learned the decision from the log before this coordinator did.
-    if (entry == nullptr || !this->Fire<EndReported>(*entry, aEvent)) {
+    if (Entry* entry = this->Find(aEvent.key); entry != nullptr) {
+      this->Fire<EndReported>(*entry, aEvent);
+    } else if (aEvent.key.planToken <= this->fence.token) {
+      // Its end is in the log; the acknowledgement was lost.
       this->effects->emplace_back(
         SendToMember{ base::TargetId{}, GangEndedAck{ aEvent.key } });
+    } else {
+      this->Supersede(); // Planned by a newer coordinator.
+    }
+  }
+
+  void On(const EndConfirmed& aEvent)
+  {
+    if (Entry* entry = this->Find(aEvent.key); entry != nullptr) {
+      this->Fire<EndRecorded>(*entry);
     }
   }
 
--- a/libs/gang/src/GangMember.cpp
+++ b/libs/gang/src/GangMember.cpp
@@ -65,7 +65,7 @@
   /** A member that ended without success while no stop was ordered. */
   std::optional<Rank> failedRank;
   /** When members must run; then when they must have reported a stop. */
-  base::TimePoint deadline;
+  std::optional<base::TimePoint> deadline;
   /** When the next member is lost if it stays silent. */
   std::optional<base::TimePoint> nextLoss;
   base::TimePoint nextReport;
@@ -152,6 +152,9 @@
   std::optional<base::TimePoint> NextDeadline() const
   {
     std::optional<base::TimePoint> next;
+    if (this->isHandedOver) {
+      return next;
+    }
     const auto consider = [&](base::TimePoint aTime) {
       next = next ? std::min(*next, aTime) : aTime;
     };
@@ -261,7 +264,8 @@
     const auto refuse = [&](base::ErrorCode aCode) {
       this->PostToCoordinator(
         aEvent.fence.cell,
-        CommitRefused{ aEvent.key, aEvent.rank, { aCode, "commit" } });
+        CommitRefused{
+          aEvent.key, aEvent.rank, aEvent.fence.token, { aCode, "commit" } });
     };
     if (!this->Accept(aEvent.fence)) {
       refuse(base::ErrorCode::StaleToken);
@@ -489,8 +493,8 @@
     } else if (phase != MemberPhase::Promised &&
                phase != MemberPhase::Aborted) {
       aConsider(aRecord.nextHeartbeat);
-      if (aRecord.first->life.Phase() != FirstRankPhase::Running) {
-        aConsider(aRecord.first->deadline);
+      if (aRecord.first->deadline) {
+        aConsider(*aRecord.first->deadline);
       }
       if (aRecord.first->nextLoss) {
         aConsider(*aRecord.first->nextLoss);
@@ -537,7 +541,8 @@
       return;
     }
     if (phase == FirstRankPhase::Stopping) {
-      if (this->now >= first.deadline) {
+      if (first.deadline && this->now >= *first.deadline) {
+        first.deadline.reset();
         for (Rank rank = 0; rank < first.peers.size(); ++rank) {
           if (rank != aRecord.rank) {
             first.Advance(rank, MemberPhase::Ended, MemberResult::Lost);
@@ -560,7 +565,7 @@
       const base::TimePoint loss = peer.contact.LossTime();
       first.nextLoss = first.nextLoss ? std::min(*first.nextLoss, loss) : loss;
     }
-    if (phase != FirstRankPhase::Running && this->now >= first.deadline) {
+    if (first.deadline && this->now >= *first.deadline) {
       const auto late = std::find_if(
         first.peers.begin(), first.peers.end(), [&](const Peer& aPeer) {
           return aPeer.phase < (phase == FirstRankPhase::Collecting
@@ -759,6 +764,7 @@
 
   void ReportStarted(Record& aRecord)
   {
+    aRecord.first->deadline.reset();
     this->PostToCoordinator(aRecord.cell, GangStarted{ aRecord.key });
   }
 
@@ -776,6 +782,7 @@
       first.report.reason = aReason;
       first.report.rankAtFault = aRankAtFault;
     }
+    first.nextLoss.reset();
     first.deadline = this->now + aGrace + this->settings.stopTimeout;
     aRecord.stopReason = first.report.reason.value_or(aReason);
     aRecord.grace = aGrace;
--- a/libs/gang/tests/GangCoordinatorTest.cpp
+++ b/libs/gang/tests/GangCoordinatorTest.cpp
@@ -148,11 +148,14 @@
   {
     CHECK(Has<CoordinatorSuperseded>(bench.Give(TokenLost{})));
   }
-  SUBCASE("told by a member")
+  SUBCASE("told by a member, not about another coordinator's order")
   {
     const base::Error stale{ base::ErrorCode::StaleToken, "" };
+    CHECK(
+      bench.Give(CommitRefused{ bench.key, 1, base::FencingToken(9), stale })
+        .empty());
     CHECK(Has<CoordinatorSuperseded>(
-      bench.Give(CommitRefused{ bench.key, 1, stale })));
+      bench.Give(CommitRefused{ bench.key, 1, kFence.token, stale })));
   }
   CHECK(bench.Give(DecisionConfirmed{ bench.key }).empty());
   CHECK(bench.Wait(1h).empty());
@@ -223,7 +226,11 @@
     REQUIRE(Find<AttemptEnded>(ended) != nullptr);
     CHECK(Find<AttemptEnded>(ended)->outcome == test.outcome);
     CHECK(Find<AttemptEnded>(ended)->rankAtFault == test.report.rankAtFault);
-    CHECK(Has<GangEndedAck>(ended));
+    // Until the end is in the log, the next coordinator may need the report.
+    CHECK_FALSE(Has<GangEndedAck>(ended));
+    CHECK(bench.Give(test.report).empty());
+    CHECK(Has<GangEndedAck>(bench.Give(EndConfirmed{ key })));
+    CHECK(bench.coordinator.AttemptCount() == 0);
     // Repeated because the acknowledgement was lost: no second end.
     const auto again = bench.Give(test.report);
     CHECK(again.size() == 1);
--- /dev/null
+++ b/libs/gang/tests/GangNetwork.cpp
@@ -0,0 +1,743 @@
+#include "GangNetwork.h"
+
+#include <numeric>
+
+using namespace std::chrono_literals;
+
+namespace amaranthwind::gang::testing {
+
+namespace {
+
+constexpr fleet::Resources kCapacity{ 8, 64, 1024 };
+
+} // namespace
+
+GangNetwork::GangNetwork(std::uint64_t aSeed, std::size_t aWorkers)
+  : random(aSeed)
+  , workers(aWorkers)
+{
+  for (std::size_t index = 0; index < aWorkers; ++index) {
+    this->RestartDaemon(index);
+  }
+  this->AddCoordinator();
+}
+
+double
+GangNetwork::Draw()
+{
+  return std::uniform_real_distribution<double>(0, 1)(this->random);
+}
+
+base::Duration
+GangNetwork::DrawUpTo(base::Duration aMax)
+{
+  return base::Duration(
+    static_cast<base::Duration::rep>(this->Draw() * double(aMax.count())));
+}
+
+void
+GangNetwork::At(base::TimePoint aTime, std::function<void()> aAction)
+{
+  this->queue.emplace(aTime, std::move(aAction));
+}
+
+void
+GangNetwork::Send(std::function<void()> aDelivery)
+{
+  const int copies = this->Draw() < this->duplicateChance ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    if (this->Draw() >= this->lossChance) {
+      this->At(this->now + this->DrawUpTo(this->maxDelay), aDelivery);
+    }
+  }
+}
+
+// Coordinators and the log.
+
+std::optional<std::size_t>
+GangNetwork::Newest() const
+{
+  for (std::size_t index = this->coordinators.size(); index > 0; --index) {
+    if (this->coordinators[index - 1].process != nullptr) {
+      return index - 1;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+GangNetwork::KillCoordinator()
+{
+  if (const auto newest = this->Newest(); newest) {
+    // Deferred: the call may come from one of its own effects.
+    this->coordinators[*newest].pausedUntil = base::TimePoint::max();
+    this->At(this->now, [this, index = *newest] {
+      this->coordinators[index].process.reset();
+    });
+  }
+}
+
+void
+GangNetwork::PauseCoordinator(base::Duration aTime)
+{
+  if (const auto newest = this->Newest(); newest) {
+    this->coordinators[*newest].pausedUntil = this->now + aTime;
+  }
+}
+
+bool
+GangNetwork::AddCoordinator()
+{
+  if (!this->isLogUp) {
+    return false;
+  }
+  const base::FencingToken token(this->log.size() + 1);
+  this->log.push_back({ token, true, {}, {} });
+  const std::size_t index = this->coordinators.size();
+  this->coordinators.push_back(
+    { std::make_unique<GangCoordinator>(Fence{ kFence.cell, token }),
+      token,
+      {},
+      {} });
+  for (const auto& [key, history] : this->histories) {
+    if (this->LogState(key) == AttemptState::Committed &&
+        history.ends.empty()) {
+      this->GiveCoordinator(index, ResumeGang{ history.plan }, std::nullopt);
+    }
+  }
+  return true;
+}
+
+AttemptState
+GangNetwork::LogState(const AttemptKey& aKey) const
+{
+  for (const LogRecord& record : this->log) {
+    if (record.isEpoch && record.token > aKey.planToken) {
+      return AttemptState::Aborted;
+    }
+    if (!record.isEpoch && record.key == aKey) {
+      return record.decision == Decision::Commit ? AttemptState::Committed
+                                                 : AttemptState::Aborted;
+    }
+  }
+  return AttemptState::Undecided;
+}
+
+void
+GangNetwork::Append(std::size_t aCoordinator, const WriteDecision& aWrite)
+{
+  const auto answer = [this, aCoordinator](const CoordinatorEvent& aEvent) {
+    this->GiveCoordinator(aCoordinator, aEvent, std::nullopt);
+  };
+  if (!this->isLogUp) {
+    answer(DecisionUnconfirmed{ aWrite.key });
+    return;
+  }
+  const auto isSame = [&](const LogRecord& aRecord) {
+    return !aRecord.isEpoch && aRecord.key == aWrite.key;
+  };
+  const auto found = std::find_if(this->log.begin(), this->log.end(), isSame);
+  if (found == this->log.end()) {
+    this->log.push_back({ this->coordinators[aCoordinator].token,
+                          false,
+                          aWrite.key,
+                          aWrite.decision });
+  } else if (found->decision != aWrite.decision) {
+    this->Report("two decisions", aWrite.key);
+  }
+  const bool isNewest =
+    std::none_of(this->log.begin(), this->log.end(), [&](const auto& aRecord) {
+      return aRecord.isEpoch && aRecord.token > aWrite.key.planToken;
+    });
+  if (this->Draw() < this->lostAnswerChance) {
+    answer(DecisionUnconfirmed{ aWrite.key });
+  } else if (isNewest ||
+             this->LogState(aWrite.key) == (aWrite.decision == Decision::Commit
+                                              ? AttemptState::Committed
+                                              : AttemptState::Undecided)) {
+    answer(DecisionConfirmed{ aWrite.key });
+  } else {
+    answer(TokenLost{});
+  }
+}
+
+void
+GangNetwork::GiveCoordinator(const CoordinatorEvent& aEvent)
+{
+  if (const auto newest = this->Newest(); newest) {
+    this->GiveCoordinator(*newest, aEvent, std::nullopt);
+  }
+}
+
+void
+GangNetwork::GiveCoordinator(std::size_t aIndex,
+                             const CoordinatorEvent& aEvent,
+                             std::optional<std::size_t> aSender)
+{
+  Coordinator& node = this->coordinators[aIndex];
+  if (node.process == nullptr) {
+    return;
+  }
+  if (this->now < node.pausedUntil) {
+    if (node.pausedUntil != base::TimePoint::max()) {
+      this->At(node.pausedUntil, [this, aIndex, aEvent, aSender] {
+        this->GiveCoordinator(aIndex, aEvent, aSender);
+      });
+    }
+    return;
+  }
+  const auto effects = node.process->Handle(this->now, aEvent);
+  node.deadline = node.process->NextDeadline();
+  for (const CoordinatorEffect& effect : effects) {
+    // A coordinator that a filter has killed sends nothing more.
+    const bool isAlive =
+      this->coordinators[aIndex].pausedUntil != base::TimePoint::max();
+    if (isAlive &&
+        (!this->coordinatorFilter || this->coordinatorFilter(effect))) {
+      this->CarryOut(aIndex, effect, aSender);
+    }
+  }
+}
+
+void
+GangNetwork::CarryOut(std::size_t aCoordinator,
+                      const CoordinatorEffect& aEffect,
+                      std::optional<std::size_t> aSender)
+{
+  if (const auto* send = std::get_if<SendToMember>(&aEffect)) {
+    std::optional<std::size_t> target = aSender;
+    for (std::size_t index = 0; index < this->workers.size(); ++index) {
+      target = WorkerId(index) == send->worker ? index : target;
+    }
+    std::visit(
+      [&](const auto& aMessage) { this->SendToWorker(*target, aMessage); },
+      send->message);
+  } else if (const auto* write = std::get_if<WriteDecision>(&aEffect)) {
+    this->At(this->now + this->DrawUpTo(this->maxDelay),
+             [this, aCoordinator, write = *write] {
+               this->Append(aCoordinator, write);
+             });
+  } else if (const auto* end = std::get_if<AttemptEnded>(&aEffect)) {
+    this->Note(*end);
+    if (!end->isAborted) {
+      this->AppendEnd(aCoordinator, *end);
+    }
+  }
+}
+
+void
+GangNetwork::AppendEnd(std::size_t aCoordinator, const AttemptEnded& aEnd)
+{
+  if (!this->isLogUp) {
+    this->At(this->now + 1s, [this, aCoordinator, aEnd] {
+      this->AppendEnd(aCoordinator, aEnd);
+    });
+    return;
+  }
+  const Coordinator& node = this->coordinators[aCoordinator];
+  const bool isNewest =
+    std::none_of(this->log.begin(), this->log.end(), [&](const auto& aRecord) {
+      return aRecord.isEpoch && aRecord.token > node.token;
+    });
+  if (node.process == nullptr) {
+    return;
+  }
+  if (!isNewest) {
+    this->GiveCoordinator(aCoordinator, TokenLost{}, std::nullopt);
+    return;
+  }
+  this->histories[aEnd.key].ends.push_back(aEnd);
+  this->GiveCoordinator(aCoordinator, EndConfirmed{ aEnd.key }, std::nullopt);
+}
+
+// Members and their workers.
+
+void
+GangNetwork::KillDaemon(std::size_t aWorker)
+{
+  this->workers[aWorker].daemon.reset();
+  this->workers[aWorker].deadline.reset();
+  this->workers[aWorker].promises.clear();
+}
+
+void
+GangNetwork::KillWorker(std::size_t aWorker)
+{
+  this->KillDaemon(aWorker);
+  while (!this->workers[aWorker].tasks.empty()) {
+    this->EndTask(aWorker,
+                  this->workers[aWorker].tasks.begin()->first,
+                  MemberResult::Failed);
+  }
+}
+
+void
+GangNetwork::RestartDaemon(std::size_t aWorker)
+{
+  Worker& worker = this->workers[aWorker];
+  this->KillDaemon(aWorker);
+  ++worker.incarnation;
+  worker.pausedUntil = {};
+  worker.daemon = std::make_unique<GangMember>(WorkerId(aWorker), kCapacity);
+  const auto tasks = worker.tasks;
+  for (const auto& [key, task] : tasks) {
+    this->GiveWorker(
+      aWorker,
+      AdoptTask{
+        kFence.cell, task.plan, task.rank, task.leaseUntil - this->now });
+  }
+}
+
+void
+GangNetwork::PauseDaemon(std::size_t aWorker, base::Duration aTime)
+{
+  this->workers[aWorker].pausedUntil = this->now + aTime;
+}
+
+void
+GangNetwork::HandOverDaemon(std::size_t aWorker)
+{
+  for (const auto& [key, task] : this->workers[aWorker].tasks) {
+    this->histories[key].bound = 10s;
+  }
+  this->GiveWorker(aWorker, HandOver{});
+  this->KillDaemon(aWorker);
+}
+
+void
+GangNetwork::GiveWorker(std::size_t aWorker, const MemberEvent& aEvent)
+{
+  Worker& worker = this->workers[aWorker];
+  if (worker.daemon == nullptr) {
+    return;
+  }
+  if (this->now < worker.pausedUntil) {
+    this->At(worker.pausedUntil,
+             [this, aWorker, aEvent, incarnation = worker.incarnation] {
+               if (this->workers[aWorker].incarnation == incarnation) {
+                 this->GiveWorker(aWorker, aEvent);
+               }
+             });
+    return;
+  }
+  const std::optional<std::size_t> from = this->sender;
+  const auto effects = worker.daemon->Handle(this->now, aEvent);
+  worker.deadline = worker.daemon->NextDeadline();
+  this->CheckWorker(aWorker);
+  for (const MemberEffect& effect : effects) {
+    if (!this->memberFilter || this->memberFilter(aWorker, effect)) {
+      this->CarryOut(aWorker, effect, from);
+    }
+  }
+}
+
+/** A connection ends with the process: nothing reaches a later incarnation. */
+void
+GangNetwork::SendToWorker(std::size_t aWorker, const MemberEvent& aEvent)
+{
+  this->Send([this,
+              aWorker,
+              aEvent,
+              from = this->sender,
+              incarnation = this->workers[aWorker].incarnation] {
+    if (this->workers[aWorker].incarnation == incarnation) {
+      this->sender = from;
+      this->GiveWorker(aWorker, aEvent);
+      this->sender.reset();
+    }
+  });
+}
+
+void
+GangNetwork::SendToCoordinator(std::size_t aSender,
+                               const MemberToCoordinator& aBody)
+{
+  this->Send([this, aSender, aBody] {
+    auto target = this->Newest();
+    if (target && this->Draw() < 0.1) {
+      *target = std::size_t(this->Draw() * double(*target + 1));
+    }
+    if (target) {
+      std::visit(
+        [&](const auto& aMessage) {
+          this->GiveCoordinator(*target, aMessage, aSender);
+        },
+        aBody);
+    }
+  });
+}
+
+void
+GangNetwork::CarryOut(std::size_t aWorker,
+                      const MemberEffect& aEffect,
+                      std::optional<std::size_t> aSender)
+{
+  auto& tasks = this->workers[aWorker].tasks;
+  if (const auto* send = std::get_if<gang::SendToCoordinator>(&aEffect)) {
+    this->SendToCoordinator(aWorker, send->message);
+  } else if (const auto* peer = std::get_if<SendToPeer>(&aEffect)) {
+    std::optional<std::size_t> target = aSender;
+    for (std::size_t index = 0; index < this->workers.size(); ++index) {
+      target = WorkerId(index) == peer->worker ? index : target;
+    }
+    if (target) {
+      this->sender = aWorker;
+      std::visit(
+        [&](const auto& aMessage) { this->SendToWorker(*target, aMessage); },
+        peer->message);
+      this->sender.reset();
+    }
+  } else if (const auto* query = std::get_if<QueryOutcome>(&aEffect)) {
+    const AttemptKey key = query->query.key;
+    this->Send([this, aWorker, key, isEntry = query->askAnyEntry] {
+      const auto newest = this->Newest();
+      AttemptState state = AttemptState::Unknown;
+      if (isEntry) {
+        state = this->LogState(key);
+      } else if (newest) {
+        state = this->coordinators[*newest].process->StateOf(key);
+      }
+      this->SendToWorker(aWorker, OutcomeReply{ key, state });
+    });
+  } else if (const auto* start = std::get_if<StartTask>(&aEffect)) {
+    this->LaunchTask(aWorker, *start);
+  } else if (const auto* lease = std::get_if<RenewLease>(&aEffect)) {
+    if (const auto task = tasks.find(lease->key); task != tasks.end()) {
+      task->second.leaseUntil = this->now + lease->lease;
+    }
+  } else if (const auto* stop = std::get_if<StopTask>(&aEffect)) {
+    if (const auto task = tasks.find(stop->key); task != tasks.end()) {
+      if (stop->grace > 0s) {
+        this->histories[stop->key].bound = 5s + stop->grace;
+      }
+      const auto endsAt = this->now + this->DrawUpTo(stop->grace + 50ms);
+      if (endsAt < task->second.endsAt) {
+        task->second.endsAt = endsAt;
+        task->second.result = MemberResult::Stopped;
+      }
+    }
+  }
+}
+
+void
+GangNetwork::LaunchTask(std::size_t aWorker, const StartTask& aStart)
+{
+  const AttemptKey key = aStart.key;
+  History& history = this->histories[key];
+  if (this->LogState(key) != AttemptState::Committed) {
+    this->Report("started without a commit", key);
+  }
+  if (++history.starts[aStart.rank] > 1) {
+    this->Report("started twice", key);
+  }
+  if (history.noted && history.noted->outcome == AttemptOutcome::NotRun) {
+    this->Report("started after \"not run\"", key);
+  }
+  Task task{ key,
+             aStart.plan,
+             aStart.rank,
+             false,
+             this->now + aStart.lease,
+             this->now + history.runTime,
+             MemberResult::Succeeded };
+  if (this->Draw() < this->taskFailureChance) {
+    task.endsAt = this->now + this->DrawUpTo(history.runTime);
+    task.result = MemberResult::Failed;
+  }
+  this->workers[aWorker].tasks.emplace(key, task);
+  this->At(this->now + this->DrawUpTo(200ms), [this, aWorker, key] {
+    auto& tasks = this->workers[aWorker].tasks;
+    if (const auto found = tasks.find(key); found != tasks.end()) {
+      found->second.isRunning = true;
+      this->GiveWorker(aWorker, TaskStarted{ key });
+    }
+  });
+}
+
+void
+GangNetwork::EndTask(std::size_t aWorker,
+                     const AttemptKey& aKey,
+                     MemberResult aResult)
+{
+  auto& tasks = this->workers[aWorker].tasks;
+  const AttemptKey key = aKey;
+  this->histories[key].results[tasks.at(key).rank] = aResult;
+  tasks.erase(key);
+  this->GiveWorker(aWorker, TaskEnded{ key, aResult });
+}
+
+void
+GangNetwork::StepTasks()
+{
+  for (std::size_t index = 0; index < this->workers.size(); ++index) {
+    const auto tasks = this->workers[index].tasks;
+    for (const auto& [key, task] : tasks) {
+      if (task.endsAt <= this->now) {
+        this->EndTask(index, key, task.result);
+      } else if (task.leaseUntil <= this->now) {
+        this->EndTask(index, key, MemberResult::Stopped);
+      }
+    }
+  }
+}
+
+// Work and time.
+
+AttemptKey
+GangNetwork::StartJob(std::uint32_t aJob,
+                      const std::vector<std::size_t>& aWorkers,
+                      base::Duration aRunTime)
+{
+  const std::size_t newest = *this->Newest();
+  const base::FencingToken token = this->coordinators[newest].token;
+  auto plan = std::make_shared<job::GangPlan>(
+    *MakePlan(std::uint32_t(aWorkers.size()), token.Get(), 1, aJob));
+  // As a coordinator numbers attempts: after those that the log has decided.
+  for (const auto& [key, history] : this->histories) {
+    const bool isDecided =
+      this->LogState(key) == AttemptState::Committed || key.planToken == token;
+    if (key.gang.job == plan->gang.job && isDecided) {
+      plan->gang.attempt = base::Attempt(
+        std::max(plan->gang.attempt.Get(), key.gang.attempt.Get() + 1));
+    }
+  }
+  for (std::size_t rank = 0; rank < aWorkers.size(); ++rank) {
+    plan->members[rank].worker = WorkerId(aWorkers[rank]);
+  }
+  const AttemptKey key = KeyOf(*plan);
+  History& history = this->histories[key];
+  history.plan = plan;
+  history.runTime = aRunTime;
+  history.starts.resize(aWorkers.size());
+  history.results.resize(aWorkers.size());
+  this->GiveCoordinator(newest, StartGang{ plan }, std::nullopt);
+  return key;
+}
+
+std::optional<base::TimePoint>
+GangNetwork::NextTime() const
+{
+  std::optional<base::TimePoint> next;
+  const auto consider = [&](base::TimePoint aTime) {
+    next = next ? std::min(*next, aTime) : aTime;
+  };
+  if (!this->queue.empty()) {
+    consider(this->queue.begin()->first);
+  }
+  for (const Worker& worker : this->workers) {
+    if (worker.daemon != nullptr && worker.deadline) {
+      consider(std::max(*worker.deadline, worker.pausedUntil));
+    }
+    for (const auto& [key, task] : worker.tasks) {
+      consider(std::min(task.endsAt, task.leaseUntil));
+    }
+  }
+  for (const Coordinator& node : this->coordinators) {
+    if (node.process != nullptr && node.deadline &&
+        node.pausedUntil != base::TimePoint::max()) {
+      consider(std::max(*node.deadline, node.pausedUntil));
+    }
+  }
+  return next;
+}
+
+bool
+GangNetwork::RunOneStep(base::TimePoint aUntil)
+{
+  const auto next = this->NextTime();
+  if (!next || *next > aUntil) {
+    return false;
+  }
+  this->now = std::max(this->now, *next);
+  if (!this->queue.empty() && this->queue.begin()->first <= this->now) {
+    const auto action = this->queue.extract(this->queue.begin());
+    action.mapped()();
+  }
+  this->StepTasks();
+  for (std::size_t index = 0; index < this->workers.size(); ++index) {
+    const Worker& worker = this->workers[index];
+    if (worker.deadline && *worker.deadline <= this->now &&
+        worker.pausedUntil <= this->now) {
+      this->GiveWorker(index, Tick{});
+    }
+  }
+  for (std::size_t index = 0; index < this->coordinators.size(); ++index) {
+    const Coordinator& node = this->coordinators[index];
+    if (node.deadline && *node.deadline <= this->now &&
+        node.pausedUntil <= this->now) {
+      this->GiveCoordinator(index, Tick{}, std::nullopt);
+    }
+  }
+  this->Check();
+  return true;
+}
+
+void
+GangNetwork::RunFor(base::Duration aTime)
+{
+  const base::TimePoint until = this->now + aTime;
+  // Guards against a deadline that stays in the past, on which a runtime spins.
+  for (int steps = 0; steps < 100'000; ++steps) {
+    if (!this->RunOneStep(until)) {
+      this->now = until;
+      return;
+    }
+  }
+  this->violations.emplace_back("time stands still");
+}
+
+// Observations and invariants.
+
+void
+GangNetwork::Report(const std::string& aWhat, const AttemptKey& aKey)
+{
+  this->violations.push_back(
+    aWhat + ": " + aKey.gang.job.Text() + " attempt " +
+    std::to_string(aKey.gang.attempt.Get()) + " at " +
+    std::to_string((this->now - base::TimePoint(1h)) / 1ms) + " ms");
+}
+
+void
+GangNetwork::Note(const AttemptEnded& aEnd)
+{
+  History& history = this->histories[aEnd.key];
+  history.noted = aEnd;
+  if (aEnd.outcome == AttemptOutcome::NotRun &&
+      this->StartedTasks(aEnd.key) > 0) {
+    this->Report("\"not run\" although it ran", aEnd.key);
+  }
+  if (aEnd.outcome == AttemptOutcome::Succeeded &&
+      std::any_of(
+        history.results.begin(), history.results.end(), [](auto aResult) {
+          return aResult != MemberResult::Succeeded;
+        })) {
+    this->Report("\"succeeded\" although a member did not", aEnd.key);
+  }
+}
+
+void
+GangNetwork::CheckWorker(std::size_t aWorker)
+{
+  Worker& worker = this->workers[aWorker];
+  std::set<AttemptKey> promises;
+  for (const MemberStatus& status : worker.daemon->Status()) {
+    if (status.phase == MemberPhase::Promised) {
+      promises.insert(status.key);
+    }
+  }
+  for (const AttemptKey& key : worker.promises) {
+    if (promises.count(key) == 0 &&
+        this->LogState(key) == AttemptState::Undecided) {
+      this->Report("promise given up without a decision", key);
+    }
+  }
+  worker.promises = std::move(promises);
+  if (!kCapacity.Covers(worker.daemon->Reserved())) {
+    this->Report("accelerators promised twice", {});
+  }
+}
+
+void
+GangNetwork::Check()
+{
+  std::map<AttemptKey, std::vector<bool>> running;
+  for (const Worker& worker : this->workers) {
+    std::uint32_t used = 0;
+    for (const auto& [key, task] : worker.tasks) {
+      used += task.plan->members[task.rank].resources.accelerators;
+      auto& ranks = running[key];
+      ranks.resize(task.plan->members.size());
+      ranks[task.rank] = task.isRunning;
+    }
+    if (used > kCapacity.accelerators) {
+      this->Report("accelerators used twice", {});
+    }
+  }
+  for (auto& [key, history] : this->histories) {
+    const auto found = running.find(key);
+    bool isIncomplete = false;
+    if (found != running.end()) {
+      const auto& ranks = found->second;
+      bool hasRunning = false;
+      bool hasMissing = false;
+      for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
+        hasRunning = hasRunning || ranks[rank];
+        hasMissing = hasMissing || (!ranks[rank] && history.results[rank] !=
+                                                      MemberResult::Succeeded);
+      }
+      isIncomplete = hasRunning && hasMissing;
+    }
+    if (!isIncomplete) {
+      history.incompleteSince.reset();
+    } else if (!history.incompleteSince) {
+      history.incompleteSince = this->now;
+    } else if (this->now - *history.incompleteSince > history.bound) {
+      this->Report("a part ran without the whole", key);
+    }
+  }
+}
+
+std::size_t
+GangNetwork::RunningTasks(const AttemptKey& aKey) const
+{
+  return std::size_t(std::count_if(
+    this->workers.begin(), this->workers.end(), [&](const Worker& aWorker) {
+      const auto found = aWorker.tasks.find(aKey);
+      return found != aWorker.tasks.end() && found->second.isRunning;
+    }));
+}
+
+std::size_t
+GangNetwork::StartedTasks(const AttemptKey& aKey) const
+{
+  const auto& starts = this->histories.at(aKey).starts;
+  return std::size_t(std::accumulate(starts.begin(), starts.end(), 0));
+}
+
+std::optional<AttemptEnded>
+GangNetwork::EndOf(const AttemptKey& aKey) const
+{
+  return this->histories.at(aKey).noted;
+}
+
+bool
+GangNetwork::HasCoordinator() const
+{
+  return this->Newest().has_value();
+}
+
+std::uint32_t
+GangNetwork::ReservedAccelerators() const
+{
+  std::uint32_t sum = 0;
+  for (const Worker& worker : this->workers) {
+    sum +=
+      worker.daemon != nullptr ? worker.daemon->Reserved().accelerators : 0;
+  }
+  return sum;
+}
+
+bool
+GangNetwork::IsSettled() const
+{
+  const auto newest = this->Newest();
+  if (!newest || this->coordinators[*newest].process->AttemptCount() > 0 ||
+      this->ReservedAccelerators() > 0) {
+    return false;
+  }
+  return std::all_of(
+    this->histories.begin(), this->histories.end(), [&](const auto& aItem) {
+      const AttemptState state = this->LogState(aItem.first);
+      return state == AttemptState::Aborted ||
+             (state == AttemptState::Committed &&
+              aItem.second.ends.size() == 1);
+    });
+}
+
+const std::vector<std::string>&
+GangNetwork::Violations() const
+{
+  return this->violations;
+}
+
+} // namespace amaranthwind::gang::testing
