--- a/libs/codec/src/JsonWriter.h
+++ b/libs/codec/src/JsonWriter.h
@@ -13,9 +13,6 @@
 
 namespace amaranthwind::codec {
 
-bool
-IsUtf8(std::string_view aText) noexcept;
-
 /** aText as a JSON string; each byte that is not UTF-8 becomes U+FFFD. */
 boost::json::string
 ToText(std::string_view aText);
--- a/libs/codec/src/ModelJson.cpp
+++ b/libs/codec/src/ModelJson.cpp
@@ -3,6 +3,8 @@
 #include "Base64.h"
 #include "JsonWriter.h"
 
+#include "amaranthwind/base/Utf8.h"
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -372,7 +374,7 @@
   PutUnlessEmpty(object, "account", aSpec.account);
   PutUnlessEmpty(object, "caller", aSpec.caller);
   PutUnlessEmpty(object, "zone", aSpec.zone);
-  if (!IsUtf8(aSpec.payload)) {
+  if (!base::IsUtf8(aSpec.payload)) {
     object["payloadBase64"] = ToBase64(aSpec.payload);
   } else if (!aSpec.payload.empty()) {
     object["payload"] = ToText(aSpec.payload);
