--- a/libs/telemetry/src/Log4cplusSink.cpp
+++ b/libs/telemetry/src/Log4cplusSink.cpp
@@ -4,6 +4,7 @@
 #include <log4cplus/hierarchy.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
+#include <log4cplus/log4cplus.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loglevel.h>
 
@@ -46,6 +47,9 @@
 Log4cplusSink::Log4cplusSink(const settings::LogSettings& aSettings)
   : impl(std::make_unique<Impl>())
 {
+  // The pool only serves asynchronous appenders, which are not used; log4cplus
+  // starts four threads for it.
+  log4cplus::setThreadPoolSize(1);
   this->impl->level = aSettings.level;
   // Flushed at once: the last lines before a crash are the most useful.
   log4cplus::SharedAppenderPtr appender(
--- a/libs/telemetry/tests/MetricsTest.cpp
+++ b/libs/telemetry/tests/MetricsTest.cpp
@@ -1,9 +1,11 @@
 #include "amaranthwind/telemetry/Metrics.h"
+#include "amaranthwind/telemetry/StandardMetrics.h"
 
 #include <doctest/doctest.h>
 
 #include <array>
 #include <chrono>
+#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -126,3 +128,40 @@
   CHECK(HasLine(text, "amaranthwind_h_sum 10000"));
   CHECK(HasLine(text, R"(amaranthwind_late_total{j="500"} 4)"));
 }
+
+// Guards against names that clash between roles or break the conventions.
+TEST_CASE("the standard metrics register together under conventional names")
+{
+  Metrics metrics;
+  const ProcessMetrics process(metrics);
+  const RequestMetrics requests(metrics, base::WorkKindId("quote"));
+  const AccountMetrics account(metrics, base::AccountId("a"));
+  const CellMetrics cell(metrics, base::ZoneId("z"));
+  const EntryMetrics entry(metrics);
+  const TargetMetrics target(metrics);
+  requests.Outcome(RequestOutcome::NotRun).Increment();
+  cell.Attempts(GangResult::Preempted).Increment(2);
+  entry.Targets(TargetState::Silent).Set(3);
+  entry.Appends(AppendResult::Unconfirmed).Increment(4);
+  target.Tasks(GangResult::Failed).Increment(5);
+  const std::string text = metrics.Render();
+  for (const auto* line :
+       { R"(amaranthwind_requests_total{kind="quote",outcome="not_run"} 1)",
+         R"(amaranthwind_gang_attempts_total{result="preempted",zone="z"} 2)",
+         R"(amaranthwind_targets{state="silent"} 3)",
+         R"(amaranthwind_log_appends_total{result="unconfirmed"} 4)",
+         R"(amaranthwind_tasks_total{result="failed"} 5)" }) {
+    CAPTURE(line);
+    CHECK(HasLine(text, line));
+  }
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    CAPTURE(line);
+    if (line.starts_with("# TYPE ")) {
+      const bool isCounter = line.ends_with(" counter");
+      CHECK(isCounter == (line.find("_total ") != std::string::npos));
+      CHECK((!line.ends_with(" histogram") ||
+             line.find("_seconds ") != std::string::npos));
+    }
+  }
+}
