--- a/libs/codec/src/JsonParse.cpp
+++ b/libs/codec/src/JsonParse.cpp
@@ -4,6 +4,7 @@
 #include <boost/json/value_stack.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -25,7 +26,8 @@
   bool isObject = false;
   /** Of an array: number of elements that have begun. */
   std::size_t begun = 0;
-  std::string key;
+  /** Of an object: the newest key. */
+  std::optional<std::string> key;
   std::set<std::string, std::less<>> keys;
 };
 
@@ -74,7 +76,7 @@
     this->partialKey.append(aPart.data(), aPart.size());
     OpenContainer& object = this->open.back();
     object.key = std::exchange(this->partialKey, {});
-    if (!object.keys.insert(object.key).second) {
+    if (!object.keys.insert(*object.key).second) {
       this->isDuplicate = true;
       aError = json::error::syntax;
       return false;
@@ -132,8 +134,8 @@
   {
     std::string path;
     for (const OpenContainer& container : this->open) {
-      if (container.isObject && !container.key.empty()) {
-        AppendName(path, container.key);
+      if (container.key) {
+        AppendName(path, *container.key);
       } else if (!container.isObject && container.begun > 0) {
         AppendIndex(path, container.begun - 1);
       }
@@ -218,7 +220,7 @@
   if (!aPath.empty()) {
     aPath += '.';
   }
-  aPath += aName.substr(0, kMaxNameInPath);
+  aPath += aName.empty() ? "\"\"" : aName.substr(0, kMaxNameInPath);
 }
 
 void
--- a/libs/codec/src/JsonParse.h
+++ b/libs/codec/src/JsonParse.h
@@ -26,7 +26,7 @@
 std::string_view
 TextOf(std::span<const std::byte> aBytes) noexcept;
 
-/** Appends ".name" to a path; long names are cut. */
+/** Appends ".name" to a path; long names are cut, an empty one is quoted. */
 void
 AppendName(std::string& aPath, std::string_view aName);
 
--- a/libs/codec/src/JsonReader.cpp
+++ b/libs/codec/src/JsonReader.cpp
@@ -40,10 +40,10 @@
     return {};
   }
   std::string text = this->parent->Text();
-  if (this->name.empty()) {
-    AppendIndex(text, this->index);
+  if (this->name) {
+    AppendName(text, *this->name);
   } else {
-    AppendName(text, this->name);
+    AppendIndex(text, this->index);
   }
   return text;
 }
--- a/libs/codec/src/JsonReader.h
+++ b/libs/codec/src/JsonReader.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -41,8 +42,8 @@
 struct Path
 {
   const Path* parent = nullptr;
-  /** Empty for the document and for an array element. */
-  std::string_view name;
+  /** Nothing for the document and for an array element. */
+  std::optional<std::string_view> name;
   std::size_t index = 0;
 
   std::string Text() const;
@@ -209,7 +210,7 @@
   aOut.clear();
   aOut.reserve(array->size());
   for (const auto& element : *array) {
-    const Path path{ &aReader.path, {}, aOut.size() };
+    const Path path{ &aReader.path, std::nullopt, aOut.size() };
     Read(ValueReader{ element, path, aReader.errors }, aOut.emplace_back());
   }
 }
