--- a/libs/codec/include/amaranthwind/codec/ErrorCodec.h
+++ b/libs/codec/include/amaranthwind/codec/ErrorCodec.h
@@ -22,6 +22,13 @@
   bool operator==(const ErrorReply&) const = default;
 };
 
+/**
+ * Status of HTTP for a reply, as listed in docs/api.md: 429 and 503 only if
+ * the request is known not to have run (P4), 504 if it may have run.
+ */
+unsigned
+HttpStatus(const ErrorReply& aReply) noexcept;
+
 /** {"error": code, "subject": ..., "notRun": ..., "retryAfterMs": ...} */
 std::string
 EncodeErrorReply(const ErrorReply& aReply);
--- a/libs/codec/src/ErrorCodec.cpp
+++ b/libs/codec/src/ErrorCodec.cpp
@@ -8,6 +8,70 @@
 
 namespace amaranthwind::codec {
 
+namespace {
+
+using base::ErrorCode;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kContentTooLarge = 413;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kInternalServerError = 500;
+constexpr unsigned kServiceUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+} // namespace
+
+unsigned
+HttpStatus(const ErrorReply& aReply) noexcept
+{
+  switch (aReply.error.code) {
+    case ErrorCode::UnknownField:
+    case ErrorCode::MissingField:
+    case ErrorCode::WrongType:
+    case ErrorCode::OutOfRange:
+    case ErrorCode::DuplicateKey:
+    case ErrorCode::Malformed:
+    case ErrorCode::Truncated:
+    case ErrorCode::UnknownMessage:
+      return kBadRequest;
+    case ErrorCode::TooLarge:
+      return kContentTooLarge;
+    case ErrorCode::UnknownAccount:
+    case ErrorCode::UnknownKind:
+    case ErrorCode::UnknownJob:
+    case ErrorCode::UnknownPath:
+      return kNotFound;
+    case ErrorCode::BaseVersionConflict:
+    case ErrorCode::NeverFits:
+    case ErrorCode::KeyReused:
+    case ErrorCode::Cancelled:
+      return kConflict;
+    case ErrorCode::OffsetExpired:
+    case ErrorCode::OffsetInvalid:
+    case ErrorCode::Internal:
+      return kInternalServerError;
+    case ErrorCode::RetryBudgetSpent:
+      return aReply.isNotRun ? kTooManyRequests : kGatewayTimeout;
+    case ErrorCode::QueueTimeout:
+    case ErrorCode::QueueFull:
+    case ErrorCode::NoTarget:
+    case ErrorCode::Draining:
+    case ErrorCode::NotReady:
+    case ErrorCode::StaleToken:
+    case ErrorCode::LogUnavailable:
+    case ErrorCode::AppendUnconfirmed:
+    case ErrorCode::ConnectFailed:
+    case ErrorCode::ConnectionClosed:
+    case ErrorCode::TimedOut:
+    case ErrorCode::TargetFailed:
+    case ErrorCode::OutcomeUnknown:
+      return aReply.isNotRun ? kServiceUnavailable : kGatewayTimeout;
+  }
+  return kInternalServerError;
+}
+
 static void
 Read(const ValueReader& aReader, ErrorReply& aOut)
 {
--- a/libs/codec/tests/ApiCodecTest.cpp
+++ b/libs/codec/tests/ApiCodecTest.cpp
@@ -6,6 +6,8 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <fstream>
+#include <iterator>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -105,3 +107,28 @@
   REQUIRE(bad.has_error());
   CHECK(bad.error() == base::Error{ ErrorCode::OutOfRange, "error" });
 }
+
+// Guards against a status that claims "not run" for a request that may have
+// run (P4), and against a table in docs/api.md that differs from the code.
+TEST_CASE("the status of every error is truthful and documented")
+{
+  std::ifstream file(DOCS_DIR "/api.md");
+  const std::string page(std::istreambuf_iterator<char>(file), {});
+  REQUIRE_FALSE(page.empty());
+  for (unsigned i = 0; i <= static_cast<unsigned>(ErrorCode::Internal); ++i) {
+    const auto code = static_cast<ErrorCode>(i);
+    const unsigned notRun = HttpStatus({ { code, "x" }, true, {} });
+    const unsigned mayHaveRun = HttpStatus({ { code, "x" }, false, {} });
+    CAPTURE(base::ToString(code));
+    CHECK(mayHaveRun != 429);
+    CHECK(mayHaveRun != 503);
+    CHECK(notRun != 504);
+    std::string row = "| `" + std::string(base::ToString(code)) + "` | " +
+                      std::to_string(notRun);
+    if (mayHaveRun != notRun) {
+      row += " / " + std::to_string(mayHaveRun);
+    }
+    CAPTURE(row);
+    CHECK(page.find(row + " |") != std::string::npos);
+  }
+}
