Read back every record that can be written

Cause: a job id from another entry with more than 128 bytes, or a payload of which the JSON text is larger than the request, gave a record that no process could read again.

Change: ids in records have no limit, and records may have 4 MiB; callers and operators keep the limit of 128 bytes. A job has at most 4096 members, as a guarantee does. Zones in a settings list must not be empty.

--- a/libs/codec/src/JobCodec.cpp
+++ b/libs/codec/src/JobCodec.cpp
@@ -7,6 +7,8 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cstdint>
 
 namespace amaranthwind::codec {
 
@@ -14,6 +16,9 @@
 
 using base::ErrorCode;
 
+/** Bounds the work for a hostile request; planned gangs have 256 members. */
+constexpr std::uint32_t kMaxMembers = 4096;
+
 /** Job ids stand in URL paths, so they are limited to unreserved characters. */
 bool
 IsUrlSafe(std::string_view aText)
@@ -25,32 +30,53 @@
   });
 }
 
-} // namespace
-
-base::Result<job::JobSpec>
-DecodeJobSpec(std::string_view aText)
+/** Limits for callers. The decoder of records does not apply them. */
+base::Result<void>
+CheckSpec(const job::JobSpec& aSpec)
 {
-  auto decoded = DecodeDocument<job::JobSpec>(aText);
-  if (decoded.has_error()) {
-    return decoded;
+  struct NamedText
+  {
+    std::string_view name;
+    std::string_view text;
+    std::size_t min;
+  };
+  const std::array<NamedText, 5> texts{
+    { { "id", aSpec.id.View(), 0 },
+      { "account", aSpec.account.View(), 0 },
+      { "caller", aSpec.caller.View(), 0 },
+      { "kind", aSpec.kind.View(), 1 },
+      { "zone", aSpec.zone.View(), 0 } }
+  };
+  for (const NamedText& each : texts) {
+    if (const auto code = CheckText(each.text, each.min, kMaxIdBytes)) {
+      return base::Fail(*code, each.name);
+    }
   }
-  const job::JobSpec& spec = decoded.value();
-  // Records may carry such values, callers may not.
-  if (!IsUrlSafe(spec.id.View())) {
+  if (!IsUrlSafe(aSpec.id.View())) {
     return base::Fail(ErrorCode::OutOfRange, "id");
   }
-  if (spec.kind.IsEmpty()) {
-    return base::Fail(ErrorCode::OutOfRange, "kind");
-  }
-  if (spec.shape.members == 0) {
+  if (aSpec.shape.members == 0 || aSpec.shape.members > kMaxMembers) {
     return base::Fail(ErrorCode::OutOfRange, "shape.members");
   }
-  if (spec.shape.perMember.accelerators == 0) {
+  if (aSpec.shape.perMember.accelerators == 0) {
     return base::Fail(ErrorCode::OutOfRange, "shape.perMember.accelerators");
   }
-  if (spec.maxRuns == 0) {
+  if (aSpec.maxRuns == 0) {
     return base::Fail(ErrorCode::OutOfRange, "maxRuns");
   }
+  return base::success();
+}
+
+} // namespace
+
+base::Result<job::JobSpec>
+DecodeJobSpec(std::string_view aText)
+{
+  auto decoded = DecodeDocument<job::JobSpec>(aText);
+  if (decoded.has_error()) {
+    return decoded;
+  }
+  BOOST_OUTCOME_TRY(CheckSpec(decoded.value()));
   return decoded;
 }
 
--- a/libs/codec/src/JsonParse.cpp
+++ b/libs/codec/src/JsonParse.cpp
@@ -188,9 +188,9 @@
 } // namespace
 
 base::Result<json::value>
-ParseJson(std::string_view aText)
+ParseJson(std::string_view aText, std::size_t aMaxBytes)
 {
-  if (aText.size() > kMaxDocumentBytes) {
+  if (aText.size() > aMaxBytes) {
     return base::Fail(ErrorCode::TooLarge, "document");
   }
   json::parse_options options;
--- a/libs/codec/src/JsonParse.h
+++ b/libs/codec/src/JsonParse.h
@@ -13,6 +13,12 @@
 
 /** Largest document in bytes: the frame limit of the inner protocol. */
 inline constexpr std::size_t kMaxDocumentBytes = std::size_t{ 1 } << 20U;
+/**
+ * Largest log record in bytes. Above the limit of other documents, so that a
+ * record that was accepted is read back although it says more than the request
+ * that it came from.
+ */
+inline constexpr std::size_t kMaxRecordBytes = std::size_t{ 4 } << 20U;
 /** Deepest nesting; the deepest document of the project has 8 levels. */
 inline constexpr std::size_t kMaxDepth = 16;
 
@@ -21,7 +27,7 @@
  * OutOfRange (nested too deep), DuplicateKey, Truncated, Malformed.
  */
 base::Result<boost::json::value>
-ParseJson(std::string_view aText);
+ParseJson(std::string_view aText, std::size_t aMaxBytes = kMaxDocumentBytes);
 
 std::string_view
 TextOf(std::span<const std::byte> aBytes) noexcept;
--- a/libs/codec/src/JsonReader.cpp
+++ b/libs/codec/src/JsonReader.cpp
@@ -98,14 +98,25 @@
   if (text == nullptr) {
     return;
   }
-  if (text->size() > aOut.max) {
-    aReader.Fail(ErrorCode::TooLarge);
-  } else if (text->size() < aOut.min ||
-             std::any_of(text->begin(), text->end(), IsControl)) {
-    aReader.Fail(ErrorCode::OutOfRange);
+  const std::string_view view(text->data(), text->size());
+  if (const auto code = CheckText(view, aOut.min, aOut.max)) {
+    aReader.Fail(*code);
   } else {
-    aOut.out.assign(text->data(), text->size());
+    aOut.out = view;
+  }
+}
+
+std::optional<ErrorCode>
+CheckText(std::string_view aText, std::size_t aMin, std::size_t aMax)
+{
+  if (aText.size() > aMax) {
+    return ErrorCode::TooLarge;
+  }
+  if (aText.size() < aMin ||
+      std::any_of(aText.begin(), aText.end(), IsControl)) {
+    return ErrorCode::OutOfRange;
   }
+  return std::nullopt;
 }
 
 bool
--- a/libs/codec/src/JsonReader.h
+++ b/libs/codec/src/JsonReader.h
@@ -84,12 +84,15 @@
   std::uint64_t max = kMaxDurationMs / 1000;
 };
 
+/** Longest id in bytes that operators and callers may choose. */
+inline constexpr std::size_t kMaxIdBytes = 128;
+
 /** A text with limits on its length; control characters are refused. */
 struct BoundedText
 {
   std::string& out;
   std::size_t min = 1;
-  std::size_t max = 128;
+  std::size_t max = kMaxIdBytes;
 };
 
 template<typename E>
@@ -103,7 +106,7 @@
   std::span<const EnumName<E>> names;
 };
 
-/** An id that must not be empty. */
+/** An id that an operator chooses: 1 to kMaxIdBytes, no control characters. */
 template<typename Tag>
 struct NonEmpty
 {
@@ -122,6 +125,9 @@
 Read(const ValueReader& aReader, Seconds aOut);
 void
 Read(const ValueReader& aReader, BoundedText aOut);
+/** OutOfRange or TooLarge if the text is outside of the limits. */
+std::optional<base::ErrorCode>
+CheckText(std::string_view aText, std::size_t aMin, std::size_t aMax);
 /** Reads an integer; false if there was a fault. */
 bool
 ReadInteger(const ValueReader& aReader,
@@ -163,12 +169,13 @@
   aOut = base::StrongNumber<Tag, Value>(number);
 }
 
+/** Any text: a record that was written must be read back. */
 template<typename Tag>
 void
 Read(const ValueReader& aReader, base::StrongId<Tag>& aOut)
 {
   std::string text;
-  Read(aReader, BoundedText{ text, 0 });
+  Read(aReader, text);
   aOut = base::StrongId<Tag>(text);
 }
 
@@ -261,9 +268,12 @@
 /** Parses aText and reads it into aOut; every fault goes to aErrors. */
 template<typename T>
 void
-ReadDocument(std::string_view aText, T&& aOut, ErrorList& aErrors)
+ReadDocument(std::string_view aText,
+             T&& aOut,
+             ErrorList& aErrors,
+             std::size_t aMaxBytes = kMaxDocumentBytes)
 {
-  base::Result<boost::json::value> parsed = ParseJson(aText);
+  base::Result<boost::json::value> parsed = ParseJson(aText, aMaxBytes);
   if (parsed.has_error()) {
     aErrors.Add(parsed.error().code, parsed.error().subject);
     return;
@@ -275,11 +285,12 @@
 /** The document as a T, or its first fault. */
 template<typename T>
 base::Result<T>
-DecodeDocument(std::string_view aText)
+DecodeDocument(std::string_view aText,
+               std::size_t aMaxBytes = kMaxDocumentBytes)
 {
   T out;
   ErrorList errors;
-  ReadDocument(aText, out, errors);
+  ReadDocument(aText, out, errors, aMaxBytes);
   if (!errors.IsEmpty()) {
     return base::failure(errors.First());
   }
--- a/libs/codec/src/JsonRecordCodec.cpp
+++ b/libs/codec/src/JsonRecordCodec.cpp
@@ -252,7 +252,7 @@
 base::Result<Record>
 JsonRecordCodec::Decode(std::span<const std::byte> aPayload) const
 {
-  return DecodeDocument<Record>(TextOf(aPayload));
+  return DecodeDocument<Record>(TextOf(aPayload), kMaxRecordBytes);
 }
 
 } // namespace amaranthwind::codec
--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -128,6 +128,18 @@
   Read(aReader, Address{ aOut.text, AddressUse::Connect });
 }
 
+/** A zone in a list. */
+struct ListedZone
+{
+  base::ZoneId id;
+};
+
+static void
+Read(const ValueReader& aReader, ListedZone& aOut)
+{
+  Read(aReader, NonEmpty<base::ZoneTag>{ aOut.id });
+}
+
 static void
 Read(const ValueReader& aReader, settings::HttpLimits& aOut)
 {
@@ -181,8 +193,12 @@
   object.Required("httpListen", Address{ aOut.httpListen, AddressUse::Listen });
   object.Required("logService",
                   Address{ aOut.logService, AddressUse::Connect });
-  if (!object.Optional("coordinatedZones", aOut.coordinatedZones)) {
-    aOut.coordinatedZones = { aOut.common.zone };
+  std::vector<ListedZone> zones;
+  if (!object.Optional("coordinatedZones", zones)) {
+    zones = { { aOut.common.zone } };
+  }
+  for (const ListedZone& zone : zones) {
+    aOut.coordinatedZones.push_back(zone.id);
   }
   object.Optional("limits", aOut.limits);
   object.Optional("noticePeriodMs",
--- a/libs/codec/tests/ApiCodecTest.cpp
+++ b/libs/codec/tests/ApiCodecTest.cpp
@@ -50,6 +50,13 @@
     { R"({"kind":"k","shape":{"members":0,"perMember":{"accelerators":1}}})",
       ErrorCode::OutOfRange,
       "shape.members" },
+    { R"({"kind":"k","caller":"a\u0007",)"
+      R"("shape":{"members":1,"perMember":{"accelerators":1}}})",
+      ErrorCode::OutOfRange,
+      "caller" },
+    { R"({"kind":"k","shape":{"members":4097,"perMember":{"accelerators":1}}})",
+      ErrorCode::OutOfRange,
+      "shape.members" },
     { R"({"kind":"k","shape":{"members":1,"perMember":{"accelerators":0}}})",
       ErrorCode::OutOfRange,
       "shape.perMember.accelerators" },
