--- /dev/null
+++ b/libs/entry/src/LogWriter.cpp
@@ -0,0 +1,88 @@
+#include "LogWriter.h"
+
+#include <utility>
+
+namespace amaranthwind::entry {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Bounded by what the coordinator has under way; far above any of that.
+constexpr std::size_t kQueueCapacity = 1U << 20U;
+constexpr base::Duration kIdleWait = 1s;
+
+// The decision thread has timeouts of its own; a writer that tried for long
+// would hold up the records behind.
+constexpr journal::AppendLimits kLimits{ .firstDelay = 50ms,
+                                         .maxDelay = 500ms,
+                                         .patience = 2s };
+
+} // namespace
+
+LogWriter::LogWriter(journal::LogClient& aLog,
+                     const journal::RecordCodec& aCodec,
+                     const base::Clock& aClock)
+  : appender(aLog, aCodec, aClock, *this, kLimits)
+  , queue(kQueueCapacity)
+{
+}
+
+LogWriter::~LogWriter()
+{
+  this->Stop();
+}
+
+void
+LogWriter::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void
+LogWriter::Append(journal::AppendTask aTask, AppendHandler aHandler)
+{
+  this->queue.TryPush({ std::move(aTask), std::move(aHandler) });
+}
+
+void
+LogWriter::Stop()
+{
+  {
+    std::lock_guard lock(this->mutex);
+    this->isStopped = true;
+  }
+  this->stopChanged.notify_all();
+  this->queue.Close();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+bool
+LogWriter::Wait(base::Duration aTime)
+{
+  std::unique_lock lock(this->mutex);
+  return !this->stopChanged.wait_for(
+    lock, aTime, [this] { return this->isStopped; });
+}
+
+void
+LogWriter::Run()
+{
+  while (true) {
+    auto item = this->queue.PopFor(kIdleWait);
+    {
+      std::lock_guard lock(this->mutex);
+      if (this->isStopped) {
+        return;
+      }
+    }
+    if (item) {
+      auto result = this->appender.Append(item->task);
+      item->handler(std::move(item->task), std::move(result));
+    }
+  }
+}
+
+} // namespace amaranthwind::entry
--- a/libs/protocol/src/WireDecoder.cpp
+++ b/libs/protocol/src/WireDecoder.cpp
@@ -404,6 +404,7 @@
     BOOST_OUTCOME_TRY(const auto code, ToErrorCode(this->step.error_code()));
     return gang::CommitRefused{ this->key,
                                 this->step.rank(),
+                                base::FencingToken(this->step.token()),
                                 ToError(code, this->step.error_subject()) };
   }
 
--- a/libs/protocol/src/WireEncoder.cpp
+++ b/libs/protocol/src/WireEncoder.cpp
@@ -357,6 +357,7 @@
 {
   auto step = MakeStep(GangStepKind::CommitRefused, aRefused.key);
   step.rank = aRefused.rank;
+  step.token = aRefused.token.Get();
   SetError(step, aRefused.error);
   return this->Step(step);
 }
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -91,7 +91,7 @@
     gang::StopGang{ key, fence, gang::StopReason::MemberLost, milliseconds(7) },
     gang::GangEndedAck{ key },
     gang::Promise{ key, 1, error },
-    gang::CommitRefused{ key, 1, error },
+    gang::CommitRefused{ key, 1, base::FencingToken(3), error },
     gang::GangStarted{ key },
     gang::MemberEnded{ key, 1, gang::MemberResult::Stopped },
     gang::GangEnded{ key,
