--- a/libs/codec/src/JsonParse.cpp
+++ b/libs/codec/src/JsonParse.cpp
@@ -3,6 +3,7 @@
 #include <boost/json/basic_parser_impl.hpp>
 #include <boost/json/value_stack.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -20,6 +21,37 @@
 /** Longest part of a field name that is copied into an error message. */
 constexpr std::size_t kMaxNameInPath = 64;
 
+/**
+ * Keys of one object. Most objects have few keys, for which a linear search is
+ * faster than a tree; an object with many keys must not cost quadratic time.
+ */
+class KeySet
+{
+public:
+  /** False if the key was there before. */
+  bool Insert(const std::string& aKey)
+  {
+    if (this->few.size() < kFew) {
+      if (std::find(this->few.begin(), this->few.end(), aKey) !=
+          this->few.end()) {
+        return false;
+      }
+      this->few.push_back(aKey);
+      return true;
+    }
+    if (this->many.empty()) {
+      this->many.insert(this->few.begin(), this->few.end());
+    }
+    return this->many.insert(aKey).second;
+  }
+
+private:
+  static constexpr std::size_t kFew = 32;
+
+  std::vector<std::string> few;
+  std::set<std::string> many;
+};
+
 /** One object or array that is open. */
 struct OpenContainer
 {
@@ -28,7 +60,7 @@
   std::size_t begun = 0;
   /** Of an object: the newest key. */
   std::optional<std::string> key;
-  std::set<std::string, std::less<>> keys;
+  KeySet keys;
 };
 
 /**
@@ -76,7 +108,7 @@
     this->partialKey.append(aPart.data(), aPart.size());
     OpenContainer& object = this->open.back();
     object.key = std::exchange(this->partialKey, {});
-    if (!object.keys.insert(*object.key).second) {
+    if (!object.keys.Insert(*object.key)) {
       this->isDuplicate = true;
       aError = json::error::syntax;
       return false;
--- a/libs/codec/tests/RecordCodecTest.cpp
+++ b/libs/codec/tests/RecordCodecTest.cpp
@@ -165,3 +165,19 @@
   REQUIRE(large.has_error());
   CHECK(large.error() == base::Error{ ErrorCode::TooLarge, "document" });
 }
+
+// Guards against equal keys that are missed in an object with many keys.
+TEST_CASE("equal keys are found in an object with many keys")
+{
+  constexpr int kKeys = 100;
+  std::string text = "{";
+  for (int i = 0; i < kKeys; ++i) {
+    text += "\"k" + std::to_string(i) + "\":0,";
+  }
+  for (const auto* key : { "k0", "k31", "k32", "k99" }) {
+    const auto decoded = Decode(text + "\"" + key + "\":0}");
+    REQUIRE(decoded.has_error());
+    CHECK(decoded.error() == base::Error{ ErrorCode::DuplicateKey, key });
+  }
+  CHECK(Decode(text + "\"k100\":0}").error().code == ErrorCode::MissingField);
+}
