Run a gang job from end to end in separate processes

Entries pass job requests on to the coordinator. A worker that disconnects is given 10 s before its gangs hear of it, since the members watch each other and a daemon may restart.

--- a/libs/entry/src/CellService.cpp
+++ b/libs/entry/src/CellService.cpp
@@ -24,6 +24,10 @@
 // Targets link to a new coordinator within a few retries of 500 ms and report
 // at once; a gang of which nobody has reported by then is lost.
 constexpr base::Duration kReportLimit = 20s;
+// The members of a gang watch each other and stop within 5 s. The coordinator
+// only has to find out when none of them is left to tell, and must not take a
+// broken connection or a daemon that restarts for a lost worker.
+constexpr base::Duration kReturnLimit = 10s;
 
 journal::AttemptOutcome
 ToRecord(gang::AttemptOutcome aOutcome)
@@ -238,6 +242,7 @@
     this->Schedule(scheduling::Tick{});
   }
   this->GiveUpAwaited(now);
+  this->GiveUpDeparted(now);
   this->WriteCheckpointIfDue(now);
 }
 
@@ -716,6 +721,21 @@
   }
 }
 
+void
+CellService::GiveUpDeparted(base::TimePoint aNow)
+{
+  std::vector<base::TargetId> lost;
+  for (const auto& [worker, limit] : this->departed) {
+    if (aNow >= limit) {
+      lost.push_back(worker);
+    }
+  }
+  for (const auto& worker : lost) {
+    this->departed.erase(worker);
+    this->Lead(gang::WorkerLost{ worker });
+  }
+}
+
 void
 CellService::AnswerOutcome(ConnectionId aConnection,
                            const gang::OutcomeQuery& aQuery)
@@ -768,10 +788,23 @@
 {
   this->loop.Post([this, aWorker, aConnection] {
     this->workers[aWorker.id] = { aWorker, aConnection, false };
+    this->departed.erase(aWorker.id);
     this->Schedule(scheduling::WorkerJoined{ aWorker });
   });
 }
 
+void
+CellService::OnWorkerConnection(const base::TargetId& aWorker,
+                                ConnectionId aConnection)
+{
+  this->loop.Post([this, aWorker, aConnection] {
+    const auto found = this->workers.find(aWorker);
+    if (found != this->workers.end()) {
+      found->second.connection = aConnection;
+    }
+  });
+}
+
 void
 CellService::OnWorkerDraining(const base::TargetId& aWorker)
 {
@@ -792,13 +825,9 @@
     if (found == this->workers.end()) {
       return;
     }
-    // A daemon that drains leaves its tasks to its successor on the worker.
-    const bool hasDrained = found->second.isDraining;
     this->workers.erase(found);
+    this->departed[aWorker] = this->clock.Now() + kReturnLimit;
     this->Schedule(scheduling::WorkerLost{ aWorker });
-    if (!hasDrained) {
-      this->Lead(gang::WorkerLost{ aWorker });
-    }
   });
 }
 
@@ -808,16 +837,30 @@
 {
   this->loop.Post([this, aConnection, message = aMessage] {
     if (const auto* query = std::get_if<gang::OutcomeQuery>(&message)) {
-      this->AnswerOutcome(aConnection, *query);
+      // A cell that does not know the job would take it for an old one.
+      if (query->cell == this->options.zone) {
+        this->AnswerOutcome(aConnection, *query);
+      }
     } else if (const auto* report =
                  std::get_if<protocol::GangReport>(&message)) {
       this->OnGangReport(aConnection, *report);
-    } else if (const auto event = std::visit(ToCoordinatorEvent{}, message)) {
-      this->Lead(*event, aConnection);
+    } else if (this->IsWorker(aConnection)) {
+      if (const auto event = std::visit(ToCoordinatorEvent{}, message)) {
+        this->Lead(*event, aConnection);
+      }
     }
   });
 }
 
+bool
+CellService::IsWorker(ConnectionId aConnection) const
+{
+  return std::any_of(
+    this->workers.begin(), this->workers.end(), [&](const auto& aWorker) {
+      return aWorker.second.connection == aConnection;
+    });
+}
+
 // Jobs
 
 JobResult
--- a/libs/entry/src/CellService.h
+++ b/libs/entry/src/CellService.h
@@ -104,6 +104,9 @@
   void OnEntries(const std::vector<base::EntryId>& aLive);
   void OnWorkerUsable(const fleet::Target& aWorker,
                       protocol::ConnectionId aConnection);
+  /** A usable worker is reached by another connection from now on. */
+  void OnWorkerConnection(const base::TargetId& aWorker,
+                          protocol::ConnectionId aConnection);
   void OnWorkerDraining(const base::TargetId& aWorker);
   void OnWorkerGone(const base::TargetId& aWorker);
   /** A message of the gang protocol. */
@@ -184,6 +187,8 @@
   void ResumeOrStop(protocol::ConnectionId aConnection,
                     const protocol::HeldGang& aHeld);
   void GiveUpAwaited(base::TimePoint aNow);
+  void GiveUpDeparted(base::TimePoint aNow);
+  bool IsWorker(protocol::ConnectionId aConnection) const;
   void AnswerOutcome(protocol::ConnectionId aConnection,
                      const gang::OutcomeQuery& aQuery);
   gang::AttemptState StateOf(const gang::AttemptKey& aKey) const;
@@ -210,6 +215,8 @@
   membership::CoordinatorElection election;
   policy::Policy policy;
   std::map<base::TargetId, Worker> workers;
+  /** Workers that may come back, and until when they are waited for. */
+  std::map<base::TargetId, base::TimePoint> departed;
   std::optional<journal::CheckpointSchedule> checkpoints;
 
   // Only while this entry is the coordinator.
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -1,6 +1,8 @@
 #include "amaranthwind/entry/EntryDaemon.h"
 
+#include "CellService.h"
 #include "HttpReplies.h"
+#include "JobService.h"
 #include "MembershipService.h"
 #include "PolicyKeeper.h"
 #include "RequestService.h"
@@ -72,6 +74,7 @@
   , public peering::EntryLinksObserver
   , public MembershipObserver
   , public PolicyObserver
+  , public CellObserver
 {
 public:
   Impl(settings::EntrySettings aSettings,
@@ -83,6 +86,7 @@
     , policyLogger(aSink, aClock, "policy")
     , memberLogger(aSink, aClock, "membership")
     , requestLogger(aSink, aClock, "requests")
+    , cellLogger(aSink, aClock, "cell")
     , pool(this->settings.common.ioThreads)
     , node(this->pool, {}, *this)
     , log(this->pool, { .address = this->settings.logService })
@@ -102,6 +106,12 @@
                this->pool,
                this->membership,
                this->requestLogger)
+    , cells(this->MakeCells())
+    , jobs(this->settings.common.zone,
+           this->cells,
+           this->policy,
+           this->membership,
+           this->node)
     , callers([this](auto aRequest, auto aRespond) {
       this->HandleCaller(std::move(aRequest), std::move(aRespond));
     })
@@ -127,6 +137,9 @@
     this->membership.Start();
     this->requests.Start();
     this->policy.Start();
+    for (const auto& cell : this->cells) {
+      cell->Start();
+    }
     this->StartLinks(addresses.inner);
     BOOST_OUTCOME_TRY(addresses.admin,
                       this->admin.Listen(this->settings.common.adminListen));
@@ -145,6 +158,9 @@
     this->membership.SetDraining();
     this->http.StartDraining();
     this->WaitFor(this->settings.noticePeriod, [] { return false; });
+    for (const auto& cell : this->cells) {
+      cell->HandOver();
+    }
     this->http.StopAccepting();
     this->WaitFor(kDrainLimit,
                   [this] { return this->http.ActiveRequests() == 0; });
@@ -177,6 +193,11 @@
                  std::get_if<protocol::Topology>(&aEnvelope.message)) {
       this->links->OnTopology(*topology);
       this->membership.OnEntryTopology(aConnection, *topology);
+    } else if (const auto* forward =
+                 std::get_if<protocol::ForwardJob>(&aEnvelope.message)) {
+      this->jobs.HandleForwarded(aConnection, aEnvelope.correlation, *forward);
+    } else {
+      this->PassToCells(aConnection, aEnvelope.message);
     }
   }
 
@@ -201,10 +222,43 @@
 
   // MembershipObserver, on the membership loop.
 
-  void OnWorkerUsable(const fleet::Target&, ConnectionId) override {}
-  void OnWorkerDraining(const fleet::Target&) override {}
-  void OnWorkerGone(const fleet::Target&) override {}
-  void OnEntries(const std::vector<base::EntryId>&) override {}
+  void OnWorkerUsable(const fleet::Target& aWorker,
+                      ConnectionId aConnection) override
+  {
+    if (CellService* cell = this->FindCell(aWorker.zone)) {
+      cell->OnWorkerUsable(aWorker, aConnection);
+    }
+  }
+
+  void OnWorkerConnection(const fleet::Target& aWorker,
+                          ConnectionId aConnection) override
+  {
+    if (CellService* cell = this->FindCell(aWorker.zone)) {
+      cell->OnWorkerConnection(aWorker.id, aConnection);
+    }
+  }
+
+  void OnWorkerDraining(const fleet::Target& aWorker) override
+  {
+    if (CellService* cell = this->FindCell(aWorker.zone)) {
+      cell->OnWorkerDraining(aWorker.id);
+    }
+  }
+
+  void OnWorkerGone(const fleet::Target& aWorker) override
+  {
+    if (CellService* cell = this->FindCell(aWorker.zone)) {
+      cell->OnWorkerGone(aWorker.id);
+    }
+  }
+
+  void OnEntries(const std::vector<base::EntryId>& aLive) override
+  {
+    for (const auto& cell : this->cells) {
+      cell->OnEntries(aLive);
+    }
+  }
+
   void OnRoutes() override { this->requests.OnRoutes(); }
 
   // PolicyObserver, on the thread that reads the log.
@@ -213,9 +267,56 @@
   {
     this->requests.OnPolicy(aPolicy);
     this->membership.OnOwnPolicy();
+    for (const auto& cell : this->cells) {
+      cell->OnPolicy(aPolicy);
+    }
+  }
+
+  // CellObserver, on the decision thread of the cell.
+
+  void OnCoordinator(const base::ZoneId& aZone,
+                     const base::EntryId& aCoordinator,
+                     base::FencingToken aToken) override
+  {
+    this->membership.SetCell({ aZone, { aCoordinator, {} }, aToken });
   }
 
 private:
+  std::vector<std::unique_ptr<CellService>> MakeCells()
+  {
+    std::vector<std::unique_ptr<CellService>> made;
+    for (const auto& zone : this->settings.coordinatedZones) {
+      made.push_back(std::make_unique<CellService>(
+        CellServiceOptions{
+          zone, this->settings.id, this->settings.logRetention },
+        this->clock,
+        this->log,
+        this->codec,
+        this->node,
+        this->cellLogger,
+        *this));
+    }
+    return made;
+  }
+
+  CellService* FindCell(const base::ZoneId& aZone)
+  {
+    for (const auto& cell : this->cells) {
+      if (cell->Zone() == aZone) {
+        return cell.get();
+      }
+    }
+    return nullptr;
+  }
+
+  /** A gang message belongs to the cell of the worker that sent it. */
+  void PassToCells(ConnectionId aConnection, const protocol::Message& aMessage)
+  {
+    for (const auto& cell : this->cells) {
+      cell->OnMessage(aConnection, aMessage);
+    }
+  }
+
   void StartLinks(const std::string& aAddress)
   {
     peering::EntryLinksOptions options;
@@ -232,6 +333,7 @@
                                      this->isDraining.load() };
       },
       *this);
+    this->jobs.SetLinks(*this->links);
     this->links->Start();
     this->ScheduleHeartbeat();
   }
@@ -254,6 +356,8 @@
     } else if (!this->policy.IsLoaded()) {
       aRespond(MakeErrorResponse(
         { { base::ErrorCode::NotReady, "policy" }, true, 1s }));
+    } else if (path.starts_with(kJobsPath)) {
+      this->jobs.Handle(std::move(aRequest), std::move(aRespond));
     } else if (path.starts_with(kRequestsPrefix) && aRequest.method == "POST") {
       this->requests.Handle(
         std::string_view(path).substr(kRequestsPrefix.size()),
@@ -311,6 +415,9 @@
     this->http.Stop();
     this->admin.Stop();
     this->policy.Stop();
+    for (const auto& cell : this->cells) {
+      cell->Stop();
+    }
     this->node.Stop();
     this->requests.Stop();
     this->membership.Stop();
@@ -323,6 +430,7 @@
   telemetry::Logger policyLogger;
   telemetry::Logger memberLogger;
   telemetry::Logger requestLogger;
+  telemetry::Logger cellLogger;
   const codec::JsonRecordCodec codec;
   net::IoPool pool;
   protocol::Node node;
@@ -331,6 +439,8 @@
   membership::EntryInfo self;
   MembershipService membership;
   RequestService requests;
+  std::vector<std::unique_ptr<CellService>> cells;
+  JobService jobs;
   HandlerFunction callers;
   HandlerFunction admins;
   frontend::HttpServer http;
--- /dev/null
+++ b/libs/entry/src/JobService.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "CellService.h"
+#include "MembershipService.h"
+#include "PolicyKeeper.h"
+#include "amaranthwind/frontend/HttpServer.h"
+#include "amaranthwind/peering/EntryLinks.h"
+
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace amaranthwind::entry {
+
+/**
+ * The job interface for callers. Answers from a cell of this entry, or passes
+ * the request on to the entry that coordinates the cell. Thread-safe.
+ */
+class JobService
+{
+public:
+  JobService(const base::ZoneId& aDefaultZone,
+             std::span<const std::unique_ptr<CellService>> aCells,
+             PolicyKeeper& aPolicy,
+             MembershipService& aMembership,
+             protocol::Node& aNode);
+
+  /** Needed to reach other coordinators; call it before the first request. */
+  void SetLinks(const peering::EntryLinks& aLinks) { this->links = &aLinks; }
+
+  /** POST /v1/jobs, GET and DELETE /v1/jobs/<id>. */
+  void Handle(frontend::HttpRequest aRequest, frontend::HttpResponder aRespond);
+
+  /** A request that another entry passed on; not passed on again. */
+  void HandleForwarded(protocol::ConnectionId aConnection,
+                       protocol::CorrelationId aCorrelation,
+                       const protocol::ForwardJob& aForward);
+
+private:
+  void Submit(const frontend::HttpRequest& aRequest,
+              const frontend::HttpResponder& aRespond,
+              bool aIsForwarded);
+  void Query(std::string_view aId,
+             const frontend::HttpRequest& aRequest,
+             const frontend::HttpResponder& aRespond,
+             bool aIsForwarded);
+  void Cancel(std::string_view aId,
+              const frontend::HttpRequest& aRequest,
+              const frontend::HttpResponder& aRespond,
+              bool aIsForwarded);
+  void Dispatch(const frontend::HttpRequest& aRequest,
+                const frontend::HttpResponder& aRespond,
+                bool aIsForwarded);
+  base::Result<job::JobSpec> ReadSpec(const frontend::HttpRequest& aRequest);
+  base::ZoneId ChooseZone(const job::JobSpec& aSpec) const;
+  CellService* FindCell(const base::ZoneId& aZone) const;
+  /** Asks the cells one after the other until one knows the job. */
+  void FindJob(std::size_t aCell,
+               const base::JobId& aJob,
+               std::function<void(CellService*, const JobResult&)> aHandler);
+  bool Forward(const base::ZoneId& aZone,
+               const frontend::HttpRequest& aRequest,
+               std::string_view aBody,
+               const frontend::HttpResponder& aRespond);
+
+  const base::ZoneId defaultZone;
+  const std::span<const std::unique_ptr<CellService>> cells;
+  PolicyKeeper& policy;
+  MembershipService& membership;
+  protocol::Node& node;
+  const peering::EntryLinks* links = nullptr;
+  std::mutex randomMutex;
+  base::RandomEngine random;
+};
+
+} // namespace amaranthwind::entry
--- a/libs/entry/src/MembershipService.cpp
+++ b/libs/entry/src/MembershipService.cpp
@@ -129,6 +129,17 @@
   }
   this->node.Reply(aConnection, aCorrelation, this->MakeTopology());
   this->CarryOut(effects);
+  this->OnOtherConnection(known);
+}
+
+void
+MembershipService::OnOtherConnection(const KnownTarget& aKnown)
+{
+  if (aKnown.target.kind == fleet::TargetKind::Worker) {
+    this->observer.OnWorkerConnection(aKnown.target, aKnown.newest);
+  } else {
+    this->PublishRoutes();
+  }
 }
 
 void
@@ -218,7 +229,7 @@
   known.connections.erase(aConnection);
   if (!known.connections.empty()) {
     known.newest = *known.connections.rbegin();
-    this->PublishRoutes();
+    this->OnOtherConnection(known);
     return;
   }
   this->CarryOut(this->targetRegistry.OnConnectionClosed(
--- a/libs/entry/src/MembershipService.h
+++ b/libs/entry/src/MembershipService.h
@@ -27,6 +27,8 @@
   virtual ~MembershipObserver() = default;
   virtual void OnWorkerUsable(const fleet::Target& aWorker,
                               protocol::ConnectionId aConnection) = 0;
+  virtual void OnWorkerConnection(const fleet::Target& aWorker,
+                                  protocol::ConnectionId aConnection) = 0;
   virtual void OnWorkerDraining(const fleet::Target& aWorker) = 0;
   virtual void OnWorkerGone(const fleet::Target& aWorker) = 0;
   virtual void OnEntries(const std::vector<base::EntryId>& aLive) = 0;
@@ -125,6 +127,7 @@
   void CarryOut(const membership::TargetEffects& aEffects);
   void CarryOut(const membership::EntryEffects& aEffects);
   void OnUsable(const base::TargetId& aTarget);
+  void OnOtherConnection(const KnownTarget& aKnown);
   void OnDraining(const base::TargetId& aTarget);
   void OnGone(const base::TargetId& aTarget);
   void FetchPolicy(const base::EntryId& aFrom);
--- a/libs/entry/src/RequestService.cpp
+++ b/libs/entry/src/RequestService.cpp
@@ -29,7 +29,7 @@
 constexpr std::uint32_t kMaxSends = 3;
 constexpr base::Duration kNoPermitDelay = 2ms;
 constexpr std::uint16_t kFirstServerError = 500;
-constexpr std::size_t kMaxKeyLength = 256;
+constexpr std::size_t kMaxKeyLength = 128;
 constexpr std::size_t kRankedTargets = 8;
 
 base::RandomEngine&
@@ -219,6 +219,10 @@
   if (account.empty()) {
     return base::Fail(ErrorCode::MissingField, "X-Client-Account");
   }
+  const auto caller = aRequest.Header("X-Caller");
+  if (caller.empty()) {
+    return base::Fail(ErrorCode::MissingField, "X-Caller");
+  }
   const auto key = aRequest.Header("Idempotency-Key");
   if (key.size() > kMaxKeyLength) {
     return base::Fail(ErrorCode::TooLarge, "Idempotency-Key");
@@ -248,7 +252,7 @@
     this->lastId.fetch_add(1, std::memory_order_relaxed) + 1);
   request.account = base::AccountId(account);
   request.kind = base::WorkKindId(aKind);
-  request.caller = base::CallerId(aRequest.Header("X-Caller"));
+  request.caller = base::CallerId(caller);
   request.arrival = now;
   request.deadline = now + deadline;
   context->key = base::IdempotencyKey(key);
@@ -501,6 +505,7 @@
   this->counters.done.fetch_add(1, std::memory_order_relaxed);
   frontend::HttpResponse response;
   response.status = aReply.status;
+  response.headers.push_back({ "X-Outcome", "done" });
   response.body.assign(reinterpret_cast<const char*>(aReply.body.data()),
                        aReply.body.size());
   aContext.respond(std::move(response));
@@ -512,8 +517,11 @@
                               base::Duration aRetryAfter)
 {
   this->counters.notRun.fetch_add(1, std::memory_order_relaxed);
-  aContext.respond(
-    MakeErrorResponse({ aError, !aContext.mayHaveRun, aRetryAfter }));
+  auto response =
+    MakeErrorResponse({ aError, !aContext.mayHaveRun, aRetryAfter });
+  response.headers.push_back(
+    { "X-Outcome", aContext.mayHaveRun ? "unknown" : "not-run" });
+  aContext.respond(std::move(response));
 }
 
 void
@@ -525,7 +533,9 @@
                          { "error", base::Describe(aError) } });
   const base::Error unknown{ ErrorCode::OutcomeUnknown,
                              base::Describe(aError) };
-  aContext.respond(MakeErrorResponse({ unknown, false, std::nullopt }));
+  auto response = MakeErrorResponse({ unknown, false, std::nullopt });
+  response.headers.push_back({ "X-Outcome", "unknown" });
+  aContext.respond(std::move(response));
 }
 
 } // namespace amaranthwind::entry
