Place guaranteed jobs in the unit's own place first

Units followed their jobs to any free place and so broke racks that firm gangs need. A guaranteed job now takes its unit's place when that is free, then places that promises have broken already, and an unused unit goes back to where it leaves the most whole racks.

--- a/libs/scheduling/src/Dispatch.cpp
+++ b/libs/scheduling/src/Dispatch.cpp
@@ -192,13 +192,16 @@
   if (this->FindInGuarantee(aJob, OfferUse::PartlyUsed)) {
     return false;
   }
+  // The unit's own place, then places that promises have broken already.
   const JobRow& job = this->jobs[aJob];
-  return (this->placement->Place(
-            this->free,
-            PlacementRequest{ job.spec.shape, job.failedOn, nullptr },
-            this->chosen) &&
+  const PlacementRequest anywhere{ job.spec.shape, job.failedOn, nullptr };
+  const PlacementRequest packed{ job.spec.shape, job.failedOn, &this->free };
+  return (this->FindInGuarantee(aJob, OfferUse::Free) &&
           this->ChargeAndStart(aJob)) ||
-         (this->FindInGuarantee(aJob, OfferUse::Free) &&
+         (this->placement->Place(
+            this->ledger.Unpromised(), packed, this->chosen) &&
+          this->ChargeAndStart(aJob)) ||
+         (this->placement->Place(this->free, anywhere, this->chosen) &&
           this->ChargeAndStart(aJob));
 }
 
--- a/libs/scheduling/src/GuaranteeLedger.cpp
+++ b/libs/scheduling/src/GuaranteeLedger.cpp
@@ -274,11 +274,15 @@
     if (unit.isWithdrawn) {
       this->RemoveUnit(slot.unit);
     } else if (unit.isPlaced) {
-      for (std::uint32_t at = 0; at < unit.slots; ++at) {
-        if (this->IsOvercommitted(this->slots[unit.firstSlot + at].worker)) {
-          this->Unplace(slot.unit);
-          break;
-        }
+      // The unit came to these workers with its job. It goes where it leaves
+      // the most whole racks to firm use.
+      const std::vector<WorkerIndex> before = this->Detach(slot.unit);
+      std::vector<WorkerIndex> found;
+      if (this->FindPlace(slot.unit, found)) {
+        this->Attach(slot.unit, found);
+      } else {
+        this->Attach(slot.unit, before);
+        this->Unplace(slot.unit);
       }
     }
   }
--- a/libs/scheduling/src/Reclaim.cpp
+++ b/libs/scheduling/src/Reclaim.cpp
@@ -15,7 +15,7 @@
 
 /** A borrower that came this much later than a waiting gang of the same
  * urgency gives its place back: the stop costs both up to a checkpoint. */
-constexpr base::Duration kOvertaken = std::chrono::minutes(15);
+constexpr base::Duration kOvertaken = std::chrono::minutes(60);
 /** Seconds that a stopped gang waits for a new place, for each accelerator: a
  * gang of three whole workers waits hours for a rack, a small one minutes. */
 constexpr double kRestart = 300;
