--- /dev/null
+++ b/libs/scheduling/tests/HealthTest.cpp
@@ -0,0 +1,123 @@
+#include "SchedulerFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthwind;
+using namespace amaranthwind::scheduling;
+using base::ErrorCode;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using Names = std::vector<std::string>;
+
+namespace {
+
+const JobOptions kRetried{ .maxRuns = 6 };
+
+int
+WorkerOf(const StartGang& aStart)
+{
+  return std::stoi(aStart.plan.members.front().worker.Text().substr(1));
+}
+
+/** Lets jobs fail on worker 0 and succeed elsewhere until it is isolated. */
+bool
+IsolateWorkerZero(SchedulerFixture& aCell)
+{
+  for (int job = 0; job < 6; ++job) {
+    const std::string name = "f" + std::to_string(job);
+    aCell.Submit(name, MakeShape(1, 8), kRetried);
+    std::uint32_t attempt = 1;
+    while (!aCell.All<StartGang>().empty()) {
+      const bool isFaulty = WorkerOf(aCell.All<StartGang>().front()) == 0;
+      aCell.End(name,
+                isFaulty ? AttemptOutcome::Failed : AttemptOutcome::Succeeded,
+                attempt++);
+      for (const auto& change : aCell.All<ChangeWorkerHealth>()) {
+        if (change.health == WorkerHealth::Isolated) {
+          CHECK(change.worker == WorkerName(0));
+          return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+// Guards against one faulty worker attracting and failing job after job.
+TEST_CASE("a worker that fails jobs which succeed elsewhere is isolated")
+{
+  SchedulerFixture cell(3);
+  REQUIRE(IsolateWorkerZero(cell));
+  for (int job = 0; job < 3; ++job) {
+    cell.Submit("n" + std::to_string(job), MakeShape(1, 8), kRetried);
+    for (const StartGang& start : cell.All<StartGang>()) {
+      CHECK(WorkerOf(start) != 0);
+    }
+  }
+}
+
+// Guards against an isolated worker that comes back with full load, or never.
+TEST_CASE("an isolated worker is tried with one task")
+{
+  for (const bool isRepaired : { true, false }) {
+    CAPTURE(isRepaired);
+    SchedulerFixture cell(3);
+    REQUIRE(IsolateWorkerZero(cell));
+    // The healthy workers are busy, so that jobs wait.
+    cell.Submit("busy1", MakeShape(1, 8), kRetried);
+    cell.Submit("busy2", MakeShape(1, 8), kRetried);
+    for (const char* name : { "t1", "t2", "t3" }) {
+      cell.Submit(name, MakeShape(1, 2), kRetried);
+      CHECK(cell.Started().empty());
+    }
+    cell.Wait(minutes(11));
+    REQUIRE(cell.All<ChangeWorkerHealth>().size() == 1);
+    CHECK(cell.All<ChangeWorkerHealth>()[0].health == WorkerHealth::Probation);
+    CHECK(cell.Started() == Names{ "t1" });
+    CHECK(WorkerOf(cell.All<StartGang>()[0]) == 0);
+    cell.Wait(minutes(1));
+    CHECK(cell.Started().empty());
+    cell.End("t1",
+             isRepaired ? AttemptOutcome::Succeeded : AttemptOutcome::Failed);
+    REQUIRE(cell.All<ChangeWorkerHealth>().size() == 1);
+    const ChangeWorkerHealth verdict = cell.All<ChangeWorkerHealth>()[0];
+    CHECK(verdict.health ==
+          (isRepaired ? WorkerHealth::Healthy : WorkerHealth::Isolated));
+    CHECK(cell.Started().size() == (isRepaired ? 2 : 0));
+    if (!isRepaired) {
+      // Each failed trial doubles the isolation.
+      CHECK(verdict.until == cell.clock.Now() + minutes(20));
+    }
+  }
+}
+
+// Guards against a faulty job that costs healthy workers their good name.
+TEST_CASE("a job that fails on several healthy workers is given up")
+{
+  SchedulerFixture cell(5);
+  cell.Submit("bad", MakeShape(1, 8), { .maxRuns = 10 });
+  std::uint32_t attempt = 0;
+  while (cell.All<EndJob>().empty()) {
+    REQUIRE(cell.Started() == Names{ "bad" });
+    cell.End("bad", AttemptOutcome::Failed, ++attempt);
+    CHECK(cell.All<ChangeWorkerHealth>().empty());
+  }
+  CHECK(attempt == 3);
+  CHECK(cell.All<EndJob>()[0].error->code == ErrorCode::TargetFailed);
+}
+
+// Guards against healthy workers being isolated for a faulty kind of work.
+TEST_CASE("work that fails everywhere isolates no worker")
+{
+  SchedulerFixture cell(4);
+  for (int job = 0; job < 12; ++job) {
+    const std::string name = "bad" + std::to_string(job);
+    cell.Submit(name, MakeShape(1, 8), { .maxRuns = 3 });
+    for (std::uint32_t attempt = 1; attempt <= 3; ++attempt) {
+      cell.End(name, AttemptOutcome::Failed, attempt);
+      CHECK(cell.All<ChangeWorkerHealth>().empty());
+    }
+  }
+}
