--- a/libs/gang/include/amaranthwind/gang/GangCoordinator.h
+++ b/libs/gang/include/amaranthwind/gang/GangCoordinator.h
@@ -68,6 +68,13 @@
   base::TargetId worker;
 };
 
+/** What a worker's daemon knows when it connects: keys of Status(). */
+struct WorkerReported
+{
+  base::TargetId worker;
+  std::vector<AttemptKey> attempts;
+};
+
 /** Of the caller or the scheduler. */
 struct StopRequested
 {
@@ -95,6 +102,7 @@
                                       MemberEnded,
                                       GangEnded,
                                       WorkerLost,
+                                      WorkerReported,
                                       StopRequested,
                                       TokenLost,
                                       Tick>;
--- a/libs/gang/include/amaranthwind/gang/GangMember.h
+++ b/libs/gang/include/amaranthwind/gang/GangMember.h
@@ -27,7 +27,7 @@
    * rank and then by a member that misses its StopGang, so that a gang stops
    * within twice this time, whatever the network delays. The limit is 5 s.
    */
-  base::Duration silenceTimeout = std::chrono::seconds(2);
+  base::Duration silenceTimeout = std::chrono::milliseconds(2400);
   /** From Commit until all tasks must run. */
   base::Duration startTimeout = std::chrono::seconds(10);
   /** From Release until all tasks must run. */
@@ -182,7 +182,7 @@
   /** True when no gang holds anything: a draining daemon may exit. */
   bool IsIdle() const;
 
-  /** Every attempt that has not ended. */
+  /** Every attempt that has not ended or whose end must be reported. */
   std::vector<MemberStatus> Status() const;
 
 private:
--- a/libs/gang/src/GangCoordinator.cpp
+++ b/libs/gang/src/GangCoordinator.cpp
@@ -631,13 +631,35 @@
         this->FailPrepare(entry, rank, std::nullopt);
         continue;
       }
-      if (!entry.attempt.rankAtFault) {
-        entry.attempt.rankAtFault = rank;
+      this->LoseMember(entry, rank);
+    }
+  }
+
+  /** The other members are watched by their first rank. */
+  void On(const WorkerReported& aEvent)
+  {
+    for (auto position = this->entries.begin();
+         position != this->entries.end();) {
+      const AttemptKey& key = position->first;
+      Entry& entry = (position++)->second;
+      const bool isKnown =
+        std::find(aEvent.attempts.begin(), aEvent.attempts.end(), key) !=
+        aEvent.attempts.end();
+      if (!isKnown && entry.machine.phase >= AttemptPhase::Committed &&
+          entry.attempt.plan->members.front().worker == aEvent.worker) {
+        this->LoseMember(entry, 0);
       }
-      this->Stop(entry, StopReason::MemberLost, {}, true);
     }
   }
 
+  void LoseMember(Entry& aEntry, Rank aRank)
+  {
+    if (!aEntry.attempt.rankAtFault) {
+      aEntry.attempt.rankAtFault = aRank;
+    }
+    this->Stop(aEntry, StopReason::MemberLost, {}, true);
+  }
+
   void On(const StopRequested& aEvent)
   {
     Entry* entry = this->Find(aEvent.key);
--- a/libs/gang/src/GangMember.cpp
+++ b/libs/gang/src/GangMember.cpp
@@ -27,7 +27,7 @@
 
   bool IsLost(base::TimePoint aNow) const { return aNow >= this->LossTime(); }
 
-  /** True if the message proves more than the ones before. */
+  /** True if the message is newer than all before. */
   bool Hear(base::TimePoint aNow, const MemberAlive& aMessage)
   {
     if (aMessage.sequence <= this->sequence) {
@@ -35,7 +35,7 @@
     }
     this->sequence = aMessage.sequence;
     if (aMessage.echo == 0) {
-      return false;
+      return true;
     }
     const base::TimePoint echoed{ base::Duration(
       static_cast<base::Duration::rep>(aMessage.echo)) };
@@ -52,6 +52,8 @@
   MemberResult result = MemberResult::None;
   /** Whether its silence counts; until then the start timeout does. */
   bool isWatched = false;
+  /** Has not replied to the last heartbeat. */
+  bool isAwaited = false;
   Contact contact;
 };
 
@@ -62,6 +64,7 @@
   std::size_t committed = 0;
   std::size_t running = 0;
   std::size_t ended = 0;
+  std::size_t awaited = 0;
   /** A member that ended without success while no stop was ordered. */
   std::optional<Rank> failedRank;
   /** When members must run; then when they must have reported a stop. */
@@ -178,7 +181,7 @@
   {
     std::vector<MemberStatus> status;
     for (const auto& [key, record] : this->records) {
-      if (!record.IsOver()) {
+      if (!record.IsOver() || MustReportEnd(record)) {
         status.push_back({ key,
                            record.rank,
                            record.life.Phase(),
@@ -369,7 +372,13 @@
       if (record != nullptr && record->first != nullptr &&
           aEvent.rank < record->first->peers.size()) {
         Peer& peer = record->first->peers[aEvent.rank];
-        peer.isWatched = peer.contact.Hear(this->now, aEvent) || peer.isWatched;
+        const bool isProof =
+          peer.contact.Hear(this->now, aEvent) && aEvent.echo != 0;
+        peer.isWatched = peer.isWatched || isProof;
+        if (isProof && std::exchange(peer.isAwaited, false) &&
+            --record->first->awaited == 0) {
+          this->RenewLeaseOf(*record);
+        }
       }
       this->HearMember(aEvent.key, aEvent.rank, aEvent.phase, aEvent.result);
       return;
@@ -377,7 +386,7 @@
     if (record == nullptr || record->first != nullptr) {
       return;
     }
-    record->firstRank.Hear(this->now, aEvent);
+    const bool isNew = record->firstRank.Hear(this->now, aEvent);
     // The first rank sends this only after it has committed itself, and its
     // own task only starts after Release.
     this->Step(*record, MemberStep::CommitSeen);
@@ -385,6 +394,10 @@
         aEvent.phase == MemberPhase::Running) {
       this->BeReleased(*record);
     }
+    // The sooner the reply, the less of the first rank's patience is used up.
+    if (isNew && !record->firstRank.IsLost(this->now)) {
+      this->Beat(*record);
+    }
   }
 
   void On(const TaskStarted& aEvent)
@@ -400,6 +413,8 @@
     if (record == nullptr || !record->HasTask()) {
       return;
     }
+    // A lease ends at the moment in which a peer is lost: that comes first.
+    this->OnTime(*record);
     const bool isStopping = record->life.Phase() == MemberPhase::Stopping;
     if (aEvent.result == MemberResult::Succeeded) {
       record->result = MemberResult::Succeeded;
@@ -422,7 +437,8 @@
     record.firstRank.allowance = aEvent.leaseLeft;
     if (record.first != nullptr) {
       record.first->report.wasReleased = true;
-      for (Peer& peer : record.first->peers) {
+      for (Rank rank = 1; rank < record.first->peers.size(); ++rank) {
+        Peer& peer = record.first->peers[rank];
         peer.isWatched = true;
         peer.contact.provenAt = this->now;
         peer.contact.allowance = aEvent.leaseLeft;
@@ -592,7 +608,23 @@
 
   void Beat(Record& aRecord)
   {
-    aRecord.nextHeartbeat = this->now + this->settings.heartbeatInterval;
+    // A member replies to the first rank and sends on its own only if it does
+    // not hear from it.
+    aRecord.nextHeartbeat =
+      this->now + (aRecord.first != nullptr
+                     ? this->settings.heartbeatInterval
+                     : this->settings.heartbeatInterval * 3 / 2);
+    this->RenewLeaseOf(aRecord);
+    if (aRecord.first != nullptr &&
+        aRecord.first->life.Phase() == FirstRankPhase::Stopping) {
+      this->SendStopToPeers(aRecord);
+    } else {
+      this->SendAlive(aRecord, this->settings.silenceTimeout);
+    }
+  }
+
+  void RenewLeaseOf(const Record& aRecord)
+  {
     // Not renewed while a task is killed: the lease then ends it even if the
     // worker does not carry the order out.
     if (aRecord.HasTask() && (aRecord.life.Phase() != MemberPhase::Stopping ||
@@ -600,12 +632,6 @@
       this->effects->emplace_back(
         RenewLease{ aRecord.key, this->LeaseLeft(aRecord) });
     }
-    if (aRecord.first != nullptr &&
-        aRecord.first->life.Phase() == FirstRankPhase::Stopping) {
-      this->SendStopToPeers(aRecord);
-    } else {
-      this->SendAlive(aRecord, this->settings.silenceTimeout);
-    }
   }
 
   // Transitions of a member.
@@ -940,7 +966,7 @@
     }
   }
 
-  void SendAlive(const Record& aRecord, base::Duration aAllowance)
+  void SendAlive(Record& aRecord, base::Duration aAllowance)
   {
     const auto time =
       static_cast<std::uint64_t>(this->now.time_since_epoch().count());
@@ -958,9 +984,12 @@
       this->PostToPeer(aRecord, 0, alive);
       return;
     }
+    aRecord.first->awaited = 0;
     for (Rank rank = 1; rank < aRecord.first->peers.size(); ++rank) {
-      const Peer& peer = aRecord.first->peers[rank];
-      if (peer.phase != MemberPhase::Ended) {
+      Peer& peer = aRecord.first->peers[rank];
+      peer.isAwaited = peer.phase != MemberPhase::Ended;
+      if (peer.isAwaited) {
+        ++aRecord.first->awaited;
         alive.echo = peer.contact.sequence;
         this->PostToPeer(aRecord, rank, alive);
       }
--- a/libs/gang/tests/GangRandomTest.cpp
+++ b/libs/gang/tests/GangRandomTest.cpp
@@ -31,6 +31,7 @@
     this->network.duplicateChance = 0.05 * double(this->Draw(6));
     this->network.maxDelay = std::chrono::milliseconds(1 + this->Draw(300));
     this->network.lostAnswerChance = 0.1 * double(this->Draw(5));
+    this->network.misrouteChance = 0.1;
     this->network.taskFailureChance = 0.05 * double(this->Draw(3));
   }
 
@@ -53,6 +54,7 @@
     this->network.lossChance = 0;
     this->network.duplicateChance = 0;
     this->network.lostAnswerChance = 0;
+    this->network.misrouteChance = 0;
     this->network.isLogUp = true;
     for (std::size_t worker : this->deadWorkers) {
       this->network.RestartDaemon(worker);
