--- a/libs/gang/tests/GangMemberTest.cpp
+++ b/libs/gang/tests/GangMemberTest.cpp
@@ -64,7 +64,7 @@
     const auto echo =
       static_cast<std::uint64_t>(this->now.time_since_epoch().count());
     return { this->Key(),        aFrom, ++this->sequence, echo, aPhase,
-             MemberResult::None, 2s };
+             MemberResult::None, 2400ms };
   }
 
   std::shared_ptr<const job::GangPlan> plan;
@@ -140,6 +140,27 @@
   CHECK(Find<Promise>(prepared)->refusal->code == base::ErrorCode::StaleToken);
 }
 
+// Guards against a void promise that blocks the accelerators it holds.
+TEST_CASE("a newer plan of the same attempt replaces an older promise")
+{
+  MemberBench bench(1);
+  bench.Give(bench.MakePrepare());
+  const Fence newer{ kFence.cell, base::FencingToken(11) };
+  CHECK(Has<Promise>(bench.Give(Prepare{ newer, MakePlan(2, 11), 1 })));
+  CHECK(bench.member.Reserved().accelerators == 4);
+  bench.Give(OutcomeReply{ bench.Key(), AttemptState::Committed });
+  CHECK(bench.Phase() == MemberPhase::Promised);
+}
+
+// Guards against defaults under which a part of a gang runs on for 5 s.
+TEST_CASE("the default timeouts leave time to stop within 5 s")
+{
+  const MemberSettings settings;
+  const base::Duration limit = 5s - 100ms; // For the worker to kill a task.
+  CHECK(2 * settings.silenceTimeout <= limit);
+  CHECK(settings.releaseTimeout + settings.silenceTimeout <= limit);
+}
+
 // Guards against starting an attempt that was aborted or never promised here.
 TEST_CASE("a commit without a promise is refused")
 {
@@ -167,7 +188,7 @@
   MemberBench bench(1);
   bench.Run();
   bench.Give(bench.Alive(0, MemberPhase::Running));
-  CHECK_FALSE(Has<StopTask>(bench.Wait(1900ms)));
+  CHECK_FALSE(Has<StopTask>(bench.Wait(2300ms)));
   CHECK(Has<StopTask>(bench.Wait(100ms)));
   const auto ended = bench.Give(TaskEnded{ bench.Key() });
   REQUIRE(Find<MemberEnded>(ended) != nullptr);
@@ -175,12 +196,26 @@
   CHECK(bench.member.Reserved() == fleet::Resources{});
 }
 
+// Guards against a heartbeat that is read long after it was sent, after a pause
+// or from a slow connection, and is taken for a sign of life.
+TEST_CASE("a delayed heartbeat proves only what it echoes")
+{
+  MemberBench bench(1);
+  bench.Run();
+  const MemberAlive late = bench.Alive(0, MemberPhase::Running);
+  bench.now += 2300ms;
+  const auto reply = bench.Give(late);
+  REQUIRE(Find<RenewLease>(reply) != nullptr);
+  CHECK(Find<RenewLease>(reply)->lease == 100ms);
+  CHECK(Has<StopTask>(bench.Wait(100ms)));
+}
+
 // Guards against a gang that runs on without one of its members.
 TEST_CASE("the first rank stops all when a member falls silent")
 {
   MemberBench bench(0, 3);
   bench.Run();
-  bench.now += 1900ms;
+  bench.now += 2300ms;
   bench.Give(bench.Alive(1, MemberPhase::Running));
   const auto effects = bench.Wait(100ms);
   CHECK(Has<StopTask>(effects));
