Link entries in both directions

Safe, but one takeover too many.

Change: an announcement from an entry counts as news of its address.

--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -180,6 +180,13 @@
 
   void OnMessage(ConnectionId aConnection, const Envelope& aEnvelope) override
   {
+    if (const auto* hello =
+          std::get_if<protocol::EntryHello>(&aEnvelope.message)) {
+      // An entry links back: each needs the heartbeats of the other.
+      protocol::Topology topology;
+      topology.entries.push_back(hello->entry);
+      this->links->OnTopology(topology);
+    }
     if (this->membership.OnMessage(aConnection, aEnvelope)) {
       return;
     }
