--- a/libs/scheduling/benchmark/DecisionBenchmark.cpp
+++ b/libs/scheduling/benchmark/DecisionBenchmark.cpp
@@ -52,6 +52,13 @@
           { 1, { 1, 4, 1024 }, fleet::Adjacency::SameZone } });
       change.accounts.push_back(account);
     }
+    policy::Account idle;
+    idle.id = base::AccountId("team-idle");
+    idle.guarantees.push_back(
+      { base::ZoneId("z"),
+        64,
+        { 1, { 1, 4, 1024 }, fleet::Adjacency::SameZone } });
+    change.accounts.push_back(idle);
     this->Send(change);
     for (std::uint32_t used = 0; used < accelerators * 4 / 5;) {
       const std::uint32_t members = this->Draw(1, aIsMixed ? 16 : 4);
@@ -73,8 +80,9 @@
   {
     job::JobSpec spec;
     spec.id = base::JobId("job-" + std::to_string(this->names++));
-    spec.account =
-      base::AccountId("team-" + std::to_string(this->Draw(0, aTeams - 1)));
+    spec.account = base::AccountId(
+      aTeams == 0 ? "team-idle"
+                  : "team-" + std::to_string(this->Draw(0, aTeams - 1)));
     spec.kind = base::WorkKindId("study");
     spec.zone = base::ZoneId("z");
     spec.shape = { aMembers,
@@ -93,6 +101,8 @@
       GangEnded{ { aJob, base::Attempt(1) }, AttemptOutcome::Succeeded, {} });
   }
 
+  void Wait(base::Duration aTime) { this->clock.Advance(aTime); }
+
   bool HasStarted() const
   {
     return std::any_of(
@@ -190,7 +200,7 @@
   aState.counters["started"] = cell.HasStarted() ? 1 : 0;
 }
 
-/** A claim of 64 accelerators that are lent to borrowers. */
+/** A claim of 64 accelerators by a team whose guarantee is lent out. */
 void
 Claim(benchmark::State& aState)
 {
@@ -213,7 +223,7 @@
       cell.Send(JobEnded{ job });
       cell.effects.clear();
     },
-    [&] { job = cell.Submit(16, 1, 150, false); });
+    [&] { job = cell.Submit(64, 1, 0, false); });
   aState.counters["stops"] = static_cast<double>(stops);
 }
 
@@ -232,7 +242,11 @@
   std::size_t next = 0;
   Measure(
     aState,
-    [&] { cell.Submit(cell.Draw(1, 32), 1, 150); },
+    [&] {
+      // Every tenth end comes with a new plan.
+      cell.Wait(std::chrono::milliseconds(100));
+      cell.Submit(cell.Draw(1, 32), 1, 150);
+    },
     [&] { cell.End(running[next++ % running.size()]); });
 }
 
--- a/libs/scheduling/src/Reservation.cpp
+++ b/libs/scheduling/src/Reservation.cpp
@@ -9,10 +9,11 @@
 using fleet::Resources;
 using fleet::WorkerIndex;
 
-/** Waiting this long counts as much as one step of urgency: less urgent gangs
- * are reserved a start even while urgent work overloads the cell. With ten
- * minutes, a flood of the least urgent work held all reservations. */
-constexpr base::Duration kUrgencyAge = std::chrono::hours(4);
+/** Waiting this long counts as much as one step of urgency, so that less urgent
+ * gangs are reserved a start even while urgent work overloads the cell. It is
+ * longer than the backlog of a day: with four hours, the old jobs of a flood of
+ * the least urgent work held the reservations and large gangs waited a day. */
+constexpr base::Duration kUrgencyAge = std::chrono::hours(24);
 /** Candidates that are planned before none is reserved a start. */
 constexpr std::size_t kCandidates = 4;
 /** Placements that are tried in one plan; bounds its cost. */
