Keep guarantees of jobs that avoid workers; choose victims faster

A job that failed somewhere waited while its unit lay on the workers that it avoids. The unit now moves, and as the last resort the job goes back there. Victims are chosen from one list of candidates.

--- a/libs/scheduling/src/Dispatch.cpp
+++ b/libs/scheduling/src/Dispatch.cpp
@@ -128,9 +128,7 @@
     row.isCovered = this->PlaceInGuarantee(
       row.key.account,
       row.key.shape,
-      row.waiting.empty() ? std::span<const WorkerIndex>{}
-                          : std::span<const WorkerIndex>(
-                              this->jobs[row.waiting.front()].failedOn),
+      {}, // The unit may move away from workers that the job avoids.
       OfferUse::Any,
       workers);
   }
--- a/libs/scheduling/src/Reclaim.cpp
+++ b/libs/scheduling/src/Reclaim.cpp
@@ -77,12 +77,22 @@
   std::erase_if(offers,
                 [](const Offer& aOffer) { return aOffer.members == 0; });
   const auto cheapestFirst = [](const Offer& aLeft, const Offer& aRight) {
-    return aLeft.cost < aRight.cost;
+    return std::pair(aLeft.cost, aLeft.worker) <
+           std::pair(aRight.cost, aRight.worker);
   };
   // The cheapest offers of a group that together hold all members.
   double least = std::numeric_limits<double>::max();
   const auto consider = [&](std::span<Offer> aGroup) {
-    std::stable_sort(aGroup.begin(), aGroup.end(), cheapestFirst);
+    // Each offer holds a member, so that more of them are never needed.
+    if (aGroup.size() > aShape.members) {
+      std::nth_element(aGroup.begin(),
+                       aGroup.begin() +
+                         static_cast<std::ptrdiff_t>(aShape.members),
+                       aGroup.end(),
+                       cheapestFirst);
+      aGroup = aGroup.first(aShape.members);
+    }
+    std::sort(aGroup.begin(), aGroup.end(), cheapestFirst);
     std::uint32_t missing = aShape.members;
     double cost = 0;
     std::size_t end = 0;
@@ -191,7 +201,12 @@
   const bool isCharged =
     (this->FindInGuarantee(aJob, OfferUse::PartlyUsed) && charge()) ||
     (findCheapest() && charge()) ||
-    (this->FindInGuarantee(aJob, OfferUse::Reclaimed) && charge());
+    (this->FindInGuarantee(aJob, OfferUse::Reclaimed) && charge()) ||
+    // A place where the job failed before is better than a broken promise.
+    (!job.failedOn.empty() &&
+     this->PlaceInGuarantee(
+       job.account, job.spec.shape, {}, OfferUse::Reclaimed, this->chosen) &&
+     charge());
   if (!isCharged) {
     return false;
   }
@@ -240,41 +255,54 @@
       deficits.push_back(Deficit{ worker, missing });
     }
   }
-  while (!deficits.empty()) {
+  std::vector<JobIndex> candidates;
+  this->missingOn.resize(this->uses.size());
+  for (const Deficit& deficit : deficits) {
+    this->missingOn[deficit.worker] = deficit.missing;
+    for (const JobIndex job : this->uses[deficit.worker].jobs) {
+      if (this->IsStoppable(this->jobs[job], aClaimant)) {
+        candidates.push_back(job);
+      }
+    }
+  }
+  std::sort(candidates.begin(), candidates.end());
+  candidates.erase(std::unique(candidates.begin(), candidates.end()),
+                   candidates.end());
+  std::size_t open = deficits.size();
+  while (open != 0 && !candidates.empty()) {
     // The gang that loses the least work for each accelerator that it frees.
-    std::optional<JobIndex> victim;
+    std::size_t victim = candidates.size();
     double least = 0;
-    for (const Deficit& deficit : deficits) {
-      for (const JobIndex job : this->uses[deficit.worker].jobs) {
-        const JobRow& row = this->jobs[job];
-        if (!this->IsStoppable(row, aClaimant)) {
-          continue;
-        }
-        double freed = 0;
-        for (const Deficit& other : deficits) {
-          const Resources useful =
-            Smaller(this->UseOn(job, other.worker), other.missing);
-          freed += useful.accelerators + useful.cores * 1e-3 +
-                   static_cast<double>(useful.memoryMiB) * 1e-6;
-        }
-        const double cost = (this->LostWork(row) + 1) / std::max(freed, 1e-9);
-        if (!victim || cost < least) {
-          victim = job;
-          least = cost;
-        }
+    for (std::size_t at = 0; at < candidates.size(); ++at) {
+      const JobRow& row = this->jobs[candidates[at]];
+      double freed = 0;
+      for (const WorkerIndex worker : row.workers) {
+        const Resources useful =
+          Smaller(row.spec.shape.perMember, this->missingOn[worker]);
+        freed += useful.accelerators + useful.cores * 1e-3 +
+                 static_cast<double>(useful.memoryMiB) * 1e-6;
+      }
+      const double cost = (this->LostWork(row) + 1) / freed;
+      if (freed > 0 && (victim == candidates.size() || cost < least)) {
+        victim = at;
+        least = cost;
       }
     }
-    if (!victim) {
-      return; // What blocks the claim ends by itself, for example a restart.
+    if (victim == candidates.size()) {
+      break; // What blocks the claim ends by itself, for example a restart.
     }
-    this->StopGang(*victim, aReason);
-    for (Deficit& deficit : deficits) {
-      deficit.missing =
-        Remaining(deficit.missing, this->UseOn(*victim, deficit.worker));
+    const JobRow& stopped = this->jobs[candidates[victim]];
+    this->StopGang(candidates[victim], aReason);
+    for (const WorkerIndex worker : stopped.workers) {
+      Resources& missing = this->missingOn[worker];
+      const bool wasOpen = missing != Resources{};
+      missing = Remaining(missing, stopped.spec.shape.perMember);
+      open -= wasOpen && missing == Resources{} ? 1 : 0;
     }
-    std::erase_if(deficits, [](const Deficit& aDeficit) {
-      return aDeficit.missing == Resources{};
-    });
+    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(victim));
+  }
+  for (const Deficit& deficit : deficits) {
+    this->missingOn[deficit.worker] = Resources{};
   }
 }
 
--- a/libs/scheduling/src/SchedulerState.h
+++ b/libs/scheduling/src/SchedulerState.h
@@ -282,6 +282,7 @@
     fleet::Resources firm;
   };
   std::vector<Released> released;
+  std::vector<fleet::Resources> missingOn;
   std::vector<Offer> offers;
   std::vector<fleet::WorkerIndex> chosen;
   std::vector<fleet::WorkerIndex> changedWorkers;
