Let threads take permits without a shared write

Change: the free part of a limit is held as credits. Each thread keeps at most one returned credit of a target on a cache line of its own, others take it when nothing else is left. Latency and successes are kept for each thread as well. Changes of the limit (ejection, probation, slow start) add or withdraw credits, so the limit holds for all threads together; a new test checks this with 4 threads and with a limit lowered under load.

--- a/libs/routing/include/amaranthwind/routing/TargetState.h
+++ b/libs/routing/include/amaranthwind/routing/TargetState.h
@@ -2,6 +2,7 @@
 
 #include "amaranthwind/base/Clock.h"
 
+#include <array>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -9,6 +10,8 @@
 namespace amaranthwind::routing {
 
 inline constexpr std::size_t kCacheLine = 64;
+/** Threads beyond this number share a stripe, which costs speed only. */
+inline constexpr std::size_t kStripes = 8;
 
 /** Place of a target in its table, and which use of that place is meant. */
 struct TargetHandle
@@ -72,6 +75,12 @@
 /**
  * Live counters of one target. Owned by the TargetTable; outlives snapshots.
  * All functions are thread-safe and take no lock.
+ *
+ * The free part of the limit is held as credits. Each thread keeps at most one
+ * returned credit on a cache line of its own, where it finds it for its next
+ * request; other threads take it only if no other credit is left. So threads
+ * write to a shared cache line only when they hold several requests on the
+ * target, and the limit still holds for all threads together.
  */
 class alignas(kCacheLine) TargetState
 {
@@ -91,21 +100,36 @@
 
   /** Requests that it may hold now; 0 while it is ejected. */
   std::uint32_t EffectiveLimit(base::TimePoint aNow) const noexcept;
-  std::uint32_t InFlight() const noexcept { return this->inFlight.load(); }
+  /** Exact while no other thread acquires or releases. */
+  std::uint32_t InFlight() const noexcept;
+  /**
+   * For the comparison of two targets: counts the credits that other threads
+   * keep as in flight, and so reads no cache line that they write often.
+   */
+  std::uint32_t ApproximateInFlight() const noexcept;
   std::uint32_t Limit() const noexcept { return this->limit.load(); }
   Health CurrentHealth() const noexcept { return this->health.load(); }
   /** Smoothed latency of successful requests; 0 before the first one. */
-  std::chrono::microseconds Latency() const noexcept
-  {
-    return std::chrono::microseconds(this->latencyMicros.load());
-  }
-  std::uint64_t Successes() const noexcept { return this->successes.load(); }
+  std::chrono::microseconds Latency() const noexcept;
+  std::uint64_t Successes() const noexcept;
   std::uint64_t Failures() const noexcept { return this->failures.load(); }
 
 private:
   friend class TargetTable;
   friend class RoutingSnapshot;
 
+  /** What the requests of one thread write. */
+  struct alignas(kCacheLine) Stripe
+  {
+    std::atomic<std::int32_t> credits{ 0 };
+    std::atomic<std::uint32_t> latencyMicros{ 0 };
+    std::atomic<std::uint64_t> successes{ 0 };
+  };
+
+  /** Adds or withdraws credits when the effective limit has changed. */
+  void AdjustCredits(std::uint32_t aAllowed) noexcept;
+  bool TakeCredit() noexcept;
+  void ReturnCredit() noexcept;
   void OnFailure(base::TimePoint aNow) noexcept;
   void OnSuccess(base::Duration aLatency) noexcept;
   void Eject(Health aFrom, base::TimePoint aNow) noexcept;
@@ -114,21 +138,26 @@
   /** Forgets everything about the previous target or incarnation. */
   void Reset(std::uint32_t aLimit, base::TimePoint aNow) noexcept;
 
-  std::atomic<std::uint32_t> inFlight{ 0 };
+  // Read by every request, written rarely.
   std::atomic<std::uint32_t> limit{ 0 };
+  /** Credits that exist: free, kept by a thread or held by a request. */
+  std::atomic<std::uint32_t> allowed{ 0 };
   std::atomic<Health> health{ Health::Healthy };
-  std::atomic<std::uint32_t> latencyMicros{ 0 };
   std::atomic<std::uint32_t> failuresInRow{ 0 };
   std::atomic<std::uint32_t> successesInRow{ 0 };
   std::atomic<std::uint32_t> ejectionsInRow{ 0 };
-  /** Snapshots that name this target. */
-  std::atomic<std::uint32_t> pins{ 0 };
   std::atomic<base::Duration::rep> ejectedUntil{ 0 };
   std::atomic<base::Duration::rep> joinedAt{ 0 };
-  std::atomic<std::uint64_t> successes{ 0 };
-  std::atomic<std::uint64_t> failures{ 0 };
   const HealthOptions& options;
   TableCounters& counters;
+
+  /** Negative after the limit was lowered below the requests in flight. */
+  alignas(kCacheLine) std::atomic<std::int32_t> freeCredits{ 0 };
+  std::atomic<std::uint64_t> failures{ 0 };
+  /** Snapshots that name this target. */
+  std::atomic<std::uint32_t> pins{ 0 };
+
+  std::array<Stripe, kStripes> stripes;
 };
 
 } // namespace amaranthwind::routing
--- a/libs/routing/src/TargetPicker.cpp
+++ b/libs/routing/src/TargetPicker.cpp
@@ -38,7 +38,7 @@
 {
   const std::uint32_t allowed =
     aEntry.handle == aAvoid ? 0 : aEntry.state->EffectiveLimit(aNow);
-  return { &aEntry, aEntry.state->InFlight(), allowed };
+  return { &aEntry, aEntry.state->ApproximateInFlight(), allowed };
 }
 
 } // namespace
--- a/libs/routing/src/TargetState.cpp
+++ b/libs/routing/src/TargetState.cpp
@@ -11,6 +11,30 @@
 constexpr std::int64_t kLatencySmoothing = 8;
 constexpr std::uint32_t kMaxBackoffShift = 16;
 
+/** Index of the stripe that the calling thread uses in every target. */
+std::size_t
+StripeIndex() noexcept
+{
+  static std::atomic<std::uint32_t> next{ 0 };
+  thread_local const std::size_t index = next.fetch_add(1) % kStripes;
+  return index;
+}
+
+bool
+TakeOne(std::atomic<std::int32_t>& aCredits) noexcept
+{
+  std::int32_t left = aCredits.load(std::memory_order_relaxed);
+  while (left > 0) {
+    if (aCredits.compare_exchange_weak(left,
+                                       left - 1,
+                                       std::memory_order_acq_rel,
+                                       std::memory_order_relaxed)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 base::Duration::rep
 Ticks(base::TimePoint aTime) noexcept
 {
@@ -54,17 +78,108 @@
   return true;
 }
 
+std::uint32_t
+TargetState::InFlight() const noexcept
+{
+  std::int64_t held = this->allowed.load();
+  held -= this->freeCredits.load();
+  for (const Stripe& stripe : this->stripes) {
+    held -= stripe.credits.load();
+  }
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(held, 0));
+}
+
+std::uint32_t
+TargetState::ApproximateInFlight() const noexcept
+{
+  const std::int64_t held =
+    std::int64_t{ this->allowed.load(std::memory_order_relaxed) } -
+    this->freeCredits.load(std::memory_order_relaxed) -
+    this->stripes[StripeIndex()].credits.load(std::memory_order_relaxed);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(held, 0));
+}
+
+std::chrono::microseconds
+TargetState::Latency() const noexcept
+{
+  std::uint64_t sum = 0;
+  std::uint64_t count = 0;
+  for (const Stripe& stripe : this->stripes) {
+    const std::uint32_t micros = stripe.latencyMicros.load();
+    sum += micros;
+    count += micros == 0 ? 0 : 1;
+  }
+  return std::chrono::microseconds(count == 0 ? 0 : sum / count);
+}
+
+std::uint64_t
+TargetState::Successes() const noexcept
+{
+  std::uint64_t sum = 0;
+  for (const Stripe& stripe : this->stripes) {
+    sum += stripe.successes.load();
+  }
+  return sum;
+}
+
+void
+TargetState::AdjustCredits(std::uint32_t aAllowed) noexcept
+{
+  std::uint32_t before = this->allowed.load(std::memory_order_relaxed);
+  if (before != aAllowed &&
+      this->allowed.compare_exchange_strong(before, aAllowed)) {
+    this->freeCredits.fetch_add(static_cast<std::int32_t>(aAllowed) -
+                                static_cast<std::int32_t>(before));
+  }
+}
+
 bool
-TargetState::TryAcquire(base::TimePoint aNow) noexcept
+TargetState::TakeCredit() noexcept
 {
-  const std::uint32_t allowed = this->EffectiveLimit(aNow);
-  std::uint32_t held = this->inFlight.load(std::memory_order_relaxed);
-  do {
-    if (held >= allowed) {
-      return false;
+  const std::size_t own = StripeIndex();
+  if (this->freeCredits.load(std::memory_order_acquire) >= 0) {
+    if (TakeOne(this->stripes[own].credits) || TakeOne(this->freeCredits)) {
+      return true;
+    }
+    for (Stripe& other : this->stripes) {
+      if (TakeOne(other.credits)) {
+        return true;
+      }
+    }
+    return false;
+  }
+  // More is in flight than the lowered limit allows: kept credits go back.
+  for (Stripe& stripe : this->stripes) {
+    if (TakeOne(stripe.credits)) {
+      this->freeCredits.fetch_add(1);
     }
-  } while (!this->inFlight.compare_exchange_weak(
-    held, held + 1, std::memory_order_acq_rel, std::memory_order_relaxed));
+  }
+  return TakeOne(this->freeCredits);
+}
+
+void
+TargetState::ReturnCredit() noexcept
+{
+  std::atomic<std::int32_t>& own = this->stripes[StripeIndex()].credits;
+  if (own.load(std::memory_order_relaxed) == 0 &&
+      this->freeCredits.load(std::memory_order_relaxed) >= 0) {
+    own.fetch_add(1, std::memory_order_acq_rel);
+  } else {
+    this->freeCredits.fetch_add(1, std::memory_order_acq_rel);
+  }
+}
+
+bool
+TargetState::TryAcquire(base::TimePoint aNow) noexcept
+{
+  const std::uint32_t now = this->EffectiveLimit(aNow);
+  if (now == 0) {
+    return false;
+  }
+  this->AdjustCredits(now);
+  if (!this->TakeCredit()) {
+    return false;
+  }
   Health expected = Health::Ejected;
   if (this->health.load(std::memory_order_relaxed) == Health::Ejected) {
     this->health.compare_exchange_strong(expected, Health::Probation);
@@ -82,13 +197,14 @@
   } else if (aOutcome == Outcome::Failure) {
     this->OnFailure(aNow);
   }
-  this->inFlight.fetch_sub(1, std::memory_order_acq_rel);
+  this->ReturnCredit();
 }
 
 void
 TargetState::OnSuccess(base::Duration aLatency) noexcept
 {
-  this->successes.fetch_add(1, std::memory_order_relaxed);
+  Stripe& stripe = this->stripes[StripeIndex()];
+  stripe.successes.fetch_add(1, std::memory_order_relaxed);
   if (this->failuresInRow.load(std::memory_order_relaxed) != 0) {
     this->failuresInRow.store(0, std::memory_order_relaxed);
   }
@@ -97,11 +213,11 @@
     std::chrono::duration_cast<std::chrono::microseconds>(aLatency).count(),
     1,
     std::numeric_limits<std::uint32_t>::max());
-  const std::int64_t old = this->latencyMicros.load(std::memory_order_relaxed);
+  const std::int64_t old = stripe.latencyMicros.load(std::memory_order_relaxed);
   const std::int64_t next =
     old == 0 ? sample : old + (sample - old) / kLatencySmoothing;
-  this->latencyMicros.store(static_cast<std::uint32_t>(next),
-                            std::memory_order_relaxed);
+  stripe.latencyMicros.store(static_cast<std::uint32_t>(next),
+                             std::memory_order_relaxed);
   if (this->health.load(std::memory_order_relaxed) == Health::Probation &&
       this->successesInRow.fetch_add(1) + 1 >=
         this->options.successesToReturn) {
@@ -160,7 +276,12 @@
 TargetState::Reset(std::uint32_t aLimit, base::TimePoint aNow) noexcept
 {
   this->limit.store(aLimit);
-  this->latencyMicros.store(0);
+  this->allowed.store(0);
+  this->freeCredits.store(0);
+  for (Stripe& stripe : this->stripes) {
+    stripe.credits.store(0);
+    stripe.latencyMicros.store(0);
+  }
   this->failuresInRow.store(0);
   this->successesInRow.store(0);
   this->ejectionsInRow.store(0);
--- a/libs/routing/src/TargetTable.cpp
+++ b/libs/routing/src/TargetTable.cpp
@@ -135,7 +135,7 @@
   auto free = std::find_if(
     this->retired.begin(), this->retired.end(), [&](std::uint32_t aIndex) {
       const TargetState& state = this->places[aIndex].state;
-      return state.pins.load() == 0 && state.inFlight.load() == 0;
+      return state.pins.load() == 0 && state.InFlight() == 0;
     });
   std::uint32_t index = 0;
   if (free != this->retired.end()) {
--- a/libs/routing/tests/TargetPickerTest.cpp
+++ b/libs/routing/tests/TargetPickerTest.cpp
@@ -214,6 +214,52 @@
   CHECK(table.Find(next)->EffectiveLimit(kStart + 1h) == 1);
 }
 
+// Guards against capacity that stays with threads that do not use it, and
+// against more requests on a target than its limit while threads compete.
+TEST_CASE("the limit holds for all threads together and none is lost")
+{
+  constexpr std::uint32_t kLimit = 5;
+  TargetTable table(kStart);
+  Fill(table, 1, kLimit);
+  const auto snapshot = table.Build(kStart);
+  const RoutingEntry& entry = snapshot->Serving()[0];
+  std::atomic<std::uint32_t> running{ 0 };
+  std::atomic<std::uint32_t> tooMany{ 0 };
+  std::vector<std::thread> threads;
+  threads.reserve(4);
+  for (int thread = 0; thread < 4; ++thread) {
+    threads.emplace_back([&] {
+      for (int i = 0; i < 5000; ++i) {
+        auto first = snapshot->TryAcquire(entry, kStart);
+        auto second = snapshot->TryAcquire(entry, kStart);
+        const std::uint32_t held = (first ? 1U : 0U) + (second ? 1U : 0U);
+        if (running.fetch_add(held) + held > kLimit) {
+          tooMany.fetch_add(1);
+        }
+        running.fetch_sub(held);
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  CHECK(tooMany.load() == 0);
+  std::vector<InFlight> permits;
+  while (auto permit = snapshot->TryAcquire(entry, kStart)) {
+    permits.push_back(std::move(*permit));
+  }
+  CHECK(permits.size() == kLimit);
+  // A lowered limit is in force at once and counts what is in flight.
+  REQUIRE(table.SetLimit(Id(0), 2).has_value());
+  for (std::uint32_t held = kLimit; held > 0; --held) {
+    CHECK(entry.state->InFlight() == held);
+    auto permit = snapshot->TryAcquire(entry, kStart);
+    CHECK(permit.has_value() == (held < 2));
+    permit.reset();
+    permits.pop_back();
+  }
+}
+
 // Guards against freed or recycled counters when snapshots are replaced while
 // other threads pick targets and hold permits. Run it under ThreadSanitizer.
 TEST_CASE("snapshots are replaced while requests hold permits")
