--- a/libs/journal/include/amaranthwind/journal/StreamReplay.h
+++ b/libs/journal/include/amaranthwind/journal/StreamReplay.h
@@ -77,7 +77,10 @@
 base::Result<ReadProgress>
 ReadOnce(LogClient& aLog, std::string_view aStream, StreamReplay& aReplay);
 
-/** Reads until the end. Errors as for ReadOnce(). */
+/**
+ * Reads until the end. Errors as for ReadOnce(), and LogUnavailable if the log
+ * gives no records although there are more.
+ */
 base::Result<std::vector<ReplayedRecord>>
 ReadToEnd(LogClient& aLog, std::string_view aStream, StreamReplay& aReplay);
 
--- a/libs/journal/src/Appender.cpp
+++ b/libs/journal/src/Appender.cpp
@@ -107,6 +107,9 @@
     if (aTask.from >= batch.end) {
       return Search{};
     }
+    if (batch.records.empty()) {
+      return Fail(ErrorCode::LogUnavailable, "read of no records");
+    }
   }
 }
 
--- a/libs/journal/src/StreamReplay.cpp
+++ b/libs/journal/src/StreamReplay.cpp
@@ -43,6 +43,7 @@
 {
   std::vector<ReplayedRecord> report;
   for (;;) {
+    const base::LogOffset before = aReplay.NextOffset();
     BOOST_OUTCOME_TRY(auto progress, ReadOnce(aLog, aStream, aReplay));
     report.insert(report.end(),
                   std::make_move_iterator(progress.records.begin()),
@@ -50,6 +51,9 @@
     if (progress.isAtEnd) {
       return report;
     }
+    if (aReplay.NextOffset() == before) {
+      return base::Fail(base::ErrorCode::LogUnavailable, "read of no records");
+    }
   }
 }
 
--- a/libs/journal/tests/AppenderTest.cpp
+++ b/libs/journal/tests/AppenderTest.cpp
@@ -12,6 +12,23 @@
 
 namespace {
 
+/** Confirms nothing and gives no records, although it has some. */
+class EmptyLog final : public LogClient
+{
+public:
+  base::Result<base::LogOffset> Append(std::string_view,
+                                       std::span<const std::byte>) override
+  {
+    return base::Fail(ErrorCode::AppendUnconfirmed);
+  }
+  base::Result<ReadBatch> Read(std::string_view,
+                               base::LogOffset,
+                               std::uint32_t) override
+  {
+    return ReadBatch{ {}, {}, base::LogOffset(9) };
+  }
+};
+
 /** Copies of a record that are in the log. */
 std::size_t
 CountCopies(JournalFixture& aFixture,
@@ -188,3 +205,21 @@
           (each.isCommitted ? AttemptFate::Committed : AttemptFate::Voided));
   }
 }
+
+// Guards against a thread that asks without end for records that do not come.
+TEST_CASE("a log that gives no records is not read in a loop")
+{
+  JournalFixture fixture;
+  EmptyLog log;
+  NoteReplay replay(fixture.codec);
+  const auto read = ReadToEnd(log, kNotesStream, replay);
+  REQUIRE(read.has_error());
+  CHECK(read.error().code == ErrorCode::LogUnavailable);
+  Appender appender(log, fixture.codec, fixture.clock, fixture.waiter);
+  AppendTask task{
+    std::string(kNotesStream), fixture.Make(Note(0, "a")), {}, {}, false
+  };
+  const auto result = appender.Append(task);
+  REQUIRE(result.has_error());
+  CHECK(result.error().code == ErrorCode::AppendUnconfirmed);
+}
--- a/libs/membership/src/TargetRegistry.cpp
+++ b/libs/membership/src/TargetRegistry.cpp
@@ -69,6 +69,7 @@
       }
       this->Process<lifecycle::Restart>(entry, effects);
       entry.incarnation = aIncarnation;
+      entry.deadlineInterval = {};
     } else {
       this->Process<lifecycle::Hello>(entry, effects);
     }
@@ -77,7 +78,7 @@
     }
     entry.lastSign = aNow;
     entry.interval = this->Interval();
-    entry.deadlineInterval = entry.interval;
+    entry.deadlineInterval = std::max(entry.deadlineInterval, entry.interval);
     effects.push_back(SendInterval{ aTarget, entry.interval });
     if (aIsDraining) {
       this->Process<lifecycle::Drain>(entry, effects);
--- a/libs/membership/tests/TargetRegistryTest.cpp
+++ b/libs/membership/tests/TargetRegistryTest.cpp
@@ -239,3 +239,29 @@
   fixture.Pass(11min);
   CHECK(!fixture.registry.StateOf(kTarget));
 }
+
+// Guards against a target that is lost since it has not heard yet of the
+// shorter interval that its second Hello brought about.
+TEST_CASE("a shorter interval counts only from the next heartbeat on")
+{
+  Fixture fixture;
+  const auto others = [&](const auto& aCall) {
+    for (int i = 0; i < 774; ++i) {
+      aCall(base::TargetId("other" + std::to_string(i)));
+    }
+  };
+  others([&](const base::TargetId& aId) {
+    fixture.registry.OnHello(aId, kFirst, false, fixture.clock.Now());
+  });
+  fixture.Hello();
+  fixture.Beat();
+  others([&](const base::TargetId& aId) {
+    fixture.registry.OnConnectionClosed(aId, kFirst, fixture.clock.Now());
+  });
+  fixture.Hello();
+  fixture.Pass(4500ms);
+  CHECK(fixture.registry.StateOf(kTarget) == TargetState::Active);
+  fixture.Beat();
+  fixture.Pass(4500ms);
+  CHECK(fixture.registry.StateOf(kTarget) == TargetState::Lost);
+}
