--- a/libs/journal/tests/AppenderTest.cpp
+++ b/libs/journal/tests/AppenderTest.cpp
@@ -74,11 +74,8 @@
     CAPTURE(each.name);
     JournalFixture fixture;
     fixture.Put(kNotesStream, Note(0, "a"));
-    AppendTask task{ std::string(kNotesStream),
-                     fixture.Make(Note(1, "b")),
-                     base::LogOffset(1),
-                     {},
-                     false };
+    AppendTask task =
+      fixture.Task(kNotesStream, Note(1, "b"), base::LogOffset(1));
     fixture.log.PlanAppends(each.faults);
     fixture.log.FailReads(each.failingReads);
     const auto result = fixture.appender.Append(task);
@@ -86,7 +83,7 @@
     CHECK(result.value().Get() == each.offset);
     CHECK(CountCopies(fixture, kNotesStream, task.record.id) == each.copies);
     NoteReplay replay(fixture.codec);
-    REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+    fixture.Read(replay);
     CHECK(replay.Current().version.Get() == 2);
   }
 }
@@ -96,11 +93,7 @@
 TEST_CASE("giving up says whether the record may be in the log")
 {
   JournalFixture fixture;
-  AppendTask task{ std::string(kNotesStream),
-                   fixture.Make(Note(0, "a")),
-                   base::LogOffset(),
-                   {},
-                   false };
+  AppendTask task = fixture.Task(kNotesStream, Note(0, "a"));
   fixture.log.SetDown(true);
   auto result = fixture.appender.Append(task);
   REQUIRE(result.has_error());
@@ -130,11 +123,7 @@
 TEST_CASE("a record that may have expired is neither confirmed nor repeated")
 {
   JournalFixture fixture;
-  AppendTask task{ std::string(kNotesStream),
-                   fixture.Make(Note(0, "a")),
-                   base::LogOffset(),
-                   {},
-                   false };
+  AppendTask task = fixture.Task(kNotesStream, Note(0, "a"));
   fixture.log.PlanAppends(std::vector{ AppendFault::LostAfter });
   fixture.duringWait = [&] {
     fixture.log.ExpireBelow(kNotesStream, base::LogOffset(1));
@@ -175,7 +164,7 @@
     const base::FencingToken token(fixture.Put(kCell, ownEpoch).Get());
     fixture.Put(kCell, Accepted(token, "j"));
     CellReplay replay(fixture.codec);
-    REQUIRE(ReadToEnd(fixture.log, kCell, replay).has_value());
+    fixture.Read(replay);
     AppendTask task{ std::string(kCell),
                      fixture.Make(Decision(token, "j", 1)),
                      replay.NextOffset(),
@@ -199,7 +188,7 @@
     if (result.has_error()) {
       CHECK(result.error() == base::Error{ ErrorCode::StaleToken, "e2" });
     }
-    REQUIRE(ReadToEnd(fixture.log, kCell, replay).has_value());
+    fixture.Read(replay);
     const auto fate = replay.FateOf({ base::JobId("j"), base::Attempt(1) });
     CHECK(fate ==
           (each.isCommitted ? AttemptFate::Committed : AttemptFate::Voided));
@@ -216,9 +205,7 @@
   REQUIRE(read.has_error());
   CHECK(read.error().code == ErrorCode::LogUnavailable);
   Appender appender(log, fixture.codec, fixture.clock, fixture.waiter);
-  AppendTask task{
-    std::string(kNotesStream), fixture.Make(Note(0, "a")), {}, {}, false
-  };
+  AppendTask task = fixture.Task(kNotesStream, Note(0, "a"));
   const auto result = appender.Append(task);
   REQUIRE(result.has_error());
   CHECK(result.error().code == ErrorCode::AppendUnconfirmed);
--- a/libs/journal/tests/CellReplayTest.cpp
+++ b/libs/journal/tests/CellReplayTest.cpp
@@ -23,7 +23,7 @@
 StateOf(JournalFixture& aFixture)
 {
   CellReplay replay(aFixture.codec);
-  REQUIRE(ReadToEnd(aFixture.log, kCell, replay).has_value());
+  aFixture.Read(replay);
   REQUIRE(replay.IsComplete());
   return replay.State();
 }
@@ -65,10 +65,9 @@
   fixture.Put(kCell, AttemptEnded(token, "j", 4, AttemptOutcome::Preempted));
   fixture.Put(kCell, Decision(token, "j", 5));
   CellReplay replay(fixture.codec);
-  const auto report = ReadToEnd(fixture.log, kCell, replay);
-  REQUIRE(report.has_value());
-  CHECK(report.value().back().verdict == Verdict::Rejected);
-  CHECK(report.value().back().error.subject == "maxRuns");
+  const auto report = fixture.Read(replay);
+  CHECK(report.back().verdict == Verdict::Rejected);
+  CHECK(report.back().error.subject == "maxRuns");
   const JobState* const job = replay.Find(base::JobId("j"));
   REQUIRE(job != nullptr);
   CHECK(job->runs == 2);
@@ -118,7 +117,7 @@
   for (const std::uint64_t firstKept : { 0, 13 }) {
     fixture.log.ExpireBelow(kCell, base::LogOffset(firstKept));
     CellReplay replay(fixture.codec);
-    REQUIRE(ReadToEnd(fixture.log, kCell, replay).has_value());
+    fixture.Read(replay);
     for (const Case& each : cases) {
       CAPTURE(each.job);
       CAPTURE(each.attempt);
@@ -149,12 +148,11 @@
     fixture.Put(kCell, body);
   }
   CellReplay replay(fixture.codec);
-  const auto report = ReadToEnd(fixture.log, kCell, replay);
-  REQUIRE(report.has_value());
-  for (std::size_t i = 3; i < report.value().size(); ++i) {
+  const auto report = fixture.Read(replay);
+  for (std::size_t i = 3; i < report.size(); ++i) {
     CAPTURE(i);
-    CHECK(report.value()[i].verdict == Verdict::StaleToken);
-    CHECK(report.value()[i].error.code == ErrorCode::StaleToken);
+    CHECK(report[i].verdict == Verdict::StaleToken);
+    CHECK(report[i].error.code == ErrorCode::StaleToken);
   }
   CHECK(replay.State() == expected);
 }
@@ -185,7 +183,7 @@
   // The first chunk expires: nothing complete is left.
   fixture.log.ExpireBelow(kCell, base::LogOffset(incompleteEnd.Get() + 2));
   CellReplay tooLate(fixture.codec);
-  REQUIRE(ReadToEnd(fixture.log, kCell, tooLate).has_value());
+  fixture.Read(tooLate);
   CHECK(!tooLate.IsComplete());
 }
 
@@ -222,9 +220,7 @@
   }
   fixture.Put(kCell, Accepted(token, "c"));
   fixture.Put(kCell, Accepted(token, "c", 7));
-  const auto report = ReadToEnd(fixture.log, kCell, replay);
-  REQUIRE(report.has_value());
-  const auto& records = report.value();
+  const auto records = fixture.Read(replay);
   CHECK(records[records.size() - 2].error.code == ErrorCode::DuplicateKey);
   CHECK(records.back().error.code == ErrorCode::KeyReused);
   CHECK(replay.Find(base::JobId("a")) == nullptr);
@@ -248,12 +244,11 @@
   fixture.Put(kCell, Decision(token, "unknown", 1));
   fixture.Put(kCell, Accepted(token, "j"));
   CellReplay replay(fixture.codec);
-  const auto report = ReadToEnd(fixture.log, kCell, replay);
-  REQUIRE(report.has_value());
-  CHECK(report.value()[1].verdict == Verdict::Malformed);
+  const auto report = fixture.Read(replay);
+  CHECK(report[1].verdict == Verdict::Malformed);
   for (std::size_t i = 2; i < 7; ++i) {
     CAPTURE(i);
-    CHECK(report.value()[i].verdict == Verdict::Rejected);
+    CHECK(report[i].verdict == Verdict::Rejected);
   }
   CHECK(replay.LiveJobs().size() == 1);
 }
--- a/libs/journal/tests/CheckpointWriterTest.cpp
+++ b/libs/journal/tests/CheckpointWriterTest.cpp
@@ -65,12 +65,12 @@
       const auto covered = cell.replay.NextOffset();
       REQUIRE(cell.Write().has_value());
       cell.Put(kCell, Decision(cell.token, "c", 1));
-      REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+      cell.Read(cell.replay);
       CHECK(cell.replay.NewestCheckpoint() == covered);
 
       cell.log.ExpireBelow(kCell, covered);
       CellReplay fresh(cell.codec);
-      REQUIRE(ReadToEnd(cell.log, kCell, fresh).has_value());
+      cell.Read(fresh);
       CHECK(fresh.IsComplete());
       CHECK(fresh.State() == cell.replay.State());
     }
@@ -86,13 +86,13 @@
     REQUIRE(cell.Write().has_value());
     const auto covered = cell.replay.NextOffset();
     cell.Put(kCell, Accepted(cell.token, "f"));
-    REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+    cell.Read(cell.replay);
     cell.duringWait = [&] {
       if (isOutage) {
         cell.log.SetDown(true);
       } else if (cell.replay.Token() == cell.token) {
         cell.PutEpoch("e2");
-        REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+        cell.Read(cell.replay);
       }
     };
     cell.log.PlanAppends(
@@ -102,12 +102,12 @@
     CHECK(written.error().code ==
           (isOutage ? ErrorCode::LogUnavailable : ErrorCode::StaleToken));
     cell.log.SetDown(false);
-    REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+    cell.Read(cell.replay);
     CHECK(cell.replay.NewestCheckpoint() == covered);
 
     cell.log.ExpireBelow(kCell, covered);
     CellReplay fresh(cell.codec);
-    REQUIRE(ReadToEnd(cell.log, kCell, fresh).has_value());
+    cell.Read(fresh);
     CHECK(fresh.IsComplete());
     CHECK(fresh.State() == cell.replay.State());
   }
@@ -119,20 +119,20 @@
 {
   CellWithJobs cell;
   CellReplay paused(cell.codec);
-  REQUIRE(ReadToEnd(cell.log, kCell, paused).has_value());
+  cell.Read(paused);
   const CellState before = paused.State();
   const auto second = cell.PutEpoch("e2");
   cell.Put(kCell, Decision(second, "c", 2));
-  REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
+  cell.Read(cell.replay);
   cell.log.ExpireBelow(kCell, cell.log.End(kCell));
-  REQUIRE(ReadToEnd(cell.log, kCell, paused).has_value());
+  cell.Read(paused);
   CHECK(!paused.IsComplete());
   CHECK(paused.State() == before);
 
   cell.Put(kCell, Decision(second, "d", 2));
   REQUIRE(cell.Write().has_value());
-  REQUIRE(ReadToEnd(cell.log, kCell, cell.replay).has_value());
-  REQUIRE(ReadToEnd(cell.log, kCell, paused).has_value());
+  cell.Read(cell.replay);
+  cell.Read(paused);
   CHECK(paused.IsComplete());
   CHECK(paused.State() == cell.replay.State());
 }
@@ -144,7 +144,7 @@
   fixture.Put(kNotesStream, Note(0, "a"));
   fixture.Put(kNotesStream, Note(1, "b"));
   NoteReplay replay(fixture.codec);
-  REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+  fixture.Read(replay);
   const std::vector records{ MakePolicyCheckpoint(replay, fixture.random) };
   fixture.log.PlanAppends(std::vector{ AppendFault::LateBeforeNext });
   REQUIRE(WriteCheckpoint(
@@ -152,8 +152,8 @@
             .has_value());
   fixture.log.ExpireBelow(kNotesStream, base::LogOffset(2));
   NoteReplay fresh(fixture.codec);
-  REQUIRE(ReadToEnd(fixture.log, kNotesStream, fresh).has_value());
-  REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+  fixture.Read(fresh);
+  fixture.Read(replay);
   CHECK(fresh.IsComplete());
   CHECK(fresh.Current() == replay.Current());
   CHECK(fresh.Current().version.Get() == 2);
--- a/libs/journal/tests/JournalFixture.h
+++ b/libs/journal/tests/JournalFixture.h
@@ -9,7 +9,8 @@
 #include "amaranthwind/journal/testing/FakeCodec.h"
 #include "amaranthwind/journal/testing/FakeLog.h"
 
-#include <algorithm>
+#include <doctest/doctest.h>
+
 #include <functional>
 #include <string>
 #include <string_view>
@@ -40,6 +41,31 @@
     return { base::MakeRecordId(this->random), std::move(aBody) };
   }
 
+  AppendTask Task(std::string_view aStream,
+                  RecordBody aBody,
+                  base::LogOffset aFrom = {})
+  {
+    return {
+      std::string(aStream), this->Make(std::move(aBody)), aFrom, {}, false
+    };
+  }
+
+  std::vector<ReplayedRecord> Read(std::string_view aStream,
+                                   StreamReplay& aReplay)
+  {
+    auto report = ReadToEnd(this->log, aStream, aReplay);
+    REQUIRE(report.has_value());
+    return std::move(report).value();
+  }
+  std::vector<ReplayedRecord> Read(CellReplay& aReplay)
+  {
+    return this->Read(kCell, aReplay);
+  }
+  std::vector<ReplayedRecord> Read(NoteReplay& aReplay)
+  {
+    return this->Read(kNotesStream, aReplay);
+  }
+
   /** Appends without faults in the way of the writer. */
   base::LogOffset Put(std::string_view aStream, const Record& aRecord)
   {
--- a/libs/journal/tests/NoteReplayTest.cpp
+++ b/libs/journal/tests/NoteReplayTest.cpp
@@ -16,7 +16,7 @@
 PolicyOf(JournalFixture& aFixture)
 {
   NoteReplay replay(aFixture.codec);
-  REQUIRE(ReadToEnd(aFixture.log, kNotesStream, replay).has_value());
+  aFixture.Read(replay);
   REQUIRE(replay.IsComplete());
   return replay.Current();
 }
@@ -33,14 +33,13 @@
   const Record second = fixture.Make(Note(0, "b"));
   fixture.Put(kNotesStream, second);
   NoteReplay replay(fixture.codec);
-  const auto report = ReadToEnd(fixture.log, kNotesStream, replay);
-  REQUIRE(report.has_value());
-  REQUIRE(report.value().size() == 2);
-  CHECK(report.value()[0].verdict == Verdict::Applied);
-  CHECK(report.value()[1].id == second.id);
-  CHECK(report.value()[1].verdict == Verdict::Rejected);
-  CHECK(report.value()[1].error.code == ErrorCode::BaseVersionConflict);
-  CHECK(report.value()[1].error.subject == first.id.View());
+  const auto report = fixture.Read(replay);
+  REQUIRE(report.size() == 2);
+  CHECK(report[0].verdict == Verdict::Applied);
+  CHECK(report[1].id == second.id);
+  CHECK(report[1].verdict == Verdict::Rejected);
+  CHECK(report[1].error.code == ErrorCode::BaseVersionConflict);
+  CHECK(report[1].error.subject == first.id.View());
   CHECK(replay.Current().nextOffset.Get() == 2);
 }
 
@@ -60,14 +59,13 @@
   fixture.Put(kNotesStream, PolicyCheckpointRecord{ tooNew });
   fixture.Put(kNotesStream, Note(1, "b"));
   NoteReplay replay(fixture.codec);
-  const auto report = ReadToEnd(fixture.log, kNotesStream, replay);
-  REQUIRE(report.has_value());
-  CHECK(Verdicts(report.value()) == std::vector<Verdict>{ Verdict::Applied,
-                                                          Verdict::Duplicate,
-                                                          Verdict::Malformed,
-                                                          Verdict::Rejected,
-                                                          Verdict::Rejected,
-                                                          Verdict::Applied });
+  const auto report = fixture.Read(replay);
+  CHECK(Verdicts(report) == std::vector<Verdict>{ Verdict::Applied,
+                                                  Verdict::Duplicate,
+                                                  Verdict::Malformed,
+                                                  Verdict::Rejected,
+                                                  Verdict::Rejected,
+                                                  Verdict::Applied });
   CHECK(replay.Current().version.Get() == 2);
 }
 
@@ -87,7 +85,7 @@
   NoteReplay withPeer(fixture.codec);
   std::vector<ReplayedRecord> report;
   CHECK(withPeer.Adopt(peer, report));
-  REQUIRE(ReadToEnd(fixture.log, kNotesStream, withPeer).has_value());
+  fixture.Read(withPeer);
   CHECK(withPeer.Current() == PolicyOf(fixture));
   CHECK(withPeer.Current().version.Get() == 1);
 }
@@ -107,7 +105,7 @@
     CAPTURE(first);
     fixture.log.ExpireBelow(kNotesStream, base::LogOffset(first));
     NoteReplay replay(fixture.codec);
-    REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+    fixture.Read(replay);
     // With the first three gone, the checkpoint leaves note "c" uncovered.
     CHECK(replay.IsComplete() == (first < 3));
     CHECK((replay.Current() == expected) == (first < 3));
@@ -135,7 +133,7 @@
 
   fixture.log.SetDown(false);
   fixture.Put(kNotesStream, Note(2, "c"));
-  REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+  fixture.Read(replay);
   CHECK(replay.Current() == PolicyOf(fixture));
 }
 
@@ -146,14 +144,14 @@
   JournalFixture fixture;
   fixture.Put(kNotesStream, Note(0, "a"));
   NoteReplay paused(fixture.codec);
-  REQUIRE(ReadToEnd(fixture.log, kNotesStream, paused).has_value());
+  fixture.Read(paused);
   fixture.Put(kNotesStream, Note(1, "b"));
   const policy::Policy peer = PolicyOf(fixture);
   fixture.Put(kNotesStream, Note(2, "c"));
   const policy::Policy expected = PolicyOf(fixture);
   fixture.log.ExpireBelow(kNotesStream, base::LogOffset(2));
 
-  REQUIRE(ReadToEnd(fixture.log, kNotesStream, paused).has_value());
+  fixture.Read(paused);
   CHECK(!paused.IsComplete());
   CHECK(paused.Current().version.Get() == 1);
   std::vector<ReplayedRecord> report;
--- a/libs/membership/tests/TargetRegistryTest.cpp
+++ b/libs/membership/tests/TargetRegistryTest.cpp
@@ -4,9 +4,9 @@
 
 #include <doctest/doctest.h>
 
-#include <functional>
+#include <algorithm>
+#include <iterator>
 #include <string>
-#include <utility>
 
 using namespace amaranthwind;
 using namespace amaranthwind::membership;
@@ -18,6 +18,17 @@
 constexpr base::Incarnation kFirst(1);
 constexpr base::Incarnation kSecond(2);
 
+enum class Step
+{
+  Hello,
+  HelloAsSecond, // The target has restarted.
+  Beat,
+  DrainBeat,
+  Close,
+  Wait750ms,
+  Wait1s,
+};
+
 /** A registry whose clock ticks as often as the role runtime's would. */
 struct Fixture
 {
@@ -27,26 +38,12 @@
 
   void Take(TargetEffects aEffects)
   {
-    for (TargetEffect& effect : aEffects) {
-      if (!std::holds_alternative<SendInterval>(effect)) {
-        this->seen.push_back(std::move(effect));
-      }
-    }
-  }
-  void Hello(base::Incarnation aIncarnation = kFirst, bool aIsDraining = false)
-  {
-    this->Take(this->registry.OnHello(
-      kTarget, aIncarnation, aIsDraining, this->clock.Now()));
-  }
-  void Beat(base::Incarnation aIncarnation = kFirst, bool aIsDraining = false)
-  {
-    this->Take(this->registry.OnHeartbeat(
-      kTarget, aIncarnation, aIsDraining, this->clock.Now()));
-  }
-  void Close(base::Incarnation aIncarnation = kFirst)
-  {
-    this->Take(this->registry.OnConnectionClosed(
-      kTarget, aIncarnation, this->clock.Now()));
+    std::copy_if(std::make_move_iterator(aEffects.begin()),
+                 std::make_move_iterator(aEffects.end()),
+                 std::back_inserter(this->seen),
+                 [](const TargetEffect& aEffect) {
+                   return !std::holds_alternative<SendInterval>(aEffect);
+                 });
   }
   void Pass(base::Duration aTime)
   {
@@ -55,6 +52,27 @@
       this->Take(this->registry.OnTick(this->clock.Now()));
     }
   }
+  void Do(Step aStep)
+  {
+    const base::TimePoint now = this->clock.Now();
+    TargetRegistry& all = this->registry;
+    switch (aStep) {
+      case Step::Hello:
+        return this->Take(all.OnHello(kTarget, kFirst, false, now));
+      case Step::HelloAsSecond:
+        return this->Take(all.OnHello(kTarget, kSecond, false, now));
+      case Step::Beat:
+        return this->Take(all.OnHeartbeat(kTarget, kFirst, false, now));
+      case Step::DrainBeat:
+        return this->Take(all.OnHeartbeat(kTarget, kFirst, true, now));
+      case Step::Close:
+        return this->Take(all.OnConnectionClosed(kTarget, kFirst, now));
+      case Step::Wait750ms:
+        return this->Pass(750ms);
+      case Step::Wait1s:
+        return this->Pass(1s);
+    }
+  }
 };
 
 } // namespace
@@ -63,130 +81,68 @@
 // restarted, and against one that is taken for lost without cause.
 TEST_CASE("each event leads to the state and the effects of the table")
 {
+  using enum Step;
+  using enum TargetState;
   const BecameUsable usable{ kTarget, kFirst };
   const BecameSuspect suspect{ kTarget, kFirst };
+  const SuspicionCleared cleared{ kTarget, kFirst };
   const StopNewWork stop{ kTarget, kFirst };
   const TargetLeft left{ kTarget, kFirst };
-  const auto lost = [](LossReason aReason) {
-    return TargetLost{ kTarget, kFirst, aReason };
-  };
+  const TargetLost closed{ kTarget, kFirst, LossReason::Closed };
+  const TargetLost silent{ kTarget, kFirst, LossReason::Silent };
+  const TargetLost restarted{ kTarget, kFirst, LossReason::Restarted };
   struct Case
   {
     const char* name;
-    std::function<void(Fixture&)> events;
+    std::vector<Step> steps;
     TargetState state;
     TargetEffects effects;
   };
+  // Each case starts with a Hello; the interval is one second.
   const std::vector<Case> cases{
-    { "announced", [](Fixture&) {}, TargetState::Announced, {} },
-    { "active",
-      [](Fixture& aFixture) { aFixture.Beat(); },
-      TargetState::Active,
-      { usable } },
-    { "heartbeats go on",
-      [](Fixture& aFixture) {
-        for (int i = 0; i < 5; ++i) {
-          aFixture.Beat();
-          aFixture.Pass(1s);
-        }
-      },
-      TargetState::Active,
-      { usable } },
+    { "announced", {}, Announced, {} },
+    { "active", { Beat }, Active, { usable } },
+    { "regular", { Beat, Wait1s, Beat, Wait1s, Beat }, Active, { usable } },
     { "late heartbeat",
-      [](Fixture& aFixture) {
-        aFixture.Beat();
-        aFixture.Pass(1750ms);
-        aFixture.Beat();
-      },
-      TargetState::Active,
-      { usable, suspect, SuspicionCleared{ kTarget, kFirst } } },
-    { "silence",
-      [](Fixture& aFixture) {
-        aFixture.Beat();
-        aFixture.Pass(2s);
-      },
-      TargetState::Lost,
-      { usable, suspect, lost(LossReason::Silent) } },
-    { "silence before the first heartbeat",
-      [](Fixture& aFixture) { aFixture.Pass(2s); },
-      TargetState::Lost,
-      { lost(LossReason::Silent) } },
-    { "crash",
-      [](Fixture& aFixture) {
-        aFixture.Beat();
-        aFixture.Close();
-      },
-      TargetState::Lost,
-      { usable, lost(LossReason::Closed) } },
+      { Beat, Wait1s, Wait750ms, Beat },
+      Active,
+      { usable, suspect, cleared } },
+    { "silence", { Beat, Wait1s, Wait1s }, Lost, { usable, suspect, silent } },
+    { "silence from the start", { Wait1s, Wait1s }, Lost, { silent } },
+    { "crash", { Beat, Close }, Lost, { usable, closed } },
+    { "crash while suspect",
+      { Beat, Wait1s, Wait750ms, Close },
+      Lost,
+      { usable, suspect, closed } },
     { "drain, then close",
-      [](Fixture& aFixture) {
-        aFixture.Beat();
-        aFixture.Beat(kFirst, true);
-        aFixture.Beat(kFirst, true);
-        aFixture.Beat(kFirst, false);
-        aFixture.Close();
-      },
-      TargetState::Left,
+      { Beat, DrainBeat, DrainBeat, Beat, Close },
+      Left,
       { usable, stop, left } },
     { "drain, then silence",
-      [](Fixture& aFixture) {
-        aFixture.Beat();
-        aFixture.Beat(kFirst, true);
-        aFixture.Pass(3s);
-      },
-      TargetState::Lost,
-      { usable, stop, lost(LossReason::Silent) } },
-    { "starts in draining",
-      [](Fixture& aFixture) { aFixture.Beat(kFirst, true); },
-      TargetState::Draining,
-      {} },
+      { Beat, DrainBeat, Wait1s, Wait1s },
+      Lost,
+      { usable, stop, silent } },
+    { "drains from the start", { DrainBeat }, Draining, {} },
     { "restart",
-      [](Fixture& aFixture) {
-        aFixture.Beat();
-        aFixture.Hello(kSecond);
-        aFixture.Close(kFirst);
-        aFixture.Beat(kFirst);
-        aFixture.Hello(kFirst);
-      },
-      TargetState::Announced,
-      { usable, lost(LossReason::Restarted) } },
-    { "heartbeat of a lost target",
-      [](Fixture& aFixture) {
-        aFixture.Close();
-        aFixture.Beat();
-      },
-      TargetState::Lost,
-      { lost(LossReason::Closed) } },
-    { "connects again",
-      [](Fixture& aFixture) {
-        aFixture.Close();
-        aFixture.Hello();
-        aFixture.Beat();
-      },
-      TargetState::Active,
-      { lost(LossReason::Closed), usable } },
-    { "left comes back only restarted",
-      [](Fixture& aFixture) {
-        aFixture.Hello(kFirst, true);
-        aFixture.Close();
-        aFixture.Hello();
-        aFixture.Beat();
-      },
-      TargetState::Left,
+      { Beat, HelloAsSecond, Close, Beat, Hello },
+      Announced,
+      { usable, restarted } },
+    { "heartbeat when lost", { Close, Beat }, Lost, { closed } },
+    { "connects again", { Close, Hello, Beat }, Active, { closed, usable } },
+    { "left stays left", { DrainBeat, Close, Hello, Beat }, Left, { left } },
+    { "left, restarted",
+      { DrainBeat, Close, HelloAsSecond },
+      Announced,
       { left } },
-    { "second connection while active",
-      [](Fixture& aFixture) {
-        aFixture.Beat();
-        aFixture.Hello();
-      },
-      TargetState::Active,
-      { usable } },
+    { "second connection", { Beat, Hello }, Active, { usable } },
   };
   for (const Case& each : cases) {
     CAPTURE(each.name);
     Fixture fixture;
-    fixture.Hello();
-    each.events(fixture);
+    fixture.Do(Hello);
+    for (const Step step : each.steps) {
+      fixture.Do(step);
+    }
     CHECK(fixture.registry.StateOf(kTarget) == each.state);
     CHECK(fixture.seen == each.effects);
   }
@@ -197,8 +153,8 @@
 TEST_CASE("a pause of the receiver is not the silence of its targets")
 {
   Fixture fixture;
-  fixture.Hello();
-  fixture.Beat();
+  fixture.Do(Step::Hello);
+  fixture.Do(Step::Beat);
   fixture.Pass(500ms);
   fixture.clock.Advance(1h);
   fixture.Take(fixture.registry.OnTick(fixture.clock.Now()));
@@ -216,8 +172,8 @@
   CHECK(HeartbeatInterval(3000) == 18s);
 
   Fixture fixture;
-  fixture.Hello();
-  fixture.Beat();
+  fixture.Do(Step::Hello);
+  fixture.Do(Step::Beat);
   for (int i = 0; i < 774; ++i) {
     const base::TargetId other("other" + std::to_string(i));
     const auto effects =
@@ -253,15 +209,15 @@
   others([&](const base::TargetId& aId) {
     fixture.registry.OnHello(aId, kFirst, false, fixture.clock.Now());
   });
-  fixture.Hello();
-  fixture.Beat();
+  fixture.Do(Step::Hello);
+  fixture.Do(Step::Beat);
   others([&](const base::TargetId& aId) {
     fixture.registry.OnConnectionClosed(aId, kFirst, fixture.clock.Now());
   });
-  fixture.Hello();
+  fixture.Do(Step::Hello);
   fixture.Pass(4500ms);
   CHECK(fixture.registry.StateOf(kTarget) == TargetState::Active);
-  fixture.Beat();
+  fixture.Do(Step::Beat);
   fixture.Pass(4500ms);
   CHECK(fixture.registry.StateOf(kTarget) == TargetState::Lost);
 }
