--- a/libs/journal/tests/AppenderTest.cpp
+++ b/libs/journal/tests/AppenderTest.cpp
@@ -12,6 +12,23 @@
 
 namespace {
 
+/** Confirms nothing and gives no records, although it has some. */
+class EmptyLog final : public LogClient
+{
+public:
+  base::Result<base::LogOffset> Append(std::string_view,
+                                       std::span<const std::byte>) override
+  {
+    return base::Fail(ErrorCode::AppendUnconfirmed);
+  }
+  base::Result<ReadBatch> Read(std::string_view,
+                               base::LogOffset,
+                               std::uint32_t) override
+  {
+    return ReadBatch{ {}, {}, base::LogOffset(9) };
+  }
+};
+
 /** Copies of a record that are in the log. */
 std::size_t
 CountCopies(JournalFixture& aFixture,
@@ -57,11 +74,8 @@
     CAPTURE(each.name);
     JournalFixture fixture;
     fixture.Put(kNotesStream, Note(0, "a"));
-    AppendTask task{ std::string(kNotesStream),
-                     fixture.Make(Note(1, "b")),
-                     base::LogOffset(1),
-                     {},
-                     false };
+    AppendTask task =
+      fixture.Task(kNotesStream, Note(1, "b"), base::LogOffset(1));
     fixture.log.PlanAppends(each.faults);
     fixture.log.FailReads(each.failingReads);
     const auto result = fixture.appender.Append(task);
@@ -69,7 +83,7 @@
     CHECK(result.value().Get() == each.offset);
     CHECK(CountCopies(fixture, kNotesStream, task.record.id) == each.copies);
     NoteReplay replay(fixture.codec);
-    REQUIRE(ReadToEnd(fixture.log, kNotesStream, replay).has_value());
+    fixture.Read(replay);
     CHECK(replay.Current().version.Get() == 2);
   }
 }
@@ -79,11 +93,7 @@
 TEST_CASE("giving up says whether the record may be in the log")
 {
   JournalFixture fixture;
-  AppendTask task{ std::string(kNotesStream),
-                   fixture.Make(Note(0, "a")),
-                   base::LogOffset(),
-                   {},
-                   false };
+  AppendTask task = fixture.Task(kNotesStream, Note(0, "a"));
   fixture.log.SetDown(true);
   auto result = fixture.appender.Append(task);
   REQUIRE(result.has_error());
@@ -113,11 +123,7 @@
 TEST_CASE("a record that may have expired is neither confirmed nor repeated")
 {
   JournalFixture fixture;
-  AppendTask task{ std::string(kNotesStream),
-                   fixture.Make(Note(0, "a")),
-                   base::LogOffset(),
-                   {},
-                   false };
+  AppendTask task = fixture.Task(kNotesStream, Note(0, "a"));
   fixture.log.PlanAppends(std::vector{ AppendFault::LostAfter });
   fixture.duringWait = [&] {
     fixture.log.ExpireBelow(kNotesStream, base::LogOffset(1));
@@ -158,7 +164,7 @@
     const base::FencingToken token(fixture.Put(kCell, ownEpoch).Get());
     fixture.Put(kCell, Accepted(token, "j"));
     CellReplay replay(fixture.codec);
-    REQUIRE(ReadToEnd(fixture.log, kCell, replay).has_value());
+    fixture.Read(replay);
     AppendTask task{ std::string(kCell),
                      fixture.Make(Decision(token, "j", 1)),
                      replay.NextOffset(),
@@ -182,9 +188,25 @@
     if (result.has_error()) {
       CHECK(result.error() == base::Error{ ErrorCode::StaleToken, "e2" });
     }
-    REQUIRE(ReadToEnd(fixture.log, kCell, replay).has_value());
+    fixture.Read(replay);
     const auto fate = replay.FateOf({ base::JobId("j"), base::Attempt(1) });
     CHECK(fate ==
           (each.isCommitted ? AttemptFate::Committed : AttemptFate::Voided));
   }
 }
+
+// Guards against a thread that asks without end for records that do not come.
+TEST_CASE("a log that gives no records is not read in a loop")
+{
+  JournalFixture fixture;
+  EmptyLog log;
+  NoteReplay replay(fixture.codec);
+  const auto read = ReadToEnd(log, kNotesStream, replay);
+  REQUIRE(read.has_error());
+  CHECK(read.error().code == ErrorCode::LogUnavailable);
+  Appender appender(log, fixture.codec, fixture.clock, fixture.waiter);
+  AppendTask task = fixture.Task(kNotesStream, Note(0, "a"));
+  const auto result = appender.Append(task);
+  REQUIRE(result.has_error());
+  CHECK(result.error().code == ErrorCode::AppendUnconfirmed);
+}
