--- a/libs/gang/tests/GangFaultTest.cpp
+++ b/libs/gang/tests/GangFaultTest.cpp
@@ -191,6 +191,17 @@
     3,
     {} },
 
+  { "a promise lost, and the log down for the abort",
+    [](GangNetwork& aIn) {
+      LogDown(0s, 20s)(aIn);
+      aIn.memberFilter = [](std::size_t aWorker, const MemberEffect& aEffect) {
+        return aWorker != 1 || Unpack<Promise>(aEffect) == nullptr;
+      };
+    },
+    Outcome::NotRun,
+    0,
+    1 },
+
   { "member lost after its promise",
     LoseMemberAfter<Promise>,
     Outcome::NotRun,
