Serve the admin address of both daemons from one class

Cause: the entry answered /live and /ready only, with bodies that docs/api.md does not have, and the target's daemon did not listen on its admin address.

Change: the new package admin has AdminServer, which serves /live, /ready, /metrics and /dump with typed error replies, on an I/O thread of its own. Both daemons use it and say through admin::Readiness why they are not ready.

--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -6,6 +6,7 @@
 #include "MembershipService.h"
 #include "PolicyKeeper.h"
 #include "RequestService.h"
+#include "amaranthwind/admin/AdminServer.h"
 #include "amaranthwind/codec/JsonRecordCodec.h"
 #include "amaranthwind/codec/NoteCodec.h"
 #include "amaranthwind/frontend/HttpLogClient.h"
@@ -75,6 +76,7 @@
   , public MembershipObserver
   , public PolicyObserver
   , public CellObserver
+  , public admin::Readiness
 {
 public:
   Impl(settings::EntrySettings aSettings,
@@ -115,11 +117,8 @@
     , callers([this](auto aRequest, auto aRespond) {
       this->HandleCaller(std::move(aRequest), std::move(aRespond));
     })
-    , admins([this](auto aRequest, auto aRespond) {
-      this->HandleAdmin(aRequest, aRespond);
-    })
     , http(this->pool, ToServerOptions(this->settings.limits), this->callers)
-    , admin(this->pool, {}, this->admins)
+    , adminServer(this->settings.id.View(), *this)
   {
   }
 
@@ -141,8 +140,9 @@
       cell->Start();
     }
     this->StartLinks(addresses.inner);
-    BOOST_OUTCOME_TRY(addresses.admin,
-                      this->admin.Listen(this->settings.common.adminListen));
+    BOOST_OUTCOME_TRY(
+      addresses.admin,
+      this->adminServer.Listen(this->settings.common.adminListen));
     BOOST_OUTCOME_TRY(addresses.http,
                       this->http.Listen(this->settings.httpListen));
     this->logger.Info(
@@ -281,6 +281,22 @@
     this->membership.SetCell({ aZone, { aCoordinator, {} }, aToken });
   }
 
+  // admin::Readiness
+
+  std::optional<base::Error> WhyNotReady() const override
+  {
+    if (this->isDraining.load()) {
+      return base::Error{ base::ErrorCode::Draining, this->settings.id.Text() };
+    }
+    if (!this->policy.IsLoaded()) {
+      return base::Error{ base::ErrorCode::NotReady, "policy" };
+    }
+    if (!this->membership.IsReady()) {
+      return base::Error{ base::ErrorCode::NotReady, "noteOffset" };
+    }
+    return std::nullopt;
+  }
+
 private:
   std::vector<std::unique_ptr<CellService>> MakeCells()
   {
@@ -376,23 +392,6 @@
     aRespond(std::move(response));
   }
 
-  void HandleAdmin(const frontend::HttpRequest& aRequest,
-                   const frontend::HttpResponder& aRespond)
-  {
-    frontend::HttpResponse response;
-    response.contentType = "text/plain";
-    if (aRequest.path == "/live") {
-      response.body = "live\n";
-    } else if (aRequest.path == "/ready") {
-      const bool isReady = this->membership.IsReady();
-      response.status = isReady ? 200 : 503;
-      response.body = isReady ? "ready\n" : "not ready\n";
-    } else {
-      response.status = 404;
-    }
-    aRespond(std::move(response));
-  }
-
   /** Waits until aIsDone, but no longer than aLimit. */
   void WaitFor(base::Duration aLimit, const std::function<bool()>& aIsDone)
   {
@@ -413,7 +412,7 @@
       this->links->Stop();
     }
     this->http.Stop();
-    this->admin.Stop();
+    this->adminServer.Stop();
     this->policy.Stop();
     for (const auto& cell : this->cells) {
       cell->Stop();
@@ -442,9 +441,8 @@
   std::vector<std::unique_ptr<CellService>> cells;
   JobService jobs;
   HandlerFunction callers;
-  HandlerFunction admins;
   frontend::HttpServer http;
-  frontend::HttpServer admin;
+  admin::AdminServer adminServer;
   std::unique_ptr<peering::EntryLinks> links;
   std::atomic<bool> isDraining{ false };
   bool isStopped = false;
--- a/libs/target/src/TargetDaemon.cpp
+++ b/libs/target/src/TargetDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "GangServer.h"
 #include "RequestServer.h"
+#include "amaranthwind/admin/AdminServer.h"
 #include "amaranthwind/base/EventLoop.h"
 #include "amaranthwind/base/Random.h"
 #include "amaranthwind/net/IoPool.h"
@@ -52,6 +53,7 @@
   : public protocol::MessageHandler
   , public peering::EntryLinksObserver
   , public EntryDirectory
+  , public admin::Readiness
 {
 public:
   Impl(settings::TargetSettings aSettings,
@@ -63,6 +65,7 @@
     , pool(this->settings.common.ioThreads)
     , node(this->pool, {}, *this)
     , loop(kLoopCapacity)
+    , adminServer(this->settings.id.View(), *this)
   {
     this->target.id = this->settings.id;
     this->target.kind = this->settings.kind;
@@ -100,15 +103,20 @@
     this->loop.SetTick(kTickInterval, [this] { this->OnTick(); });
     this->loop.Start();
     this->loop.Post([this] { this->Begin(); });
+    TargetAddresses addresses{ this->target.address, {} };
+    BOOST_OUTCOME_TRY(
+      addresses.admin,
+      this->adminServer.Listen(this->settings.common.adminListen));
     this->logger.Info(
       "started",
       { { "target", this->target.id }, { "address", this->target.address } });
-    return TargetAddresses{ this->target.address, {} };
+    return addresses;
   }
 
   void Stop()
   {
     this->logger.Info("drains", { { "target", this->target.id } });
+    this->isLeaving.store(true);
     this->loop.Post([this] { this->Drain(); });
     this->WaitUntilIdle();
     this->StopNow();
@@ -191,6 +199,19 @@
     return linked[this->nextEntry++ % linked.size()].connection;
   }
 
+  // admin::Readiness
+
+  std::optional<base::Error> WhyNotReady() const override
+  {
+    if (this->isLeaving.load()) {
+      return base::Error{ base::ErrorCode::Draining, this->settings.id.Text() };
+    }
+    if (this->links->Links().empty()) {
+      return base::Error{ base::ErrorCode::NotReady, "entries" };
+    }
+    return std::nullopt;
+  }
+
 private:
   void MakeServer()
   {
@@ -415,6 +436,7 @@
     if (std::exchange(this->isStopped, true)) {
       return;
     }
+    this->adminServer.Stop();
     if (this->links) {
       this->links->Stop();
     }
@@ -440,12 +462,15 @@
   std::size_t nextEntry = 0;
   std::chrono::milliseconds heartbeatInterval = kFirstHeartbeatInterval;
   base::TimePoint nextHeartbeat{};
+  /** Read by the admin address; isDraining belongs to the loop. */
+  std::atomic<bool> isLeaving{ false };
   bool isDraining = false;
   base::TimePoint idleNotBefore{};
   bool isStopped = false;
   std::mutex idleMutex;
   std::condition_variable idleChanged;
   bool isIdle = false;
+  admin::AdminServer adminServer;
 };
 
 TargetDaemon::TargetDaemon(settings::TargetSettings aSettings,
