--- /dev/null
+++ b/tests/endtoend/NoteTest.cpp
@@ -0,0 +1,125 @@
+#include "Scenario.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+using namespace amaranthwind;
+using namespace amaranthwind::endtoend;
+using harness::Deployment;
+using namespace std::chrono_literals;
+
+// Guards against operators who overwrite each other's notes (P8).
+TEST_CASE("of operators that race one wins, and the others are told")
+{
+  Deployment deployment({ .entries = 2, .executors = 0, .workers = 0 });
+  REQUIRE(deployment.Start());
+  REQUIRE(deployment.PublishNote(kNote).exit == 0);
+  constexpr std::size_t kOperators = 4;
+  std::vector<Deployment::ToolResult> results(kOperators);
+  std::vector<std::thread> operators;
+  operators.reserve(kOperators);
+  for (std::size_t i = 0; i < kOperators; ++i) {
+    operators.emplace_back([&, i] {
+      results[i] = deployment.PublishNote(
+        MakeAccountNote(1, "account-" + std::to_string(i)));
+    });
+  }
+  for (auto& thread : operators) {
+    thread.join();
+  }
+  int accepted = 0;
+  for (const auto& result : results) {
+    CAPTURE(result.output);
+    if (result.exit == 0) {
+      ++accepted;
+    } else {
+      CHECK(result.exit == 1);
+      CHECK(result.output.find("base-version-conflict") != std::string::npos);
+    }
+  }
+  CHECK(accepted == 1);
+  CHECK(WaitForVersion(deployment, 2));
+}
+
+// Guards against a note that takes effect twice or is reported as lost (P8).
+TEST_CASE("a note whose append got no answer is accepted once")
+{
+  Deployment deployment({ .entries = 2, .executors = 0, .workers = 0 });
+  REQUIRE(deployment.Start());
+  deployment.ControlLog(R"({"mode":"lose-answers"})");
+  const auto published = deployment.PublishNote(kNote);
+  CAPTURE(published.output);
+  CHECK(published.exit == 0);
+  CHECK(WaitForVersion(deployment, 1));
+  deployment.ControlLog(R"({"mode":"up"})");
+  REQUIRE(deployment.PublishNote(MakeAccountNote(1, "next")).exit == 0);
+  CHECK(WaitForVersion(deployment, 2));
+}
+
+// Guards against a process that serves an old policy, or none, because the log
+// is down (P8).
+TEST_CASE("an entry that starts during an outage takes the policy from a peer")
+{
+  Deployment deployment({ .entries = 2, .executors = 1, .workers = 0 });
+  REQUIRE(deployment.Start());
+  REQUIRE(deployment.PublishNote(kNote).exit == 0);
+  REQUIRE(WaitForVersion(deployment, 1));
+  deployment.ControlLog(R"({"mode":"down"})");
+  deployment.entries[1].process->Kill();
+  deployment.Restart(deployment.entries[1]);
+  CHECK(Deployment::WaitUntil(
+    [&] { return deployment.IsReady(deployment.entries[1]); }));
+  CHECK(PolicyVersion(deployment, deployment.entries[1]) == 1);
+  CHECK(Deployment::WaitUntil([&] {
+    const auto result =
+      deployment.Send(deployment.entries[1].http,
+                      Deployment::MakeRequest("lamps", "quote", "x"));
+    return result.response.has_value() && result.response.value().status == 200;
+  }));
+}
+
+// Guards against a process that is ready without a policy.
+TEST_CASE("an entry that finds neither the log nor a peer is not ready")
+{
+  Deployment deployment({ .entries = 1, .executors = 0, .workers = 0 });
+  REQUIRE(deployment.Start());
+  REQUIRE(deployment.PublishNote(kNote).exit == 0);
+  REQUIRE(WaitForVersion(deployment, 1));
+  deployment.ControlLog(R"({"mode":"down"})");
+  deployment.entries[0].process->Kill();
+  deployment.Restart(deployment.entries[0]);
+  REQUIRE(Deployment::WaitUntil([&] {
+    return deployment.Get(deployment.entries[0].admin, "/live")
+      .response.has_value();
+  }));
+  const auto answer = deployment.Send(
+    deployment.entries[0].http, Deployment::MakeRequest("lamps", "quote", "x"));
+  REQUIRE(answer.response.has_value());
+  CHECK(answer.response.value().status == 503);
+  CHECK_FALSE(deployment.IsReady(deployment.entries[0]));
+  deployment.ControlLog(R"({"mode":"up"})");
+  CHECK(WaitForVersion(deployment, 1));
+  CHECK(Deployment::WaitUntil(
+    [&] { return deployment.IsReady(deployment.entries[0]); }));
+}
+
+// Guards against a policy that goes back when a process was paused (P8).
+TEST_CASE("an entry that was paused catches up and never goes back")
+{
+  Deployment deployment({ .entries = 2, .executors = 0, .workers = 0 });
+  REQUIRE(deployment.Start());
+  REQUIRE(deployment.PublishNote(kNote).exit == 0);
+  REQUIRE(WaitForVersion(deployment, 1));
+  deployment.entries[1].process->Signal(SIGSTOP);
+  REQUIRE(deployment.PublishNote(MakeAccountNote(1, "second")).exit == 0);
+  REQUIRE(deployment.PublishNote(MakeAccountNote(2, "third")).exit == 0);
+  deployment.entries[1].process->Signal(SIGCONT);
+  std::uint64_t highest = 0;
+  CHECK(Deployment::WaitUntil([&] {
+    const auto version = PolicyVersion(deployment, deployment.entries[1]);
+    CHECK(version >= highest);
+    highest = std::max(highest, version);
+    return highest == 3;
+  }));
+}
--- /dev/null
+++ b/tests/endtoend/Scenario.cpp
@@ -0,0 +1,225 @@
+#include "Scenario.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthwind::endtoend {
+
+namespace json = boost::json;
+using harness::Deployment;
+using harness::Node;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint16_t kOk = 200;
+constexpr std::uint16_t kFirstErrorStatus = 300;
+
+json::value
+ParseBody(const frontend::HttpResult& aResult)
+{
+  if (aResult.response.has_error()) {
+    return nullptr;
+  }
+  boost::system::error_code error;
+  auto value = json::parse(aResult.response.value().body, error);
+  return error ? json::value(nullptr) : value;
+}
+
+} // namespace
+
+std::string
+MakeAccountNote(unsigned aBase, std::string_view aAccount)
+{
+  const json::object note{
+    { "base", aBase },
+    { "changes",
+      json::array{
+        json::object{ { "putAccount", json::object{ { "id", aAccount } } } } } }
+  };
+  return json::serialize(note);
+}
+
+frontend::HttpResult
+TrySubmitGang(Deployment& aDeployment, const Node& aEntry, const GangJob& aJob)
+{
+  const json::object payload{ { "runMs", aJob.runMs } };
+  const json::object shape{ { "members", aJob.members },
+                            { "perMember",
+                              json::object{ { "accelerators", 8 } } },
+                            { "adjacency", "same-rack" } };
+  const json::object spec{ { "id", aJob.id },
+                           { "kind", "simulation" },
+                           { "maxRuns", aJob.maxRuns },
+                           { "shape", shape },
+                           { "payload", json::serialize(payload) } };
+  frontend::HttpRequest request;
+  request.method = "POST";
+  request.path = "/v1/jobs";
+  request.headers = { { "X-Client-Account", "lamps" }, { "X-Caller", "test" } };
+  request.body = json::serialize(spec);
+  return aDeployment.Send(aEntry.http, std::move(request));
+}
+
+bool
+SubmitGang(Deployment& aDeployment, const Node& aEntry, const GangJob& aJob)
+{
+  return Deployment::WaitUntil([&] {
+    const auto result = TrySubmitGang(aDeployment, aEntry, aJob);
+    return result.response.has_value() &&
+           result.response.value().status < kFirstErrorStatus;
+  });
+}
+
+std::optional<json::value>
+JobState(Deployment& aDeployment, const Node& aEntry, std::string_view aId)
+{
+  const auto result =
+    aDeployment.Get(aEntry.http, "/v1/jobs/" + std::string(aId));
+  if (result.response.has_error() || result.response.value().status != kOk) {
+    return std::nullopt;
+  }
+  return ParseBody(result);
+}
+
+bool
+WaitForPhase(Deployment& aDeployment,
+             const Node& aEntry,
+             std::string_view aId,
+             std::string_view aPhase)
+{
+  return Deployment::WaitUntil([&] {
+    const auto state = JobState(aDeployment, aEntry, aId);
+    return state && state->at("phase").as_string() == aPhase;
+  });
+}
+
+std::map<std::string, int>
+TaskStates(Deployment& aDeployment)
+{
+  std::map<std::string, int> states;
+  for (const auto& worker : aDeployment.workers) {
+    const auto tasks = ParseBody(aDeployment.Get(worker.http, "/tasks"));
+    if (!tasks.is_array()) {
+      continue;
+    }
+    for (const auto& task : tasks.as_array()) {
+      ++states[std::string(task.at("state").as_string())];
+    }
+  }
+  return states;
+}
+
+std::map<std::string, std::uint64_t>
+ExecutorRuns(Deployment& aDeployment)
+{
+  std::map<std::string, std::uint64_t> runs;
+  for (const auto& executor : aDeployment.executors) {
+    const auto counts = ParseBody(aDeployment.Get(executor.http, "/runs"));
+    if (!counts.is_object()) {
+      continue;
+    }
+    for (const auto& count : counts.as_object()) {
+      runs[std::string(count.key())] +=
+        count.value().to_number<std::uint64_t>();
+    }
+  }
+  return runs;
+}
+
+std::uint64_t
+PolicyVersion(Deployment& aDeployment, const Node& aEntry)
+{
+  const auto note = ParseBody(aDeployment.Get(aEntry.http, "/v1/note"));
+  return note.is_object() ? note.at("version").to_number<std::uint64_t>() : 0;
+}
+
+bool
+WaitForVersion(Deployment& aDeployment, std::uint64_t aVersion)
+{
+  return Deployment::WaitUntil([&] {
+    const auto& entries = aDeployment.entries;
+    return std::all_of(entries.begin(), entries.end(), [&](const auto& aEntry) {
+      return PolicyVersion(aDeployment, aEntry) == aVersion;
+    });
+  });
+}
+
+std::optional<std::size_t>
+FindCoordinator(Deployment& aDeployment)
+{
+  for (std::size_t i = 0; i < aDeployment.entries.size(); ++i) {
+    const auto dump = aDeployment.Get(aDeployment.entries[i].admin, "/metrics");
+    if (dump.response.has_error()) {
+      continue;
+    }
+    const auto& text = dump.response.value().body;
+    if (text.find("amaranthwind_cell_coordinator{zone=\"tw-1\"} 1") !=
+        std::string::npos) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+QuoteLoad::QuoteLoad(Deployment& aDeployment, unsigned aCallers)
+  : deployment(aDeployment)
+{
+  this->threads.reserve(aCallers);
+  for (unsigned i = 0; i < aCallers; ++i) {
+    this->threads.emplace_back([this, i] { this->Run(i); });
+  }
+}
+
+QuoteLoad::~QuoteLoad()
+{
+  this->Stop();
+}
+
+void
+QuoteLoad::Run(unsigned aCaller)
+{
+  unsigned number = 0;
+  while (!this->isStopped.load()) {
+    const auto& entries = this->deployment.entries;
+    const auto& entry = entries[(aCaller + number) % entries.size()];
+    ++number;
+    if (!this->deployment.IsReady(entry)) {
+      std::this_thread::sleep_for(1ms);
+      continue;
+    }
+    const auto result = this->deployment.Send(
+      entry.http,
+      Deployment::MakeRequest("lamps",
+                              "quote",
+                              "quote " + std::to_string(aCaller) + "." +
+                                std::to_string(number)));
+    if (result.response.has_error()) {
+      ++this->lost;
+    } else if (result.response.value().status == kOk) {
+      ++this->done;
+    } else {
+      ++this->refused;
+    }
+  }
+}
+
+bool
+QuoteLoad::WaitForMore(unsigned aCount)
+{
+  const unsigned wanted = this->done.load() + aCount;
+  return Deployment::WaitUntil([&] { return this->done.load() >= wanted; });
+}
+
+void
+QuoteLoad::Stop()
+{
+  this->isStopped.store(true);
+  for (auto& thread : this->threads) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+} // namespace amaranthwind::endtoend
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -292,7 +293,7 @@
 Deployment::ToolResult
 Deployment::RunTool(const std::vector<std::string>& aArguments)
 {
-  static int runs = 0;
+  static std::atomic<int> runs{ 0 };
   const std::string output =
     this->folder + "/tool-" + std::to_string(++runs) + ".log";
   std::vector<std::string> command{ kBinaries +
@@ -306,7 +307,9 @@
 Deployment::ToolResult
 Deployment::PublishNote(std::string_view aNote)
 {
-  const std::string file = this->folder + "/note.json";
+  static std::atomic<int> notes{ 0 };
+  const std::string file =
+    this->folder + "/note-" + std::to_string(++notes) + ".json";
   WriteFile(file, aNote);
   return this->RunTool({ "note", "publish", "--log=" + this->log.http, file });
 }
