Read several frames with one system call

Cause: each frame took two reads, one for its header and one for its body. Change: a connection reads into an inbox and takes frames apart there.

--- a/libs/entry/src/MembershipService.cpp
+++ b/libs/entry/src/MembershipService.cpp
@@ -18,8 +18,10 @@
 
 constexpr std::size_t kLoopCapacity = 16384;
 constexpr base::Duration kFetchTimeout = 2s;
-// A connection without a message for this many intervals is given up.
-constexpr int kSilentIntervals = 2;
+// A connection without a message for this many intervals is given up. The
+// registry finds a silent target after two; this one also counts the interval
+// in which the target has not yet heard of a longer one.
+constexpr int kSilentIntervals = 3;
 constexpr std::chrono::milliseconds kIntervalNotice = 1s;
 
 std::unique_ptr<const Routes>
--- a/libs/protocol/src/Connection.cpp
+++ b/libs/protocol/src/Connection.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -20,6 +19,9 @@
 constexpr std::memory_order kRelaxed = std::memory_order_relaxed;
 // Frames that go out in one system call at most.
 constexpr std::size_t kMaxFramesPerWrite = 64;
+// Most frames fit, so that one system call reads a whole frame or several.
+// Small, since an entry holds hundreds of connections.
+constexpr std::size_t kInboxBytes = 2048;
 
 std::string
 ToText(const Connection::Endpoint& aEndpoint)
@@ -155,7 +157,8 @@
     receiver->OnConnectionOpened(this->id, aIsInbound, ToText(endpoint));
   }
   this->ArmLivenessTimer();
-  this->ReadHeader();
+  this->inbox.resize(kInboxBytes);
+  this->Read();
   this->WriteQueued();
 }
 
@@ -217,46 +220,71 @@
 }
 
 void
-Connection::ReadHeader()
+Connection::Read()
 {
-  asio::async_read(
-    this->socket,
-    asio::buffer(this->header),
-    [self = this->shared_from_this()](const error_code& aError, std::size_t) {
+  this->socket.async_read_some(
+    asio::buffer(this->inbox.data() + this->inboxUsed,
+                 this->inbox.size() - this->inboxUsed),
+    [self = this->shared_from_this()](const error_code& aError,
+                                      std::size_t aCount) {
       if (aError) {
         self->CloseNow({ ErrorCode::ConnectionClosed, aError.message() });
         return;
       }
-      const auto length = DecodeFrameLength(self->header);
-      if (length.has_error()) {
-        self->counters->badFrames.fetch_add(1, kRelaxed);
-        self->CloseNow(length.error());
-        return;
-      }
-      self->ReadBody(length.value());
+      self->inboxUsed += aCount;
+      self->OnBytes();
     });
 }
 
 void
-Connection::ReadBody(std::size_t aLength)
+Connection::OnBytes()
 {
-  this->frame.resize(aLength);
-  asio::async_read(
-    this->socket,
-    asio::buffer(this->frame),
-    [self = this->shared_from_this()](const error_code& aError, std::size_t) {
-      if (aError) {
-        self->CloseNow({ ErrorCode::ConnectionClosed, aError.message() });
-        return;
-      }
-      self->OnFrame();
-    });
+  this->lastReceived = steady_clock::now();
+  std::size_t done = 0;
+  while (this->state.Phase() == ConnectionPhase::Open) {
+    const std::span<const std::byte> rest(this->inbox.data() + done,
+                                          this->inboxUsed - done);
+    if (rest.size() < kFrameHeaderBytes) {
+      break;
+    }
+    const auto length = DecodeFrameLength(rest);
+    if (length.has_error()) {
+      this->counters->badFrames.fetch_add(1, kRelaxed);
+      this->CloseNow(length.error());
+      return;
+    }
+    const std::size_t whole = kFrameHeaderBytes + length.value();
+    if (rest.size() < whole) {
+      this->ReserveInbox(whole);
+      break;
+    }
+    // A copy, since the decoder needs an aligned buffer.
+    this->frame.assign(rest.begin() + kFrameHeaderBytes,
+                       rest.begin() + static_cast<std::ptrdiff_t>(whole));
+    done += whole;
+    this->OnFrame();
+  }
+  if (this->state.Phase() != ConnectionPhase::Open) {
+    return;
+  }
+  std::copy(this->inbox.begin() + static_cast<std::ptrdiff_t>(done),
+            this->inbox.begin() + static_cast<std::ptrdiff_t>(this->inboxUsed),
+            this->inbox.begin());
+  this->inboxUsed -= done;
+  this->Read();
+}
+
+void
+Connection::ReserveInbox(std::size_t aBytes)
+{
+  if (this->inbox.size() < aBytes) {
+    this->inbox.resize(aBytes);
+  }
 }
 
 void
 Connection::OnFrame()
 {
-  this->lastReceived = steady_clock::now();
   this->counters->framesReceived.fetch_add(1, kRelaxed);
   this->counters->bytesReceived.fetch_add(
     this->frame.size() + kFrameHeaderBytes, kRelaxed);
@@ -275,9 +303,6 @@
       receiver->OnConnectionMessage(this->id, envelope.value());
     }
   }
-  if (this->state.Phase() == ConnectionPhase::Open) {
-    this->ReadHeader();
-  }
 }
 
 void
--- a/libs/protocol/src/Connection.h
+++ b/libs/protocol/src/Connection.h
@@ -9,7 +9,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <array>
 #include <atomic>
 #include <deque>
 #include <map>
@@ -85,8 +84,9 @@
   void Enqueue(std::vector<std::byte> aFrame);
   void WriteQueued();
   void OnWritten(const boost::system::error_code& aError);
-  void ReadHeader();
-  void ReadBody(std::size_t aLength);
+  void Read();
+  void OnBytes();
+  void ReserveInbox(std::size_t aBytes);
   void OnFrame();
   void CompleteCall(const Envelope& aEnvelope);
   void ArmCallTimer();
@@ -106,7 +106,9 @@
   std::weak_ptr<ConnectionOwner> owner;
   ConnectionState state;
 
-  std::array<std::byte, kFrameHeaderBytes> header{};
+  /** Bytes that were read and not yet taken apart. */
+  std::vector<std::byte> inbox;
+  std::size_t inboxUsed = 0;
   std::vector<std::byte> frame;
   std::deque<std::vector<std::byte>> queue;
   std::vector<std::vector<std::byte>> writing;
