Fix cancelling a job whose guarantee is being reclaimed

Such a job has left the queue already; removing it again erased past the end of the queue. The random test now cancels and ends jobs in every phase, which showed the fault under the address sanitizer.

--- a/libs/scheduling/src/CellScheduler.cpp
+++ b/libs/scheduling/src/CellScheduler.cpp
@@ -490,8 +490,7 @@
       std::erase(this->delayed, aJob);
       break;
     case Phase::Reclaiming:
-      this->CancelClaim(aJob);
-      this->Dequeue(aJob);
+      this->CancelClaim(aJob); // It has left the queue already.
       break;
     case Phase::Placed:
       for (Trial& trial : this->trials) {
--- a/libs/scheduling/tests/InvariantTest.cpp
+++ b/libs/scheduling/tests/InvariantTest.cpp
@@ -45,8 +45,18 @@
       this->SubmitRandom();
     } else if (event < 75) {
       this->EndRandom();
-    } else if (event < 80 && !this->running.empty()) {
-      this->Handle(JobCancelled{ this->AnyRunning() });
+    } else if (event < 80 && this->names != 0) {
+      // In any phase, also one that has ended.
+      const base::JobId job("j" +
+                            std::to_string(this->Draw(0, this->names - 1)));
+      if (this->Draw(0, 3) != 0) {
+        this->Handle(JobCancelled{ job });
+      } else if (!this->running.contains(job.Text())) {
+        for (auto& own : this->ownAlive) {
+          own.erase(job.Text());
+        }
+        this->Handle(JobEnded{ job });
+      }
     } else if (event < 84) {
       this->LoseOrJoin();
     } else if (event < 86) {
