Test random events across coordinator changes

A new scheduler that learns running jobs before their workers announce themselves could use accelerators twice; the random test now changes the coordinator and also checks that no job runs more often than allowed.

--- a/libs/scheduling/tests/InvariantTest.cpp
+++ b/libs/scheduling/tests/InvariantTest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <memory>
 #include <set>
 
 using namespace amaranthwind;
@@ -33,7 +34,7 @@
 public:
   explicit RandomCell(std::uint64_t aSeed)
     : random(aSeed)
-    , cell(kWorkers)
+    , cell(std::make_unique<SchedulerFixture>(kWorkers))
   {
     this->Publish({ 1, 1, 1 });
   }
@@ -55,14 +56,17 @@
         for (auto& own : this->ownAlive) {
           own.erase(job.Text());
         }
+        this->submitted.at(job.Text()).hasEnded = true;
         this->Handle(JobEnded{ job });
       }
     } else if (event < 84) {
       this->LoseOrJoin();
-    } else if (event < 86) {
+    } else if (event < 85) {
+      this->ChangeCoordinator();
+    } else if (event < 87) {
       this->Publish({ this->Draw(0, 1), this->Draw(0, 1), this->Draw(0, 1) });
     } else {
-      this->cell.clock.Advance(seconds(this->Draw(1, 40)));
+      this->cell->clock.Advance(seconds(this->Draw(1, 40)));
       this->Handle(Tick{});
     }
   }
@@ -71,7 +75,7 @@
    * false if the fleet is too small for the promises now. */
   bool ClaimEverything()
   {
-    this->cell.clock.Advance(seconds(120)); // Delayed jobs are due.
+    this->cell->clock.Advance(seconds(120)); // Delayed jobs are due.
     this->Handle(Tick{});
     if (!this->shortfalls.empty()) {
       return false;
@@ -81,7 +85,7 @@
       std::uint32_t unused = this->isOn[account] ? kCounts[account] : 0;
       for (const std::string& name : this->ownAlive[account]) {
         // A running job is taken into the guarantee when a unit is unused.
-        const auto tenure = this->cell.scheduler.FindTenure(base::JobId(name));
+        const auto tenure = this->cell->scheduler.FindTenure(base::JobId(name));
         const bool isOutside = tenure && *tenure != Tenure::Guaranteed;
         unused -= isOutside ? 0 : std::min(unused, 1U);
       }
@@ -115,6 +119,10 @@
   {
     std::size_t account = 0;
     fleet::Shape shape;
+    job::JobSpec spec;
+    std::uint32_t attempts = 0;
+    std::uint32_t runs = 0;
+    bool hasEnded = false;
   };
 
   int Draw(int aLow, int aHigh)
@@ -136,14 +144,42 @@
                  bool aIsPreemptible)
   {
     const std::string account(1, static_cast<char>('a' + aAccount));
-    this->submitted[aName] = { aAccount, aShape };
-    this->Handle(JobSubmitted{
+    const job::JobSpec spec =
       SchedulerFixture::MakeSpec(aName,
                                  aShape,
                                  { .account = account,
                                    .maxRuns = aRuns,
-                                   .isPreemptible = aIsPreemptible }),
-      static_cast<std::uint32_t>(this->Draw(0, 2)) });
+                                   .isPreemptible = aIsPreemptible });
+    this->submitted[aName] = { aAccount, aShape, spec };
+    this->Handle(
+      JobSubmitted{ spec, static_cast<std::uint32_t>(this->Draw(0, 2)) });
+  }
+
+  /** A new scheduler learns the jobs from the log, then the workers announce
+   * themselves. */
+  void ChangeCoordinator()
+  {
+    this->cell = std::make_unique<SchedulerFixture>();
+    this->stopping.clear();
+    this->shortfalls.clear();
+    this->Publish({ this->isOn[0], this->isOn[1], this->isOn[2] });
+    for (const auto& [name, job] : this->submitted) {
+      if (!job.hasEnded) {
+        const auto placed = this->running.find(name);
+        this->Handle(JobRestored{ job.spec,
+                                  0,
+                                  base::Attempt(job.attempts),
+                                  job.runs,
+                                  placed == this->running.end()
+                                    ? std::vector<base::TargetId>{}
+                                    : placed->second.workers });
+      }
+    }
+    for (int worker = 0; worker < kWorkers; ++worker) {
+      if (!this->lost.contains(worker)) {
+        this->Handle(WorkerJoined{ MakeWorker(worker) });
+      }
+    }
   }
 
   void SubmitRandom()
@@ -187,6 +223,8 @@
     const Attempt attempt = this->running.at(aName);
     this->running.erase(aName);
     this->stopping.erase(aName);
+    this->submitted.at(aName).runs -=
+      aOutcome == AttemptOutcome::NotRun ? 1 : 0;
     this->Handle(GangEnded{
       { base::JobId(aName), base::Attempt(attempt.number) },
       aOutcome,
@@ -199,9 +237,11 @@
     const int worker = this->Draw(0, kWorkers - 1);
     const bool isLost = this->Draw(0, 1) == 0;
     if (!isLost) {
+      this->lost.erase(worker);
       this->Handle(WorkerJoined{ MakeWorker(worker) });
       return;
     }
+    this->lost.insert(worker);
     this->Handle(WorkerLost{ WorkerName(worker) });
     std::vector<std::string> ended;
     for (const auto& [name, attempt] : this->running) {
@@ -233,8 +273,8 @@
 
   void Handle(const Event& aEvent)
   {
-    this->cell.Send(aEvent);
-    for (const Effect& effect : this->cell.effects) {
+    this->cell->Send(aEvent);
+    for (const Effect& effect : this->cell->effects) {
       std::visit([this](const auto& aBody) { this->Apply(aBody); }, effect);
     }
   }
@@ -242,7 +282,10 @@
   void Apply(const StartGang& aStart)
   {
     const std::string name = aStart.plan.gang.job.Text();
-    const Submitted& job = this->submitted.at(name);
+    Submitted& job = this->submitted.at(name);
+    job.attempts = aStart.plan.gang.attempt.Get();
+    ++job.runs;
+    CHECK(job.runs <= job.spec.maxRuns);
     const auto& members = aStart.plan.members;
     REQUIRE_FALSE(this->running.contains(name));
     REQUIRE(members.size() == job.shape.members);
@@ -284,6 +327,7 @@
   void Apply(const EndJob& aEnd)
   {
     CHECK_FALSE(this->running.contains(aEnd.job.Text()));
+    this->submitted.at(aEnd.job.Text()).hasEnded = true;
     for (auto& own : this->ownAlive) {
       own.erase(aEnd.job.Text());
     }
@@ -291,6 +335,7 @@
   void Apply(const RefuseJob& aRefusal)
   {
     CHECK_FALSE(this->running.contains(aRefusal.job.Text()));
+    this->submitted.at(aRefusal.job.Text()).hasEnded = true;
     for (auto& own : this->ownAlive) {
       own.erase(aRefusal.job.Text());
     }
@@ -306,10 +351,11 @@
   void Apply(const ChangeWorkerHealth&) {}
 
   base::RandomEngine random;
-  SchedulerFixture cell;
+  std::unique_ptr<SchedulerFixture> cell;
   int names = 0;
   std::array<bool, 3> isOn{};
   std::map<std::string, Submitted> submitted;
+  std::set<int> lost;
   std::map<std::string, Attempt> running;
   std::set<std::string> stopping;
   std::set<base::AccountId> shortfalls;
