--- a/libs/scheduling/benchmark/Simulation.cpp
+++ b/libs/scheduling/benchmark/Simulation.cpp
@@ -21,6 +21,8 @@
 constexpr base::Duration kTick = seconds(5);
 /** Reclaim time and one tick. */
 constexpr base::Duration kClaimLimit = seconds(36);
+/** Jobs that have not ended then are counted as starved or failed. */
+constexpr base::Duration kHorizon = std::chrono::hours(24 * 14);
 constexpr base::Duration kStarvation = std::chrono::hours(24);
 
 enum class What : std::uint8_t
@@ -103,7 +105,8 @@
 
   Figures Run()
   {
-    while (!this->queue.empty() && this->over < this->states.size()) {
+    while (!this->queue.empty() && this->over < this->states.size() &&
+           this->now < kHorizon) {
       const Item item = this->queue.top();
       this->queue.pop();
       this->Measure(item.at);
@@ -419,6 +422,8 @@
       std::count_if(this->waiting.begin(), this->waiting.end(), [&](auto aJob) {
         return this->workload.jobs[aJob].IsLargeGang();
       }));
+    this->figures.failedJobs +=
+      static_cast<double>(this->states.size() - this->over);
     return this->figures;
   }
 
--- a/libs/scheduling/src/CellScheduler.cpp
+++ b/libs/scheduling/src/CellScheduler.cpp
@@ -316,14 +316,7 @@
       aJob, base::Error{ ErrorCode::TargetFailed, job.spec.id.Text() });
     return;
   }
-  const auto placeable = this->CountPlaceable(
-    job.spec.shape, job.failedOn, [this](WorkerIndex aWorker) {
-      return this->uses[aWorker].total;
-    });
-  if (placeable < job.spec.shape.members) {
-    // A place that failed before is better than none.
-    job.failedOn.clear();
-  }
+  this->mustCheckAvoided = true;
   this->Retry(aJob, !hasRun);
 }
 
@@ -438,6 +431,10 @@
                                      : StopReason::GuaranteeClaimed);
     }
   }
+  if (this->mustCheckAvoided) {
+    this->mustCheckAvoided = false;
+    this->ReleaseAvoided();
+  }
   this->ForgetLostWorkers();
   const bool hasJustSettled =
     *this->settledAt <= this->now && *this->settledAt != base::TimePoint::min();
@@ -457,6 +454,31 @@
   }
 }
 
+void
+CellScheduler::State::ReleaseAvoided()
+{
+  // A place that failed before is better than none.
+  std::vector<JobIndex> stuck;
+  for (const ClassRow& row : this->classes) {
+    if (row.waiting.empty() || row.key.only == kNoJob) {
+      continue;
+    }
+    const JobRow& job = this->jobs[row.waiting.front()];
+    const auto placeable = this->CountPlaceable(
+      job.spec.shape, job.failedOn, [this](WorkerIndex aWorker) {
+        return this->uses[aWorker].total;
+      });
+    if (placeable < job.spec.shape.members) {
+      stuck.push_back(row.waiting.front());
+    }
+  }
+  for (const JobIndex job : stuck) {
+    this->Dequeue(job);
+    this->jobs[job].failedOn.clear();
+    this->Enqueue(job);
+  }
+}
+
 JobIndex
 CellScheduler::State::AddJob(const job::JobSpec& aSpec, std::uint32_t aUrgency)
 {
@@ -654,6 +676,7 @@
   const bool isUsable = row.presence == fleet::WorkerPresence::Present &&
                         this->health.Health(aWorker) == WorkerHealth::Healthy;
   this->uses[aWorker].total = isUsable ? row.target.resources : Resources{};
+  this->mustCheckAvoided = this->mustCheckAvoided || !isUsable;
   this->announced.Set(
     aWorker, row.place, row.target.resources, row.target.resources);
   this->ledger.SetWorker(aWorker, row.place, this->uses[aWorker].total);
--- a/libs/scheduling/src/SchedulerState.h
+++ b/libs/scheduling/src/SchedulerState.h
@@ -138,6 +138,8 @@
   void ReleaseAttempt(JobIndex aJob);
   void EndFailed(JobIndex aJob, const GangEnded& aEvent);
   void RefuseIfHopeless(JobIndex aJob);
+  /** Lets jobs use the workers that they avoid if no others are left. */
+  void ReleaseAvoided();
   bool CouldEverFit(const fleet::Shape& aShape);
 
   // Workers.
@@ -273,6 +275,8 @@
   bool hasFreed = false;
   /** Known workers shrank, so that a waiting job may have become hopeless. */
   bool mustCheckHopeless = false;
+  /** Fewer workers are usable, or a job avoids more of them. */
+  bool mustCheckAvoided = false;
   std::vector<ClassIndex> freshClasses;
   std::vector<fleet::WorkerIndex> lostWorkers;
   // Scratch space of one decision.
--- a/libs/scheduling/tests/HealthTest.cpp
+++ b/libs/scheduling/tests/HealthTest.cpp
@@ -121,3 +121,20 @@
     }
   }
 }
+
+// Guards against a job that waits for ever for workers that it does not avoid.
+TEST_CASE("a job goes back to a worker that it avoids if no other is left")
+{
+  SchedulerFixture cell(2);
+  cell.Submit("j", MakeShape(1, 8), kRetried);
+  const int first = WorkerOf(cell.All<StartGang>().front());
+  cell.End("j", AttemptOutcome::Failed);
+  REQUIRE(cell.Started() == Names{ "j" });
+  CHECK(WorkerOf(cell.All<StartGang>().front()) != first);
+  cell.Send(WorkerLost{ WorkerName(1 - first) });
+  cell.End("j", AttemptOutcome::Failed, 2);
+  CHECK(cell.Started().empty());
+  cell.Wait(seconds(1));
+  REQUIRE(cell.Started() == Names{ "j" });
+  CHECK(WorkerOf(cell.All<StartGang>().front()) == first);
+}
