Report the stranded share of the fleet in the policy benchmark

The share of the free accelerators is near one whenever one accelerator is free on a full fleet; the stranded share of the fleet tells that apart from real waste.

--- a/libs/scheduling/benchmark/PolicyBenchmark.cpp
+++ b/libs/scheduling/benchmark/PolicyBenchmark.cpp
@@ -88,6 +88,7 @@
         Print("large-p99", column(&Figures::p99LargeGang), 0);
         Print("urgent", column(&Figures::smallUrgent), 1);
         Print("unusable", column(&Figures::unusableShare), 3);
+        Print("stranded", column(&Figures::stranded), 3);
         Print("util", column(&Figures::utilisation), 3);
         Print("violations", column(&Figures::violations), 0);
         Print("starved", column(&Figures::starved), 0);
--- a/libs/scheduling/benchmark/Simulation.cpp
+++ b/libs/scheduling/benchmark/Simulation.cpp
@@ -325,7 +325,9 @@
       all += one;
     }
     if (largest != nullptr && all != 0) {
-      this->unusable += time * (1 - this->Usable(*largest) / all);
+      const double usable = this->Usable(*largest);
+      this->unusable += time * (1 - usable / all);
+      this->stranded += time * (all - usable);
     }
   }
 
@@ -416,6 +418,8 @@
     }
     const double window = Minutes(kWindow).count();
     this->figures.unusableShare = this->unusable / window;
+    this->figures.stranded =
+      this->stranded / (window * kWorkers * kAccelerators);
     this->figures.utilisation =
       this->productive / (window * kWorkers * kAccelerators);
     this->figures.starved += static_cast<double>(
@@ -440,6 +444,7 @@
   std::map<base::AccountId, std::uint32_t> shortfalls;
   std::size_t over = 0;
   double unusable = 0;
+  double stranded = 0;
   double productive = 0;
   std::vector<double> completions;
   std::vector<double> largeGangs;
--- a/libs/scheduling/benchmark/Simulation.h
+++ b/libs/scheduling/benchmark/Simulation.h
@@ -73,6 +73,7 @@
   double p99LargeGang = 0;   // Minutes.
   double smallUrgent = 0;    // Minutes, mean of the most urgent kind.
   double unusableShare = 0;  // Of the free accelerators, over time.
+  double stranded = 0;       // Accelerators behind unusableShare, of the fleet.
   double utilisation = 0;    // Productive share of the fleet in the window.
   double violations = 0;     // Guarantees not had back in time.
   double starved = 0;        // Large gangs that waited for over a day.
