--- a/libs/scheduling/benchmark/Simulation.cpp
+++ b/libs/scheduling/benchmark/Simulation.cpp
@@ -21,6 +21,8 @@
 constexpr base::Duration kTick = seconds(5);
 /** Reclaim time and one tick. */
 constexpr base::Duration kClaimLimit = seconds(36);
+/** Jobs that have not ended then are counted as starved or failed. */
+constexpr base::Duration kHorizon = std::chrono::hours(24 * 14);
 constexpr base::Duration kStarvation = std::chrono::hours(24);
 
 enum class What : std::uint8_t
@@ -103,7 +105,8 @@
 
   Figures Run()
   {
-    while (!this->queue.empty() && this->over < this->states.size()) {
+    while (!this->queue.empty() && this->over < this->states.size() &&
+           this->now < kHorizon) {
       const Item item = this->queue.top();
       this->queue.pop();
       this->Measure(item.at);
@@ -322,7 +325,9 @@
       all += one;
     }
     if (largest != nullptr && all != 0) {
-      this->unusable += time * (1 - this->Usable(*largest) / all);
+      const double usable = this->Usable(*largest);
+      this->unusable += time * (1 - usable / all);
+      this->stranded += time * (all - usable);
     }
   }
 
@@ -413,12 +418,16 @@
     }
     const double window = Minutes(kWindow).count();
     this->figures.unusableShare = this->unusable / window;
+    this->figures.stranded =
+      this->stranded / (window * kWorkers * kAccelerators);
     this->figures.utilisation =
       this->productive / (window * kWorkers * kAccelerators);
     this->figures.starved += static_cast<double>(
       std::count_if(this->waiting.begin(), this->waiting.end(), [&](auto aJob) {
         return this->workload.jobs[aJob].IsLargeGang();
       }));
+    this->figures.failedJobs +=
+      static_cast<double>(this->states.size() - this->over);
     return this->figures;
   }
 
@@ -435,6 +444,7 @@
   std::map<base::AccountId, std::uint32_t> shortfalls;
   std::size_t over = 0;
   double unusable = 0;
+  double stranded = 0;
   double productive = 0;
   std::vector<double> completions;
   std::vector<double> largeGangs;
