Keep the number of waiting requests constant in the queue benchmark

Cause: with 150 accounts and 10 kinds the benchmark refused requests for want of memory, so the queue shrank while it ran (107 waiting after 1 s).

--- a/libs/admission/benchmark/AdmissionBenchmark.cpp
+++ b/libs/admission/benchmark/AdmissionBenchmark.cpp
@@ -56,9 +56,12 @@
   const policy::Policy policy = MakePolicy(accounts, kinds);
   ShareTable table;
   CapacityGate gate(29);
-  AdmissionQueue queue(gate,
-                       table.Build(policy),
-                       { .assumedService = std::chrono::microseconds(1) });
+  AdmissionQueue queue(
+    gate,
+    table.Build(policy),
+    // Never refuses, so that the number of waiting requests stays the same.
+    { .maxWaiting = 10'000'000,
+      .assumedService = std::chrono::nanoseconds(1) });
   std::uint64_t id = 0;
   auto submit = [&] {
     ++id;
