Let bookings displace idempotent requests in the request ledger

Change: answered idempotent requests are forgotten, oldest first, when there is no room. The overhead of keys and answers is counted with the nodes and headers of the heap.

--- a/libs/requests/include/amaranthwind/requests/RequestLedger.h
+++ b/libs/requests/include/amaranthwind/requests/RequestLedger.h
@@ -109,9 +109,10 @@
 /**
  * The keys that one target has admitted, refused or holds as witness for
  * another target, with the answers. A key is kept until the key window after
- * its last event. When there is no room, new non-idempotent requests are
- * refused; no key is forgotten early. Not thread-safe. Times never go back
- * between calls.
+ * its last event. When there is no room, answered idempotent requests are
+ * forgotten; they may run again. Then new non-idempotent requests are refused:
+ * no other key is forgotten early. Not thread-safe. Times never go back between
+ * calls.
  */
 class RequestLedger
 {
--- a/libs/requests/src/RequestLedger.cpp
+++ b/libs/requests/src/RequestLedger.cpp
@@ -22,6 +22,8 @@
   Refused, // It has not run.
 };
 
+using ClosedKeys = std::list<const RequestKey*>;
+
 struct Entry
 {
   Phase phase = Phase::Queued;
@@ -36,11 +38,16 @@
   std::shared_ptr<const Answer> answer;
   std::vector<Ticket> tickets;
   base::TimePoint expiresAt;
-  /** Place in the expiry queue while the entry is closed. */
-  std::optional<std::list<const RequestKey*>::iterator> place;
+  bool isIdempotent = false;
+  /** Place in a queue of closed entries. */
+  std::optional<ClosedKeys::iterator> place;
   std::size_t bytes = 0;
 
-  bool IsOpen() const { return this->phase <= Phase::Running; }
+  /** Whether the key may be forgotten early: the request may run again. */
+  bool IsDispensable() const
+  {
+    return this->isIdempotent && this->phase != Phase::Refused;
+  }
 };
 
 struct KeyHash
@@ -54,9 +61,14 @@
   }
 };
 
-/** Of a node of the table, its slot and one entry of the expiry queue. */
+/**
+ * What an entry takes besides the text of its key: the nodes of the table and
+ * of a queue, and the headers of four heap blocks.
+ */
 constexpr std::size_t kEntryOverhead =
-  sizeof(std::pair<const RequestKey, Entry>) + 4 * sizeof(void*);
+  sizeof(std::pair<const RequestKey, Entry>) + 14 * sizeof(void*);
+/** The same for an answer besides its body. */
+constexpr std::size_t kAnswerOverhead = sizeof(Answer) + 6 * sizeof(void*);
 
 Decision
 Say(Verdict aVerdict, base::ErrorCode aCode, std::string_view aSubject)
@@ -221,7 +233,7 @@
     if (found == this->entries.end()) {
       const base::Duration age =
         aRequest.attempt > 0 ? this->settings.keyWindow : aAge;
-      if (!this->CanVouchFor(aNow, age) || !this->HasRoom(aRequest.key)) {
+      if (!this->CanVouchFor(aNow, age) || !this->MakeRoom(aRequest.key)) {
         return SayUnknown("the key is not known here");
       }
       found = this->Add(aRequest);
@@ -264,7 +276,7 @@
     const bool doesVouch = this->CanVouchFor(aNow, this->settings.keyWindow);
     auto found = this->entries.find(aClaim.key);
     if (found == this->entries.end()) {
-      if (!this->HasRoom(aClaim.key)) {
+      if (!this->MakeRoom(aClaim.key)) {
         return { ClaimResult::Full, doesVouch, nullptr };
       }
       found =
@@ -334,10 +346,22 @@
            aKey.key.Text().capacity();
   }
 
-  bool HasRoom(const RequestKey& aKey) const
+  bool MakeRoom(const RequestKey& aKey)
+  {
+    return this->MakeRoom(1, SizeOf(aKey));
+  }
+
+  /** Forgets the oldest idempotent requests as far as needed. */
+  bool MakeRoom(std::size_t aKeys, std::size_t aBytes)
   {
-    return this->entries.size() < this->settings.maxKeys &&
-           this->bytes + SizeOf(aKey) <= this->settings.maxBytes;
+    const auto hasRoom = [&] {
+      return this->entries.size() + aKeys <= this->settings.maxKeys &&
+             this->bytes + aBytes <= this->settings.maxBytes;
+    };
+    while (!hasRoom() && !this->dispensable.empty()) {
+      this->Erase(this->entries.find(*this->dispensable.front()), {});
+    }
+    return hasRoom();
   }
 
   Decision AdmitNew(base::TimePoint aNow,
@@ -347,7 +371,7 @@
     if (this->isDraining) {
       return this->SayNotRun(aNow, aRequest.attempt, base::ErrorCode::Draining);
     }
-    if (!this->HasRoom(aRequest.key)) {
+    if (!this->MakeRoom(aRequest.key)) {
       if (aRequest.isIdempotent) {
         return { Verdict::RunUntracked, nullptr, std::nullopt, {} };
       }
@@ -389,6 +413,7 @@
     Entry& entry = found->second;
     entry.fingerprint = aRequest.fingerprint;
     entry.attempt = aRequest.attempt;
+    entry.isIdempotent = aRequest.isIdempotent;
     entry.isProvenNotRun = aRequest.attempt == 0;
     entry.bytes = SizeOf(found->first);
     this->bytes += entry.bytes;
@@ -398,8 +423,8 @@
   /** Keeps the answer if there is room for it. */
   void Keep(Entry& aEntry, std::shared_ptr<const Answer> aAnswer)
   {
-    const std::size_t size = sizeof(Answer) + aAnswer->body.size();
-    if (this->bytes + size <= this->settings.maxBytes) {
+    const std::size_t size = kAnswerOverhead + aAnswer->body.size();
+    if (this->MakeRoom(0, size)) {
       aEntry.answer = std::move(aAnswer);
       aEntry.bytes += size;
       this->bytes += size;
@@ -417,7 +442,8 @@
     this->Unlist(entry);
     entry.phase = aPhase;
     entry.expiresAt = aNow + this->settings.keyWindow;
-    entry.place = this->expiry.insert(this->expiry.end(), &aPosition->first);
+    ClosedKeys& keys = this->KeysOf(entry);
+    entry.place = keys.insert(keys.end(), &aPosition->first);
     return aDecision;
   }
 
@@ -442,19 +468,26 @@
   void Unlist(Entry& aEntry)
   {
     if (aEntry.place) {
-      this->expiry.erase(*aEntry.place);
+      this->KeysOf(aEntry).erase(*aEntry.place);
       aEntry.place.reset();
     }
   }
 
+  ClosedKeys& KeysOf(const Entry& aEntry)
+  {
+    return aEntry.IsDispensable() ? this->dispensable : this->indispensable;
+  }
+
   void Expire(base::TimePoint aNow)
   {
-    while (!this->expiry.empty()) {
-      const auto found = this->entries.find(*this->expiry.front());
-      if (found->second.expiresAt > aNow) {
-        return;
+    for (ClosedKeys* keys : { &this->dispensable, &this->indispensable }) {
+      while (!keys->empty()) {
+        const auto found = this->entries.find(*keys->front());
+        if (found->second.expiresAt > aNow) {
+          break;
+        }
+        this->Erase(found, {});
       }
-      this->Erase(found, {});
     }
   }
 
@@ -462,10 +495,11 @@
   const LedgerSettings settings;
   Entries entries;
   /**
-   * Keys of closed entries. The window is the same for all, so that they are in
-   * order of time. The keys in the nodes of the table keep their address.
+   * Keys of closed entries. The window is the same for all, so that each list
+   * is in order of time. The keys in the nodes of the table keep their address.
    */
-  std::list<const RequestKey*> expiry;
+  ClosedKeys dispensable;
+  ClosedKeys indispensable;
   std::size_t bytes = 0;
   std::size_t open = 0;
   bool isDraining = false;
--- a/libs/requests/tests/RequestLedgerTest.cpp
+++ b/libs/requests/tests/RequestLedgerTest.cpp
@@ -332,6 +332,29 @@
   CHECK(bench.ledger.KeyCount() == 1);
 }
 
+// Guards against bookings refused because quick idempotent requests fill the
+// table.
+TEST_CASE("idempotent requests make room for bookings")
+{
+  LedgerSettings settings;
+  settings.maxKeys = 10;
+  LedgerBench bench(settings);
+  for (int index = 0; index < 25; ++index) {
+    Request quote = MakeRequest(std::to_string(index));
+    quote.isIdempotent = true;
+    REQUIRE(bench.Admit(quote) == Verdict::Queue);
+    REQUIRE(bench.ledger.Start(quote.key));
+    CHECK(bench.Finish(quote) == 1);
+    CHECK(bench.Admit(quote) == Verdict::Replay);
+  }
+  for (int index = 0; index < 10; ++index) {
+    CHECK(bench.Admit(MakeRequest("b" + std::to_string(index))) ==
+          Verdict::Claim);
+  }
+  CHECK(bench.Admit(MakeRequest("c")) == Verdict::NotRun);
+  CHECK(bench.ledger.KeyCount() == 10);
+}
+
 // Guards against an answer without room that lets its request run again.
 TEST_CASE("an answer that does not fit is not kept, but its key is")
 {
