--- a/libs/gang/include/amaranthwind/gang/GangCoordinator.h
+++ b/libs/gang/include/amaranthwind/gang/GangCoordinator.h
@@ -36,7 +36,8 @@
 
 /**
  * A committed attempt that the log holds when this coordinator takes over. Its
- * plan keeps the token of the coordinator that made it.
+ * plan keeps the token of the coordinator that made it. Of the members only the
+ * workers are needed.
  */
 struct ResumeGang
 {
@@ -88,9 +89,6 @@
 struct TokenLost
 {};
 
-struct Tick
-{};
-
 using CoordinatorEvent = std::variant<StartGang,
                                       ResumeGang,
                                       Promise,
--- a/libs/gang/include/amaranthwind/gang/GangMember.h
+++ b/libs/gang/include/amaranthwind/gang/GangMember.h
@@ -2,7 +2,7 @@
 
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/fleet/Resources.h"
-#include "amaranthwind/gang/GangCoordinator.h"
+
 #include "amaranthwind/gang/Messages.h"
 
 #include <chrono>
--- a/libs/gang/include/amaranthwind/gang/Messages.h
+++ b/libs/gang/include/amaranthwind/gang/Messages.h
@@ -220,6 +220,10 @@
   base::Duration allowance{};
 };
 
+/** Event of both sides: the time of NextDeadline() has come. */
+struct Tick
+{};
+
 using CoordinatorToMember =
   std::variant<Prepare, Commit, Abort, StopGang, GangEndedAck>;
 using MemberToCoordinator =
--- a/libs/gang/src/GangMember.cpp
+++ b/libs/gang/src/GangMember.cpp
@@ -1,7 +1,6 @@
 #include "amaranthwind/gang/GangMember.h"
 
-#include "FirstRankLifeCycle.h"
-#include "MemberLifeCycle.h"
+#include "GangRecord.h"
 
 #include <algorithm>
 #include <map>
@@ -16,117 +15,6 @@
 /** An ended member repeats its result to the first rank for this long. */
 constexpr base::Duration kResultRepeatTime = std::chrono::seconds(10);
 
-/** When a peer was there for certain. */
-struct Contact
-{
-  base::TimePoint provenAt;
-  base::Duration allowance{};
-  std::uint64_t sequence = 0;
-
-  base::TimePoint LossTime() const { return this->provenAt + this->allowance; }
-
-  bool IsLost(base::TimePoint aNow) const { return aNow >= this->LossTime(); }
-
-  /** True if the message is newer than all before. */
-  bool Hear(base::TimePoint aNow, const MemberAlive& aMessage)
-  {
-    if (aMessage.sequence <= this->sequence) {
-      return false;
-    }
-    this->sequence = aMessage.sequence;
-    if (aMessage.echo == 0) {
-      return true;
-    }
-    const base::TimePoint echoed{ base::Duration(
-      static_cast<base::Duration::rep>(aMessage.echo)) };
-    this->provenAt = std::max(this->provenAt, std::min(echoed, aNow));
-    this->allowance = aMessage.allowance;
-    return true;
-  }
-};
-
-/** What the first rank knows of one member, itself included. */
-struct Peer
-{
-  MemberPhase phase = MemberPhase::Promised;
-  MemberResult result = MemberResult::None;
-  /** Whether its silence counts; until then the start timeout does. */
-  bool isWatched = false;
-  /** Has not replied to the last heartbeat. */
-  bool isAwaited = false;
-  Contact contact;
-};
-
-struct FirstRank
-{
-  FirstRankLifeCycle life;
-  std::vector<Peer> peers;
-  std::size_t committed = 0;
-  std::size_t running = 0;
-  std::size_t ended = 0;
-  std::size_t awaited = 0;
-  /** A member that ended without success while no stop was ordered. */
-  std::optional<Rank> failedRank;
-  /** When members must run; then when they must have reported a stop. */
-  std::optional<base::TimePoint> deadline;
-  /** When the next member is lost if it stays silent. */
-  std::optional<base::TimePoint> nextLoss;
-  base::TimePoint nextReport;
-  bool isAcknowledged = false;
-  GangEnded report;
-
-  void Advance(Rank aRank, MemberPhase aPhase, MemberResult aResult)
-  {
-    Peer& peer = this->peers[aRank];
-    if (aPhase <= peer.phase || aPhase > MemberPhase::Ended) {
-      return;
-    }
-    const auto passes = [&](MemberPhase aLimit) {
-      return peer.phase < aLimit && aPhase >= aLimit;
-    };
-    this->committed += passes(MemberPhase::Committed) ? 1 : 0;
-    this->running += passes(MemberPhase::Running) ? 1 : 0;
-    this->ended += passes(MemberPhase::Ended) ? 1 : 0;
-    peer.phase = aPhase;
-    if (aPhase == MemberPhase::Ended) {
-      peer.result = aResult;
-      if (aResult != MemberResult::Succeeded && !this->failedRank) {
-        this->failedRank = aRank;
-      }
-    }
-  }
-};
-
-struct Record
-{
-  AttemptKey key;
-  base::ZoneId cell;
-  /** Empty once no message needs it any more. */
-  std::shared_ptr<const job::GangPlan> plan;
-  Rank rank = 0;
-  MemberLifeCycle life;
-  MemberResult result = MemberResult::None;
-  fleet::Resources reserved;
-  base::TimePoint nextQuery;
-  bool hasAskedCoordinator = false;
-  base::TimePoint nextHeartbeat;
-  /** Of a member other than the first rank. */
-  Contact firstRank;
-  StopReason stopReason = StopReason::Cancelled;
-  base::Duration grace{};
-  base::TimePoint nextStopTask;
-  bool mustReportToCoordinator = false;
-  base::TimePoint endedAt;
-  std::unique_ptr<FirstRank> first;
-
-  bool IsOver() const { return this->life.Phase() >= MemberPhase::Ended; }
-
-  bool HasTask() const
-  {
-    return this->life.Phase() >= MemberPhase::Starting && !this->IsOver();
-  }
-};
-
 } // namespace
 
 class GangMember::Impl
@@ -199,7 +87,7 @@
     , public FirstRankActions
   {
   public:
-    Actions(Impl& aOwner, Record& aRecord)
+    Actions(Impl& aOwner, GangRecord& aRecord)
       : owner(aOwner)
       , record(aRecord)
     {
@@ -216,7 +104,7 @@
 
   private:
     Impl& owner;
-    Record& record;
+    GangRecord& record;
   };
 
   // Events.
@@ -229,7 +117,7 @@
       this->RefusePrepare(aEvent, base::ErrorCode::StaleToken);
       return;
     }
-    if (const Record* known = this->Find(key); known != nullptr) {
+    if (const GangRecord* known = this->Find(key); known != nullptr) {
       if (known->IsOver()) {
         this->RefusePrepare(aEvent, base::ErrorCode::Cancelled);
       } else {
@@ -255,7 +143,7 @@
       this->RefusePrepare(aEvent, base::ErrorCode::NoTarget);
       return;
     }
-    Record& record =
+    GangRecord& record =
       this->Add(key, aEvent.fence.cell, aEvent.plan, aEvent.rank);
     record.nextQuery = this->now + this->settings.queryAfter;
     this->PostToCoordinator(record.cell,
@@ -274,7 +162,7 @@
       refuse(base::ErrorCode::StaleToken);
       return;
     }
-    Record* record = this->Find(aEvent.key);
+    GangRecord* record = this->Find(aEvent.key);
     if (record == nullptr) {
       refuse(base::ErrorCode::UnknownJob);
     } else if (record->life.Phase() == MemberPhase::Aborted) {
@@ -291,7 +179,7 @@
     if (!this->Accept(aEvent.fence)) {
       return;
     }
-    Record* record = this->Find(aEvent.key);
+    GangRecord* record = this->Find(aEvent.key);
     if (record == nullptr) {
       // Remembered, so that a Prepare that arrives late gets no promise.
       record = &this->records[aEvent.key];
@@ -306,7 +194,7 @@
     if (aEvent.fence && !this->Accept(*aEvent.fence)) {
       return;
     }
-    Record* record = this->Find(aEvent.key);
+    GangRecord* record = this->Find(aEvent.key);
     if (record == nullptr) {
       return;
     }
@@ -327,7 +215,7 @@
 
   void On(const GangEndedAck& aEvent)
   {
-    Record* record = this->Find(aEvent.key);
+    GangRecord* record = this->Find(aEvent.key);
     if (record != nullptr && record->first != nullptr &&
         record->first->life.Phase() == FirstRankPhase::Over) {
       record->first->isAcknowledged = true;
@@ -338,7 +226,7 @@
 
   void On(const OutcomeReply& aEvent)
   {
-    Record* record = this->Find(aEvent.key);
+    GangRecord* record = this->Find(aEvent.key);
     if (record == nullptr) {
       return;
     }
@@ -357,7 +245,7 @@
 
   void On(const Release& aEvent)
   {
-    Record* record = this->Find(aEvent.key);
+    GangRecord* record = this->Find(aEvent.key);
     if (record != nullptr && record->first == nullptr) {
       // A Release proves the commit.
       this->Step(*record, MemberStep::CommitSeen);
@@ -367,7 +255,7 @@
 
   void On(const MemberAlive& aEvent)
   {
-    Record* record = this->Find(aEvent.key);
+    GangRecord* record = this->Find(aEvent.key);
     if (aEvent.rank != 0) {
       if (record != nullptr && record->first != nullptr &&
           aEvent.rank < record->first->peers.size()) {
@@ -394,7 +282,7 @@
         aEvent.phase == MemberPhase::Running) {
       this->BeReleased(*record);
     }
-    // The sooner the reply, the less of the first rank's patience is used up.
+    // An immediate reply gives the first rank the newest possible proof.
     if (isNew && !record->firstRank.IsLost(this->now)) {
       this->Beat(*record);
     }
@@ -402,14 +290,14 @@
 
   void On(const TaskStarted& aEvent)
   {
-    if (Record* record = this->Find(aEvent.key); record != nullptr) {
+    if (GangRecord* record = this->Find(aEvent.key); record != nullptr) {
       this->Step(*record, MemberStep::TaskStartSeen);
     }
   }
 
   void On(const TaskEnded& aEvent)
   {
-    Record* record = this->Find(aEvent.key);
+    GangRecord* record = this->Find(aEvent.key);
     if (record == nullptr || !record->HasTask()) {
       return;
     }
@@ -432,7 +320,7 @@
         this->Find(key) != nullptr) {
       return;
     }
-    Record& record = this->Add(key, aEvent.cell, aEvent.plan, aEvent.rank);
+    GangRecord& record = this->Add(key, aEvent.cell, aEvent.plan, aEvent.rank);
     record.firstRank.provenAt = this->now;
     record.firstRank.allowance = aEvent.leaseLeft;
     if (record.first != nullptr) {
@@ -473,7 +361,7 @@
     }
     for (auto position = this->records.begin();
          position != this->records.end();) {
-      Record& record = position->second;
+      GangRecord& record = position->second;
       this->OnTime(record);
       const bool isForgotten =
         record.IsOver() && !MustReportEnd(record) &&
@@ -487,7 +375,7 @@
   // Time.
 
   template<typename Consider>
-  void ForEachDeadline(const Record& aRecord, Consider aConsider) const
+  void ForEachDeadline(const GangRecord& aRecord, Consider aConsider) const
   {
     const MemberPhase phase = aRecord.life.Phase();
     if (phase == MemberPhase::Promised) {
@@ -518,7 +406,7 @@
     }
   }
 
-  void OnTime(Record& aRecord)
+  void OnTime(GangRecord& aRecord)
   {
     const MemberPhase phase = aRecord.life.Phase();
     if (phase == MemberPhase::Promised) {
@@ -546,7 +434,7 @@
     }
   }
 
-  void OnTimeOfFirstRank(Record& aRecord)
+  void OnTimeOfFirstRank(GangRecord& aRecord)
   {
     FirstRank& first = *aRecord.first;
     const FirstRankPhase phase = first.life.Phase();
@@ -595,7 +483,7 @@
     }
   }
 
-  void AskOutcome(Record& aRecord)
+  void AskOutcome(GangRecord& aRecord)
   {
     if (this->now < aRecord.nextQuery) {
       return;
@@ -606,7 +494,7 @@
     aRecord.nextQuery = this->now + this->settings.queryInterval;
   }
 
-  void Beat(Record& aRecord)
+  void Beat(GangRecord& aRecord)
   {
     // A member replies to the first rank and sends on its own only if it does
     // not hear from it.
@@ -623,7 +511,7 @@
     }
   }
 
-  void RenewLeaseOf(const Record& aRecord)
+  void RenewLeaseOf(const GangRecord& aRecord)
   {
     // Not renewed while a task is killed: the lease then ends it even if the
     // worker does not carry the order out.
@@ -636,7 +524,7 @@
 
   // Transitions of a member.
 
-  void Step(Record& aRecord, MemberStep aStep)
+  void Step(GangRecord& aRecord, MemberStep aStep)
   {
     const MemberPhase before = aRecord.life.Phase();
     Actions actions(*this, aRecord);
@@ -653,7 +541,7 @@
     }
   }
 
-  void Free(Record& aRecord)
+  void Free(GangRecord& aRecord)
   {
     if (!aRecord.HasTask()) {
       aRecord.result = MemberResult::NotStarted;
@@ -667,7 +555,7 @@
     }
   }
 
-  void SendCommitted(Record& aRecord)
+  void SendCommitted(GangRecord& aRecord)
   {
     aRecord.nextHeartbeat = this->now;
     aRecord.firstRank.provenAt = this->now;
@@ -679,7 +567,7 @@
     }
   }
 
-  void StartTask(Record& aRecord)
+  void StartTask(GangRecord& aRecord)
   {
     this->effects->emplace_back(gang::StartTask{
       aRecord.key, aRecord.rank, aRecord.plan, this->LeaseLeft(aRecord) });
@@ -689,7 +577,7 @@
    * Until the first peer would be lost if all stayed silent; for a task that
    * writes its checkpoint, until it is killed.
    */
-  base::Duration LeaseLeft(const Record& aRecord) const
+  base::Duration LeaseLeft(const GangRecord& aRecord) const
   {
     if (aRecord.life.Phase() == MemberPhase::Stopping) {
       return aRecord.nextStopTask - this->now;
@@ -706,7 +594,7 @@
     return left;
   }
 
-  void BeReleased(Record& aRecord)
+  void BeReleased(GangRecord& aRecord)
   {
     if (aRecord.life.Phase() == MemberPhase::Committed &&
         aRecord.firstRank.IsLost(this->now)) {
@@ -716,13 +604,13 @@
     }
   }
 
-  void LoseFirstRank(Record& aRecord)
+  void LoseFirstRank(GangRecord& aRecord)
   {
     aRecord.mustReportToCoordinator = true;
     this->StopSelf(aRecord, StopReason::FirstRankLost, {});
   }
 
-  void StopTask(Record& aRecord)
+  void StopTask(GangRecord& aRecord)
   {
     aRecord.nextStopTask = this->now + (aRecord.grace > base::Duration::zero()
                                           ? aRecord.grace
@@ -730,7 +618,7 @@
     this->effects->emplace_back(gang::StopTask{ aRecord.key, aRecord.grace });
   }
 
-  void StopSelf(Record& aRecord, StopReason aReason, base::Duration aGrace)
+  void StopSelf(GangRecord& aRecord, StopReason aReason, base::Duration aGrace)
   {
     const bool isHarder = this->now + aGrace < aRecord.nextStopTask &&
                           aRecord.grace > base::Duration::zero();
@@ -744,14 +632,14 @@
 
   // Transitions of the first rank.
 
-  void Step(Record& aRecord, FirstRankStep aStep)
+  void Step(GangRecord& aRecord, FirstRankStep aStep)
   {
     Actions actions(*this, aRecord);
     aRecord.first->life.Process(aStep, actions);
   }
 
   /** Takes the first rank as far as what it knows of the members allows. */
-  void Settle(Record& aRecord)
+  void Settle(GangRecord& aRecord)
   {
     FirstRank& first = *aRecord.first;
     const std::size_t count = first.peers.size();
@@ -772,7 +660,7 @@
     }
   }
 
-  void SendRelease(Record& aRecord)
+  void SendRelease(GangRecord& aRecord)
   {
     FirstRank& first = *aRecord.first;
     first.report.wasReleased = true;
@@ -788,13 +676,13 @@
     }
   }
 
-  void ReportStarted(Record& aRecord)
+  void ReportStarted(GangRecord& aRecord)
   {
     aRecord.first->deadline.reset();
     this->PostToCoordinator(aRecord.cell, GangStarted{ aRecord.key });
   }
 
-  void StopAll(Record& aRecord,
+  void StopAll(GangRecord& aRecord,
                StopReason aReason,
                base::Duration aGrace,
                std::optional<Rank> aRankAtFault)
@@ -818,13 +706,13 @@
     this->Settle(aRecord);
   }
 
-  void SendStop(Record& aRecord)
+  void SendStop(GangRecord& aRecord)
   {
     aRecord.nextHeartbeat = this->now + this->settings.heartbeatInterval;
     this->SendStopToPeers(aRecord);
   }
 
-  void SendStopToPeers(Record& aRecord)
+  void SendStopToPeers(GangRecord& aRecord)
   {
     for (Rank rank = 1; rank < aRecord.first->peers.size(); ++rank) {
       if (aRecord.first->peers[rank].phase != MemberPhase::Ended) {
@@ -837,7 +725,7 @@
     }
   }
 
-  void ReportEnded(Record& aRecord)
+  void ReportEnded(GangRecord& aRecord)
   {
     GangEnded& report = aRecord.first->report;
     for (const Peer& peer : aRecord.first->peers) {
@@ -850,7 +738,7 @@
   // Helpers.
 
   /** What a coordinator that repeats an order has not heard yet. */
-  void RepeatReport(Record& aRecord)
+  void RepeatReport(GangRecord& aRecord)
   {
     if (aRecord.first == nullptr) {
       if (aRecord.life.Phase() == MemberPhase::Ended) {
@@ -872,7 +760,7 @@
                   MemberPhase aPhase,
                   MemberResult aResult)
   {
-    Record* record = this->Find(aKey);
+    GangRecord* record = this->Find(aKey);
     if (record == nullptr ||
         (record->first != nullptr && !IsGangActive(*record))) {
       if (aPhase < MemberPhase::Ended) {
@@ -902,18 +790,18 @@
     return true;
   }
 
-  Record* Find(const AttemptKey& aKey)
+  GangRecord* Find(const AttemptKey& aKey)
   {
     const auto found = this->records.find(aKey);
     return found == this->records.end() ? nullptr : &found->second;
   }
 
-  Record& Add(const AttemptKey& aKey,
-              const base::ZoneId& aCell,
-              const std::shared_ptr<const job::GangPlan>& aPlan,
-              Rank aRank)
+  GangRecord& Add(const AttemptKey& aKey,
+                  const base::ZoneId& aCell,
+                  const std::shared_ptr<const job::GangPlan>& aPlan,
+                  Rank aRank)
   {
-    Record& record = this->records[aKey];
+    GangRecord& record = this->records[aKey];
     record.key = aKey;
     record.cell = aCell;
     record.plan = aPlan;
@@ -957,7 +845,7 @@
       SendToCoordinator{ aCell, std::move(aMessage) });
   }
 
-  void PostToPeer(const Record& aRecord, Rank aRank, PeerMessage aMessage)
+  void PostToPeer(const GangRecord& aRecord, Rank aRank, PeerMessage aMessage)
   {
     if (aRecord.plan != nullptr) {
       const job::GangMemberPlan& peer = aRecord.plan->members[aRank];
@@ -966,7 +854,7 @@
     }
   }
 
-  void SendAlive(Record& aRecord, base::Duration aAllowance)
+  void SendAlive(GangRecord& aRecord, base::Duration aAllowance)
   {
     const auto time =
       static_cast<std::uint64_t>(this->now.time_since_epoch().count());
@@ -996,21 +884,21 @@
     }
   }
 
-  static bool IsGangActive(const Record& aRecord)
+  static bool IsGangActive(const GangRecord& aRecord)
   {
     return aRecord.first != nullptr &&
            aRecord.life.Phase() != MemberPhase::Aborted &&
            aRecord.first->life.Phase() != FirstRankPhase::Over;
   }
 
-  static bool MustReportEnd(const Record& aRecord)
+  static bool MustReportEnd(const GangRecord& aRecord)
   {
     return aRecord.first != nullptr &&
            aRecord.life.Phase() != MemberPhase::Aborted &&
            !aRecord.first->isAcknowledged;
   }
 
-  bool RepeatsResult(const Record& aRecord) const
+  bool RepeatsResult(const GangRecord& aRecord) const
   {
     return aRecord.first == nullptr &&
            aRecord.life.Phase() == MemberPhase::Ended &&
@@ -1049,7 +937,7 @@
   bool isHandedOver = false;
   std::uint64_t sequence = 0;
   std::map<base::ZoneId, base::FencingToken> tokens;
-  std::map<AttemptKey, Record> records;
+  std::map<AttemptKey, GangRecord> records;
   base::TimePoint now;
   Effects* effects = nullptr;
 };
--- a/libs/gang/tests/GangCoordinatorTest.cpp
+++ b/libs/gang/tests/GangCoordinatorTest.cpp
@@ -139,7 +139,7 @@
 }
 
 // Guards against orders of a coordinator that has been replaced.
-TEST_CASE("a coordinator that lost its token falls silent")
+TEST_CASE("a coordinator that lost its token sends nothing more")
 {
   CoordinatorBench bench;
   bench.Give(StartGang{ bench.plan });
--- a/libs/gang/tests/GangNetwork.cpp
+++ b/libs/gang/tests/GangNetwork.cpp
@@ -586,7 +586,7 @@
       return;
     }
   }
-  this->violations.emplace_back("time stands still");
+  this->violations.emplace_back("a deadline stays in the past");
 }
 
 // Observations and invariants.
