Write policy checkpoints and learn coordinators from peers

A policy checkpoint is due after a quarter of the log's retention; entries wait for different times, so that one writes. A job state in a checkpoint now carries the fate of its last attempt, which the JSON codec had left out: a voided attempt read as ended after a restart. A success ends a job by itself, so that a job costs three appends and not four.

--- a/libs/codec/src/ModelJson.cpp
+++ b/libs/codec/src/ModelJson.cpp
@@ -44,6 +44,15 @@
     { JobOutcome::Refused, "refused" } }
 };
 
+constexpr std::array<EnumName<journal::AttemptFate>, 6> kAttemptFateNames{
+  { { journal::AttemptFate::Unknown, "unknown" },
+    { journal::AttemptFate::Undecided, "undecided" },
+    { journal::AttemptFate::Aborted, "aborted" },
+    { journal::AttemptFate::Voided, "voided" },
+    { journal::AttemptFate::Committed, "committed" },
+    { journal::AttemptFate::Ended, "ended" } }
+};
+
 constexpr std::array<EnumName<AttemptOutcome>, 4> kAttemptOutcomeNames{
   { { AttemptOutcome::Succeeded, "succeeded" },
     { AttemptOutcome::Failed, "failed" },
@@ -420,6 +429,8 @@
   object.Required("spec", aOut.spec);
   object.Required("phase", Enum<JobPhase>{ aOut.phase, kJobPhaseNames });
   object.Required("lastAttempt", aOut.lastAttempt);
+  object.Required(
+    "lastFate", Enum<journal::AttemptFate>{ aOut.lastFate, kAttemptFateNames });
   object.Required("runs", aOut.runs);
   object.Optional("cancelRequested", aOut.isCancelRequested);
   object.Optional("members", aOut.members);
@@ -436,13 +447,16 @@
 json::value
 ToJson(const journal::JobState& aState)
 {
-  json::object object{ { "spec", ToJson(aState.spec) },
-                       { "phase",
-                         ToText<JobPhase>(aState.phase, kJobPhaseNames) },
-                       { "lastAttempt", aState.lastAttempt.Get() },
-                       { "runs", aState.runs },
-                       { "cancelRequested", aState.isCancelRequested },
-                       { "members", ToArray(aState.members) } };
+  json::object object{
+    { "spec", ToJson(aState.spec) },
+    { "phase", ToText<JobPhase>(aState.phase, kJobPhaseNames) },
+    { "lastAttempt", aState.lastAttempt.Get() },
+    { "lastFate",
+      ToText<journal::AttemptFate>(aState.lastFate, kAttemptFateNames) },
+    { "runs", aState.runs },
+    { "cancelRequested", aState.isCancelRequested },
+    { "members", ToArray(aState.members) }
+  };
   if (aState.outcome) {
     object["outcome"] = ToText<JobOutcome>(*aState.outcome, kJobOutcomeNames);
   }
--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -29,7 +29,7 @@
 constexpr std::uint64_t kMinIdleTimeoutMs = 100;
 constexpr std::uint64_t kMaxNoticeMs = 600'000;
 /** A checkpoint every quarter of it must be possible. */
-constexpr std::uint64_t kMinRetentionS = 60;
+constexpr std::uint64_t kMinRetentionS = 4;
 constexpr std::size_t kMaxLayoutBytes = 256;
 constexpr std::uint32_t kMaxPort = 65'535;
 
--- a/libs/entry/src/CellService.cpp
+++ b/libs/entry/src/CellService.cpp
@@ -487,17 +487,18 @@
 void
 CellService::CarryOut(const scheduling::EndJob& aEffect)
 {
-  journal::JobOutcome outcome = journal::JobOutcome::Succeeded;
-  if (aEffect.error) {
-    outcome = aEffect.error->code == ErrorCode::Cancelled
-                ? journal::JobOutcome::Cancelled
-                : journal::JobOutcome::Failed;
-  }
   this->logger.Info("job has ended",
                     { { "job", aEffect.job },
                       { "error",
                         aEffect.error ? base::Describe(*aEffect.error)
                                       : std::string("none") } });
+  if (!aEffect.error) {
+    // The record of the attempt's success has ended the job already.
+    return;
+  }
+  const bool isCancelled = aEffect.error->code == ErrorCode::Cancelled;
+  const auto outcome =
+    isCancelled ? journal::JobOutcome::Cancelled : journal::JobOutcome::Failed;
   this->AppendUntilDone(
     journal::JobEndedRecord{ this->token, aEffect.job, outcome, aEffect.error },
     [] {});
@@ -782,6 +783,16 @@
   });
 }
 
+void
+CellService::OnCoordinatorTold(base::FencingToken aToken,
+                               const base::EntryId& aCoordinator)
+{
+  this->loop.Post([this, aToken, aCoordinator] {
+    this->CarryOut(this->election.OnCoordinatorTold(
+      aToken, aCoordinator, this->clock.Now()));
+  });
+}
+
 void
 CellService::OnWorkerUsable(const fleet::Target& aWorker,
                             ConnectionId aConnection)
--- a/libs/entry/src/CellService.h
+++ b/libs/entry/src/CellService.h
@@ -102,6 +102,9 @@
   // Thread-safe; handled on the decision thread.
   void OnPolicy(const policy::Policy& aPolicy);
   void OnEntries(const std::vector<base::EntryId>& aLive);
+  /** A peer says who coordinates the cell. */
+  void OnCoordinatorTold(base::FencingToken aToken,
+                         const base::EntryId& aCoordinator);
   void OnWorkerUsable(const fleet::Target& aWorker,
                       protocol::ConnectionId aConnection);
   /** A usable worker is reached by another connection from now on. */
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -92,7 +92,12 @@
     , pool(this->settings.common.ioThreads)
     , node(this->pool, {}, *this)
     , log(this->pool, { .address = this->settings.logService })
-    , policy(this->log, this->codec, this->policyLogger, *this)
+    , policy(this->log,
+             this->codec,
+             aClock,
+             this->settings.logRetention,
+             this->policyLogger,
+             *this)
     , self{ this->settings.id,
             base::Incarnation(static_cast<std::uint64_t>(
               aClock.WallNow().time_since_epoch().count())),
@@ -199,7 +204,7 @@
     } else if (const auto* topology =
                  std::get_if<protocol::Topology>(&aEnvelope.message)) {
       this->links->OnTopology(*topology);
-      this->membership.OnEntryTopology(aConnection, *topology);
+      this->Learn(aConnection, *topology);
     } else if (const auto* forward =
                  std::get_if<protocol::ForwardJob>(&aEnvelope.message)) {
       this->jobs.HandleForwarded(aConnection, aEnvelope.correlation, *forward);
@@ -219,7 +224,7 @@
   void OnLinkUp(const peering::EntryLink& aLink,
                 const protocol::Topology& aTopology) override
   {
-    this->membership.OnEntryTopology(aLink.connection, aTopology);
+    this->Learn(aLink.connection, aTopology);
   }
 
   void OnLinkDown(const peering::EntryLink& aLink) override
@@ -322,6 +327,16 @@
     return made;
   }
 
+  void Learn(ConnectionId aConnection, const protocol::Topology& aTopology)
+  {
+    this->membership.OnEntryTopology(aConnection, aTopology);
+    for (const auto& told : aTopology.cells) {
+      if (CellService* cell = this->FindCell(told.zone)) {
+        cell->OnCoordinatorTold(told.token, told.coordinator.id);
+      }
+    }
+  }
+
   CellService* FindCell(const base::ZoneId& aZone)
   {
     for (const auto& cell : this->cells) {
--- a/libs/entry/src/PolicyKeeper.cpp
+++ b/libs/entry/src/PolicyKeeper.cpp
@@ -11,17 +11,26 @@
 // A note is in force within seconds (P8); two polls and the reading of a few
 // records take well below one.
 constexpr base::Duration kPollInterval = 200ms;
+// A checkpoint is due after a quarter of the retention; a sixteenth more
+// separates the entries.
+constexpr int kCheckpointSpread = 16;
 
 } // namespace
 
 PolicyKeeper::PolicyKeeper(journal::LogClient& aLog,
                            const journal::RecordCodec& aCodec,
+                           const base::Clock& aClock,
+                           base::Duration aLogRetention,
                            telemetry::Logger& aLogger,
                            PolicyObserver& aObserver)
-  : logger(aLogger)
+  : clock(aClock)
+  , logRetention(aLogRetention)
+  , logger(aLogger)
   , observer(aObserver)
   , replay(aCodec)
   , current(std::make_unique<const policy::Policy>())
+  , random(base::MakeSeed())
+  , appender(aLog, aCodec, aClock, *this)
   , follower(aLog,
              std::string(journal::kNotesStream),
              kPollInterval,
@@ -63,9 +72,46 @@
     }
   }
   this->PublishIfNew();
+  this->WriteCheckpointIfDue();
   return this->replay.NextOffset();
 }
 
+void
+PolicyKeeper::WriteCheckpointIfDue()
+{
+  if (!this->isLoaded.load() || !this->replay.IsComplete()) {
+    return;
+  }
+  const auto now = this->clock.Now();
+  if (!this->checkpoints) {
+    // Entries wait for different times, so that one of them writes.
+    const auto spread = this->logRetention / kCheckpointSpread;
+    const base::Duration delay(
+      static_cast<base::Duration::rep>(this->random() % (spread.count() + 1)));
+    this->checkpoints.emplace(
+      this->logRetention, this->replay.NewestCheckpoint(), now, delay);
+  }
+  this->checkpoints->OnSeen(this->replay.NewestCheckpoint(), now);
+  if (!this->checkpoints->IsDue(now) || !this->isLogReachable.load()) {
+    return;
+  }
+  this->checkpoints->OnFailed(now);
+  const journal::Record record =
+    journal::MakePolicyCheckpoint(this->replay, this->random);
+  const auto written = journal::WriteCheckpoint(this->appender,
+                                                journal::kNotesStream,
+                                                { &record, 1 },
+                                                this->replay.NextOffset(),
+                                                std::nullopt);
+  if (written.has_error()) {
+    this->logger.Warning("checkpoint is not written",
+                         { { "error", base::Describe(written.error()) } });
+  } else {
+    this->logger.Info("checkpoint written",
+                      { { "offset", this->replay.NextOffset() } });
+  }
+}
+
 void
 PolicyKeeper::Adopt(const policy::Policy& aPolicy)
 {
--- a/libs/entry/src/PolicyKeeper.h
+++ b/libs/entry/src/PolicyKeeper.h
@@ -2,12 +2,14 @@
 
 #include "StreamFollower.h"
 #include "amaranthwind/base/RcuCell.h"
+#include "amaranthwind/journal/CheckpointWriter.h"
 #include "amaranthwind/journal/NoteReplay.h"
 #include "amaranthwind/policy/Policy.h"
 #include "amaranthwind/telemetry/Logger.h"
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 
 namespace amaranthwind::entry {
 
@@ -23,12 +25,14 @@
  * Keeps the policy in force: follows the stream of notes, and takes a newer
  * policy from a peer while the log is down. The offset in use only rises.
  */
-class PolicyKeeper
+class PolicyKeeper : private journal::Waiter
 {
 public:
   /** The arguments must outlive the keeper. */
   PolicyKeeper(journal::LogClient& aLog,
                const journal::RecordCodec& aCodec,
+               const base::Clock& aClock,
+               base::Duration aLogRetention,
                telemetry::Logger& aLogger,
                PolicyObserver& aObserver);
 
@@ -57,7 +61,12 @@
   base::LogOffset OnRead(const StreamRead& aRead);
   void Report(const std::vector<journal::ReplayedRecord>& aRecords);
   void PublishIfNew();
+  void WriteCheckpointIfDue();
+  /** Gives up at once: the next poll tries again. */
+  bool Wait(base::Duration) override { return false; }
 
+  const base::Clock& clock;
+  const base::Duration logRetention;
   telemetry::Logger& logger;
   PolicyObserver& observer;
   /** Guards the replay and the order of publications. */
@@ -67,6 +76,9 @@
   std::atomic<std::uint64_t> offset{ 0 };
   std::atomic<bool> isLoaded{ false };
   std::atomic<bool> isLogReachable{ false };
+  base::RandomEngine random;
+  std::optional<journal::CheckpointSchedule> checkpoints;
+  journal::Appender appender;
   StreamFollower follower;
 };
 
--- a/tests/endtoend/NoteTest.cpp
+++ b/tests/endtoend/NoteTest.cpp
@@ -123,3 +123,35 @@
     return highest == 3;
   }));
 }
+
+// Guards against state that is lost when the log drops old records.
+TEST_CASE("a new entry builds its state from checkpoints when records expire")
+{
+  Deployment deployment(
+    { .entries = 1, .executors = 0, .workers = 2, .logRetention = 4s });
+  REQUIRE(deployment.Start());
+  REQUIRE(deployment.PublishNote(kNote).exit == 0);
+  REQUIRE(WaitForVersion(deployment, 1));
+  REQUIRE(SubmitGang(deployment,
+                     deployment.entries[0],
+                     { .id = "done", .members = 2, .runMs = 10 }));
+  REQUIRE(WaitForPhase(deployment, deployment.entries[0], "done", "ended"));
+  // The log keeps the newest checkpoints and little else.
+  REQUIRE(Deployment::WaitUntil([&] {
+    deployment.ControlLog(R"({"keepRecords":2})");
+    const auto notes =
+      deployment.Get(deployment.log.http, "/streams/notes/records?from=0");
+    const auto cell =
+      deployment.Get(deployment.log.http, "/streams/cells/tw-1/records?from=0");
+    return notes.response.value().status == 410 &&
+           cell.response.value().status == 410;
+  }));
+  deployment.entries[0].process->Kill();
+  deployment.Restart(deployment.entries[0]);
+  CHECK(WaitForVersion(deployment, 1));
+  CHECK(WaitForPhase(deployment, deployment.entries[0], "done", "ended"));
+  CHECK(SubmitGang(deployment,
+                   deployment.entries[0],
+                   { .id = "after", .members = 2, .runMs = 10 }));
+  CHECK(WaitForPhase(deployment, deployment.entries[0], "after", "ended"));
+}
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -24,6 +24,7 @@
   std::size_t workersPerRack = 3;
   std::chrono::milliseconds serviceTime{ 5 };
   std::chrono::milliseconds noticePeriod{ 200 };
+  std::chrono::seconds logRetention{ 86'400 };
 };
 
 /** A process with the addresses that a test talks to. */
