--- a/libs/entry/src/CellService.cpp
+++ b/libs/entry/src/CellService.cpp
@@ -19,6 +19,8 @@
 constexpr base::Duration kPollInterval = 200ms;
 constexpr base::Duration kTickInterval = 50ms;
 constexpr base::Duration kScheduleInterval = 250ms;
+// A snapshot copies all live jobs, so that it is not made at each tick.
+constexpr base::Duration kStatusInterval = 500ms;
 constexpr base::Duration kAppendRetryInterval = 1s;
 constexpr base::Duration kRetryAfter = 2s;
 // Targets link to a new coordinator within a few retries of 500 ms and report
@@ -230,6 +232,7 @@
 {
   const auto now = this->clock.Now();
   this->CarryOut(this->election.OnTick(now));
+  this->PublishStatusIfDue(now);
   if (!this->gangs) {
     return;
   }
@@ -1015,26 +1018,55 @@
                         });
 }
 
-CellStatus
-CellService::Status()
+// Status
+
+void
+CellService::PublishStatusIfDue(base::TimePoint aNow)
 {
-  std::promise<CellStatus> promise;
-  this->loop.Post([&] {
-    CellStatus status;
-    status.zone = this->options.zone;
-    status.isActing = this->isActing.load();
-    status.coordinator = this->replay.Coordinator();
-    status.token = this->replay.Token().value_or(base::FencingToken(0));
-    status.nextOffset = this->replay.NextOffset();
-    status.liveJobs = this->replay.LiveJobs().size();
-    status.attempts = this->attempts.size();
-    status.workers = this->workers.size();
-    if (this->scheduler) {
-      status.usage = this->scheduler->Usage();
+  if (aNow < this->nextStatus) {
+    return;
+  }
+  this->nextStatus = aNow + kStatusInterval;
+  this->status.Publish(this->MakeStatus());
+}
+
+CellStatus
+CellService::MakeStatus() const
+{
+  CellStatus next;
+  next.zone = this->options.zone;
+  next.isActing = this->isActing.load();
+  next.coordinator = this->replay.Coordinator();
+  next.token = this->replay.Token().value_or(base::FencingToken(0));
+  next.nextOffset = this->replay.NextOffset();
+  if (this->scheduler) {
+    next.usage = this->scheduler->Usage();
+  }
+  std::map<base::TargetId, std::uint32_t> held;
+  for (const auto& [gang, attempt] : this->attempts) {
+    next.attempts.push_back({ gang, attempt.members.size() });
+    for (const auto& member : attempt.members) {
+      held[member.worker] += member.resources.accelerators;
     }
-    promise.set_value(std::move(status));
-  });
-  return promise.get_future().get();
+  }
+  for (const auto& [id, worker] : this->workers) {
+    const auto all = worker.target.resources.accelerators;
+    const auto free = all - std::min(all, held[id]);
+    next.workers.push_back(
+      { id, worker.target.rack, all, free, worker.isDraining });
+    next.freeAccelerators += free;
+    next.scatteredAccelerators += free < all ? free : 0;
+  }
+  for (const auto* job : this->replay.LiveJobs()) {
+    next.jobs.push_back({ job->spec.id,
+                          job->spec.account,
+                          job->spec.kind,
+                          job->phase,
+                          job->lastAttempt,
+                          job->runs,
+                          job->isCancelRequested });
+  }
+  return next;
 }
 
 } // namespace amaranthwind::entry
--- a/libs/entry/src/CellService.h
+++ b/libs/entry/src/CellService.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "CellStatus.h"
 #include "LogWriter.h"
 #include "StreamFollower.h"
 #include "amaranthwind/base/EventLoop.h"
 #include "amaranthwind/base/Random.h"
+#include "amaranthwind/base/SnapshotCell.h"
 #include "amaranthwind/codec/ErrorCodec.h"
 #include "amaranthwind/fleet/Target.h"
 #include "amaranthwind/gang/GangCoordinator.h"
@@ -52,20 +54,6 @@
                              base::FencingToken aToken) = 0;
 };
 
-/** For the state dump. */
-struct CellStatus
-{
-  base::ZoneId zone;
-  bool isActing = false;
-  base::EntryId coordinator;
-  base::FencingToken token;
-  base::LogOffset nextOffset;
-  std::size_t liveJobs = 0;
-  std::size_t attempts = 0;
-  std::size_t workers = 0;
-  scheduling::CellUsage usage;
-};
-
 struct CellServiceOptions
 {
   base::ZoneId zone;
@@ -122,8 +110,11 @@
   /** False until the stream has been read to its end once. */
   bool IsLoaded() const noexcept { return this->isLoaded.load(); }
   const base::ZoneId& Zone() const noexcept { return this->options.zone; }
-  /** Waits for the decision thread; not for I/O threads. */
-  CellStatus Status();
+  /** As the decision thread last published it. Thread-safe. */
+  std::shared_ptr<const CellStatus> Status() const
+  {
+    return this->status.Get();
+  }
 
 private:
   struct Worker
@@ -203,6 +194,9 @@
   std::optional<JobView> ViewOf(const base::JobId& aJob) const;
   JobResult NotCoordinator() const;
 
+  void PublishStatusIfDue(base::TimePoint aNow);
+  CellStatus MakeStatus() const;
+
   const CellServiceOptions options;
   const std::string stream;
   const base::Clock& clock;
@@ -235,6 +229,9 @@
   std::optional<protocol::ConnectionId> sender;
   base::TimePoint nextScheduleTick{};
 
+  base::TimePoint nextStatus{};
+  base::SnapshotCell<CellStatus> status;
+
   std::atomic<bool> isActing{ false };
   std::atomic<bool> isLoaded{ false };
   LogWriter writer;
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -1,6 +1,7 @@
 #include "amaranthwind/entry/EntryDaemon.h"
 
 #include "CellService.h"
+#include "EntryDump.h"
 #include "HttpReplies.h"
 #include "JobService.h"
 #include "MembershipService.h"
@@ -140,6 +141,13 @@
       cell->Start();
     }
     this->StartLinks(addresses.inner);
+    AddEntryDump(this->adminServer,
+                 { this->policy,
+                   this->membership,
+                   this->requests,
+                   this->cells,
+                   *this->links,
+                   this->node });
     BOOST_OUTCOME_TRY(
       addresses.admin,
       this->adminServer.Listen(this->settings.common.adminListen));
--- a/libs/entry/src/MembershipService.cpp
+++ b/libs/entry/src/MembershipService.cpp
@@ -3,7 +3,6 @@
 #include "amaranthwind/codec/NoteCodec.h"
 
 #include <algorithm>
-#include <future>
 #include <memory>
 #include <utility>
 
@@ -243,6 +242,7 @@
   this->CarryOut(this->targetRegistry.OnTick(now));
   this->CarryOut(this->entryRegistry.OnTick(now));
   this->UpdateReady();
+  this->PublishStatus();
 }
 
 void
@@ -534,28 +534,27 @@
   return beat;
 }
 
-MembershipStatus
-MembershipService::Status()
+void
+MembershipService::PublishStatus()
 {
-  std::promise<MembershipStatus> promise;
-  this->Post([&] {
-    MembershipStatus status;
-    for (const auto& [id, known] : this->targets) {
-      status.targets.push_back({ known.target,
-                                 this->targetRegistry.StateOf(id).value_or(
-                                   membership::TargetState::Lost),
-                                 known.inFlight,
-                                 known.queued });
-    }
-    const auto live = this->entryRegistry.Live();
-    status.entries.assign(live.begin(), live.end());
+  MembershipStatus next;
+  for (const auto& [id, known] : this->targets) {
+    next.targets.push_back({ known.target,
+                             this->targetRegistry.StateOf(id).value_or(
+                               membership::TargetState::Lost),
+                             known.inFlight,
+                             known.queued });
+  }
+  const auto live = this->entryRegistry.Live();
+  next.entries.assign(live.begin(), live.end());
+  next.highestPeerOffset = this->entryRegistry.HighestPeerOffset();
+  {
     std::lock_guard lock(this->cellsMutex);
     for (const auto& [zone, cell] : this->cells) {
-      status.cells.push_back(cell);
+      next.cells.push_back(cell);
     }
-    promise.set_value(std::move(status));
-  });
-  return promise.get_future().get();
+  }
+  this->status.Publish(std::move(next));
 }
 
 } // namespace amaranthwind::entry
--- a/libs/entry/src/MembershipService.h
+++ b/libs/entry/src/MembershipService.h
@@ -4,6 +4,7 @@
 #include "Routes.h"
 #include "amaranthwind/base/EventLoop.h"
 #include "amaranthwind/base/RcuCell.h"
+#include "amaranthwind/base/SnapshotCell.h"
 #include "amaranthwind/fleet/Target.h"
 #include "amaranthwind/membership/EntryRegistry.h"
 #include "amaranthwind/membership/TargetRegistry.h"
@@ -44,12 +45,13 @@
   std::uint32_t queued = 0;
 };
 
-/** The entry's view of all members, for the state dump. */
+/** The entry's view of all members, for dump and metrics. */
 struct MembershipStatus
 {
   std::vector<TargetStatus> targets;
   std::vector<membership::EntryInfo> entries;
   std::vector<protocol::CellInfo> cells;
+  base::LogOffset highestPeerOffset;
 };
 
 /**
@@ -92,8 +94,11 @@
   }
   /** Whether callers may be sent here. Thread-safe. */
   bool IsReady() const noexcept { return this->isReady.load(); }
-  /** Waits for the loop; not for I/O threads. */
-  MembershipStatus Status();
+  /** As of the last tick of the loop. Thread-safe. */
+  std::shared_ptr<const MembershipStatus> Status() const
+  {
+    return this->status.Get();
+  }
   /** Who coordinates the cell, as far as is known here. Thread-safe. */
   std::optional<protocol::CellInfo> FindCell(const base::ZoneId& aZone) const;
 
@@ -139,6 +144,7 @@
   protocol::Topology MakeTopology() const;
   void PushTopology();
   void UpdateReady();
+  void PublishStatus();
   std::chrono::milliseconds HeartbeatInterval() const;
 
   membership::EntryInfo self;
@@ -160,6 +166,7 @@
   bool isDraining = false;
   std::atomic<bool> isReady{ false };
   base::RcuCell<Routes> routes;
+  base::SnapshotCell<MembershipStatus> status;
   base::EventLoop loop;
 };
 
--- a/libs/entry/src/RequestService.cpp
+++ b/libs/entry/src/RequestService.cpp
@@ -192,6 +192,23 @@
   }
 }
 
+SharesUse
+RequestService::CurrentUse() const
+{
+  SharesUse use;
+  const auto append = [](const auto& aShares, std::vector<ShareUse>& aTo) {
+    for (const auto& share : aShares) {
+      aTo.push_back({ share.id.Text(),
+                      share.usage->inUse.load(),
+                      share.usage->meanServiceMicros.load() });
+    }
+  };
+  const auto guard = this->shares.Read();
+  append(guard->Accounts(), use.accounts);
+  append(guard->Kinds(), use.kinds);
+  return use;
+}
+
 void
 RequestService::Handle(std::string_view aKind,
                        frontend::HttpRequest aRequest,
--- a/libs/entry/src/RequestService.h
+++ b/libs/entry/src/RequestService.h
@@ -15,7 +15,9 @@
 
 #include <atomic>
 #include <memory>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace amaranthwind::entry {
 
@@ -29,6 +31,19 @@
   std::atomic<std::uint64_t> queued{ 0 };
 };
 
+/** Use of the share of one account or kind, for the dump. */
+struct ShareUse
+{
+  std::string id;
+  std::uint32_t inUse = 0;
+  std::uint32_t meanServiceMicros = 0;
+};
+struct SharesUse
+{
+  std::vector<ShareUse> accounts;
+  std::vector<ShareUse> kinds;
+};
+
 /**
  * Serves short requests. An I/O thread reads the shares and the routes under
  * read-copy-update, takes a slot and a permit from atomics, and sends. Only a
@@ -63,6 +78,11 @@
   std::uint32_t InUse() const noexcept { return this->gate.InUse(); }
   std::uint32_t Waiting() const noexcept { return this->gate.Waiting(); }
   std::uint32_t Capacity() const noexcept { return this->gate.Capacity(); }
+  std::uint32_t RetriesLeft() const noexcept
+  {
+    return this->retryBudget.Remaining();
+  }
+  SharesUse CurrentUse() const;
 
 private:
   struct Context;
--- a/libs/protocol/include/amaranthwind/protocol/Node.h
+++ b/libs/protocol/include/amaranthwind/protocol/Node.h
@@ -40,6 +40,10 @@
   std::uint64_t bytesReceived = 0;
   std::uint64_t badFrames = 0;
   std::uint64_t lateReplies = 0;
+  /** Replies with a correlation id that was never used. */
+  std::uint64_t unmatchedReplies = 0;
+  /** Connections closed because nothing arrived on them. */
+  std::uint64_t silentConnections = 0;
   std::uint64_t connections = 0;
 };
 
--- a/libs/protocol/src/Connection.cpp
+++ b/libs/protocol/src/Connection.cpp
@@ -285,7 +285,10 @@
 {
   const auto found = this->calls.find(aEnvelope.correlation.Get());
   if (found == this->calls.end()) {
-    this->counters->lateReplies.fetch_add(1, kRelaxed);
+    const bool wasUsed = aEnvelope.correlation.Get() < this->nextCorrelation;
+    auto& counter =
+      wasUsed ? this->counters->lateReplies : this->counters->unmatchedReplies;
+    counter.fetch_add(1, kRelaxed);
     return;
   }
   PendingCall call = std::move(found->second);
@@ -348,6 +351,7 @@
   }
   const auto now = steady_clock::now();
   if (now - this->lastReceived >= this->silenceTimeout) {
+    this->counters->silentConnections.fetch_add(1, kRelaxed);
     this->CloseNow({ ErrorCode::TimedOut, "silent connection" });
     return;
   }
--- a/libs/protocol/src/Connection.h
+++ b/libs/protocol/src/Connection.h
@@ -31,6 +31,8 @@
   std::atomic<std::uint64_t> bytesReceived{ 0 };
   std::atomic<std::uint64_t> badFrames{ 0 };
   std::atomic<std::uint64_t> lateReplies{ 0 };
+  std::atomic<std::uint64_t> unmatchedReplies{ 0 };
+  std::atomic<std::uint64_t> silentConnections{ 0 };
 };
 
 /** What a connection tells its node. */
--- a/libs/protocol/src/Node.cpp
+++ b/libs/protocol/src/Node.cpp
@@ -243,6 +243,7 @@
   return { shared.framesSent.load(),        shared.framesReceived.load(),
            shared.bytesSent.load(),         shared.bytesReceived.load(),
            shared.badFrames.load(),         shared.lateReplies.load(),
+           shared.unmatchedReplies.load(),  shared.silentConnections.load(),
            this->impl->table.Read()->size() };
 }
 
--- a/libs/target/src/GangServer.cpp
+++ b/libs/target/src/GangServer.cpp
@@ -373,6 +373,18 @@
   return held;
 }
 
+GangStatus
+GangServer::Status() const
+{
+  GangStatus status;
+  status.gangs = this->member.Status();
+  for (const auto& [key, task] : this->tasks) {
+    status.tasks.push_back(
+      { task.id, key, task.rank, task.isStarted, task.isStopping });
+  }
+  return status;
+}
+
 void
 GangServer::Drain()
 {
--- a/libs/target/src/GangServer.h
+++ b/libs/target/src/GangServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "TargetStatus.h"
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/EventLoop.h"
 #include "amaranthwind/gang/GangMember.h"
@@ -60,6 +61,7 @@
   /** The daemon ends; tasks that run are left to the next one. */
   void HandOver();
   bool IsIdle() const { return this->member.IsIdle(); }
+  GangStatus Status() const;
   std::uint32_t GangCount() const
   {
     return static_cast<std::uint32_t>(this->member.Status().size());
--- a/libs/target/src/RequestServer.cpp
+++ b/libs/target/src/RequestServer.cpp
@@ -368,6 +368,16 @@
   this->ledger.Drain();
 }
 
+RequestStatus
+RequestServer::Status() const
+{
+  return { this->running,
+           this->Queued(),
+           this->claiming,
+           this->ledger.KeyCount(),
+           this->ledger.ByteCount() };
+}
+
 bool
 RequestServer::IsIdle() const
 {
--- a/libs/target/src/RequestServer.h
+++ b/libs/target/src/RequestServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "TargetStatus.h"
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/EventLoop.h"
 #include "amaranthwind/protocol/Node.h"
@@ -56,10 +57,7 @@
   {
     return static_cast<std::uint32_t>(this->queue.size());
   }
-  const requests::RequestLedger& Ledger() const noexcept
-  {
-    return this->ledger;
-  }
+  RequestStatus Status() const;
 
 private:
   using Ticket = requests::Ticket;
--- a/libs/target/src/TargetDaemon.cpp
+++ b/libs/target/src/TargetDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "GangServer.h"
 #include "RequestServer.h"
+#include "TargetDump.h"
 #include "amaranthwind/admin/AdminServer.h"
 #include "amaranthwind/base/EventLoop.h"
 #include "amaranthwind/base/Random.h"
@@ -26,6 +27,8 @@
 
 constexpr std::size_t kLoopCapacity = 8192;
 constexpr base::Duration kTickInterval = 50ms;
+// A snapshot copies all gangs, so that it is not made at each tick.
+constexpr base::Duration kStatusInterval = 250ms;
 constexpr std::chrono::milliseconds kFirstHeartbeatInterval = 1000ms;
 // The silence that ends a connection, in heartbeat intervals.
 constexpr int kSilentIntervals = 2;
@@ -100,9 +103,12 @@
         return protocol::TargetHello{ this->target, this->NoteOffset() };
       },
       *this);
+    this->status.Publish(this->MakeStatus());
     this->loop.SetTick(kTickInterval, [this] { this->OnTick(); });
     this->loop.Start();
     this->loop.Post([this] { this->Begin(); });
+    AddTargetDump(this->adminServer,
+                  { this->status, this->noteOffset, *this->links, this->node });
     TargetAddresses addresses{ this->target.address, {} };
     BOOST_OUTCOME_TRY(
       addresses.admin,
@@ -367,11 +373,29 @@
       this->nextHeartbeat = now + this->heartbeatInterval;
       this->links->SendToAll(this->MakeHeartbeat());
     }
+    if (now >= this->nextStatus) {
+      this->nextStatus = now + kStatusInterval;
+      this->status.Publish(this->MakeStatus());
+    }
     if (this->isDraining && this->IsIdle()) {
       this->ReportIdle();
     }
   }
 
+  TargetStatus MakeStatus() const
+  {
+    TargetStatus next;
+    next.target = this->target;
+    next.isDraining = this->isDraining;
+    next.heartbeatInterval = this->heartbeatInterval;
+    if (this->requestServer) {
+      next.requests = this->requestServer->Status();
+    } else {
+      next.gangs = this->gangServer->Status();
+    }
+    return next;
+  }
+
   protocol::Heartbeat MakeHeartbeat() const
   {
     protocol::Heartbeat beat;
@@ -462,6 +486,8 @@
   std::size_t nextEntry = 0;
   std::chrono::milliseconds heartbeatInterval = kFirstHeartbeatInterval;
   base::TimePoint nextHeartbeat{};
+  base::TimePoint nextStatus{};
+  base::SnapshotCell<TargetStatus> status;
   /** Read by the admin address; isDraining belongs to the loop. */
   std::atomic<bool> isLeaving{ false };
   bool isDraining = false;
--- /dev/null
+++ b/libs/target/src/TargetDump.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "TargetStatus.h"
+#include "amaranthwind/admin/AdminServer.h"
+#include "amaranthwind/base/SnapshotCell.h"
+#include "amaranthwind/peering/EntryLinks.h"
+#include "amaranthwind/protocol/Node.h"
+
+#include <atomic>
+
+namespace amaranthwind::target {
+
+/** What the dump of a target's daemon shows; all outlive the admin server. */
+struct TargetParts
+{
+  const base::SnapshotCell<TargetStatus>& status;
+  const std::atomic<std::uint64_t>& noteOffset;
+  const peering::EntryLinks& links;
+  const protocol::Node& node;
+};
+
+/** Adds one section for each part. */
+void
+AddTargetDump(admin::AdminServer& aServer, const TargetParts& aParts);
+
+} // namespace amaranthwind::target
--- /dev/null
+++ b/libs/target/src/TargetStatus.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "amaranthwind/base/Ids.h"
+#include "amaranthwind/fleet/Target.h"
+#include "amaranthwind/gang/GangMember.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace amaranthwind::target {
+
+/** Short requests of an executor's daemon. */
+struct RequestStatus
+{
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  /** Wait for the answer of their witness. */
+  std::uint32_t claiming = 0;
+  std::size_t keys = 0;
+  std::size_t ledgerBytes = 0;
+};
+
+/** A task that the daemon has on its worker. */
+struct TaskStatus
+{
+  std::string id;
+  gang::AttemptKey key;
+  gang::Rank rank = 0;
+  bool isStarted = false;
+  bool isStopping = false;
+};
+
+/** Gangs of a worker's daemon. */
+struct GangStatus
+{
+  std::vector<gang::MemberStatus> gangs;
+  std::vector<TaskStatus> tasks;
+};
+
+/** A daemon as its loop publishes it for dump and metrics. */
+struct TargetStatus
+{
+  fleet::Target target;
+  bool isDraining = false;
+  std::chrono::milliseconds heartbeatInterval{};
+  RequestStatus requests;
+  GangStatus gangs;
+};
+
+} // namespace amaranthwind::target
