Keep less urgent firm work off while a more urgent gang holds the reservation

Jobs of a flood that had used up their stops became firm and filled the place of one gang after the other.

--- a/libs/scheduling/src/Dispatch.cpp
+++ b/libs/scheduling/src/Dispatch.cpp
@@ -223,6 +223,12 @@
   if (this->ledger.HasShortfall()) {
     return false;
   }
+  // Nor beside a more urgent gang that waits: jobs that have used up their
+  // stops would fill the place of one gang after the other.
+  if (this->reservation.job != kNoJob &&
+      job.urgency > this->jobs[this->reservation.job].urgency) {
+    return false;
+  }
   const auto take = [&] {
     const bool isTaken =
       this->ledger.TryTakeFirm(this->chosen, job.spec.shape.perMember);
