Ignore a request that is put back into the queue twice

Cause: Requeue() of a request that waits already left two queue entries with one id, found in review.

Change: it has no effect then; the test of Requeue() calls it twice.

--- a/libs/admission/include/amaranthwind/admission/AdmissionQueue.h
+++ b/libs/admission/include/amaranthwind/admission/AdmissionQueue.h
@@ -99,7 +99,7 @@
    * A dispatched request found no target, was written to no connection, and
    * has released its slot. It goes to the front of its caller's requests and
    * is dispatched at the next event, not at once: the same target would be
-   * busy again.
+   * busy again. No effect if the request waits already.
    */
   Effects Requeue(const Request& aRequest, base::TimePoint aNow);
   /** A slot was released while requests were waiting. */
--- a/libs/admission/src/AdmissionQueue.cpp
+++ b/libs/admission/src/AdmissionQueue.cpp
@@ -241,7 +241,7 @@
   const auto index = this->FindClass(aRequest);
   if (!index.has_value()) {
     effects.emplace_back(Refuse{ aRequest.id, index.error(), {} });
-  } else {
+  } else if (!this->byId.contains(aRequest.id)) {
     this->Enqueue(index.value(),
                   aRequest,
                   this->Expiry(index.value(), aRequest),
--- a/libs/admission/tests/AdmissionQueueTest.cpp
+++ b/libs/admission/tests/AdmissionQueueTest.cpp
@@ -361,6 +361,7 @@
   fixture.now += 1s;
   fixture.running.clear();
   fixture.Apply(fixture.queue.Requeue(fixture.requests[first], fixture.now));
+  fixture.Apply(fixture.queue.Requeue(fixture.requests[first], fixture.now));
   CHECK(fixture.running.empty());
   CHECK(fixture.gate.Waiting() == 2);
   fixture.Apply(fixture.queue.Complete(fixture.now));
