--- /dev/null
+++ b/libs/admin/include/amaranthwind/admin/TotalCounter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "amaranthwind/telemetry/Metrics.h"
+
+#include <cstdint>
+
+namespace amaranthwind::admin {
+
+/** A counter that follows a total kept elsewhere. Not thread-safe. */
+class TotalCounter
+{
+public:
+  explicit TotalCounter(const telemetry::Counter& aCounter)
+    : counter(aCounter)
+  {
+  }
+
+  /** aTotal must not fall. */
+  void Follow(std::uint64_t aTotal)
+  {
+    this->counter.Increment(static_cast<double>(aTotal - this->last));
+    this->last = aTotal;
+  }
+
+private:
+  telemetry::Counter counter;
+  std::uint64_t last = 0;
+};
+
+} // namespace amaranthwind::admin
--- a/libs/entry/src/CellService.cpp
+++ b/libs/entry/src/CellService.cpp
@@ -129,7 +129,8 @@
   , random(base::MakeSeed())
   , replay(aCodec)
   , election(this->options.zone, this->options.self, aClock.Now())
-  , writer(aLog, aCodec, aClock)
+  , recorder(this->options.metrics)
+  , writer(aLog, aCodec, aClock, this->options.appendMetrics)
   , follower(aLog,
              this->stream,
              kPollInterval,
@@ -340,6 +341,7 @@
   this->logger.Warning(
     "no longer coordinates the cell",
     { { "zone", this->options.zone }, { "reason", aReason } });
+  this->recorder.OnStopActing();
   this->scheduler.reset();
   this->gangs.reset();
   this->attempts.clear();
@@ -439,7 +441,9 @@
     return;
   }
   std::vector<scheduling::Effect> effects;
-  this->scheduler->Handle(this->clock.Now(), aEvent, effects);
+  const auto start = this->clock.Now();
+  this->scheduler->Handle(start, aEvent, effects);
+  this->recorder.OnDecision(this->clock.Now() - start);
   for (const auto& effect : effects) {
     std::visit([this](const auto& aEffect) { this->CarryOut(aEffect); },
                effect);
@@ -461,6 +465,7 @@
 void
 CellService::CarryOut(const scheduling::PreemptGang& aEffect)
 {
+  this->recorder.OnPreempt(aEffect, this->clock.Now());
   const auto found = this->attempts.find(aEffect.gang);
   if (found == this->attempts.end()) {
     return;
@@ -478,6 +483,7 @@
 void
 CellService::CarryOut(const scheduling::RefuseJob& aEffect)
 {
+  this->recorder.OnJobRefused(aEffect.job);
   this->logger.Info(
     "job is refused",
     { { "job", aEffect.job }, { "error", base::Describe(aEffect.error) } });
@@ -490,6 +496,7 @@
 void
 CellService::CarryOut(const scheduling::EndJob& aEffect)
 {
+  this->recorder.OnJobEnded(aEffect.job, this->clock.Now());
   journal::JobOutcome outcome = journal::JobOutcome::Succeeded;
   if (aEffect.error) {
     outcome = aEffect.error->code == ErrorCode::Cancelled
@@ -509,6 +516,7 @@
 void
 CellService::CarryOut(const scheduling::ReportShortfall& aEffect)
 {
+  this->recorder.OnShortfall(aEffect);
   this->logger.Warning("guarantee does not fit the fleet",
                        { { "account", aEffect.account },
                          { "units", aEffect.units },
@@ -518,6 +526,7 @@
 void
 CellService::CarryOut(const scheduling::ChangeWorkerHealth& aEffect)
 {
+  this->recorder.OnHealth(aEffect);
   this->logger.Warning("worker health changes",
                        { { "worker", aEffect.worker },
                          { "health", static_cast<int>(aEffect.health) } });
@@ -616,6 +625,11 @@
 void
 CellService::CarryOut(const gang::AttemptStarted& aEffect)
 {
+  const auto fate = this->replay.FateOf(aEffect.key.gang);
+  this->recorder.OnStarted(aEffect.key.gang,
+                           fate == journal::AttemptFate::Aborted ||
+                             fate == journal::AttemptFate::Voided,
+                           this->clock.Now());
   this->logger.Info("gang runs",
                     { { "job", aEffect.key.gang.job },
                       { "attempt", aEffect.key.gang.attempt } });
@@ -625,6 +639,8 @@
 void
 CellService::CarryOut(const gang::AttemptEnded& aEffect)
 {
+  this->recorder.OnAttemptEnded(
+    aEffect.key.gang, aEffect.outcome, this->clock.Now());
   this->logger.Info("gang attempt has ended",
                     { { "job", aEffect.key.gang.job },
                       { "attempt", aEffect.key.gang.attempt },
@@ -965,6 +981,8 @@
   this->logger.Info("job is accepted",
                     { { "job", aSpec.id }, { "account", aSpec.account } });
   this->accepted[aSpec.id] = aSpec;
+  this->recorder.OnAccepted(
+    aSpec.id, this->UrgencyOf(aSpec.kind), this->clock.Now());
   this->follower.Wake();
   aHandler(MakeQueuedView(aSpec));
   this->Schedule(
@@ -1027,7 +1045,9 @@
     return;
   }
   this->nextStatus = aNow + kStatusInterval;
-  this->status.Publish(this->MakeStatus());
+  auto next = this->MakeStatus();
+  this->recorder.OnStatus(next);
+  this->status.Publish(std::move(next));
 }
 
 CellStatus
--- a/libs/entry/src/CellService.h
+++ b/libs/entry/src/CellService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CellRecorder.h"
 #include "CellStatus.h"
 #include "LogWriter.h"
 #include "StreamFollower.h"
@@ -59,6 +60,8 @@
   base::ZoneId zone;
   base::EntryId self;
   base::Duration logRetention{};
+  telemetry::CellMetrics metrics{};
+  telemetry::AppendMetrics appendMetrics{};
 };
 
 /**
@@ -229,6 +232,7 @@
   std::optional<protocol::ConnectionId> sender;
   base::TimePoint nextScheduleTick{};
 
+  CellRecorder recorder;
   base::TimePoint nextStatus{};
   base::SnapshotCell<CellStatus> status;
 
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "CellService.h"
 #include "EntryDump.h"
+#include "EntrySampler.h"
 #include "HttpReplies.h"
 #include "JobService.h"
 #include "MembershipService.h"
@@ -90,10 +91,16 @@
     , memberLogger(aSink, aClock, "membership")
     , requestLogger(aSink, aClock, "requests")
     , cellLogger(aSink, aClock, "cell")
+    , adminServer(this->settings.id.View(), *this)
     , pool(this->settings.common.ioThreads)
     , node(this->pool, {}, *this)
     , log(this->pool, { .address = this->settings.logService })
-    , policy(this->log, this->codec, this->policyLogger, *this)
+    , policy(this->log,
+             this->codec,
+             aClock,
+             telemetry::PolicyMetrics(this->adminServer.Metrics()),
+             this->policyLogger,
+             *this)
     , self{ this->settings.id,
             base::Incarnation(static_cast<std::uint64_t>(
               aClock.WallNow().time_since_epoch().count())),
@@ -108,6 +115,7 @@
                this->node,
                this->pool,
                this->membership,
+               this->adminServer.Metrics(),
                this->requestLogger)
     , cells(this->MakeCells())
     , jobs(this->settings.common.zone,
@@ -119,7 +127,6 @@
       this->HandleCaller(std::move(aRequest), std::move(aRespond));
     })
     , http(this->pool, ToServerOptions(this->settings.limits), this->callers)
-    , adminServer(this->settings.id.View(), *this)
   {
   }
 
@@ -141,13 +148,19 @@
       cell->Start();
     }
     this->StartLinks(addresses.inner);
-    AddEntryDump(this->adminServer,
-                 { this->policy,
-                   this->membership,
-                   this->requests,
-                   this->cells,
-                   *this->links,
-                   this->node });
+    const EntryParts parts{ this->policy, this->membership, this->requests,
+                            this->cells,  *this->links,     this->node };
+    AddEntryDump(this->adminServer, parts);
+    this->adminServer.AddSampler(std::make_shared<EntrySampler>(
+      this->adminServer.Metrics(),
+      parts,
+      *this,
+      this->http,
+      std::vector<const telemetry::Logger*>{ &this->logger,
+                                             &this->policyLogger,
+                                             &this->memberLogger,
+                                             &this->requestLogger,
+                                             &this->cellLogger }));
     BOOST_OUTCOME_TRY(
       addresses.admin,
       this->adminServer.Listen(this->settings.common.adminListen));
@@ -172,6 +185,10 @@
     this->http.StopAccepting();
     this->WaitFor(kDrainLimit,
                   [this] { return this->http.ActiveRequests() == 0; });
+    if (const auto active = this->http.ActiveRequests(); active > 0) {
+      // The admin address closes with the process, so that only the log tells.
+      this->logger.Error("stop interrupts requests", { { "count", active } });
+    }
     protocol::Heartbeat farewell = this->membership.MakeHeartbeat();
     farewell.isDraining = true;
     this->links->SendToAll(farewell);
@@ -312,7 +329,11 @@
     for (const auto& zone : this->settings.coordinatedZones) {
       made.push_back(std::make_unique<CellService>(
         CellServiceOptions{
-          zone, this->settings.id, this->settings.logRetention },
+          zone,
+          this->settings.id,
+          this->settings.logRetention,
+          telemetry::CellMetrics(this->adminServer.Metrics(), zone),
+          telemetry::AppendMetrics(this->adminServer.Metrics()) },
         this->clock,
         this->log,
         this->codec,
@@ -439,6 +460,7 @@
   telemetry::Logger requestLogger;
   telemetry::Logger cellLogger;
   const codec::JsonRecordCodec codec;
+  admin::AdminServer adminServer;
   net::IoPool pool;
   protocol::Node node;
   frontend::HttpLogClient log;
@@ -450,7 +472,6 @@
   JobService jobs;
   HandlerFunction callers;
   frontend::HttpServer http;
-  admin::AdminServer adminServer;
   std::unique_ptr<peering::EntryLinks> links;
   std::atomic<bool> isDraining{ false };
   bool isStopped = false;
--- /dev/null
+++ b/libs/entry/src/EntrySampler.cpp
@@ -0,0 +1,115 @@
+#include "EntrySampler.h"
+
+#include <array>
+#include <utility>
+
+namespace amaranthwind::entry {
+
+using telemetry::TargetState;
+
+EntrySampler::EntrySampler(telemetry::Metrics& aMetrics,
+                           const EntryParts& aParts,
+                           const admin::Readiness& aReadiness,
+                           const frontend::HttpServer& aServer,
+                           std::vector<const telemetry::Logger*> aLoggers)
+  : parts(aParts)
+  , readiness(aReadiness)
+  , server(aServer)
+  , loggers(std::move(aLoggers))
+  , process(aMetrics)
+  , policy(aMetrics)
+  , entry(aMetrics)
+  , lateResponses(this->process.lateResponses)
+  , unmatchedResponses(this->process.unmatchedResponses)
+  , silentConnections(this->process.silentConnections)
+  , bytesSent(this->process.bytesSent)
+  , bytesReceived(this->process.bytesReceived)
+  , suppressedLogLines(this->process.suppressedLogLines)
+  , refusedConnections(this->entry.refusedConnections)
+{
+}
+
+void
+EntrySampler::SampleMetrics()
+{
+  this->process.ready.Set(this->readiness.WhyNotReady() ? 0 : 1);
+  this->SamplePolicy();
+  this->SampleTargets();
+  this->SampleConnections();
+  std::uint64_t suppressed = 0;
+  for (const auto* logger : this->loggers) {
+    suppressed += logger->SuppressedLines();
+  }
+  this->suppressedLogLines.Follow(suppressed);
+}
+
+void
+EntrySampler::SamplePolicy()
+{
+  const auto offset = this->parts.policy.Offset().Get();
+  const auto peer = this->parts.membership.Status()->highestPeerOffset.Get();
+  this->policy.version.Set(
+    static_cast<double>(this->parts.policy.Current()->version.Get()));
+  this->process.noteOffset.Set(static_cast<double>(offset));
+  this->policy.offsetLag.Set(peer > offset ? static_cast<double>(peer - offset)
+                                           : 0);
+  this->entry.logAvailable.Set(this->parts.policy.IsLogReachable() ? 1 : 0);
+}
+
+void
+EntrySampler::SampleTargets()
+{
+  std::array<std::uint32_t, telemetry::kTargetStates> counts{};
+  const auto count = [&](TargetState aState) -> std::uint32_t& {
+    return counts[static_cast<std::size_t>(aState)];
+  };
+  for (const auto& target : this->parts.membership.Status()->targets) {
+    switch (target.state) {
+      case membership::TargetState::Active:
+        ++count(TargetState::Available);
+        break;
+      case membership::TargetState::Draining:
+        ++count(TargetState::Draining);
+        break;
+      case membership::TargetState::Suspect:
+      case membership::TargetState::Lost:
+        ++count(TargetState::Silent);
+        break;
+      case membership::TargetState::Announced:
+      case membership::TargetState::Left:
+        break;
+    }
+  }
+  {
+    const auto routes = this->parts.membership.CurrentRoutes();
+    for (const auto& route : routes->snapshot->Serving()) {
+      const bool isEjected =
+        route.state != nullptr &&
+        route.state->CurrentHealth() == routing::Health::Ejected;
+      if (isEjected && count(TargetState::Available) > 0) {
+        --count(TargetState::Available);
+        ++count(TargetState::Ejected);
+      }
+    }
+  }
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    this->entry.Targets(static_cast<TargetState>(i)).Set(counts[i]);
+  }
+}
+
+void
+EntrySampler::SampleConnections()
+{
+  const auto counters = this->parts.node.Counters();
+  this->process.peerConnections.Set(static_cast<double>(counters.connections));
+  this->lateResponses.Follow(counters.lateReplies);
+  this->unmatchedResponses.Follow(counters.unmatchedReplies);
+  this->silentConnections.Follow(counters.silentConnections);
+  this->bytesSent.Follow(counters.bytesSent);
+  this->bytesReceived.Follow(counters.bytesReceived);
+  this->entry.callerConnections.Set(
+    static_cast<double>(this->server.Connections()));
+  this->refusedConnections.Follow(this->server.RefusedConnections());
+}
+
+} // namespace amaranthwind::entry
--- a/libs/entry/src/LogWriter.cpp
+++ b/libs/entry/src/LogWriter.cpp
@@ -22,8 +22,11 @@
 
 LogWriter::LogWriter(journal::LogClient& aLog,
                      const journal::RecordCodec& aCodec,
-                     const base::Clock& aClock)
-  : appender(aLog, aCodec, aClock, *this, kLimits)
+                     const base::Clock& aClock,
+                     const telemetry::AppendMetrics& aMetrics)
+  : clock(aClock)
+  , metrics(aMetrics)
+  , appender(aLog, aCodec, aClock, *this, kLimits)
   , queue(kQueueCapacity)
 {
 }
@@ -67,6 +70,19 @@
     lock, aTime, [this] { return this->isStopped; });
 }
 
+void
+LogWriter::Count(const base::Result<base::LogOffset>& aResult) const
+{
+  using telemetry::AppendResult;
+  if (aResult.has_value()) {
+    this->metrics.Appends(AppendResult::Appended).Increment();
+  } else if (aResult.error().code == base::ErrorCode::AppendUnconfirmed) {
+    this->metrics.Appends(AppendResult::Unconfirmed).Increment();
+  } else if (aResult.error().code == base::ErrorCode::LogUnavailable) {
+    this->metrics.Appends(AppendResult::Unavailable).Increment();
+  }
+}
+
 void
 LogWriter::Run()
 {
@@ -79,7 +95,10 @@
       }
     }
     if (item) {
+      const auto start = this->clock.Now();
       auto result = this->appender.Append(item->task);
+      this->metrics.appendTime.Observe(this->clock.Now() - start);
+      this->Count(result);
       item->handler(std::move(item->task), std::move(result));
     }
   }
--- a/libs/entry/src/LogWriter.h
+++ b/libs/entry/src/LogWriter.h
@@ -2,6 +2,7 @@
 
 #include "amaranthwind/base/BoundedQueue.h"
 #include "amaranthwind/journal/Appender.h"
+#include "amaranthwind/telemetry/StandardMetrics.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -26,7 +27,8 @@
   /** The arguments must outlive the writer. */
   LogWriter(journal::LogClient& aLog,
             const journal::RecordCodec& aCodec,
-            const base::Clock& aClock);
+            const base::Clock& aClock,
+            const telemetry::AppendMetrics& aMetrics);
   ~LogWriter() override;
   LogWriter(const LogWriter&) = delete;
   LogWriter& operator=(const LogWriter&) = delete;
@@ -45,7 +47,10 @@
 
   bool Wait(base::Duration aTime) override;
   void Run();
+  void Count(const base::Result<base::LogOffset>& aResult) const;
 
+  const base::Clock& clock;
+  const telemetry::AppendMetrics metrics;
   journal::Appender appender;
   base::BoundedQueue<Item> queue;
   std::mutex mutex;
--- a/libs/entry/src/PolicyKeeper.cpp
+++ b/libs/entry/src/PolicyKeeper.cpp
@@ -16,9 +16,13 @@
 
 PolicyKeeper::PolicyKeeper(journal::LogClient& aLog,
                            const journal::RecordCodec& aCodec,
+                           const base::Clock& aClock,
+                           const telemetry::PolicyMetrics& aMetrics,
                            telemetry::Logger& aLogger,
                            PolicyObserver& aObserver)
-  : logger(aLogger)
+  : clock(aClock)
+  , metrics(aMetrics)
+  , logger(aLogger)
   , observer(aObserver)
   , replay(aCodec)
   , current(std::make_unique<const policy::Policy>())
@@ -47,6 +51,9 @@
   std::lock_guard lock(this->mutex);
   if (aRead.batch.has_value()) {
     const auto& batch = aRead.batch.value();
+    if (!batch.records.empty() && !this->newerSince) {
+      this->newerSince = this->clock.Now();
+    }
     this->Report(this->replay.Consume(batch));
     this->isLogReachable.store(true);
     if (this->replay.NextOffset() >= batch.end && this->replay.IsComplete()) {
@@ -66,6 +73,15 @@
   return this->replay.NextOffset();
 }
 
+void
+PolicyKeeper::OnNewerOffset()
+{
+  std::lock_guard lock(this->mutex);
+  if (!this->newerSince) {
+    this->newerSince = this->clock.Now();
+  }
+}
+
 void
 PolicyKeeper::Adopt(const policy::Policy& aPolicy)
 {
@@ -85,10 +101,12 @@
 {
   for (const auto& record : aRecords) {
     if (record.verdict == journal::Verdict::Applied) {
+      this->metrics.notesApplied.Increment();
       this->logger.Info("note in force",
                         { { "note", record.id }, { "offset", record.offset } });
     } else if (record.verdict == journal::Verdict::Rejected ||
                record.verdict == journal::Verdict::Malformed) {
+      this->metrics.notesRejected.Increment();
       this->logger.Warning("note rejected",
                            { { "note", record.id },
                              { "offset", record.offset },
@@ -107,6 +125,10 @@
   }
   this->current.Publish(std::make_unique<const policy::Policy>(policy));
   this->offset.store(policy.nextOffset.Get());
+  if (this->newerSince) {
+    this->metrics.delay.Observe(this->clock.Now() - *this->newerSince);
+    this->newerSince.reset();
+  }
   this->observer.OnPolicy(policy);
 }
 
--- a/libs/entry/src/PolicyKeeper.h
+++ b/libs/entry/src/PolicyKeeper.h
@@ -5,9 +5,11 @@
 #include "amaranthwind/journal/NoteReplay.h"
 #include "amaranthwind/policy/Policy.h"
 #include "amaranthwind/telemetry/Logger.h"
+#include "amaranthwind/telemetry/StandardMetrics.h"
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 
 namespace amaranthwind::entry {
 
@@ -29,6 +31,8 @@
   /** The arguments must outlive the keeper. */
   PolicyKeeper(journal::LogClient& aLog,
                const journal::RecordCodec& aCodec,
+               const base::Clock& aClock,
+               const telemetry::PolicyMetrics& aMetrics,
                telemetry::Logger& aLogger,
                PolicyObserver& aObserver);
 
@@ -50,6 +54,8 @@
   /** False during an outage of the log. */
   bool IsLogReachable() const noexcept { return this->isLogReachable.load(); }
 
+  /** A peer has shown an offset that is not in force here. */
+  void OnNewerOffset();
   /** A peer's policy; taken if it is newer. */
   void Adopt(const policy::Policy& aPolicy);
 
@@ -58,11 +64,15 @@
   void Report(const std::vector<journal::ReplayedRecord>& aRecords);
   void PublishIfNew();
 
+  const base::Clock& clock;
+  const telemetry::PolicyMetrics metrics;
   telemetry::Logger& logger;
   PolicyObserver& observer;
   /** Guards the replay and the order of publications. */
   std::mutex mutex;
   journal::NoteReplay replay;
+  /** First sight of an offset that is not in force here yet. */
+  std::optional<base::TimePoint> newerSince;
   base::RcuCell<policy::Policy> current;
   std::atomic<std::uint64_t> offset{ 0 };
   std::atomic<bool> isLoaded{ false };
--- a/libs/entry/src/RequestService.cpp
+++ b/libs/entry/src/RequestService.cpp
@@ -27,6 +27,8 @@
 // The target answers at the deadline at the latest; the rest is for the way.
 constexpr base::Duration kReplyMargin = 500ms;
 constexpr std::uint32_t kMaxSends = 3;
+// Long enough that a caller of a few requests a minute counts.
+constexpr base::Duration kCallerWindow = 60s;
 constexpr base::Duration kNoPermitDelay = 2ms;
 constexpr std::uint16_t kFirstServerError = 500;
 constexpr std::size_t kMaxKeyLength = 128;
@@ -121,12 +123,17 @@
   std::uint32_t sends = 0;
   /** An earlier attempt or an earlier send may have run. */
   bool mayHaveRun = false;
+  telemetry::AccountMetrics accountMetrics;
+  telemetry::RequestMetrics kindMetrics;
+  bool isSmallCaller = false;
+  std::optional<base::TimePoint> queuedAt;
 };
 
 RequestService::RequestService(const base::Clock& aClock,
                                protocol::Node& aNode,
                                net::IoPool& aPool,
                                MembershipService& aMembership,
+                               telemetry::Metrics& aMetrics,
                                telemetry::Logger& aLogger)
   : clock(aClock)
   , node(aNode)
@@ -134,7 +141,10 @@
   , membership(aMembership)
   , logger(aLogger)
   , gate(0)
-  , shares(this->shareTable.Build({}))
+  , metrics(aMetrics)
+  , entryMetrics(aMetrics)
+  , unknownKind(aMetrics, base::WorkKindId("-"))
+  , shares(this->Measure(this->shareTable.Build({})))
   , queue(this->gate, this->shareTable.Build({}))
   , picker(std::make_unique<routing::PowerOfTwoPicker>())
   , loop(kLoopCapacity)
@@ -147,8 +157,13 @@
 RequestService::Start()
 {
   this->loop.SetTick(kTickInterval, [this] {
+    const auto now = this->clock.Now();
+    if (now >= this->nextRotation) {
+      this->nextRotation = now + kCallerWindow;
+      this->callerSizes.Rotate();
+    }
     this->RefreshCapacity();
-    this->CarryOut(this->queue.Tick(this->clock.Now()));
+    this->CarryOut(this->queue.Tick(now));
   });
   this->loop.Start();
 }
@@ -163,7 +178,7 @@
 void
 RequestService::OnPolicy(const policy::Policy& aPolicy)
 {
-  this->shares.Publish(this->shareTable.Build(aPolicy));
+  this->shares.Publish(this->Measure(this->shareTable.Build(aPolicy)));
   // The admission thread has a snapshot of its own, since it keeps it for
   // longer than a read section may last.
   auto holder =
@@ -175,6 +190,31 @@
   });
 }
 
+std::unique_ptr<const MeasuredShares>
+RequestService::Measure(std::unique_ptr<const admission::ShareSnapshot> aShares)
+{
+  auto measured = std::make_unique<MeasuredShares>();
+  for (const auto& account : aShares->Accounts()) {
+    measured->accounts.emplace_back(this->metrics, account.id);
+  }
+  for (const auto& kind : aShares->Kinds()) {
+    measured->kinds.emplace_back(this->metrics, kind.id);
+  }
+  measured->shares = std::move(aShares);
+  return measured;
+}
+
+void
+RequestService::CountBadInput(std::string_view aKind) const
+{
+  const auto guard = this->shares.Read();
+  const auto* kind = guard->shares->FindKind(aKind);
+  const auto& counted = kind == nullptr
+                          ? this->unknownKind
+                          : guard->kinds[kind - guard->shares->Kinds().data()];
+  counted.Outcome(telemetry::RequestOutcome::BadInput).Increment();
+}
+
 void
 RequestService::OnRoutes()
 {
@@ -204,8 +244,8 @@
     }
   };
   const auto guard = this->shares.Read();
-  append(guard->Accounts(), use.accounts);
-  append(guard->Kinds(), use.kinds);
+  append(guard->shares->Accounts(), use.accounts);
+  append(guard->shares->Kinds(), use.kinds);
   return use;
 }
 
@@ -217,6 +257,7 @@
   auto context = this->Parse(aKind, aRequest);
   if (context.has_error()) {
     this->counters.notRun.fetch_add(1, std::memory_order_relaxed);
+    this->CountBadInput(aKind);
     aRespond(MakeErrorResponse({ context.error(), true, std::nullopt }));
     return;
   }
@@ -251,13 +292,17 @@
   auto context = std::make_shared<Context>();
   {
     const auto guard = this->shares.Read();
-    if (guard->FindAccount(account) == nullptr) {
+    const auto* share = guard->shares->FindAccount(account);
+    if (share == nullptr) {
       return base::Fail(ErrorCode::UnknownAccount, account);
     }
-    const auto* kind = guard->FindKind(aKind);
+    const auto* kind = guard->shares->FindKind(aKind);
     if (kind == nullptr) {
       return base::Fail(ErrorCode::UnknownKind, aKind);
     }
+    context->accountMetrics =
+      guard->accounts[share - guard->shares->Accounts().data()];
+    context->kindMetrics = guard->kinds[kind - guard->shares->Kinds().data()];
     context->isIdempotent = kind->isIdempotent;
   }
   if (!context->isIdempotent && key.empty()) {
@@ -272,6 +317,7 @@
   request.caller = base::CallerId(caller);
   request.arrival = now;
   request.deadline = now + deadline;
+  context->isSmallCaller = this->callerSizes.CountAndIsSmall(account, caller);
   context->key = base::IdempotencyKey(key);
   context->attempt = attempt;
   context->mayHaveRun = attempt > 0;
@@ -283,8 +329,9 @@
 RequestService::TryAdmit(Context& aContext)
 {
   const auto guard = this->shares.Read();
-  const auto* account = guard->FindAccount(aContext.request.account.View());
-  const auto* kind = guard->FindKind(aContext.request.kind.View());
+  const auto* account =
+    guard->shares->FindAccount(aContext.request.account.View());
+  const auto* kind = guard->shares->FindKind(aContext.request.kind.View());
   if (account == nullptr || kind == nullptr) {
     return false;
   }
@@ -292,13 +339,36 @@
   return aContext.slot.has_value();
 }
 
+void
+RequestService::EnterQueue(Context& aContext)
+{
+  aContext.queuedAt = this->clock.Now();
+  aContext.kindMetrics.queued.Add(1);
+  aContext.accountMetrics.queued.Add(1);
+}
+
+void
+RequestService::LeaveQueue(Context& aContext)
+{
+  if (!aContext.queuedAt) {
+    return;
+  }
+  aContext.kindMetrics.queueWait.Observe(this->clock.Now() -
+                                         *aContext.queuedAt);
+  aContext.queuedAt.reset();
+  aContext.kindMetrics.queued.Add(-1);
+  aContext.accountMetrics.queued.Add(-1);
+}
+
 void
 RequestService::Submit(const ContextPtr& aContext)
 {
+  this->EnterQueue(*aContext);
   this->counters.queued.fetch_add(1, std::memory_order_relaxed);
   const bool isAccepted =
     this->loop.TryPost([this, aContext] { this->SubmitOnLoop(aContext); });
   if (!isAccepted) {
+    this->LeaveQueue(*aContext);
     this->RespondNotRun(
       *aContext, { ErrorCode::QueueFull, "admission" }, kRetryAfter);
   }
@@ -314,6 +384,7 @@
 void
 RequestService::RequeueOnLoop(const ContextPtr& aContext)
 {
+  this->EnterQueue(*aContext);
   this->waiting.emplace(aContext->request.id, aContext);
   this->CarryOut(this->queue.Requeue(aContext->request, this->clock.Now()));
 }
@@ -325,9 +396,11 @@
     if (auto* dispatch = std::get_if<admission::Dispatch>(&effect)) {
       auto found = this->waiting.extract(dispatch->id);
       found.mapped()->slot.emplace(std::move(dispatch->slot));
+      this->LeaveQueue(*found.mapped());
       this->Dispatch(found.mapped());
     } else if (const auto* refuse = std::get_if<admission::Refuse>(&effect)) {
       const auto found = this->waiting.extract(refuse->id);
+      this->LeaveQueue(*found.mapped());
       this->RespondNotRun(*found.mapped(), refuse->error, refuse->retryAfter);
     }
   }
@@ -446,6 +519,10 @@
     this->OnReply(aContext, *reply);
     return;
   }
+  if (aResult.failure.mayHaveBeenSent &&
+      this->IsLeaving(aContext->permit->Target())) {
+    this->entryMetrics.interruptedRequests.Increment();
+  }
   ExecuteReply failed;
   failed.error = aResult.failure.error;
   failed.outcome = aResult.failure.mayHaveBeenSent ? ExecuteOutcome::Unknown
@@ -480,6 +557,17 @@
   }
 }
 
+bool
+RequestService::IsLeaving(routing::TargetHandle aTarget) const
+{
+  const auto routes = this->membership.CurrentRoutes();
+  const auto entries = routes->snapshot->Entries();
+  return std::any_of(entries.begin(), entries.end(), [&](const auto& aEntry) {
+    return aEntry.handle == aTarget &&
+           aEntry.status == routing::TargetStatus::Draining;
+  });
+}
+
 bool
 RequestService::TryRetry(const ContextPtr& aContext)
 {
@@ -487,11 +575,14 @@
   // carry a higher number, and only the caller gives those out.
   const bool isAllowed = aContext->isIdempotent &&
                          aContext->sends < kMaxSends &&
-                         this->clock.Now() < aContext->request.deadline &&
-                         this->retryBudget.TrySpend();
+                         this->clock.Now() < aContext->request.deadline;
   if (!isAllowed) {
     return false;
   }
+  if (!this->retryBudget.TrySpend()) {
+    this->entryMetrics.refusedRetries.Increment();
+    return false;
+  }
   this->counters.retries.fetch_add(1, std::memory_order_relaxed);
   if (this->TryAdmit(*aContext)) {
     this->Dispatch(aContext);
@@ -508,6 +599,9 @@
     return;
   }
   const auto held = this->clock.Now() - aContext.dispatched;
+  const double seconds = std::chrono::duration<double>(held).count();
+  aContext.kindMetrics.slotSeconds.Increment(seconds);
+  aContext.accountMetrics.slotSeconds.Increment(seconds);
   const bool isAwaited = aContext.slot->Release(held);
   aContext.slot.reset();
   if (isAwaited) {
@@ -516,9 +610,24 @@
   }
 }
 
+void
+RequestService::CountOutcome(Context& aContext,
+                             telemetry::RequestOutcome aOutcome)
+{
+  const auto& kind = aContext.kindMetrics;
+  kind.Outcome(aOutcome).Increment();
+  if (aOutcome == telemetry::RequestOutcome::NotRun) {
+    aContext.accountMetrics.notRun.Increment();
+  }
+  const auto& duration = aContext.isSmallCaller ? kind.durationSmallCallers
+                                                : kind.durationLargeCallers;
+  duration.Observe(this->clock.Now() - aContext.request.arrival);
+}
+
 void
 RequestService::RespondDone(Context& aContext, const ExecuteReply& aReply)
 {
+  this->CountOutcome(aContext, telemetry::RequestOutcome::Done);
   this->counters.done.fetch_add(1, std::memory_order_relaxed);
   frontend::HttpResponse response;
   response.status = aReply.status;
@@ -533,6 +642,9 @@
                               const base::Error& aError,
                               base::Duration aRetryAfter)
 {
+  this->CountOutcome(aContext,
+                     aContext.mayHaveRun ? telemetry::RequestOutcome::Unknown
+                                         : telemetry::RequestOutcome::NotRun);
   this->counters.notRun.fetch_add(1, std::memory_order_relaxed);
   auto response =
     MakeErrorResponse({ aError, !aContext.mayHaveRun, aRetryAfter });
@@ -544,6 +656,7 @@
 void
 RequestService::RespondUnknown(Context& aContext, const base::Error& aError)
 {
+  this->CountOutcome(aContext, telemetry::RequestOutcome::Unknown);
   this->counters.unknown.fetch_add(1, std::memory_order_relaxed);
   this->logger.Warning("outcome is unknown",
                        { { "request", aContext.request.id },
--- a/libs/entry/src/RequestService.h
+++ b/libs/entry/src/RequestService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallerSizes.h"
 #include "MembershipService.h"
 #include "PolicyKeeper.h"
 #include "amaranthwind/admission/AdmissionQueue.h"
@@ -12,6 +13,7 @@
 #include "amaranthwind/protocol/Node.h"
 #include "amaranthwind/routing/TargetPicker.h"
 #include "amaranthwind/telemetry/Logger.h"
+#include "amaranthwind/telemetry/StandardMetrics.h"
 
 #include <atomic>
 #include <memory>
@@ -44,6 +46,17 @@
   std::vector<ShareUse> kinds;
 };
 
+/**
+ * Shares and, at the same places, the metrics of each account and kind, so
+ * that a request needs no look-up by name. Immutable.
+ */
+struct MeasuredShares
+{
+  std::unique_ptr<const admission::ShareSnapshot> shares;
+  std::vector<telemetry::AccountMetrics> accounts;
+  std::vector<telemetry::RequestMetrics> kinds;
+};
+
 /**
  * Serves short requests. An I/O thread reads the shares and the routes under
  * read-copy-update, takes a slot and a permit from atomics, and sends. Only a
@@ -56,6 +69,7 @@
                  protocol::Node& aNode,
                  net::IoPool& aPool,
                  MembershipService& aMembership,
+                 telemetry::Metrics& aMetrics,
                  telemetry::Logger& aLogger);
   ~RequestService();
   RequestService(const RequestService&) = delete;
@@ -90,7 +104,12 @@
 
   base::Result<ContextPtr> Parse(std::string_view aKind,
                                  frontend::HttpRequest& aRequest);
+  std::unique_ptr<const MeasuredShares> Measure(
+    std::unique_ptr<const admission::ShareSnapshot> aShares);
+  void CountBadInput(std::string_view aKind) const;
   bool TryAdmit(Context& aContext);
+  void EnterQueue(Context& aContext);
+  void LeaveQueue(Context& aContext);
   void Submit(const ContextPtr& aContext);
   void SubmitOnLoop(const ContextPtr& aContext);
   void RequeueOnLoop(const ContextPtr& aContext);
@@ -104,8 +123,10 @@
                 const protocol::CallResult& aResult);
   void OnReply(const ContextPtr& aContext,
                const protocol::ExecuteReply& aReply);
+  bool IsLeaving(routing::TargetHandle aTarget) const;
   bool TryRetry(const ContextPtr& aContext);
   void ReleaseSlot(Context& aContext);
+  void CountOutcome(Context& aContext, telemetry::RequestOutcome aOutcome);
   void RespondDone(Context& aContext, const protocol::ExecuteReply& aReply);
   void RespondNotRun(Context& aContext,
                      const base::Error& aError,
@@ -120,7 +141,13 @@
   telemetry::Logger& logger;
   admission::ShareTable shareTable;
   admission::CapacityGate gate;
-  base::RcuCell<admission::ShareSnapshot> shares;
+  telemetry::Metrics& metrics;
+  const telemetry::EntryMetrics entryMetrics;
+  /** Of requests whose kind does not exist. */
+  const telemetry::RequestMetrics unknownKind;
+  CallerSizes callerSizes;
+  base::TimePoint nextRotation{};
+  base::RcuCell<MeasuredShares> shares;
   admission::AdmissionQueue queue;
   admission::RetryBudget retryBudget;
   std::unique_ptr<routing::TargetPicker> picker;
--- a/libs/frontend/include/amaranthwind/frontend/HttpServer.h
+++ b/libs/frontend/include/amaranthwind/frontend/HttpServer.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -59,6 +60,8 @@
   /** Requests that were read and not yet answered. */
   std::size_t ActiveRequests() const noexcept;
   std::size_t Connections() const noexcept;
+  /** Closed at once because of the limit, since the start. */
+  std::uint64_t RefusedConnections() const noexcept;
 
   /** Takes no new connection; those that exist go on. */
   void StopAccepting();
--- a/libs/frontend/src/HttpServer.cpp
+++ b/libs/frontend/src/HttpServer.cpp
@@ -29,6 +29,7 @@
   std::atomic<bool> isDraining{ false };
   std::atomic<std::size_t> activeRequests{ 0 };
   std::atomic<std::size_t> connections{ 0 };
+  std::atomic<std::uint64_t> refusedConnections{ 0 };
 };
 
 /** One connection of a client; lives on the thread of its socket. */
@@ -201,8 +202,11 @@
             !self->acceptor->is_open()) {
           return;
         }
-        if (!aError && self->state->connections.load() <
-                         self->state->options.maxConnections) {
+        const bool isFull = self->state->connections.load() >=
+                            self->state->options.maxConnections;
+        if (!aError && isFull) {
+          self->state->refusedConnections.fetch_add(1);
+        } else if (!aError) {
           self->AddSession(std::move(aSocket));
         }
         self->Accept();
@@ -292,6 +296,12 @@
   return this->impl->state->connections.load();
 }
 
+std::uint64_t
+HttpServer::RefusedConnections() const noexcept
+{
+  return this->impl->state->refusedConnections.load();
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/libs/target/src/GangServer.cpp
+++ b/libs/target/src/GangServer.cpp
@@ -61,6 +61,22 @@
   }
 }
 
+telemetry::GangResult
+ToMetric(TaskState aState, bool aWasStarted)
+{
+  if (!aWasStarted) {
+    return telemetry::GangResult::NotRun;
+  }
+  switch (aState) {
+    case TaskState::Succeeded:
+      return telemetry::GangResult::Succeeded;
+    case TaskState::Stopped:
+      return telemetry::GangResult::Preempted;
+    default:
+      return telemetry::GangResult::Failed;
+  }
+}
+
 } // namespace
 
 GangServer::GangServer(const base::TargetId& aWorker,
@@ -71,6 +87,7 @@
                        protocol::Node& aNode,
                        WorkerClient& aClient,
                        EntryDirectory& aEntries,
+                       const telemetry::TargetMetrics& aMetrics,
                        telemetry::Logger& aLogger)
   : cell(aCell)
   , clock(aClock)
@@ -78,6 +95,7 @@
   , node(aNode)
   , client(aClient)
   , entries(aEntries)
+  , metrics(aMetrics)
   , logger(aLogger)
   , member(aWorker, aCapacity)
 {
@@ -115,9 +133,8 @@
       continue;
     }
     const auto& plan = adopted.value().plan;
-    this->tasks[gang::KeyOf(*plan)] = {
-      task.id, plan, adopted.value().rank, true, false
-    };
+    this->tasks[gang::KeyOf(*plan)] = { task.id, plan,  adopted.value().rank,
+                                        true,    false, {} };
     this->logger.Info("task adopted", { { "task", task.id } });
     gang::AdoptTask event = adopted.value();
     event.leaseLeft = task.leaseLeft;
@@ -132,6 +149,8 @@
     Coordinator& coordinator = this->coordinators[fence->cell];
     if (fence->token >= coordinator.token) {
       coordinator = { fence->token, aConnection };
+    } else {
+      this->metrics.staleTokens.Increment();
     }
   }
   this->Handle(aEvent, aConnection);
@@ -142,6 +161,7 @@
                    std::optional<ConnectionId> aSender)
 {
   this->sender = aSender;
+  this->isTick = std::holds_alternative<gang::Tick>(aEvent);
   const auto effects = this->member.Handle(this->clock.Now(), aEvent);
   for (const auto& effect : effects) {
     std::visit([this](const auto& aEffect) { this->CarryOut(aEffect); },
@@ -212,6 +232,12 @@
   this->logger.Info("task ended",
                     { { "task", found->second.id },
                       { "state", static_cast<unsigned>(aState) } });
+  if (found->second.isStopping) {
+    this->metrics.taskStopTime.Observe(this->clock.Now() -
+                                       found->second.stoppedAt);
+  }
+  const bool wasStarted = found->second.isStarted;
+  this->metrics.Tasks(ToMetric(aState, wasStarted)).Increment();
   this->tasks.erase(found);
   this->Handle(gang::TaskEnded{ aKey, ToResult(aState) }, std::nullopt);
 }
@@ -260,7 +286,7 @@
 {
   const AttemptKey key = aEffect.key;
   Task task{
-    MakeTaskId(key, aEffect.rank), aEffect.plan, aEffect.rank, false, false
+    MakeTaskId(key, aEffect.rank), aEffect.plan, aEffect.rank, false, false, {}
   };
   TaskSpec spec;
   spec.id = task.id;
@@ -315,6 +341,12 @@
   if (found == this->tasks.end()) {
     return;
   }
+  if (!found->second.isStopping) {
+    found->second.stoppedAt = this->clock.Now();
+    if (this->isTick) {
+      this->metrics.gangStops.Increment();
+    }
+  }
   found->second.isStopping = true;
   this->logger.Info("task stops", { { "task", found->second.id } });
   this->client.Stop(found->second.id,
--- a/libs/target/src/GangServer.h
+++ b/libs/target/src/GangServer.h
@@ -7,6 +7,7 @@
 #include "amaranthwind/protocol/Node.h"
 #include "amaranthwind/target/WorkerClient.h"
 #include "amaranthwind/telemetry/Logger.h"
+#include "amaranthwind/telemetry/StandardMetrics.h"
 
 #include <map>
 #include <optional>
@@ -43,6 +44,7 @@
              protocol::Node& aNode,
              WorkerClient& aClient,
              EntryDirectory& aEntries,
+             const telemetry::TargetMetrics& aMetrics,
              telemetry::Logger& aLogger);
 
   /** Adopts the tasks that a former daemon left; then calls aReady. */
@@ -76,6 +78,7 @@
     /** The worker has confirmed that it runs. */
     bool isStarted = false;
     bool isStopping = false;
+    base::TimePoint stoppedAt{};
   };
 
   void Handle(const gang::MemberEvent& aEvent,
@@ -102,10 +105,13 @@
   protocol::Node& node;
   WorkerClient& client;
   EntryDirectory& entries;
+  const telemetry::TargetMetrics metrics;
   telemetry::Logger& logger;
   gang::GangMember member;
   /** Sender of the event that is being handled. */
   std::optional<protocol::ConnectionId> sender;
+  /** The event that is being handled is a Tick: a stop is due to silence. */
+  bool isTick = false;
   std::map<gang::AttemptKey, Task> tasks;
   std::map<std::string, protocol::ConnectionId> peers;
   /** Whence the newest fenced message of a cell came. */
--- a/libs/target/src/RequestServer.cpp
+++ b/libs/target/src/RequestServer.cpp
@@ -68,12 +68,14 @@
                              const base::Clock& aClock,
                              base::EventLoop& aLoop,
                              protocol::Node& aNode,
-                             ExecutorClient& aExecutor)
+                             ExecutorClient& aExecutor,
+                             const telemetry::TargetMetrics& aMetrics)
   : options(std::move(aOptions))
   , clock(aClock)
   , loop(aLoop)
   , node(aNode)
   , executor(aExecutor)
+  , metrics(aMetrics)
   , ledger(aClock.Now())
 {
 }
@@ -277,24 +279,29 @@
 RequestServer::Run(Work aWork)
 {
   ++this->running;
-  const auto timeout = aWork.deadline - this->clock.Now();
+  this->metrics.admittedRequests.Increment();
+  const auto start = this->clock.Now();
+  const auto timeout = aWork.deadline - start;
   auto shared = std::make_shared<const Work>(std::move(aWork));
   this->executor.Run(shared->kind,
                      shared->body,
                      timeout,
-                     [this, shared](ExecutorResult aResult) {
+                     [this, shared, start](ExecutorResult aResult) {
                        this->loop.Post(
-                         [this, shared, result = std::move(aResult)] {
-                           this->OnResult(*shared, result);
+                         [this, shared, start, result = std::move(aResult)] {
+                           this->OnResult(*shared, start, result);
                          });
                      });
 }
 
 void
-RequestServer::OnResult(const Work& aWork, const ExecutorResult& aResult)
+RequestServer::OnResult(const Work& aWork,
+                        base::TimePoint aStart,
+                        const ExecutorResult& aResult)
 {
   --this->running;
   const auto now = this->clock.Now();
+  this->metrics.serviceTime.Observe(now - aStart);
   const bool isAnswered = aResult.status != 0;
   std::vector<Ticket> tickets{ aWork.ticket };
   ExecuteReply reply;
@@ -327,10 +334,11 @@
                        protocol::CorrelationId aCorrelation,
                        const protocol::Claim& aClaim)
 {
-  this->node.Reply(aConnection,
-                   aCorrelation,
-                   protocol::ClaimReply{ this->ledger.RecordClaim(
-                     this->clock.Now(), aClaim.claim) });
+  const auto reply = this->ledger.RecordClaim(this->clock.Now(), aClaim.claim);
+  if (reply.result == ClaimResult::Granted) {
+    this->metrics.witnessedClaims.Increment();
+  }
+  this->node.Reply(aConnection, aCorrelation, protocol::ClaimReply{ reply });
 }
 
 void
@@ -390,6 +398,7 @@
   const Error error = aDecision.reason.value_or(Error{});
   switch (aDecision.verdict) {
     case Verdict::Replay:
+      this->metrics.repeatedKeys.Increment();
       this->Reply(aTicket,
                   MakeDone(aDecision.answer->status, aDecision.answer->body));
       return;
@@ -405,6 +414,7 @@
 void
 RequestServer::ReplyNotRun(Ticket aTicket, const Error& aError)
 {
+  this->metrics.refusedRequests.Increment();
   this->Reply(aTicket, MakeNotRun(aError));
 }
 
--- a/libs/target/src/RequestServer.h
+++ b/libs/target/src/RequestServer.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/protocol/Node.h"
 #include "amaranthwind/requests/RequestLedger.h"
 #include "amaranthwind/target/ExecutorClient.h"
+#include "amaranthwind/telemetry/StandardMetrics.h"
 
 #include <cstdint>
 #include <deque>
@@ -37,7 +38,8 @@
                 const base::Clock& aClock,
                 base::EventLoop& aLoop,
                 protocol::Node& aNode,
-                ExecutorClient& aExecutor);
+                ExecutorClient& aExecutor,
+                const telemetry::TargetMetrics& aMetrics);
 
   void OnExecute(protocol::ConnectionId aConnection,
                  protocol::CorrelationId aCorrelation,
@@ -98,7 +100,9 @@
   void RefuseQueued(const Work& aWork, base::ErrorCode aCode);
   void StartNext();
   void Run(Work aWork);
-  void OnResult(const Work& aWork, const ExecutorResult& aResult);
+  void OnResult(const Work& aWork,
+                base::TimePoint aStart,
+                const ExecutorResult& aResult);
   void ReplyNotRun(Ticket aTicket, const base::Error& aError);
   void Reply(Ticket aTicket, const protocol::ExecuteReply& aReply);
   void ReplyDecision(Ticket aTicket, const requests::Decision& aDecision);
@@ -108,6 +112,7 @@
   base::EventLoop& loop;
   protocol::Node& node;
   ExecutorClient& executor;
+  const telemetry::TargetMetrics metrics;
   requests::RequestLedger ledger;
   bool isDraining = false;
   std::uint64_t lastTicket = 0;
--- a/libs/target/src/TargetDaemon.cpp
+++ b/libs/target/src/TargetDaemon.cpp
@@ -3,6 +3,7 @@
 #include "GangServer.h"
 #include "RequestServer.h"
 #include "TargetDump.h"
+#include "TargetSampler.h"
 #include "amaranthwind/admin/AdminServer.h"
 #include "amaranthwind/base/EventLoop.h"
 #include "amaranthwind/base/Random.h"
@@ -27,6 +28,8 @@
 
 constexpr std::size_t kLoopCapacity = 8192;
 constexpr base::Duration kTickInterval = 50ms;
+// P6: a target that leaves gets no new work after a few seconds.
+constexpr base::Duration kNoWorkAfter = 5s;
 // A snapshot copies all gangs, so that it is not made at each tick.
 constexpr base::Duration kStatusInterval = 250ms;
 constexpr std::chrono::milliseconds kFirstHeartbeatInterval = 1000ms;
@@ -67,8 +70,9 @@
     , logger(aSink, aClock, "target")
     , pool(this->settings.common.ioThreads)
     , node(this->pool, {}, *this)
-    , loop(kLoopCapacity)
     , adminServer(this->settings.id.View(), *this)
+    , metrics(this->adminServer.Metrics())
+    , loop(kLoopCapacity)
   {
     this->target.id = this->settings.id;
     this->target.kind = this->settings.kind;
@@ -107,8 +111,12 @@
     this->loop.SetTick(kTickInterval, [this] { this->OnTick(); });
     this->loop.Start();
     this->loop.Post([this] { this->Begin(); });
-    AddTargetDump(this->adminServer,
-                  { this->status, this->noteOffset, *this->links, this->node });
+    const TargetParts parts{
+      this->status, this->noteOffset, *this->links, this->node
+    };
+    AddTargetDump(this->adminServer, parts);
+    this->adminServer.AddSampler(std::make_shared<TargetSampler>(
+      this->adminServer.Metrics(), parts, *this, this->logger));
     TargetAddresses addresses{ this->target.address, {} };
     BOOST_OUTCOME_TRY(
       addresses.admin,
@@ -232,8 +240,12 @@
       serverOptions.incarnation = this->target.incarnation;
       serverOptions.slots = this->settings.slots;
       serverOptions.maxQueued = 2 * this->settings.slots;
-      this->requestServer = std::make_unique<RequestServer>(
-        serverOptions, this->clock, this->loop, this->node, *this->executor);
+      this->requestServer = std::make_unique<RequestServer>(serverOptions,
+                                                            this->clock,
+                                                            this->loop,
+                                                            this->node,
+                                                            *this->executor,
+                                                            this->metrics);
     } else {
       this->worker = std::make_unique<HttpWorkerClient>(this->pool, options);
       this->gangServer = std::make_unique<GangServer>(this->target.id,
@@ -244,6 +256,7 @@
                                                       this->node,
                                                       *this->worker,
                                                       *this,
+                                                      this->metrics,
                                                       this->logger);
     }
   }
@@ -283,14 +296,26 @@
       this->HandleRequest(aConnection, aEnvelope);
     } else if (const auto event =
                  std::visit(ToMemberEvent{}, aEnvelope.message)) {
+      if (std::holds_alternative<gang::Prepare>(*event)) {
+        this->CountWorkAfterLeaving();
+      }
       this->gangServer->OnMessage(aConnection, *event);
     }
   }
 
+  /** New work that comes although the drain was announced long ago (P6). */
+  void CountWorkAfterLeaving() const
+  {
+    if (this->isDraining && this->clock.Now() >= this->noWorkAfter) {
+      this->metrics.workAfterLeaving.Increment();
+    }
+  }
+
   void HandleRequest(ConnectionId aConnection, const Envelope& aEnvelope)
   {
     if (const auto* execute =
           std::get_if<protocol::Execute>(&aEnvelope.message)) {
+      this->CountWorkAfterLeaving();
       this->requestServer->OnExecute(
         aConnection, aEnvelope.correlation, *execute);
     } else if (const auto* claim =
@@ -428,6 +453,7 @@
       this->gangServer->HandOver();
     }
     this->links->SendToAll(this->MakeHeartbeat());
+    this->noWorkAfter = this->clock.Now() + kNoWorkAfter;
     // Entries may have sent requests before the heartbeat reached them.
     this->idleNotBefore = this->clock.Now() + this->heartbeatInterval;
   }
@@ -475,6 +501,8 @@
   fleet::Target target;
   net::IoPool pool;
   protocol::Node node;
+  admin::AdminServer adminServer;
+  const telemetry::TargetMetrics metrics;
   base::EventLoop loop;
   std::unique_ptr<peering::EntryLinks> links;
   std::unique_ptr<ExecutorClient> executor;
@@ -492,11 +520,11 @@
   std::atomic<bool> isLeaving{ false };
   bool isDraining = false;
   base::TimePoint idleNotBefore{};
+  base::TimePoint noWorkAfter{};
   bool isStopped = false;
   std::mutex idleMutex;
   std::condition_variable idleChanged;
   bool isIdle = false;
-  admin::AdminServer adminServer;
 };
 
 TargetDaemon::TargetDaemon(settings::TargetSettings aSettings,
--- /dev/null
+++ b/libs/target/src/TargetSampler.cpp
@@ -0,0 +1,54 @@
+#include "TargetSampler.h"
+
+#include <algorithm>
+
+namespace amaranthwind::target {
+
+TargetSampler::TargetSampler(telemetry::Metrics& aMetrics,
+                             const TargetParts& aParts,
+                             const admin::Readiness& aReadiness,
+                             const telemetry::Logger& aLogger)
+  : parts(aParts)
+  , readiness(aReadiness)
+  , logger(aLogger)
+  , process(aMetrics)
+  , target(aMetrics)
+  , lateResponses(this->process.lateResponses)
+  , unmatchedResponses(this->process.unmatchedResponses)
+  , silentConnections(this->process.silentConnections)
+  , bytesSent(this->process.bytesSent)
+  , bytesReceived(this->process.bytesReceived)
+  , suppressedLogLines(this->process.suppressedLogLines)
+{
+}
+
+void
+TargetSampler::SampleMetrics()
+{
+  const auto counters = this->parts.node.Counters();
+  this->process.ready.Set(this->readiness.WhyNotReady() ? 0 : 1);
+  this->process.noteOffset.Set(
+    static_cast<double>(this->parts.noteOffset.load()));
+  this->process.peerConnections.Set(static_cast<double>(counters.connections));
+  this->lateResponses.Follow(counters.lateReplies);
+  this->unmatchedResponses.Follow(counters.unmatchedReplies);
+  this->silentConnections.Follow(counters.silentConnections);
+  this->bytesSent.Follow(counters.bytesSent);
+  this->bytesReceived.Follow(counters.bytesReceived);
+  this->suppressedLogLines.Follow(this->logger.SuppressedLines());
+
+  const auto status = this->parts.status.Get();
+  const auto& gangs = status->gangs.gangs;
+  const auto promised =
+    std::count_if(gangs.begin(), gangs.end(), [](const auto& aGang) {
+      return aGang.phase == gang::MemberPhase::Promised;
+    });
+  this->target.keys.Set(static_cast<double>(status->requests.keys));
+  this->target.busySlots.Set(status->requests.running);
+  this->target.reservations.Set(static_cast<double>(promised));
+  this->target.runningTasks.Set(
+    static_cast<double>(status->gangs.tasks.size()));
+  this->target.draining.Set(status->isDraining ? 1 : 0);
+}
+
+} // namespace amaranthwind::target
--- a/libs/telemetry/include/amaranthwind/telemetry/StandardMetrics.h
+++ b/libs/telemetry/include/amaranthwind/telemetry/StandardMetrics.h
@@ -63,28 +63,37 @@
 
   /** 1 while /ready answers 200. */
   Gauge ready;
-  /** P8: version and offset in force, and how far the newest peer is ahead. */
-  Gauge policyVersion;
+  /** P8: offset of the policy in force, or of the newest known entry. */
   Gauge noteOffset;
-  Gauge noteOffsetLag;
-  Counter notesApplied;
-  Counter notesRejected;
-  /** P8: time from the first sight of a newer offset until it is in force. */
-  Histogram noteDelay;
   /** P3: responses to requests that had timed out; discarded. */
   Counter lateResponses;
   /** P3: must stay 0: responses whose correlation id was never used. */
   Counter unmatchedResponses;
   Gauge peerConnections;
   Counter silentConnections;
-  Counter controlBytesSent;
-  Counter controlBytesReceived;
+  Counter bytesSent;
+  Counter bytesReceived;
   Counter suppressedLogLines;
 };
 
+/** P8: of an entry, which keeps the policy in force. */
+struct PolicyMetrics
+{
+  explicit PolicyMetrics(Metrics& aMetrics);
+
+  Gauge version;
+  /** How far the newest peer is ahead. */
+  Gauge offsetLag;
+  Counter notesApplied;
+  Counter notesRejected;
+  /** Time from the first sight of a newer offset until it is in force. */
+  Histogram delay;
+};
+
 /** Of one kind of short request, on an entry. */
 struct RequestMetrics
 {
+  RequestMetrics() = default;
   RequestMetrics(Metrics& aMetrics, const base::WorkKindId& aKind);
 
   const Counter& Outcome(RequestOutcome aOutcome) const
@@ -109,6 +118,7 @@
 /** Of one client account, on an entry. */
 struct AccountMetrics
 {
+  AccountMetrics() = default;
   AccountMetrics(Metrics& aMetrics, const base::AccountId& aAccount);
 
   Counter slotSeconds;
@@ -119,6 +129,7 @@
 /** Of one cell, on the entry that coordinates it. */
 struct CellMetrics
 {
+  CellMetrics() = default;
   CellMetrics(Metrics& aMetrics, const base::ZoneId& aZone);
 
   const Counter& Attempts(GangResult aResult) const
@@ -140,7 +151,7 @@
   Histogram reclaimTime;
   /** P2. */
   std::array<Counter, kGangResults> attempts;
-  /** P2: must stay 0: releases without the commit of every member. */
+  /** P2: must stay 0: gangs that run although the log has no commit. */
   Counter partialStarts;
   Gauge queuedJobs;
   /** 1.4: from acceptance to the end of a job. */
@@ -153,6 +164,21 @@
   Gauge isolatedWorkers;
 };
 
+/** Of the appends of an entry. */
+struct AppendMetrics
+{
+  AppendMetrics() = default;
+  explicit AppendMetrics(Metrics& aMetrics);
+
+  const Counter& Appends(AppendResult aResult) const
+  {
+    return this->appends[static_cast<std::size_t>(aResult)];
+  }
+
+  std::array<Counter, kAppendResults> appends;
+  Histogram appendTime;
+};
+
 /** Of an entry as a whole. */
 struct EntryMetrics
 {
@@ -162,21 +188,12 @@
   {
     return this->targets[static_cast<std::size_t>(aState)];
   }
-  const Counter& Appends(AppendResult aResult) const
-  {
-    return this->appends[static_cast<std::size_t>(aResult)];
-  }
-
   Gauge callerConnections;
   Counter refusedConnections;
   Counter refusedRetries;
   std::array<Gauge, kTargetStates> targets;
-  /** P6: must stay 0: work sent to a target more than 5 s after it left. */
-  Counter workAfterLeaving;
   /** P7: must stay 0: requests in flight that a planned stop interrupted. */
   Counter interruptedRequests;
-  std::array<Counter, kAppendResults> appends;
-  Histogram appendTime;
   /** 1 while the log answers. */
   Gauge logAvailable;
 };
@@ -205,13 +222,14 @@
   Gauge reservations;
   Gauge runningTasks;
   std::array<Counter, kGangResults> tasks;
-  /** P2: gangs stopped because a member was lost. */
+  /** P2: tasks stopped here because a peer of the gang was silent. */
   Counter gangStops;
-  Histogram gangStopTime;
+  /** Time from the order to stop a task until it had ended. */
+  Histogram taskStopTime;
   /** Messages with an old fencing token. */
   Counter staleTokens;
-  /** P7: must stay 0. */
-  Counter interruptedRequests;
+  /** P6: must stay 0: work that came over 5 s after the drain was announced. */
+  Counter workAfterLeaving;
   Gauge draining;
 };
 
--- a/libs/telemetry/src/StandardMetrics.cpp
+++ b/libs/telemetry/src/StandardMetrics.cpp
@@ -59,20 +59,8 @@
 
 ProcessMetrics::ProcessMetrics(Metrics& aMetrics)
   : ready(aMetrics.MakeGauge({ "ready", "1 while the process is ready." }))
-  , policyVersion(aMetrics.MakeGauge(
-      { "policy_version", "Number of accepted release notes in force." }))
   , noteOffset(aMetrics.MakeGauge(
       { "note_offset", "Log offset of the policy in force." }))
-  , noteOffsetLag(aMetrics.MakeGauge(
-      { "note_offset_lag", "Offsets that the newest known peer is ahead." }))
-  , notesApplied(aMetrics.MakeCounter(
-      { "notes_applied_total", "Release notes accepted." }))
-  , notesRejected(aMetrics.MakeCounter(
-      { "notes_rejected_total", "Release notes rejected." }))
-  , noteDelay(aMetrics.MakeHistogram(
-      { "note_delay_seconds",
-        "Time from the first sight of a newer note until it is in force." },
-      kControlSeconds))
   , lateResponses(aMetrics.MakeCounter(
       { "late_responses_total", "Responses discarded after a timeout." }))
   , unmatchedResponses(aMetrics.MakeCounter(
@@ -83,16 +71,32 @@
   , silentConnections(aMetrics.MakeCounter(
       { "silent_connections_total",
         "Connections given up because no heartbeat came." }))
-  , controlBytesSent(aMetrics.MakeCounter(
-      { "control_sent_bytes_total", "Bytes of control messages sent." }))
-  , controlBytesReceived(
-      aMetrics.MakeCounter({ "control_received_bytes_total",
-                             "Bytes of control messages received." }))
+  , bytesSent(aMetrics.MakeCounter(
+      { "inner_sent_bytes_total", "Bytes sent on the inner protocol." }))
+  , bytesReceived(
+      aMetrics.MakeCounter({ "inner_received_bytes_total",
+                             "Bytes received on the inner protocol." }))
   , suppressedLogLines(aMetrics.MakeCounter(
       { "log_lines_suppressed_total", "Log lines above a rate limit." }))
 {
 }
 
+PolicyMetrics::PolicyMetrics(Metrics& aMetrics)
+  : version(aMetrics.MakeGauge(
+      { "policy_version", "Number of accepted release notes in force." }))
+  , offsetLag(aMetrics.MakeGauge(
+      { "note_offset_lag", "Offsets that the newest known peer is ahead." }))
+  , notesApplied(aMetrics.MakeCounter(
+      { "notes_applied_total", "Release notes accepted." }))
+  , notesRejected(aMetrics.MakeCounter(
+      { "notes_rejected_total", "Release notes rejected." }))
+  , delay(aMetrics.MakeHistogram(
+      { "note_delay_seconds",
+        "Time from the first sight of a newer note until it is in force." },
+      kControlSeconds))
+{
+}
+
 RequestMetrics::RequestMetrics(Metrics& aMetrics, const base::WorkKindId& aKind)
 {
   const MetricLabel kind{ "kind", aKind.View() };
@@ -189,6 +193,17 @@
     gauge("isolated_workers", "Workers that get no work as they fail tasks.");
 }
 
+AppendMetrics::AppendMetrics(Metrics& aMetrics)
+  : appends(MakeCounters(aMetrics,
+                         { "log_appends_total", "Appends to the log." },
+                         "result",
+                         kAppendResultNames))
+  , appendTime(
+      aMetrics.MakeHistogram({ "log_append_seconds", "Time of an append." },
+                             kRequestSeconds))
+{
+}
+
 EntryMetrics::EntryMetrics(Metrics& aMetrics)
   : callerConnections(aMetrics.MakeGauge(
       { "caller_connections", "Open connections of callers." }))
@@ -197,19 +212,9 @@
                              "Connections of callers above the limit." }))
   , refusedRetries(aMetrics.MakeCounter(
       { "retries_refused_total", "Retries above the retry budget." }))
-  , workAfterLeaving(aMetrics.MakeCounter(
-      { "work_after_leaving_total",
-        "Work sent to a target over 5 s after it left; must stay 0." }))
   , interruptedRequests(aMetrics.MakeCounter(
       { "requests_interrupted_total",
         "Requests interrupted by a planned stop; must stay 0." }))
-  , appends(MakeCounters(aMetrics,
-                         { "log_appends_total", "Appends to the log." },
-                         "result",
-                         kAppendResultNames))
-  , appendTime(
-      aMetrics.MakeHistogram({ "log_append_seconds", "Time of an append." },
-                             kRequestSeconds))
   , logAvailable(
       aMetrics.MakeGauge({ "log_available", "1 while the log answers." }))
 {
@@ -247,15 +252,16 @@
                        "result",
                        kGangResultNames))
   , gangStops(aMetrics.MakeCounter(
-      { "gang_stops_total", "Gangs stopped because a member was lost." }))
-  , gangStopTime(aMetrics.MakeHistogram(
-      { "gang_stop_seconds", "Time from the loss of a member to the stop." },
+      { "gang_stops_total", "Tasks stopped because a peer was silent." }))
+  , taskStopTime(aMetrics.MakeHistogram(
+      { "task_stop_seconds",
+        "Time from the order to stop until the task ended." },
       kControlSeconds))
   , staleTokens(aMetrics.MakeCounter(
       { "stale_tokens_total", "Messages with an old fencing token." }))
-  , interruptedRequests(aMetrics.MakeCounter(
-      { "requests_interrupted_total",
-        "Requests interrupted by a planned stop; must stay 0." }))
+  , workAfterLeaving(aMetrics.MakeCounter(
+      { "work_after_leaving_total",
+        "Work received over 5 s after the drain was announced; must stay 0." }))
   , draining(aMetrics.MakeGauge({ "draining", "1 while draining." }))
 {
 }
--- a/libs/telemetry/tests/MetricsTest.cpp
+++ b/libs/telemetry/tests/MetricsTest.cpp
@@ -138,11 +138,13 @@
   const AccountMetrics account(metrics, base::AccountId("a"));
   const CellMetrics cell(metrics, base::ZoneId("z"));
   const EntryMetrics entry(metrics);
+  const PolicyMetrics policy(metrics);
+  const AppendMetrics log(metrics);
   const TargetMetrics target(metrics);
   requests.Outcome(RequestOutcome::NotRun).Increment();
   cell.Attempts(GangResult::Preempted).Increment(2);
   entry.Targets(TargetState::Silent).Set(3);
-  entry.Appends(AppendResult::Unconfirmed).Increment(4);
+  log.Appends(AppendResult::Unconfirmed).Increment(4);
   target.Tasks(GangResult::Failed).Increment(5);
   const std::string text = metrics.Render();
   for (const auto* line :
--- a/tests/endtoend/AdminTest.cpp
+++ b/tests/endtoend/AdminTest.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <set>
@@ -88,6 +89,37 @@
   return result.response.has_value() && result.response.value().status == 200;
 }
 
+/** Value of the metric with these labels; -1 if it is not there. */
+double
+Metric(Deployment& aDeployment,
+       const harness::Node& aNode,
+       std::string_view aName)
+{
+  const auto result = aDeployment.Get(aNode.admin, "/metrics");
+  if (result.response.has_error()) {
+    return -1;
+  }
+  const std::string start = "\namaranthwind_" + std::string(aName) + " ";
+  const std::string& text = result.response.value().body;
+  const auto place = text.find(start);
+  return place == std::string::npos
+           ? -1
+           : std::stod(text.substr(place + start.size()));
+}
+
+/** Sum over all nodes; nodes without the metric count as 0. */
+double
+MetricSum(Deployment& aDeployment,
+          const std::vector<harness::Node>& aNodes,
+          std::string_view aName)
+{
+  double sum = 0;
+  for (const auto& node : aNodes) {
+    sum += std::max(0.0, Metric(aDeployment, node, aName));
+  }
+  return sum;
+}
+
 void
 RunGang(Deployment& aDeployment)
 {
@@ -226,3 +258,69 @@
   CHECK(isOverloaded);
   CHECK(readable == 20);
 }
+
+// Guards against metrics that are registered and never updated: the values are
+// those of what was run.
+TEST_CASE("metrics agree with what was run")
+{
+  Deployment deployment({ .entries = 2, .executors = 1, .workers = 2 });
+  REQUIRE(deployment.Start());
+  REQUIRE(deployment.PublishNote(kNote).exit == 0);
+  const auto& entry = deployment.entries[0];
+  const auto metric = [&](std::string_view aName) {
+    return Metric(deployment, entry, aName);
+  };
+  REQUIRE(
+    Deployment::WaitUntil([&] { return IsRequestServed(deployment, entry); }));
+  constexpr std::string_view kDone =
+    R"(requests_total{kind="quote-check",outcome="done"})";
+  const double before = metric(kDone);
+  for (int i = 0; i < kRequests; ++i) {
+    REQUIRE(IsRequestServed(deployment, entry));
+  }
+  (void)deployment.Send(entry.http,
+                        Deployment::MakeRequest("nobody", "quote-check", "{}"));
+  RunGang(deployment);
+
+  CHECK(metric(kDone) == before + kRequests);
+  CHECK(metric(R"(requests_total{kind="quote-check",outcome="bad_input"})") >=
+        1);
+  CHECK(metric("ready") == 1);
+  CHECK(metric("policy_version") == 1);
+  CHECK(metric("notes_applied_total") == 1);
+  CHECK(metric("note_delay_seconds_count") >= 1);
+  CHECK(metric("log_available") == 1);
+  CHECK(metric("peer_connections") > 0);
+  CHECK(metric("inner_sent_bytes_total") > 0);
+  CHECK(metric(R"(targets{state="available"})") == 3);
+  CHECK(metric(R"(account_slot_seconds_total{account="lamps"})") > 0);
+  CHECK(metric("unmatched_responses_total") == 0);
+  CHECK(metric("requests_interrupted_total") == 0);
+
+  const auto cellSum = [&](std::string_view aName) {
+    return MetricSum(deployment, deployment.entries, aName);
+  };
+  CHECK(Deployment::WaitUntil([&] {
+    return cellSum(R"(job_completion_seconds_count{zone="tw-1"})") == 1;
+  }));
+  CHECK(cellSum(R"(gang_attempts_total{result="succeeded",zone="tw-1"})") == 1);
+  CHECK(cellSum(R"(urgent_start_seconds_count{zone="tw-1"})") == 1);
+  CHECK(cellSum(R"(gang_partial_starts_total{zone="tw-1"})") == 0);
+  CHECK(cellSum(R"(log_appends_total{result="appended"})") >= 4);
+  CHECK(Deployment::WaitUntil([&] {
+    return cellSum(R"(cell_coordinator{zone="tw-1"})") == 1 &&
+           cellSum(R"(cell_free_accelerators{zone="tw-1"})") == 16;
+  }));
+
+  const auto& executor = deployment.executorDaemons[0];
+  CHECK(Metric(deployment, executor, "target_requests_admitted_total") >=
+        before + kRequests);
+  CHECK(Metric(deployment, executor, "service_seconds_count") >=
+        before + kRequests);
+  CHECK(MetricSum(deployment,
+                  deployment.workerDaemons,
+                  R"(tasks_total{result="succeeded"})") == 2);
+  CHECK(MetricSum(deployment,
+                  deployment.workerDaemons,
+                  "work_after_leaving_total") == 0);
+}
