--- a/libs/entry/src/PolicyKeeper.h
+++ b/libs/entry/src/PolicyKeeper.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/journal/NoteReplay.h"
 #include "amaranthwind/policy/Policy.h"
 #include "amaranthwind/telemetry/Logger.h"
+#include "amaranthwind/telemetry/StandardMetrics.h"
 
 #include <atomic>
 #include <mutex>
@@ -33,6 +34,7 @@
                const journal::RecordCodec& aCodec,
                const base::Clock& aClock,
                base::Duration aLogRetention,
+               const telemetry::PolicyMetrics& aMetrics,
                telemetry::Logger& aLogger,
                PolicyObserver& aObserver);
 
@@ -54,6 +56,8 @@
   /** False during an outage of the log. */
   bool IsLogReachable() const noexcept { return this->isLogReachable.load(); }
 
+  /** A peer has shown an offset that is not in force here. */
+  void OnNewerOffset();
   /** A peer's policy; taken if it is newer. */
   void Adopt(const policy::Policy& aPolicy);
 
@@ -67,11 +71,14 @@
 
   const base::Clock& clock;
   const base::Duration logRetention;
+  const telemetry::PolicyMetrics metrics;
   telemetry::Logger& logger;
   PolicyObserver& observer;
   /** Guards the replay and the order of publications. */
   std::mutex mutex;
   journal::NoteReplay replay;
+  /** First sight of an offset that is not in force here yet. */
+  std::optional<base::TimePoint> newerSince;
   base::RcuCell<policy::Policy> current;
   std::atomic<std::uint64_t> offset{ 0 };
   std::atomic<bool> isLoaded{ false };
