Find the coordinator by its dump and give each test process its own IP

Cause of one failed start: ports that were free when they were chosen had been taken by tests of another process. Each test process now uses a loopback IP of its own and ports below those that the system gives to clients.

--- a/tests/endtoend/Scenario.cpp
+++ b/tests/endtoend/Scenario.cpp
@@ -145,21 +145,46 @@
   });
 }
 
-std::optional<std::size_t>
-FindCoordinator(Deployment& aDeployment)
+namespace {
+
+/** Whether the dump of an entry says that it coordinates a cell. */
+bool
+IsCoordinator(Deployment& aDeployment, const Node& aEntry)
 {
-  for (std::size_t i = 0; i < aDeployment.entries.size(); ++i) {
-    const auto dump = aDeployment.Get(aDeployment.entries[i].admin, "/metrics");
-    if (dump.response.has_error()) {
+  constexpr std::size_t kIsCoordinatorColumn = 1;
+  const auto dump = ParseBody(aDeployment.Get(aEntry.admin, "/dump"));
+  if (!dump.is_object()) {
+    return false;
+  }
+  for (const auto& section : dump.at("sections").as_array()) {
+    if (section.at("name").as_string() != "cells") {
       continue;
     }
-    const auto& text = dump.response.value().body;
-    if (text.find("amaranthwind_cell_coordinator{zone=\"tw-1\"} 1") !=
-        std::string::npos) {
-      return i;
+    for (const auto& row :
+         section.at("tables").at("cells").at("rows").as_array()) {
+      if (row.at(kIsCoordinatorColumn).as_bool()) {
+        return true;
+      }
     }
   }
-  return std::nullopt;
+  return false;
+}
+
+} // namespace
+
+std::optional<std::size_t>
+FindCoordinator(Deployment& aDeployment)
+{
+  std::optional<std::size_t> found;
+  Deployment::WaitUntil([&] {
+    for (std::size_t i = 0; i < aDeployment.entries.size(); ++i) {
+      if (IsCoordinator(aDeployment, aDeployment.entries[i])) {
+        found = i;
+      }
+    }
+    return found.has_value();
+  });
+  return found;
 }
 
 QuoteLoad::QuoteLoad(Deployment& aDeployment, unsigned aCallers)
--- a/tests/endtoend/Scenario.h
+++ b/tests/endtoend/Scenario.h
@@ -79,7 +79,7 @@
 bool
 WaitForVersion(harness::Deployment& aDeployment, std::uint64_t aVersion);
 
-/** Index of the entry that coordinates the cell "tw-1", by its metrics. */
+/** Index of the entry that coordinates the cell "tw-1", by its dump. */
 std::optional<std::size_t>
 FindCoordinator(harness::Deployment& aDeployment);
 
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -2,9 +2,6 @@
 
 #include <boost/json.hpp>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -28,22 +25,21 @@
 
 const std::string kBinaries = AMARANTHWIND_BIN_DIR;
 
-/** An address of 127.0.0.1 with a port that is free now. */
+/**
+ * An address that no other test process uses: each process has a loopback IP of
+ * its own, and hands out ports below those that the system gives to clients.
+ */
 std::string
 FreeAddress()
 {
-  const int handle = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof address;
-  auto* generic = reinterpret_cast<sockaddr*>(&address);
-  if (bind(handle, generic, length) != 0 ||
-      getsockname(handle, generic, &length) != 0) {
-    throw std::runtime_error("no free port");
-  }
-  close(handle);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  constexpr unsigned kHostsPerByte = 250;
+  constexpr unsigned kFirstPort = 20'000;
+  static const auto pid = static_cast<unsigned>(getpid());
+  static std::atomic<unsigned> next{ kFirstPort };
+  const unsigned third = 1 + pid / kHostsPerByte % kHostsPerByte;
+  const unsigned fourth = 1 + pid % kHostsPerByte;
+  return "127.7." + std::to_string(third) + "." + std::to_string(fourth) + ":" +
+         std::to_string(next.fetch_add(1));
 }
 
 std::string
