Wait instead of retrying when a request was never sent

Cause: after a target's daemon is killed its connection is closed some milliseconds before the routes say so. Ruled out: the retry budget and the limit of sends to live targets.

--- a/libs/entry/src/MembershipService.cpp
+++ b/libs/entry/src/MembershipService.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::size_t kLoopCapacity = 16384;
 constexpr base::Duration kFetchTimeout = 2s;
+// A key is claimed on two targets, so that two losses may hide a claim.
+constexpr std::uint32_t kUnknownLosses = 2;
 // A connection without a message for this many intervals is given up. The
 // registry finds a silent target after two; this one also counts the interval
 // in which the target has not yet heard of a longer one.
@@ -355,6 +357,7 @@
   if (target.kind == fleet::TargetKind::Worker) {
     this->observer.OnWorkerGone(target);
   } else if (this->table.Remove(aTarget, this->clock.Now()).has_value()) {
+    this->executorLosses.push_back(this->clock.Now());
     this->PublishRoutes();
   }
 }
@@ -429,20 +432,23 @@
                                           found->second.newest,
                                           found->second.target.address };
   }
-  next->lostTargets = this->CountLostTargets(*next->snapshot);
+  next->lostTargets = this->CountLostTargets();
   this->routes.Publish(std::move(next));
   this->observer.OnRoutes();
 }
 
 std::uint32_t
-MembershipService::CountLostTargets(
-  const routing::RoutingSnapshot& aSnapshot) const
+MembershipService::CountLostTargets()
 {
-  std::uint32_t lost = 0;
-  for (const auto& entry : aSnapshot.Entries()) {
-    lost += entry.status == routing::TargetStatus::Departed ? 1 : 0;
+  const auto now = this->clock.Now();
+  while (!this->executorLosses.empty() &&
+         now - this->executorLosses.front() >= routing::kKeyWindow) {
+    this->executorLosses.pop_front();
   }
-  return lost;
+  const auto seen = static_cast<std::uint32_t>(this->executorLosses.size());
+  // An entry does not know what was lost before it started.
+  const bool isYoung = now - this->startedAt < routing::kKeyWindow;
+  return seen + (isYoung ? kUnknownLosses : 0);
 }
 
 protocol::Topology
--- a/libs/entry/src/MembershipService.h
+++ b/libs/entry/src/MembershipService.h
@@ -13,6 +13,7 @@
 #include "amaranthwind/telemetry/Logger.h"
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -140,8 +141,8 @@
   std::uint32_t ExecutorLimit(const fleet::Target& aTarget) const;
   void UpdateLimits();
   void PublishRoutes();
-  std::uint32_t CountLostTargets(
-    const routing::RoutingSnapshot& aSnapshot) const;
+  /** Executors that left, restarted or were lost within the key window. */
+  std::uint32_t CountLostTargets();
   protocol::Topology MakeTopology() const;
   void PushTopology();
   void UpdateReady();
@@ -158,6 +159,7 @@
   membership::EntryRegistry entryRegistry;
   routing::TargetTable table;
   base::TimePoint startedAt;
+  std::deque<base::TimePoint> executorLosses;
   std::map<base::TargetId, KnownTarget> targets;
   std::map<protocol::ConnectionId, base::TargetId> targetOf;
   /** Inbound connections of entries, and links to them. */
--- a/libs/entry/src/RequestService.cpp
+++ b/libs/entry/src/RequestService.cpp
@@ -519,17 +519,31 @@
     this->OnReply(aContext, *reply);
     return;
   }
-  if (aResult.failure.mayHaveBeenSent &&
-      this->IsLeaving(aContext->permit->Target())) {
+  if (!aResult.failure.mayHaveBeenSent) {
+    this->OnNeverSent(aContext);
+    return;
+  }
+  if (this->IsLeaving(aContext->permit->Target())) {
     this->entryMetrics.interruptedRequests.Increment();
   }
   ExecuteReply failed;
   failed.error = aResult.failure.error;
-  failed.outcome = aResult.failure.mayHaveBeenSent ? ExecuteOutcome::Unknown
-                                                   : ExecuteOutcome::NotRun;
+  failed.outcome = ExecuteOutcome::Unknown;
   this->OnReply(aContext, failed);
 }
 
+void
+RequestService::OnNeverSent(const ContextPtr& aContext)
+{
+  // The connection has closed and the routes still name it. Another send costs
+  // no target anything, so that it needs no retry budget; it waits a moment,
+  // because a lost target is idle and would be chosen again.
+  --aContext->sends;
+  aContext->permit->Finish(routing::Outcome::Failure, this->clock.Now());
+  aContext->permit.reset();
+  this->OnNoPermit(aContext, true);
+}
+
 void
 RequestService::OnReply(const ContextPtr& aContext, const ExecuteReply& aReply)
 {
--- a/libs/entry/src/RequestService.h
+++ b/libs/entry/src/RequestService.h
@@ -124,6 +124,7 @@
   void OnReply(const ContextPtr& aContext,
                const protocol::ExecuteReply& aReply);
   bool IsLeaving(routing::TargetHandle aTarget) const;
+  void OnNeverSent(const ContextPtr& aContext);
   bool TryRetry(const ContextPtr& aContext);
   void ReleaseSlot(Context& aContext);
   void CountOutcome(Context& aContext, telemetry::RequestOutcome aOutcome);
--- a/tests/endtoend/Scenario.cpp
+++ b/tests/endtoend/Scenario.cpp
@@ -225,10 +225,23 @@
       ++this->done;
     } else {
       ++this->refused;
+      const auto& response = result.response.value();
+      std::lock_guard lock(this->mutex);
+      if (this->firstRefusal.empty()) {
+        this->firstRefusal =
+          std::to_string(response.status) + " " + response.body;
+      }
     }
   }
 }
 
+std::string
+QuoteLoad::FirstRefusal()
+{
+  std::lock_guard lock(this->mutex);
+  return this->firstRefusal;
+}
+
 bool
 QuoteLoad::WaitForMore(unsigned aCount)
 {
--- a/tests/endtoend/Scenario.h
+++ b/tests/endtoend/Scenario.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -98,6 +99,8 @@
   /** Waits until so many more have been answered with 200. */
   bool WaitForMore(unsigned aCount);
   void Stop();
+  /** Status and body of the first answer that was not 200; empty if none. */
+  std::string FirstRefusal();
 
   std::atomic<unsigned> done{ 0 };
   /** Answers of another status, and requests without an answer. */
@@ -109,6 +112,8 @@
 
   harness::Deployment& deployment;
   std::atomic<bool> isStopped{ false };
+  std::mutex mutex;
+  std::string firstRefusal;
   std::vector<std::thread> threads;
 };
 
--- a/tests/endtoend/StopTest.cpp
+++ b/tests/endtoend/StopTest.cpp
@@ -39,6 +39,7 @@
     }
   }
   load.Stop();
+  CAPTURE(load.FirstRefusal());
   CHECK(load.lost.load() == 0);
   CHECK(load.refused.load() == 0);
 }
@@ -56,6 +57,7 @@
   CHECK(load.WaitForMore(kRequests));
   // Idempotent requests that were under way are sent to another target.
   load.Stop();
+  CAPTURE(load.FirstRefusal());
   CHECK(load.lost.load() == 0);
   CHECK(load.refused.load() == 0);
 }
