Test refused idempotent requests, starts before the claim and draining

Cause: trials with deliberate faults in a scratch copy of the ledger showed that no test saw a start before the witness has answered, a refused idempotent request that is forgotten, or a draining target that takes a refused key up again; one test never ended on a ledger that forgets keys.

Change: checks for each; the fill loop of the full table is bounded.

--- a/libs/requests/tests/RequestLedgerTest.cpp
+++ b/libs/requests/tests/RequestLedgerTest.cpp
@@ -129,6 +129,7 @@
   SUBCASE("time-out while the witness is asked")
   {
     CHECK(bench.Admit(request) == Verdict::Claim);
+    CHECK_FALSE(bench.ledger.Start(request.key)); // Not claimed yet.
     CHECK(bench.Refuse(request) == Verdict::NotRun);
     CHECK(bench.Claimed(request, kGranted) == Verdict::Unknown);
     CHECK_FALSE(bench.ledger.Start(request.key));
@@ -306,7 +307,7 @@
   }
   LedgerBench bench(settings);
   int kept = 0;
-  while (bench.ledger.KeyCount() < 100) {
+  while (kept < 100) {
     const Request request = MakeRequest(std::to_string(kept));
     if (bench.Admit(request) != Verdict::Claim) {
       break;
@@ -332,6 +333,21 @@
   CHECK(bench.ledger.KeyCount() == 1);
 }
 
+// Guards against a refused idempotent request that runs after it was forgotten:
+// P4.
+TEST_CASE("a refused request is kept even if it is idempotent")
+{
+  LedgerSettings settings;
+  settings.maxKeys = 1;
+  LedgerBench bench(settings);
+  Request quote = MakeRequest("a");
+  quote.isIdempotent = true;
+  REQUIRE(bench.Admit(quote) == Verdict::Queue);
+  CHECK(bench.Refuse(quote) == Verdict::NotRun);
+  CHECK(bench.Admit(MakeRequest("b")) == Verdict::NotRun);
+  CHECK(bench.Admit(quote) == Verdict::NotRun);
+}
+
 // Guards against bookings refused because quick idempotent requests fill the
 // table.
 TEST_CASE("idempotent requests make room for bookings")
@@ -385,9 +401,11 @@
 {
   LedgerBench bench;
   bench.Run(MakeRequest("a"));
+  CHECK(bench.Refuse(MakeRequest("refused"), 0s) == Verdict::NotRun);
   bench.ledger.Drain();
   CHECK(bench.Admit(MakeRequest("b")) == Verdict::NotRun);
   CHECK(bench.Admit(MakeRequest("c", 1)) == Verdict::Unknown);
+  CHECK(bench.Admit(MakeRequest("refused", 1)) == Verdict::NotRun);
   CHECK(bench.Admit(MakeRequest("a", 1)) == Verdict::Wait);
   CHECK_FALSE(bench.ledger.IsIdle());
   CHECK(bench.Finish(MakeRequest("a")) == 2);
