--- a/libs/entry/src/PolicyKeeper.cpp
+++ b/libs/entry/src/PolicyKeeper.cpp
@@ -118,10 +118,11 @@
 }
 
 void
-PolicyKeeper::OnNewerOffset()
+PolicyKeeper::OnPeerOffset(base::LogOffset aOffset)
 {
   std::lock_guard lock(this->mutex);
-  if (!this->newerSince) {
+  // It may have come into force here since the peer was heard.
+  if (!this->newerSince && aOffset > this->Offset()) {
     this->newerSince = this->clock.Now();
   }
 }
