Create the links before listening, and tell gangs what a worker holds

Change: links exist before the node listens. The coordinator also hears which attempts a worker holds when it connects, so that a daemon that lost a gang is noticed.

--- a/libs/entry/src/CellService.cpp
+++ b/libs/entry/src/CellService.cpp
@@ -30,6 +30,9 @@
 // only has to find out when none of them is left to tell, and must not take a
 // broken connection or a daemon that restarts for a lost worker.
 constexpr base::Duration kReturnLimit = 10s;
+// Of connections on which no heartbeat follows; far above the workers that join
+// at the same time.
+constexpr std::size_t kMaxEarlyReports = 4096;
 
 journal::AttemptOutcome
 ToRecord(gang::AttemptOutcome aOutcome)
@@ -692,6 +695,29 @@
   for (const auto& held : aReport.gangs) {
     this->ResumeOrStop(aConnection, held);
   }
+  this->TellWhatWorkerHolds(aConnection, aReport);
+}
+
+void
+CellService::TellWhatWorkerHolds(ConnectionId aConnection,
+                                 const protocol::GangReport& aReport)
+{
+  std::vector<gang::AttemptKey> held;
+  held.reserve(aReport.gangs.size());
+  for (const auto& each : aReport.gangs) {
+    held.push_back(gang::KeyOf(each.plan));
+  }
+  for (const auto& [id, worker] : this->workers) {
+    if (worker.connection == aConnection) {
+      this->Lead(gang::WorkerReported{ id, std::move(held) }, aConnection);
+      return;
+    }
+  }
+  // The report came before the first heartbeat, which makes a worker usable.
+  if (this->earlyReports.size() >= kMaxEarlyReports) {
+    this->earlyReports.clear();
+  }
+  this->earlyReports[aConnection] = std::move(held);
 }
 
 void
@@ -820,6 +846,10 @@
     this->workers[aWorker.id] = { aWorker, aConnection, false };
     this->departed.erase(aWorker.id);
     this->Schedule(scheduling::WorkerJoined{ aWorker });
+    if (auto report = this->earlyReports.extract(aConnection)) {
+      this->Lead(gang::WorkerReported{ aWorker.id, std::move(report.mapped()) },
+                 aConnection);
+    }
   });
 }
 
--- a/libs/entry/src/CellService.h
+++ b/libs/entry/src/CellService.h
@@ -181,6 +181,8 @@
   void EndAttempt(const gang::AttemptEnded& aEnded);
   void OnGangReport(protocol::ConnectionId aConnection,
                     const protocol::GangReport& aReport);
+  void TellWhatWorkerHolds(protocol::ConnectionId aConnection,
+                           const protocol::GangReport& aReport);
   void ResumeOrStop(protocol::ConnectionId aConnection,
                     const protocol::HeldGang& aHeld);
   void GiveUpAwaited(base::TimePoint aNow);
@@ -215,6 +217,8 @@
   membership::CoordinatorElection election;
   policy::Policy policy;
   std::map<base::TargetId, Worker> workers;
+  /** What workers reported before they became usable. */
+  std::map<protocol::ConnectionId, std::vector<gang::AttemptKey>> earlyReports;
   /** Workers that may come back, and until when they are waited for. */
   std::map<base::TargetId, base::TimePoint> departed;
   std::optional<journal::CheckpointSchedule> checkpoints;
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -138,6 +138,8 @@
   base::Result<EntryAddresses> Start()
   {
     EntryAddresses addresses;
+    // Peers may connect as soon as the node listens.
+    this->MakeLinks();
     BOOST_OUTCOME_TRY(addresses.inner,
                       this->node.Listen(this->settings.common.innerListen));
     this->self.address = addresses.inner;
@@ -148,7 +150,8 @@
     for (const auto& cell : this->cells) {
       cell->Start();
     }
-    this->StartLinks(addresses.inner);
+    this->links->Start(addresses.inner);
+    this->ScheduleHeartbeat();
     const EntryParts parts{ this->policy, this->membership, this->requests,
                             this->cells,  *this->links,     this->node };
     AddEntryDump(this->adminServer, parts);
@@ -380,11 +383,10 @@
     }
   }
 
-  void StartLinks(const std::string& aAddress)
+  void MakeLinks()
   {
     peering::EntryLinksOptions options;
     options.bootstrap = this->settings.common.bootstrap;
-    options.ownAddress = aAddress;
     this->links = std::make_unique<peering::EntryLinks>(
       this->node,
       this->pool,
@@ -397,8 +399,6 @@
       },
       *this);
     this->jobs.SetLinks(*this->links);
-    this->links->Start();
-    this->ScheduleHeartbeat();
   }
 
   void ScheduleHeartbeat()
--- a/libs/peering/include/amaranthwind/peering/EntryLinks.h
+++ b/libs/peering/include/amaranthwind/peering/EntryLinks.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace amaranthwind::net {
@@ -38,8 +39,6 @@
 {
   /** Inner addresses of the load balancer or of entries. */
   std::vector<std::string> bootstrap{};
-  /** Address of this process, which it does not connect to. */
-  std::string ownAddress{};
   std::chrono::milliseconds retryInterval{ 500 };
   /** How often a process with links asks the bootstrap addresses again. */
   std::chrono::milliseconds rediscoverInterval{ 10'000 };
@@ -69,7 +68,8 @@
   EntryLinks(const EntryLinks&) = delete;
   EntryLinks& operator=(const EntryLinks&) = delete;
 
-  void Start();
+  /** Connects from now on. aOwnAddress is not connected to. */
+  void Start(std::string_view aOwnAddress);
   void Stop();
 
   /**
--- a/libs/peering/src/EntryLinks.cpp
+++ b/libs/peering/src/EntryLinks.cpp
@@ -82,8 +82,7 @@
     // All entries may have been replaced at once; then only the bootstrap
     // addresses lead to the new ones.
     for (const auto& address : this->options.bootstrap) {
-      if (address != this->options.ownAddress &&
-          !this->peers.contains(address)) {
+      if (address != this->ownAddress && !this->peers.contains(address)) {
         this->peers[address].isBootstrap = true;
       }
     }
@@ -140,8 +139,7 @@
     this->Learn(*topology);
     const auto address = this->AddressOf(aConnection);
     const auto sender = FindSender(*topology);
-    if (sender && sender->address == address &&
-        address != this->options.ownAddress) {
+    if (sender && sender->address == address && address != this->ownAddress) {
       this->Announce(aConnection);
     } else {
       this->node.Close(aConnection);
@@ -194,7 +192,7 @@
     std::lock_guard lock(this->mutex);
     const auto now = steady_clock::now();
     for (const auto& entry : aTopology.entries) {
-      if (entry.address != this->options.ownAddress) {
+      if (entry.address != this->ownAddress) {
         Peer& peer = this->peers[entry.address];
         peer.lastNamed = now;
         peer.isBootstrap = false;
@@ -208,6 +206,7 @@
   const HelloFactory hello;
   EntryLinksObserver& observer;
   mutable std::mutex mutex;
+  std::string ownAddress;
   bool isStopped = false;
   std::map<std::string, Peer> peers;
   std::map<ConnectionId, std::string> addresses;
@@ -232,8 +231,12 @@
 }
 
 void
-EntryLinks::Start()
+EntryLinks::Start(std::string_view aOwnAddress)
 {
+  {
+    std::lock_guard lock(this->impl->mutex);
+    this->impl->ownAddress = aOwnAddress;
+  }
   this->impl->Round();
   this->impl->ScheduleRound();
 }
--- a/libs/peering/tests/EntryLinksTest.cpp
+++ b/libs/peering/tests/EntryLinksTest.cpp
@@ -126,7 +126,7 @@
   second.SetKnown({ first.info, second.info });
   Client client(pool,
                 { .bootstrap = { first.info.address }, .retryInterval = 20ms });
-  client.links.Start();
+  client.links.Start("127.0.0.1:1");
   CHECK(client.WaitFor({ "e1", "e2" }));
   CHECK(client.links.Links().size() == 2);
   second.node.Stop();
@@ -147,7 +147,7 @@
   balancer.SetKnown({ entry.info });
   Client client(
     pool, { .bootstrap = { balancer.info.address }, .retryInterval = 20ms });
-  client.links.Start();
+  client.links.Start("127.0.0.1:1");
   CHECK(client.WaitFor({ "e1" }));
   CHECK(balancer.hellos == 0);
   CHECK(entry.hellos == 1);
--- a/libs/target/src/TargetDaemon.cpp
+++ b/libs/target/src/TargetDaemon.cpp
@@ -95,12 +95,8 @@
 
   base::Result<TargetAddresses> Start()
   {
-    BOOST_OUTCOME_TRY(this->target.address,
-                      this->node.Listen(this->settings.common.innerListen));
-    this->MakeServer();
     peering::EntryLinksOptions options;
     options.bootstrap = this->settings.common.bootstrap;
-    options.ownAddress = this->target.address;
     this->links = std::make_unique<peering::EntryLinks>(
       this->node,
       this->pool,
@@ -109,6 +105,10 @@
         return protocol::TargetHello{ this->target, this->NoteOffset() };
       },
       *this);
+    // Peers may connect as soon as the node listens.
+    BOOST_OUTCOME_TRY(this->target.address,
+                      this->node.Listen(this->settings.common.innerListen));
+    this->MakeServer();
     this->status.Publish(this->MakeStatus());
     this->loop.SetTick(kTickInterval, [this] { this->OnTick(); });
     this->loop.Start();
@@ -266,9 +266,10 @@
   void Begin()
   {
     if (this->gangServer) {
-      this->gangServer->Start([this] { this->links->Start(); });
+      this->gangServer->Start(
+        [this] { this->links->Start(this->target.address); });
     } else {
-      this->links->Start();
+      this->links->Start(this->target.address);
     }
   }
 
