--- a/libs/entry/src/MembershipService.cpp
+++ b/libs/entry/src/MembershipService.cpp
@@ -274,7 +274,7 @@
   bool hasChanged = false;
   for (const auto& effect : aEffects) {
     if (const auto* fetch = std::get_if<membership::FetchPolicyFrom>(&effect)) {
-      this->policy.OnNewerOffset();
+      this->policy.OnPeerOffset(fetch->offset);
       this->FetchPolicy(fetch->entry);
     } else {
       hasChanged = true;
--- a/libs/entry/src/PolicyKeeper.cpp
+++ b/libs/entry/src/PolicyKeeper.cpp
@@ -74,10 +74,11 @@
 }
 
 void
-PolicyKeeper::OnNewerOffset()
+PolicyKeeper::OnPeerOffset(base::LogOffset aOffset)
 {
   std::lock_guard lock(this->mutex);
-  if (!this->newerSince) {
+  // It may have come into force here since the peer was heard.
+  if (!this->newerSince && aOffset > this->Offset()) {
     this->newerSince = this->clock.Now();
   }
 }
--- a/libs/entry/src/PolicyKeeper.h
+++ b/libs/entry/src/PolicyKeeper.h
@@ -54,8 +54,8 @@
   /** False during an outage of the log. */
   bool IsLogReachable() const noexcept { return this->isLogReachable.load(); }
 
-  /** A peer has shown an offset that is not in force here. */
-  void OnNewerOffset();
+  /** A peer has shown this offset. */
+  void OnPeerOffset(base::LogOffset aOffset);
   /** A peer's policy; taken if it is newer. */
   void Adopt(const policy::Policy& aPolicy);
 
