Let peers connect before a daemon has made its links

Cause: the inner address listens before the links exist, which need the address. A peer that connected in between made OnOpened use a null pointer, and the daemon crashed without a log line; an end-to-end test then waited 60 s for it.

Change: OnOpened waits on a latch that Start() opens once the links exist, in both daemons.

--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -18,6 +18,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <latch>
 #include <mutex>
 #include <utility>
 
@@ -200,6 +201,7 @@
 
   void OnOpened(ConnectionId aConnection, bool, std::string_view) override
   {
+    this->areLinksMade.wait();
     this->links->OnOpened(aConnection);
   }
 
@@ -378,6 +380,7 @@
                                      this->isDraining.load() };
       },
       *this);
+    this->areLinksMade.count_down();
     this->jobs.SetLinks(*this->links);
     this->links->Start();
     this->ScheduleHeartbeat();
@@ -473,6 +476,8 @@
   HandlerFunction callers;
   frontend::HttpServer http;
   std::unique_ptr<peering::EntryLinks> links;
+  /** Peers may connect before the links exist: those need the address. */
+  std::latch areLinksMade{ 1 };
   std::atomic<bool> isDraining{ false };
   bool isStopped = false;
   std::mutex stopMutex;
--- a/libs/target/src/TargetDaemon.cpp
+++ b/libs/target/src/TargetDaemon.cpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <latch>
 #include <mutex>
 #include <thread>
 #include <utility>
@@ -107,6 +108,7 @@
         return protocol::TargetHello{ this->target, this->NoteOffset() };
       },
       *this);
+    this->areLinksMade.count_down();
     this->status.Publish(this->MakeStatus());
     this->loop.SetTick(kTickInterval, [this] { this->OnTick(); });
     this->loop.Start();
@@ -141,6 +143,7 @@
 
   void OnOpened(ConnectionId aConnection, bool, std::string_view) override
   {
+    this->areLinksMade.wait();
     this->links->OnOpened(aConnection);
   }
 
@@ -505,6 +508,8 @@
   const telemetry::TargetMetrics metrics;
   base::EventLoop loop;
   std::unique_ptr<peering::EntryLinks> links;
+  /** Peers may connect before the links exist: those need the address. */
+  std::latch areLinksMade{ 1 };
   std::unique_ptr<ExecutorClient> executor;
   std::unique_ptr<WorkerClient> worker;
   std::unique_ptr<RequestServer> requestServer;
--- a/tests/endtoend/AdminTest.cpp
+++ b/tests/endtoend/AdminTest.cpp
@@ -234,8 +234,10 @@
   REQUIRE(
     Deployment::WaitUntil([&] { return IsRequestServed(deployment, entry); }));
   std::atomic<bool> isOver{ false };
+  constexpr std::size_t kCallers = 32;
   std::vector<std::thread> callers;
-  for (int i = 0; i < 32; ++i) {
+  callers.reserve(kCallers);
+  for (std::size_t i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       while (!isOver.load()) {
         (void)IsRequestServed(deployment, entry);
