--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -491,6 +491,7 @@
   HandlerFunction callers;
   frontend::HttpServer http;
   std::unique_ptr<peering::EntryLinks> links;
+  /** Peers may connect before the links exist: those need the address. */
   std::atomic<bool> isDraining{ false };
   bool isStopped = false;
   std::mutex stopMutex;
--- a/libs/target/src/TargetDaemon.cpp
+++ b/libs/target/src/TargetDaemon.cpp
@@ -509,6 +509,7 @@
   const telemetry::TargetMetrics metrics;
   base::EventLoop loop;
   std::unique_ptr<peering::EntryLinks> links;
+  /** Peers may connect before the links exist: those need the address. */
   std::unique_ptr<ExecutorClient> executor;
   std::unique_ptr<WorkerClient> worker;
   std::unique_ptr<RequestServer> requestServer;
