Ask the coordinators for a job that this entry does not know

Cause of one failed run in five of the test that cancels a gang: an entry that had not yet read a job's record answered unknown-job for a job that another entry had accepted. Change: it asks the coordinators of its cells first.

--- a/libs/entry/src/JobService.cpp
+++ b/libs/entry/src/JobService.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint16_t kStatusOk = 200;
 constexpr std::uint16_t kStatusCreated = 201;
 constexpr std::uint16_t kStatusAccepted = 202;
+constexpr std::uint16_t kStatusNotFound = 404;
 
 std::string_view
 ToText(scheduling::WaitReason aReason)
@@ -222,10 +223,14 @@
                 base::JobId(aId),
                 [this, aRequest, aRespond, aIsForwarded](
                   CellService* aCell, const JobResult& aResult) {
+                  if (aCell == nullptr) {
+                    this->AskCoordinators(0, aRequest, aRespond, aIsForwarded);
+                    return;
+                  }
                   // Only the coordinator knows why a job waits. Without it, the
                   // log's view of the job is still an answer.
                   const bool isBetterKnown =
-                    aCell != nullptr && !aCell->IsActing() && !aIsForwarded &&
+                    !aCell->IsActing() && !aIsForwarded &&
                     aResult.value().state.phase == journal::JobPhase::Queued;
                   if (!isBetterKnown ||
                       !this->Forward(aCell->Zone(), aRequest, {}, aRespond)) {
@@ -247,7 +252,7 @@
     [this, job, aRequest, aRespond, aIsForwarded](CellService* aCell,
                                                   const JobResult& aResult) {
       if (aCell == nullptr) {
-        aRespond(MakeErrorResponse(aResult.error()));
+        this->AskCoordinators(0, aRequest, aRespond, aIsForwarded);
         return;
       }
       const auto& spec = aResult.value().state.spec;
@@ -270,6 +275,36 @@
     });
 }
 
+void
+JobService::AskCoordinators(std::size_t aCell,
+                            const HttpRequest& aRequest,
+                            const HttpResponder& aRespond,
+                            bool aIsForwarded)
+{
+  // A job that was accepted by another entry a moment ago is not yet known
+  // here: "unknown-job" would be wrong.
+  for (std::size_t i = aCell; i < this->cells.size() && !aIsForwarded; ++i) {
+    const bool isAsked =
+      !this->cells[i]->IsActing() &&
+      this->Forward(this->cells[i]->Zone(),
+                    aRequest,
+                    {},
+                    [this, i, aRequest, aRespond](HttpResponse aResponse) {
+                      if (aResponse.status == kStatusNotFound) {
+                        this->AskCoordinators(i + 1, aRequest, aRespond, false);
+                      } else {
+                        aRespond(std::move(aResponse));
+                      }
+                    });
+    if (isAsked) {
+      return;
+    }
+  }
+  const std::string_view path = aRequest.path;
+  const auto id = path.substr(path.rfind('/') + 1);
+  aRespond(MakeFailure({ ErrorCode::UnknownJob, std::string(id) }, true));
+}
+
 bool
 JobService::Forward(const base::ZoneId& aZone,
                     const HttpRequest& aRequest,
--- a/libs/entry/src/JobService.h
+++ b/libs/entry/src/JobService.h
@@ -60,6 +60,11 @@
   void FindJob(std::size_t aCell,
                const base::JobId& aJob,
                std::function<void(CellService*, const JobResult&)> aHandler);
+  /** For a job that no cell here knows: asks the coordinators in turn. */
+  void AskCoordinators(std::size_t aCell,
+                       const frontend::HttpRequest& aRequest,
+                       const frontend::HttpResponder& aRespond,
+                       bool aIsForwarded);
   bool Forward(const base::ZoneId& aZone,
                const frontend::HttpRequest& aRequest,
                std::string_view aBody,
