--- a/libs/entry/src/CellService.h
+++ b/libs/entry/src/CellService.h
@@ -108,7 +108,7 @@
                  const protocol::Message& aMessage);
 
   /** Handlers run on the decision thread. */
-  void Submit(job::JobSpec aSpec, JobHandler aHandler);
+  void Submit(job::JobSpec aSpec, const JobHandler& aHandler);
   void Query(const base::JobId& aJob, JobHandler aHandler);
   void Cancel(const base::JobId& aJob, JobHandler aHandler);
 
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -420,7 +420,7 @@
       aRespond(MakeErrorResponse(
         { { base::ErrorCode::NotReady, "policy" }, true, 1s }));
     } else if (path.starts_with(kJobsPath)) {
-      this->jobs.Handle(std::move(aRequest), std::move(aRespond));
+      this->jobs.Handle(aRequest, aRespond);
     } else if (path.starts_with(kRequestsPrefix) && aRequest.method == "POST") {
       this->requests.Handle(
         std::string_view(path).substr(kRequestsPrefix.size()),
--- a/libs/entry/src/JobService.cpp
+++ b/libs/entry/src/JobService.cpp
@@ -80,7 +80,7 @@
 }
 
 void
-JobService::Handle(HttpRequest aRequest, HttpResponder aRespond)
+JobService::Handle(const HttpRequest& aRequest, const HttpResponder& aRespond)
 {
   this->Dispatch(aRequest, aRespond, false);
 }
--- a/libs/entry/src/JobService.h
+++ b/libs/entry/src/JobService.h
@@ -31,7 +31,8 @@
   void SetLinks(const peering::EntryLinks& aLinks) { this->links = &aLinks; }
 
   /** POST /v1/jobs, GET and DELETE /v1/jobs/<id>. */
-  void Handle(frontend::HttpRequest aRequest, frontend::HttpResponder aRespond);
+  void Handle(const frontend::HttpRequest& aRequest,
+              const frontend::HttpResponder& aRespond);
 
   /** A request that another entry passed on; not passed on again. */
   void HandleForwarded(protocol::ConnectionId aConnection,
--- a/tests/capacity/main.cpp
+++ b/tests/capacity/main.cpp
@@ -7,11 +7,13 @@
 
 #include <docopt/docopt.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -33,6 +35,7 @@
 Usage:
   capacity_probe targets --count=N [--seconds=S] [--notes=R]
   capacity_probe target-daemon --entries=N [--seconds=S]
+  capacity_probe times [--rounds=N]
   capacity_probe --help
 
 Options:
@@ -40,6 +43,7 @@
   --entries=N  Entries to which one worker's daemon reports.
   --seconds=S  Length of the measurement [default: 20].
   --notes=R    Release notes that are published meanwhile [default: 0].
+  --rounds=N   How often each time is taken [default: 5].
 )";
 
 /** What a process has used so far. */
@@ -284,6 +288,140 @@
   return 0;
 }
 
+/** Runs aAction and returns the time until aIsDone holds. */
+double
+Time(const std::function<void()>& aAction, const std::function<bool()>& aIsDone)
+{
+  const auto start = Clock::now();
+  aAction();
+  if (!Deployment::WaitUntil(aIsDone)) {
+    return -1;
+  }
+  return std::chrono::duration<double, std::milli>(Clock::now() - start)
+    .count();
+}
+
+void
+PrintTimes(const char* aName, std::vector<double> aTimes)
+{
+  std::sort(aTimes.begin(), aTimes.end());
+  std::printf("%-44s median %7.0f ms  longest %7.0f ms  rounds %zu\n",
+              aName,
+              aTimes[aTimes.size() / 2],
+              aTimes.back(),
+              aTimes.size());
+}
+
+bool
+IsVersion(Deployment& aDeployment, unsigned aVersion)
+{
+  const std::string text = "\"version\":" + std::to_string(aVersion) + ",";
+  for (const auto& entry : aDeployment.entries) {
+    const auto note = aDeployment.Get(entry.http, "/v1/note");
+    if (note.response.has_error() ||
+        note.response.value().body.find(text) == std::string::npos) {
+      return false;
+    }
+  }
+  return true;
+}
+
+frontend::HttpResult
+SubmitJob(Deployment& aDeployment,
+          const harness::Node& aEntry,
+          const std::string& aId)
+{
+  frontend::HttpRequest request;
+  request.method = "POST";
+  request.path = "/v1/jobs";
+  request.headers = { { "X-Client-Account", "account-0" },
+                      { "X-Caller", "probe" } };
+  request.body = R"({"id":")" + aId +
+                 R"(","kind":"gang","shape":{"members":2,"perMember":)"
+                 R"({"accelerators":8}},"payload":"{\"runMs\":0}"})";
+  return aDeployment.Send(aEntry.http, std::move(request));
+}
+
+bool
+IsJobEnded(Deployment& aDeployment,
+           const harness::Node& aEntry,
+           const std::string& aId)
+{
+  const auto state = aDeployment.Get(aEntry.http, "/v1/jobs/" + aId);
+  return state.response.has_value() &&
+         state.response.value().body.find(R"("phase":"ended")") !=
+           std::string::npos;
+}
+
+bool
+IsCoordinator(Deployment& aDeployment, const harness::Node& aEntry)
+{
+  const auto metrics = aDeployment.Get(aEntry.admin, "/metrics");
+  return metrics.response.has_value() &&
+         metrics.response.value().body.find(
+           "amaranthwind_cell_coordinator{zone=\"tw-1\"} 1") !=
+           std::string::npos;
+}
+
+int
+MeasureTimes(unsigned aRounds)
+{
+  Deployment deployment({ .entries = 3, .executors = 1, .workers = 2 });
+  if (!deployment.Start()) {
+    return 1;
+  }
+  deployment.PublishNote(
+    R"({"base":0,"changes":[{"putKind":{"id":"gang","class":"gang"}},)"
+    R"({"putAccount":{"id":"account-0"}}]})");
+  std::vector<double> notes;
+  for (unsigned i = 1; i <= aRounds; ++i) {
+    // Publishing with the tool, a process of its own, is part of the time.
+    notes.push_back(Time([&] { deployment.PublishNote(MakeNote(i)); },
+                         [&] { return IsVersion(deployment, i + 1); }));
+  }
+  PrintTimes("note published to in force on all entries", notes);
+
+  std::vector<double> jobs;
+  std::vector<double> takeovers;
+  std::vector<double> starts;
+  for (unsigned i = 0; i < aRounds; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    Deployment::WaitUntil([&] {
+      return SubmitJob(deployment, deployment.entries[0], "warm-up-" + id)
+               .response.value()
+               .status < 300;
+    });
+    jobs.push_back(
+      Time([&] { SubmitJob(deployment, deployment.entries[0], id); },
+           [&] { return IsJobEnded(deployment, deployment.entries[0], id); }));
+    std::size_t leader = 0;
+    Deployment::WaitUntil([&] {
+      for (std::size_t k = 0; k < deployment.entries.size(); ++k) {
+        if (IsCoordinator(deployment, deployment.entries[k])) {
+          leader = k;
+          return true;
+        }
+      }
+      return false;
+    });
+    const auto& other = deployment.entries[(leader + 1) % 3];
+    takeovers.push_back(
+      Time([&] { deployment.entries[leader].process->Kill(); },
+           [&] {
+             const auto answer = SubmitJob(deployment, other, "next-" + id);
+             return answer.response.has_value() &&
+                    answer.response.value().status < 300;
+           }));
+    starts.push_back(
+      Time([&] { deployment.Restart(deployment.entries[leader]); },
+           [&] { return deployment.IsReady(deployment.entries[leader]); }));
+  }
+  PrintTimes("empty gang of 2: submission to end", jobs);
+  PrintTimes("coordinator killed to next job accepted", takeovers);
+  PrintTimes("entry started to ready", starts);
+  return 0;
+}
+
 } // namespace
 
 int
@@ -291,6 +429,9 @@
 {
   auto arguments = docopt::docopt(kUsage, { argv + 1, argv + argc });
   const std::chrono::seconds length(arguments["--seconds"].asLong());
+  if (arguments["times"].asBool()) {
+    return MeasureTimes(static_cast<unsigned>(arguments["--rounds"].asLong()));
+  }
   if (arguments["targets"].asBool()) {
     return MeasureTargets(
       static_cast<std::size_t>(arguments["--count"].asLong()),
