Give the life cycle of a job a transition table

The phases of a job were set by hand in the replay.

A cancellation is told to the scheduler when its record is on its way and not when it is confirmed: in between, an attempt could have been committed that the log takes for an abort.

--- a/libs/entry/src/CellJobs.cpp
+++ b/libs/entry/src/CellJobs.cpp
@@ -179,11 +179,12 @@
     return;
   }
   view->state.isCancelRequested = true;
+  // The record stands in the log before any later decision on the job, since
+  // the writer keeps the order. Told only afterwards, the scheduler could start
+  // an attempt whose commit the log then takes for an abort.
   this->AppendUntilDone(journal::JobCancelledRecord{ this->token, aJob },
-                        [this, aJob, aHandler, answer = *view] {
-                          aHandler(answer);
-                          this->Schedule(scheduling::JobCancelled{ aJob });
-                        });
+                        [aHandler, answer = *view] { aHandler(answer); });
+  this->Schedule(scheduling::JobCancelled{ aJob });
 }
 
 // Status
--- a/libs/entry/src/LogWriter.cpp
+++ b/libs/entry/src/LogWriter.cpp
@@ -16,7 +16,7 @@
 // would hold up the records behind.
 constexpr journal::AppendLimits kLimits{ .firstDelay = 50ms,
                                          .maxDelay = 500ms,
-                                         .patience = 2s };
+                                         .giveUpAfter = 2s };
 
 } // namespace
 
--- a/libs/journal/include/amaranthwind/journal/Appender.h
+++ b/libs/journal/include/amaranthwind/journal/Appender.h
@@ -27,7 +27,7 @@
   /** The delay doubles up to this. */
   base::Duration maxDelay = std::chrono::seconds(5);
   /** After this, Append() gives up. */
-  base::Duration patience = std::chrono::seconds(30);
+  base::Duration giveUpAfter = std::chrono::seconds(30);
 };
 
 /** One record on its way into the log. Kept until the result is known. */
--- a/libs/journal/src/Appender.cpp
+++ b/libs/journal/src/Appender.cpp
@@ -25,7 +25,7 @@
 base::Result<base::LogOffset>
 Appender::Append(AppendTask& aTask)
 {
-  const base::TimePoint giveUp = this->clock.Now() + this->limits.patience;
+  const base::TimePoint giveUp = this->clock.Now() + this->limits.giveUpAfter;
   const std::vector<std::byte> payload = this->codec.Encode(aTask.record);
   base::Duration delay = this->limits.firstDelay;
   for (;;) {
--- a/libs/journal/src/CellReplay.cpp
+++ b/libs/journal/src/CellReplay.cpp
@@ -1,6 +1,7 @@
 #include "amaranthwind/journal/CellReplay.h"
 
 #include "PendingLimit.h"
+#include "amaranthwind/journal/JobLifeCycle.h"
 
 #include <algorithm>
 #include <iterator>
@@ -99,8 +100,8 @@
     if (job == nullptr) {
       return Fail(ErrorCode::UnknownJob, aDecision.gang.job.View());
     }
-    if (job->phase != JobPhase::Queued ||
-        aDecision.gang.attempt <= job->lastAttempt) {
+    const auto committed = NextJobPhase(job->phase, JobStep::Commit);
+    if (!committed || aDecision.gang.attempt <= job->lastAttempt) {
       return Fail(ErrorCode::DuplicateKey, "gang.attempt");
     }
     job->lastAttempt = aDecision.gang.attempt;
@@ -116,7 +117,7 @@
       return Fail(ErrorCode::OutOfRange, "maxRuns");
     }
     job->lastFate = AttemptFate::Committed;
-    job->phase = JobPhase::Committed;
+    job->phase = *committed;
     job->members = std::move(aDecision.members);
     ++job->runs;
     return base::success();
@@ -129,11 +130,11 @@
     if (job == nullptr) {
       return Fail(ErrorCode::UnknownJob, aEnded.gang.job.View());
     }
-    if (job->phase != JobPhase::Committed ||
-        job->lastAttempt != aEnded.gang.attempt) {
+    const auto queued = NextJobPhase(job->phase, JobStep::EndAttempt);
+    if (!queued || job->lastAttempt != aEnded.gang.attempt) {
       return Fail(ErrorCode::DuplicateKey, "gang.attempt");
     }
-    job->phase = JobPhase::Queued;
+    job->phase = *queued;
     job->lastFate = AttemptFate::Ended;
     job->members.clear();
     if (aEnded.outcome == AttemptOutcome::NotRun) {
@@ -395,7 +396,9 @@
 CellReplay::EndJob(std::uint32_t aSlot, JobOutcome aOutcome)
 {
   Slot& slot = this->slots[aSlot];
-  slot.job.phase = JobPhase::Ended;
+  // Only live jobs are ended, and every live phase leads to the end.
+  slot.job.phase =
+    NextJobPhase(slot.job.phase, JobStep::End).value_or(JobPhase::Ended);
   slot.job.outcome = aOutcome;
   slot.job.members = {};
   slot.job.spec.payload = {};
