--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -39,7 +39,9 @@
 int
 main()
 {
-  scheduling::CellScheduler scheduler({ .zone = base::ZoneId("zone-a") });
+  scheduling::SchedulerSettings settings;
+  settings.zone = base::ZoneId("zone-a");
+  scheduling::CellScheduler scheduler(settings);
   const base::TimePoint now{};
   std::vector<scheduling::Effect> effects;
   policy::Account account;
