Publish the empty policy once

Cause: before the first note an entry published its policy at each poll, five times a second, and told every peer. Change: it is published once, and then when the offset has risen.

--- a/libs/entry/src/PolicyKeeper.cpp
+++ b/libs/entry/src/PolicyKeeper.cpp
@@ -164,10 +164,10 @@
 PolicyKeeper::PublishIfNew()
 {
   const auto& policy = this->replay.Current();
-  if (policy.nextOffset.Get() <= this->offset.load() &&
-      policy.nextOffset.Get() != 0) {
+  if (this->isPublished && policy.nextOffset <= this->Offset()) {
     return;
   }
+  this->isPublished = true;
   this->current.Publish(std::make_unique<const policy::Policy>(policy));
   this->offset.store(policy.nextOffset.Get());
   if (this->newerSince) {
--- a/libs/entry/src/PolicyKeeper.h
+++ b/libs/entry/src/PolicyKeeper.h
@@ -79,6 +79,8 @@
   journal::NoteReplay replay;
   /** First sight of an offset that is not in force here yet. */
   std::optional<base::TimePoint> newerSince;
+  /** Set once observers have a policy, which may be the empty one. */
+  bool isPublished = false;
   base::RcuCell<policy::Policy> current;
   std::atomic<std::uint64_t> offset{ 0 };
   std::atomic<bool> isLoaded{ false };
