Use one search for a cell and one reading of a note's effect

EntryDaemon and JobService had the same loop over the cells, and note diff and note publish the same steps from the file to the policy after it. Behaviour is unchanged.

--- a/apps/amaranthwindctl/NoteCommands.cpp
+++ b/apps/amaranthwindctl/NoteCommands.cpp
@@ -10,6 +10,7 @@
 
 #include <iostream>
 #include <thread>
+#include <utility>
 
 namespace amaranthwind::ctl {
 
@@ -91,6 +92,24 @@
   return note;
 }
 
+/** A note together with the policy before and after it. */
+struct NoteEffect
+{
+  ReleaseNote note;
+  Policy before;
+  Policy after;
+};
+
+/** Errors: those of the note, of the log and of policy::ApplyNote(). */
+Result<NoteEffect>
+ReadEffect(const Arguments& aArguments, NoteLog& aLog)
+{
+  BOOST_OUTCOME_TRY(auto note, ReadNote(aArguments));
+  BOOST_OUTCOME_TRY(auto before, aLog.ReadPolicy());
+  BOOST_OUTCOME_TRY(auto after, policy::ApplyNote(before, note));
+  return NoteEffect{ std::move(note), std::move(before), std::move(after) };
+}
+
 template<typename Item>
 void
 PrintChanges(std::string_view aName,
@@ -144,41 +163,25 @@
 Exit
 DiffNote(const Arguments& aArguments)
 {
-  const auto note = ReadNote(aArguments);
-  if (note.has_error()) {
-    return ReportError(note.error());
-  }
   NoteLog log(Option(aArguments, "--log"));
-  const auto before = log.ReadPolicy();
-  if (before.has_error()) {
-    return ReportError(before.error());
-  }
-  const auto after = policy::ApplyNote(before.value(), note.value());
-  if (after.has_error()) {
-    return ReportError(after.error());
+  const auto effect = ReadEffect(aArguments, log);
+  if (effect.has_error()) {
+    return ReportError(effect.error());
   }
-  PrintDiff(before.value(), after.value());
+  PrintDiff(effect.value().before, effect.value().after);
   return Exit::Done;
 }
 
 Exit
 PublishNote(const Arguments& aArguments)
 {
-  const auto note = ReadNote(aArguments);
-  if (note.has_error()) {
-    return ReportError(note.error());
-  }
   NoteLog log(Option(aArguments, "--log"));
-  const auto before = log.ReadPolicy();
-  if (before.has_error()) {
-    return ReportError(before.error());
-  }
   // A note that cannot be accepted is not worth a record.
-  const auto after = policy::ApplyNote(before.value(), note.value());
-  if (after.has_error()) {
-    return ReportError(after.error());
+  const auto effect = ReadEffect(aArguments, log);
+  if (effect.has_error()) {
+    return ReportError(effect.error());
   }
-  const auto published = log.Publish(note.value());
+  const auto published = log.Publish(effect.value().note);
   if (published.has_error()) {
     return ReportError(published.error());
   }
@@ -186,10 +189,10 @@
   if (record.verdict != journal::Verdict::Applied) {
     return ReportError(record.error);
   }
-  PrintDiff(before.value(), after.value());
+  PrintDiff(effect.value().before, effect.value().after);
   std::cout << "accepted   note " << record.id.View() << " offset "
-            << record.offset.Get() << " version " << after.value().version.Get()
-            << "\n";
+            << record.offset.Get() << " version "
+            << effect.value().after.version.Get() << "\n";
   return Exit::Done;
 }
 
--- a/libs/entry/src/CellService.cpp
+++ b/libs/entry/src/CellService.cpp
@@ -606,4 +606,16 @@
   return next;
 }
 
+CellService*
+FindCell(std::span<const std::unique_ptr<CellService>> aCells,
+         const base::ZoneId& aZone) noexcept
+{
+  for (const auto& cell : aCells) {
+    if (cell->Zone() == aZone) {
+      return cell.get();
+    }
+  }
+  return nullptr;
+}
+
 } // namespace amaranthwind::entry
--- a/libs/entry/src/CellService.h
+++ b/libs/entry/src/CellService.h
@@ -252,4 +252,9 @@
   base::EventLoop loop;
 };
 
+/** Null if there is no such cell. */
+CellService*
+FindCell(std::span<const std::unique_ptr<CellService>> aCells,
+         const base::ZoneId& aZone) noexcept;
+
 } // namespace amaranthwind::entry
--- a/libs/entry/src/EntryDaemon.cpp
+++ b/libs/entry/src/EntryDaemon.cpp
@@ -261,7 +261,7 @@
   void OnWorkerUsable(const fleet::Target& aWorker,
                       ConnectionId aConnection) override
   {
-    if (CellService* cell = this->FindCell(aWorker.zone)) {
+    if (CellService* cell = FindCell(this->cells, aWorker.zone)) {
       cell->OnWorkerUsable(aWorker, aConnection);
     }
   }
@@ -269,21 +269,21 @@
   void OnWorkerConnection(const fleet::Target& aWorker,
                           ConnectionId aConnection) override
   {
-    if (CellService* cell = this->FindCell(aWorker.zone)) {
+    if (CellService* cell = FindCell(this->cells, aWorker.zone)) {
       cell->OnWorkerConnection(aWorker.id, aConnection);
     }
   }
 
   void OnWorkerDraining(const fleet::Target& aWorker) override
   {
-    if (CellService* cell = this->FindCell(aWorker.zone)) {
+    if (CellService* cell = FindCell(this->cells, aWorker.zone)) {
       cell->OnWorkerDraining(aWorker.id);
     }
   }
 
   void OnWorkerGone(const fleet::Target& aWorker) override
   {
-    if (CellService* cell = this->FindCell(aWorker.zone)) {
+    if (CellService* cell = FindCell(this->cells, aWorker.zone)) {
       cell->OnWorkerGone(aWorker.id);
     }
   }
@@ -366,22 +366,12 @@
   {
     this->membership.OnEntryTopology(aConnection, aTopology);
     for (const auto& told : aTopology.cells) {
-      if (CellService* cell = this->FindCell(told.zone)) {
+      if (CellService* cell = FindCell(this->cells, told.zone)) {
         cell->OnCoordinatorTold(told.token, told.coordinator.id);
       }
     }
   }
 
-  CellService* FindCell(const base::ZoneId& aZone)
-  {
-    for (const auto& cell : this->cells) {
-      if (cell->Zone() == aZone) {
-        return cell.get();
-      }
-    }
-    return nullptr;
-  }
-
   /** A gang message belongs to the cell of the worker that sent it. */
   void PassToCells(ConnectionId aConnection, const protocol::Message& aMessage)
   {
--- a/libs/entry/src/JobService.cpp
+++ b/libs/entry/src/JobService.cpp
@@ -153,17 +153,6 @@
   return aSpec.zone.IsEmpty() ? this->defaultZone : aSpec.zone;
 }
 
-CellService*
-JobService::FindCell(const base::ZoneId& aZone) const
-{
-  for (const auto& cell : this->cells) {
-    if (cell->Zone() == aZone) {
-      return cell.get();
-    }
-  }
-  return nullptr;
-}
-
 void
 JobService::Submit(const HttpRequest& aRequest,
                    const HttpResponder& aRespond,
@@ -175,7 +164,7 @@
     return;
   }
   const base::ZoneId zone = spec.value().zone;
-  CellService* cell = this->FindCell(zone);
+  CellService* cell = FindCell(this->cells, zone);
   if (cell != nullptr && cell->IsActing()) {
     const std::string location = "/v1/jobs/" + spec.value().id.Text();
     cell->Submit(std::move(spec.value()),
--- a/libs/entry/src/JobService.h
+++ b/libs/entry/src/JobService.h
@@ -56,7 +56,6 @@
                 bool aIsForwarded);
   base::Result<job::JobSpec> ReadSpec(const frontend::HttpRequest& aRequest);
   base::ZoneId ChooseZone(const job::JobSpec& aSpec) const;
-  CellService* FindCell(const base::ZoneId& aZone) const;
   /** Asks the cells one after the other until one knows the job. */
   void FindJob(std::size_t aCell,
                const base::JobId& aJob,
