Bound the retries of a worker's daemon and keep ends that nobody recorded

A new coordinator acknowledged the reported end of a gang that it had not yet taken over, so that the first rank forgot an end that was not in the log.

GangCoordinator keeps the attempts that it awaits and answers their ends only after it has taken them over.

Ruled out for the known red test: RetryAppend without a delay; the log writer waits up to 2 s for each try itself.

--- /dev/null
+++ b/libs/base/include/amaranthwind/base/Executor.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "amaranthwind/base/Clock.h"
+
+#include <functional>
+
+namespace amaranthwind::base {
+
+/**
+ * Runs tasks one at a time, in the order in which they become due. State that
+ * only its tasks touch needs no lock. Thread-safe.
+ */
+class Executor
+{
+public:
+  virtual ~Executor() = default;
+  virtual void Post(std::function<void()> aTask) = 0;
+  virtual void RunAfter(Duration aDelay, std::function<void()> aTask) = 0;
+};
+
+} // namespace amaranthwind::base
--- a/libs/entry/src/CellGangs.cpp
+++ b/libs/entry/src/CellGangs.cpp
@@ -300,6 +300,7 @@
       journal::AttemptEndedRecord{
         this->token, gang, journal::AttemptOutcome::Failed },
       [this, gang] {
+        this->Lead(gang::AwaitOver{ gang });
         scheduling::GangEnded event;
         event.gang = gang;
         event.outcome = scheduling::AttemptOutcome::Failed;
--- a/libs/entry/src/CellService.cpp
+++ b/libs/entry/src/CellService.cpp
@@ -243,6 +243,7 @@
     restored.workers = aJob.members;
     this->awaited[{ aJob.spec.id, aJob.lastAttempt }] =
       this->clock.Now() + kReportLimit;
+    this->Lead(gang::AwaitGang{ { aJob.spec.id, aJob.lastAttempt } });
   }
   this->Schedule(restored);
   if (aJob.isCancelRequested) {
--- a/libs/gang/include/amaranthwind/gang/GangCoordinator.h
+++ b/libs/gang/include/amaranthwind/gang/GangCoordinator.h
@@ -44,6 +44,22 @@
   std::shared_ptr<const job::GangPlan> plan;
 };
 
+/**
+ * A former coordinator committed the attempt and its end is not in the log.
+ * Until ResumeGang or AwaitOver, an end that is reported is not acknowledged:
+ * its first rank would forget it before it is recorded.
+ */
+struct AwaitGang
+{
+  job::GangId gang;
+};
+
+/** The attempt is given up, or its end is in the log. */
+struct AwaitOver
+{
+  job::GangId gang;
+};
+
 /** The decision record was read back and no newer epoch precedes it. */
 struct DecisionConfirmed
 {
@@ -91,6 +107,8 @@
 
 using CoordinatorEvent = std::variant<StartGang,
                                       ResumeGang,
+                                      AwaitGang,
+                                      AwaitOver,
                                       Promise,
                                       DecisionConfirmed,
                                       DecisionUnconfirmed,
--- a/libs/gang/src/GangCoordinator.cpp
+++ b/libs/gang/src/GangCoordinator.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace amaranthwind::gang {
@@ -500,8 +501,13 @@
     });
   }
 
+  void On(const AwaitGang& aEvent) { this->awaited.insert(aEvent.gang); }
+
+  void On(const AwaitOver& aEvent) { this->awaited.erase(aEvent.gang); }
+
   void On(const ResumeGang& aEvent)
   {
+    this->awaited.erase(aEvent.plan->gang);
     if (Entry* entry = this->Add(aEvent.plan); entry != nullptr) {
       this->Fire<Resumed>(*entry);
     }
@@ -597,6 +603,8 @@
   {
     if (Entry* entry = this->Find(aEvent.key); entry != nullptr) {
       this->Fire<EndReported>(*entry, aEvent);
+    } else if (this->awaited.contains(aEvent.key.gang)) {
+      return; // Its first rank repeats the report.
     } else if (aEvent.key.planToken <= this->fence.token) {
       // Its end is in the log; the acknowledgement was lost.
       this->effects->emplace_back(
@@ -723,6 +731,8 @@
   Fence fence;
   CoordinatorSettings settings;
   Entries entries;
+  /** Of a former coordinator, without an end in the log. */
+  std::set<job::GangId> awaited;
   bool isSuperseded = false;
   base::TimePoint now;
   Effects* effects = nullptr;
--- a/libs/gang/tests/GangCoordinatorTest.cpp
+++ b/libs/gang/tests/GangCoordinatorTest.cpp
@@ -310,3 +310,31 @@
     CHECK(Has<AttemptEnded>(successor.Handle(now += 12s, Tick{})));
   }
 }
+
+// Guards against the end of a gang that its first rank forgets because a new
+// coordinator acknowledges it before it is in the log.
+TEST_CASE("a new coordinator does not acknowledge an end that nobody recorded")
+{
+  const auto plan = MakePlan(2);
+  GangCoordinator successor({ kFence.cell, base::FencingToken(20) });
+  const base::TimePoint now{ 1h };
+  const GangEnded report{ KeyOf(*plan),
+                          true,
+                          { MemberResult::Succeeded, MemberResult::Succeeded },
+                          std::nullopt,
+                          std::nullopt };
+  successor.Handle(now, AwaitGang{ plan->gang });
+  CHECK(successor.Handle(now, report).empty());
+  SUBCASE("it records the end of the attempt that it takes over")
+  {
+    successor.Handle(now, ResumeGang{ plan });
+    const auto effects = successor.Handle(now, report);
+    REQUIRE(Find<AttemptEnded>(effects) != nullptr);
+    CHECK(Find<AttemptEnded>(effects)->outcome == AttemptOutcome::Succeeded);
+  }
+  SUBCASE("it acknowledges one whose end is in the log")
+  {
+    successor.Handle(now, AwaitOver{ plan->gang });
+    CHECK(Count<GangEndedAck>(successor.Handle(now, report)) == 1);
+  }
+}
--- a/libs/target/src/GangServer.cpp
+++ b/libs/target/src/GangServer.cpp
@@ -104,18 +104,25 @@
 void
 GangServer::Start(std::function<void()> aReady)
 {
-  this->client.List([this, ready = std::move(aReady)](auto aResult) {
-    this->loop.Post([this, ready, result = std::move(aResult)] {
+  this->ready = std::move(aReady);
+  this->ListTasks();
+}
+
+void
+GangServer::ListTasks()
+{
+  this->client.List([this](auto aResult) {
+    this->loop.Post([this, result = std::move(aResult)] {
       if (result.has_error()) {
         // Announcing the worker now would offer accelerators that tasks of
         // the former daemon may hold.
         this->logger.Warning("worker does not list its tasks",
                              { { "error", base::Describe(result.error()) } });
-        this->Start(ready);
+        this->nextListing = this->clock.Now() + this->listBackoff.Next();
         return;
       }
       this->Adopt(result.value());
-      ready();
+      this->ready();
     });
   });
 }
@@ -173,6 +180,10 @@
 GangServer::OnTick()
 {
   const auto now = this->clock.Now();
+  if (this->nextListing && now >= *this->nextListing) {
+    this->nextListing.reset();
+    this->ListTasks();
+  }
   const auto due = this->member.NextDeadline();
   if (due && now >= *due) {
     this->Handle(gang::Tick{}, std::nullopt);
--- a/libs/target/src/GangServer.h
+++ b/libs/target/src/GangServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "TargetStatus.h"
+#include "amaranthwind/base/Backoff.h"
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/EventLoop.h"
 #include "amaranthwind/gang/GangMember.h"
@@ -9,6 +10,7 @@
 #include "amaranthwind/telemetry/Logger.h"
 #include "amaranthwind/telemetry/StandardMetrics.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -92,6 +94,7 @@
   void OnStartResult(const gang::AttemptKey& aKey,
                      const base::Result<void>& aResult);
   void OnTaskList(const std::vector<WorkerTask>& aTasks);
+  void ListTasks();
   void PollTasks();
   void Adopt(std::span<const WorkerTask> aTasks);
   void EndTask(const gang::AttemptKey& aKey, TaskState aState);
@@ -121,6 +124,10 @@
     protocol::ConnectionId connection;
   };
   std::map<base::ZoneId, Coordinator> coordinators;
+  /** Called once the worker has listed its tasks. */
+  std::function<void()> ready;
+  base::Backoff listBackoff;
+  std::optional<base::TimePoint> nextListing;
   bool isPolling = false;
   base::TimePoint nextPoll{};
 };
