--- /dev/null
+++ b/libs/agent/src/CoordinatorLink.cpp
@@ -0,0 +1,247 @@
+#include "amaranthwind/agent/CoordinatorLink.h"
+
+#include "amaranthwind/base/Backoff.h"
+#include "amaranthwind/codec/ClaimCodec.h"
+#include "amaranthwind/journal/KeyedFollower.h"
+#include "amaranthwind/membership/LeaderTopic.h"
+#include "amaranthwind/protocol/Node.h"
+
+#include <optional>
+#include <utility>
+
+namespace amaranthwind::agent {
+
+using protocol::ConnectionId;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** The coordinator answers each report, several in this time. */
+constexpr protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
+                                              .silenceTimeout = 1800ms,
+                                              .connectTimeout = 800ms };
+/** Claims are rare; a broken link asks for them at once. */
+constexpr base::Duration kClaimWait = 10s;
+constexpr base::BackoffOptions kConnectBackoff{ 100ms, 600ms };
+
+} // namespace
+
+struct CoordinatorLink::Impl final
+  : std::enable_shared_from_this<Impl>
+  , protocol::MessageHandler
+  , journal::FollowerObserver
+{
+  Impl(const base::Clock& aClock,
+       base::Executor& aExecutor,
+       net::IoPool& aPool,
+       journal::KeyedLog& aLog,
+       telemetry::Logger& aLogger)
+    : executor(aExecutor)
+    , logger(aLogger)
+    , node(aPool, kNodeOptions, *this)
+    , follower({ .topic = { std::string(membership::kLeaderTopic), 0 },
+                 .wait = kClaimWait },
+               aClock,
+               aExecutor,
+               aLog,
+               *this)
+  {
+  }
+
+  // Who coordinates.
+
+  void OnLoaded(std::span<const journal::KeyedRecord> aNewest) override
+  {
+    this->OnRecords(aNewest);
+  }
+
+  void OnRecords(std::span<const journal::KeyedRecord> aRecords) override
+  {
+    for (const auto& record : aRecords) {
+      const auto claim = codec::DecodeClaim(record.value);
+      if (record.key != membership::kLeaderKey || claim.has_error()) {
+        this->logger.Warning("claim is not readable",
+                             { { "offset", record.offset } });
+      } else if (!claim.value().isResigned) {
+        this->Follow(membership::TokenOf(record.offset), claim.value().address);
+      }
+    }
+  }
+
+  void OnCurrent(base::TimePoint) override {}
+
+  void OnUnavailable(const base::Error& aError) override
+  {
+    this->logger.Warning("log does not answer",
+                         { { "error", base::Describe(aError) } });
+  }
+
+  void Follow(base::FencingToken aToken, const std::string& aAddress)
+  {
+    if (aToken <= this->token) {
+      return;
+    }
+    this->token = aToken;
+    this->address = aAddress;
+    this->logger.Info("coordinator found",
+                      { { "token", aToken }, { "address", aAddress } });
+    this->agent->OnToken(aToken);
+    if (this->connection) {
+      this->node.Close(*std::exchange(this->connection, std::nullopt));
+    }
+    this->backoff.Reset();
+    this->Connect();
+  }
+
+  // The connection.
+
+  void Connect()
+  {
+    if (this->isStopped || this->connection || this->address.empty()) {
+      return;
+    }
+    this->connection = this->node.Connect(this->address);
+  }
+
+  template<typename Task>
+  void Post(Task aTask)
+  {
+    this->executor.Post(
+      [weak = this->weak_from_this(), task = std::move(aTask)] {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->isStopped) {
+          task(*self);
+        }
+      });
+  }
+
+  void OnOpened(ConnectionId aConnection, bool, std::string_view) override
+  {
+    this->Post([aConnection](Impl& aSelf) {
+      if (aSelf.connection == aConnection) {
+        aSelf.backoff.Reset();
+        aSelf.logger.Info("coordinator connected",
+                          { { "address", aSelf.address } });
+        aSelf.agent->OnLinkOpened();
+      }
+    });
+  }
+
+  void OnClosed(ConnectionId aConnection, const base::Error& aReason) override
+  {
+    this->Post([aConnection, aReason](Impl& aSelf) {
+      if (aSelf.connection != aConnection) {
+        return;
+      }
+      aSelf.connection.reset();
+      aSelf.logger.Warning(
+        "coordinator is not reachable",
+        { { "address", aSelf.address }, { "error", base::Describe(aReason) } });
+      aSelf.RetryLater();
+    });
+  }
+
+  void RetryLater()
+  {
+    // Another entry may coordinate by now.
+    this->follower.Confirm([](bool) {});
+    this->executor.RunAfter(this->backoff.Next(),
+                            [weak = this->weak_from_this()] {
+                              if (const auto self = weak.lock()) {
+                                self->Connect();
+                              }
+                            });
+  }
+
+  void OnMessage(ConnectionId aConnection,
+                 const protocol::Envelope& aEnvelope) override
+  {
+    this->Post([aConnection, message = aEnvelope.message](Impl& aSelf) {
+      if (aSelf.connection == aConnection) {
+        aSelf.Handle(message);
+      }
+    });
+  }
+
+  void Handle(const protocol::Message& aMessage)
+  {
+    if (const auto* grant = std::get_if<protocol::AgentGrant>(&aMessage)) {
+      this->agent->OnGrant(grant->sequence, grant->token, grant->duration);
+    } else if (const auto* ack = std::get_if<protocol::AgentAck>(&aMessage)) {
+      this->agent->OnAcknowledged(ack->life, ack->number);
+    } else if (const auto* start =
+                 std::get_if<protocol::AgentStart>(&aMessage)) {
+      this->agent->OnStart(start->token,
+                           start->life,
+                           start->run,
+                           start->payload,
+                           start->checkpoint);
+    } else if (const auto* stop = std::get_if<protocol::AgentStop>(&aMessage)) {
+      this->agent->OnStop(stop->token, stop->life, stop->run);
+    } else if (const auto* notice =
+                 std::get_if<protocol::LeaderNotice>(&aMessage)) {
+      this->Follow(notice->token, notice->address);
+    }
+  }
+
+  base::Executor& executor;
+  telemetry::Logger& logger;
+  protocol::Node node;
+  journal::KeyedFollower follower;
+  WorkerAgent* agent = nullptr;
+  base::FencingToken token;
+  std::string address;
+  std::optional<ConnectionId> connection;
+  base::Backoff backoff{ kConnectBackoff };
+  bool isStopped = false;
+};
+
+CoordinatorLink::CoordinatorLink(const base::Clock& aClock,
+                                 base::Executor& aExecutor,
+                                 net::IoPool& aPool,
+                                 journal::KeyedLog& aLog,
+                                 telemetry::Logger& aLogger)
+  : impl(std::make_shared<Impl>(aClock, aExecutor, aPool, aLog, aLogger))
+{
+}
+
+CoordinatorLink::~CoordinatorLink() = default;
+
+void
+CoordinatorLink::Start(WorkerAgent& aAgent)
+{
+  this->impl->agent = &aAgent;
+  this->impl->follower.Start();
+}
+
+void
+CoordinatorLink::Stop()
+{
+  this->impl->isStopped = true;
+  this->impl->follower.Stop();
+  this->impl->node.Stop();
+}
+
+void
+CoordinatorLink::SendReport(std::uint64_t aSequence,
+                            base::FencingToken aToken,
+                            const dispatch::WorkerReport& aReport)
+{
+  if (this->impl->connection) {
+    this->impl->node.Send(*this->impl->connection,
+                          protocol::AgentReport{ aSequence, aToken, aReport });
+  }
+}
+
+void
+CoordinatorLink::SendOutcome(const ledger::WorkerLife& aLife,
+                             const job::TaskRun& aRun,
+                             dispatch::OrderOutcome aOutcome)
+{
+  if (this->impl->connection) {
+    this->impl->node.Send(*this->impl->connection,
+                          protocol::AgentOutcome{ aLife, aRun, aOutcome });
+  }
+}
+
+} // namespace amaranthwind::agent
--- a/libs/base/include/amaranthwind/base/Error.h
+++ b/libs/base/include/amaranthwind/base/Error.h
@@ -40,6 +40,7 @@
   OffsetExpired,
   OffsetInvalid,
   LogUnavailable,
+  AppendConflict,    // The stream does not end where the writer expected.
   AppendUnconfirmed, // The record may or may not be in the log.
   ConnectFailed,
   ConnectionClosed,
--- a/libs/base/include/amaranthwind/base/Ids.h
+++ b/libs/base/include/amaranthwind/base/Ids.h
@@ -10,6 +10,10 @@
 using CallerId = StrongId<struct CallerTag>;
 /** A kind of work, for example "quote-check". */
 using WorkKindId = StrongId<struct WorkKindTag>;
+/** Workers that serve the same kinds of work. */
+using PoolId = StrongId<struct PoolTag>;
+/** A daemon on the VM of a worker. */
+using AgentId = StrongId<struct AgentTag>;
 /** A target: an executor or a worker. */
 using TargetId = StrongId<struct TargetTag>;
 /** An entry daemon. */
--- a/libs/base/src/Error.cpp
+++ b/libs/base/src/Error.cpp
@@ -60,6 +60,8 @@
       return "offset-invalid";
     case ErrorCode::LogUnavailable:
       return "log-unavailable";
+    case ErrorCode::AppendConflict:
+      return "append-conflict";
     case ErrorCode::AppendUnconfirmed:
       return "append-unconfirmed";
     case ErrorCode::ConnectFailed:
--- a/libs/codec/include/amaranthwind/codec/SettingsCodec.h
+++ b/libs/codec/include/amaranthwind/codec/SettingsCodec.h
@@ -2,6 +2,7 @@
 
 #include "amaranthwind/base/Result.h"
 #include "amaranthwind/settings/EntrySettings.h"
+#include "amaranthwind/settings/SchedulerSettings.h"
 #include "amaranthwind/settings/TargetSettings.h"
 
 #include <string_view>
@@ -27,4 +28,10 @@
 CheckedResult<settings::TargetSettings>
 DecodeTargetSettings(std::string_view aText);
 
+CheckedResult<settings::SchedulerSettings>
+DecodeSchedulerSettings(std::string_view aText);
+
+CheckedResult<settings::AgentSettings>
+DecodeAgentSettings(std::string_view aText);
+
 } // namespace amaranthwind::codec
--- a/libs/codec/src/Base64.cpp
+++ b/libs/codec/src/Base64.cpp
@@ -1,4 +1,4 @@
-#include "Base64.h"
+#include "amaranthwind/codec/Base64.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/libs/codec/src/ErrorCodec.cpp
+++ b/libs/codec/src/ErrorCodec.cpp
@@ -61,6 +61,7 @@
     case ErrorCode::NotReady:
     case ErrorCode::StaleToken:
     case ErrorCode::LogUnavailable:
+    case ErrorCode::AppendConflict:
     case ErrorCode::AppendUnconfirmed:
     case ErrorCode::ConnectFailed:
     case ErrorCode::ConnectionClosed:
--- a/libs/codec/src/ModelJson.cpp
+++ b/libs/codec/src/ModelJson.cpp
@@ -1,7 +1,7 @@
 #include "ModelJson.h"
 
-#include "Base64.h"
 #include "JsonWriter.h"
+#include "amaranthwind/codec/Base64.h"
 
 #include "amaranthwind/base/Utf8.h"
 
--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -32,6 +32,11 @@
 constexpr std::uint64_t kMinRetentionS = 4;
 constexpr std::size_t kMaxLayoutBytes = 256;
 constexpr std::uint32_t kMaxPort = 65'535;
+/** A lease that is shorter would lapse between two renewals. */
+constexpr std::uint64_t kMinLeaseMs = 2000;
+constexpr std::uint64_t kMaxLeaseMs = 60'000;
+constexpr std::uint64_t kMinRevokeMs = 1500;
+constexpr std::uint64_t kMaxStopMs = 60'000;
 
 constexpr std::array<EnumName<LogLevel>, 4> kLogLevelNames{
   { { LogLevel::Debug, "debug" },
@@ -40,6 +45,11 @@
     { LogLevel::Error, "error" } }
 };
 
+constexpr std::array<EnumName<settings::LogFormat>, 2> kLogFormatNames{
+  { { settings::LogFormat::Text, "text" },
+    { settings::LogFormat::Json, "json" } }
+};
+
 constexpr std::array<EnumName<TargetKind>, 2> kTargetKindNames{
   { { TargetKind::Executor, "executor" }, { TargetKind::Worker, "worker" } }
 };
@@ -237,6 +247,59 @@
 
 namespace {
 
+void
+ReadNode(ObjectReader& aObject, settings::NodeSettings& aOut)
+{
+  aObject.Required("id", BoundedText{ aOut.id });
+  aObject.Required("region", NonEmpty<base::RegionTag>{ aOut.region });
+  aObject.Required("zone", NonEmpty<base::ZoneTag>{ aOut.zone });
+  aObject.Required("adminListen",
+                   Address{ aOut.adminListen, AddressUse::Listen });
+  aObject.Required("logService",
+                   Address{ aOut.logService, AddressUse::Connect });
+  aObject.Optional("maxLeaseMs",
+                   Millis{ aOut.maxLease, kMinLeaseMs, kMaxLeaseMs });
+  aObject.Optional("logLevel",
+                   Enum<LogLevel>{ aOut.log.level, kLogLevelNames });
+  aObject.Optional(
+    "logFormat", Enum<settings::LogFormat>{ aOut.log.format, kLogFormatNames });
+}
+
+} // namespace
+
+static void
+Read(const ValueReader& aReader, settings::SchedulerSettings& aOut)
+{
+  ObjectReader object(aReader);
+  ReadNode(object, aOut.node);
+  object.Required("innerListen",
+                  Address{ aOut.innerListen, AddressUse::Announce });
+  object.Required("clientListen",
+                  Address{ aOut.clientListen, AddressUse::Listen });
+  object.Required("readyListen",
+                  Address{ aOut.readyListen, AddressUse::Listen });
+  object.Optional("stopTimeMs", Millis{ aOut.stopTime, 1, kMaxStopMs });
+  object.Optional("revokeLimitMs", Millis{ aOut.revokeLimit, kMinRevokeMs });
+  object.Optional("noticePeriodMs",
+                  Millis{ aOut.noticePeriod, 0, kMaxNoticeMs });
+  object.Optional("jobRetentionS", Seconds{ aOut.jobRetention, 1 });
+  object.Finish();
+}
+
+static void
+Read(const ValueReader& aReader, settings::AgentSettings& aOut)
+{
+  ObjectReader object(aReader);
+  ReadNode(object, aOut.node);
+  object.Required("registrationListen",
+                  Address{ aOut.registrationListen, AddressUse::Listen });
+  object.Required("workerAddress",
+                  Address{ aOut.workerAddress, AddressUse::Connect });
+  object.Finish();
+}
+
+namespace {
+
 template<typename T>
 CheckedResult<T>
 DecodeChecked(std::string_view aText)
@@ -264,4 +327,16 @@
   return DecodeChecked<settings::TargetSettings>(aText);
 }
 
+CheckedResult<settings::SchedulerSettings>
+DecodeSchedulerSettings(std::string_view aText)
+{
+  return DecodeChecked<settings::SchedulerSettings>(aText);
+}
+
+CheckedResult<settings::AgentSettings>
+DecodeAgentSettings(std::string_view aText)
+{
+  return DecodeChecked<settings::AgentSettings>(aText);
+}
+
 } // namespace amaranthwind::codec
--- /dev/null
+++ b/libs/coordinator/include/amaranthwind/coordinator/JobDirectory.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "amaranthwind/base/Ids.h"
+#include "amaranthwind/base/RcuCell.h"
+#include "amaranthwind/ledger/JobTable.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace amaranthwind::coordinator {
+
+/** What callers may know of a job. */
+struct JobStatus
+{
+  ledger::JobPhase phase = ledger::JobPhase::Pending;
+  base::WorkKindId kind;
+
+  bool operator==(const JobStatus&) const = default;
+};
+
+/**
+ * State of all jobs for the path of requests: readers take no lock. Updated by
+ * one thread. Divided into shards, so that an update copies a small part.
+ */
+class JobDirectory
+{
+public:
+  JobDirectory();
+
+  /** Nothing: the job is not known. Thread-safe. */
+  std::optional<JobStatus> Find(const base::JobId& aJob) const;
+  /** Accepted jobs of the kind of which nothing has started. Thread-safe. */
+  std::uint32_t Waiting(const base::WorkKindId& aKind) const;
+
+  /** Nothing: the job is forgotten. By one thread at a time. */
+  void Publish(const base::JobId& aJob, std::optional<JobStatus> aStatus);
+
+private:
+  static constexpr std::size_t kShards = 64;
+  using Shard = std::unordered_map<base::JobId, JobStatus>;
+  using Counts = std::unordered_map<base::WorkKindId, std::uint32_t>;
+
+  const base::RcuCell<Shard>& ShardOf(const base::JobId& aJob) const;
+
+  std::array<std::unique_ptr<base::RcuCell<Shard>>, kShards> shards;
+  base::RcuCell<Counts> waiting;
+};
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -0,0 +1,137 @@
+#include "AgentSessions.h"
+
+namespace amaranthwind::coordinator {
+
+using protocol::ConnectionId;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Daemons report at least this often, so that silence shows soon. */
+constexpr protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
+                                              .silenceTimeout = 2500ms,
+                                              .connectTimeout = 800ms };
+
+} // namespace
+
+AgentSessions::AgentSessions(net::IoPool& aPool,
+                             base::Executor& aExecutor,
+                             telemetry::Logger& aLogger,
+                             SessionObserver& aObserver)
+  : executor(aExecutor)
+  , logger(aLogger)
+  , observer(aObserver)
+  , node(aPool, kNodeOptions, *this)
+{
+}
+
+base::Result<std::string>
+AgentSessions::Listen(std::string_view aAddress)
+{
+  return this->node.Listen(aAddress);
+}
+
+void
+AgentSessions::Stop()
+{
+  this->node.Stop();
+}
+
+void
+AgentSessions::Send(const base::AgentId& aAgent,
+                    const protocol::Message& aMessage)
+{
+  const auto found = this->agents.find(aAgent);
+  if (found != this->agents.end()) {
+    this->node.Send(found->second, aMessage);
+  }
+}
+
+void
+AgentSessions::SendTo(ConnectionId aConnection,
+                      const protocol::Message& aMessage)
+{
+  this->node.Send(aConnection, aMessage);
+}
+
+void
+AgentSessions::SendToAll(const protocol::Message& aMessage)
+{
+  for (const auto& [agent, connection] : this->agents) {
+    this->node.Send(connection, aMessage);
+  }
+}
+
+ConnectionId
+AgentSessions::Connect(std::string_view aAddress)
+{
+  return this->node.Connect(aAddress);
+}
+
+void
+AgentSessions::Close(ConnectionId aConnection)
+{
+  this->node.Close(aConnection);
+}
+
+void
+AgentSessions::OnOpened(ConnectionId, bool, std::string_view)
+{
+}
+
+void
+AgentSessions::OnMessage(ConnectionId aConnection,
+                         const protocol::Envelope& aEnvelope)
+{
+  this->executor.Post([this, aConnection, message = aEnvelope.message] {
+    this->Handle(aConnection, message);
+  });
+}
+
+void
+AgentSessions::OnClosed(ConnectionId aConnection, const base::Error& aReason)
+{
+  this->executor.Post(
+    [this, aConnection, aReason] { this->Forget(aConnection, aReason); });
+}
+
+void
+AgentSessions::Handle(ConnectionId aConnection,
+                      const protocol::Message& aMessage)
+{
+  if (const auto* report = std::get_if<protocol::AgentReport>(&aMessage)) {
+    const auto& agent = report->report.agent;
+    if (this->agents[agent] != aConnection) {
+      this->logger.Info("agent connected", { { "agent", agent } });
+      this->connections.erase(this->agents[agent]);
+      this->agents[agent] = aConnection;
+      this->connections[aConnection] = agent;
+    }
+    this->observer.OnReport(aConnection, *report);
+  } else if (const auto* outcome =
+               std::get_if<protocol::AgentOutcome>(&aMessage)) {
+    const auto found = this->connections.find(aConnection);
+    if (found != this->connections.end()) {
+      this->observer.OnOutcome(found->second, *outcome);
+    }
+  } else if (const auto* notice =
+               std::get_if<protocol::LeaderNotice>(&aMessage)) {
+    this->observer.OnLeaderNotice(aConnection, *notice);
+  }
+}
+
+void
+AgentSessions::Forget(ConnectionId aConnection, const base::Error& aReason)
+{
+  const auto found = this->connections.find(aConnection);
+  if (found != this->connections.end()) {
+    this->logger.Warning(
+      "agent disconnected",
+      { { "agent", found->second }, { "error", base::Describe(aReason) } });
+    this->agents.erase(found->second);
+    this->connections.erase(found);
+  }
+  this->observer.OnClosed(aConnection);
+}
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/src/AgentSessions.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "amaranthwind/base/Executor.h"
+#include "amaranthwind/protocol/Node.h"
+#include "amaranthwind/telemetry/Logger.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace amaranthwind::coordinator {
+
+/** What the daemons of workers and other entries say; told on the executor. */
+class SessionObserver
+{
+public:
+  virtual ~SessionObserver() = default;
+  virtual void OnReport(protocol::ConnectionId aConnection,
+                        const protocol::AgentReport& aReport) = 0;
+  virtual void OnOutcome(const base::AgentId& aAgent,
+                         const protocol::AgentOutcome& aOutcome) = 0;
+  virtual void OnLeaderNotice(protocol::ConnectionId aConnection,
+                              const protocol::LeaderNotice& aNotice) = 0;
+  virtual void OnClosed(protocol::ConnectionId aConnection) = 0;
+};
+
+/** Connections of the daemons of workers, by agent. Lives on one executor. */
+class AgentSessions final : public protocol::MessageHandler
+{
+public:
+  AgentSessions(net::IoPool& aPool,
+                base::Executor& aExecutor,
+                telemetry::Logger& aLogger,
+                SessionObserver& aObserver);
+
+  /** Returns the address that it listens on. Errors: those of listening. */
+  base::Result<std::string> Listen(std::string_view aAddress);
+  void Stop();
+
+  /** Does nothing if the agent is not connected. */
+  void Send(const base::AgentId& aAgent, const protocol::Message& aMessage);
+  void SendTo(protocol::ConnectionId aConnection,
+              const protocol::Message& aMessage);
+  void SendToAll(const protocol::Message& aMessage);
+  protocol::ConnectionId Connect(std::string_view aAddress);
+  void Close(protocol::ConnectionId aConnection);
+  std::size_t Size() const noexcept { return this->agents.size(); }
+
+  void OnOpened(protocol::ConnectionId aConnection,
+                bool aIsInbound,
+                std::string_view aAddress) override;
+  void OnMessage(protocol::ConnectionId aConnection,
+                 const protocol::Envelope& aEnvelope) override;
+  void OnClosed(protocol::ConnectionId aConnection,
+                const base::Error& aReason) override;
+
+private:
+  void Handle(protocol::ConnectionId aConnection,
+              const protocol::Message& aMessage);
+  void Forget(protocol::ConnectionId aConnection, const base::Error& aReason);
+
+  base::Executor& executor;
+  telemetry::Logger& logger;
+  SessionObserver& observer;
+  protocol::Node node;
+  std::map<base::AgentId, protocol::ConnectionId> agents;
+  std::map<protocol::ConnectionId, base::AgentId> connections;
+};
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -0,0 +1,524 @@
+#include "amaranthwind/coordinator/Coordinator.h"
+
+#include "AgentSessions.h"
+#include "DecisionLog.h"
+#include "DispatchRunner.h"
+#include "LeaderLog.h"
+#include "Submissions.h"
+
+#include <array>
+#include <atomic>
+#include <future>
+#include <utility>
+
+namespace amaranthwind::coordinator {
+
+using base::ErrorCode;
+using base::TimePoint;
+using protocol::ConnectionId;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::Duration kTickInterval = 500ms;
+/** Between two tries to reach the former coordinator. */
+constexpr base::Duration kPredecessorInterval = 500ms;
+
+} // namespace
+
+struct Coordinator::Impl final
+  : std::enable_shared_from_this<Impl>
+  , journal::FollowerObserver
+  , LeaderObserver
+  , SessionObserver
+{
+  Impl(const CoordinatorOptions& aOptions,
+       const base::Clock& aClock,
+       base::Executor& aExecutor,
+       net::IoPool& aPool,
+       journal::KeyedLog& aLog,
+       const ledger::RecordCodec& aCodec,
+       telemetry::Logger& aLogger,
+       telemetry::Metrics& aMetrics)
+    : options(aOptions)
+    , clock(aClock)
+    , executor(aExecutor)
+    , log(aLog)
+    , codec(aCodec)
+    , logger(aLogger)
+    , decisions(aLogger, aMetrics)
+    , submitTime(aMetrics.MakeHistogram(
+        { "submit_seconds", "From a job's request to its acceptance." },
+        std::array{ 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0 }))
+    , table(aCodec)
+    , submissions(aClock, aExecutor, aLog)
+    , sessions(aPool, aExecutor, aLogger, *this)
+    , leaderLog({ .self = aOptions.self, .incarnation = aOptions.incarnation },
+                aClock,
+                aExecutor,
+                aLog,
+                aLogger,
+                *this)
+    , follower({ .topic = { std::string(kJobTopic), 0 } },
+               aClock,
+               aExecutor,
+               aLog,
+               *this)
+  {
+  }
+
+  // Jobs.
+
+  void OnLoaded(std::span<const journal::KeyedRecord> aNewest) override
+  {
+    this->OnChanges(this->table.Load(aNewest));
+    this->logger.Info(
+      "jobs loaded",
+      { { "records", aNewest.size() }, { "jobs", this->table.Size() } });
+    this->isLoaded.store(true);
+  }
+
+  void OnRecords(std::span<const journal::KeyedRecord> aRecords) override
+  {
+    this->OnChanges(this->table.Apply(aRecords));
+  }
+
+  void OnChanges(const ledger::TableChanges& aChanges)
+  {
+    for (const auto& bad : aChanges.bad) {
+      this->logger.Warning("record is not readable",
+                           { { "key", bad.key },
+                             { "offset", bad.offset },
+                             { "error", base::Describe(bad.error) } });
+    }
+    for (const auto& id : aChanges.jobs) {
+      const ledger::JobEntry* entry = this->table.Find(id);
+      if (entry == nullptr) {
+        this->directory.Publish(id, std::nullopt);
+        continue;
+      }
+      this->directory.Publish(id,
+                              JobStatus{ entry->Phase(), entry->spec->kind });
+      if (this->runner != nullptr) {
+        this->runner->OnJob(*entry);
+      }
+    }
+  }
+
+  void OnCurrent(TimePoint aAsOf) override
+  {
+    this->currentAsOf.store(
+      std::max(this->currentAsOf.load(), aAsOf.time_since_epoch().count()));
+    if (std::exchange(this->isLogDown, false)) {
+      this->logger.Info("log answers again", { { "topic", kJobTopic } });
+    }
+  }
+
+  void OnUnavailable(const base::Error& aError) override
+  {
+    this->isLogDown = true;
+    this->logger.Warning(
+      "log does not answer",
+      { { "topic", kJobTopic }, { "error", base::Describe(aError) } });
+  }
+
+  // Leadership.
+
+  void OnElected(base::FencingToken aToken,
+                 const std::optional<membership::LeaderClaim>& aFormer) override
+  {
+    this->runner = std::make_unique<DispatchRunner>(
+      this->options,
+      aToken,
+      this->clock,
+      this->executor,
+      this->log,
+      this->codec,
+      this->sessions,
+      this->decisions,
+      [this] {
+        // The runner is still on the stack.
+        this->executor.Post([this] { this->leaderLog.StepDown(); });
+      });
+    this->predecessor.reset();
+    this->isSettled = !aFormer || aFormer->holder == this->options.self ||
+                      (aFormer->isResigned && aFormer->isSettled);
+    if (this->isSettled) {
+      this->runner->OnPredecessorOver();
+    } else {
+      this->predecessorAddress = aFormer->address;
+      this->AskPredecessor(aToken);
+    }
+    this->runner->FenceOff([this, aToken] {
+      this->follower.Confirm([this, aToken](bool aIsConfirmed) {
+        this->Begin(aToken, aIsConfirmed);
+      });
+    });
+  }
+
+  void Begin(base::FencingToken aToken, bool aIsConfirmed)
+  {
+    if (this->runner == nullptr || this->runner->Token() != aToken) {
+      return;
+    }
+    if (!aIsConfirmed) {
+      this->executor.RunAfter(100ms, [this, aToken] {
+        this->follower.Confirm([this, aToken](bool aIsNowConfirmed) {
+          this->Begin(aToken, aIsNowConfirmed);
+        });
+      });
+      return;
+    }
+    this->logger.Info("coordinates",
+                      { { "token", aToken }, { "jobs", this->table.Size() } });
+    this->runner->Begin(this->table, this->guarantees);
+  }
+
+  void OnDeposed() override
+  {
+    this->logger.Warning("no longer coordinates", {});
+    this->runner.reset();
+    const auto& leader = this->leaderLog.Election().Leader();
+    if (leader && !leader->isResigned && leader->holder != this->options.self) {
+      this->sessions.SendToAll(protocol::LeaderNotice{
+        this->leaderLog.Election().Token(), leader->address });
+    }
+  }
+
+  /**
+   * Tells the former coordinator that it is replaced; once it confirms, the
+   * time that it may have granted is bounded.
+   */
+  void AskPredecessor(base::FencingToken aToken)
+  {
+    if (this->runner == nullptr || this->runner->Token() != aToken ||
+        this->isSettled) {
+      return;
+    }
+    if (!this->predecessor) {
+      this->predecessor = this->sessions.Connect(this->predecessorAddress);
+      this->sessions.SendTo(
+        *this->predecessor,
+        protocol::LeaderNotice{ aToken, this->innerAddress });
+    }
+    this->executor.RunAfter(kPredecessorInterval,
+                            [this, aToken] { this->AskPredecessor(aToken); });
+  }
+
+  // Sessions.
+
+  void OnReport(ConnectionId aConnection,
+                const protocol::AgentReport& aReport) override
+  {
+    const auto& election = this->leaderLog.Election();
+    if (election.IsLeader() && aReport.token > election.OwnToken()) {
+      this->logger.Warning(
+        "an agent knows a newer coordinator",
+        { { "agent", aReport.report.agent }, { "token", aReport.token } });
+      this->leaderLog.StepDown();
+    }
+    if (!election.IsLeader()) {
+      const auto& leader = election.Leader();
+      if (leader && !leader->isResigned &&
+          leader->holder != this->options.self) {
+        this->sessions.SendTo(
+          aConnection,
+          protocol::LeaderNotice{ election.Token(), leader->address });
+      }
+      return;
+    }
+    if (this->runner == nullptr || !this->runner->HasBegun()) {
+      return;
+    }
+    const TimePoint now = this->clock.Now();
+    if (now - this->leaderLog.ConfirmedAt() > this->options.logTrust) {
+      // Another coordinator may have been elected long ago.
+      this->logger.Warning("log is silent for too long to grant time",
+                           { { "agent", aReport.report.agent } });
+      return;
+    }
+    this->sessions.SendTo(aConnection,
+                          protocol::AgentGrant{ aReport.sequence,
+                                                election.OwnToken(),
+                                                this->options.grant });
+    this->runner->OnReport(aReport.report);
+  }
+
+  void OnOutcome(const base::AgentId& aAgent,
+                 const protocol::AgentOutcome& aOutcome) override
+  {
+    if (this->runner != nullptr) {
+      this->runner->OnOutcome(aAgent, aOutcome);
+    }
+  }
+
+  void OnLeaderNotice(ConnectionId aConnection,
+                      const protocol::LeaderNotice& aNotice) override
+  {
+    const auto& election = this->leaderLog.Election();
+    if (election.IsLeader() && aNotice.token == election.OwnToken()) {
+      // The former coordinator confirms that it has stepped down.
+      if (this->predecessor == aConnection && this->runner != nullptr) {
+        this->logger.Info("former coordinator has stepped down", {});
+        this->isSettled = true;
+        this->runner->OnPredecessorOver();
+        this->sessions.Close(aConnection);
+      }
+      return;
+    }
+    if (election.IsLeader() && aNotice.token < election.OwnToken()) {
+      return;
+    }
+    // What an earlier coordinator granted may outlast the own grants.
+    const bool mayConfirm = !election.IsLeader() || this->isSettled;
+    if (election.IsLeader()) {
+      this->logger.Warning(
+        "told of a newer coordinator",
+        { { "token", aNotice.token }, { "address", aNotice.address } });
+      this->leaderLog.StepDown();
+      this->sessions.SendToAll(aNotice);
+    }
+    if (mayConfirm) {
+      this->sessions.SendTo(aConnection, aNotice);
+    }
+  }
+
+  void OnClosed(ConnectionId aConnection) override
+  {
+    if (this->predecessor == aConnection) {
+      this->predecessor.reset();
+    }
+  }
+
+  void Tick()
+  {
+    if (this->runner != nullptr) {
+      this->runner->OnTick();
+    }
+    this->executor.RunAfter(kTickInterval, [weak = this->weak_from_this()] {
+      const auto self = weak.lock();
+      if (self != nullptr && !self->isStopped) {
+        self->Tick();
+      }
+    });
+  }
+
+  CoordinatorStatus MakeStatus() const
+  {
+    const auto& election = this->leaderLog.Election();
+    CoordinatorStatus status;
+    status.isLoaded = this->isLoaded.load();
+    status.isLeader = election.IsLeader();
+    if (election.Leader()) {
+      status.leader = election.Leader()->holder;
+    }
+    status.token = election.Token();
+    status.knownJobs = this->table.Size();
+    if (this->runner != nullptr) {
+      status.counts = this->runner->Count();
+    }
+    return status;
+  }
+
+  const CoordinatorOptions options;
+  const base::Clock& clock;
+  base::Executor& executor;
+  journal::KeyedLog& log;
+  const ledger::RecordCodec& codec;
+  telemetry::Logger& logger;
+  DecisionLog decisions;
+  telemetry::Histogram submitTime;
+  JobDirectory directory;
+  std::atomic<bool> isLoaded{ false };
+  std::atomic<TimePoint::rep> currentAsOf{ 0 };
+
+  // Of the executor.
+  ledger::JobTable table;
+  std::vector<dispatch::AccountGuarantee> guarantees;
+  std::unique_ptr<DispatchRunner> runner;
+  Submissions submissions;
+  AgentSessions sessions;
+  LeaderLog leaderLog;
+  journal::KeyedFollower follower;
+  std::string innerAddress;
+  std::string predecessorAddress;
+  /** Connection to the former coordinator. */
+  std::optional<ConnectionId> predecessor;
+  /** No time that an earlier coordinator granted is unbounded. */
+  bool isSettled = true;
+  bool isLogDown = false;
+  bool isStopped = false;
+};
+
+Coordinator::Coordinator(const CoordinatorOptions& aOptions,
+                         const base::Clock& aClock,
+                         base::Executor& aExecutor,
+                         net::IoPool& aPool,
+                         journal::KeyedLog& aLog,
+                         const ledger::RecordCodec& aCodec,
+                         telemetry::Logger& aLogger,
+                         telemetry::Metrics& aMetrics)
+  : impl(std::make_shared<Impl>(aOptions,
+                                aClock,
+                                aExecutor,
+                                aPool,
+                                aLog,
+                                aCodec,
+                                aLogger,
+                                aMetrics))
+{
+}
+
+Coordinator::~Coordinator() = default;
+
+base::Result<void>
+Coordinator::Start()
+{
+  BOOST_OUTCOME_TRY(
+    this->impl->innerAddress,
+    this->impl->sessions.Listen(this->impl->options.innerListen));
+  this->impl->executor.Post([self = this->impl] {
+    self->follower.Start();
+    self->leaderLog.Start(self->innerAddress);
+    self->Tick();
+  });
+  return base::success();
+}
+
+void
+Coordinator::Resign()
+{
+  this->impl->executor.Post(
+    [self = this->impl] { self->leaderLog.Resign(self->isSettled); });
+}
+
+void
+Coordinator::Stop()
+{
+  this->impl->sessions.Stop();
+  this->impl->executor.Post([self = this->impl] {
+    self->isStopped = true;
+    self->follower.Stop();
+    self->leaderLog.Stop();
+    self->runner.reset();
+  });
+}
+
+void
+Coordinator::SetGuarantees(std::vector<dispatch::AccountGuarantee> aGuarantees)
+{
+  this->impl->executor.Post(
+    [self = this->impl, guarantees = std::move(aGuarantees)] {
+      self->guarantees = guarantees;
+      if (self->runner != nullptr) {
+        self->runner->OnGuarantees(guarantees);
+      }
+    });
+}
+
+void
+Coordinator::Submit(job::WorkflowSpec aSpec,
+                    base::Duration aTimeout,
+                    DoneHandler aHandler)
+{
+  if (this->impl->directory.Find(aSpec.id)) {
+    aHandler(base::success());
+    return;
+  }
+  const TimePoint start = this->impl->clock.Now();
+  this->impl->submissions.Append(
+    { ledger::AcceptedKey(aSpec.id), this->impl->codec.EncodeWorkflow(aSpec) },
+    aTimeout,
+    [self = this->impl, start, id = aSpec.id, handler = std::move(aHandler)](
+      const base::Result<void>& aResult) {
+      self->submitTime.Observe(self->clock.Now() - start);
+      self->logger.Info(
+        aResult.has_value() ? "job accepted" : "job not accepted",
+        { { "job", id },
+          { "result",
+            aResult.has_value() ? std::string("durable")
+                                : base::Describe(aResult.error()) },
+          { "tookMs",
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+              self->clock.Now() - start)
+              .count() } });
+      handler(aResult);
+    });
+}
+
+void
+Coordinator::Cancel(const base::JobId& aJob,
+                    base::Duration aTimeout,
+                    DoneHandler aHandler)
+{
+  this->Find(
+    aJob,
+    [self = this->impl, aJob, aTimeout, handler = std::move(aHandler)](
+      const base::Result<JobStatus>& aStatus) {
+      if (aStatus.has_error()) {
+        handler(base::failure(aStatus.error()));
+        return;
+      }
+      self->submissions.Append(
+        { ledger::CancelledKey(aJob), "1" },
+        aTimeout,
+        [self, aJob, handler](const base::Result<void>& aResult) {
+          self->logger.Info(
+            aResult.has_value() ? "job cancelled" : "job not cancelled",
+            { { "job", aJob },
+              { "result",
+                aResult.has_value() ? std::string("durable")
+                                    : base::Describe(aResult.error()) } });
+          handler(aResult);
+        });
+    });
+}
+
+void
+Coordinator::Find(const base::JobId& aJob, StatusHandler aHandler)
+{
+  if (const auto known = this->impl->directory.Find(aJob)) {
+    aHandler(*known);
+    return;
+  }
+  // Another entry may have accepted it a moment ago.
+  this->impl->follower.Confirm(
+    [self = this->impl, aJob, handler = std::move(aHandler)](
+      bool aIsConfirmed) {
+      const auto known = self->directory.Find(aJob);
+      if (known) {
+        handler(*known);
+      } else {
+        handler(
+          base::Fail(aIsConfirmed ? ErrorCode::UnknownJob : ErrorCode::NotReady,
+                     aJob.View()));
+      }
+    });
+}
+
+base::Result<std::uint32_t>
+Coordinator::Waiting(const base::WorkKindId& aKind) const
+{
+  if (!this->impl->isLoaded.load()) {
+    return base::Fail(ErrorCode::NotReady, aKind.View());
+  }
+  return this->impl->directory.Waiting(aKind);
+}
+
+base::TimePoint
+Coordinator::CurrentAsOf() const noexcept
+{
+  return TimePoint(TimePoint::duration(this->impl->currentAsOf.load()));
+}
+
+CoordinatorStatus
+Coordinator::Status() const
+{
+  std::promise<CoordinatorStatus> status;
+  auto result = status.get_future();
+  this->impl->executor.Post(
+    [&] { status.set_value(this->impl->MakeStatus()); });
+  return result.get();
+}
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/src/DecisionLog.cpp
@@ -0,0 +1,136 @@
+#include "DecisionLog.h"
+
+#include <array>
+#include <chrono>
+
+namespace amaranthwind::coordinator {
+
+namespace {
+
+constexpr std::array<double, 12> kTimeBounds{ 0.01, 0.03, 0.1, 0.3, 1,   2,
+                                              4,    8,    15,  30,  100, 1000 };
+
+std::int64_t
+ToMs(base::Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+} // namespace
+
+std::string_view
+ToText(dispatch::EndKind aKind) noexcept
+{
+  switch (aKind) {
+    case dispatch::EndKind::Done:
+      return "done";
+    case dispatch::EndKind::Failed:
+      return "failed";
+    case dispatch::EndKind::Stopped:
+      return "stopped";
+    case dispatch::EndKind::Lapsed:
+      return "lapsed";
+    case dispatch::EndKind::Broken:
+      return "broken";
+    case dispatch::EndKind::Alone:
+      break;
+  }
+  return "alone";
+}
+
+DecisionLog::DecisionLog(telemetry::Logger& aLogger,
+                         telemetry::Metrics& aMetrics)
+  : logger(aLogger)
+  , placed(aMetrics.MakeCounter(
+      { "tasks_placed_total", "Tasks that were given to a worker." }))
+  , ended(aMetrics.MakeCounter(
+      { "tasks_ended_total", "Ends of tasks that workers reported." }))
+  , stopped(aMetrics.MakeCounter(
+      { "tasks_stopped_total", "Stops that were ordered." }))
+  , lost(aMetrics.MakeCounter(
+      { "tasks_lost_total", "Tasks that were on a worker that was lost." }))
+  , waitTime(
+      aMetrics.MakeHistogram({ "task_wait_seconds", "From ready to placed." },
+                             kTimeBounds))
+  , jobTime(aMetrics.MakeHistogram(
+      { "job_seconds", "From acceptance to the end of a job." },
+      kTimeBounds))
+{
+}
+
+void
+DecisionLog::OnPlaced(const job::TaskRun& aRun,
+                      const base::AgentId& aAgent,
+                      base::Duration aWaited)
+{
+  this->placed.Increment();
+  this->waitTime.Observe(aWaited);
+  this->logger.Info("task placed",
+                    { { "job", aRun.task.step.job },
+                      { "task", job::ToText(aRun.task) },
+                      { "run", aRun.run },
+                      { "agent", aAgent },
+                      { "waitedMs", ToMs(aWaited) } });
+}
+
+void
+DecisionLog::OnEnded(const job::TaskRun& aRun,
+                     const base::AgentId& aAgent,
+                     dispatch::EndKind aKind,
+                     std::uint32_t aFailures)
+{
+  this->ended.Increment();
+  this->logger.Info("task ended",
+                    { { "job", aRun.task.step.job },
+                      { "task", job::ToText(aRun.task) },
+                      { "run", aRun.run },
+                      { "agent", aAgent },
+                      { "kind", ToText(aKind) },
+                      { "failures", aFailures } });
+}
+
+void
+DecisionLog::OnStopping(const job::TaskRun& aRun,
+                        const base::AgentId& aAgent,
+                        std::string_view aReason)
+{
+  this->stopped.Increment();
+  this->logger.Info("task is stopped",
+                    { { "job", aRun.task.step.job },
+                      { "task", job::ToText(aRun.task) },
+                      { "run", aRun.run },
+                      { "agent", aAgent },
+                      { "reason", aReason } });
+}
+
+void
+DecisionLog::OnLost(const job::TaskRun& aRun, std::string_view aReason)
+{
+  this->lost.Increment();
+  this->logger.Warning("task is lost",
+                       { { "job", aRun.task.step.job },
+                         { "task", job::ToText(aRun.task) },
+                         { "run", aRun.run },
+                         { "reason", aReason } });
+}
+
+void
+DecisionLog::OnWorker(const base::AgentId& aAgent, std::string_view aChange)
+{
+  this->logger.Info("worker changed",
+                    { { "agent", aAgent }, { "change", aChange } });
+}
+
+void
+DecisionLog::OnJobOver(const base::JobId& aJob,
+                       std::string_view aOutcome,
+                       base::Duration aAge)
+{
+  this->jobTime.Observe(aAge);
+  this->logger.Info(
+    "job is over",
+    { { "job", aJob }, { "outcome", aOutcome }, { "ageMs", ToMs(aAge) } });
+}
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/src/DecisionLog.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "amaranthwind/dispatch/Dispatcher.h"
+#include "amaranthwind/telemetry/Logger.h"
+#include "amaranthwind/telemetry/Metrics.h"
+
+namespace amaranthwind::coordinator {
+
+/** Writes the decisions of a dispatcher to the log and the metrics. */
+class DecisionLog final : public dispatch::DispatchObserver
+{
+public:
+  DecisionLog(telemetry::Logger& aLogger, telemetry::Metrics& aMetrics);
+
+  void OnPlaced(const job::TaskRun& aRun,
+                const base::AgentId& aAgent,
+                base::Duration aWaited) override;
+  void OnEnded(const job::TaskRun& aRun,
+               const base::AgentId& aAgent,
+               dispatch::EndKind aKind,
+               std::uint32_t aFailures) override;
+  void OnStopping(const job::TaskRun& aRun,
+                  const base::AgentId& aAgent,
+                  std::string_view aReason) override;
+  void OnLost(const job::TaskRun& aRun, std::string_view aReason) override;
+  void OnWorker(const base::AgentId& aAgent, std::string_view aChange) override;
+  void OnJobOver(const base::JobId& aJob,
+                 std::string_view aOutcome,
+                 base::Duration aAge) override;
+
+private:
+  telemetry::Logger& logger;
+  telemetry::Counter placed;
+  telemetry::Counter ended;
+  telemetry::Counter stopped;
+  telemetry::Counter lost;
+  telemetry::Histogram waitTime;
+  telemetry::Histogram jobTime;
+};
+
+/** "done", "failed" and so on. */
+std::string_view
+ToText(dispatch::EndKind aKind) noexcept;
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -0,0 +1,189 @@
+#include "DispatchRunner.h"
+
+#include <utility>
+
+namespace amaranthwind::coordinator {
+
+using journal::KeyedValue;
+
+namespace {
+
+constexpr std::string_view kProducer = "coordinator";
+/** The first record of a term; it fences off the writers of earlier ones. */
+constexpr std::string_view kTermKey = "term";
+
+} // namespace
+
+DispatchRunner::DispatchRunner(const CoordinatorOptions& aOptions,
+                               base::FencingToken aToken,
+                               const base::Clock& aClock,
+                               base::Executor& aExecutor,
+                               journal::KeyedLog& aLog,
+                               const ledger::RecordCodec& aCodec,
+                               AgentSessions& aSessions,
+                               DecisionLog& aDecisions,
+                               std::function<void()> aOnFenced)
+  : options(aOptions)
+  , token(aToken)
+  , clock(aClock)
+  , codec(aCodec)
+  , sessions(aSessions)
+  , decisions(aDecisions)
+{
+  journal::FencedWriterOptions writerOptions;
+  writerOptions.topic = { std::string(kJobTopic), 0 };
+  writerOptions.producer = kProducer;
+  writerOptions.token = aToken;
+  this->writer = std::make_unique<journal::FencedWriter>(
+    writerOptions, aExecutor, aLog, std::move(aOnFenced));
+}
+
+DispatchRunner::~DispatchRunner()
+{
+  *this->isAlive = false;
+}
+
+void
+DispatchRunner::FenceOff(std::function<void()> aDone)
+{
+  this->writer->Write(
+    { { std::string(kTermKey), std::to_string(this->token.Get()) } },
+    [alive = this->isAlive, done = std::move(aDone)] {
+      if (*alive) {
+        done();
+      }
+    });
+}
+
+void
+DispatchRunner::Begin(const ledger::JobTable& aJobs,
+                      std::span<const dispatch::AccountGuarantee> aGuarantees)
+{
+  dispatch::DispatcherOptions dispatchOptions;
+  dispatchOptions.grantBound = this->options.grant + this->options.grantMargin;
+  dispatchOptions.inheritedBound =
+    dispatchOptions.grantBound + this->options.logTrust;
+  dispatchOptions.stopTime = this->options.stopTime;
+  dispatchOptions.retention = this->options.retention;
+  this->dispatcher = std::make_unique<dispatch::Dispatcher>(
+    dispatchOptions,
+    aJobs,
+    std::make_unique<dispatch::BestFitPacking>(),
+    this->decisions,
+    this->Now());
+  if (this->isPredecessorOver) {
+    this->OnPredecessorOver();
+  }
+  this->OnGuarantees(aGuarantees);
+}
+
+dispatch::Moment
+DispatchRunner::Now() const
+{
+  return { this->clock.Now(), this->clock.WallNow() };
+}
+
+void
+DispatchRunner::OnJob(const ledger::JobEntry& aJob)
+{
+  if (this->dispatcher != nullptr) {
+    this->CarryOut(this->dispatcher->OnJob(aJob, this->Now()));
+  }
+}
+
+void
+DispatchRunner::OnGuarantees(
+  std::span<const dispatch::AccountGuarantee> aGuarantees)
+{
+  if (this->dispatcher != nullptr) {
+    this->CarryOut(this->dispatcher->OnGuarantees(aGuarantees, this->Now()));
+  }
+}
+
+void
+DispatchRunner::OnReport(const dispatch::WorkerReport& aReport)
+{
+  if (this->dispatcher != nullptr) {
+    this->CarryOut(this->dispatcher->OnReport(aReport, this->Now()));
+  }
+}
+
+void
+DispatchRunner::OnOutcome(const base::AgentId& aAgent,
+                          const protocol::AgentOutcome& aOutcome)
+{
+  if (this->dispatcher != nullptr) {
+    this->CarryOut(this->dispatcher->OnOutcome(
+      aAgent, aOutcome.life, aOutcome.run, aOutcome.outcome, this->Now()));
+  }
+}
+
+void
+DispatchRunner::OnPredecessorOver()
+{
+  this->isPredecessorOver = true;
+  if (this->dispatcher != nullptr) {
+    this->dispatcher->OnPredecessorOver(
+      this->options.grant + this->options.grantMargin, this->Now());
+  }
+}
+
+void
+DispatchRunner::OnTick()
+{
+  if (this->dispatcher != nullptr) {
+    this->CarryOut(this->dispatcher->OnTick(this->Now()));
+  }
+}
+
+dispatch::Dispatcher::Counts
+DispatchRunner::Count() const
+{
+  return this->dispatcher == nullptr ? dispatch::Dispatcher::Counts{}
+                                     : this->dispatcher->Count();
+}
+
+void
+DispatchRunner::CarryOut(const dispatch::Effects& aEffects)
+{
+  std::vector<KeyedValue> records;
+  std::uint64_t version = 0;
+  for (const auto& effect : aEffects) {
+    if (const auto* persist = std::get_if<dispatch::PersistStep>(&effect)) {
+      records.push_back({ ledger::StepKey(persist->record.id),
+                          this->codec.EncodeStep(persist->record) });
+      version = persist->version;
+    } else if (const auto* start = std::get_if<dispatch::StartTask>(&effect)) {
+      this->sessions.Send(start->agent,
+                          protocol::AgentStart{ this->token,
+                                                start->life,
+                                                start->run,
+                                                start->payload,
+                                                start->checkpoint });
+    } else if (const auto* stop = std::get_if<dispatch::StopTask>(&effect)) {
+      this->sessions.Send(
+        stop->agent, protocol::AgentStop{ this->token, stop->life, stop->run });
+    } else if (const auto* ack =
+                 std::get_if<dispatch::AcknowledgeEnds>(&effect)) {
+      this->sessions.Send(ack->agent,
+                          protocol::AgentAck{ ack->life, ack->number });
+    } else if (const auto* forget = std::get_if<dispatch::ForgetJob>(&effect)) {
+      for (const auto& step : forget->steps) {
+        records.push_back({ ledger::StepKey(step), {} });
+      }
+      records.push_back({ ledger::CancelledKey(forget->job), {} });
+      records.push_back({ ledger::AcceptedKey(forget->job), {} });
+    }
+  }
+  if (records.empty()) {
+    return;
+  }
+  this->writer->Write(
+    std::move(records), [this, alive = this->isAlive, version] {
+      if (*alive && version > 0) {
+        this->CarryOut(this->dispatcher->OnPersisted(version, this->Now()));
+      }
+    });
+}
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "AgentSessions.h"
+#include "DecisionLog.h"
+#include "amaranthwind/coordinator/Coordinator.h"
+#include "amaranthwind/journal/FencedWriter.h"
+
+#include <functional>
+#include <memory>
+
+namespace amaranthwind::coordinator {
+
+/** Topic of the jobs. */
+inline constexpr std::string_view kJobTopic = "jobs";
+
+/**
+ * One term of leadership: the dispatcher, the writer of its decisions, and the
+ * orders that follow from them. Lives on one executor; once destroyed, nothing
+ * of the term has an effect any more.
+ */
+class DispatchRunner
+{
+public:
+  /** @param aOnFenced Another coordinator writes; ends the term. */
+  DispatchRunner(const CoordinatorOptions& aOptions,
+                 base::FencingToken aToken,
+                 const base::Clock& aClock,
+                 base::Executor& aExecutor,
+                 journal::KeyedLog& aLog,
+                 const ledger::RecordCodec& aCodec,
+                 AgentSessions& aSessions,
+                 DecisionLog& aDecisions,
+                 std::function<void()> aOnFenced);
+  ~DispatchRunner();
+  DispatchRunner(const DispatchRunner&) = delete;
+  DispatchRunner& operator=(const DispatchRunner&) = delete;
+
+  /** Fences off former coordinators, then calls aDone. */
+  void FenceOff(std::function<void()> aDone);
+  /** Starts to decide, from all that is in the table. */
+  void Begin(const ledger::JobTable& aJobs,
+             std::span<const dispatch::AccountGuarantee> aGuarantees);
+  bool HasBegun() const noexcept { return this->dispatcher != nullptr; }
+
+  void OnJob(const ledger::JobEntry& aJob);
+  void OnGuarantees(std::span<const dispatch::AccountGuarantee> aGuarantees);
+  void OnReport(const dispatch::WorkerReport& aReport);
+  void OnOutcome(const base::AgentId& aAgent,
+                 const protocol::AgentOutcome& aOutcome);
+  void OnPredecessorOver();
+  void OnTick();
+
+  base::FencingToken Token() const noexcept { return this->token; }
+  dispatch::Dispatcher::Counts Count() const;
+
+private:
+  void CarryOut(const dispatch::Effects& aEffects);
+  dispatch::Moment Now() const;
+
+  const CoordinatorOptions& options;
+  const base::FencingToken token;
+  const base::Clock& clock;
+  const ledger::RecordCodec& codec;
+  AgentSessions& sessions;
+  DecisionLog& decisions;
+  std::unique_ptr<journal::FencedWriter> writer;
+  std::unique_ptr<dispatch::Dispatcher> dispatcher;
+  bool isPredecessorOver = false;
+  /** Makes callbacks of a term that is over do nothing. */
+  std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -0,0 +1,330 @@
+#include "LeaderLog.h"
+
+#include "amaranthwind/codec/ClaimCodec.h"
+#include "amaranthwind/membership/LeaderTopic.h"
+
+#include <charconv>
+#include <utility>
+
+namespace amaranthwind::coordinator {
+
+using base::ErrorCode;
+using base::LogOffset;
+using membership::kLeaderKey;
+using membership::kLeaderTopic;
+using membership::TokenOf;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view kPulseKey = "pulse";
+/** Between two looks at whether the leader is silent. */
+constexpr base::Duration kCheckInterval = 400ms;
+/**
+ * The log holds a read of claims for this long. Shorter than the limit on the
+ * age of a view that may prove the silence of a leader.
+ */
+constexpr base::Duration kReadWait = 1s;
+
+} // namespace
+
+class LeaderLog::Pulses final : public journal::FollowerObserver
+{
+public:
+  explicit Pulses(LeaderLog& aOwner)
+    : owner(aOwner)
+    , follower({ .topic = { std::string(kLeaderTopic), 1 }, .wait = kReadWait },
+               aOwner.clock,
+               aOwner.executor,
+               aOwner.log,
+               *this)
+  {
+  }
+  void Start() { this->follower.Start(); }
+  void Stop() { this->follower.Stop(); }
+
+  void OnLoaded(std::span<const journal::KeyedRecord> aNewest) override
+  {
+    this->OnRecords(aNewest);
+  }
+  void OnRecords(std::span<const journal::KeyedRecord> aRecords) override
+  {
+    std::uint64_t token = 0;
+    for (const auto& record : aRecords) {
+      if (record.key == kPulseKey) {
+        std::from_chars(record.value.data(),
+                        record.value.data() + record.value.size(),
+                        token);
+      }
+    }
+    this->owner.election.OnPulse(base::FencingToken(token),
+                                 this->owner.clock.Now());
+  }
+  void OnCurrent(base::TimePoint aAsOf) override
+  {
+    this->owner.election.OnCurrent(aAsOf, this->owner.clock.Now());
+  }
+  void OnUnavailable(const base::Error&) override {}
+
+private:
+  LeaderLog& owner;
+  journal::KeyedFollower follower;
+};
+
+LeaderLog::LeaderLog(const membership::LeaderElectionOptions& aOptions,
+                     const base::Clock& aClock,
+                     base::Executor& aExecutor,
+                     journal::KeyedLog& aLog,
+                     telemetry::Logger& aLogger,
+                     LeaderObserver& aObserver)
+  : options(aOptions)
+  , clock(aClock)
+  , executor(aExecutor)
+  , log(aLog)
+  , logger(aLogger)
+  , observer(aObserver)
+  , election(aOptions)
+  , pulses(std::make_unique<Pulses>(*this))
+  , claimFollower(std::make_unique<journal::KeyedFollower>(
+      journal::FollowerOptions{ .topic = { std::string(kLeaderTopic), 0 },
+                                .wait = kReadWait },
+      aClock,
+      aExecutor,
+      aLog,
+      *this))
+  , claimBackoff({ .first = 50ms, .max = 500ms })
+{
+}
+
+LeaderLog::~LeaderLog()
+{
+  *this->isAlive = false;
+}
+
+void
+LeaderLog::Start(std::string_view aAddress)
+{
+  this->ownClaim = { this->options.self,
+                     this->options.incarnation,
+                     std::string(aAddress),
+                     false,
+                     false };
+  this->claimFollower->Start();
+  this->pulses->Start();
+  this->Check();
+}
+
+void
+LeaderLog::Stop()
+{
+  *this->isAlive = false;
+  this->claimFollower->Stop();
+  this->pulses->Stop();
+}
+
+void
+LeaderLog::After(base::Duration aDelay, void (LeaderLog::*aTask)())
+{
+  this->executor.RunAfter(aDelay, [this, alive = this->isAlive, aTask] {
+    if (*alive) {
+      (this->*aTask)();
+    }
+  });
+}
+
+void
+LeaderLog::OnLoaded(std::span<const journal::KeyedRecord> aNewest)
+{
+  this->OnRecords(aNewest);
+}
+
+void
+LeaderLog::OnRecords(std::span<const journal::KeyedRecord> aRecords)
+{
+  const bool wasLeader = this->election.IsLeader();
+  for (const auto& record : aRecords) {
+    this->claimsEnd = LogOffset(record.offset.Get() + 1);
+    if (record.key != kLeaderKey) {
+      continue;
+    }
+    const auto claim = codec::DecodeClaim(record.value);
+    if (claim.has_error()) {
+      this->logger.Warning("claim is not readable",
+                           { { "offset", record.offset },
+                             { "error", base::Describe(claim.error()) } });
+      continue;
+    }
+    const base::FencingToken token = TokenOf(record.offset);
+    this->election.OnClaim(claim.value(), token, this->clock.Now());
+    const bool isOwn = claim.value() == this->ownClaim;
+    if (!isOwn) {
+      this->former = claim.value();
+      this->logger.Info(
+        "leadership claimed",
+        { { "holder", claim.value().holder },
+          { "token", token },
+          { "resigned", claim.value().isResigned ? "yes" : "no" } });
+    } else if (token > this->lastOwnToken) {
+      // The answer to the append was lost or is still on its way.
+      this->BecomeLeader(token);
+    }
+  }
+  if (wasLeader && !this->election.IsLeader()) {
+    this->observer.OnDeposed();
+  }
+}
+
+void
+LeaderLog::OnCurrent(base::TimePoint aAsOf)
+{
+  this->confirmedAt = std::max(this->confirmedAt, aAsOf);
+  this->election.OnCurrent(aAsOf, this->clock.Now());
+  if (!this->isClaiming && !this->isResigned &&
+      this->election.ShouldClaim(this->clock.Now())) {
+    this->Claim();
+  }
+}
+
+void
+LeaderLog::OnUnavailable(const base::Error& aError)
+{
+  this->logger.Warning(
+    "log does not answer",
+    { { "topic", kLeaderTopic }, { "error", base::Describe(aError) } });
+}
+
+void
+LeaderLog::Check()
+{
+  if (!this->isClaiming && !this->isResigned &&
+      this->election.ShouldClaim(this->clock.Now())) {
+    this->Claim();
+  }
+  this->After(kCheckInterval, &LeaderLog::Check);
+}
+
+void
+LeaderLog::Claim()
+{
+  this->isClaiming = true;
+  this->logger.Info(
+    "claims the leadership",
+    { { "former", this->former ? this->former->holder.View() : "none" },
+      { "expected", this->claimsEnd } });
+  const journal::KeyedValue record{ std::string(kLeaderKey),
+                                    codec::EncodeClaim(this->ownClaim) };
+  this->log.Append(
+    { std::string(kLeaderTopic), 0 },
+    std::span(&record, 1),
+    { .expectedEnd = this->claimsEnd, .stamp = std::nullopt },
+    [this, alive = this->isAlive](base::Result<LogOffset> aResult) {
+      this->executor.Post([this, alive, result = std::move(aResult)] {
+        if (*alive) {
+          this->OnClaimAnswer(result);
+        }
+      });
+    });
+}
+
+void
+LeaderLog::OnClaimAnswer(const base::Result<LogOffset>& aResult)
+{
+  if (!this->isClaiming || this->election.IsLeader()) {
+    return;
+  }
+  if (aResult.has_value()) {
+    this->BecomeLeader(TokenOf(aResult.value()));
+    return;
+  }
+  this->logger.Warning("claim has failed",
+                       { { "error", base::Describe(aResult.error()) } });
+  if (aResult.error().code == ErrorCode::AppendUnconfirmed) {
+    // The follower shows whether it took effect. Until then another claim
+    // fails on its condition, so that waiting does no harm.
+    this->After(this->claimBackoff.Next() + kReadWait, &LeaderLog::GiveUpClaim);
+    return;
+  }
+  this->After(this->claimBackoff.Next(), &LeaderLog::GiveUpClaim);
+}
+
+void
+LeaderLog::GiveUpClaim()
+{
+  if (!this->election.IsLeader()) {
+    this->isClaiming = false;
+  }
+}
+
+void
+LeaderLog::BecomeLeader(base::FencingToken aToken)
+{
+  this->isClaiming = false;
+  this->lastOwnToken = aToken;
+  this->claimBackoff.Reset();
+  if (this->isResigned ||
+      !this->election.OnClaimed(aToken, this->clock.Now())) {
+    return;
+  }
+  this->confirmedAt = this->clock.Now();
+  this->logger.Info("leads", { { "token", aToken } });
+  this->observer.OnElected(aToken, this->former);
+  this->WritePulse();
+}
+
+void
+LeaderLog::WritePulse()
+{
+  if (!this->election.IsLeader()) {
+    return;
+  }
+  const journal::KeyedValue record{
+    std::string(kPulseKey), std::to_string(this->election.OwnToken().Get())
+  };
+  this->log.Append({ std::string(kLeaderTopic), 1 },
+                   std::span(&record, 1),
+                   {},
+                   [this, alive = this->isAlive](const auto& aResult) {
+                     // A pulse that is lost is followed by the next one.
+                     this->executor.Post([this, alive, result = aResult] {
+                       if (*alive && result.has_error()) {
+                         this->logger.Warning(
+                           "pulse has failed",
+                           { { "error", base::Describe(result.error()) } });
+                       }
+                     });
+                   });
+  this->After(this->options.pulseInterval, &LeaderLog::WritePulse);
+}
+
+void
+LeaderLog::StepDown()
+{
+  if (this->election.IsLeader()) {
+    this->election.StepDown();
+    this->observer.OnDeposed();
+  }
+}
+
+void
+LeaderLog::Resign(bool aIsSettled)
+{
+  this->isResigned = true;
+  if (!this->election.IsLeader()) {
+    return;
+  }
+  membership::LeaderClaim resignation = this->ownClaim;
+  resignation.isResigned = true;
+  resignation.isSettled = aIsSettled;
+  const journal::KeyedValue record{ std::string(kLeaderKey),
+                                    codec::EncodeClaim(resignation) };
+  this->logger.Info("resigns", { { "token", this->election.OwnToken() } });
+  this->StepDown();
+  this->log.Append({ std::string(kLeaderTopic), 0 },
+                   std::span(&record, 1),
+                   { .expectedEnd = this->claimsEnd, .stamp = std::nullopt },
+                   [](const auto&) {
+                     // Without it the others find out by the missing pulses.
+                   });
+}
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/src/Submissions.cpp
@@ -0,0 +1,72 @@
+#include "Submissions.h"
+
+#include "DispatchRunner.h"
+#include "amaranthwind/base/Backoff.h"
+
+#include <utility>
+
+namespace amaranthwind::coordinator {
+
+using base::ErrorCode;
+using namespace std::chrono_literals;
+
+struct Submissions::Attempt
+{
+  journal::KeyedValue record;
+  base::TimePoint giveUpAt;
+  DoneHandler handler;
+  base::Backoff backoff{ { .first = 30ms, .max = 300ms } };
+  bool mayBeAppended = false;
+};
+
+Submissions::Submissions(const base::Clock& aClock,
+                         base::Executor& aExecutor,
+                         journal::KeyedLog& aLog)
+  : clock(aClock)
+  , executor(aExecutor)
+  , log(aLog)
+{
+}
+
+void
+Submissions::Append(journal::KeyedValue aRecord,
+                    base::Duration aTimeout,
+                    DoneHandler aHandler)
+{
+  auto attempt = std::make_shared<Attempt>();
+  attempt->record = std::move(aRecord);
+  attempt->giveUpAt = this->clock.Now() + aTimeout;
+  attempt->handler = std::move(aHandler);
+  this->Try(attempt);
+}
+
+void
+Submissions::Try(const std::shared_ptr<Attempt>& aAttempt)
+{
+  this->log.Append(
+    { std::string(kJobTopic), 0 },
+    std::span(&aAttempt->record, 1),
+    {},
+    [this, attempt = aAttempt](const auto& aResult) {
+      if (aResult.has_value()) {
+        attempt->handler(base::success());
+        return;
+      }
+      const base::Error& error = aResult.error();
+      attempt->mayBeAppended =
+        attempt->mayBeAppended || error.code == ErrorCode::AppendUnconfirmed;
+      const base::Duration delay = attempt->backoff.Next();
+      const bool isFinal = error.code == ErrorCode::TooLarge;
+      if (isFinal || this->clock.Now() + delay >= attempt->giveUpAt) {
+        attempt->handler(base::Fail(attempt->mayBeAppended
+                                      ? ErrorCode::AppendUnconfirmed
+                                    : isFinal ? ErrorCode::TooLarge
+                                              : ErrorCode::LogUnavailable,
+                                    error.subject));
+        return;
+      }
+      this->executor.RunAfter(delay, [this, attempt] { this->Try(attempt); });
+    });
+}
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -0,0 +1,150 @@
+#include "amaranthwind/dispatch/Dispatcher.h"
+
+#include "DispatchState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthwind::dispatch {
+
+Dispatcher::Dispatcher(const DispatcherOptions& aOptions,
+                       const ledger::JobTable& aJobs,
+                       std::unique_ptr<Packing> aPacking,
+                       DispatchObserver& aObserver,
+                       const Moment& aNow)
+  : state(std::make_unique<State>(aOptions, std::move(aPacking), aObserver))
+{
+  this->state->moment = aNow;
+  this->state->inheritedUntil = aNow.now + aOptions.inheritedBound;
+  aJobs.ForEach([this](const base::JobId&, const ledger::JobEntry& aEntry) {
+    this->state->Restore(aEntry);
+  });
+}
+
+Dispatcher::~Dispatcher() = default;
+
+namespace {
+
+/** Frame of every call: sets the time and collects the effects. */
+class Call
+{
+public:
+  Call(Moment& aStored, Effects& aEffects, const Moment& aNow)
+    : effects(aEffects)
+  {
+    aStored = aNow;
+    this->effects.clear();
+  }
+  Effects Finish() { return std::exchange(this->effects, {}); }
+
+private:
+  Effects& effects;
+};
+
+} // namespace
+
+Effects
+Dispatcher::OnJob(const ledger::JobEntry& aJob, const Moment& aNow)
+{
+  Call call(this->state->moment, this->state->effects, aNow);
+  this->state->Add(aJob);
+  this->state->Schedule();
+  this->state->FlushWrites();
+  return call.Finish();
+}
+
+Effects
+Dispatcher::OnGuarantees(std::span<const AccountGuarantee> aGuarantees,
+                         const Moment& aNow)
+{
+  Call call(this->state->moment, this->state->effects, aNow);
+  this->state->guarantees.clear();
+  for (const auto& each : aGuarantees) {
+    this->state->guarantees[each.account] = each.accelerators;
+  }
+  this->state->Schedule();
+  this->state->FlushWrites();
+  return call.Finish();
+}
+
+Effects
+Dispatcher::OnReport(const WorkerReport& aReport, const Moment& aNow)
+{
+  Call call(this->state->moment, this->state->effects, aNow);
+  this->state->HandleReport(aReport);
+  if (this->state->mustSchedule) {
+    this->state->Schedule();
+  }
+  this->state->FlushWrites();
+  this->state->AcknowledgeDurableEnds();
+  return call.Finish();
+}
+
+Effects
+Dispatcher::OnOutcome(const base::AgentId& aAgent,
+                      const ledger::WorkerLife& aLife,
+                      const job::TaskRun& aRun,
+                      OrderOutcome aOutcome,
+                      const Moment& aNow)
+{
+  Call call(this->state->moment, this->state->effects, aNow);
+  const auto found = this->state->workers.find(aAgent);
+  if (found != this->state->workers.end() && found->second.info &&
+      found->second.info->life == aLife) {
+    this->state->HandleOutcome(found->second, aRun, aOutcome);
+  }
+  if (this->state->mustSchedule) {
+    this->state->Schedule();
+  }
+  this->state->FlushWrites();
+  return call.Finish();
+}
+
+Effects
+Dispatcher::OnPersisted(std::uint64_t aVersion, const Moment& aNow)
+{
+  Call call(this->state->moment, this->state->effects, aNow);
+  this->state->persistedVersion = aVersion;
+  this->state->SendReadyOrders(aVersion);
+  this->state->AcknowledgeDurableEnds();
+  return call.Finish();
+}
+
+void
+Dispatcher::OnPredecessorOver(base::Duration aBound, const Moment& aNow)
+{
+  this->state->inheritedUntil =
+    std::min(this->state->inheritedUntil, aNow.now + aBound);
+}
+
+Effects
+Dispatcher::OnTick(const Moment& aNow)
+{
+  Call call(this->state->moment, this->state->effects, aNow);
+  this->state->LoseSilentWorkers();
+  this->state->LoseInherited();
+  this->state->ForgetOldJobs();
+  this->state->Schedule();
+  this->state->FlushWrites();
+  return call.Finish();
+}
+
+Dispatcher::Counts
+Dispatcher::Count() const
+{
+  Counts counts;
+  for (const auto& [id, job] : this->state->jobs) {
+    counts.jobs += job.isOver ? 0 : 1;
+  }
+  for (const auto& [agent, worker] : this->state->workers) {
+    if (worker.info) {
+      ++counts.workers;
+      counts.tasksOnWorkers += worker.occupants.size();
+      counts.accelerators += worker.info->capacity.accelerators;
+      counts.freeAccelerators += worker.Free().accelerators;
+    }
+  }
+  return counts;
+}
+
+} // namespace amaranthwind::dispatch
--- /dev/null
+++ b/libs/dispatch/src/JobState.cpp
@@ -0,0 +1,259 @@
+// The part of the dispatcher that keeps jobs, steps and tasks.
+
+#include "DispatchState.h"
+
+#include <algorithm>
+
+namespace amaranthwind::dispatch {
+
+fleet::TaskResources
+NeedOf(const job::StepSpec& aSpec) noexcept
+{
+  fleet::TaskResources need = aSpec.need;
+  if (aSpec.isFiller) {
+    need.milliCores = 0;
+  }
+  return need;
+}
+
+bool
+Step::IsDone() const noexcept
+{
+  return std::all_of(
+    this->tasks.begin(), this->tasks.end(), [](const Task& aTask) {
+      return aTask.phase == Phase::Done;
+    });
+}
+
+static base::Duration
+LongestChain(const job::WorkflowSpec& aSpec)
+{
+  std::vector<base::Duration> ends(aSpec.steps.size());
+  base::Duration longest{};
+  for (std::size_t i = 0; i < aSpec.steps.size(); ++i) {
+    base::Duration start{};
+    for (const std::uint32_t before : aSpec.steps[i].dependsOn) {
+      if (before < i) {
+        start = std::max(start, ends[before]);
+      }
+    }
+    ends[i] = start + aSpec.steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+void
+Dispatcher::State::Restore(const ledger::JobEntry& aEntry)
+{
+  this->Add(aEntry);
+  Job& job = *this->FindJob(aEntry.spec->id);
+  for (const auto& [place, record] : aEntry.steps) {
+    if (place.second >= aEntry.spec->steps.size()) {
+      continue;
+    }
+    Step& step = this->EnsureStep(job, place.first, place.second);
+    step.hasFailed = record.hasFailed;
+    for (const auto& saved : record.tasks) {
+      if (saved.index >= step.tasks.size()) {
+        continue;
+      }
+      Task& task = step.tasks[saved.index];
+      task.run = saved.run;
+      task.failures = saved.failures;
+      task.checkpoint = saved.checkpoint;
+      task.life = saved.worker;
+      task.startedAt = this->moment.now;
+      task.since = this->moment.now;
+      if (saved.phase == ledger::TaskPhase::Done) {
+        task.phase = Phase::Done;
+      } else if (saved.phase == ledger::TaskPhase::Placed) {
+        task.phase = Phase::Ordered;
+        task.isInherited = true;
+        this->hasInherited = true;
+      }
+    }
+  }
+  this->UpdateOver(job);
+}
+
+void
+Dispatcher::State::Add(const ledger::JobEntry& aEntry)
+{
+  const auto [found, isNew] = this->jobs.try_emplace(aEntry.spec->id);
+  Job& job = found->second;
+  if (isNew) {
+    job.spec = aEntry.spec;
+    job.order = aEntry.acceptedOffset;
+    job.chain = LongestChain(*job.spec);
+  }
+  if (aEntry.isCancelRequested && !job.isCancelled) {
+    this->Cancel(job);
+  }
+}
+
+void
+Dispatcher::State::Cancel(Job& aJob)
+{
+  aJob.isCancelled = true;
+  for (auto& [place, step] : aJob.steps) {
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+      this->RequestStop(step, i, "cancelled");
+    }
+  }
+  this->UpdateOver(aJob);
+}
+
+void
+Dispatcher::State::UpdateOver(Job& aJob)
+{
+  if (aJob.isOver) {
+    return;
+  }
+  const char* outcome = nullptr;
+  std::size_t done = 0;
+  for (const auto& [place, step] : aJob.steps) {
+    done += step.IsDone() ? 1 : 0;
+    if (step.hasFailed) {
+      outcome = "failed";
+    }
+  }
+  if (done == aJob.spec->steps.size() * aJob.spec->Occurrences()) {
+    outcome = "completed";
+  } else if (outcome == nullptr && aJob.isCancelled) {
+    outcome = "cancelled";
+  }
+  if (outcome == nullptr) {
+    return;
+  }
+  aJob.isOver = true;
+  aJob.overAt = this->moment.now;
+  for (auto& [place, step] : aJob.steps) {
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+      this->RequestStop(step, i, outcome);
+    }
+  }
+  this->observer.OnJobOver(aJob.spec->id,
+                           outcome,
+                           std::chrono::duration_cast<base::Duration>(
+                             this->moment.wall - aJob.spec->acceptedAt));
+}
+
+void
+Dispatcher::State::ForgetOldJobs()
+{
+  for (auto position = this->jobs.begin(); position != this->jobs.end();) {
+    const auto current = position++;
+    const Job& job = current->second;
+    if (!job.isOver ||
+        this->moment.now - job.overAt < this->options.retention) {
+      continue;
+    }
+    ForgetJob forget{ current->first, {} };
+    bool isIdle = true;
+    for (const auto& [place, step] : job.steps) {
+      forget.steps.push_back(step.id);
+      isIdle = isIdle && std::none_of(step.tasks.begin(),
+                                      step.tasks.end(),
+                                      [](const Task& aTask) {
+                                        return aTask.IsOnWorker();
+                                      });
+    }
+    if (isIdle) {
+      this->effects.emplace_back(std::move(forget));
+      this->jobs.erase(current);
+    }
+  }
+}
+
+Job*
+Dispatcher::State::FindJob(const base::JobId& aJob)
+{
+  const auto found = this->jobs.find(aJob);
+  return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+Step*
+Dispatcher::State::FindStep(const job::StepId& aStep)
+{
+  Job* job = this->FindJob(aStep.job);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  const auto found = job->steps.find({ aStep.occurrence, aStep.step });
+  return found == job->steps.end() ? nullptr : &found->second;
+}
+
+Step&
+Dispatcher::State::EnsureStep(Job& aJob,
+                              std::uint32_t aOccurrence,
+                              std::uint32_t aStep)
+{
+  const auto [found, isNew] = aJob.steps.try_emplace({ aOccurrence, aStep });
+  if (isNew) {
+    found->second.id = { aJob.spec->id, aOccurrence, aStep };
+    found->second.tasks.resize(aJob.spec->steps[aStep].count);
+  }
+  return found->second;
+}
+
+Task*
+Dispatcher::State::FindRun(const job::TaskRun& aRun)
+{
+  Step* step = this->FindStep(aRun.task.step);
+  if (step == nullptr || aRun.task.index >= step->tasks.size()) {
+    return nullptr;
+  }
+  Task& task = step->tasks[aRun.task.index];
+  return task.run == aRun.run ? &task : nullptr;
+}
+
+const job::StepSpec*
+Dispatcher::State::SpecOf(const job::StepId& aStep)
+{
+  const Job* job = this->FindJob(aStep.job);
+  return job == nullptr || aStep.step >= job->spec->steps.size()
+           ? nullptr
+           : &job->spec->steps[aStep.step];
+}
+
+static ledger::StepRecord
+ToRecord(const Step& aStep)
+{
+  ledger::StepRecord record;
+  record.id = aStep.id;
+  record.hasFailed = aStep.hasFailed;
+  for (std::uint32_t i = 0; i < aStep.tasks.size(); ++i) {
+    const Task& task = aStep.tasks[i];
+    if (task.run == 0) {
+      continue;
+    }
+    const auto phase = task.phase == Phase::Done ? ledger::TaskPhase::Done
+                       : task.IsOnWorker()       ? ledger::TaskPhase::Placed
+                                                 : ledger::TaskPhase::Idle;
+    record.tasks.push_back(
+      { i, phase, task.run, task.failures, task.life, task.checkpoint });
+  }
+  return record;
+}
+
+void
+Dispatcher::State::FlushWrites()
+{
+  const std::uint64_t version = this->lastVersion + 1;
+  Effects writes;
+  for (auto& [id, job] : this->jobs) {
+    for (auto& [place, step] : job.steps) {
+      if (std::exchange(step.isDirty, false)) {
+        writes.emplace_back(PersistStep{ ToRecord(step), version });
+      }
+    }
+  }
+  if (!writes.empty()) {
+    this->lastVersion = version;
+    std::move(writes.begin(), writes.end(), std::back_inserter(this->effects));
+  }
+  this->mustSchedule = false;
+}
+
+} // namespace amaranthwind::dispatch
--- /dev/null
+++ b/libs/dispatch/src/Packing.cpp
@@ -0,0 +1,95 @@
+#include "amaranthwind/dispatch/Packing.h"
+
+#include <algorithm>
+#include <map>
+
+namespace amaranthwind::dispatch {
+
+namespace {
+
+std::uint32_t
+Capacity(const PackingWorker& aWorker, const fleet::TaskResources& aNeed)
+{
+  std::uint32_t count = aWorker.spreadLeft;
+  if (aNeed.accelerators > 0) {
+    count = std::min(count, aWorker.free.accelerators / aNeed.accelerators);
+  }
+  if (aNeed.milliCores > 0) {
+    count = std::min(count, aWorker.free.milliCores / aNeed.milliCores);
+  }
+  if (aNeed.memoryMiB > 0) {
+    count = static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(count, aWorker.free.memoryMiB / aNeed.memoryMiB));
+  }
+  return count;
+}
+
+/** Fills the given workers in order of their free accelerators. */
+std::vector<std::uint32_t>
+Fill(std::span<const PackingWorker> aWorkers,
+     std::vector<std::uint32_t> aAllowed,
+     const PackingRequest& aRequest)
+{
+  std::stable_sort(aAllowed.begin(),
+                   aAllowed.end(),
+                   [&](std::uint32_t aLeft, std::uint32_t aRight) {
+                     const auto& left = aWorkers[aLeft].free;
+                     const auto& right = aWorkers[aRight].free;
+                     return std::pair(left.accelerators, left.milliCores) <
+                            std::pair(right.accelerators, right.milliCores);
+                   });
+  std::vector<std::uint32_t> chosen;
+  for (const std::uint32_t index : aAllowed) {
+    const auto room = Capacity(aWorkers[index], aRequest.need);
+    const auto left =
+      aRequest.count - static_cast<std::uint32_t>(chosen.size());
+    chosen.insert(chosen.end(), std::min(room, left), index);
+    if (chosen.size() == aRequest.count) {
+      return chosen;
+    }
+  }
+  return {};
+}
+
+std::uint64_t
+FreeAccelerators(std::span<const PackingWorker> aWorkers,
+                 std::span<const std::uint32_t> aIndices)
+{
+  std::uint64_t sum = 0;
+  for (const std::uint32_t index : aIndices) {
+    sum += aWorkers[index].free.accelerators;
+  }
+  return sum;
+}
+
+} // namespace
+
+std::vector<std::uint32_t>
+BestFitPacking::Pack(std::span<const PackingWorker> aWorkers,
+                     const PackingRequest& aRequest) const
+{
+  std::map<std::uint32_t, std::vector<std::uint32_t>> racks;
+  std::vector<std::uint32_t> all;
+  for (std::uint32_t index = 0; index < aWorkers.size(); ++index) {
+    if (!aRequest.rack || aWorkers[index].rack == *aRequest.rack) {
+      racks[aWorkers[index].rack].push_back(index);
+      all.push_back(index);
+    }
+  }
+  if (!aRequest.isOneRack) {
+    return Fill(aWorkers, std::move(all), aRequest);
+  }
+  std::vector<std::uint32_t> best;
+  std::uint64_t bestFree = UINT64_MAX;
+  for (const auto& [rack, indices] : racks) {
+    auto chosen = Fill(aWorkers, indices, aRequest);
+    const std::uint64_t free = FreeAccelerators(aWorkers, indices);
+    if (!chosen.empty() && free < bestFree) {
+      best = std::move(chosen);
+      bestFree = free;
+    }
+  }
+  return best;
+}
+
+} // namespace amaranthwind::dispatch
--- /dev/null
+++ b/libs/dispatch/src/Preemption.cpp
@@ -0,0 +1,142 @@
+// Reclaims room for guaranteed steps by stopping work that borrows it.
+
+#include "DispatchState.h"
+
+#include <algorithm>
+
+namespace amaranthwind::dispatch {
+
+namespace {
+
+/** What an accelerator counts for in cores when work is thrown away. */
+constexpr double kCoresPerAccelerator = 8.0;
+/** Work that a checkpointing task loses when it is stopped. */
+constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
+
+/** Runs that end together when one of them is stopped. */
+struct Victim
+{
+  Step* step = nullptr;
+  std::vector<std::uint32_t> tasks;
+  /** Core-seconds that are thrown away. */
+  double cost = 0;
+  bool isChosen = false;
+};
+
+double
+CostOf(const job::StepSpec& aSpec, base::Duration aElapsed)
+{
+  const base::Duration lost =
+    aSpec.isCheckpointing ? std::min(aElapsed, kCheckpointLoss) : aElapsed;
+  const double cores = aSpec.need.milliCores / 1000.0 +
+                       kCoresPerAccelerator * aSpec.need.accelerators;
+  return cores * std::chrono::duration<double>(lost).count();
+}
+
+} // namespace
+
+bool
+Dispatcher::State::Preempt(const Candidate& aCandidate, std::uint32_t aCount)
+{
+  const auto usable = this->Usable(aCandidate);
+  const job::StepSpec& spec = aCandidate.Spec();
+  auto room = this->ToPacking(usable, *aCandidate.step, spec);
+  std::map<base::AgentId, std::size_t> places;
+  for (std::size_t i = 0; i < usable.size(); ++i) {
+    places[usable[i]->agent] = i;
+  }
+  std::vector<Victim> victims;
+  for (auto& [id, job] : this->jobs) {
+    const bool isBorrower = !this->guaranteed.contains(id);
+    for (auto& [place, step] : job.steps) {
+      const auto& stepSpec = job.spec->steps[place.second];
+      Victim gang{ &step, {}, 0, false };
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        const Task& task = step.tasks[i];
+        const bool isRunning =
+          task.phase == Phase::Ordered || task.phase == Phase::Running;
+        if (!isBorrower || !isRunning || !places.contains(task.agent)) {
+          continue;
+        }
+        const double cost = CostOf(stepSpec, this->moment.now - task.startedAt);
+        if (stepSpec.isGang) {
+          gang.tasks.push_back(i);
+          gang.cost += cost;
+        } else {
+          victims.push_back({ &step, { i }, cost, false });
+        }
+      }
+      if (!gang.tasks.empty()) {
+        victims.push_back(std::move(gang));
+      }
+    }
+  }
+  // Room that is being freed already counts as free.
+  for (std::size_t i = 0; i < usable.size(); ++i) {
+    for (const auto& [run, need] : usable[i]->occupants) {
+      const Task* task = this->FindRun(run);
+      if (task == nullptr || !task->IsOnWorker() ||
+          task->phase == Phase::Stopping) {
+        room[i].free += need;
+      }
+    }
+  }
+  const auto free = [&](const Victim& aVictim, bool aIsFreed) {
+    const fleet::TaskResources need = NeedOf(
+      this->FindJob(aVictim.step->id.job)->spec->steps[aVictim.step->id.step]);
+    for (const std::uint32_t index : aVictim.tasks) {
+      auto& worker = room[places[aVictim.step->tasks[index].agent]].free;
+      if (aIsFreed) {
+        worker += need;
+      } else {
+        worker -= need;
+      }
+    }
+  };
+  std::sort(victims.begin(),
+            victims.end(),
+            [](const Victim& aLeft, const Victim& aRight) {
+              return aLeft.cost < aRight.cost;
+            });
+  auto chosen = this->Pack(usable, aCandidate, aCount, room);
+  for (Victim& victim : victims) {
+    if (chosen) {
+      break;
+    }
+    victim.isChosen = true;
+    free(victim, true);
+    chosen = this->Pack(usable, aCandidate, aCount, room);
+  }
+  if (!chosen) {
+    return false;
+  }
+  // Spares each victim without which the step still fits, dearest first.
+  for (auto victim = victims.rbegin(); victim != victims.rend(); ++victim) {
+    if (!victim->isChosen) {
+      continue;
+    }
+    free(*victim, false);
+    if (auto without = this->Pack(usable, aCandidate, aCount, room)) {
+      victim->isChosen = false;
+      chosen = std::move(without);
+    } else {
+      free(*victim, true);
+    }
+  }
+  Reservation reservation;
+  reservation.until = this->moment.now;
+  for (const Worker* worker : *chosen) {
+    reservation.workers.insert(worker->agent);
+  }
+  this->reservations.push_back(std::move(reservation));
+  for (const Victim& victim : victims) {
+    if (victim.isChosen) {
+      for (const std::uint32_t index : victim.tasks) {
+        this->RequestStop(*victim.step, index, "reclaimed for a guarantee");
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace amaranthwind::dispatch
--- /dev/null
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -0,0 +1,393 @@
+// The scheduling pass: which waiting steps get which workers.
+
+#include "DispatchState.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace amaranthwind::dispatch {
+
+namespace {
+
+/** Beyond this multiple of its objective a job is worth nothing. */
+constexpr int kWorthlessAfter = 3;
+/** A task on another rack than its data or its gang takes this much longer. */
+constexpr int kRemoteFactor = 3;
+/** A step waits this many estimates for the rack that suits it. */
+constexpr int kRackPatience = kRemoteFactor - 1;
+/** A guaranteed step is not held up by its wish for one rack for longer. */
+constexpr base::Duration kGuaranteedPatience = std::chrono::milliseconds(1200);
+/** A run that outlives its estimate is taken to last this share of it more. */
+constexpr int kOverrunShare = 10;
+/** Reservations look this many blocked gangs ahead. */
+constexpr std::size_t kMaxReservations = 2;
+
+std::vector<std::uint32_t>
+IdleTasks(const Step& aStep)
+{
+  std::vector<std::uint32_t> idle;
+  for (std::uint32_t i = 0; i < aStep.tasks.size(); ++i) {
+    if (aStep.tasks[i].phase == Phase::Idle) {
+      idle.push_back(i);
+    }
+  }
+  return idle;
+}
+
+} // namespace
+
+void
+Dispatcher::State::Schedule()
+{
+  this->reservations.clear();
+  this->FindGuaranteed();
+  for (const Candidate& candidate : this->Candidates()) {
+    const bool isPlaced = candidate.Spec().isGang
+                            ? this->PlaceGang(candidate)
+                            : this->PlaceSingles(candidate);
+    if (isPlaced) {
+      continue;
+    }
+    const auto waiting =
+      static_cast<std::uint32_t>(IdleTasks(*candidate.step).size());
+    if (candidate.isGuaranteed && this->Preempt(candidate, waiting)) {
+      continue;
+    }
+    if (candidate.Spec().isGang &&
+        this->reservations.size() < kMaxReservations) {
+      this->Reserve(candidate);
+    }
+  }
+}
+
+/**
+ * The guarantee of an account covers its most urgent jobs as long as all of
+ * them together need no more than it.
+ */
+void
+Dispatcher::State::FindGuaranteed()
+{
+  std::unordered_map<base::AccountId, std::uint32_t> needs;
+  std::unordered_map<base::AccountId, std::vector<base::JobId>> urgent;
+  for (const auto& [id, job] : this->jobs) {
+    if (job.isOver || job.spec->urgency != 0) {
+      continue;
+    }
+    std::uint32_t most = 0;
+    for (const auto& step : job.spec->steps) {
+      most = std::max(most, step.count * step.need.accelerators);
+    }
+    needs[job.spec->account] += most;
+    urgent[job.spec->account].push_back(id);
+  }
+  this->guaranteed.clear();
+  for (const auto& [account, need] : needs) {
+    const auto found = this->guarantees.find(account);
+    if (found != this->guarantees.end() && need <= found->second) {
+      this->guaranteed.insert(urgent[account].begin(), urgent[account].end());
+    }
+  }
+}
+
+bool
+Dispatcher::State::IsReady(Job& aJob, const Step& aStep)
+{
+  const auto& spec = aJob.spec->steps[aStep.id.step];
+  return std::all_of(
+    spec.dependsOn.begin(), spec.dependsOn.end(), [&](std::uint32_t aBefore) {
+      return aBefore < aJob.spec->steps.size() &&
+             this->EnsureStep(aJob, aStep.id.occurrence, aBefore).IsDone();
+    });
+}
+
+std::vector<Candidate>
+Dispatcher::State::Candidates()
+{
+  std::vector<Candidate> candidates;
+  for (auto& [id, job] : this->jobs) {
+    if (job.isOver) {
+      continue;
+    }
+    const auto objective =
+      std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(job.chain) * job.spec->stretch) +
+      job.spec->slack;
+    for (std::uint32_t k = 0; k < job.spec->Occurrences(); ++k) {
+      const auto age = this->moment.wall - job.spec->DueAt(k);
+      if (age < base::WallTime::duration::zero()) {
+        break;
+      }
+      for (std::uint32_t s = 0; s < job.spec->steps.size(); ++s) {
+        Step& step = this->EnsureStep(job, k, s);
+        const auto idle = IdleTasks(step);
+        const bool isWhole = idle.size() == step.tasks.size();
+        if (idle.empty() || (job.spec->steps[s].isGang && !isWhole) ||
+            !this->IsReady(job, step)) {
+          continue;
+        }
+        if (!step.readyAt) {
+          step.readyAt = this->moment.now;
+        }
+        candidates.push_back({ &job,
+                               &step,
+                               this->guaranteed.contains(id),
+                               age > objective * kWorthlessAfter });
+      }
+    }
+  }
+  const auto rank = [](const Candidate& aCandidate) {
+    return std::tuple(!aCandidate.isGuaranteed,
+                      aCandidate.isExpired,
+                      aCandidate.job->spec->urgency,
+                      aCandidate.job->order,
+                      aCandidate.step->id);
+  };
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [&](const Candidate& aLeft, const Candidate& aRight) {
+              return rank(aLeft) < rank(aRight);
+            });
+  return candidates;
+}
+
+std::vector<Worker*>
+Dispatcher::State::Usable(const Candidate& aCandidate) const
+{
+  const job::StepSpec& spec = aCandidate.Spec();
+  std::vector<Worker*> usable;
+  for (const auto& [agent, worker] : this->workers) {
+    if (!worker.info || worker.info->isDraining ||
+        worker.avoidUntil > this->moment.now ||
+        worker.info->pool != aCandidate.job->spec->pool) {
+      continue;
+    }
+    const auto& labels = worker.info->labels;
+    if (!spec.requiredLabel.empty() &&
+        std::find(labels.begin(), labels.end(), spec.requiredLabel) ==
+          labels.end()) {
+      continue;
+    }
+    const auto ends = this->moment.now + aCandidate.Spec().estimate;
+    const bool isReserved =
+      std::any_of(this->reservations.begin(),
+                  this->reservations.end(),
+                  [&](const Reservation& aReservation) {
+                    return ends > aReservation.until &&
+                           aReservation.workers.contains(agent);
+                  });
+    if (!isReserved) {
+      usable.push_back(const_cast<Worker*>(&worker));
+    }
+  }
+  return usable;
+}
+
+std::vector<PackingWorker>
+Dispatcher::State::ToPacking(std::span<Worker* const> aWorkers,
+                             const Step& aStep,
+                             const job::StepSpec& aSpec)
+{
+  std::map<base::RackId, std::uint32_t> racks;
+  std::vector<PackingWorker> packing;
+  packing.reserve(aWorkers.size());
+  for (const Worker* worker : aWorkers) {
+    const auto rack = racks
+                        .try_emplace(worker->info->rack,
+                                     static_cast<std::uint32_t>(racks.size()))
+                        .first->second;
+    PackingWorker each{ worker->Free(), rack };
+    if (aSpec.maxPerWorker > 0) {
+      const auto here = static_cast<std::uint32_t>(std::count_if(
+        aStep.tasks.begin(), aStep.tasks.end(), [&](const Task& aTask) {
+          return aTask.IsOnWorker() && aTask.agent == worker->agent;
+        }));
+      each.spreadLeft = aSpec.maxPerWorker - std::min(aSpec.maxPerWorker, here);
+    }
+    packing.push_back(each);
+  }
+  return packing;
+}
+
+/** Workers for aCount tasks of the step within the given room. */
+std::optional<std::vector<Worker*>>
+Dispatcher::State::Pack(std::span<Worker* const> aWorkers,
+                        const Candidate& aCandidate,
+                        std::uint32_t aCount,
+                        std::vector<PackingWorker> aRoom)
+{
+  const job::StepSpec& spec = aCandidate.Spec();
+  PackingRequest request;
+  request.need = NeedOf(spec);
+  request.count = aCount;
+  const base::Duration waited =
+    this->moment.now - aCandidate.step->readyAt.value_or(this->moment.now);
+  const base::Duration patience = aCandidate.isGuaranteed
+                                    ? kGuaranteedPatience
+                                    : spec.estimate * kRackPatience;
+  const bool isPatient = waited < patience;
+  if (spec.prefersOneRack && spec.count > 1 && isPatient) {
+    // A gang that no rack could hold even if it were empty does not wait.
+    std::vector<PackingWorker> empty = aRoom;
+    for (std::size_t i = 0; i < empty.size(); ++i) {
+      empty[i].free = aWorkers[i]->info->capacity;
+    }
+    request.isOneRack = true;
+    request.isOneRack = !this->packing->Pack(empty, request).empty();
+  }
+  if (!spec.dataRack.IsEmpty()) {
+    for (std::size_t i = 0; i < aRoom.size(); ++i) {
+      if (aWorkers[i]->info->rack == spec.dataRack) {
+        request.rack = aRoom[i].rack;
+      }
+    }
+  }
+  auto chosen = this->packing->Pack(aRoom, request);
+  if (chosen.empty() && request.rack && !isPatient) {
+    request.rack.reset();
+    chosen = this->packing->Pack(aRoom, request);
+  }
+  if (chosen.empty()) {
+    return std::nullopt;
+  }
+  std::vector<Worker*> workers;
+  workers.reserve(chosen.size());
+  for (const std::uint32_t index : chosen) {
+    workers.push_back(aWorkers[index]);
+  }
+  return workers;
+}
+
+bool
+Dispatcher::State::PlaceGang(const Candidate& aCandidate)
+{
+  const auto usable = this->Usable(aCandidate);
+  const auto idle = IdleTasks(*aCandidate.step);
+  const auto chosen =
+    this->Pack(usable,
+               aCandidate,
+               static_cast<std::uint32_t>(idle.size()),
+               this->ToPacking(usable, *aCandidate.step, aCandidate.Spec()));
+  if (!chosen) {
+    return false;
+  }
+  this->Commit(aCandidate, idle, *chosen);
+  return true;
+}
+
+/** True if no task of the step is left to place. */
+bool
+Dispatcher::State::PlaceSingles(const Candidate& aCandidate)
+{
+  const auto usable = this->Usable(aCandidate);
+  for (const std::uint32_t index : IdleTasks(*aCandidate.step)) {
+    const Task& task = aCandidate.step->tasks[index];
+    std::vector<Worker*> allowed;
+    std::copy_if(
+      usable.begin(),
+      usable.end(),
+      std::back_inserter(allowed),
+      [&](const Worker* aWorker) { return aWorker->agent != task.failedOn; });
+    if (allowed.empty()) {
+      allowed = usable;
+    }
+    const auto chosen =
+      this->Pack(allowed,
+                 aCandidate,
+                 1,
+                 this->ToPacking(allowed, *aCandidate.step, aCandidate.Spec()));
+    if (!chosen) {
+      return false;
+    }
+    const std::uint32_t tasks[] = { index };
+    this->Commit(aCandidate, tasks, *chosen);
+  }
+  return true;
+}
+
+void
+Dispatcher::State::Commit(const Candidate& aCandidate,
+                          std::span<const std::uint32_t> aTasks,
+                          std::span<Worker* const> aWorkers)
+{
+  Step& step = *aCandidate.step;
+  const job::StepSpec& spec = aCandidate.Spec();
+  std::uint32_t lastRun = 0;
+  for (const std::uint32_t index : aTasks) {
+    lastRun = std::max(lastRun, step.tasks[index].run);
+  }
+  for (std::size_t i = 0; i < aTasks.size(); ++i) {
+    Task& task = step.tasks[aTasks[i]];
+    Worker& worker = *aWorkers[i];
+    task.run = (spec.isGang ? lastRun : task.run) + 1;
+    task.phase = Phase::Placing;
+    task.life = worker.info->life;
+    task.agent = worker.agent;
+    task.percent = 0;
+    task.since = this->moment.now;
+    task.startedAt = this->moment.now;
+    task.isInherited = false;
+    const job::TaskRun run{ { step.id, aTasks[i] }, task.run };
+    this->Occupy(worker, run, NeedOf(spec));
+    this->placings.emplace_back(this->lastVersion + 1, run);
+    this->observer.OnPlaced(
+      run, worker.agent, this->moment.now - *step.readyAt);
+  }
+  this->MarkDirty(step);
+}
+
+base::Duration
+Dispatcher::State::RemainingOf(const job::TaskRun& aRun)
+{
+  const Task* task = this->FindRun(aRun);
+  const job::StepSpec* spec = this->SpecOf(aRun.task.step);
+  if (task == nullptr || spec == nullptr || task->phase == Phase::Stopping ||
+      !task->IsOnWorker()) {
+    return this->options.stopTime;
+  }
+  const base::Duration elapsed = this->moment.now - task->startedAt;
+  return std::max(spec->estimate - elapsed, spec->estimate / kOverrunShare);
+}
+
+/**
+ * Finds the earliest time at which the step fits if what runs ends as
+ * estimated, and keeps the workers that it would get for it.
+ */
+void
+Dispatcher::State::Reserve(const Candidate& aCandidate)
+{
+  const auto usable = this->Usable(aCandidate);
+  auto room = this->ToPacking(usable, *aCandidate.step, aCandidate.Spec());
+  struct Release
+  {
+    base::Duration in;
+    std::size_t worker;
+    fleet::TaskResources freed;
+  };
+  std::vector<Release> releases;
+  for (std::size_t i = 0; i < usable.size(); ++i) {
+    for (const auto& [run, need] : usable[i]->occupants) {
+      releases.push_back({ this->RemainingOf(run), i, need });
+    }
+  }
+  std::sort(releases.begin(),
+            releases.end(),
+            [](const Release& aLeft, const Release& aRight) {
+              return aLeft.in < aRight.in;
+            });
+  const auto count =
+    static_cast<std::uint32_t>(IdleTasks(*aCandidate.step).size());
+  for (const Release& release : releases) {
+    room[release.worker].free += release.freed;
+    if (const auto chosen = this->Pack(usable, aCandidate, count, room)) {
+      Reservation reservation;
+      reservation.until = this->moment.now + release.in;
+      for (const Worker* worker : *chosen) {
+        reservation.workers.insert(worker->agent);
+      }
+      this->reservations.push_back(std::move(reservation));
+      return;
+    }
+  }
+}
+
+} // namespace amaranthwind::dispatch
--- /dev/null
+++ b/libs/fleet/include/amaranthwind/fleet/TaskResources.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+
+namespace amaranthwind::fleet {
+
+/** What one task needs, or what a worker offers to tasks. */
+struct TaskResources
+{
+  /** Thousandths of a core. */
+  std::uint32_t milliCores = 0;
+  std::uint64_t memoryMiB = 0;
+  std::uint32_t accelerators = 0;
+
+  auto operator<=>(const TaskResources&) const = default;
+
+  /** True if every quantity of aNeed is at most the one here. */
+  constexpr bool Covers(const TaskResources& aNeed) const noexcept
+  {
+    return aNeed.milliCores <= this->milliCores &&
+           aNeed.memoryMiB <= this->memoryMiB &&
+           aNeed.accelerators <= this->accelerators;
+  }
+
+  constexpr TaskResources& operator+=(const TaskResources& aOther) noexcept
+  {
+    this->milliCores += aOther.milliCores;
+    this->memoryMiB += aOther.memoryMiB;
+    this->accelerators += aOther.accelerators;
+    return *this;
+  }
+
+  /** Quantities do not fall below zero. */
+  constexpr TaskResources& operator-=(const TaskResources& aOther) noexcept
+  {
+    this->milliCores -= std::min(this->milliCores, aOther.milliCores);
+    this->memoryMiB -= std::min(this->memoryMiB, aOther.memoryMiB);
+    this->accelerators -= std::min(this->accelerators, aOther.accelerators);
+    return *this;
+  }
+};
+
+} // namespace amaranthwind::fleet
--- a/libs/frontend/src/HttpClient.cpp
+++ b/libs/frontend/src/HttpClient.cpp
@@ -63,7 +63,8 @@
 {
 public:
   /** Called after each request: the session, or null if it cannot be reused. */
-  using FreeHandler = std::function<void(std::shared_ptr<ClientSession>)>;
+  using FreeHandler = std::function<void(std::shared_ptr<ClientSession>,
+                                         const HttpResult& aResult)>;
 
   ClientSession(asio::io_context& aContext, const HttpClientOptions& aOptions)
     : stream(aContext)
@@ -171,7 +172,7 @@
     }
     auto handler = std::move(this->pending.handler);
     auto onFreed = std::move(this->onFree);
-    onFreed(aIsReusable ? this->shared_from_this() : nullptr);
+    onFreed(aIsReusable ? this->shared_from_this() : nullptr, aResult);
     handler(std::move(aResult));
   }
 
@@ -235,20 +236,29 @@
   {
     aSession->Run(
       std::move(aPending),
-      [weak = this->weak_from_this()](std::shared_ptr<ClientSession> aFree) {
+      [weak = this->weak_from_this()](std::shared_ptr<ClientSession> aFree,
+                                      const HttpResult& aResult) {
         if (const auto self = weak.lock()) {
-          self->OnFree(std::move(aFree));
+          self->OnFree(std::move(aFree), aResult);
         }
       });
   }
 
-  void OnFree(std::shared_ptr<ClientSession> aSession)
+  void OnFree(std::shared_ptr<ClientSession> aSession,
+              const HttpResult& aResult)
   {
     std::optional<PendingRequest> next;
     std::vector<PendingRequest> expired;
+    std::vector<std::shared_ptr<ClientSession>> dropped;
     {
       std::lock_guard lock(this->mutex);
       --this->busy;
+      if (aResult.response.has_error() &&
+          aResult.response.error().code == ErrorCode::TimedOut) {
+        // Connections that were open at the same time may be as silent as this
+        // one; new ones may work.
+        dropped.swap(this->idle);
+      }
       if (aSession != nullptr) {
         this->idle.push_back(std::move(aSession));
       }
--- /dev/null
+++ b/libs/journal/src/KeyedFollower.cpp
@@ -0,0 +1,238 @@
+#include "amaranthwind/journal/KeyedFollower.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace amaranthwind::journal {
+
+using base::ErrorCode;
+using base::LogOffset;
+using base::Result;
+
+struct KeyedFollower::State : std::enable_shared_from_this<State>
+{
+  State(FollowerOptions aOptions,
+        const base::Clock& aClock,
+        base::Executor& aExecutor,
+        KeyedLog& aLog,
+        FollowerObserver& aObserver)
+    : options(std::move(aOptions))
+    , clock(aClock)
+    , executor(aExecutor)
+    , log(aLog)
+    , observer(aObserver)
+    , backoff(this->options.backoff)
+  {
+  }
+
+  /** A handler for the log that continues on the executor. */
+  template<typename T, typename Method>
+  auto Then(Method aMethod)
+  {
+    return [weak = this->weak_from_this(), aMethod](Result<T> aResult) {
+      if (const auto self = weak.lock()) {
+        self->executor.Post([self, aMethod, result = std::move(aResult)] {
+          if (!self->isStopped) {
+            aMethod(*self, result);
+          }
+        });
+      }
+    };
+  }
+
+  void Load()
+  {
+    this->newest.clear();
+    this->loadEnd.reset();
+    this->LoadPage({});
+  }
+
+  void LoadPage(const std::string& aAfterKey)
+  {
+    this->log.ReadNewest(
+      this->options.topic,
+      aAfterKey,
+      this->Then<NewestPage>([](State& aSelf, const Result<NewestPage>& aPage) {
+        aSelf.OnPage(aPage);
+      }));
+  }
+
+  void OnPage(const Result<NewestPage>& aPage)
+  {
+    if (aPage.has_error()) {
+      this->RetryLater(aPage.error(), [](State& aSelf) { aSelf.Load(); });
+      return;
+    }
+    const NewestPage& page = aPage.value();
+    // Records behind the end of the first page are read again afterwards.
+    if (!this->loadEnd) {
+      this->loadEnd = page.end;
+    }
+    std::string lastKey;
+    for (const KeyedRecord& record : page.records) {
+      lastKey = std::max(lastKey, record.key);
+      this->newest.insert_or_assign(record.key, record);
+    }
+    if (page.hasMore && !page.records.empty()) {
+      this->LoadPage(lastKey);
+      return;
+    }
+    std::vector<KeyedRecord> records;
+    records.reserve(this->newest.size());
+    for (auto& [key, record] : this->newest) {
+      records.push_back(std::move(record));
+    }
+    std::sort(records.begin(),
+              records.end(),
+              [](const KeyedRecord& aLeft, const KeyedRecord& aRight) {
+                return aLeft.offset < aRight.offset;
+              });
+    this->newest.clear();
+    this->next = *this->loadEnd;
+    this->isLoaded = true;
+    this->observer.OnLoaded(records);
+    this->ReadOn();
+  }
+
+  void ReadOn()
+  {
+    const base::TimePoint sentAt = this->clock.Now();
+    // The first read after a load or an outage does not wait: it tells whether
+    // the view is current.
+    const base::Duration wait =
+      this->isCurrent ? this->options.wait : base::Duration::zero();
+    this->log.Read(this->options.topic,
+                   this->next,
+                   wait,
+                   this->Then<KeyedBatch>(
+                     [sentAt](State& aSelf, const Result<KeyedBatch>& aBatch) {
+                       aSelf.OnRead(aBatch, sentAt);
+                     }));
+  }
+
+  void OnRead(const Result<KeyedBatch>& aBatch, base::TimePoint aSentAt)
+  {
+    if (aBatch.has_error()) {
+      this->isCurrent = false;
+      if (aBatch.error().code == ErrorCode::OffsetExpired) {
+        this->Load();
+        return;
+      }
+      this->RetryLater(aBatch.error(), [](State& aSelf) { aSelf.ReadOn(); });
+      return;
+    }
+    this->backoff.Reset();
+    this->hasReported = false;
+    this->isCurrent = this->Apply(aBatch.value());
+    if (this->isCurrent) {
+      this->observer.OnCurrent(aSentAt);
+    }
+    this->ReadOn();
+  }
+
+  /** Hands over what is new; true if nothing is left to read. */
+  bool Apply(const KeyedBatch& aBatch)
+  {
+    std::size_t known = 0;
+    while (known < aBatch.records.size() &&
+           aBatch.records[known].offset < this->next) {
+      ++known;
+    }
+    const auto fresh = std::span(aBatch.records).subspan(known);
+    if (!fresh.empty()) {
+      this->next = LogOffset(fresh.back().offset.Get() + 1);
+      this->observer.OnRecords(fresh);
+    }
+    return this->next >= aBatch.end;
+  }
+
+  void RetryLater(const base::Error& aError, void (*aRetry)(State&))
+  {
+    if (!std::exchange(this->hasReported, true)) {
+      this->observer.OnUnavailable(aError);
+    }
+    this->executor.RunAfter(this->backoff.Next(),
+                            [weak = this->weak_from_this(), aRetry] {
+                              const auto self = weak.lock();
+                              if (self != nullptr && !self->isStopped) {
+                                aRetry(*self);
+                              }
+                            });
+  }
+
+  void Confirm(const std::function<void(bool)>& aHandler)
+  {
+    if (!this->isLoaded) {
+      aHandler(false);
+      return;
+    }
+    const base::TimePoint sentAt = this->clock.Now();
+    this->log.Read(
+      this->options.topic,
+      this->next,
+      base::Duration::zero(),
+      this->Then<KeyedBatch>(
+        [sentAt, aHandler](State& aSelf, const Result<KeyedBatch>& aBatch) {
+          const bool isConfirmed =
+            aBatch.has_value() && aSelf.Apply(aBatch.value());
+          if (isConfirmed) {
+            aSelf.observer.OnCurrent(sentAt);
+          }
+          aHandler(isConfirmed);
+        }));
+  }
+
+  const FollowerOptions options;
+  const base::Clock& clock;
+  base::Executor& executor;
+  KeyedLog& log;
+  FollowerObserver& observer;
+  base::Backoff backoff;
+  std::map<std::string, KeyedRecord> newest;
+  std::optional<LogOffset> loadEnd;
+  LogOffset next;
+  bool isLoaded = false;
+  bool isCurrent = false;
+  bool isStopped = false;
+  /** The observer knows of the outage. */
+  bool hasReported = false;
+};
+
+KeyedFollower::KeyedFollower(FollowerOptions aOptions,
+                             const base::Clock& aClock,
+                             base::Executor& aExecutor,
+                             KeyedLog& aLog,
+                             FollowerObserver& aObserver)
+  : state(std::make_shared<State>(std::move(aOptions),
+                                  aClock,
+                                  aExecutor,
+                                  aLog,
+                                  aObserver))
+{
+}
+
+KeyedFollower::~KeyedFollower() = default;
+
+void
+KeyedFollower::Start()
+{
+  this->state->executor.Post([self = this->state] { self->Load(); });
+}
+
+void
+KeyedFollower::Confirm(std::function<void(bool)> aHandler)
+{
+  this->state->executor.Post(
+    [self = this->state, handler = std::move(aHandler)] {
+      self->Confirm(handler);
+    });
+}
+
+void
+KeyedFollower::Stop()
+{
+  this->state->isStopped = true;
+}
+
+} // namespace amaranthwind::journal
--- /dev/null
+++ b/libs/ledger/src/JobTable.cpp
@@ -0,0 +1,167 @@
+#include "amaranthwind/ledger/JobTable.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace amaranthwind::ledger {
+
+JobPhase
+JobEntry::Phase() const
+{
+  if (this->spec == nullptr) {
+    return JobPhase::Pending;
+  }
+  std::size_t done = 0;
+  bool hasBegun = false;
+  for (const auto& [place, record] : this->steps) {
+    if (record.hasFailed) {
+      return JobPhase::Failed;
+    }
+    const auto isDone = [](const TaskRecord& aTask) {
+      return aTask.phase == TaskPhase::Done;
+    };
+    if (place.second < this->spec->steps.size() &&
+        static_cast<std::size_t>(
+          std::count_if(record.tasks.begin(), record.tasks.end(), isDone)) ==
+          this->spec->steps[place.second].count) {
+      ++done;
+    }
+    hasBegun = hasBegun || !record.tasks.empty();
+  }
+  if (done == this->spec->steps.size() * this->spec->Occurrences()) {
+    return JobPhase::Completed;
+  }
+  if (this->isCancelRequested) {
+    return JobPhase::Cancelled;
+  }
+  return hasBegun ? JobPhase::Running : JobPhase::Pending;
+}
+
+JobTable::JobTable(const RecordCodec& aCodec)
+  : codec(aCodec)
+{
+}
+
+TableChanges
+JobTable::Load(std::span<const journal::KeyedRecord> aNewest)
+{
+  auto former = std::exchange(this->jobs, {});
+  TableChanges changes = this->Apply(aNewest);
+  std::set<base::JobId> changed(changes.jobs.begin(), changes.jobs.end());
+  for (const auto& [id, entry] : former) {
+    changed.insert(id);
+  }
+  changes.jobs.assign(changed.begin(), changed.end());
+  return changes;
+}
+
+TableChanges
+JobTable::Apply(std::span<const journal::KeyedRecord> aRecords)
+{
+  TableChanges changes;
+  for (const auto& record : aRecords) {
+    const RecordKey key = ParseKey(record.key);
+    if (key.kind == RecordKind::Other) {
+      continue;
+    }
+    if (auto error = this->ApplyOne(record)) {
+      changes.bad.push_back({ record.key, record.offset, std::move(*error) });
+    } else if (changes.jobs.empty() || changes.jobs.back() != key.step.job) {
+      changes.jobs.push_back(key.step.job);
+    }
+  }
+  return changes;
+}
+
+std::optional<base::Error>
+JobTable::ApplyOne(const journal::KeyedRecord& aRecord)
+{
+  const RecordKey key = ParseKey(aRecord.key);
+  switch (key.kind) {
+    case RecordKind::Accepted:
+      return this->ApplyAccepted(key.step.job, aRecord);
+    case RecordKind::Cancelled:
+      if (aRecord.value.empty()) {
+        const auto found = this->jobs.find(key.step.job);
+        if (found != this->jobs.end() && found->second.spec == nullptr) {
+          this->jobs.erase(found);
+        }
+      } else {
+        this->jobs[key.step.job].isCancelRequested = true;
+      }
+      return std::nullopt;
+    case RecordKind::Step:
+      return this->ApplyStep(key.step, aRecord);
+    case RecordKind::Other:
+      break;
+  }
+  return std::nullopt;
+}
+
+std::optional<base::Error>
+JobTable::ApplyAccepted(const base::JobId& aJob,
+                        const journal::KeyedRecord& aRecord)
+{
+  if (aRecord.value.empty()) {
+    this->jobs.erase(aJob);
+    return std::nullopt;
+  }
+  JobEntry& entry = this->jobs[aJob];
+  if (entry.spec != nullptr) {
+    // The same job, handed in again; the first record counts.
+    return std::nullopt;
+  }
+  auto spec = this->codec.DecodeWorkflow(aRecord.value);
+  if (spec.has_error()) {
+    return spec.error();
+  }
+  spec.value().id = aJob;
+  entry.spec =
+    std::make_shared<const job::WorkflowSpec>(std::move(spec.value()));
+  entry.acceptedOffset = aRecord.offset;
+  return std::nullopt;
+}
+
+std::optional<base::Error>
+JobTable::ApplyStep(const job::StepId& aStep,
+                    const journal::KeyedRecord& aRecord)
+{
+  const std::pair place{ aStep.occurrence, aStep.step };
+  if (aRecord.value.empty()) {
+    const auto found = this->jobs.find(aStep.job);
+    if (found != this->jobs.end()) {
+      found->second.steps.erase(place);
+    }
+    return std::nullopt;
+  }
+  auto step = this->codec.DecodeStep(aRecord.value);
+  if (step.has_error()) {
+    return step.error();
+  }
+  step.value().id = aStep;
+  this->jobs[aStep.job].steps[place] = std::move(step.value());
+  return std::nullopt;
+}
+
+const JobEntry*
+JobTable::Find(const base::JobId& aJob) const
+{
+  const auto found = this->jobs.find(aJob);
+  return found == this->jobs.end() || found->second.spec == nullptr
+           ? nullptr
+           : &found->second;
+}
+
+void
+JobTable::ForEach(
+  const std::function<void(const base::JobId&, const JobEntry&)>& aVisit) const
+{
+  for (const auto& [id, entry] : this->jobs) {
+    if (entry.spec != nullptr) {
+      aVisit(id, entry);
+    }
+  }
+}
+
+} // namespace amaranthwind::ledger
--- /dev/null
+++ b/libs/ledger/src/Records.cpp
@@ -0,0 +1,65 @@
+#include "amaranthwind/ledger/Records.h"
+
+namespace amaranthwind::ledger {
+
+namespace {
+
+constexpr std::string_view kAccepted = "a/";
+constexpr std::string_view kCancelled = "c/";
+constexpr std::string_view kStep = "s/";
+
+std::string
+MakeKey(std::string_view aPrefix, std::string_view aRest)
+{
+  std::string key(aPrefix);
+  key += aRest;
+  return key;
+}
+
+} // namespace
+
+std::string
+AcceptedKey(const base::JobId& aJob)
+{
+  return MakeKey(kAccepted, aJob.View());
+}
+
+std::string
+CancelledKey(const base::JobId& aJob)
+{
+  return MakeKey(kCancelled, aJob.View());
+}
+
+std::string
+StepKey(const job::StepId& aStep)
+{
+  std::string key = MakeKey(kStep, aStep.job.View());
+  key += '.';
+  key += std::to_string(aStep.occurrence);
+  key += '.';
+  key += std::to_string(aStep.step);
+  return key;
+}
+
+RecordKey
+ParseKey(std::string_view aKey)
+{
+  RecordKey parsed;
+  if (aKey.starts_with(kAccepted)) {
+    parsed.kind = RecordKind::Accepted;
+    parsed.step.job = base::JobId(aKey.substr(kAccepted.size()));
+  } else if (aKey.starts_with(kCancelled)) {
+    parsed.kind = RecordKind::Cancelled;
+    parsed.step.job = base::JobId(aKey.substr(kCancelled.size()));
+  } else if (aKey.starts_with(kStep)) {
+    // The name of a task without its index has the same form.
+    auto task = job::ParseTaskId(std::string(aKey.substr(kStep.size())) + ".0");
+    if (task.has_value()) {
+      parsed.kind = RecordKind::Step;
+      parsed.step = std::move(task.value().step);
+    }
+  }
+  return parsed;
+}
+
+} // namespace amaranthwind::ledger
--- a/libs/protocol/include/amaranthwind/protocol/Messages.h
+++ b/libs/protocol/include/amaranthwind/protocol/Messages.h
@@ -3,6 +3,7 @@
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/Error.h"
 #include "amaranthwind/base/Ids.h"
+#include "amaranthwind/dispatch/WorkerReport.h"
 #include "amaranthwind/fleet/Target.h"
 #include "amaranthwind/gang/Messages.h"
 #include "amaranthwind/job/GangPlan.h"
@@ -203,6 +204,74 @@
   bool operator==(const PolicyReply&) const = default;
 };
 
+/** A worker's daemon to the coordinator; answered with AgentGrant. */
+struct AgentReport
+{
+  /** Rises with each report of one process. */
+  std::uint64_t sequence = 0;
+  /** Highest token that the daemon knows of. */
+  base::FencingToken token;
+  dispatch::WorkerReport report;
+  bool operator==(const AgentReport&) const = default;
+};
+
+/**
+ * The daemon may keep tasks running for this long, counted from the moment at
+ * which it sent the report with the same sequence number.
+ */
+struct AgentGrant
+{
+  std::uint64_t sequence = 0;
+  base::FencingToken token;
+  std::chrono::milliseconds duration{};
+  bool operator==(const AgentGrant&) const = default;
+};
+
+/** The ends of a worker up to a number are durable. */
+struct AgentAck
+{
+  ledger::WorkerLife life;
+  std::uint64_t number = 0;
+  bool operator==(const AgentAck&) const = default;
+};
+
+/** Orders the start of a run; answered with AgentOutcome. */
+struct AgentStart
+{
+  base::FencingToken token;
+  ledger::WorkerLife life;
+  job::TaskRun run;
+  std::string payload;
+  /** Progress to resume from; empty if there is none. */
+  std::string checkpoint;
+  bool operator==(const AgentStart&) const = default;
+};
+
+/** Orders the end of a run; answered by its end or by AgentOutcome. */
+struct AgentStop
+{
+  base::FencingToken token;
+  ledger::WorkerLife life;
+  job::TaskRun run;
+  bool operator==(const AgentStop&) const = default;
+};
+
+struct AgentOutcome
+{
+  ledger::WorkerLife life;
+  job::TaskRun run;
+  dispatch::OrderOutcome outcome = dispatch::OrderOutcome::Refused;
+  bool operator==(const AgentOutcome&) const = default;
+};
+
+/** There is a coordinator with this token at this address. */
+struct LeaderNotice
+{
+  base::FencingToken token;
+  std::string address;
+  bool operator==(const LeaderNotice&) const = default;
+};
+
 using Message = std::variant<TargetHello,
                              EntryHello,
                              FetchTopology,
@@ -234,7 +303,14 @@
                              ForwardJob,
                              ForwardJobReply,
                              FetchPolicy,
-                             PolicyReply>;
+                             PolicyReply,
+                             AgentReport,
+                             AgentGrant,
+                             AgentAck,
+                             AgentStart,
+                             AgentStop,
+                             AgentOutcome,
+                             LeaderNotice>;
 
 /** Matches a reply to its call on one connection; 0: no reply expected. */
 using CorrelationId = base::StrongNumber<struct CorrelationTag>;
--- /dev/null
+++ b/libs/protocol/src/AgentDecoder.cpp
@@ -0,0 +1,162 @@
+#include "AgentDecoder.h"
+
+#include <string>
+#include <string_view>
+
+namespace amaranthwind::protocol {
+
+using base::ErrorCode;
+using base::Fail;
+using base::Result;
+
+namespace {
+
+std::string
+Text(const flatbuffers::String* aString)
+{
+  return aString == nullptr ? std::string() : aString->str();
+}
+
+Result<ledger::WorkerLife>
+ToLife(const wire::Life* aLife, std::string_view aField)
+{
+  if (aLife == nullptr || Text(aLife->worker()).empty()) {
+    return Fail(ErrorCode::MissingField, aField);
+  }
+  return ledger::WorkerLife{ base::TargetId(Text(aLife->worker())),
+                             aLife->born() };
+}
+
+Result<job::TaskRun>
+ToRun(const wire::Run* aRun, std::string_view aField)
+{
+  if (aRun == nullptr || aRun->run() == 0) {
+    return Fail(ErrorCode::MissingField, aField);
+  }
+  BOOST_OUTCOME_TRY(auto task, job::ParseTaskId(Text(aRun->task())));
+  return job::TaskRun{ std::move(task), aRun->run() };
+}
+
+Result<dispatch::WorkerInfo>
+ToWorker(const wire::Worker& aWorker)
+{
+  dispatch::WorkerInfo worker;
+  BOOST_OUTCOME_TRY(worker.life,
+                    ToLife(aWorker.life(), "AgentReport.worker.life"));
+  worker.pool = base::PoolId(Text(aWorker.pool()));
+  worker.zone = base::ZoneId(Text(aWorker.zone()));
+  worker.rack = base::RackId(Text(aWorker.rack()));
+  if (aWorker.labels() != nullptr) {
+    for (const auto* label : *aWorker.labels()) {
+      worker.labels.push_back(Text(label));
+    }
+  }
+  worker.capacity = { aWorker.milli_cores(),
+                      aWorker.memory_mib(),
+                      aWorker.accelerators() };
+  worker.isDraining = aWorker.is_draining();
+  return worker;
+}
+
+} // namespace
+
+Result<Message>
+Decode(const wire::AgentReport& aReport)
+{
+  AgentReport decoded;
+  decoded.sequence = aReport.sequence();
+  decoded.token = base::FencingToken(aReport.token());
+  decoded.report.agent = base::AgentId(Text(aReport.agent()));
+  if (decoded.report.agent.IsEmpty()) {
+    return Fail(ErrorCode::MissingField, "AgentReport.agent");
+  }
+  if (aReport.worker() != nullptr) {
+    BOOST_OUTCOME_TRY(decoded.report.worker, ToWorker(*aReport.worker()));
+  }
+  if (aReport.running() != nullptr) {
+    for (const auto* each : *aReport.running()) {
+      BOOST_OUTCOME_TRY(auto run,
+                        ToRun(each->run(), "AgentReport.running.run"));
+      decoded.report.running.push_back(
+        { std::move(run), Text(each->checkpoint()), each->percent() });
+    }
+  }
+  if (aReport.ended() != nullptr) {
+    for (const auto* each : *aReport.ended()) {
+      BOOST_OUTCOME_TRY(auto run, ToRun(each->run(), "AgentReport.ended.run"));
+      if (each->kind() > static_cast<std::uint8_t>(dispatch::EndKind::Alone)) {
+        return Fail(ErrorCode::OutOfRange, "AgentReport.ended.kind");
+      }
+      decoded.report.ended.push_back(
+        { each->number(),
+          std::move(run),
+          static_cast<dispatch::EndKind>(each->kind()),
+          Text(each->checkpoint()) });
+    }
+  }
+  return decoded;
+}
+
+Result<Message>
+Decode(const wire::AgentGrant& aGrant)
+{
+  return AgentGrant{ aGrant.sequence(),
+                     base::FencingToken(aGrant.token()),
+                     std::chrono::milliseconds(aGrant.duration_ms()) };
+}
+
+Result<Message>
+Decode(const wire::AgentAck& aAck)
+{
+  BOOST_OUTCOME_TRY(auto life, ToLife(aAck.life(), "AgentAck.life"));
+  return AgentAck{ std::move(life), aAck.number() };
+}
+
+Result<Message>
+Decode(const wire::AgentStart& aStart)
+{
+  BOOST_OUTCOME_TRY(auto life, ToLife(aStart.life(), "AgentStart.life"));
+  BOOST_OUTCOME_TRY(auto run, ToRun(aStart.run(), "AgentStart.run"));
+  return AgentStart{ base::FencingToken(aStart.token()),
+                     std::move(life),
+                     std::move(run),
+                     Text(aStart.payload()),
+                     Text(aStart.checkpoint()) };
+}
+
+Result<Message>
+Decode(const wire::AgentStop& aStop)
+{
+  BOOST_OUTCOME_TRY(auto life, ToLife(aStop.life(), "AgentStop.life"));
+  BOOST_OUTCOME_TRY(auto run, ToRun(aStop.run(), "AgentStop.run"));
+  return AgentStop{ base::FencingToken(aStop.token()),
+                    std::move(life),
+                    std::move(run) };
+}
+
+Result<Message>
+Decode(const wire::AgentOutcome& aOutcome)
+{
+  BOOST_OUTCOME_TRY(auto life, ToLife(aOutcome.life(), "AgentOutcome.life"));
+  BOOST_OUTCOME_TRY(auto run, ToRun(aOutcome.run(), "AgentOutcome.run"));
+  if (aOutcome.outcome() >
+      static_cast<std::uint8_t>(dispatch::OrderOutcome::Absent)) {
+    return Fail(ErrorCode::OutOfRange, "AgentOutcome.outcome");
+  }
+  return AgentOutcome{ std::move(life),
+                       std::move(run),
+                       static_cast<dispatch::OrderOutcome>(
+                         aOutcome.outcome()) };
+}
+
+Result<Message>
+Decode(const wire::LeaderNotice& aNotice)
+{
+  if (Text(aNotice.address()).empty()) {
+    return Fail(ErrorCode::MissingField, "LeaderNotice.address");
+  }
+  return LeaderNotice{ base::FencingToken(aNotice.token()),
+                       Text(aNotice.address()) };
+}
+
+} // namespace amaranthwind::protocol
--- /dev/null
+++ b/libs/protocol/src/AgentDecoder.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "amaranthwind/base/Result.h"
+#include "amaranthwind/protocol/Messages.h"
+#include "envelope_generated.h"
+
+namespace amaranthwind::protocol {
+
+// Errors of all: MissingField, OutOfRange, Malformed (a run's name).
+
+base::Result<Message>
+Decode(const wire::AgentReport& aReport);
+base::Result<Message>
+Decode(const wire::AgentGrant& aGrant);
+base::Result<Message>
+Decode(const wire::AgentAck& aAck);
+base::Result<Message>
+Decode(const wire::AgentStart& aStart);
+base::Result<Message>
+Decode(const wire::AgentStop& aStop);
+base::Result<Message>
+Decode(const wire::AgentOutcome& aOutcome);
+base::Result<Message>
+Decode(const wire::LeaderNotice& aNotice);
+
+} // namespace amaranthwind::protocol
--- /dev/null
+++ b/libs/protocol/src/AgentEncoder.cpp
@@ -0,0 +1,135 @@
+// The messages between a coordinator and the daemons of workers.
+
+#include "WireEncoder.h"
+
+#include <memory>
+
+namespace amaranthwind::protocol {
+
+using flatbuffers::Offset;
+
+namespace {
+
+std::unique_ptr<wire::LifeT>
+ToWire(const ledger::WorkerLife& aLife)
+{
+  auto life = std::make_unique<wire::LifeT>();
+  life->worker = aLife.id.Text();
+  life->born = aLife.born;
+  return life;
+}
+
+std::unique_ptr<wire::RunT>
+ToWire(const job::TaskRun& aRun)
+{
+  auto run = std::make_unique<wire::RunT>();
+  run->task = job::ToText(aRun.task);
+  run->run = aRun.run;
+  return run;
+}
+
+std::unique_ptr<wire::WorkerT>
+ToWire(const dispatch::WorkerInfo& aWorker)
+{
+  auto worker = std::make_unique<wire::WorkerT>();
+  worker->life = ToWire(aWorker.life);
+  worker->pool = aWorker.pool.Text();
+  worker->zone = aWorker.zone.Text();
+  worker->rack = aWorker.rack.Text();
+  worker->labels = aWorker.labels;
+  worker->milli_cores = aWorker.capacity.milliCores;
+  worker->memory_mib = aWorker.capacity.memoryMiB;
+  worker->accelerators = aWorker.capacity.accelerators;
+  worker->is_draining = aWorker.isDraining;
+  return worker;
+}
+
+} // namespace
+
+Offset<wire::AgentReport>
+WireEncoder::operator()(const AgentReport& aReport)
+{
+  wire::AgentReportT report;
+  report.sequence = aReport.sequence;
+  report.token = aReport.token.Get();
+  report.agent = aReport.report.agent.Text();
+  if (aReport.report.worker) {
+    report.worker = ToWire(*aReport.report.worker);
+  }
+  for (const auto& each : aReport.report.running) {
+    auto running = std::make_unique<wire::RunningTaskT>();
+    running->run = ToWire(each.run);
+    running->checkpoint = each.checkpoint;
+    running->percent = each.percent;
+    report.running.push_back(std::move(running));
+  }
+  for (const auto& each : aReport.report.ended) {
+    auto ended = std::make_unique<wire::EndedTaskT>();
+    ended->number = each.number;
+    ended->run = ToWire(each.run);
+    ended->kind = static_cast<std::uint8_t>(each.kind);
+    ended->checkpoint = each.checkpoint;
+    report.ended.push_back(std::move(ended));
+  }
+  return wire::CreateAgentReport(this->builder, &report);
+}
+
+Offset<wire::AgentGrant>
+WireEncoder::operator()(const AgentGrant& aGrant)
+{
+  return wire::CreateAgentGrant(
+    this->builder,
+    aGrant.sequence,
+    aGrant.token.Get(),
+    static_cast<std::uint32_t>(aGrant.duration.count()));
+}
+
+Offset<wire::AgentAck>
+WireEncoder::operator()(const AgentAck& aAck)
+{
+  wire::AgentAckT ack;
+  ack.life = ToWire(aAck.life);
+  ack.number = aAck.number;
+  return wire::CreateAgentAck(this->builder, &ack);
+}
+
+Offset<wire::AgentStart>
+WireEncoder::operator()(const AgentStart& aStart)
+{
+  wire::AgentStartT start;
+  start.token = aStart.token.Get();
+  start.life = ToWire(aStart.life);
+  start.run = ToWire(aStart.run);
+  start.payload = aStart.payload;
+  start.checkpoint = aStart.checkpoint;
+  return wire::CreateAgentStart(this->builder, &start);
+}
+
+Offset<wire::AgentStop>
+WireEncoder::operator()(const AgentStop& aStop)
+{
+  wire::AgentStopT stop;
+  stop.token = aStop.token.Get();
+  stop.life = ToWire(aStop.life);
+  stop.run = ToWire(aStop.run);
+  return wire::CreateAgentStop(this->builder, &stop);
+}
+
+Offset<wire::AgentOutcome>
+WireEncoder::operator()(const AgentOutcome& aOutcome)
+{
+  wire::AgentOutcomeT outcome;
+  outcome.life = ToWire(aOutcome.life);
+  outcome.run = ToWire(aOutcome.run);
+  outcome.outcome = static_cast<std::uint8_t>(aOutcome.outcome);
+  return wire::CreateAgentOutcome(this->builder, &outcome);
+}
+
+Offset<wire::LeaderNotice>
+WireEncoder::operator()(const LeaderNotice& aNotice)
+{
+  const auto address = this->String(aNotice.address);
+  return wire::CreateLeaderNotice(this->builder, aNotice.token.Get(), address);
+}
+
+} // namespace amaranthwind::protocol
--- a/libs/protocol/src/WireDecoder.cpp
+++ b/libs/protocol/src/WireDecoder.cpp
@@ -1,5 +1,6 @@
 #include "WireDecoder.h"
 
+#include "AgentDecoder.h"
 #include "GangStepKind.h"
 
 #include <memory>
@@ -586,6 +587,20 @@
       return Decode(*aEnvelope.body_as_PolicyReply());
     case wire::Body::FetchTopology:
       return Decode(*aEnvelope.body_as_FetchTopology());
+    case wire::Body::AgentReport:
+      return protocol::Decode(*aEnvelope.body_as_AgentReport());
+    case wire::Body::AgentGrant:
+      return protocol::Decode(*aEnvelope.body_as_AgentGrant());
+    case wire::Body::AgentAck:
+      return protocol::Decode(*aEnvelope.body_as_AgentAck());
+    case wire::Body::AgentStart:
+      return protocol::Decode(*aEnvelope.body_as_AgentStart());
+    case wire::Body::AgentStop:
+      return protocol::Decode(*aEnvelope.body_as_AgentStop());
+    case wire::Body::AgentOutcome:
+      return protocol::Decode(*aEnvelope.body_as_AgentOutcome());
+    case wire::Body::LeaderNotice:
+      return protocol::Decode(*aEnvelope.body_as_LeaderNotice());
     case wire::Body::NONE:
       break;
   }
--- a/libs/protocol/src/WireEncoder.h
+++ b/libs/protocol/src/WireEncoder.h
@@ -63,6 +63,15 @@
   flatbuffers::Offset<wire::PolicyReply> operator()(const PolicyReply& aReply);
   flatbuffers::Offset<wire::FetchTopology> operator()(
     const FetchTopology& aFetch);
+  flatbuffers::Offset<wire::AgentReport> operator()(const AgentReport& aReport);
+  flatbuffers::Offset<wire::AgentGrant> operator()(const AgentGrant& aGrant);
+  flatbuffers::Offset<wire::AgentAck> operator()(const AgentAck& aAck);
+  flatbuffers::Offset<wire::AgentStart> operator()(const AgentStart& aStart);
+  flatbuffers::Offset<wire::AgentStop> operator()(const AgentStop& aStop);
+  flatbuffers::Offset<wire::AgentOutcome> operator()(
+    const AgentOutcome& aOutcome);
+  flatbuffers::Offset<wire::LeaderNotice> operator()(
+    const LeaderNotice& aNotice);
 
 private:
   using StringOffset = flatbuffers::Offset<flatbuffers::String>;
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -32,6 +32,26 @@
   return { first, first + aText.size() };
 }
 
+const ledger::WorkerLife kLife{ base::TargetId("w1"), 1'700'000'000'000 };
+const job::TaskRun kRun{ { { base::JobId("j1"), 1, 2 }, 3 }, 4 };
+
+dispatch::WorkerReport
+MakeReport()
+{
+  dispatch::WorkerInfo worker;
+  worker.life = kLife;
+  worker.pool = base::PoolId("p");
+  worker.zone = base::ZoneId("z");
+  worker.rack = base::RackId("k");
+  worker.labels = { "a", "k" };
+  worker.capacity = { 64000, 131072, 8 };
+  worker.isDraining = true;
+  return { base::AgentId("vm-1"),
+           worker,
+           { { kRun, "saved", 41 } },
+           { { 9, kRun, dispatch::EndKind::Broken, "last" } } };
+}
+
 /** One message of each type, with every field set. */
 std::vector<Message>
 AllMessages()
@@ -117,6 +137,13 @@
     ForwardJobReply{ 202, milliseconds(3), "{}" },
     FetchPolicy{},
     PolicyReply{ base::LogOffset(8), "{}" },
+    AgentReport{ 5, base::FencingToken(3), MakeReport() },
+    AgentGrant{ 5, base::FencingToken(3), milliseconds(5000) },
+    AgentAck{ kLife, 17 },
+    AgentStart{ base::FencingToken(3), kLife, kRun, "spec", "saved" },
+    AgentStop{ base::FencingToken(3), kLife, kRun },
+    AgentOutcome{ kLife, kRun, dispatch::OrderOutcome::Absent },
+    LeaderNotice{ base::FencingToken(3), "127.0.0.1:7" },
   };
 }
 
@@ -234,6 +261,13 @@
       ErrorCode::OutOfRange,
       "GangStep.reason" },
     { ForwardJob{}, ErrorCode::MissingField, "ForwardJob.path" },
+    { AgentReport{}, ErrorCode::MissingField, "AgentReport.agent" },
+    { AgentStart{}, ErrorCode::MissingField, "AgentStart.life" },
+    { AgentStop{ {}, kLife, {} }, ErrorCode::MissingField, "AgentStop.run" },
+    { AgentOutcome{ kLife, kRun, static_cast<dispatch::OrderOutcome>(9) },
+      ErrorCode::OutOfRange,
+      "AgentOutcome.outcome" },
+    { LeaderNotice{}, ErrorCode::MissingField, "LeaderNotice.address" },
   };
   for (const auto& each : cases) {
     CAPTURE(each.subject);
--- a/libs/telemetry/include/amaranthwind/telemetry/Log4cplusSink.h
+++ b/libs/telemetry/include/amaranthwind/telemetry/Log4cplusSink.h
@@ -2,14 +2,16 @@
 
 #include "amaranthwind/telemetry/LogSink.h"
 
+#include <cstdint>
 #include <memory>
 
 namespace amaranthwind::telemetry {
 
 /**
- * Writes lines to standard error with log4cplus. A write takes the lock of the
- * log4cplus appender; the rate limits of Logger bound how often that happens.
- * Only one may exist at a time, because it starts and shuts down log4cplus.
+ * Writes lines with log4cplus, on a thread of its own: the caller only puts the
+ * line into a bounded queue. A line that finds the queue full is dropped and
+ * counted, so that a reader of the log that stands still holds nothing up. Only
+ * one may exist at a time, because it starts and shuts down log4cplus.
  */
 class Log4cplusSink final : public LogSink
 {
@@ -20,7 +22,10 @@
   Log4cplusSink& operator=(const Log4cplusSink&) = delete;
 
   bool IsEnabled(LogLevel aLevel) const noexcept override;
+  LogFormat Format() const noexcept override;
   void Write(LogLevel aLevel, std::string_view aLine) noexcept override;
+  /** Lines that found the queue full. */
+  std::uint64_t DroppedLines() const noexcept;
 
 private:
   struct Impl;
--- a/libs/telemetry/include/amaranthwind/telemetry/LogSink.h
+++ b/libs/telemetry/include/amaranthwind/telemetry/LogSink.h
@@ -6,6 +6,7 @@
 
 namespace amaranthwind::telemetry {
 
+using settings::LogFormat;
 using settings::LogLevel;
 
 /** Where log lines go. Thread-safe. */
@@ -15,6 +16,8 @@
   virtual ~LogSink() = default;
   /** Called for every line before it is formatted, so it must be cheap. */
   virtual bool IsEnabled(LogLevel aLevel) const noexcept = 0;
+  /** How the lines that it is given should look. */
+  virtual LogFormat Format() const noexcept { return LogFormat::Text; }
   /** Writes one line without its end. Must not throw. */
   virtual void Write(LogLevel aLevel, std::string_view aLine) noexcept = 0;
 };
--- a/libs/telemetry/include/amaranthwind/telemetry/Logger.h
+++ b/libs/telemetry/include/amaranthwind/telemetry/Logger.h
@@ -87,6 +87,9 @@
  *
  *     routing: target left target=w-17 zone=tw-1
  *
+ * or, if the sink wants JSON, one object with the members "timeMs", "level",
+ * "component", "event" and the fields.
+ *
  * Each call site and the whole component are limited; the next line that is
  * written then ends with the number of lines left out, as "suppressed=12".
  * Takes no lock itself. Thread-safe.
@@ -132,6 +135,10 @@
            std::string_view aSentence,
            Fields aFields,
            LogSite aSite);
+  std::string FormatJson(LogLevel aLevel,
+                         std::string_view aSentence,
+                         Fields aFields,
+                         std::uint64_t aSuppressed) const;
   Site& FindSite(LogSite aSite) noexcept;
 
   LogSink& sink;
--- a/libs/telemetry/src/Log4cplusSink.cpp
+++ b/libs/telemetry/src/Log4cplusSink.cpp
@@ -1,5 +1,7 @@
 #include "amaranthwind/telemetry/Log4cplusSink.h"
 
+#include "amaranthwind/base/BoundedQueue.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/hierarchy.h>
 #include <log4cplus/initializer.h>
@@ -8,14 +10,23 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loglevel.h>
 
+#include <atomic>
+#include <chrono>
 #include <exception>
 #include <string>
+#include <thread>
 #include <utility>
 
 namespace amaranthwind::telemetry {
 
 namespace {
 
+/** Lines that wait to be written; a few hundred kilobytes at most. */
+constexpr std::size_t kQueueLines = 2048;
+constexpr base::Duration kIdleWait = std::chrono::hours(1);
+/** Lines in JSON carry their time and level themselves. */
+constexpr const char* kJsonLayout = "%m%n";
+
 log4cplus::LogLevel
 ToLog4cplus(LogLevel aLevel) noexcept
 {
@@ -42,6 +53,28 @@
   log4cplus::Hierarchy hierarchy;
   log4cplus::Logger logger = this->hierarchy.getRoot();
   LogLevel level = LogLevel::Info;
+  LogFormat format = LogFormat::Text;
+
+  struct Line
+  {
+    LogLevel level;
+    std::string text;
+  };
+  base::BoundedQueue<Line> queue{ kQueueLines };
+  std::atomic<std::uint64_t> dropped{ 0 };
+  std::thread writer;
+
+  void Run()
+  {
+    while (true) {
+      auto line = this->queue.PopFor(kIdleWait);
+      if (line) {
+        this->logger.forcedLog(ToLog4cplus(line->level), line->text);
+      } else if (this->queue.IsClosed()) {
+        return;
+      }
+    }
+  }
 };
 
 Log4cplusSink::Log4cplusSink(const settings::LogSettings& aSettings)
@@ -51,17 +84,22 @@
   // starts four threads for it.
   log4cplus::setThreadPoolSize(1);
   this->impl->level = aSettings.level;
+  this->impl->format = aSettings.format;
+  const bool isJson = aSettings.format == LogFormat::Json;
   // Flushed at once: the last lines before a crash are the most useful.
   log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(true, true));
-  appender->setLayout(
-    std::make_unique<log4cplus::PatternLayout>(aSettings.layout));
+    new log4cplus::ConsoleAppender(!isJson, true));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+    isJson ? kJsonLayout : aSettings.layout));
   this->impl->logger.addAppender(std::move(appender));
   this->impl->logger.setLogLevel(ToLog4cplus(aSettings.level));
+  this->impl->writer = std::thread([this] { this->impl->Run(); });
 }
 
 Log4cplusSink::~Log4cplusSink()
 {
+  this->impl->queue.Close();
+  this->impl->writer.join();
   this->impl->hierarchy.shutdown();
 }
 
@@ -71,11 +109,25 @@
   return aLevel >= this->impl->level;
 }
 
+LogFormat
+Log4cplusSink::Format() const noexcept
+{
+  return this->impl->format;
+}
+
+std::uint64_t
+Log4cplusSink::DroppedLines() const noexcept
+{
+  return this->impl->dropped.load(std::memory_order_relaxed);
+}
+
 void
 Log4cplusSink::Write(LogLevel aLevel, std::string_view aLine) noexcept
 {
   try {
-    this->impl->logger.forcedLog(ToLog4cplus(aLevel), std::string(aLine));
+    if (!this->impl->queue.TryPush({ aLevel, std::string(aLine) })) {
+      this->impl->dropped.fetch_add(1, std::memory_order_relaxed);
+    }
   } catch (const std::exception&) {
     // A line that cannot be written must not stop the process.
     return;
--- a/libs/telemetry/src/Logger.cpp
+++ b/libs/telemetry/src/Logger.cpp
@@ -1,6 +1,10 @@
 #include "amaranthwind/telemetry/Logger.h"
 
+#include "JsonText.h"
+
 #include <algorithm>
+#include <type_traits>
+#include <utility>
 
 namespace amaranthwind::telemetry {
 
@@ -67,6 +71,56 @@
   }
 }
 
+std::string_view
+NameOf(LogLevel aLevel) noexcept
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return "debug";
+    case LogLevel::Info:
+      return "info";
+    case LogLevel::Warning:
+      return "warning";
+    case LogLevel::Error:
+      break;
+  }
+  return "error";
+}
+
+/** Appends the members of a JSON object, one call a member. */
+class JsonLine
+{
+public:
+  void Add(std::string_view aKey, const DumpValue& aValue)
+  {
+    this->line += this->line.empty() ? '{' : ',';
+    AppendJsonText(this->line, aKey);
+    this->line += ':';
+    AppendJsonValue(this->line, aValue);
+  }
+  void Add(const LogField& aField)
+  {
+    std::visit(
+      [&](const auto& aValue) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(aValue)>,
+                                     std::string_view>) {
+          this->Add(aField.key, aValue.substr(0, kMaxValueBytes));
+        } else {
+          this->Add(aField.key, aValue);
+        }
+      },
+      aField.value);
+  }
+  std::string Finish()
+  {
+    this->line += '}';
+    return std::move(this->line);
+  }
+
+private:
+  std::string line;
+};
+
 } // namespace
 
 Logger::Logger(LogSink& aSink,
@@ -129,20 +183,48 @@
     this->suppressedLines.fetch_add(1, std::memory_order_relaxed);
     return;
   }
+  const std::uint64_t suppressed =
+    siteLimit.TakeRefused() + this->componentLimit.TakeRefused();
+  if (this->sink.Format() == LogFormat::Json) {
+    this->sink.Write(aLevel,
+                     this->FormatJson(aLevel, aSentence, aFields, suppressed));
+    return;
+  }
   std::string line = this->component;
   line += ": ";
   line += aSentence;
   for (const LogField& field : aFields) {
     AppendField(line, field);
   }
-  const std::uint64_t suppressed =
-    siteLimit.TakeRefused() + this->componentLimit.TakeRefused();
   if (suppressed > 0) {
     AppendField(line, { "suppressed", suppressed });
   }
   this->sink.Write(aLevel, line);
 }
 
+std::string
+Logger::FormatJson(LogLevel aLevel,
+                   std::string_view aSentence,
+                   Fields aFields,
+                   std::uint64_t aSuppressed) const
+{
+  JsonLine line;
+  line.Add("timeMs",
+           std::int64_t{ std::chrono::duration_cast<std::chrono::milliseconds>(
+                           this->clock.WallNow().time_since_epoch())
+                           .count() });
+  line.Add("level", NameOf(aLevel));
+  line.Add("component", std::string_view(this->component));
+  line.Add("event", aSentence);
+  for (const LogField& field : aFields) {
+    line.Add(field);
+  }
+  if (aSuppressed > 0) {
+    line.Add("suppressed", aSuppressed);
+  }
+  return line.Finish();
+}
+
 Logger::Site&
 Logger::FindSite(LogSite aSite) noexcept
 {
