Replace a silent leader although each view of the log is a little old

Each answer to a waiting read proves the view of the time at which the read was sent; with a wait of 1 s the former proof was 2 s old at each answer, above the limit of 1.5 s, so that the election counted every answer as the end of an outage.

Change: the wait is 0.6 s and the limit 2 s.

--- a/libs/coordinator/src/LeaderLog.cpp
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -21,10 +21,11 @@
 /** Between two looks at whether the leader is silent. */
 constexpr base::Duration kCheckInterval = 400ms;
 /**
- * The log holds a read of claims for this long. Shorter than the limit on the
- * age of a view that may prove the silence of a leader.
+ * The log holds a read of claims or pulses for this long. The view is up to
+ * twice as old when the next answer comes, which must be well below
+ * LeaderElectionOptions::viewLimit: an older view proves no silence.
  */
-constexpr base::Duration kReadWait = 1s;
+constexpr base::Duration kReadWait = 600ms;
 
 } // namespace
 
--- a/libs/membership/include/amaranthwind/membership/LeaderElection.h
+++ b/libs/membership/include/amaranthwind/membership/LeaderElection.h
@@ -35,7 +35,7 @@
   /** A leader that is silent for this long may be replaced. */
   base::Duration silenceLimit = std::chrono::milliseconds(1700);
   /** A view of the log that is older proves no silence. */
-  base::Duration viewLimit = std::chrono::milliseconds(1500);
+  base::Duration viewLimit = std::chrono::milliseconds(2000);
 };
 
 /**
