End daemons within their grace: do not wait for the threads of log4cplus

Marks in a scratch copy show that they hung in the deinitialisation of log4cplus, which joins its pool.

Change: the sink initialises log4cplus and leaves it so; main ends with quick_exit after the log is flushed.

--- a/apps/amaranthwindd/main.cpp
+++ b/apps/amaranthwindd/main.cpp
@@ -197,5 +197,9 @@
 {
   auto arguments =
     docopt::docopt(kUsage, { argv + 1, argv + argc }, true, "amaranthwindd");
-  return Main(arguments);
+  const int code = Main(arguments);
+  std::cout.flush();
+  // Skips the destructors of static objects: log4cplus has one that waits for
+  // threads, and a daemon that was told to stop must not outlive its grace.
+  std::quick_exit(code);
 }
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -171,9 +171,9 @@
     const bool isReserved =
       std::any_of(this->reservations.begin(),
                   this->reservations.end(),
-                  [&](const Reservation& aReservation) {
+                  [&, id = agent](const Reservation& aReservation) {
                     return ends > aReservation.until &&
-                           aReservation.workers.contains(agent);
+                           aReservation.workers.contains(id);
                   });
     if (!isReserved) {
       usable.push_back(const_cast<Worker*>(&worker));
--- a/libs/telemetry/include/amaranthwind/telemetry/Log4cplusSink.h
+++ b/libs/telemetry/include/amaranthwind/telemetry/Log4cplusSink.h
@@ -11,7 +11,7 @@
  * Writes lines with log4cplus, on a thread of its own: the caller only puts the
  * line into a bounded queue. A line that finds the queue full is dropped and
  * counted, so that a reader of the log that stands still holds nothing up. Only
- * one may exist at a time, because it starts and shuts down log4cplus.
+ * one may exist at a time.
  */
 class Log4cplusSink final : public LogSink
 {
--- a/libs/telemetry/src/Log4cplusSink.cpp
+++ b/libs/telemetry/src/Log4cplusSink.cpp
@@ -4,7 +4,6 @@
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/hierarchy.h>
-#include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/log4cplus.h>
 #include <log4cplus/logger.h>
@@ -47,8 +46,6 @@
 
 struct Log4cplusSink::Impl
 {
-  // Started first and shut down last.
-  log4cplus::Initializer initializer;
   // A hierarchy of its own, so that an embedding program keeps its loggers.
   log4cplus::Hierarchy hierarchy;
   log4cplus::Logger logger = this->hierarchy.getRoot();
@@ -78,8 +75,11 @@
 };
 
 Log4cplusSink::Log4cplusSink(const settings::LogSettings& aSettings)
-  : impl(std::make_unique<Impl>())
 {
+  // Never undone: log4cplus would wait for the threads of its pool, which has
+  // held up the end of a process until it was killed.
+  log4cplus::initialize();
+  this->impl = std::make_unique<Impl>();
   // The pool only serves asynchronous appenders, which are not used; log4cplus
   // starts four threads for it.
   log4cplus::setThreadPoolSize(1);
