--- a/libs/coordinator/src/LeaderLog.cpp
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -64,6 +64,7 @@
   void OnCurrent(base::TimePoint aAsOf) override
   {
     this->owner.election.OnCurrent(aAsOf, this->owner.clock.Now());
+    this->owner.ClaimIfDue();
   }
   void OnUnavailable(const base::Error&) override {}
 
@@ -136,6 +137,7 @@
 void
 LeaderLog::OnLoaded(std::span<const journal::KeyedRecord> aNewest)
 {
+  this->hasLoadedClaims = true;
   this->OnRecords(aNewest);
 }
 
@@ -173,17 +175,14 @@
   if (wasLeader && !this->election.IsLeader()) {
     this->observer.OnDeposed();
   }
+  this->ClaimIfDue();
 }
 
 void
 LeaderLog::OnCurrent(base::TimePoint aAsOf)
 {
+  // Says nothing of pulses: those are read on their own.
   this->confirmedAt = std::max(this->confirmedAt, aAsOf);
-  this->election.OnCurrent(aAsOf, this->clock.Now());
-  if (!this->isClaiming && !this->isResigned &&
-      this->election.ShouldClaim(this->clock.Now())) {
-    this->Claim();
-  }
 }
 
 void
@@ -195,12 +194,18 @@
 }
 
 void
-LeaderLog::Check()
+LeaderLog::ClaimIfDue()
 {
-  if (!this->isClaiming && !this->isResigned &&
+  if (this->hasLoadedClaims && !this->isClaiming && !this->isResigned &&
       this->election.ShouldClaim(this->clock.Now())) {
     this->Claim();
   }
+}
+
+void
+LeaderLog::Check()
+{
+  this->ClaimIfDue();
   this->After(kCheckInterval, &LeaderLog::Check);
 }
 
--- a/libs/coordinator/src/LeaderLog.h
+++ b/libs/coordinator/src/LeaderLog.h
@@ -67,6 +67,7 @@
   /** Pulses are in a partition of their own, so that they move no claim. */
   class Pulses;
 
+  void ClaimIfDue();
   void Check();
   void Claim();
   void OnClaimAnswer(const base::Result<base::LogOffset>& aResult);
@@ -90,6 +91,7 @@
   base::LogOffset claimsEnd;
   base::TimePoint confirmedAt{};
   base::Backoff claimBackoff;
+  bool hasLoadedClaims = false;
   bool isClaiming = false;
   /** Of the newest own claim that was seen in the log. */
   base::FencingToken lastOwnToken;
--- a/libs/membership/include/amaranthwind/membership/LeaderElection.h
+++ b/libs/membership/include/amaranthwind/membership/LeaderElection.h
@@ -56,7 +56,10 @@
                base::TimePoint aNow);
   /** A pulse of the leader with the given token was read. */
   void OnPulse(base::FencingToken aToken, base::TimePoint aNow);
-  /** The claims and pulses that were acknowledged before aAsOf are known. */
+  /**
+   * The pulses that were acknowledged before aAsOf are known. Reading claims
+   * is no substitute: pulses may be held up while claims are read.
+   */
   void OnCurrent(base::TimePoint aAsOf, base::TimePoint aNow);
 
   /** True if the entry should append a claim now. */
