--- a/libs/coordinator/src/Submissions.cpp
+++ b/libs/coordinator/src/Submissions.cpp
@@ -3,6 +3,7 @@
 #include "DispatchRunner.h"
 #include "amaranthwind/base/Backoff.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthwind::coordinator {
@@ -10,6 +11,16 @@
 using base::ErrorCode;
 using namespace std::chrono_literals;
 
+namespace {
+
+/**
+ * A caller is answered after this time even if it would wait longer: another
+ * entry may reach the log, and the same request may be sent there.
+ */
+constexpr base::Duration kMaxTime = 1200ms;
+
+} // namespace
+
 struct Submissions::Attempt
 {
   journal::KeyedValue record;
@@ -35,7 +46,7 @@
 {
   auto attempt = std::make_shared<Attempt>();
   attempt->record = std::move(aRecord);
-  attempt->giveUpAt = this->clock.Now() + aTimeout;
+  attempt->giveUpAt = this->clock.Now() + std::min(aTimeout, kMaxTime);
   attempt->handler = std::move(aHandler);
   this->Try(attempt);
 }
--- a/libs/journal/include/amaranthwind/journal/KeyedFollower.h
+++ b/libs/journal/include/amaranthwind/journal/KeyedFollower.h
@@ -34,7 +34,7 @@
    * How long the log holds a read at the end of the topic. The view is up to
    * this old when nothing changes.
    */
-  base::Duration wait = std::chrono::seconds(1);
+  base::Duration wait = std::chrono::milliseconds(600);
   base::BackoffOptions backoff{ std::chrono::milliseconds(50),
                                 std::chrono::milliseconds(500) };
 };
