Do not wait for a rack while much of the pool is idle

Change: the wait is 1.5 s while less than 75% of the accelerators are in use, and suspect workers are used after that time as well.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -192,6 +192,8 @@
                                            std::uint32_t aCount,
                                            std::vector<PackingWorker> aRoom);
   void Reserve(const Candidate& aCandidate);
+  /** Share of the accelerators of a pool that is in use. */
+  double UsedShare(const base::PoolId& aPool) const;
   base::Duration RemainingOf(const job::TaskRun& aRun);
 
   // Reclaiming room for guarantees (Preemption.cpp).
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -15,6 +15,10 @@
 constexpr int kRemoteFactor = 3;
 /** A step waits this many estimates for the rack that suits it. */
 constexpr int kRackPatience = kRemoteFactor - 1;
+/** The same while much of the pool is idle: room must not stay unused. */
+constexpr base::Duration kIdlePatience = std::chrono::milliseconds(1500);
+/** Share of the accelerators in use below which a pool counts as idle. */
+constexpr double kIdleShare = 0.75;
 /** A guaranteed step is not held up by its wish for one rack for longer. */
 constexpr base::Duration kGuaranteedPatience = std::chrono::milliseconds(1200);
 /** A run that outlives its estimate is taken to last this share of it more. */
@@ -154,10 +158,16 @@
 Dispatcher::State::Usable(const Candidate& aCandidate) const
 {
   const job::StepSpec& spec = aCandidate.Spec();
+  // A suspect worker is better than none once everything else is busy or
+  // does not suit.
+  const bool mayUseSuspects =
+    this->moment.now - aCandidate.step->readyAt.value_or(this->moment.now) >
+      kIdlePatience &&
+    this->UsedShare(aCandidate.job->spec->pool) < kIdleShare;
   std::vector<Worker*> usable;
   for (const auto& [agent, worker] : this->workers) {
     if (!worker.info || worker.info->isDraining ||
-        worker.avoidUntil > this->moment.now ||
+        (worker.avoidUntil > this->moment.now && !mayUseSuspects) ||
         worker.info->pool != aCandidate.job->spec->pool) {
       continue;
     }
@@ -221,9 +231,12 @@
   request.count = aCount;
   const base::Duration waited =
     this->moment.now - aCandidate.step->readyAt.value_or(this->moment.now);
-  const base::Duration patience = aCandidate.isGuaranteed
-                                    ? kGuaranteedPatience
-                                    : spec.estimate * kRackPatience;
+  base::Duration patience = spec.estimate * kRackPatience;
+  if (aCandidate.isGuaranteed) {
+    patience = kGuaranteedPatience;
+  } else if (this->UsedShare(aCandidate.job->spec->pool) < kIdleShare) {
+    patience = std::min(patience, kIdlePatience);
+  }
   const bool isPatient = waited < patience;
   if (spec.prefersOneRack && spec.count > 1 && isPatient) {
     // A gang that no rack could hold even if it were empty does not wait.
@@ -335,6 +348,21 @@
   this->MarkDirty(step);
 }
 
+double
+Dispatcher::State::UsedShare(const base::PoolId& aPool) const
+{
+  std::uint64_t used = 0;
+  std::uint64_t all = 0;
+  for (const auto& [agent, worker] : this->workers) {
+    if (worker.info && worker.info->pool == aPool &&
+        !worker.info->isDraining) {
+      used += worker.used.accelerators;
+      all += worker.info->capacity.accelerators;
+    }
+  }
+  return all == 0 ? 1.0 : static_cast<double>(used) / static_cast<double>(all);
+}
+
 base::Duration
 Dispatcher::State::RemainingOf(const job::TaskRun& aRun)
 {
