--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -1,5 +1,7 @@
 #include "harness/Deployment.h"
 
+#include "harness/Address.h"
+
 #include <boost/json.hpp>
 
 #include <unistd.h>
@@ -25,23 +27,6 @@
 
 const std::string kBinaries = AMARANTHWIND_BIN_DIR;
 
-/**
- * An address that no other test process uses: each process has a loopback IP of
- * its own, and hands out ports below those that the system gives to clients.
- */
-std::string
-FreeAddress()
-{
-  constexpr unsigned kHostsPerByte = 250;
-  constexpr unsigned kFirstPort = 20'000;
-  static const auto pid = static_cast<unsigned>(getpid());
-  static std::atomic<unsigned> next{ kFirstPort };
-  const unsigned third = 1 + pid / kHostsPerByte % kHostsPerByte;
-  const unsigned fourth = 1 + pid % kHostsPerByte;
-  return "127.7." + std::to_string(third) + "." + std::to_string(fourth) + ":" +
-         std::to_string(next.fetch_add(1));
-}
-
 std::string
 MakeFolder()
 {
--- /dev/null
+++ b/tests/harness/PlatformDeployment.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "amaranthwind/frontend/HttpClient.h"
+#include "harness/Process.h"
+#include "standins/PlatformStore.h"
+#include "standins/PlatformWorker.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthwind::harness {
+
+/**
+ * Schedulers and agents as real processes, against stand-ins of the platform
+ * that live in the process of the test.
+ */
+class PlatformDeployment
+{
+public:
+  struct Scheduler
+  {
+    std::string name;
+    std::string client;
+    std::string ready;
+    std::string settings;
+    std::unique_ptr<Process> process;
+  };
+  struct Worker
+  {
+    std::string settings;
+    std::unique_ptr<standins::PlatformWorker> worker;
+    std::unique_ptr<frontend::HttpServer> server;
+    std::unique_ptr<Process> agent;
+  };
+
+  PlatformDeployment(std::size_t aSchedulers, std::size_t aWorkers);
+  ~PlatformDeployment();
+  PlatformDeployment(const PlatformDeployment&) = delete;
+  PlatformDeployment& operator=(const PlatformDeployment&) = delete;
+
+  /** Publishes a configuration with one queue and one key. */
+  void Configure(std::uint64_t aVersion, std::string_view aKey);
+  void StartScheduler(Scheduler& aScheduler);
+  void StartAgent(Worker& aWorker);
+  /** Starts everything and waits until every scheduler is ready. */
+  bool Start();
+
+  /** HTTP status of the answer; 0 if there is none. */
+  unsigned Send(const Scheduler& aScheduler,
+                std::string_view aMethod,
+                std::string_view aId,
+                const std::string& aBody = {},
+                std::string_view aKey = kKey);
+  /** State of the job as the scheduler tells it; empty if it does not. */
+  std::string State(const Scheduler& aScheduler, std::string_view aId);
+  unsigned ReadyStatus(const Scheduler& aScheduler);
+
+  /** Starts of all workers, as "task#run". */
+  std::vector<std::string> Starts() const;
+  std::size_t Running() const;
+  static bool WaitUntil(const std::function<bool()>& aCondition);
+
+  static constexpr std::string_view kKey = "key-1";
+
+  std::vector<Scheduler> schedulers;
+  std::vector<Worker> workers;
+
+private:
+  frontend::HttpResult Request(const std::string& aAddress,
+                               frontend::HttpRequest aRequest);
+  std::string WriteSettings(const std::string& aName,
+                            const std::string& aText) const;
+
+  net::IoPool pool{ 2 };
+
+public:
+  standins::PlatformStore store{ pool };
+
+private:
+  frontend::HttpServer storeServer{ pool, { .maxConnections = 4096 }, store };
+  std::string storeAddress;
+  std::string folder;
+};
+
+} // namespace amaranthwind::harness
--- /dev/null
+++ b/tests/standins/PlatformStore.cpp
@@ -0,0 +1,277 @@
+#include "standins/PlatformStore.h"
+
+#include "amaranthwind/codec/Base64.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+
+namespace amaranthwind::standins {
+
+namespace json = boost::json;
+using frontend::HttpRequest;
+using frontend::HttpResponder;
+using frontend::HttpResponse;
+
+namespace {
+
+constexpr std::size_t kPageItems = 500;
+constexpr unsigned kBitsPerByte = 8;
+
+HttpResponse
+MakeResponse(std::uint16_t aStatus, const json::object& aBody = {})
+{
+  return { aStatus, "application/json", {}, json::serialize(aBody) };
+}
+
+std::uint64_t
+ToNumber(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return number;
+}
+
+std::string
+PercentDecode(std::string_view aText)
+{
+  std::string decoded;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] == '%' && i + 2 < aText.size()) {
+      unsigned byte = 0;
+      std::from_chars(aText.data() + i + 1, aText.data() + i + 3, byte, 16);
+      decoded += static_cast<char>(byte);
+      i += 2;
+    } else {
+      decoded += aText[i];
+    }
+  }
+  return decoded;
+}
+
+std::string
+PartitionName(const HttpRequest& aRequest)
+{
+  return PercentDecode(aRequest.QueryValue("topic")) + "#" +
+         std::string(aRequest.QueryValue("part"));
+}
+
+void
+AppendNumber(std::string& aOut, std::uint64_t aValue, unsigned aBytes)
+{
+  for (unsigned i = aBytes; i > 0; --i) {
+    aOut += static_cast<char>(aValue >> ((i - 1) * kBitsPerByte));
+  }
+}
+
+std::uint64_t
+TakeNumber(std::string_view& aBytes, unsigned aCount)
+{
+  std::uint64_t value = 0;
+  for (const char each : aBytes.substr(0, aCount)) {
+    value = value << kBitsPerByte | static_cast<unsigned char>(each);
+  }
+  aBytes.remove_prefix(std::min<std::size_t>(aCount, aBytes.size()));
+  return value;
+}
+
+} // namespace
+
+PlatformStore::PlatformStore(net::IoPool& aPool)
+  : pool(aPool)
+{
+}
+
+void
+PlatformStore::Handle(HttpRequest aRequest, HttpResponder aRespond)
+{
+  std::lock_guard lock(this->mutex);
+  if (this->mode == Mode::Down) {
+    aRespond(MakeResponse(503));
+  } else if (aRequest.path == "/api/log-append") {
+    auto response = this->Append(aRequest);
+    if (this->mode != Mode::LoseAnswers) {
+      aRespond(std::move(response));
+    }
+  } else if (aRequest.path == "/api/log-read") {
+    this->Read(aRequest, aRespond);
+  } else if (aRequest.path == "/api/log-newest") {
+    aRespond(this->Newest(aRequest));
+  } else {
+    aRespond(MakeResponse(404));
+  }
+}
+
+void
+PlatformStore::Put(const std::string& aTopic,
+                   const std::string& aKey,
+                   const std::string& aValue)
+{
+  std::lock_guard lock(this->mutex);
+  const std::string name = aTopic + "#0";
+  this->AddRecord(this->partitions[name], aKey, aValue);
+  this->WakeReaders(name);
+}
+
+void
+PlatformStore::SetMode(Mode aMode)
+{
+  std::lock_guard lock(this->mutex);
+  this->mode = aMode;
+}
+
+void
+PlatformStore::Compact()
+{
+  std::lock_guard lock(this->mutex);
+  for (auto& [name, partition] : this->partitions) {
+    partition.first = partition.records.size();
+  }
+}
+
+void
+PlatformStore::AddRecord(Partition& aPartition,
+                         std::string aKey,
+                         std::string aValue)
+{
+  if (aValue.empty()) {
+    aPartition.newest.erase(aKey);
+  } else {
+    aPartition.newest[aKey] = aPartition.records.size();
+  }
+  aPartition.records.emplace_back(std::move(aKey), std::move(aValue));
+}
+
+HttpResponse
+PlatformStore::Append(const HttpRequest& aRequest)
+{
+  const std::string name = PartitionName(aRequest);
+  Partition& partition = this->partitions[name];
+  const std::uint64_t end = partition.records.size();
+  const auto at = aRequest.QueryValue("at");
+  if (!at.empty() && ToNumber(at) != end) {
+    return MakeResponse(412, { { "end", end } });
+  }
+  const std::string producer(aRequest.QueryValue("producer"));
+  if (!producer.empty()) {
+    const std::uint64_t epoch = ToNumber(aRequest.QueryValue("epoch"));
+    const std::uint64_t sequence = ToNumber(aRequest.QueryValue("sequence"));
+    auto& known = partition.producers[producer];
+    if (epoch < known.epoch) {
+      return MakeResponse(409, { { "reason", "fenced" } });
+    }
+    if (epoch == known.epoch && sequence == known.sequence) {
+      return MakeResponse(200, { { "offset", known.offset }, { "end", end } });
+    }
+    if (epoch == known.epoch && sequence != known.sequence + 1) {
+      return MakeResponse(409, { { "reason", "seq" } });
+    }
+    known = { epoch, sequence, end };
+  }
+  std::string_view body = aRequest.body;
+  while (!body.empty()) {
+    const auto length = TakeNumber(body, 4);
+    std::string_view record = body.substr(0, length);
+    body.remove_prefix(std::min<std::size_t>(length, body.size()));
+    const auto keyLength = TakeNumber(record, 1);
+    this->AddRecord(partition,
+                    std::string(record.substr(0, keyLength)),
+                    std::string(record.substr(keyLength)));
+  }
+  this->WakeReaders(name);
+  return MakeResponse(
+    200, { { "offset", end }, { "end", partition.records.size() } });
+}
+
+HttpResponse
+PlatformStore::ReadNow(const Partition& aPartition, std::uint64_t aFrom)
+{
+  HttpResponse response;
+  response.contentType = "application/octet-stream";
+  AppendNumber(response.body, aPartition.records.size(), 8);
+  AppendNumber(response.body, aPartition.first, 8);
+  for (std::size_t i = aFrom; i < aPartition.records.size(); ++i) {
+    const auto& [key, value] = aPartition.records[i];
+    AppendNumber(response.body, 1 + key.size() + value.size(), 4);
+    AppendNumber(response.body, key.size(), 1);
+    response.body += key + value;
+  }
+  return response;
+}
+
+void
+PlatformStore::Read(const HttpRequest& aRequest, const HttpResponder& aRespond)
+{
+  const std::string name = PartitionName(aRequest);
+  const Partition& partition = this->partitions[name];
+  const std::uint64_t from = ToNumber(aRequest.QueryValue("from"));
+  const auto wait = ToNumber(aRequest.QueryValue("wait-ms"));
+  if (from < partition.first) {
+    aRespond(MakeResponse(410, { { "first", partition.first } }));
+  } else if (from < partition.records.size() || wait == 0) {
+    aRespond(ReadNow(partition, from));
+  } else {
+    const std::uint64_t id = ++this->lastWait;
+    this->waits.push_back({ id, name, from, aRespond });
+    this->pool.RunAfter(std::chrono::milliseconds(wait),
+                        [this, id] { this->EndWait(id); });
+  }
+}
+
+void
+PlatformStore::EndWait(std::uint64_t aId)
+{
+  std::lock_guard lock(this->mutex);
+  const auto found =
+    std::find_if(this->waits.begin(),
+                 this->waits.end(),
+                 [&](const Wait& aWait) { return aWait.id == aId; });
+  if (found != this->waits.end()) {
+    found->respond(
+      this->mode == Mode::Down
+        ? MakeResponse(503)
+        : ReadNow(this->partitions[found->partition], found->from));
+    this->waits.erase(found);
+  }
+}
+
+void
+PlatformStore::WakeReaders(const std::string& aPartition)
+{
+  std::erase_if(this->waits, [&](const Wait& aWait) {
+    if (aWait.partition != aPartition) {
+      return false;
+    }
+    aWait.respond(ReadNow(this->partitions[aPartition], aWait.from));
+    return true;
+  });
+}
+
+HttpResponse
+PlatformStore::Newest(const HttpRequest& aRequest)
+{
+  const Partition& partition = this->partitions[PartitionName(aRequest)];
+  const std::string after = PercentDecode(aRequest.QueryValue("depends-on"));
+  json::array items;
+  bool hasMore = false;
+  for (auto position = partition.newest.upper_bound(after);
+       position != partition.newest.end();
+       ++position) {
+    if (items.size() == kPageItems) {
+      hasMore = true;
+      break;
+    }
+    items.push_back(json::object{
+      { "key", position->first },
+      { "value", codec::ToBase64(partition.records[position->second].second) },
+      { "offset", position->second } });
+  }
+  return MakeResponse(200,
+                      { { "items", std::move(items) },
+                        { "has-more", hasMore },
+                        { "end", partition.records.size() } });
+}
+
+} // namespace amaranthwind::standins
--- /dev/null
+++ b/tests/standins/PlatformWorker.cpp
@@ -0,0 +1,262 @@
+#include "standins/PlatformWorker.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace amaranthwind::standins {
+
+namespace json = boost::json;
+using frontend::HttpRequest;
+using frontend::HttpResponder;
+using frontend::HttpResponse;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kHeartbeatInterval = 200ms;
+constexpr auto kPollInterval = 20ms;
+
+HttpResponse
+MakeResponse(std::uint16_t aStatus, const json::object& aBody)
+{
+  return { aStatus, "application/json", {}, json::serialize(aBody) };
+}
+
+std::uint64_t
+NumberOf(const json::object& aObject, std::string_view aName)
+{
+  const auto* value =
+    aObject.if_contains(json::string_view(aName.data(), aName.size()));
+  return value == nullptr ? 0 : value->to_number<std::uint64_t>();
+}
+
+} // namespace
+
+PlatformWorker::PlatformWorker(net::IoPool& aPool,
+                               std::string aId,
+                               std::string aRack,
+                               const std::string& aControlAddress)
+  : pool(aPool)
+  , id(std::move(aId))
+  , rack(std::move(aRack))
+  , control(aPool, { .address = aControlAddress })
+  , bornMs(std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+             .count())
+{
+}
+
+PlatformWorker::~PlatformWorker()
+{
+  std::lock_guard lock(this->mutex);
+  this->isStopped = true;
+}
+
+std::int64_t
+PlatformWorker::ClockMs() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+                                                               this->born)
+    .count();
+}
+
+void
+PlatformWorker::Register()
+{
+  this->SendHeartbeat();
+}
+
+void
+PlatformWorker::SendHeartbeat()
+{
+  HttpRequest request;
+  {
+    std::lock_guard lock(this->mutex);
+    if (this->isStopped) {
+      return;
+    }
+    request.method = "POST";
+    request.path = "/api/Instances.Heartbeat/" + this->id;
+    request.body = json::serialize(json::object{
+      { "service", "planner" },
+      { "zone", "z" },
+      { "state", "ready" },
+      { "sequence", ++this->sequence },
+      { "born", this->bornMs },
+      { "labels", { "a", this->rack } },
+      { "capacity", { { "cpu", 64000 }, { "mem-mb", 262144 }, { "gpu", 8 } } },
+    });
+  }
+  this->control.Send(std::move(request), 1s, [](const auto&) {});
+  this->pool.RunAfter(kHeartbeatInterval, [this] { this->SendHeartbeat(); });
+}
+
+void
+PlatformWorker::AddEnd(const std::string& aTask,
+                       std::uint64_t aRun,
+                       const char* aHow)
+{
+  this->ended.push_back({ ++this->lastEnd, aTask, aRun, aHow });
+  auto& barredRun = this->barred[aTask];
+  barredRun = std::max(barredRun, aRun);
+}
+
+void
+PlatformWorker::Update()
+{
+  const auto now = Clock::now();
+  const bool hasLapsed = this->ClockMs() > this->leaseMs;
+  for (auto position = this->running.begin();
+       position != this->running.end();) {
+    const auto current = position++;
+    if (current->second.end <= now || hasLapsed) {
+      this->AddEnd(current->first,
+                   current->second.run,
+                   current->second.end <= now ? "done" : "lapsed");
+      this->running.erase(current);
+    }
+  }
+}
+
+HttpResponse
+PlatformWorker::Conflict(const char* aReason) const
+{
+  return MakeResponse(
+    409, { { "clock-ms", this->ClockMs() }, { "reason", aReason } });
+}
+
+void
+PlatformWorker::Handle(HttpRequest aRequest, HttpResponder aRespond)
+{
+  std::lock_guard lock(this->mutex);
+  this->Update();
+  const auto body = json::parse(aRequest.body).as_object();
+  const std::uint64_t givenToken = NumberOf(body, "fencing-token");
+  if (givenToken < this->token) {
+    aRespond(this->Conflict("fence"));
+    return;
+  }
+  this->token = givenToken;
+  if (body.contains("deadline-ms")) {
+    this->leaseMs = std::max(
+      this->leaseMs, static_cast<std::int64_t>(NumberOf(body, "deadline-ms")));
+  }
+  if (aRequest.path == "/api/run-start") {
+    auto response = this->Start(aRequest.body);
+    if (!this->losesStartAnswers) {
+      aRespond(std::move(response));
+    }
+  } else if (aRequest.path == "/api/run-stop") {
+    aRespond(this->Stop(aRequest.body));
+  } else {
+    const std::uint64_t seen = NumberOf(body, "last-seen");
+    std::erase_if(this->ended,
+                  [&](const End& aEnd) { return aEnd.number <= seen; });
+    const bool mustWait = NumberOf(body, "wait-ms") > 0 && this->ended.empty();
+    if (!mustWait) {
+      aRespond(this->Hold());
+      return;
+    }
+    // Asked again soon, which serves the purpose of waiting for an end.
+    this->pool.RunAfter(kPollInterval, [this, aRespond] {
+      std::lock_guard guard(this->mutex);
+      this->Update();
+      aRespond(this->Hold());
+    });
+  }
+}
+
+HttpResponse
+PlatformWorker::Start(std::string_view aBody)
+{
+  const auto body =
+    json::parse(json::string_view(aBody.data(), aBody.size())).as_object();
+  const std::string task(body.at("task").as_string());
+  const std::uint64_t run = NumberOf(body, "run-id");
+  const auto found = this->running.find(task);
+  if (found != this->running.end() && found->second.run == run) {
+    return MakeResponse(200, { { "clock-ms", this->ClockMs() } });
+  }
+  if (run <= this->barred[task]) {
+    return this->Conflict("old");
+  }
+  if (this->ClockMs() > this->leaseMs) {
+    return this->Conflict("late");
+  }
+  const std::string spec(body.at("spec").as_string());
+  unsigned milliseconds = 0;
+  std::from_chars(spec.data(), spec.data() + spec.size(), milliseconds);
+  this->running[task] = {
+    run, Clock::now() + std::chrono::milliseconds(milliseconds)
+  };
+  this->starts.push_back(task + "#" + std::to_string(run));
+  return MakeResponse(200, { { "clock-ms", this->ClockMs() } });
+}
+
+HttpResponse
+PlatformWorker::Stop(std::string_view aBody)
+{
+  const auto body =
+    json::parse(json::string_view(aBody.data(), aBody.size())).as_object();
+  const std::string task(body.at("task").as_string());
+  const std::uint64_t run = NumberOf(body, "run-id");
+  const auto found = this->running.find(task);
+  if (found != this->running.end() && found->second.run == run) {
+    this->AddEnd(task, run, "stopped");
+    this->running.erase(found);
+  }
+  auto& barredRun = this->barred[task];
+  barredRun = std::max(barredRun, run);
+  return MakeResponse(200, { { "clock-ms", this->ClockMs() } });
+}
+
+HttpResponse
+PlatformWorker::Hold()
+{
+  json::array runs;
+  for (const auto& [task, run] : this->running) {
+    runs.push_back(json::array{ task, run.run, "", 0 });
+  }
+  json::array ends;
+  for (const auto& end : this->ended) {
+    ends.push_back(json::array{ end.number, end.task, end.run, end.how, "" });
+  }
+  return MakeResponse(200,
+                      { { "clock-ms", this->ClockMs() },
+                        { "born", this->bornMs },
+                        { "running", std::move(runs) },
+                        { "ended", std::move(ends) } });
+}
+
+void
+PlatformWorker::LoseStartAnswers(bool aLoses)
+{
+  std::lock_guard lock(this->mutex);
+  this->losesStartAnswers = aLoses;
+}
+
+std::vector<std::string>
+PlatformWorker::Starts() const
+{
+  std::lock_guard lock(this->mutex);
+  return this->starts;
+}
+
+std::size_t
+PlatformWorker::Running() const
+{
+  std::lock_guard lock(this->mutex);
+  return this->running.size();
+}
+
+std::size_t
+PlatformWorker::Unacknowledged() const
+{
+  std::lock_guard lock(this->mutex);
+  return this->ended.size();
+}
+
+} // namespace amaranthwind::standins
