--- a/libs/codec/tests/SettingsCodecTest.cpp
+++ b/libs/codec/tests/SettingsCodecTest.cpp
@@ -63,6 +63,10 @@
   const auto worker = DecodeTargetSettings(ReadSample("worker.json"));
   REQUIRE(worker.has_value());
   CHECK(worker.value().resources.accelerators == 8);
+  const auto scheduler = DecodeSchedulerSettings(ReadSample("scheduler.json"));
+  REQUIRE(scheduler.has_value());
+  CHECK(scheduler.value().node.log.format == settings::LogFormat::Json);
+  CHECK(DecodeAgentSettings(ReadSample("agent.json")).has_value());
   for (const auto* name : { "note-bonsai-andino.json", "note-rotaform.json" }) {
     CAPTURE(name);
     const auto note = DecodeNote(ReadSample(name));
@@ -156,3 +160,27 @@
   REQUIRE(alone.has_error());
   CHECK(DescribeAll(alone.error()) == "wrong-type: document\n");
 }
+
+TEST_CASE("all faults of the settings of a scheduler or agent are reported")
+{
+  const auto scheduler = DecodeSchedulerSettings(
+    R"({"id":"s","region":"r","zone":"","innerListen":"0.0.0.0:1",)"
+    R"("adminListen":"127.0.0.1:1","clientListen":"127.0.0.1:2",)"
+    R"("readyListen":"x","logService":"127.0.0.1:0","maxLeaseMs":10,)"
+    R"("logFormat":"xml","unknown":1})");
+  REQUIRE(scheduler.has_error());
+  const std::string faults = DescribeAll(scheduler.error());
+  for (const char* path : { "zone",
+                            "innerListen",
+                            "readyListen",
+                            "logService",
+                            "maxLeaseMs",
+                            "logFormat",
+                            "unknown" }) {
+    CAPTURE(path);
+    CHECK(faults.find(path) != std::string::npos);
+  }
+  const auto agent = DecodeAgentSettings(R"({"id":"a"})");
+  REQUIRE(agent.has_error());
+  CHECK(agent.error().size() == 6);
+}
--- a/libs/frontend/tests/HttpTest.cpp
+++ b/libs/frontend/tests/HttpTest.cpp
@@ -6,9 +6,11 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <functional>
 #include <future>
 #include <mutex>
+#include <thread>
 #include <vector>
 
 using namespace amaranthwind;
@@ -150,6 +152,55 @@
   CHECK_FALSE(refused.mayHaveBeenSent);
 }
 
+// Guards against requests that are lost one after the other on connections
+// that all fell silent at the same time.
+TEST_CASE("a time-out drops the idle connections of the same time")
+{
+  Fixture fixture;
+  std::mutex mutex;
+  std::vector<HttpResponder> held;
+  std::promise<void> both;
+  fixture.handler.serve = [&](const HttpRequest&, HttpResponder aRespond) {
+    std::lock_guard lock(mutex);
+    held.push_back(std::move(aRespond));
+    if (held.size() == 2) {
+      both.set_value();
+    }
+  };
+  std::vector<std::promise<void>> answered(2);
+  for (auto& each : answered) {
+    fixture.client.Send(
+      MakePost("/", ""), kLongTime, [&](const auto&) { each.set_value(); });
+  }
+  both.get_future().get();
+  for (auto& respond : held) {
+    respond({});
+  }
+  held.clear();
+  for (auto& each : answered) {
+    each.get_future().get();
+  }
+  REQUIRE(fixture.server.Connections() == 2);
+  fixture.handler.serve = [&](const HttpRequest&, HttpResponder aRespond) {
+    std::lock_guard lock(mutex);
+    held.push_back(std::move(aRespond));
+  };
+  const auto silent = fixture.client.SendAndWait(MakePost("/", ""), 50ms);
+  REQUIRE(silent.response.has_error());
+  CHECK(silent.response.error().code == ErrorCode::TimedOut);
+  {
+    std::lock_guard lock(mutex);
+    held.clear();
+  }
+  // The connection that was idle is closed as well.
+  const auto end = std::chrono::steady_clock::now() + kLongTime;
+  while (fixture.server.Connections() > 0 &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(1ms);
+  }
+  CHECK(fixture.server.Connections() == 0);
+}
+
 // Guards against a planned stop that cuts a request in flight.
 TEST_CASE("a draining server answers what it has and closes the connection")
 {
--- a/libs/telemetry/tests/LoggerTest.cpp
+++ b/libs/telemetry/tests/LoggerTest.cpp
@@ -33,7 +33,10 @@
     this->lines.emplace_back(aLine);
   }
 
+  LogFormat Format() const noexcept override { return this->format; }
+
   std::vector<std::string> lines;
+  LogFormat format = LogFormat::Text;
 
 private:
   std::mutex mutex;
@@ -135,7 +138,7 @@
   std::ostringstream captured;
   std::streambuf* const previous = std::cerr.rdbuf(captured.rdbuf());
   {
-    Log4cplusSink sink({ LogLevel::Warning, "%p|%m%n" });
+    Log4cplusSink sink({ LogLevel::Warning, LogFormat::Text, "%p|%m%n" });
     base::ManualClock clock;
     Logger logger(sink, clock, "net");
     logger.Info("not written");
@@ -145,3 +148,55 @@
   std::cerr.rdbuf(previous);
   CHECK(captured.str() == "WARN|net: kept peer=a\nERROR|net: kept too\n");
 }
+
+// Guards against lines that a collector cannot parse.
+TEST_CASE("a line in JSON is one object with its fields")
+{
+  MemorySink sink;
+  sink.format = LogFormat::Json;
+  base::ManualClock clock;
+  Logger logger(sink, clock, "coordinator");
+  logger.Info("task placed",
+              { { "job", base::JobId("j\"x") }, { "run", 2U }, { "d", -1 } });
+  REQUIRE(sink.lines.size() == 1);
+  CHECK(sink.lines[0].find("\"level\":\"info\",\"component\":\"coordinator\","
+                           "\"event\":\"task placed\",\"job\":\"j\\\"x\","
+                           "\"run\":2,\"d\":-1}") != std::string::npos);
+  CHECK(sink.lines[0].starts_with("{\"timeMs\":"));
+}
+
+// Guards against a daemon that stands still because nobody reads its log.
+TEST_CASE("lines that find the queue full are dropped and counted")
+{
+  // A buffer that holds up whoever writes to it.
+  struct Blocked final : std::stringbuf
+  {
+    std::mutex mutex;
+    std::streamsize xsputn(const char*, std::streamsize aCount) override
+    {
+      std::lock_guard lock(this->mutex);
+      return aCount;
+    }
+    int overflow(int aChar) override
+    {
+      std::lock_guard lock(this->mutex);
+      return aChar;
+    }
+  };
+  Blocked blocked;
+  std::streambuf* const previous = std::cout.rdbuf(&blocked);
+  {
+    settings::LogSettings settings;
+    settings.format = LogFormat::Json;
+    Log4cplusSink sink(settings);
+    {
+      std::lock_guard lock(blocked.mutex);
+      constexpr int kLines = 10'000;
+      for (int i = 0; i < kLines; ++i) {
+        sink.Write(LogLevel::Info, "line");
+      }
+      CHECK(sink.DroppedLines() > 0);
+    }
+  }
+  std::cout.rdbuf(previous);
+}
