Let urgent steps stop cheap less urgent work while they can be in time

Cause: without a guarantee a booking waits for long tasks to end and is late; the stopped work has three times its run time as slack.

Change: an urgent step that still meets its objective may stop less urgent work that throws away at most half of its own core-seconds.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -107,6 +107,8 @@
   bool isGuaranteed = false;
   /** Too late to be worth anything to its caller; it must still run. */
   bool isExpired = false;
+  /** It meets its objective if it starts within the time of a stop. */
+  bool isInTime = false;
 
   const job::StepSpec& Spec() const
   {
@@ -177,6 +179,7 @@
   void Schedule();
   std::vector<Candidate> Candidates();
   void FindGuaranteed();
+  bool MayPreempt(const Candidate& aCandidate) const;
   bool IsReady(Job& aJob, const Step& aStep);
   bool PlaceGang(const Candidate& aCandidate);
   bool PlaceSingles(const Candidate& aCandidate);
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -1,8 +1,9 @@
-// Reclaims room for guaranteed steps by stopping work that borrows it.
+// Makes room for steps by stopping less important work.
 
 #include "DispatchState.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace amaranthwind::dispatch {
 
@@ -10,6 +11,13 @@
 
 /** What an accelerator counts for in cores when work is thrown away. */
 constexpr double kCoresPerAccelerator = 8.0;
+/**
+ * A step without a guarantee may throw away at most this multiple of its own
+ * work: its gain is what it earns in time instead of late.
+ */
+constexpr double kWasteLimit = 0.5;
+/** Urgent work is stopped for a guarantee only if nothing else will do. */
+constexpr double kUrgentCost = 10.0;
 /** Work that a checkpointing task loses when it is stopped. */
 constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
 
@@ -23,14 +31,22 @@
   bool isChosen = false;
 };
 
+/** Core-seconds of one task that has worked for the given time. */
 double
-CostOf(const job::StepSpec& aSpec, base::Duration aElapsed)
+WorkOf(const job::StepSpec& aSpec, base::Duration aTime)
 {
-  const base::Duration lost =
-    aSpec.isCheckpointing ? std::min(aElapsed, kCheckpointLoss) : aElapsed;
   const double cores = aSpec.need.milliCores / 1000.0 +
                        kCoresPerAccelerator * aSpec.need.accelerators;
-  return cores * std::chrono::duration<double>(lost).count();
+  return cores * std::chrono::duration<double>(aTime).count();
+}
+
+/** Core-seconds that are lost when the task is stopped. */
+double
+CostOf(const job::StepSpec& aSpec, base::Duration aElapsed)
+{
+  return WorkOf(aSpec,
+                aSpec.isCheckpointing ? std::min(aElapsed, kCheckpointLoss)
+                                      : aElapsed);
 }
 
 } // namespace
@@ -47,7 +63,9 @@
   }
   std::vector<Victim> victims;
   for (auto& [id, job] : this->jobs) {
-    const bool isBorrower = !this->guaranteed.contains(id);
+    const bool isUrgent = job.spec->urgency == 0;
+    const bool isBorrower =
+      !this->guaranteed.contains(id) && (aCandidate.isGuaranteed || !isUrgent);
     for (auto& [place, step] : job.steps) {
       const auto& stepSpec = job.spec->steps[place.second];
       Victim gang{ &step, {}, 0, false };
@@ -123,6 +141,16 @@
       free(*victim, true);
     }
   }
+  const double limit = aCandidate.isGuaranteed
+                         ? std::numeric_limits<double>::infinity()
+                         : kWasteLimit * WorkOf(spec, spec.estimate) * aCount;
+  double waste = 0;
+  for (const Victim& victim : victims) {
+    waste += victim.isChosen ? victim.cost : 0;
+  }
+  if (waste > limit) {
+    return false;
+  }
   Reservation reservation;
   reservation.until = this->moment.now;
   for (const Worker* worker : *chosen) {
@@ -132,7 +160,10 @@
   for (const Victim& victim : victims) {
     if (victim.isChosen) {
       for (const std::uint32_t index : victim.tasks) {
-        this->RequestStop(*victim.step, index, "reclaimed for a guarantee");
+        this->RequestStop(*victim.step,
+                          index,
+                          aCandidate.isGuaranteed ? "reclaimed for a guarantee"
+                                                  : "preempted by urgent work");
       }
     }
   }
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -54,7 +54,7 @@
     }
     const auto waiting =
       static_cast<std::uint32_t>(IdleTasks(*candidate.step).size());
-    if (candidate.isGuaranteed && this->Preempt(candidate, waiting)) {
+    if (this->MayPreempt(candidate) && this->Preempt(candidate, waiting)) {
       continue;
     }
     if (candidate.Spec().isGang &&
@@ -64,6 +64,17 @@
   }
 }
 
+/**
+ * Guaranteed steps may stop what borrows their room, and other urgent ones may
+ * stop less urgent work while they can still be in time.
+ */
+bool
+Dispatcher::State::MayPreempt(const Candidate& aCandidate) const
+{
+  return aCandidate.isGuaranteed ||
+         (aCandidate.job->spec->urgency == 0 && aCandidate.isInTime);
+}
+
 /**
  * The guarantee of an account covers its most urgent jobs as long as all of
  * them together need no more than it.
@@ -132,10 +143,12 @@
         if (!step.readyAt) {
           step.readyAt = this->moment.now;
         }
+        const auto ends = age + job.chain + this->options.stopTime / 2;
         candidates.push_back({ &job,
                                &step,
                                this->guaranteed.contains(id),
-                               age > objective * kWorthlessAfter });
+                               age > objective * kWorthlessAfter,
+                               ends <= objective });
       }
     }
   }
