Keep room for large single tasks as well as for gangs

Change: every blocked step holds a reservation, for as many of its tasks as fit at one time. An accepted job's line names its account, kind, urgency and number of tasks.

--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -426,15 +426,29 @@
     return;
   }
   const TimePoint start = this->impl->clock.Now();
+  std::uint32_t tasks = 0;
+  for (const auto& step : aSpec.steps) {
+    tasks += step.count;
+  }
   this->impl->submissions.Append(
     { ledger::AcceptedKey(aSpec.id), this->impl->codec.EncodeWorkflow(aSpec) },
     aTimeout,
-    [self = this->impl, start, id = aSpec.id, handler = std::move(aHandler)](
-      const base::Result<void>& aResult) {
+    [self = this->impl,
+     start,
+     tasks,
+     id = aSpec.id,
+     account = aSpec.account,
+     kind = aSpec.kind,
+     urgency = aSpec.urgency,
+     handler = std::move(aHandler)](const base::Result<void>& aResult) {
       self->submitTime.Observe(self->clock.Now() - start);
       self->logger.Info(
         aResult.has_value() ? "job accepted" : "job not accepted",
         { { "job", id },
+          { "account", account },
+          { "kind", kind },
+          { "urgency", urgency },
+          { "tasks", tasks },
           { "result",
             aResult.has_value() ? std::string("durable")
                                 : base::Describe(aResult.error()) },
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -194,7 +194,7 @@
                                            const Candidate& aCandidate,
                                            std::uint32_t aCount,
                                            std::vector<PackingWorker> aRoom);
-  void Reserve(const Candidate& aCandidate);
+  bool Reserve(const Candidate& aCandidate, std::uint32_t aCount);
   /** Share of the accelerators of a pool that is in use. */
   double UsedShare(const base::PoolId& aPool) const;
   base::Duration RemainingOf(const job::TaskRun& aRun);
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -23,7 +23,7 @@
 constexpr base::Duration kGuaranteedPatience = std::chrono::milliseconds(1200);
 /** A run that outlives its estimate is taken to last this share of it more. */
 constexpr int kOverrunShare = 10;
-/** Reservations look this many blocked gangs ahead. */
+/** Room is kept for this many blocked steps. */
 constexpr std::size_t kMaxReservations = 2;
 
 std::vector<std::uint32_t>
@@ -57,9 +57,14 @@
     if (this->MayPreempt(candidate) && this->Preempt(candidate, waiting)) {
       continue;
     }
-    if (candidate.Spec().isGang &&
-        this->reservations.size() < kMaxReservations) {
-      this->Reserve(candidate);
+    // The tasks of a gang need their room at the same time; others may come
+    // one by one, but a large one still needs a worker that is kept for it.
+    for (std::uint32_t count = waiting;
+         count > 0 && this->reservations.size() < kMaxReservations;
+         count = candidate.Spec().isGang ? 0 : count / 2) {
+      if (this->Reserve(candidate, count)) {
+        break;
+      }
     }
   }
 }
@@ -389,10 +394,11 @@
 
 /**
  * Finds the earliest time at which the step fits if what runs ends as
- * estimated, and keeps the workers that it would get for it.
+ * estimated, and keeps the workers that it would get for it. False if it never
+ * fits.
  */
-void
-Dispatcher::State::Reserve(const Candidate& aCandidate)
+bool
+Dispatcher::State::Reserve(const Candidate& aCandidate, std::uint32_t aCount)
 {
   const auto usable = this->Usable(aCandidate);
   auto room = this->ToPacking(usable, *aCandidate.step, aCandidate.Spec());
@@ -413,20 +419,19 @@
             [](const Release& aLeft, const Release& aRight) {
               return aLeft.in < aRight.in;
             });
-  const auto count =
-    static_cast<std::uint32_t>(IdleTasks(*aCandidate.step).size());
   for (const Release& release : releases) {
     room[release.worker].free += release.freed;
-    if (const auto chosen = this->Pack(usable, aCandidate, count, room)) {
+    if (const auto chosen = this->Pack(usable, aCandidate, aCount, room)) {
       Reservation reservation;
       reservation.until = this->moment.now + release.in;
       for (const Worker* worker : *chosen) {
         reservation.workers.insert(worker->agent);
       }
       this->reservations.push_back(std::move(reservation));
-      return;
+      return true;
     }
   }
+  return false;
 }
 
 } // namespace amaranthwind::dispatch
