--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -38,6 +38,8 @@
   base::TimePoint since{};
   /** Start of the run. */
   base::TimePoint startedAt{};
+  /** How often it was stopped to make room. */
+  std::uint32_t preemptions = 0;
   /** Placed by a former coordinator and not reported since. */
   bool isInherited = false;
   /** Where it failed last; another worker is tried first. */
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -73,7 +73,11 @@
         const Task& task = step.tasks[i];
         const bool isRunning =
           task.phase == Phase::Ordered || task.phase == Phase::Running;
-        if (!isBorrower || !isRunning || !places.contains(task.agent)) {
+        // Work that was stopped once is not stopped again without need: it
+        // would be thrown away run after run.
+        const bool isSpared = task.preemptions > 0 && !aCandidate.isGuaranteed;
+        if (!isBorrower || !isRunning || isSpared ||
+            !places.contains(task.agent)) {
           continue;
         }
         const double cost = CostOf(stepSpec, this->moment.now - task.startedAt);
@@ -160,6 +164,7 @@
   for (const Victim& victim : victims) {
     if (victim.isChosen) {
       for (const std::uint32_t index : victim.tasks) {
+        ++victim.step->tasks[index].preemptions;
         this->RequestStop(*victim.step,
                           index,
                           aCandidate.isGuaranteed ? "reclaimed for a guarantee"
