--- a/libs/frontend/include/amaranthwind/frontend/HttpClient.h
+++ b/libs/frontend/include/amaranthwind/frontend/HttpClient.h
@@ -25,6 +25,12 @@
   std::size_t maxQueued = 1024;
   std::size_t maxBodyBytes = std::size_t{ 8 } * 1024 * 1024;
   std::chrono::milliseconds connectTimeout{ 2000 };
+  /**
+   * Above 0: an answer of which a part has arrived may take longer than the
+   * time of its request, as long as more of it arrives within this time. A
+   * large answer thus passes a narrow link, while silence is noticed soon.
+   */
+  std::chrono::milliseconds stallTimeout{ 0 };
 };
 
 /** Either an answer or the reason why there is none. */
--- a/libs/frontend/src/HttpClient.cpp
+++ b/libs/frontend/src/HttpClient.cpp
@@ -131,12 +131,26 @@
   {
     this->parser.emplace();
     this->parser->body_limit(this->options.maxBodyBytes);
-    http::async_read(
+    this->ReadSome();
+  }
+
+  void ReadSome()
+  {
+    http::async_read_some(
       this->stream,
       this->buffer,
       *this->parser,
       [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
-        self->OnRead(aError);
+        if (aError || self->parser->is_done()) {
+          self->OnRead(aError);
+          return;
+        }
+        if (self->options.stallTimeout.count() > 0) {
+          self->stream.expires_at(
+            std::max(self->pending.deadline,
+                     steady_clock::now() + self->options.stallTimeout));
+        }
+        self->ReadSome();
       });
   }
 
--- a/libs/frontend/tests/HttpTest.cpp
+++ b/libs/frontend/tests/HttpTest.cpp
@@ -6,6 +6,11 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
 #include <chrono>
 #include <functional>
 #include <future>
@@ -201,6 +206,49 @@
   CHECK(fixture.server.Connections() == 0);
 }
 
+// Guards against a client behind a narrow link whose large answers all time out
+// before they are through.
+TEST_CASE("an answer that keeps arriving may take longer than its time")
+{
+  namespace asio = boost::asio;
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   { asio::ip::make_address("127.0.0.1"), 0 });
+  constexpr auto kTime = 1500ms;
+  // Sends the second half of its answer after the time of the request.
+  std::thread server([&] {
+    auto socket = acceptor.accept();
+    std::array<char, 1024> request{};
+    socket.read_some(asio::buffer(request));
+    asio::write(socket,
+                asio::buffer(std::string_view(
+                  "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nfir")));
+    std::this_thread::sleep_for(kTime + 200ms);
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(std::string_view("sts")), ignored);
+  });
+  net::IoPool pool(1);
+  const std::string address =
+    "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  HttpClientOptions options{ .address = address };
+  SUBCASE("with a time to stall")
+  {
+    options.stallTimeout = 20s;
+  }
+  SUBCASE("without one") {}
+  HttpClient client(pool, options);
+  const auto result = client.SendAndWait(MakePost("/", ""), kTime);
+  server.join();
+  if (options.stallTimeout > 0s) {
+    REQUIRE(result.response.has_value());
+    CHECK(result.response.value().body == "firsts");
+  } else {
+    REQUIRE(result.response.has_error());
+    CHECK(result.response.error().code == ErrorCode::TimedOut);
+  }
+  pool.Stop();
+}
+
 // Guards against a planned stop that cuts a request in flight.
 TEST_CASE("a draining server answers what it has and closes the connection")
 {
