--- a/tests/harness/PlatformDeployment.cpp
+++ b/tests/harness/PlatformDeployment.cpp
@@ -105,7 +105,7 @@
 PlatformDeployment::WriteSettings(const std::string& aName,
                                   const std::string& aText) const
 {
-  const std::string path = this->folder + "/" + aName + ".json";
+  std::string path = this->folder + "/" + aName + ".json";
   std::ofstream(path, std::ios::binary) << aText;
   return path;
 }
