--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -16,8 +16,6 @@
  * work: its gain is what it earns in time instead of late.
  */
 constexpr double kWasteLimit = 0.5;
-/** Urgent work is stopped for a guarantee only if nothing else will do. */
-constexpr double kUrgentCost = 10.0;
 /** Work that a checkpointing task loses when it is stopped. */
 constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
 
