Place steps that can still be in time before late ones of their urgency

Steps of one urgency were placed in the order of acceptance until three objectives had passed.

Change: within an urgency, steps that still meet their objective come first.

--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -161,6 +161,7 @@
     return std::tuple(!aCandidate.isGuaranteed,
                       aCandidate.isExpired,
                       aCandidate.job->spec->urgency,
+                      !aCandidate.isInTime,
                       aCandidate.job->order,
                       aCandidate.step->id);
   };
--- a/libs/dispatch/tests/SchedulingTest.cpp
+++ b/libs/dispatch/tests/SchedulingTest.cpp
@@ -168,6 +168,22 @@
   CHECK(bench.Running("g").size() == 1);
 }
 
+// Guards against an overload in which every job waits for those that are late
+// already, so that all of them end late.
+TEST_CASE("a job that can still be in time goes before a late one of its rank")
+{
+  DispatchBench bench(1);
+  bench.Submit(DispatchBench::MakeJob("busy", 1, 8));
+  bench.Submit(DispatchBench::MakeJob("late", 1, 8));
+  bench.Run(10s);
+  bench.Submit(DispatchBench::MakeJob("new", 1, 8));
+  bench.EndAll("busy", EndKind::Done);
+  CHECK(bench.Running("new").size() == 1);
+  CHECK(bench.Running("late").empty());
+  bench.EndAll("new", EndKind::Done);
+  CHECK(bench.Running("late").size() == 1);
+}
+
 TEST_CASE("a guaranteed job takes back the room that others borrow")
 {
   DispatchBench bench(2);
