Free the tasks of replaced workers at once after a takeover

Change: the record of a task names the daemon that it was placed on. When that daemon reports a worker with another id, the former one is over, as it is when the coordinator itself sees the change. Under the same id the time still passes, since an order on its way might reach the new worker. A gang member that is taken over after another one was lost is stopped with it. Both tests fail without the change.

--- a/libs/codec/src/LedgerCodec.cpp
+++ b/libs/codec/src/LedgerCodec.cpp
@@ -140,6 +140,7 @@
   object.Optional("failures", aOut.failures);
   object.Required("worker", aOut.worker.id);
   object.Required("born", aOut.worker.born);
+  object.Optional("agent", aOut.agent);
   object.Optional("checkpoint", aOut.checkpoint);
   object.Finish();
 }
@@ -198,6 +199,9 @@
       { "worker", ToText(task.worker.id) },
       { "born", task.worker.born },
     };
+    if (!task.agent.IsEmpty()) {
+      object["agent"] = ToText(task.agent);
+    }
     if (task.failures > 0) {
       object["failures"] = task.failures;
     }
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -32,6 +32,8 @@
   /** Empty if a former coordinator placed it and its worker has not reported.
    */
   base::AgentId agent;
+  /** Daemon that the record of the placement names. */
+  base::AgentId placedOn;
   std::string checkpoint;
   std::uint32_t percent = 0;
   /** Start of the phase. */
@@ -154,6 +156,10 @@
   // Workers (WorkerState.cpp).
   void HandleReport(const WorkerReport& aReport);
   void SetWorker(Worker& aWorker, const WorkerInfo& aInfo);
+  /**
+   * Takes over what a former coordinator placed on the worker, and frees what
+   * it placed on an earlier worker of the same VM.
+   */
   void Adopt(Worker& aWorker);
   void HandleEnd(Worker& aWorker, const EndedTask& aEnd);
   void HandleRunning(Worker& aWorker, const RunningTask& aRunning);
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -63,6 +63,7 @@
       task.failures = saved.failures;
       task.checkpoint = saved.checkpoint;
       task.life = saved.worker;
+      task.placedOn = saved.agent;
       task.startedAt = this->moment.now;
       task.since = this->moment.now;
       if (saved.phase == ledger::TaskPhase::Done) {
@@ -231,8 +232,13 @@
     const auto phase = task.phase == Phase::Done ? ledger::TaskPhase::Done
                        : task.IsOnWorker()       ? ledger::TaskPhase::Placed
                                                  : ledger::TaskPhase::Idle;
-    record.tasks.push_back(
-      { i, phase, task.run, task.failures, task.life, task.checkpoint });
+    record.tasks.push_back({ i,
+                             phase,
+                             task.run,
+                             task.failures,
+                             task.life,
+                             task.placedOn,
+                             task.checkpoint });
   }
   return record;
 }
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -353,6 +353,7 @@
     task.phase = Phase::Placing;
     task.life = worker.info->life;
     task.agent = worker.agent;
+    task.placedOn = worker.agent;
     task.percent = 0;
     task.since = this->moment.now;
     task.startedAt = this->moment.now;
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -24,6 +24,16 @@
   });
 }
 
+/** True if a member of the step's gang is not on a worker any more. */
+bool
+HasIdleTask(const Step& aStep)
+{
+  return std::any_of(
+    aStep.tasks.begin(), aStep.tasks.end(), [](const Task& aTask) {
+      return aTask.phase == Phase::Idle;
+    });
+}
+
 } // namespace
 
 void
@@ -92,12 +102,23 @@
     for (auto& [place, step] : job.steps) {
       for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
         Task& task = step.tasks[i];
-        if (task.IsOnWorker() && task.agent.IsEmpty() &&
-            task.life == aWorker.info->life) {
+        if (!task.IsOnWorker() || !task.agent.IsEmpty()) {
+          continue;
+        }
+        if (task.life == aWorker.info->life) {
           task.agent = aWorker.agent;
           this->Occupy(aWorker,
                        { { step.id, i }, task.run },
                        NeedOf(job.spec->steps[place.second]));
+          if (job.spec->steps[place.second].isGang && HasIdleTask(step)) {
+            this->RequestStop(step, i, "gang member lost");
+          }
+        } else if (task.placedOn == aWorker.agent &&
+                   task.life.id != aWorker.info->life.id) {
+          // A VM has one worker at a time. Orders name the worker's id, so
+          // that a late one does nothing on its successor; one with the same
+          // id might carry it out, and the time of its lease has to pass.
+          this->Lose(step, i, "another worker lives on the VM");
         }
       }
     }
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -310,6 +310,46 @@
   CHECK(bench.starts.size() == 2);
 }
 
+// Guards against tasks that wait for the grants of a former coordinator after
+// all VMs have lost power and their new workers have registered.
+TEST_CASE("tasks of a worker that another one has replaced are free at once")
+{
+  DispatchBench bench;
+  bench.Submit(DispatchBench::MakeJob("j", 1, 8));
+  const auto agent = bench.AgentOf(bench.Running("j").at(0));
+  bench.Restart(agent);
+  SUBCASE("the new worker has an id of its own")
+  {
+    bench.agents.at(agent).info.life.id = base::TargetId("w-new");
+    bench.TakeOver();
+    CHECK(bench.starts.size() == 2);
+  }
+  SUBCASE("a late order might reach the new worker under the same id")
+  {
+    bench.TakeOver();
+    bench.Run(bench.options.inheritedBound - 500ms);
+    CHECK(bench.starts.size() == 1);
+    bench.Run(1s);
+    CHECK(bench.starts.size() == 2);
+  }
+}
+
+// Guards against members of a gang that wait for one whose worker is gone.
+TEST_CASE("a gang that lost a member during the takeover is stopped as a whole")
+{
+  DispatchBench bench;
+  auto gang = DispatchBench::MakeJob("g", 3, 8);
+  gang.steps[0].isGang = true;
+  bench.Submit(gang);
+  bench.Restart("vm-0");
+  bench.agents.at("vm-0").info.life.id = base::TargetId("w-new");
+  bench.TakeOver();
+  CHECK(bench.stops.size() == 2);
+  bench.Run(2s);
+  CHECK(bench.Running("g").size() == 3);
+  CHECK(bench.starts.size() == 6);
+}
+
 // Guards against a start that the former coordinator ordered and that the
 // worker carries out after the new one has placed the task elsewhere.
 TEST_CASE("a placement that nobody knows of is made impossible first")
--- a/libs/ledger/include/amaranthwind/ledger/Records.h
+++ b/libs/ledger/include/amaranthwind/ledger/Records.h
@@ -41,6 +41,8 @@
   std::uint32_t failures = 0;
   /** Where it was placed last. */
   WorkerLife worker;
+  /** Daemon on the VM of that worker; empty in records of older versions. */
+  base::AgentId agent;
   /** Newest saved progress; empty if there is none. */
   std::string checkpoint;
 
--- a/libs/ledger/tests/JobTableTest.cpp
+++ b/libs/ledger/tests/JobTableTest.cpp
@@ -55,8 +55,8 @@
   StepRecord record;
   record.id = { kJob, aOccurrence, 0 };
   record.tasks = {
-    { 0, aFirst, 1, 0, { base::TargetId("w"), 1 }, {} },
-    { 1, aSecond, 1, 1, { base::TargetId("w"), 1 }, "saved" },
+    { 0, aFirst, 1, 0, { base::TargetId("w"), 1 }, base::AgentId("vm"), {} },
+    { 1, aSecond, 1, 1, { base::TargetId("w"), 1 }, {}, "saved" },
   };
   return record;
 }
