Count a run that another life of its worker has done

A worker crashed while an order was under way; its next life carried the order out and was done with it before anyone noticed. The coordinator ignored the end, since the task was placed on the former life, and ran it again.

Change: a done end of a task's newest run counts on whatever life it is listed; a run's number is given to one start only. The test fails without the change.

--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -131,13 +131,13 @@
   const bool wasHere = this->Vacate(aWorker, aEnd.run);
   this->mustSchedule = this->mustSchedule || wasHere;
   Task* task = this->FindRun(aEnd.run);
-  if (task == nullptr || task->life != aWorker.info->life) {
-    return;
-  }
-  // Given up while its worker was silent, but it is done all the same.
+  const bool isCurrent = wasHere && task != nullptr && task->IsOnWorker() &&
+                         task->life == aWorker.info->life;
+  // Given up, as its worker was silent or has restarted, but the run was done
+  // all the same. Its number is given to one start only.
   const bool isDoneUnseen =
-    task->phase == Phase::Idle && aEnd.kind == EndKind::Done;
-  if (!isDoneUnseen && (!wasHere || !task->IsOnWorker())) {
+    task != nullptr && task->phase == Phase::Idle && aEnd.kind == EndKind::Done;
+  if (!isCurrent && !isDoneUnseen) {
     return; // Known already, or of a run that nobody placed.
   }
   if (task->phase == Phase::Ordered && aEnd.kind == EndKind::Stopped) {
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -350,6 +350,21 @@
   CHECK(bench.starts.size() == 1);
 }
 
+// Guards against the same when the next life of the worker has carried the
+// order out.
+TEST_CASE("a run that another life of its worker has done counts")
+{
+  DispatchBench bench(1);
+  bench.Submit(DispatchBench::MakeJob("j", 1, 8));
+  const auto run = bench.Running("j").at(0);
+  bench.Restart("vm-0");
+  bench.agents.at("vm-0").running[run] = { run, {}, 0 };
+  bench.End(run, EndKind::Done);
+  bench.Report("vm-0");
+  CHECK(bench.Phase("j") == JobPhase::Completed);
+  CHECK(bench.starts.size() == 1);
+}
+
 // Guards against hundreds of starts a second on a worker that answers none.
 TEST_CASE("a worker that did not confirm a start is left alone for a moment")
 {
