Try each withdrawn key in the soak after its limit; clear what the linter says

A key was replaced after 7.5 s only from the second one on, so that runs of 10 s tried no withdrawn key. The first is now replaced after 1.5 s.

--- a/tests/soak/LoopbackProxy.cpp
+++ b/tests/soak/LoopbackProxy.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t kBufferBytes = 16 * 1024;
+constexpr std::size_t kBufferBytes = 16384;
 /** How often held bytes look whether the flow is open again. */
 constexpr auto kHoldPoll = 20ms;
 
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -21,16 +21,16 @@
 constexpr auto kSettleTime = 60s;
 /** A withdrawn key is refused this long after its configuration. */
 constexpr auto kRevokeLimit = 5s;
-constexpr auto kConfigurationInterval = 2500ms;
+constexpr auto kFirstRotation = 1500ms;
+/** Longer than kRevokeLimit, so that each withdrawn key is tried after it. */
+constexpr auto kKeyLife = 7500ms;
 constexpr std::size_t kTries = 4;
 
-enum Status : unsigned
-{
-  kOk = 200,
-  kGone = 410,
-  kTooMany = 429,
-  kUnavailable = 503,
-};
+// Statuses of HTTP.
+constexpr unsigned kOk = 200;
+constexpr unsigned kGone = 410;
+constexpr unsigned kTooMany = 429;
+constexpr unsigned kUnavailable = 503;
 
 std::string
 MakeId(base::RandomEngine& aRandom)
@@ -128,7 +128,7 @@
 private:
   std::string Submit()
   {
-    const std::string id = MakeId(this->random);
+    std::string id = MakeId(this->random);
     const std::size_t count = 1 + this->random() % 3;
     constexpr std::array kAccelerators{ 1U, 2U, 4U, 8U };
     const auto accelerators =
@@ -256,13 +256,12 @@
 
     FaultInjector faults(deployment, proxies, aOptions.seed);
     const auto end = Clock::now() + aOptions.duration;
-    auto nextConfiguration = Clock::now() + kConfigurationInterval;
+    auto nextConfiguration = Clock::now() + kFirstRotation;
     for (auto now = Clock::now(); now < end; now = Clock::now()) {
       faults.Update();
       if (now >= nextConfiguration) {
         keys.Rotate(deployment);
-        // Now and then a key stays long enough for its predecessor to be due.
-        nextConfiguration = now + kConfigurationInterval * 3;
+        nextConfiguration = now + kKeyLife;
       }
       std::this_thread::sleep_for(kStep);
     }
