Remove an option of the dispatcher that nothing reads

The restore time of workers was added with the benchmark and never used by a decision; the benchmark keeps it as a property of the deployment. Dispatch tests pass, behaviour is unchanged.

--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -105,8 +105,6 @@
     DispatcherOptions options;
     options.stopTime =
       std::chrono::duration_cast<base::Duration>(aSite.stopTime);
-    options.restoreTime =
-      std::chrono::duration_cast<base::Duration>(aSite.restoreTime);
     this->dispatcher =
       std::make_unique<Dispatcher>(options,
                                    ledger::JobTable(this->codec),
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -35,8 +35,6 @@
   base::Duration stopRepeat = std::chrono::milliseconds(1500);
   /** Longest time that a worker needs to stop a task. */
   base::Duration stopTime = std::chrono::milliseconds(900);
-  /** What a resumed task needs before it goes on from its checkpoint. */
-  base::Duration restoreTime = std::chrono::milliseconds(250);
   /** How long an ended job is kept. */
   base::Duration retention = std::chrono::seconds(180);
 };
