End the soak's faults in one place and say what HealAll does

Update and HealAll held the same loop, and the comment of HealAll said that it waits for the processes, which it does not; the caller waits for the jobs.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -57,11 +57,7 @@
 void
 FaultInjector::Update()
 {
-  while (!this->repairs.empty() && this->repairs.top().at <= Clock::now()) {
-    const auto action = this->repairs.top().action;
-    this->repairs.pop();
-    action();
-  }
+  this->RepairUntil(Clock::now());
   if (Clock::now() >= this->next) {
     this->Inject();
     this->next = Clock::now() + this->DrawTime(0, 2 * kPauseMs);
@@ -71,7 +67,13 @@
 void
 FaultInjector::HealAll()
 {
-  while (!this->repairs.empty()) {
+  this->RepairUntil(Clock::time_point::max());
+}
+
+void
+FaultInjector::RepairUntil(Clock::time_point aTime)
+{
+  while (!this->repairs.empty() && this->repairs.top().at <= aTime) {
     const auto action = this->repairs.top().action;
     this->repairs.pop();
     action();
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -27,7 +27,7 @@
 
   /** Begins and ends what is due; call it every few milliseconds. */
   void Update();
-  /** Ends all faults and waits until every process runs. */
+  /** Ends all faults; processes that were down are started, not awaited. */
   void HealAll();
   /** "milliseconds kind", in order. */
   const std::vector<std::string>& Log() const noexcept { return this->log; }
@@ -40,6 +40,8 @@
     bool operator<(const Repair& aOther) const { return aOther.at < this->at; }
   };
 
+  /** Ends the faults that are due by then. */
+  void RepairUntil(Clock::time_point aTime);
   void Inject();
   void DisturbProcess(std::unique_ptr<harness::Process>& aProcess,
                       const std::string& aName,
