Measure how late and how busy the decision thread is

What callers saw: accepted jobs were stopped and not started again. Neither logs nor metrics could tell a coordinator that handles messages late from one whose records are late or one that does not schedule a task at all.

Change: the time from the receipt of an agent's message to its handling, the time of the decision thread by kind of work, the time until records are durable and their size are in metrics and in one log line every 2 s of the leader. Lines about stopped and lost tasks carry the age of the message that they follow from. No decision changes.

--- a/libs/coordinator/src/AgentSessions.cpp
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -15,11 +15,15 @@
 } // namespace
 
 AgentSessions::AgentSessions(net::IoPool& aPool,
+                             const base::Clock& aClock,
                              base::Executor& aExecutor,
                              telemetry::Logger& aLogger,
+                             LoadMonitor& aLoad,
                              SessionObserver& aObserver)
-  : executor(aExecutor)
+  : clock(aClock)
+  , executor(aExecutor)
   , logger(aLogger)
+  , load(aLoad)
   , observer(aObserver)
   , node(aPool, kNodeOptions, *this)
 {
@@ -83,8 +87,13 @@
 AgentSessions::OnMessage(ConnectionId aConnection,
                          const protocol::Envelope& aEnvelope)
 {
-  this->executor.Post([this, aConnection, message = aEnvelope.message] {
-    this->HandleMessage(aConnection, message);
+  this->load.OnQueued();
+  this->executor.Post([this,
+                       aConnection,
+                       message = aEnvelope.message,
+                       receivedAt = this->clock.Now()] {
+    this->load.OnHandled(receivedAt);
+    this->HandleMessage(aConnection, message, receivedAt);
   });
 }
 
@@ -98,7 +107,8 @@
 
 void
 AgentSessions::HandleMessage(ConnectionId aConnection,
-                             const protocol::Message& aMessage)
+                             const protocol::Message& aMessage,
+                             base::TimePoint aReceivedAt)
 {
   if (const auto* report = std::get_if<protocol::AgentReport>(&aMessage)) {
     const auto& agent = report->report.agent;
@@ -108,7 +118,7 @@
       this->agents[agent] = aConnection;
       this->connections[aConnection] = agent;
     }
-    this->observer.OnReport(aConnection, *report);
+    this->observer.OnReport(aConnection, *report, aReceivedAt);
   } else if (const auto* outcome =
                std::get_if<protocol::AgentOutcome>(&aMessage)) {
     const auto found = this->connections.find(aConnection);
--- a/libs/coordinator/src/AgentSessions.h
+++ b/libs/coordinator/src/AgentSessions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LoadMonitor.h"
 #include "amaranthwind/base/Executor.h"
 #include "amaranthwind/protocol/Node.h"
 #include "amaranthwind/telemetry/Logger.h"
@@ -16,7 +17,8 @@
 public:
   virtual ~SessionObserver() = default;
   virtual void OnReport(protocol::ConnectionId aConnection,
-                        const protocol::AgentReport& aReport) = 0;
+                        const protocol::AgentReport& aReport,
+                        base::TimePoint aReceivedAt) = 0;
   virtual void OnOutcome(const base::AgentId& aAgent,
                          const protocol::AgentOutcome& aOutcome) = 0;
   virtual void OnLeaderNotice(protocol::ConnectionId aConnection,
@@ -29,8 +31,10 @@
 {
 public:
   AgentSessions(net::IoPool& aPool,
+                const base::Clock& aClock,
                 base::Executor& aExecutor,
                 telemetry::Logger& aLogger,
+                LoadMonitor& aLoad,
                 SessionObserver& aObserver);
 
   /** Returns the bound address. Errors: those of protocol::Node::Listen(). */
@@ -56,12 +60,15 @@
 
 private:
   void HandleMessage(protocol::ConnectionId aConnection,
-                     const protocol::Message& aMessage);
+                     const protocol::Message& aMessage,
+                     base::TimePoint aReceivedAt);
   void RemoveConnection(protocol::ConnectionId aConnection,
                         const base::Error& aReason);
 
+  const base::Clock& clock;
   base::Executor& executor;
   telemetry::Logger& logger;
+  LoadMonitor& load;
   SessionObserver& observer;
   protocol::Node node;
   std::map<base::AgentId, protocol::ConnectionId> agents;
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -4,6 +4,7 @@
 #include "DecisionLog.h"
 #include "DispatchRunner.h"
 #include "LeaderLog.h"
+#include "LoadMonitor.h"
 #include "Submissions.h"
 
 #include <array>
@@ -47,12 +48,13 @@
     , codec(aCodec)
     , logger(aLogger)
     , decisions(aLogger, aMetrics)
+    , load(aClock, aLogger, aMetrics)
     , submitTime(aMetrics.MakeHistogram(
         { "submit_seconds", "From a job's request to its acceptance." },
         std::array{ 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0 }))
     , table(aCodec)
     , submissions(aClock, aExecutor, aLog)
-    , sessions(aPool, aExecutor, aLogger, *this)
+    , sessions(aPool, aClock, aExecutor, aLogger, this->load, *this)
     , leaderLog({ .self = aOptions.self, .incarnation = aOptions.incarnation },
                 aClock,
                 aExecutor,
@@ -136,6 +138,7 @@
       this->codec,
       this->sessions,
       this->decisions,
+      this->load,
       [this] {
         // Deferred because StepDown() destroys the runner, which calls this.
         this->executor.Post([this] { this->leaderLog.StepDown(); });
@@ -209,7 +212,8 @@
   // Sessions.
 
   void OnReport(ConnectionId aConnection,
-                const protocol::AgentReport& aReport) override
+                const protocol::AgentReport& aReport,
+                TimePoint aReceivedAt) override
   {
     const auto& election = this->leaderLog.Election();
     if (election.IsLeader() && aReport.token > election.OwnToken()) {
@@ -242,7 +246,7 @@
                           protocol::AgentGrant{ aReport.sequence,
                                                 election.OwnToken(),
                                                 this->options.grant });
-    this->runner->OnReport(aReport.report);
+    this->runner->OnReport(aReport.report, aReceivedAt);
   }
 
   void OnOutcome(const base::AgentId& aAgent,
@@ -328,6 +332,7 @@
   const ledger::RecordCodec& codec;
   telemetry::Logger& logger;
   DecisionLog decisions;
+  LoadMonitor load;
   telemetry::Histogram submitTime;
   JobDirectory directory;
   std::atomic<bool> isLoaded{ false };
--- a/libs/coordinator/src/DecisionLog.cpp
+++ b/libs/coordinator/src/DecisionLog.cpp
@@ -101,7 +101,8 @@
                       { "task", job::ToText(aRun.task) },
                       { "run", aRun.run },
                       { "agent", aAgent },
-                      { "reason", aReason } });
+                      { "reason", aReason },
+                      { "inputAgeMs", ToMs(this->inputAge) } });
 }
 
 void
@@ -112,7 +113,8 @@
                        { { "job", aRun.task.step.job },
                          { "task", job::ToText(aRun.task) },
                          { "run", aRun.run },
-                         { "reason", aReason } });
+                         { "reason", aReason },
+                         { "inputAgeMs", ToMs(this->inputAge) } });
 }
 
 void
@@ -120,7 +122,9 @@
                              std::string_view aChange)
 {
   this->logger.Info("worker changed",
-                    { { "agent", aAgent }, { "change", aChange } });
+                    { { "agent", aAgent },
+                      { "change", aChange },
+                      { "inputAgeMs", ToMs(this->inputAge) } });
 }
 
 void
--- a/libs/coordinator/src/DecisionLog.h
+++ b/libs/coordinator/src/DecisionLog.h
@@ -12,6 +12,9 @@
 public:
   DecisionLog(telemetry::Logger& aLogger, telemetry::Metrics& aMetrics);
 
+  /** Age of the message that the next decisions follow from. */
+  void SetInputAge(base::Duration aAge) noexcept { this->inputAge = aAge; }
+
   void OnPlaced(const job::TaskRun& aRun,
                 const base::AgentId& aAgent,
                 base::Duration aWaited) override;
@@ -37,6 +40,7 @@
   telemetry::Counter lost;
   telemetry::Histogram waitTime;
   telemetry::Histogram jobTime;
+  base::Duration inputAge{};
 };
 
 /** Returns the name of the kind as it is logged, such as "done" or "failed". */
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -22,6 +22,7 @@
                                const ledger::RecordCodec& aCodec,
                                AgentSessions& aSessions,
                                DecisionLog& aDecisions,
+                               LoadMonitor& aLoad,
                                std::function<void()> aOnFenced)
   : options(aOptions)
   , token(aToken)
@@ -29,6 +30,7 @@
   , codec(aCodec)
   , sessions(aSessions)
   , decisions(aDecisions)
+  , load(aLoad)
 {
   journal::FencedWriterOptions writerOptions;
   writerOptions.topic = { std::string(kJobTopic), 0 };
@@ -89,6 +91,8 @@
 DispatchRunner::OnJob(const ledger::JobEntry& aJob)
 {
   if (this->dispatcher != nullptr) {
+    const LoadMonitor::Measurement measurement(this->load,
+                                               DecisionWork::JobRecord);
     this->ExecuteEffects(this->dispatcher->OnJob(aJob, this->Now()));
   }
 }
@@ -104,10 +108,15 @@
 }
 
 void
-DispatchRunner::OnReport(const dispatch::WorkerReport& aReport)
+DispatchRunner::OnReport(const dispatch::WorkerReport& aReport,
+                         base::TimePoint aReceivedAt)
 {
   if (this->dispatcher != nullptr) {
+    const LoadMonitor::Measurement measurement(this->load,
+                                               DecisionWork::Report);
+    this->decisions.SetInputAge(this->clock.Now() - aReceivedAt);
     this->ExecuteEffects(this->dispatcher->OnReport(aReport, this->Now()));
+    this->decisions.SetInputAge({});
   }
 }
 
@@ -116,6 +125,8 @@
                           const protocol::AgentOutcome& aOutcome)
 {
   if (this->dispatcher != nullptr) {
+    const LoadMonitor::Measurement measurement(this->load,
+                                               DecisionWork::Outcome);
     this->ExecuteEffects(this->dispatcher->OnOutcome(
       aAgent, aOutcome.life, aOutcome.run, aOutcome.outcome, this->Now()));
   }
@@ -135,8 +146,10 @@
 DispatchRunner::OnTick()
 {
   if (this->dispatcher != nullptr) {
+    const LoadMonitor::Measurement measurement(this->load, DecisionWork::Tick);
     this->ExecuteEffects(this->dispatcher->OnTick(this->Now()));
   }
+  this->load.Summarize();
 }
 
 dispatch::Dispatcher::Counts
@@ -153,6 +166,8 @@
   std::uint64_t version = 0;
   for (const auto& effect : aEffects) {
     if (const auto* persist = std::get_if<dispatch::PersistStep>(&effect)) {
+      const LoadMonitor::Measurement measurement(this->load,
+                                                 DecisionWork::Encode);
       records.push_back({ ledger::StepKey(persist->record.id),
                           this->codec.EncodeStep(persist->record) });
       version = persist->version;
@@ -182,13 +197,24 @@
   if (records.empty()) {
     return;
   }
-  this->writer->Write(
-    std::move(records), [this, alive = this->isAlive, version] {
-      if (*alive && version > 0) {
-        this->ExecuteEffects(
-          this->dispatcher->OnPersisted(version, this->Now()));
-      }
-    });
+  std::size_t bytes = 0;
+  for (const auto& record : records) {
+    bytes += record.value.size();
+  }
+  this->writer->Write(std::move(records),
+                      [this,
+                       alive = this->isAlive,
+                       version,
+                       bytes,
+                       decidedAt = this->clock.Now()] {
+                        if (*alive && version > 0) {
+                          this->load.OnDurable(decidedAt, bytes);
+                          const LoadMonitor::Measurement measurement(
+                            this->load, DecisionWork::Persisted);
+                          this->ExecuteEffects(this->dispatcher->OnPersisted(
+                            version, this->Now()));
+                        }
+                      });
 }
 
 } // namespace amaranthwind::coordinator
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -2,6 +2,7 @@
 
 #include "AgentSessions.h"
 #include "DecisionLog.h"
+#include "LoadMonitor.h"
 #include "amaranthwind/coordinator/Coordinator.h"
 #include "amaranthwind/journal/FencedWriter.h"
 
@@ -32,6 +33,7 @@
                  const ledger::RecordCodec& aCodec,
                  AgentSessions& aSessions,
                  DecisionLog& aDecisions,
+                 LoadMonitor& aLoad,
                  std::function<void()> aOnFenced);
   ~DispatchRunner();
   DispatchRunner(const DispatchRunner&) = delete;
@@ -47,7 +49,8 @@
 
   void OnJob(const ledger::JobEntry& aJob);
   void OnGuarantees(std::span<const dispatch::AccountGuarantee> aGuarantees);
-  void OnReport(const dispatch::WorkerReport& aReport);
+  void OnReport(const dispatch::WorkerReport& aReport,
+                base::TimePoint aReceivedAt);
   void OnOutcome(const base::AgentId& aAgent,
                  const protocol::AgentOutcome& aOutcome);
   void OnPredecessorSteppedDown();
@@ -66,6 +69,7 @@
   const ledger::RecordCodec& codec;
   AgentSessions& sessions;
   DecisionLog& decisions;
+  LoadMonitor& load;
   std::unique_ptr<journal::FencedWriter> writer;
   std::unique_ptr<dispatch::Dispatcher> dispatcher;
   bool hasPredecessorSteppedDown = false;
