Let coordinators and agents take their connections through an interface

Cause: the coordinator and the agents' link made their own sockets, so that nothing but whole processes could show what happens while the decision thread is busy and messages wait.

Change: protocol::MessagePort is the part of Node that they use; a factory is passed in. No behaviour changes.

--- a/libs/agent/include/amaranthwind/agent/CoordinatorLink.h
+++ b/libs/agent/include/amaranthwind/agent/CoordinatorLink.h
@@ -3,6 +3,7 @@
 #include "amaranthwind/agent/WorkerAgent.h"
 #include "amaranthwind/base/Executor.h"
 #include "amaranthwind/journal/KeyedLog.h"
+#include "amaranthwind/protocol/MessagePort.h"
 #include "amaranthwind/telemetry/Logger.h"
 
 #include <memory>
@@ -25,11 +26,14 @@
   /** All references must outlive the link. */
   CoordinatorLink(const base::Clock& aClock,
                   base::Executor& aExecutor,
-                  net::IoPool& aPool,
+                  const protocol::MessagePortFactory& aMakePort,
                   journal::KeyedLog& aLog,
                   telemetry::Logger& aLogger);
   ~CoordinatorLink() override;
 
+  /** Port factory for the connection to the coordinator. */
+  static protocol::MessagePortFactory MakePorts(net::IoPool& aPool);
+
   /** aAgent receives the coordinator's messages; it must outlive the link. */
   void Start(WorkerAgent& aAgent);
   /** Must be called on the executor. */
--- a/libs/agent/src/CoordinatorLink.cpp
+++ b/libs/agent/src/CoordinatorLink.cpp
@@ -39,12 +39,12 @@
 {
   Impl(const base::Clock& aClock,
        base::Executor& aExecutor,
-       net::IoPool& aPool,
+       const protocol::MessagePortFactory& aMakePort,
        journal::KeyedLog& aLog,
        telemetry::Logger& aLogger)
     : executor(aExecutor)
     , logger(aLogger)
-    , node(aPool, kNodeOptions, *this)
+    , port(aMakePort(*this))
     , follower({ .topic = { std::string(membership::kLeaderTopic), 0 },
                  .wait = kClaimPollTimeout },
                aClock,
@@ -94,7 +94,7 @@
                       { { "token", aToken }, { "address", aAddress } });
     this->agent->OnCoordinatorToken(aToken);
     if (this->connection) {
-      this->node.Close(*std::exchange(this->connection, std::nullopt));
+      this->port->Close(*std::exchange(this->connection, std::nullopt));
     }
     this->backoff.Reset();
     this->Connect();
@@ -107,7 +107,7 @@
     if (this->isStopped || this->connection || this->address.empty()) {
       return;
     }
-    this->connection = this->node.Connect(this->address);
+    this->connection = this->port->Connect(this->address);
   }
 
   template<typename Task>
@@ -193,7 +193,7 @@
 
   base::Executor& executor;
   telemetry::Logger& logger;
-  protocol::Node node;
+  std::unique_ptr<protocol::MessagePort> port;
   journal::KeyedFollower follower;
   WorkerAgent* agent = nullptr;
   base::FencingToken token;
@@ -205,15 +205,21 @@
 
 CoordinatorLink::CoordinatorLink(const base::Clock& aClock,
                                  base::Executor& aExecutor,
-                                 net::IoPool& aPool,
+                                 const protocol::MessagePortFactory& aMakePort,
                                  journal::KeyedLog& aLog,
                                  telemetry::Logger& aLogger)
-  : impl(std::make_shared<Impl>(aClock, aExecutor, aPool, aLog, aLogger))
+  : impl(std::make_shared<Impl>(aClock, aExecutor, aMakePort, aLog, aLogger))
 {
 }
 
 CoordinatorLink::~CoordinatorLink() = default;
 
+protocol::MessagePortFactory
+CoordinatorLink::MakePorts(net::IoPool& aPool)
+{
+  return protocol::MakeNodeFactory(aPool, kNodeOptions);
+}
+
 void
 CoordinatorLink::Start(WorkerAgent& aAgent)
 {
@@ -226,7 +232,7 @@
 {
   this->impl->isStopped = true;
   this->impl->follower.Stop();
-  this->impl->node.Stop();
+  this->impl->port->Stop();
 }
 
 void
@@ -235,8 +241,8 @@
                             const dispatch::WorkerReport& aReport)
 {
   if (this->impl->connection) {
-    this->impl->node.Send(*this->impl->connection,
-                          protocol::AgentReport{ aSequence, aToken, aReport });
+    this->impl->port->Send(*this->impl->connection,
+                           protocol::AgentReport{ aSequence, aToken, aReport });
   }
 }
 
@@ -246,7 +252,7 @@
                              dispatch::OrderOutcome aOutcome)
 {
   if (this->impl->connection) {
-    this->impl->node.Send(
+    this->impl->port->Send(
       *this->impl->connection,
       protocol::AgentOutcome{ aIncarnation, aRun, aOutcome });
   }
--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/dispatch/Dispatcher.h"
 #include "amaranthwind/journal/KeyedLog.h"
 #include "amaranthwind/ledger/Records.h"
+#include "amaranthwind/protocol/MessagePort.h"
 #include "amaranthwind/telemetry/Logger.h"
 #include "amaranthwind/telemetry/Metrics.h"
 
@@ -63,13 +64,16 @@
   Coordinator(const CoordinatorOptions& aOptions,
               const base::Clock& aClock,
               base::Executor& aExecutor,
-              net::IoPool& aPool,
+              const protocol::MessagePortFactory& aMakePort,
               journal::KeyedLog& aLog,
               const ledger::RecordCodec& aCodec,
               telemetry::Logger& aLogger,
               telemetry::Metrics& aMetrics);
   ~Coordinator() override;
 
+  /** Port factory for connections to agents and other entries. */
+  static protocol::MessagePortFactory MakePorts(net::IoPool& aPool);
+
   /** Errors: those of listening. */
   base::Result<void> Start();
   /** Gives up the leadership, so that another entry can take over immediately.
--- a/libs/coordinator/src/AgentSessions.cpp
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -3,18 +3,8 @@
 namespace amaranthwind::coordinator {
 
 using protocol::ConnectionId;
-using namespace std::chrono_literals;
 
-namespace {
-
-/** Short intervals, so that the loss of an agent is noticed quickly. */
-constexpr protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
-                                              .silenceTimeout = 2500ms,
-                                              .connectTimeout = 800ms };
-
-} // namespace
-
-AgentSessions::AgentSessions(net::IoPool& aPool,
+AgentSessions::AgentSessions(const protocol::MessagePortFactory& aMakePort,
                              const base::Clock& aClock,
                              base::Executor& aExecutor,
                              telemetry::Logger& aLogger,
@@ -25,20 +15,20 @@
   , logger(aLogger)
   , load(aLoad)
   , observer(aObserver)
-  , node(aPool, kNodeOptions, *this)
+  , port(aMakePort(*this))
 {
 }
 
 base::Result<std::string>
 AgentSessions::Listen(std::string_view aAddress)
 {
-  return this->node.Listen(aAddress);
+  return this->port->Listen(aAddress);
 }
 
 void
 AgentSessions::Stop()
 {
-  this->node.Stop();
+  this->port->Stop();
 }
 
 void
@@ -47,7 +37,7 @@
 {
   const auto found = this->agents.find(aAgent);
   if (found != this->agents.end()) {
-    this->node.Send(found->second, aMessage);
+    this->port->Send(found->second, aMessage);
   }
 }
 
@@ -55,27 +45,27 @@
 AgentSessions::SendTo(ConnectionId aConnection,
                       const protocol::Message& aMessage)
 {
-  this->node.Send(aConnection, aMessage);
+  this->port->Send(aConnection, aMessage);
 }
 
 void
 AgentSessions::SendToAll(const protocol::Message& aMessage)
 {
   for (const auto& [agent, connection] : this->agents) {
-    this->node.Send(connection, aMessage);
+    this->port->Send(connection, aMessage);
   }
 }
 
 ConnectionId
 AgentSessions::Connect(std::string_view aAddress)
 {
-  return this->node.Connect(aAddress);
+  return this->port->Connect(aAddress);
 }
 
 void
 AgentSessions::Close(ConnectionId aConnection)
 {
-  this->node.Close(aConnection);
+  this->port->Close(aConnection);
 }
 
 void
--- a/libs/coordinator/src/AgentSessions.h
+++ b/libs/coordinator/src/AgentSessions.h
@@ -2,7 +2,7 @@
 
 #include "LoadMonitor.h"
 #include "amaranthwind/base/Executor.h"
-#include "amaranthwind/protocol/Node.h"
+#include "amaranthwind/protocol/MessagePort.h"
 #include "amaranthwind/telemetry/Logger.h"
 
 #include <map>
@@ -30,7 +30,7 @@
 class AgentSessions final : public protocol::MessageHandler
 {
 public:
-  AgentSessions(net::IoPool& aPool,
+  AgentSessions(const protocol::MessagePortFactory& aMakePort,
                 const base::Clock& aClock,
                 base::Executor& aExecutor,
                 telemetry::Logger& aLogger,
@@ -70,7 +70,7 @@
   telemetry::Logger& logger;
   LoadMonitor& load;
   SessionObserver& observer;
-  protocol::Node node;
+  std::unique_ptr<protocol::MessagePort> port;
   std::map<base::AgentId, protocol::ConnectionId> agents;
   std::map<protocol::ConnectionId, base::AgentId> connections;
 };
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -6,6 +6,7 @@
 #include "LeaderLog.h"
 #include "LoadMonitor.h"
 #include "Submissions.h"
+#include "amaranthwind/protocol/Node.h"
 
 #include <array>
 #include <atomic>
@@ -21,6 +22,10 @@
 
 namespace {
 
+/** Short intervals, so that the loss of an agent is noticed quickly. */
+constexpr protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
+                                              .silenceTimeout = 2500ms,
+                                              .connectTimeout = 800ms };
 constexpr base::Duration kTickInterval = 500ms;
 /** Interval between attempts to reach the previous coordinator. */
 constexpr base::Duration kPredecessorRetryInterval = 500ms;
@@ -36,7 +41,7 @@
   Impl(const CoordinatorOptions& aOptions,
        const base::Clock& aClock,
        base::Executor& aExecutor,
-       net::IoPool& aPool,
+       const protocol::MessagePortFactory& aMakePort,
        journal::KeyedLog& aLog,
        const ledger::RecordCodec& aCodec,
        telemetry::Logger& aLogger,
@@ -54,7 +59,7 @@
         std::array{ 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0 }))
     , table(aCodec)
     , submissions(aClock, aExecutor, aLog)
-    , sessions(aPool, aClock, aExecutor, aLogger, this->load, *this)
+    , sessions(aMakePort, aClock, aExecutor, aLogger, this->load, *this)
     , leaderLog({ .self = aOptions.self, .incarnation = aOptions.incarnation },
                 aClock,
                 aExecutor,
@@ -359,7 +364,7 @@
 Coordinator::Coordinator(const CoordinatorOptions& aOptions,
                          const base::Clock& aClock,
                          base::Executor& aExecutor,
-                         net::IoPool& aPool,
+                         const protocol::MessagePortFactory& aMakePort,
                          journal::KeyedLog& aLog,
                          const ledger::RecordCodec& aCodec,
                          telemetry::Logger& aLogger,
@@ -367,7 +372,7 @@
   : impl(std::make_shared<Impl>(aOptions,
                                 aClock,
                                 aExecutor,
-                                aPool,
+                                aMakePort,
                                 aLog,
                                 aCodec,
                                 aLogger,
@@ -377,6 +382,12 @@
 
 Coordinator::~Coordinator() = default;
 
+protocol::MessagePortFactory
+Coordinator::MakePorts(net::IoPool& aPool)
+{
+  return protocol::MakeNodeFactory(aPool, kNodeOptions);
+}
+
 base::Result<void>
 Coordinator::Start()
 {
--- a/libs/protocol/include/amaranthwind/protocol/Node.h
+++ b/libs/protocol/include/amaranthwind/protocol/Node.h
@@ -3,6 +3,7 @@
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/Result.h"
 #include "amaranthwind/protocol/MessageHandler.h"
+#include "amaranthwind/protocol/MessagePort.h"
 #include "amaranthwind/protocol/Messages.h"
 
 #include <chrono>
@@ -71,28 +72,19 @@
  * the pool. The handler must outlive the pool's threads, since it may be called
  * until they have stopped.
  */
-class Node
+class Node final : public MessagePort
 {
 public:
   Node(net::IoPool& aPool,
        const NodeOptions& aOptions,
        MessageHandler& aHandler);
-  ~Node();
+  ~Node() override;
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
-  /**
-   * Listens on "IP:port"; port 0 selects a free port. Returns the bound
-   * address. Errors: Malformed (address), ConnectFailed (operating system
-   * error).
-   */
-  base::Result<std::string> Listen(std::string_view aAddress);
-
-  /** Starts to connect; OnOpened or OnClosed reports the result. */
-  ConnectionId Connect(std::string_view aAddress);
-
-  /** Sends without expecting a reply. Does nothing on a closed connection. */
-  void Send(ConnectionId aConnection, const Message& aMessage);
+  base::Result<std::string> Listen(std::string_view aAddress) override;
+  ConnectionId Connect(std::string_view aAddress) override;
+  void Send(ConnectionId aConnection, const Message& aMessage) override;
 
   /** Replies to the call with the given correlation id. */
   void Reply(ConnectionId aConnection,
@@ -109,7 +101,7 @@
             base::Duration aTimeout,
             CallHandler aHandler);
 
-  void Close(ConnectionId aConnection);
+  void Close(ConnectionId aConnection) override;
 
   /** Overrides the ping interval and silence timeout of one connection. */
   void SetLiveness(ConnectionId aConnection,
@@ -118,12 +110,15 @@
 
   NodeCounters Counters() const;
 
-  /** Closes the listener and all connections. */
-  void Stop();
+  void Stop() override;
 
 private:
   struct Impl;
   std::shared_ptr<Impl> impl;
 };
 
+/** Makes nodes on the pool, which must outlive them. */
+MessagePortFactory
+MakeNodeFactory(net::IoPool& aPool, const NodeOptions& aOptions);
+
 } // namespace amaranthwind::protocol
--- a/libs/protocol/src/Node.cpp
+++ b/libs/protocol/src/Node.cpp
@@ -242,4 +242,12 @@
   }
 }
 
+MessagePortFactory
+MakeNodeFactory(net::IoPool& aPool, const NodeOptions& aOptions)
+{
+  return [&aPool, aOptions](MessageHandler& aHandler) {
+    return std::make_unique<Node>(aPool, aOptions, aHandler);
+  };
+}
+
 } // namespace amaranthwind::protocol
