Run one scheduling pass for a batch of events

Cause: each report of an agent, each outcome and each record that the coordinator had written itself ran a scheduling pass of its own.

Change: events only update the state of the dispatcher; Schedule() and Commit() follow once for all messages that were received meanwhile, and for all records of one read. A report that a newer one of the same agent supersedes is not handled. Passes take at most half of the thread's time. Silence of an agent is judged after its received reports were handled. Steps that changed are kept in a set instead of being searched among all steps of all jobs.

--- a/libs/coordinator/src/AgentSessions.cpp
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -78,21 +78,104 @@
                          const protocol::Envelope& aEnvelope)
 {
   this->load.OnQueued();
-  this->executor.Post([this,
-                       aConnection,
-                       message = aEnvelope.message,
-                       receivedAt = this->clock.Now()] {
-    this->load.OnHandled(receivedAt);
-    this->HandleMessage(aConnection, message, receivedAt);
-  });
+  this->Enqueue({ aConnection, aEnvelope.message, this->clock.Now() });
 }
 
 void
 AgentSessions::OnClosed(ConnectionId aConnection, const base::Error& aReason)
 {
-  this->executor.Post([this, aConnection, aReason] {
-    this->RemoveConnection(aConnection, aReason);
-  });
+  this->load.OnQueued();
+  this->Enqueue({ aConnection, aReason, this->clock.Now() });
+}
+
+void
+AgentSessions::Enqueue(Received aReceived)
+{
+  bool isFirst = false;
+  {
+    const std::lock_guard lock(this->receivedMutex);
+    isFirst = this->received.empty();
+    this->received.push_back(std::move(aReceived));
+  }
+  if (isFirst) {
+    this->executor.Post([this] { this->HandleReceived(); });
+  }
+}
+
+void
+AgentSessions::HandleReceived()
+{
+  std::vector<Received> batch;
+  {
+    const std::lock_guard lock(this->receivedMutex);
+    batch.swap(this->received);
+  }
+  if (batch.empty()) {
+    return;
+  }
+  const auto superseded = FindSuperseded(batch);
+  for (std::size_t i = 0; i < batch.size(); ++i) {
+    const Received& each = batch[i];
+    this->load.OnHandled(each.at);
+    if (const auto* reason = std::get_if<base::Error>(&each.event)) {
+      this->RemoveConnection(each.connection, *reason);
+      continue;
+    }
+    const auto& message = std::get<protocol::Message>(each.event);
+    if (const auto* report = std::get_if<protocol::AgentReport>(&message)) {
+      this->Identify(each.connection, report->report.agent);
+    }
+    if (!superseded.contains(i)) {
+      this->HandleMessage(each.connection, message, each.at);
+    }
+  }
+  this->observer.OnBatchHandled();
+}
+
+std::set<std::size_t>
+AgentSessions::FindSuperseded(std::span<const Received> aReceived)
+{
+  std::set<std::size_t> superseded;
+  std::map<ConnectionId, std::size_t> newest;
+  const auto reportAt = [&](std::size_t aIndex) {
+    const auto* message =
+      std::get_if<protocol::Message>(&aReceived[aIndex].event);
+    return message == nullptr ? nullptr
+                              : std::get_if<protocol::AgentReport>(message);
+  };
+  for (std::size_t i = aReceived.size(); i-- > 0;) {
+    const protocol::AgentReport* report = reportAt(i);
+    if (report == nullptr) {
+      continue;
+    }
+    const auto [found, isNewest] =
+      newest.try_emplace(aReceived[i].connection, i);
+    if (isNewest) {
+      continue;
+    }
+    // A report lists all ends that are not acknowledged, but only those of the
+    // worker's current incarnation.
+    const auto& worker = report->report.worker;
+    const auto& newestWorker = reportAt(found->second)->report.worker;
+    if (worker && newestWorker && worker->life == newestWorker->life) {
+      superseded.insert(i);
+    } else {
+      found->second = i;
+    }
+  }
+  return superseded;
+}
+
+void
+AgentSessions::Identify(ConnectionId aConnection, const base::AgentId& aAgent)
+{
+  ConnectionId& current = this->agents[aAgent];
+  if (current != aConnection) {
+    this->logger.Info("agent connected", { { "agent", aAgent } });
+    this->connections.erase(current);
+    current = aConnection;
+    this->connections[aConnection] = aAgent;
+  }
 }
 
 void
@@ -101,13 +184,6 @@
                              base::TimePoint aReceivedAt)
 {
   if (const auto* report = std::get_if<protocol::AgentReport>(&aMessage)) {
-    const auto& agent = report->report.agent;
-    if (this->agents[agent] != aConnection) {
-      this->logger.Info("agent connected", { { "agent", agent } });
-      this->connections.erase(this->agents[agent]);
-      this->agents[agent] = aConnection;
-      this->connections[aConnection] = agent;
-    }
     this->observer.OnReport(aConnection, *report, aReceivedAt);
   } else if (const auto* outcome =
                std::get_if<protocol::AgentOutcome>(&aMessage)) {
--- a/libs/coordinator/src/AgentSessions.h
+++ b/libs/coordinator/src/AgentSessions.h
@@ -7,7 +7,12 @@
 
 #include <map>
 #include <memory>
+#include <mutex>
+#include <set>
+#include <span>
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace amaranthwind::coordinator {
 
@@ -24,9 +29,18 @@
   virtual void OnLeaderNotice(protocol::ConnectionId aConnection,
                               const protocol::LeaderNotice& aNotice) = 0;
   virtual void OnClosed(protocol::ConnectionId aConnection) = 0;
+  /** All messages received so far have been passed on. */
+  virtual void OnBatchHandled() = 0;
 };
 
-/** Connections to agents and other entries. Confined to one executor. */
+/**
+ * Connections to agents and other entries. Confined to one executor, except for
+ * the functions of MessageHandler.
+ *
+ * Received messages wait until the executor is free and are then handled
+ * together. A report that a newer one of the same agent supersedes is dropped,
+ * so that the work of a batch is bounded by the number of agents.
+ */
 class AgentSessions final : public protocol::MessageHandler
 {
 public:
@@ -48,6 +62,8 @@
   void SendToAll(const protocol::Message& aMessage);
   protocol::ConnectionId Connect(std::string_view aAddress);
   void Close(protocol::ConnectionId aConnection);
+  /** Handles the messages received so far. */
+  void HandleReceived();
   std::size_t Size() const noexcept { return this->agents.size(); }
 
   void OnOpened(protocol::ConnectionId aConnection,
@@ -59,6 +75,21 @@
                 const base::Error& aReason) override;
 
 private:
+  /** A message, or the reason for which the connection was closed. */
+  struct Received
+  {
+    protocol::ConnectionId connection;
+    std::variant<protocol::Message, base::Error> event;
+    base::TimePoint at;
+  };
+
+  void Enqueue(Received aReceived);
+  /** Indices of the reports that a later one in the batch supersedes. */
+  static std::set<std::size_t> FindSuperseded(
+    std::span<const Received> aReceived);
+  /** Messages to the agent go to this connection from now on. */
+  void Identify(protocol::ConnectionId aConnection,
+                const base::AgentId& aAgent);
   void HandleMessage(protocol::ConnectionId aConnection,
                      const protocol::Message& aMessage,
                      base::TimePoint aReceivedAt);
@@ -71,6 +102,8 @@
   LoadMonitor& load;
   SessionObserver& observer;
   std::unique_ptr<protocol::MessagePort> port;
+  std::mutex receivedMutex;
+  std::vector<Received> received;
   std::map<base::AgentId, protocol::ConnectionId> agents;
   std::map<protocol::ConnectionId, base::AgentId> connections;
 };
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -110,6 +110,9 @@
         this->runner->OnJob(*entry);
       }
     }
+    if (this->runner != nullptr) {
+      this->runner->FinishBatch();
+    }
   }
 
   void OnCurrent(TimePoint aAsOf) override
@@ -262,6 +265,13 @@
     }
   }
 
+  void OnBatchHandled() override
+  {
+    if (this->runner != nullptr) {
+      this->runner->FinishBatch();
+    }
+  }
+
   void OnLeaderNotice(ConnectionId aConnection,
                       const protocol::LeaderNotice& aNotice) override
   {
@@ -302,6 +312,8 @@
 
   void Tick()
   {
+    // An agent is not silent if its report waits to be handled.
+    this->sessions.HandleReceived();
     if (this->runner != nullptr) {
       this->runner->OnTick();
     }
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -27,6 +27,7 @@
   : options(aOptions)
   , token(aToken)
   , clock(aClock)
+  , executor(aExecutor)
   , codec(aCodec)
   , sessions(aSessions)
   , decisions(aDecisions)
@@ -104,6 +105,7 @@
   if (this->dispatcher != nullptr) {
     this->ExecuteEffects(
       this->dispatcher->OnGuarantees(aGuarantees, this->Now()));
+    this->FinishBatch();
   }
 }
 
@@ -149,9 +151,48 @@
     const LoadMonitor::Measurement measurement(this->load, DecisionWork::Tick);
     this->ExecuteEffects(this->dispatcher->OnTick(this->Now()));
   }
+  this->FinishBatch();
   this->load.Summarize();
 }
 
+void
+DispatchRunner::FinishBatch()
+{
+  if (this->dispatcher == nullptr) {
+    return;
+  }
+  if (this->dispatcher->NeedsSchedule()) {
+    this->ScheduleIfDue();
+  }
+  this->ExecuteEffects(this->dispatcher->Commit(this->Now()));
+}
+
+void
+DispatchRunner::ScheduleIfDue()
+{
+  const base::TimePoint start = this->clock.Now();
+  if (start < this->nextPassAt) {
+    if (!std::exchange(this->isPassPending, true)) {
+      this->executor.RunAfter(this->nextPassAt - start,
+                              [this, alive = this->isAlive] {
+                                if (*alive) {
+                                  this->isPassPending = false;
+                                  this->FinishBatch();
+                                }
+                              });
+    }
+    return;
+  }
+  {
+    const LoadMonitor::Measurement measurement(this->load, DecisionWork::Pass);
+    this->ExecuteEffects(this->dispatcher->Schedule(this->Now()));
+  }
+  // Passes take at most half of the thread's time, so that reports are answered
+  // and leases renewed however long a pass takes.
+  const base::TimePoint end = this->clock.Now();
+  this->nextPassAt = end + (end - start);
+}
+
 dispatch::Dispatcher::Counts
 DispatchRunner::Count() const
 {
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -55,17 +55,25 @@
                  const protocol::AgentOutcome& aOutcome);
   void OnPredecessorSteppedDown();
   void OnTick();
+  /**
+   * Schedules and writes records after a batch of events. Must be called after
+   * OnJob(), OnReport() and OnOutcome(), which only update the state.
+   */
+  void FinishBatch();
 
   base::FencingToken Token() const noexcept { return this->token; }
   dispatch::Dispatcher::Counts Count() const;
 
 private:
   void ExecuteEffects(const dispatch::Effects& aEffects);
+  /** Runs a scheduling pass now, or as soon as its share of time allows. */
+  void ScheduleIfDue();
   dispatch::ClockReading Now() const;
 
   const CoordinatorOptions& options;
   const base::FencingToken token;
   const base::Clock& clock;
+  base::Executor& executor;
   const ledger::RecordCodec& codec;
   AgentSessions& sessions;
   DecisionLog& decisions;
@@ -73,6 +81,9 @@
   std::unique_ptr<journal::FencedWriter> writer;
   std::unique_ptr<dispatch::Dispatcher> dispatcher;
   bool hasPredecessorSteppedDown = false;
+  /** Earliest time of the next scheduling pass. */
+  base::TimePoint nextPassAt{};
+  bool isPassPending = false;
   /** Disables callbacks that run after the term has ended. */
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
--- a/libs/coordinator/src/LoadMonitor.h
+++ b/libs/coordinator/src/LoadMonitor.h
@@ -19,10 +19,11 @@
   JobRecord,
   Persisted,
   Tick,
+  Pass,
   Encode,
 };
 
-inline constexpr std::size_t kDecisionWorkCount = 6;
+inline constexpr std::size_t kDecisionWorkCount = 7;
 
 /**
  * Measures how busy and how late the decision thread is. The functions for the
--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -298,8 +298,7 @@
         { base::AccountId("account-" + std::to_string(i)),
           static_cast<std::uint32_t>(share * this->site.workers * 8) });
     }
-    this->ExecuteEffects(
-      this->dispatcher->OnGuarantees(guarantees, this->Now()));
+    this->Finish(this->dispatcher->OnGuarantees(guarantees, this->Now()));
   }
 
   // Events reported to the dispatcher.
@@ -313,19 +312,19 @@
     ledger::JobEntry entry;
     entry.spec = simulated.spec;
     entry.acceptedOffset = base::LogOffset(++this->lastOffset);
-    this->ExecuteEffects(this->dispatcher->OnJob(entry, this->Now()));
+    this->Finish(this->dispatcher->OnJob(entry, this->Now()));
     if (simulated.isCancelled) {
       this->ScheduleAt(this->time + this->SampleUniform(0.5, 6), [this, entry] {
         auto cancelled = entry;
         cancelled.isCancelRequested = true;
-        this->ExecuteEffects(this->dispatcher->OnJob(cancelled, this->Now()));
+        this->Finish(this->dispatcher->OnJob(cancelled, this->Now()));
       });
     }
   }
 
   void Tick()
   {
-    this->ExecuteEffects(this->dispatcher->OnTick(this->Now()));
+    this->Finish(this->dispatcher->OnTick(this->Now()));
     this->ScheduleAfter(kTickInterval, [this] { this->Tick(); });
   }
 
@@ -349,7 +348,17 @@
     for (const auto& [number, end] : worker.ended) {
       report.ended.push_back(end);
     }
-    this->ExecuteEffects(this->dispatcher->OnReport(report, this->Now()));
+    this->Finish(this->dispatcher->OnReport(report, this->Now()));
+  }
+
+  /** Executes the effects of an event, then schedules and commits. */
+  void Finish(const Effects& aEffects)
+  {
+    this->ExecuteEffects(aEffects);
+    if (this->dispatcher->NeedsSchedule()) {
+      this->ExecuteEffects(this->dispatcher->Schedule(this->Now()));
+    }
+    this->ExecuteEffects(this->dispatcher->Commit(this->Now()));
   }
 
   void ExecuteEffects(const Effects& aEffects)
@@ -386,11 +395,11 @@
     SimulatedJob& simulated = this->FindJob(aOrder.run.task.step.job);
     Run run{ agent, this->time, -1, worker.speed, false };
     worker.runs[aOrder.run] = run;
-    this->ExecuteEffects(this->dispatcher->OnOutcome(aOrder.agent,
-                                                     aOrder.incarnation,
-                                                     aOrder.run,
-                                                     OrderOutcome::Started,
-                                                     this->Now()));
+    this->Finish(this->dispatcher->OnOutcome(aOrder.agent,
+                                             aOrder.incarnation,
+                                             aOrder.run,
+                                             OrderOutcome::Started,
+                                             this->Now()));
     const job::StepSpec& step = simulated.spec->steps.front();
     std::vector<Run*> members = this->MembersOf(aOrder.run, step);
     if (members.size() < (step.isGang ? step.count : 1)) {
@@ -509,11 +518,11 @@
     const std::string agent = aOrder.agent.Text();
     const auto found = this->workers[agent].runs.find(aOrder.run);
     if (found == this->workers[agent].runs.end()) {
-      this->ExecuteEffects(this->dispatcher->OnOutcome(aOrder.agent,
-                                                       aOrder.incarnation,
-                                                       aOrder.run,
-                                                       OrderOutcome::Absent,
-                                                       this->Now()));
+      this->Finish(this->dispatcher->OnOutcome(aOrder.agent,
+                                               aOrder.incarnation,
+                                               aOrder.run,
+                                               OrderOutcome::Absent,
+                                               this->Now()));
     } else if (!std::exchange(found->second.isStopping, true)) {
       this->ScheduleAfter(this->site.stopTime * this->SampleUniform(0.3, 1),
                           [this, agent, run = aOrder.run] {
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -128,7 +128,11 @@
 /**
  * Decides which task runs where. The coordinator of a cell creates it from the
  * jobs in the log, reports events to it and executes the effects that it
- * returns. These invariants prevent two concurrent runs of one task:
+ * returns. Events only update the state. After one or more of them the caller
+ * must call Commit(), which writes the changes of all of them at once; tasks
+ * are placed by Schedule(), whose work grows with the jobs and workers.
+ *
+ * These invariants prevent two concurrent runs of one task:
  *
  * - A placement is durable before the start order is sent.
  * - A task may be placed again only after its end was reported, the agent has
@@ -174,6 +178,13 @@
   /** Must be called about every half second. */
   Effects OnTick(const ClockReading& aNow);
 
+  /** Whether a scheduling pass could place tasks since the last one. */
+  bool NeedsSchedule() const noexcept;
+  /** Runs a scheduling pass, which places and preempts tasks. */
+  Effects Schedule(const ClockReading& aNow);
+  /** Writes the records of all steps that have changed. */
+  Effects Commit(const ClockReading& aNow);
+
   /** Totals for state dumps and metrics. */
   struct Counts
   {
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -63,8 +63,6 @@
   bool hasFailed = false;
   /** Latest gang run whose failure was counted. */
   std::uint32_t failedRun = 0;
-  /** The state has changed since the last record was written. */
-  bool isDirty = false;
   std::optional<base::TimePoint> readyAt;
 
   bool IsDone() const noexcept;
@@ -153,7 +151,7 @@
   /** The task if it is on the given run, or null. */
   Task* FindRun(const job::TaskRun& aRun);
   const job::StepSpec* SpecOf(const job::StepId& aStep);
-  void MarkDirty(Step& aStep) { aStep.isDirty = true; }
+  void MarkDirty(const Step& aStep) { this->dirtySteps.insert(aStep.id); }
   void FlushWrites();
 
   // Workers (WorkerState.cpp).
@@ -231,6 +229,8 @@
   base::TimePoint inheritedGrantsExpireAt{};
   bool hasInheritedTasks = false;
 
+  /** Steps that have changed since their last record was written. */
+  std::set<job::StepId> dirtySteps;
   std::uint64_t lastVersion = 0;
   std::uint64_t persistedVersion = 0;
   /** Placements that are not durable yet, with the version of their record. */
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -49,8 +49,6 @@
 {
   CallScope call(this->state->callTime, this->state->effects, aNow);
   this->state->Add(aJob);
-  this->state->Schedule();
-  this->state->FlushWrites();
   return call.Finish();
 }
 
@@ -63,8 +61,7 @@
   for (const auto& each : aGuarantees) {
     this->state->guarantees[each.account] = each.accelerators;
   }
-  this->state->Schedule();
-  this->state->FlushWrites();
+  this->state->mustSchedule = true;
   return call.Finish();
 }
 
@@ -73,11 +70,6 @@
 {
   CallScope call(this->state->callTime, this->state->effects, aNow);
   this->state->HandleReport(aReport);
-  if (this->state->mustSchedule) {
-    this->state->Schedule();
-  }
-  this->state->FlushWrites();
-  this->state->AcknowledgeDurableEnds();
   return call.Finish();
 }
 
@@ -94,10 +86,6 @@
       found->second.info->life == aIncarnation) {
     this->state->HandleOutcome(found->second, aRun, aOutcome);
   }
-  if (this->state->mustSchedule) {
-    this->state->Schedule();
-  }
-  this->state->FlushWrites();
   return call.Finish();
 }
 
@@ -126,8 +114,32 @@
   this->state->ExpireSilentWorkers();
   this->state->ExpireInheritedTasks();
   this->state->ForgetOldJobs();
+  // Waiting times, objectives and due times change without an event.
+  this->state->mustSchedule = true;
+  return call.Finish();
+}
+
+bool
+Dispatcher::NeedsSchedule() const noexcept
+{
+  return this->state->mustSchedule;
+}
+
+Effects
+Dispatcher::Schedule(const ClockReading& aNow)
+{
+  CallScope call(this->state->callTime, this->state->effects, aNow);
+  this->state->mustSchedule = false;
   this->state->Schedule();
+  return call.Finish();
+}
+
+Effects
+Dispatcher::Commit(const ClockReading& aNow)
+{
+  CallScope call(this->state->callTime, this->state->effects, aNow);
   this->state->FlushWrites();
+  this->state->AcknowledgeDurableEnds();
   return call.Finish();
 }
 
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -88,6 +88,7 @@
     job.spec = aEntry.spec;
     job.acceptedOffset = aEntry.acceptedOffset;
     job.criticalPath = CriticalPath(*job.spec);
+    this->mustSchedule = true;
   }
   if (aEntry.isCancelRequested && !job.isCancelled) {
     this->Cancel(job);
@@ -98,6 +99,7 @@
 Dispatcher::State::Cancel(Job& aJob)
 {
   aJob.isCancelled = true;
+  this->mustSchedule = true;
   for (auto& [key, step] : aJob.steps) {
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
       this->RequestStop(step, i, "cancelled");
@@ -129,6 +131,7 @@
     return;
   }
   aJob.hasEnded = true;
+  this->mustSchedule = true;
   aJob.endedAt = this->callTime.now;
   for (auto& [key, step] : aJob.steps) {
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
@@ -247,20 +250,17 @@
 void
 Dispatcher::State::FlushWrites()
 {
-  const std::uint64_t version = this->lastVersion + 1;
-  Effects writes;
-  for (auto& [id, job] : this->jobs) {
-    for (auto& [key, step] : job.steps) {
-      if (std::exchange(step.isDirty, false)) {
-        writes.emplace_back(PersistStep{ ToRecord(step), version });
-      }
-    }
+  if (this->dirtySteps.empty()) {
+    return;
   }
-  if (!writes.empty()) {
-    this->lastVersion = version;
-    std::move(writes.begin(), writes.end(), std::back_inserter(this->effects));
+  ++this->lastVersion;
+  for (const job::StepId& id : std::exchange(this->dirtySteps, {})) {
+    // The records of a job that was forgotten meanwhile are being deleted.
+    if (const Step* step = this->FindStep(id)) {
+      this->effects.emplace_back(
+        PersistStep{ ToRecord(*step), this->lastVersion });
+    }
   }
-  this->mustSchedule = false;
 }
 
 } // namespace amaranthwind::dispatch
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -134,7 +134,6 @@
 Dispatcher::State::HandleEnd(Worker& aWorker, const EndedTask& aEnd)
 {
   const bool heldResources = this->ReleaseResources(aWorker, aEnd.run);
-  this->mustSchedule = this->mustSchedule || heldResources;
   Task* task = this->FindRun(aEnd.run);
   const bool isCurrent = heldResources && task != nullptr &&
                          task->IsOnWorker() &&
@@ -145,8 +144,10 @@
   const bool isLateCompletion =
     task != nullptr && task->phase == Phase::Idle && aEnd.kind == EndKind::Done;
   if (!isCurrent && !isLateCompletion) {
+    this->mustSchedule = this->mustSchedule || heldResources;
     return; // Already handled, or the end of an orphaned run.
   }
+  this->mustSchedule = true;
   if (task->phase == Phase::Ordered && aEnd.kind == EndKind::Stopped) {
     // The agent got no answer to the start. Placing the task there again at
     // once would start and stop it in a loop.
@@ -471,6 +472,7 @@
     if (found != this->workers.end()) {
       this->ReleaseResources(found->second, run);
     }
+    this->mustSchedule = true;
     task.phase = Phase::Idle;
     this->MarkDirty(aStep);
     return;
@@ -511,10 +513,13 @@
 Dispatcher::State::AcknowledgeDurableEnds()
 {
   // An end that caused no write has a version that was never used; it is due
-  // once every write is durable.
+  // once every write is durable. Changes that are not written yet take the next
+  // version.
+  const bool isAllDurable =
+    this->persistedVersion == this->lastVersion && this->dirtySteps.empty();
   while (!this->pendingAcks.empty() &&
          (this->pendingAcks.front().first <= this->persistedVersion ||
-          this->persistedVersion == this->lastVersion)) {
+          isAllDurable)) {
     this->effects.emplace_back(std::move(this->pendingAcks.front().second));
     this->pendingAcks.pop_front();
   }
--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -64,7 +64,7 @@
   auto& spec = this->jobs[aSpec.id.Text()];
   spec = aSpec;
   spec.acceptedAt = this->now.wall;
-  this->ExecuteEffects(
+  this->Finish(
     this->dispatcher->OnJob(this->EntryOf(aSpec.id.Text()), this->now));
 }
 
@@ -72,7 +72,7 @@
 DispatcherHarness::Cancel(const job::WorkflowSpec& aSpec)
 {
   this->cancelled[aSpec.id.Text()] = true;
-  this->ExecuteEffects(
+  this->Finish(
     this->dispatcher->OnJob(this->EntryOf(aSpec.id.Text()), this->now));
 }
 
@@ -103,8 +103,7 @@
   table.Load(records);
   this->dispatcher = std::make_unique<Dispatcher>(
     this->options, table, std::make_unique<BestFitPacking>(), *this, this->now);
-  this->ExecuteEffects(
-    this->dispatcher->OnGuarantees(this->guarantees, this->now));
+  this->Finish(this->dispatcher->OnGuarantees(this->guarantees, this->now));
   for (const auto& [name, agent] : this->agents) {
     if (agent.isReporting) {
       this->Report(name);
@@ -149,6 +148,16 @@
   }
 }
 
+void
+DispatcherHarness::Finish(const Effects& aEffects)
+{
+  this->ExecuteEffects(aEffects);
+  if (this->dispatcher->NeedsSchedule()) {
+    this->ExecuteEffects(this->dispatcher->Schedule(this->now));
+  }
+  this->ExecuteEffects(this->dispatcher->Commit(this->now));
+}
+
 void
 DispatcherHarness::Persist()
 {
@@ -168,12 +177,11 @@
                            const job::TaskRun& aRun,
                            OrderOutcome aOutcome)
 {
-  this->ExecuteEffects(
-    this->dispatcher->OnOutcome(base::AgentId(aAgent),
-                                this->agents.at(aAgent).info.life,
-                                aRun,
-                                aOutcome,
-                                this->now));
+  this->Finish(this->dispatcher->OnOutcome(base::AgentId(aAgent),
+                                           this->agents.at(aAgent).info.life,
+                                           aRun,
+                                           aOutcome,
+                                           this->now));
 }
 
 void
@@ -189,13 +197,13 @@
   for (const auto& [number, end] : agent.ended) {
     report.ended.push_back(end);
   }
-  this->ExecuteEffects(this->dispatcher->OnReport(report, this->now));
+  this->Finish(this->dispatcher->OnReport(report, this->now));
 }
 
 void
 DispatcherHarness::Tick()
 {
-  this->ExecuteEffects(this->dispatcher->OnTick(this->now));
+  this->Finish(this->dispatcher->OnTick(this->now));
 }
 
 void
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -128,6 +128,8 @@
   std::vector<AccountGuarantee> guarantees;
 
 private:
+  /** Executes the effects of an event, then schedules and commits. */
+  void Finish(const Effects& aEffects);
   void ExecuteEffects(const Effects& aEffects);
   ledger::JobEntry EntryOf(const std::string& aJob) const;
 
