Test that a busy coordinator loses no accepted job

A deterministic simulation drives whole coordinators, agents and workers through their interfaces (clock, executor, log, connections). Only the processor time of the schedulers is limited: passes, records and messages charge it to the decision thread. No worker, connection or log fails.

--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -38,6 +38,10 @@
   base::Duration stopTime = std::chrono::milliseconds(900);
   /** How long the records of an ended job are kept. */
   base::Duration retention = std::chrono::seconds(180);
+  /** Makes the placement strategy of a term of leadership. */
+  std::function<std::unique_ptr<dispatch::Packing>()> makePacking = [] {
+    return std::make_unique<dispatch::BestFitPacking>();
+  };
 };
 
 /** Snapshot for state dumps and health checks. */
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -70,12 +70,12 @@
     dispatchOptions.maxGrantDuration + this->options.maxLogSilence;
   dispatchOptions.stopTime = this->options.stopTime;
   dispatchOptions.retention = this->options.retention;
-  this->dispatcher = std::make_unique<dispatch::Dispatcher>(
-    dispatchOptions,
-    aJobs,
-    std::make_unique<dispatch::BestFitPacking>(),
-    this->decisions,
-    this->Now());
+  this->dispatcher =
+    std::make_unique<dispatch::Dispatcher>(dispatchOptions,
+                                           aJobs,
+                                           this->options.makePacking(),
+                                           this->decisions,
+                                           this->Now());
   if (this->hasPredecessorSteppedDown) {
     this->OnPredecessorSteppedDown();
   }
--- /dev/null
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "amaranthwind/agent/CoordinatorLink.h"
+#include "amaranthwind/agent/WorkerAgent.h"
+#include "amaranthwind/base/Executor.h"
+#include "amaranthwind/codec/LedgerCodec.h"
+#include "amaranthwind/coordinator/Coordinator.h"
+#include "amaranthwind/journal/testing/FakeKeyedLog.h"
+#include "amaranthwind/protocol/MessagePort.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace amaranthwind::coordinator {
+
+/** Processor time that the decision thread of an entry needs. */
+struct ProcessorCosts
+{
+  base::Duration perTask{};
+  /** For each worker that one call of Packing::Pack() looks at. */
+  base::Duration perPackedWorker{};
+  base::Duration perSentMessage{};
+  /** For each task in a record that is encoded or decoded. */
+  base::Duration perRecordTask{};
+};
+
+/**
+ * Discrete-event simulation of time. Each process runs one task at a time, and
+ * a task takes as long as the costs that it charges; tasks that become due
+ * meanwhile wait. Everything else takes no time.
+ */
+class SimulatedTime final : public base::Clock
+{
+public:
+  class Process final : public base::Executor
+  {
+  public:
+    Process(SimulatedTime& aTime, base::Duration aCostPerTask);
+    void Post(std::function<void()> aTask) override;
+    void RunAfter(base::Duration aDelay, std::function<void()> aTask) override;
+
+    /** No task starts before this time. */
+    base::TimePoint busyUntil{};
+
+  private:
+    friend class SimulatedTime;
+    SimulatedTime& time;
+    const base::Duration costPerTask;
+    std::multimap<base::TimePoint, std::function<void()>> tasks;
+  };
+
+  base::TimePoint Now() const override { return this->now; }
+  base::WallTime WallNow() const override;
+  Process& AddProcess(base::Duration aCostPerTask);
+  /** Runs outside of all processes after the delay. */
+  void Schedule(base::Duration aDelay, std::function<void()> aEvent);
+  /** Extends the running task of a process; ignored outside of processes. */
+  void Charge(base::Duration aCost);
+  void Run(base::Duration aTime);
+
+private:
+  base::TimePoint now{ std::chrono::hours(1) };
+  bool isInProcess = false;
+  std::multimap<base::TimePoint, std::function<void()>> events;
+  std::deque<Process> processes;
+};
+
+/** Connections in memory with a fixed latency. */
+class SimulatedNetwork
+{
+public:
+  SimulatedNetwork(SimulatedTime& aTime, base::Duration aCostPerMessage);
+  protocol::MessagePortFactory MakePorts();
+
+private:
+  class Port;
+  struct Peer
+  {
+    Port* port = nullptr;
+    protocol::ConnectionId connection;
+  };
+
+  SimulatedTime& time;
+  const base::Duration costPerMessage;
+  std::uint64_t lastConnection = 0;
+  std::map<std::string, Port*> listeners;
+  std::map<std::pair<Port*, protocol::ConnectionId>, Peer> peers;
+};
+
+/** A healthy worker whose tasks run for a fixed time. */
+class SimulatedWorker final : public agent::WorkerPort
+{
+public:
+  SimulatedWorker(SimulatedTime& aTime, base::Duration aTaskTime);
+  void Start(const agent::StartRequest& aRequest,
+             std::function<void(agent::WorkerRequestReply)> aHandler) override;
+  void Stop(const agent::StopRequest& aRequest,
+            std::function<void(agent::WorkerRequestReply)> aHandler) override;
+  void Hold(
+    const agent::HoldRequest& aRequest,
+    std::function<void(base::Result<agent::HoldReply>)> aHandler) override;
+
+  std::map<job::TaskRun, dispatch::RunningTask> running;
+  int stopped = 0;
+  int lapsed = 0;
+
+private:
+  struct ParkedHold
+  {
+    std::uint64_t number = 0;
+    std::function<void(base::Result<agent::HoldReply>)> handler;
+  };
+
+  agent::WorkerClockTime ClockTime() const;
+  agent::HoldReply MakeReply() const;
+  void End(const job::TaskRun& aRun, dispatch::EndKind aKind);
+  void CheckLease();
+
+  SimulatedTime& time;
+  const base::Duration taskTime;
+  agent::WorkerClockTime lease{};
+  std::set<job::TaskRun> barredRuns;
+  std::map<std::uint64_t, dispatch::EndedTask> ended;
+  std::uint64_t lastEnd = 0;
+  std::uint64_t lastHold = 0;
+  std::vector<ParkedHold> parked;
+};
+
+/**
+ * A cell of entries and workers on one log, without any fault; only the
+ * processor time of the entries is limited.
+ */
+class SimulatedCell
+{
+public:
+  struct Options
+  {
+    std::uint32_t entries = 3;
+    std::uint32_t workers = 24;
+    base::Duration taskTime = std::chrono::seconds(3);
+    ProcessorCosts costs;
+  };
+
+  explicit SimulatedCell(const Options& aOptions);
+  ~SimulatedCell();
+
+  void Submit(const job::WorkflowSpec& aSpec);
+  void Run(base::Duration aTime);
+  std::size_t Completed() const;
+  /** Runs that were stopped, or ended because their lease expired. */
+  int Interrupted() const;
+  /** Fencing token of the newest leader, which counts the elections. */
+  std::size_t Elections();
+
+private:
+  struct Entry;
+  struct Agent;
+
+  const Options options;
+  SimulatedTime time;
+  SimulatedNetwork network;
+  journal::testing::FakeKeyedLog log;
+  std::vector<std::unique_ptr<Entry>> entries;
+  std::vector<std::unique_ptr<Agent>> agents;
+  std::vector<base::JobId> jobs;
+};
+
+} // namespace amaranthwind::coordinator
--- /dev/null
+++ b/libs/coordinator/tests/SlowCoordinatorTest.cpp
@@ -0,0 +1,54 @@
+#include "SimulatedCell.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthwind;
+using namespace amaranthwind::coordinator;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t kJobs = 24;
+
+job::WorkflowSpec
+MakeWideJob(std::uint32_t aNumber)
+{
+  job::WorkflowSpec spec;
+  spec.id = base::JobId("job-" + std::to_string(aNumber));
+  spec.account = base::AccountId("club");
+  spec.kind = base::WorkKindId("kind");
+  spec.pool = base::PoolId("pool");
+  spec.urgency = 1;
+  spec.maxAttempts = 2;
+  spec.stretch = 3;
+  spec.slack = 1s;
+  job::StepSpec step;
+  step.count = 40;
+  step.need = { 1000, 1024, 1 };
+  step.estimate = 3s;
+  spec.steps = { step };
+  return spec;
+}
+
+} // namespace
+
+// No worker or connection fails; only processor time is short.
+TEST_CASE(
+  "a busy coordinator neither stops healthy runs nor loses accepted jobs")
+{
+  SimulatedCell::Options options;
+  options.costs = { .perTask = 100us,
+                    .perPackedWorker = 40us,
+                    .perSentMessage = 200us,
+                    .perRecordTask = 30us };
+  SimulatedCell cell(options);
+  cell.Run(6s);
+  for (std::uint32_t i = 0; i < kJobs; ++i) {
+    cell.Submit(MakeWideJob(i));
+    cell.Run(600ms);
+  }
+  cell.Run(60s);
+  CHECK(cell.Completed() == kJobs);
+  CHECK(cell.Interrupted() == 0);
+  CHECK(cell.Elections() == 1);
+}
