--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/dispatch/Dispatcher.h"
 #include "amaranthwind/journal/KeyedLog.h"
 #include "amaranthwind/ledger/Records.h"
+#include "amaranthwind/protocol/MessagePort.h"
 #include "amaranthwind/telemetry/Logger.h"
 #include "amaranthwind/telemetry/Metrics.h"
 
@@ -37,6 +38,10 @@
   base::Duration stopTime = std::chrono::milliseconds(900);
   /** How long the records of an ended job are kept. */
   base::Duration retention = std::chrono::seconds(180);
+  /** Makes the placement strategy of a term of leadership. */
+  std::function<std::unique_ptr<dispatch::Packing>()> makePacking = [] {
+    return std::make_unique<dispatch::BestFitPacking>();
+  };
 };
 
 /** Snapshot for state dumps and health checks. */
@@ -63,13 +68,16 @@
   Coordinator(const CoordinatorOptions& aOptions,
               const base::Clock& aClock,
               base::Executor& aExecutor,
-              net::IoPool& aPool,
+              const protocol::MessagePortFactory& aMakePort,
               journal::KeyedLog& aLog,
               const ledger::RecordCodec& aCodec,
               telemetry::Logger& aLogger,
               telemetry::Metrics& aMetrics);
   ~Coordinator() override;
 
+  /** Port factory for connections to agents and other entries. */
+  static protocol::MessagePortFactory MakePorts(net::IoPool& aPool);
+
   /** Errors: those of listening. */
   base::Result<void> Start();
   /** Gives up the leadership, so that another entry can take over immediately.
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -4,7 +4,9 @@
 #include "DecisionLog.h"
 #include "DispatchRunner.h"
 #include "LeaderLog.h"
+#include "LoadMonitor.h"
 #include "Submissions.h"
+#include "amaranthwind/protocol/Node.h"
 
 #include <array>
 #include <atomic>
@@ -20,6 +22,10 @@
 
 namespace {
 
+/** Short intervals, so that the loss of an agent is noticed quickly. */
+constexpr protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
+                                              .silenceTimeout = 2500ms,
+                                              .connectTimeout = 800ms };
 constexpr base::Duration kTickInterval = 500ms;
 /** Interval between attempts to reach the previous coordinator. */
 constexpr base::Duration kPredecessorRetryInterval = 500ms;
@@ -35,7 +41,7 @@
   Impl(const CoordinatorOptions& aOptions,
        const base::Clock& aClock,
        base::Executor& aExecutor,
-       net::IoPool& aPool,
+       const protocol::MessagePortFactory& aMakePort,
        journal::KeyedLog& aLog,
        const ledger::RecordCodec& aCodec,
        telemetry::Logger& aLogger,
@@ -47,12 +53,13 @@
     , codec(aCodec)
     , logger(aLogger)
     , decisions(aLogger, aMetrics)
+    , load(aClock, aLogger, aMetrics)
     , submitTime(aMetrics.MakeHistogram(
         { "submit_seconds", "From a job's request to its acceptance." },
         std::array{ 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0 }))
     , table(aCodec)
     , submissions(aClock, aExecutor, aLog)
-    , sessions(aPool, aExecutor, aLogger, *this)
+    , sessions(aMakePort, aClock, aExecutor, aLogger, this->load, *this)
     , leaderLog({ .self = aOptions.self, .incarnation = aOptions.incarnation },
                 aClock,
                 aExecutor,
@@ -103,6 +110,9 @@
         this->runner->OnJob(*entry);
       }
     }
+    if (this->runner != nullptr) {
+      this->runner->FinishBatch();
+    }
   }
 
   void OnCurrent(TimePoint aAsOf) override
@@ -136,6 +146,7 @@
       this->codec,
       this->sessions,
       this->decisions,
+      this->load,
       [this] {
         // Deferred because StepDown() destroys the runner, which calls this.
         this->executor.Post([this] { this->leaderLog.StepDown(); });
@@ -209,7 +220,8 @@
   // Sessions.
 
   void OnReport(ConnectionId aConnection,
-                const protocol::AgentReport& aReport) override
+                const protocol::AgentReport& aReport,
+                TimePoint aReceivedAt) override
   {
     const auto& election = this->leaderLog.Election();
     if (election.IsLeader() && aReport.token > election.OwnToken()) {
@@ -242,7 +254,7 @@
                           protocol::AgentGrant{ aReport.sequence,
                                                 election.OwnToken(),
                                                 this->options.grant });
-    this->runner->OnReport(aReport.report);
+    this->runner->OnReport(aReport.report, aReceivedAt);
   }
 
   void OnOutcome(const base::AgentId& aAgent,
@@ -253,6 +265,13 @@
     }
   }
 
+  void OnBatchHandled() override
+  {
+    if (this->runner != nullptr) {
+      this->runner->FinishBatch();
+    }
+  }
+
   void OnLeaderNotice(ConnectionId aConnection,
                       const protocol::LeaderNotice& aNotice) override
   {
@@ -293,6 +312,8 @@
 
   void Tick()
   {
+    // An agent is not silent if its report waits to be handled.
+    this->sessions.HandleReceived();
     if (this->runner != nullptr) {
       this->runner->OnTick();
     }
@@ -328,6 +349,7 @@
   const ledger::RecordCodec& codec;
   telemetry::Logger& logger;
   DecisionLog decisions;
+  LoadMonitor load;
   telemetry::Histogram submitTime;
   JobDirectory directory;
   std::atomic<bool> isLoaded{ false };
@@ -354,7 +376,7 @@
 Coordinator::Coordinator(const CoordinatorOptions& aOptions,
                          const base::Clock& aClock,
                          base::Executor& aExecutor,
-                         net::IoPool& aPool,
+                         const protocol::MessagePortFactory& aMakePort,
                          journal::KeyedLog& aLog,
                          const ledger::RecordCodec& aCodec,
                          telemetry::Logger& aLogger,
@@ -362,7 +384,7 @@
   : impl(std::make_shared<Impl>(aOptions,
                                 aClock,
                                 aExecutor,
-                                aPool,
+                                aMakePort,
                                 aLog,
                                 aCodec,
                                 aLogger,
@@ -372,6 +394,12 @@
 
 Coordinator::~Coordinator() = default;
 
+protocol::MessagePortFactory
+Coordinator::MakePorts(net::IoPool& aPool)
+{
+  return protocol::MakeNodeFactory(aPool, kNodeOptions);
+}
+
 base::Result<void>
 Coordinator::Start()
 {
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -22,13 +22,16 @@
                                const ledger::RecordCodec& aCodec,
                                AgentSessions& aSessions,
                                DecisionLog& aDecisions,
+                               LoadMonitor& aLoad,
                                std::function<void()> aOnFenced)
   : options(aOptions)
   , token(aToken)
   , clock(aClock)
+  , executor(aExecutor)
   , codec(aCodec)
   , sessions(aSessions)
   , decisions(aDecisions)
+  , load(aLoad)
 {
   journal::FencedWriterOptions writerOptions;
   writerOptions.topic = { std::string(kJobTopic), 0 };
@@ -67,12 +70,12 @@
     dispatchOptions.maxGrantDuration + this->options.maxLogSilence;
   dispatchOptions.stopTime = this->options.stopTime;
   dispatchOptions.retention = this->options.retention;
-  this->dispatcher = std::make_unique<dispatch::Dispatcher>(
-    dispatchOptions,
-    aJobs,
-    std::make_unique<dispatch::BestFitPacking>(),
-    this->decisions,
-    this->Now());
+  this->dispatcher =
+    std::make_unique<dispatch::Dispatcher>(dispatchOptions,
+                                           aJobs,
+                                           this->options.makePacking(),
+                                           this->decisions,
+                                           this->Now());
   if (this->hasPredecessorSteppedDown) {
     this->OnPredecessorSteppedDown();
   }
@@ -89,6 +92,8 @@
 DispatchRunner::OnJob(const ledger::JobEntry& aJob)
 {
   if (this->dispatcher != nullptr) {
+    const LoadMonitor::Measurement measurement(this->load,
+                                               DecisionWork::JobRecord);
     this->ExecuteEffects(this->dispatcher->OnJob(aJob, this->Now()));
   }
 }
@@ -100,14 +105,20 @@
   if (this->dispatcher != nullptr) {
     this->ExecuteEffects(
       this->dispatcher->OnGuarantees(aGuarantees, this->Now()));
+    this->FinishBatch();
   }
 }
 
 void
-DispatchRunner::OnReport(const dispatch::WorkerReport& aReport)
+DispatchRunner::OnReport(const dispatch::WorkerReport& aReport,
+                         base::TimePoint aReceivedAt)
 {
   if (this->dispatcher != nullptr) {
+    const LoadMonitor::Measurement measurement(this->load,
+                                               DecisionWork::Report);
+    this->decisions.SetInputAge(this->clock.Now() - aReceivedAt);
     this->ExecuteEffects(this->dispatcher->OnReport(aReport, this->Now()));
+    this->decisions.SetInputAge({});
   }
 }
 
@@ -116,6 +127,8 @@
                           const protocol::AgentOutcome& aOutcome)
 {
   if (this->dispatcher != nullptr) {
+    const LoadMonitor::Measurement measurement(this->load,
+                                               DecisionWork::Outcome);
     this->ExecuteEffects(this->dispatcher->OnOutcome(
       aAgent, aOutcome.life, aOutcome.run, aOutcome.outcome, this->Now()));
   }
@@ -135,8 +148,49 @@
 DispatchRunner::OnTick()
 {
   if (this->dispatcher != nullptr) {
+    const LoadMonitor::Measurement measurement(this->load, DecisionWork::Tick);
     this->ExecuteEffects(this->dispatcher->OnTick(this->Now()));
   }
+  this->FinishBatch();
+  this->load.Summarize();
+}
+
+void
+DispatchRunner::FinishBatch()
+{
+  if (this->dispatcher == nullptr) {
+    return;
+  }
+  if (this->dispatcher->NeedsSchedule()) {
+    this->ScheduleIfDue();
+  }
+  this->ExecuteEffects(this->dispatcher->Commit(this->Now()));
+}
+
+void
+DispatchRunner::ScheduleIfDue()
+{
+  const base::TimePoint start = this->clock.Now();
+  if (start < this->nextPassAt) {
+    if (!std::exchange(this->isPassPending, true)) {
+      this->executor.RunAfter(this->nextPassAt - start,
+                              [this, alive = this->isAlive] {
+                                if (*alive) {
+                                  this->isPassPending = false;
+                                  this->FinishBatch();
+                                }
+                              });
+    }
+    return;
+  }
+  {
+    const LoadMonitor::Measurement measurement(this->load, DecisionWork::Pass);
+    this->ExecuteEffects(this->dispatcher->Schedule(this->Now()));
+  }
+  // Passes take at most half of the thread's time, so that reports are answered
+  // and leases renewed however long a pass takes.
+  const base::TimePoint end = this->clock.Now();
+  this->nextPassAt = end + (end - start);
 }
 
 dispatch::Dispatcher::Counts
@@ -153,6 +207,8 @@
   std::uint64_t version = 0;
   for (const auto& effect : aEffects) {
     if (const auto* persist = std::get_if<dispatch::PersistStep>(&effect)) {
+      const LoadMonitor::Measurement measurement(this->load,
+                                                 DecisionWork::Encode);
       records.push_back({ ledger::StepKey(persist->record.id),
                           this->codec.EncodeStep(persist->record) });
       version = persist->version;
@@ -182,13 +238,24 @@
   if (records.empty()) {
     return;
   }
-  this->writer->Write(
-    std::move(records), [this, alive = this->isAlive, version] {
-      if (*alive && version > 0) {
-        this->ExecuteEffects(
-          this->dispatcher->OnPersisted(version, this->Now()));
-      }
-    });
+  std::size_t bytes = 0;
+  for (const auto& record : records) {
+    bytes += record.value.size();
+  }
+  this->writer->Write(std::move(records),
+                      [this,
+                       alive = this->isAlive,
+                       version,
+                       bytes,
+                       decidedAt = this->clock.Now()] {
+                        if (*alive && version > 0) {
+                          this->load.OnDurable(decidedAt, bytes);
+                          const LoadMonitor::Measurement measurement(
+                            this->load, DecisionWork::Persisted);
+                          this->ExecuteEffects(this->dispatcher->OnPersisted(
+                            version, this->Now()));
+                        }
+                      });
 }
 
 } // namespace amaranthwind::coordinator
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -2,6 +2,7 @@
 
 #include "AgentSessions.h"
 #include "DecisionLog.h"
+#include "LoadMonitor.h"
 #include "amaranthwind/coordinator/Coordinator.h"
 #include "amaranthwind/journal/FencedWriter.h"
 
@@ -32,6 +33,7 @@
                  const ledger::RecordCodec& aCodec,
                  AgentSessions& aSessions,
                  DecisionLog& aDecisions,
+                 LoadMonitor& aLoad,
                  std::function<void()> aOnFenced);
   ~DispatchRunner();
   DispatchRunner(const DispatchRunner&) = delete;
@@ -47,28 +49,41 @@
 
   void OnJob(const ledger::JobEntry& aJob);
   void OnGuarantees(std::span<const dispatch::AccountGuarantee> aGuarantees);
-  void OnReport(const dispatch::WorkerReport& aReport);
+  void OnReport(const dispatch::WorkerReport& aReport,
+                base::TimePoint aReceivedAt);
   void OnOutcome(const base::AgentId& aAgent,
                  const protocol::AgentOutcome& aOutcome);
   void OnPredecessorSteppedDown();
   void OnTick();
+  /**
+   * Schedules and writes records after a batch of events. Must be called after
+   * OnJob(), OnReport() and OnOutcome(), which only update the state.
+   */
+  void FinishBatch();
 
   base::FencingToken Token() const noexcept { return this->token; }
   dispatch::Dispatcher::Counts Count() const;
 
 private:
   void ExecuteEffects(const dispatch::Effects& aEffects);
+  /** Runs a scheduling pass now, or as soon as its share of time allows. */
+  void ScheduleIfDue();
   dispatch::ClockReading Now() const;
 
   const CoordinatorOptions& options;
   const base::FencingToken token;
   const base::Clock& clock;
+  base::Executor& executor;
   const ledger::RecordCodec& codec;
   AgentSessions& sessions;
   DecisionLog& decisions;
+  LoadMonitor& load;
   std::unique_ptr<journal::FencedWriter> writer;
   std::unique_ptr<dispatch::Dispatcher> dispatcher;
   bool hasPredecessorSteppedDown = false;
+  /** Earliest time of the next scheduling pass. */
+  base::TimePoint nextPassAt{};
+  bool isPassPending = false;
   /** Disables callbacks that run after the term has ended. */
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
 };
