Reject requests that cannot fit before workers are sorted

BestFitPacking::Pack() built a map of all racks and sorted all workers on each call. It now sums what fits first, sorts only the workers on which a task fits, and groups by rack only for a request for one rack. The choice is the same, including between equal workers.

--- a/libs/dispatch/include/amaranthwind/dispatch/Packing.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Packing.h
@@ -13,6 +13,7 @@
 struct PackingWorker
 {
   fleet::TaskResources free;
+  /** Racks are numbered from 0, without large gaps. */
   std::uint32_t rack = 0;
   /** How many more tasks of the step maxPerWorker allows on this worker. */
   std::uint32_t remainingTaskLimit = UINT32_MAX;
@@ -35,7 +36,8 @@
   virtual ~Packing() = default;
   /**
    * Returns the index of a worker for each task of the request, or an empty
-   * vector if not all of them fit.
+   * vector if not all of them fit. A request that fits also fits if more
+   * resources of the same workers are free.
    */
   virtual std::vector<std::uint32_t> Pack(
     std::span<const PackingWorker> aWorkers,
--- a/libs/dispatch/src/Packing.cpp
+++ b/libs/dispatch/src/Packing.cpp
@@ -1,7 +1,7 @@
 #include "amaranthwind/dispatch/Packing.h"
 
 #include <algorithm>
-#include <map>
+#include <tuple>
 
 namespace amaranthwind::dispatch {
 
@@ -25,42 +25,54 @@
   return count;
 }
 
-/** Fills the allowed workers in ascending order of free accelerators. */
-std::vector<std::uint32_t>
-FillWorkers(std::span<const PackingWorker> aWorkers,
-            std::vector<std::uint32_t> aAllowed,
-            const PackingRequest& aRequest)
+/** A worker that at least one task of the request fits on. */
+struct FittingWorker
 {
-  std::stable_sort(aAllowed.begin(),
-                   aAllowed.end(),
-                   [&](std::uint32_t aLeft, std::uint32_t aRight) {
-                     const auto& left = aWorkers[aLeft].free;
-                     const auto& right = aWorkers[aRight].free;
-                     return std::pair(left.accelerators, left.milliCores) <
-                            std::pair(right.accelerators, right.milliCores);
-                   });
-  std::vector<std::uint32_t> chosen;
-  for (const std::uint32_t index : aAllowed) {
-    const auto fitting = MaxTasksOn(aWorkers[index], aRequest.need);
-    const auto left =
-      aRequest.count - static_cast<std::uint32_t>(chosen.size());
-    chosen.insert(chosen.end(), std::min(fitting, left), index);
-    if (chosen.size() == aRequest.count) {
-      return chosen;
-    }
+  std::uint32_t accelerators = 0;
+  std::uint32_t milliCores = 0;
+  std::uint32_t index = 0;
+  std::uint32_t tasks = 0;
+
+  /** Fewest free accelerators first, then fewest cores, then lowest index. */
+  bool operator<(const FittingWorker& aOther) const noexcept
+  {
+    return std::tuple(this->accelerators, this->milliCores, this->index) <
+           std::tuple(aOther.accelerators, aOther.milliCores, aOther.index);
   }
-  return {};
-}
+};
+
+/** Free capacity of a rack. */
+struct RackCapacity
+{
+  /** Number of tasks of the request that fit. */
+  std::uint64_t tasks = 0;
+  std::uint64_t accelerators = 0;
+};
 
-std::uint64_t
-FreeAccelerators(std::span<const PackingWorker> aWorkers,
-                 std::span<const std::uint32_t> aIndices)
+/** The rack with the fewest free accelerators in which the request fits. */
+std::optional<std::uint32_t>
+FindRack(std::span<const PackingWorker> aWorkers,
+         const PackingRequest& aRequest)
 {
-  std::uint64_t sum = 0;
-  for (const std::uint32_t index : aIndices) {
-    sum += aWorkers[index].free.accelerators;
+  std::vector<RackCapacity> racks;
+  for (const PackingWorker& worker : aWorkers) {
+    if (aRequest.rack && worker.rack != *aRequest.rack) {
+      continue;
+    }
+    if (worker.rack >= racks.size()) {
+      racks.resize(worker.rack + 1);
+    }
+    racks[worker.rack].tasks += MaxTasksOn(worker, aRequest.need);
+    racks[worker.rack].accelerators += worker.free.accelerators;
   }
-  return sum;
+  std::optional<std::uint32_t> best;
+  for (std::uint32_t rack = 0; rack < racks.size(); ++rack) {
+    if (racks[rack].tasks >= aRequest.count &&
+        (!best || racks[rack].accelerators < racks[*best].accelerators)) {
+      best = rack;
+    }
+  }
+  return best;
 }
 
 } // namespace
@@ -69,28 +81,43 @@
 BestFitPacking::Pack(std::span<const PackingWorker> aWorkers,
                      const PackingRequest& aRequest) const
 {
-  std::map<std::uint32_t, std::vector<std::uint32_t>> racks;
-  std::vector<std::uint32_t> all;
+  std::optional<std::uint32_t> rack = aRequest.rack;
+  if (aRequest.requiresOneRack) {
+    rack = FindRack(aWorkers, aRequest);
+    if (!rack) {
+      return {};
+    }
+  }
+  std::vector<FittingWorker> fitting;
+  std::uint64_t tasks = 0;
   for (std::uint32_t index = 0; index < aWorkers.size(); ++index) {
-    if (!aRequest.rack || aWorkers[index].rack == *aRequest.rack) {
-      racks[aWorkers[index].rack].push_back(index);
-      all.push_back(index);
+    const PackingWorker& worker = aWorkers[index];
+    if (rack && worker.rack != *rack) {
+      continue;
+    }
+    if (const std::uint32_t count = MaxTasksOn(worker, aRequest.need);
+        count > 0) {
+      fitting.push_back(
+        { worker.free.accelerators, worker.free.milliCores, index, count });
+      tasks += count;
     }
   }
-  if (!aRequest.requiresOneRack) {
-    return FillWorkers(aWorkers, std::move(all), aRequest);
+  if (tasks < aRequest.count) {
+    return {};
   }
-  std::vector<std::uint32_t> best;
-  std::uint64_t bestFree = UINT64_MAX;
-  for (const auto& [rack, indices] : racks) {
-    auto chosen = FillWorkers(aWorkers, indices, aRequest);
-    const std::uint64_t free = FreeAccelerators(aWorkers, indices);
-    if (!chosen.empty() && free < bestFree) {
-      best = std::move(chosen);
-      bestFree = free;
-    }
+  std::vector<std::uint32_t> chosen;
+  chosen.reserve(aRequest.count);
+  if (aRequest.count == 1) {
+    chosen.push_back(std::min_element(fitting.begin(), fitting.end())->index);
+    return chosen;
   }
-  return best;
+  std::sort(fitting.begin(), fitting.end());
+  for (const FittingWorker& worker : fitting) {
+    const auto left =
+      aRequest.count - static_cast<std::uint32_t>(chosen.size());
+    chosen.insert(chosen.end(), std::min(worker.tasks, left), worker.index);
+  }
+  return chosen;
 }
 
 } // namespace amaranthwind::dispatch
