Bound the placement attempts of a scheduling pass

A pass with waiting steps took 29 to 236 ms on 74 workers and more than a second on 775.

Causes: - Reserve() packed once for each release of a running task, also if the step did not fit with all of them. - Preempt() packed once for each victim, and looked up every run of the pool and every task of all jobs for each waiting step. - Each placement attempt scanned all workers for the pool, the racks and the utilization several times, and all tasks of the step on each worker if maxPerWorker is set.

More free resources never make a request infeasible. So one attempt with everything released rejects a step that never fits, and a bisection finds the first sufficient release or victim; unneeded victims are dropped in groups. Victims that cost more than the limit by themselves are left out, because the last one chosen is always needed. Pools, usable workers and victims are collected once for a pass or step.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -104,11 +104,61 @@
   }
 };
 
+/** A worker that accepts tasks, as the current scheduling pass sees it. */
+struct PoolWorker
+{
+  Worker* worker = nullptr;
+  /** Racks are numbered from 0 within the pool. */
+  std::uint32_t rack = 0;
+  /** Runs that end after this time may not use the worker. */
+  base::TimePoint reservedAt = base::TimePoint::max();
+  /** Resources of runs that are ending. */
+  fleet::TaskResources releasing;
+};
+
+/** A task that a less important step runs on a worker of the pool. */
+struct PreemptibleTask
+{
+  const Job* job = nullptr;
+  Step* step = nullptr;
+  std::uint32_t index = 0;
+  /** Index into Pool::workers. */
+  std::uint32_t worker = 0;
+  fleet::TaskResources need;
+  /** Core-seconds of work that are lost if it is stopped. */
+  double cost = 0;
+};
+
+/** The workers of a pool that accept tasks, for one scheduling pass. */
+struct Pool
+{
+  /** In order of their agents' ids. */
+  std::vector<PoolWorker> workers;
+  std::uint32_t racks = 0;
+  std::uint64_t usedAccelerators = 0;
+  std::uint64_t accelerators = 0;
+  /** In the order of jobs, steps and indices; valid if isPreemptionKnown. */
+  std::vector<PreemptibleTask> preemptibleTasks;
+  /** Whether preemptibleTasks and PoolWorker::releasing are up to date. */
+  bool isPreemptionKnown = false;
+
+  /** Fraction of the accelerators that is in use. */
+  double Utilization() const noexcept
+  {
+    return this->accelerators == 0
+             ? 1.0
+             : static_cast<double>(this->usedAccelerators) /
+                 static_cast<double>(this->accelerators);
+  }
+};
+
 /** A ready step with unplaced tasks. */
 struct Candidate
 {
   Job* job = nullptr;
   Step* step = nullptr;
+  Pool* pool = nullptr;
+  std::vector<std::uint32_t> idleTasks;
   bool isGuaranteed = false;
   /** Too late to be of value to the caller; it must still run. */
   bool isExpired = false;
@@ -121,11 +171,20 @@
   }
 };
 
-/** Workers that are reserved for a blocked step of higher priority. */
-struct Reservation
+/** The workers that a candidate may use; both vectors have the same order. */
+struct UsableWorkers
 {
-  std::set<base::AgentId> workers;
-  base::TimePoint until;
+  /** Indices into Pool::workers, ascending. */
+  std::vector<std::uint32_t> indices;
+  std::vector<PackingWorker> packing;
+};
+
+/** Request to place a number of a candidate's tasks. */
+struct RackedRequest
+{
+  PackingRequest request;
+  /** Whether the tasks may leave the rack of their data if they do not fit. */
+  bool mayLeaveRack = false;
 };
 
 struct Dispatcher::State
@@ -190,31 +249,46 @@
 
   // The scheduling pass (Scheduling.cpp).
   void Schedule();
+  void CollectPools();
   std::vector<Candidate> CollectCandidates();
   void UpdateGuaranteedJobs();
   bool MayPreempt(const Candidate& aCandidate) const;
   bool IsReady(Job& aJob, const Step& aStep);
-  bool PlaceGang(const Candidate& aCandidate);
-  bool PlaceIndependentTasks(const Candidate& aCandidate);
+  bool PlaceGang(const Candidate& aCandidate, const UsableWorkers& aUsable);
+  /**
+   * Places as many idle tasks as fit and returns their number. aUsable is
+   * outdated afterwards unless nothing was placed.
+   */
+  std::size_t PlaceIndependentTasks(const Candidate& aCandidate,
+                                    UsableWorkers& aUsable);
   void CommitPlacement(const Candidate& aCandidate,
                        std::span<const std::uint32_t> aTasks,
                        std::span<Worker* const> aWorkers);
-  std::vector<Worker*> UsableWorkers(const Candidate& aCandidate) const;
-  std::vector<PackingWorker> ToPackingWorkers(std::span<Worker* const> aWorkers,
-                                              const Step& aStep,
-                                              const job::StepSpec& aSpec);
-  std::optional<std::vector<Worker*>> Pack(
-    std::span<Worker* const> aWorkers,
-    const Candidate& aCandidate,
-    std::uint32_t aCount,
-    std::vector<PackingWorker> aAvailable);
-  bool Reserve(const Candidate& aCandidate, std::uint32_t aCount);
-  /** Fraction of a pool's accelerators that is in use. */
-  double AcceleratorUtilization(const base::PoolId& aPool) const;
+  UsableWorkers FindUsableWorkers(const Candidate& aCandidate) const;
+  /** Describes the workers of the pool with the given indices. */
+  static UsableWorkers ToUsableWorkers(const Candidate& aCandidate,
+                                       std::vector<std::uint32_t> aIndices);
+  RackedRequest MakeRequest(const Candidate& aCandidate,
+                            const UsableWorkers& aUsable,
+                            std::uint32_t aCount) const;
+  /** As Packing::Pack(). Feasibility never decreases with more resources. */
+  std::vector<std::uint32_t> Pack(std::span<const PackingWorker> aAvailable,
+                                  const RackedRequest& aRequest) const;
+  bool Reserve(const Candidate& aCandidate,
+               const UsableWorkers& aUsable,
+               std::uint32_t aCount);
+  /** Reserves the chosen workers for runs that end after the given time. */
+  void AddReservation(Pool& aPool,
+                      const UsableWorkers& aUsable,
+                      std::span<const std::uint32_t> aChosen,
+                      base::TimePoint aUntil);
   base::Duration EstimateRemaining(const job::TaskRun& aRun);
 
   // Preemption of less important work (Preemption.cpp).
-  bool Preempt(const Candidate& aCandidate, std::uint32_t aCount);
+  bool Preempt(const Candidate& aCandidate,
+               const UsableWorkers& aUsable,
+               std::uint32_t aCount);
+  void CollectPreemptibleTasks(Pool& aPool);
 
   const DispatcherOptions options;
   std::unique_ptr<Packing> packing;
@@ -236,7 +310,10 @@
   /** Placements that are not durable yet, with the version of their record. */
   std::deque<std::pair<std::uint64_t, job::TaskRun>> pendingPlacements;
   std::deque<std::pair<std::uint64_t, AcknowledgeEnds>> pendingAcks;
-  std::vector<Reservation> reservations;
+
+  // State of the current scheduling pass.
+  std::map<base::PoolId, Pool> pools;
+  std::size_t reservations = 0;
 
   // State of the current call.
   ClockReading callTime;
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -3,6 +3,7 @@
 #include "DispatchState.h"
 
 #include <algorithm>
+#include <bit>
 #include <limits>
 
 namespace amaranthwind::dispatch {
@@ -19,14 +20,22 @@
 /** Run time that a checkpointing task loses when it is stopped. */
 constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
 
-/** A preemption candidate: tasks that end together if one is stopped. */
+/** Tasks that end together if one of them is preempted. */
 struct Victim
 {
-  Step* step = nullptr;
-  std::vector<std::uint32_t> tasks;
+  /** Range of the usable preemptible tasks. */
+  std::size_t first = 0;
+  std::size_t end = 0;
   /** Core-seconds of lost work. */
   double cost = 0;
-  bool isChosen = false;
+};
+
+/** A preemptible task on a worker that the candidate may use. */
+struct UsableTask
+{
+  const PreemptibleTask* task = nullptr;
+  /** Index into UsableWorkers. */
+  std::uint32_t position = 0;
 };
 
 /** Core-seconds of work that one task does in the given time. */
@@ -49,131 +58,189 @@
 
 } // namespace
 
-bool
-Dispatcher::State::Preempt(const Candidate& aCandidate, std::uint32_t aCount)
+void
+Dispatcher::State::CollectPreemptibleTasks(Pool& aPool)
 {
-  const auto usable = this->UsableWorkers(aCandidate);
-  const job::StepSpec& spec = aCandidate.Spec();
-  auto available = this->ToPackingWorkers(usable, *aCandidate.step, spec);
-  std::map<base::AgentId, std::size_t> workerIndices;
-  for (std::size_t i = 0; i < usable.size(); ++i) {
-    workerIndices[usable[i]->agent] = i;
+  aPool.isPreemptionKnown = true;
+  aPool.preemptibleTasks.clear();
+  for (PoolWorker& each : aPool.workers) {
+    each.releasing = {};
+    for (const auto& [run, need] : each.worker->allocations) {
+      const Task* task = this->FindRun(run);
+      if (task == nullptr || !task->IsOnWorker() ||
+          task->phase == Phase::Stopping) {
+        each.releasing += need;
+      }
+    }
   }
-  std::vector<Victim> victims;
   for (auto& [id, job] : this->jobs) {
-    const bool isUrgent = job.spec->urgency == 0;
-    const bool mayBePreempted = !this->guaranteedJobs.contains(id) &&
-                                (aCandidate.isGuaranteed || !isUrgent);
+    if (this->guaranteedJobs.contains(id)) {
+      continue;
+    }
     for (auto& [key, step] : job.steps) {
-      const auto& stepSpec = job.spec->steps[key.second];
-      Victim gang{ &step, {}, 0, false };
+      const job::StepSpec& spec = job.spec->steps[key.second];
       for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
         const Task& task = step.tasks[i];
-        const bool isRunning =
-          task.phase == Phase::Ordered || task.phase == Phase::Running;
-        // A task that was preempted before is preempted again only for a
-        // guarantee; otherwise its work could be discarded run after run.
-        const bool isProtected =
-          task.preemptions > 0 && !aCandidate.isGuaranteed;
-        if (!mayBePreempted || !isRunning || isProtected ||
-            !workerIndices.contains(task.agent)) {
+        if (task.phase != Phase::Ordered && task.phase != Phase::Running) {
           continue;
         }
-        const double cost =
-          CostOf(stepSpec, this->callTime.now - task.startedAt);
-        if (stepSpec.isGang) {
-          gang.tasks.push_back(i);
-          gang.cost += cost;
-        } else {
-          victims.push_back({ &step, { i }, cost, false });
+        const auto found = std::lower_bound(
+          aPool.workers.begin(),
+          aPool.workers.end(),
+          task.agent,
+          [](const PoolWorker& aWorker, const base::AgentId& aAgent) {
+            return aWorker.worker->agent < aAgent;
+          });
+        if (found != aPool.workers.end() &&
+            found->worker->agent == task.agent) {
+          aPool.preemptibleTasks.push_back(
+            { &job,
+              &step,
+              i,
+              static_cast<std::uint32_t>(found - aPool.workers.begin()),
+              RequiredResources(spec),
+              CostOf(spec, this->callTime.now - task.startedAt) });
         }
       }
-      if (!gang.tasks.empty()) {
-        victims.push_back(std::move(gang));
-      }
     }
   }
+}
+
+bool
+Dispatcher::State::Preempt(const Candidate& aCandidate,
+                           const UsableWorkers& aUsable,
+                           std::uint32_t aCount)
+{
+  Pool& pool = *aCandidate.pool;
+  if (!pool.isPreemptionKnown) {
+    this->CollectPreemptibleTasks(pool);
+  }
+  constexpr std::uint32_t kUnusable = UINT32_MAX;
+  std::vector<std::uint32_t> positions(pool.workers.size(), kUnusable);
   // Resources of tasks that are already stopping count as available.
-  for (std::size_t i = 0; i < usable.size(); ++i) {
-    for (const auto& [run, need] : usable[i]->allocations) {
-      const Task* task = this->FindRun(run);
-      if (task == nullptr || !task->IsOnWorker() ||
-          task->phase == Phase::Stopping) {
-        available[i].free += need;
-      }
+  std::vector<PackingWorker> available = aUsable.packing;
+  for (std::uint32_t i = 0; i < aUsable.indices.size(); ++i) {
+    positions[aUsable.indices[i]] = i;
+    available[i].free += pool.workers[aUsable.indices[i]].releasing;
+  }
+  const RackedRequest request = this->MakeRequest(aCandidate, aUsable, aCount);
+  std::vector<UsableTask> tasks;
+  std::vector<Victim> victims;
+  for (const PreemptibleTask& each : pool.preemptibleTasks) {
+    const bool isUrgent = each.job->spec->urgency == 0;
+    // A task that was preempted before is preempted again only for a
+    // guarantee; otherwise its work could be discarded run after run.
+    const bool isProtected = each.step->tasks[each.index].preemptions > 0;
+    if (positions[each.worker] == kUnusable ||
+        (!aCandidate.isGuaranteed && (isUrgent || isProtected))) {
+      continue;
     }
+    const bool isSameGang = !victims.empty() &&
+                            tasks.back().task->step == each.step &&
+                            each.job->spec->steps[each.step->id.step].isGang;
+    if (!isSameGang) {
+      victims.push_back({ tasks.size(), tasks.size(), 0 });
+    }
+    tasks.push_back({ &each, positions[each.worker] });
+    victims.back().end = tasks.size();
+    victims.back().cost += each.cost;
   }
-  const auto setFreed = [&](const Victim& aVictim, bool aIsFreed) {
-    const fleet::TaskResources need = RequiredResources(
-      this->FindJob(aVictim.step->id.job)->spec->steps[aVictim.step->id.step]);
-    for (const std::uint32_t index : aVictim.tasks) {
-      auto& worker =
-        available[workerIndices[aVictim.step->tasks[index].agent]].free;
-      if (aIsFreed) {
-        worker += need;
-      } else {
-        worker -= need;
-      }
+  const auto release = [&](std::vector<PackingWorker>& aWorkers,
+                           const Victim& aVictim) {
+    for (std::size_t i = aVictim.first; i < aVictim.end; ++i) {
+      aWorkers[tasks[i].position].free += tasks[i].task->need;
     }
   };
+  const auto withhold = [&](std::vector<PackingWorker>& aWorkers,
+                            const Victim& aVictim) {
+    for (std::size_t i = aVictim.first; i < aVictim.end; ++i) {
+      aWorkers[tasks[i].position].free -= tasks[i].task->need;
+    }
+  };
+  const double wasteLimit =
+    aCandidate.isGuaranteed
+      ? std::numeric_limits<double>::infinity()
+      : kWasteLimit * WorkOf(aCandidate.Spec(), aCandidate.Spec().estimate) *
+          aCount;
   std::sort(victims.begin(),
             victims.end(),
             [](const Victim& aLeft, const Victim& aRight) {
               return aLeft.cost < aRight.cost;
             });
-  auto chosen = this->Pack(usable, aCandidate, aCount, available);
-  for (Victim& victim : victims) {
-    if (chosen) {
-      break;
-    }
-    victim.isChosen = true;
-    setFreed(victim, true);
-    chosen = this->Pack(usable, aCandidate, aCount, available);
+  // The last of the chosen victims is always needed, so that none may exceed
+  // the limit by itself.
+  std::erase_if(
+    victims, [&](const Victim& aVictim) { return aVictim.cost > wasteLimit; });
+  // The shortest sufficient prefix of the victims, found by bisection.
+  std::vector<PackingWorker> freed = available;
+  for (const Victim& victim : victims) {
+    release(freed, victim);
   }
-  if (!chosen) {
+  auto chosen = this->Pack(freed, request);
+  if (chosen.empty()) {
     return false;
   }
-  // Drops victims that turn out to be unnecessary, most expensive first.
-  for (auto victim = victims.rbegin(); victim != victims.rend(); ++victim) {
-    if (!victim->isChosen) {
-      continue;
+  std::size_t count = 0;
+  for (std::size_t end = victims.size(); count < end;) {
+    const std::size_t middle = count + (end - count) / 2;
+    freed = available;
+    for (std::size_t i = 0; i < middle; ++i) {
+      release(freed, victims[i]);
     }
-    setFreed(*victim, false);
-    if (auto reduced = this->Pack(usable, aCandidate, aCount, available)) {
-      victim->isChosen = false;
-      chosen = std::move(reduced);
+    if (auto packed = this->Pack(freed, request); !packed.empty()) {
+      end = middle;
+      chosen = std::move(packed);
     } else {
-      setFreed(*victim, true);
+      count = middle + 1;
     }
   }
-  const double wasteLimit =
-    aCandidate.isGuaranteed
-      ? std::numeric_limits<double>::infinity()
-      : kWasteLimit * WorkOf(spec, spec.estimate) * aCount;
-  double waste = 0;
+  victims.resize(count);
+  freed = available;
   for (const Victim& victim : victims) {
-    waste += victim.isChosen ? victim.cost : 0;
-  }
-  if (waste > wasteLimit) {
-    return false;
-  }
-  Reservation reservation;
-  reservation.until = this->callTime.now;
-  for (const Worker* worker : *chosen) {
-    reservation.workers.insert(worker->agent);
+    release(freed, victim);
   }
-  this->reservations.push_back(std::move(reservation));
-  for (const Victim& victim : victims) {
-    if (victim.isChosen) {
-      for (const std::uint32_t index : victim.tasks) {
-        ++victim.step->tasks[index].preemptions;
-        this->RequestStop(*victim.step,
-                          index,
-                          aCandidate.isGuaranteed ? "reclaimed for a guarantee"
-                                                  : "preempted by urgent work");
+  // Drops victims that turn out to be unnecessary, most expensive first. The
+  // last one is needed, or a shorter prefix would have been sufficient.
+  std::vector<Victim> needed;
+  double waste = 0;
+  for (std::size_t undecided = count; undecided > 0;) {
+    const Victim& victim = victims[--undecided];
+    needed.push_back(victim);
+    waste += victim.cost;
+    if (waste > wasteLimit) {
+      return false;
+    }
+    // Drops as many of the next victims as possible: tries 1, 2, 4, ... of
+    // them at once, and half as many after the first failure.
+    std::size_t step = 1;
+    for (bool isGrowing = true; step > 0 && undecided > 0;) {
+      step = std::min(step, std::bit_floor(undecided));
+      std::vector<PackingWorker> reduced = freed;
+      for (std::size_t i = undecided - step; i < undecided; ++i) {
+        withhold(reduced, victims[i]);
+      }
+      if (auto packed = this->Pack(reduced, request); !packed.empty()) {
+        undecided -= step;
+        freed = std::move(reduced);
+        chosen = std::move(packed);
+      } else {
+        isGrowing = false;
       }
+      step = isGrowing ? step * 2 : step / 2;
+    }
+  }
+  this->AddReservation(pool, aUsable, chosen, this->callTime.now);
+  for (auto victim = needed.rbegin(); victim != needed.rend(); ++victim) {
+    for (std::size_t i = victim->first; i < victim->end; ++i) {
+      const PreemptibleTask& task = *tasks[i].task;
+      ++task.step->tasks[task.index].preemptions;
+      this->RequestStop(*task.step,
+                        task.index,
+                        aCandidate.isGuaranteed ? "reclaimed for a guarantee"
+                                                : "preempted by urgent work");
     }
   }
+  pool.isPreemptionKnown = needed.empty();
   return true;
 }
 
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -44,30 +44,59 @@
 void
 Dispatcher::State::Schedule()
 {
-  this->reservations.clear();
+  this->reservations = 0;
+  this->CollectPools();
   this->UpdateGuaranteedJobs();
   for (const Candidate& candidate : this->CollectCandidates()) {
-    const bool isPlaced = candidate.Spec().isGang
-                            ? this->PlaceGang(candidate)
-                            : this->PlaceIndependentTasks(candidate);
-    if (isPlaced) {
+    UsableWorkers usable = this->FindUsableWorkers(candidate);
+    std::size_t waiting = candidate.idleTasks.size();
+    if (candidate.Spec().isGang) {
+      waiting = this->PlaceGang(candidate, usable) ? 0 : waiting;
+    } else if (const auto placed =
+                 this->PlaceIndependentTasks(candidate, usable);
+               placed > 0) {
+      waiting -= placed;
+      usable = this->FindUsableWorkers(candidate);
+    }
+    if (waiting == 0) {
       continue;
     }
-    const auto waiting =
-      static_cast<std::uint32_t>(IdleTasks(*candidate.step).size());
-    if (this->MayPreempt(candidate) && this->Preempt(candidate, waiting)) {
+    if (this->MayPreempt(candidate) &&
+        this->Preempt(candidate, usable, static_cast<std::uint32_t>(waiting))) {
       continue;
     }
     // A gang needs workers for all of its tasks at once. Independent tasks can
     // start one by one, but a large one still needs a reserved worker.
-    for (std::uint32_t count = waiting;
-         count > 0 && this->reservations.size() < kMaxReservations;
+    for (auto count = static_cast<std::uint32_t>(waiting);
+         count > 0 && this->reservations < kMaxReservations;
          count = candidate.Spec().isGang ? 0 : count / 2) {
-      if (this->Reserve(candidate, count)) {
+      if (this->Reserve(candidate, usable, count)) {
         break;
       }
     }
   }
+  this->pools.clear();
+}
+
+void
+Dispatcher::State::CollectPools()
+{
+  this->pools.clear();
+  std::map<std::pair<base::PoolId, base::RackId>, std::uint32_t> racks;
+  for (auto& [agent, worker] : this->workers) {
+    if (!worker.info || worker.info->isDraining) {
+      continue;
+    }
+    Pool& pool = this->pools[worker.info->pool];
+    const auto [rack, isNew] =
+      racks.try_emplace({ worker.info->pool, worker.info->rack }, pool.racks);
+    pool.racks += isNew ? 1 : 0;
+    PoolWorker& added = pool.workers.emplace_back();
+    added.worker = &worker;
+    added.rack = rack->second;
+    pool.usedAccelerators += worker.used.accelerators;
+    pool.accelerators += worker.info->capacity.accelerators;
+  }
 }
 
 /**
@@ -141,7 +170,7 @@
       }
       for (std::uint32_t s = 0; s < job.spec->steps.size(); ++s) {
         Step& step = this->EnsureStep(job, k, s);
-        const auto idle = IdleTasks(step);
+        auto idle = IdleTasks(step);
         const bool allTasksIdle = idle.size() == step.tasks.size();
         if (idle.empty() || (job.spec->steps[s].isGang && !allTasksIdle) ||
             !this->IsReady(job, step)) {
@@ -154,6 +183,8 @@
           age + job.criticalPath + this->options.stopTime / 2;
         candidates.push_back({ &job,
                                &step,
+                               &this->pools[job.spec->pool],
+                               std::move(idle),
                                this->guaranteedJobs.contains(id),
                                age > objective * kExpiryFactor,
                                expectedAge <= objective });
@@ -176,80 +207,81 @@
   return candidates;
 }
 
-std::vector<Worker*>
-Dispatcher::State::UsableWorkers(const Candidate& aCandidate) const
+UsableWorkers
+Dispatcher::State::FindUsableWorkers(const Candidate& aCandidate) const
 {
   const job::StepSpec& spec = aCandidate.Spec();
+  const Pool& pool = *aCandidate.pool;
   // A suspect worker is better than none once a step has waited although the
   // pool is mostly idle: all other workers are busy or unsuitable.
   const bool mayUseSuspects =
     this->callTime.now - aCandidate.step->readyAt.value_or(this->callTime.now) >
       kIdlePoolMaxWait &&
-    this->AcceleratorUtilization(aCandidate.job->spec->pool) <
-      kIdlePoolUtilization;
-  std::vector<Worker*> usable;
-  for (const auto& [agent, worker] : this->workers) {
-    if (!worker.info || worker.info->isDraining ||
-        (worker.avoidUntil > this->callTime.now && !mayUseSuspects) ||
-        worker.info->pool != aCandidate.job->spec->pool) {
+    pool.Utilization() < kIdlePoolUtilization;
+  const base::TimePoint expectedEnd = this->callTime.now + spec.estimate;
+  std::vector<std::uint32_t> indices;
+  indices.reserve(pool.workers.size());
+  for (std::uint32_t i = 0; i < pool.workers.size(); ++i) {
+    const PoolWorker& each = pool.workers[i];
+    if (expectedEnd > each.reservedAt ||
+        (each.worker->avoidUntil > this->callTime.now && !mayUseSuspects)) {
       continue;
     }
-    const auto& labels = worker.info->labels;
-    if (!spec.requiredLabel.empty() &&
-        std::find(labels.begin(), labels.end(), spec.requiredLabel) ==
+    const auto& labels = each.worker->info->labels;
+    if (spec.requiredLabel.empty() ||
+        std::find(labels.begin(), labels.end(), spec.requiredLabel) !=
           labels.end()) {
-      continue;
-    }
-    const auto expectedEnd = this->callTime.now + aCandidate.Spec().estimate;
-    const bool isReserved =
-      std::any_of(this->reservations.begin(),
-                  this->reservations.end(),
-                  [&, id = agent](const Reservation& aReservation) {
-                    return expectedEnd > aReservation.until &&
-                           aReservation.workers.contains(id);
-                  });
-    if (!isReserved) {
-      usable.push_back(const_cast<Worker*>(&worker));
+      indices.push_back(i);
     }
   }
-  return usable;
+  return ToUsableWorkers(aCandidate, std::move(indices));
 }
 
-std::vector<PackingWorker>
-Dispatcher::State::ToPackingWorkers(std::span<Worker* const> aWorkers,
-                                    const Step& aStep,
-                                    const job::StepSpec& aSpec)
+UsableWorkers
+Dispatcher::State::ToUsableWorkers(const Candidate& aCandidate,
+                                   std::vector<std::uint32_t> aIndices)
 {
-  std::map<base::RackId, std::uint32_t> racks;
-  std::vector<PackingWorker> packing;
-  packing.reserve(aWorkers.size());
-  for (const Worker* worker : aWorkers) {
-    const auto rack = racks
-                        .try_emplace(worker->info->rack,
-                                     static_cast<std::uint32_t>(racks.size()))
-                        .first->second;
-    PackingWorker each{ worker->Free(), rack };
-    if (aSpec.maxPerWorker > 0) {
-      const auto here = static_cast<std::uint32_t>(std::count_if(
-        aStep.tasks.begin(), aStep.tasks.end(), [&](const Task& aTask) {
-          return aTask.IsOnWorker() && aTask.agent == worker->agent;
-        }));
-      each.remainingTaskLimit =
-        aSpec.maxPerWorker - std::min(aSpec.maxPerWorker, here);
+  const Pool& pool = *aCandidate.pool;
+  const std::uint32_t maxPerWorker = aCandidate.Spec().maxPerWorker;
+  std::unordered_map<base::AgentId, std::uint32_t> tasksOn;
+  if (maxPerWorker > 0) {
+    for (const Task& task : aCandidate.step->tasks) {
+      if (task.IsOnWorker()) {
+        ++tasksOn[task.agent];
+      }
+    }
+  }
+  constexpr std::uint32_t kUnnumbered = UINT32_MAX;
+  std::vector<std::uint32_t> racks(pool.racks, kUnnumbered);
+  std::uint32_t lastRack = 0;
+  UsableWorkers usable;
+  usable.packing.reserve(aIndices.size());
+  for (const std::uint32_t index : aIndices) {
+    const PoolWorker& each = pool.workers[index];
+    std::uint32_t& rack = racks[each.rack];
+    if (rack == kUnnumbered) {
+      rack = lastRack++;
     }
-    packing.push_back(each);
+    PackingWorker packing{ each.worker->Free(), rack };
+    if (maxPerWorker > 0) {
+      const auto found = tasksOn.find(each.worker->agent);
+      packing.remainingTaskLimit =
+        maxPerWorker -
+        std::min(maxPerWorker, found == tasksOn.end() ? 0 : found->second);
+    }
+    usable.packing.push_back(packing);
   }
-  return packing;
+  usable.indices = std::move(aIndices);
+  return usable;
 }
 
-/** Chooses workers for aCount tasks of the step within aAvailable. */
-std::optional<std::vector<Worker*>>
-Dispatcher::State::Pack(std::span<Worker* const> aWorkers,
-                        const Candidate& aCandidate,
-                        std::uint32_t aCount,
-                        std::vector<PackingWorker> aAvailable)
+RackedRequest
+Dispatcher::State::MakeRequest(const Candidate& aCandidate,
+                               const UsableWorkers& aUsable,
+                               std::uint32_t aCount) const
 {
   const job::StepSpec& spec = aCandidate.Spec();
+  const Pool& pool = *aCandidate.pool;
   PackingRequest request;
   request.need = RequiredResources(spec);
   request.count = aCount;
@@ -258,88 +290,115 @@
   base::Duration maxRackWait = spec.estimate * kRackWaitEstimates;
   if (aCandidate.isGuaranteed) {
     maxRackWait = kGuaranteedMaxRackWait;
-  } else if (this->AcceleratorUtilization(aCandidate.job->spec->pool) <
-             kIdlePoolUtilization) {
+  } else if (pool.Utilization() < kIdlePoolUtilization) {
     maxRackWait = std::min(maxRackWait, kIdlePoolMaxWait);
   }
   const bool mayWaitForRack = waited < maxRackWait;
   if (spec.prefersOneRack && spec.count > 1 && mayWaitForRack) {
     // Does not wait if the tasks would not fit even into an empty rack.
-    std::vector<PackingWorker> empty = aAvailable;
+    std::vector<PackingWorker> empty = aUsable.packing;
     for (std::size_t i = 0; i < empty.size(); ++i) {
-      empty[i].free = aWorkers[i]->info->capacity;
+      empty[i].free = pool.workers[aUsable.indices[i]].worker->info->capacity;
     }
     request.requiresOneRack = true;
     request.requiresOneRack = !this->packing->Pack(empty, request).empty();
   }
   if (!spec.dataRack.IsEmpty()) {
-    for (std::size_t i = 0; i < aAvailable.size(); ++i) {
-      if (aWorkers[i]->info->rack == spec.dataRack) {
-        request.rack = aAvailable[i].rack;
+    for (std::size_t i = 0; i < aUsable.indices.size(); ++i) {
+      if (pool.workers[aUsable.indices[i]].worker->info->rack ==
+          spec.dataRack) {
+        request.rack = aUsable.packing[i].rack;
+        break;
       }
     }
   }
-  auto chosen = this->packing->Pack(aAvailable, request);
-  if (chosen.empty() && request.rack && !mayWaitForRack) {
-    request.rack.reset();
-    chosen = this->packing->Pack(aAvailable, request);
-  }
-  if (chosen.empty()) {
-    return std::nullopt;
-  }
-  std::vector<Worker*> workers;
-  workers.reserve(chosen.size());
-  for (const std::uint32_t index : chosen) {
-    workers.push_back(aWorkers[index]);
+  return { request, !mayWaitForRack };
+}
+
+std::vector<std::uint32_t>
+Dispatcher::State::Pack(std::span<const PackingWorker> aAvailable,
+                        const RackedRequest& aRequest) const
+{
+  auto chosen = this->packing->Pack(aAvailable, aRequest.request);
+  if (chosen.empty() && aRequest.request.rack && aRequest.mayLeaveRack) {
+    PackingRequest anyRack = aRequest.request;
+    anyRack.rack.reset();
+    chosen = this->packing->Pack(aAvailable, anyRack);
   }
-  return workers;
+  return chosen;
 }
 
 bool
-Dispatcher::State::PlaceGang(const Candidate& aCandidate)
+Dispatcher::State::PlaceGang(const Candidate& aCandidate,
+                             const UsableWorkers& aUsable)
 {
-  const auto usable = this->UsableWorkers(aCandidate);
-  const auto idle = IdleTasks(*aCandidate.step);
-  const auto chosen = this->Pack(
-    usable,
-    aCandidate,
-    static_cast<std::uint32_t>(idle.size()),
-    this->ToPackingWorkers(usable, *aCandidate.step, aCandidate.Spec()));
-  if (!chosen) {
+  const auto& idle = aCandidate.idleTasks;
+  const auto chosen =
+    this->Pack(aUsable.packing,
+               this->MakeRequest(
+                 aCandidate, aUsable, static_cast<std::uint32_t>(idle.size())));
+  if (chosen.empty()) {
     return false;
   }
-  this->CommitPlacement(aCandidate, idle, *chosen);
+  std::vector<Worker*> workers;
+  workers.reserve(chosen.size());
+  for (const std::uint32_t position : chosen) {
+    workers.push_back(
+      aCandidate.pool->workers[aUsable.indices[position]].worker);
+  }
+  this->CommitPlacement(aCandidate, idle, workers);
   return true;
 }
 
-/** Returns true if every task of the step is placed. */
-bool
-Dispatcher::State::PlaceIndependentTasks(const Candidate& aCandidate)
+std::size_t
+Dispatcher::State::PlaceIndependentTasks(const Candidate& aCandidate,
+                                         UsableWorkers& aUsable)
 {
-  const auto usable = this->UsableWorkers(aCandidate);
-  for (const std::uint32_t index : IdleTasks(*aCandidate.step)) {
-    const Task& task = aCandidate.step->tasks[index];
-    std::vector<Worker*> allowed;
-    std::copy_if(
-      usable.begin(),
-      usable.end(),
-      std::back_inserter(allowed),
-      [&](const Worker* aWorker) { return aWorker->agent != task.failedOn; });
-    if (allowed.empty()) {
-      allowed = usable;
+  const auto& workers = aCandidate.pool->workers;
+  std::size_t placed = 0;
+  for (const std::uint32_t index : aCandidate.idleTasks) {
+    const base::AgentId& failedOn = aCandidate.step->tasks[index].failedOn;
+    std::vector<std::uint32_t> allowed;
+    if (!failedOn.IsEmpty()) {
+      std::copy_if(aUsable.indices.begin(),
+                   aUsable.indices.end(),
+                   std::back_inserter(allowed),
+                   [&](std::uint32_t aIndex) {
+                     return workers[aIndex].worker->agent != failedOn;
+                   });
     }
-    const auto chosen = this->Pack(
-      allowed,
-      aCandidate,
-      1,
-      this->ToPackingWorkers(allowed, *aCandidate.step, aCandidate.Spec()));
-    if (!chosen) {
-      return false;
+    std::uint32_t chosenIndex = 0;
+    if (!allowed.empty() && allowed.size() < aUsable.indices.size()) {
+      const UsableWorkers others =
+        ToUsableWorkers(aCandidate, std::move(allowed));
+      const auto chosen =
+        this->Pack(others.packing, this->MakeRequest(aCandidate, others, 1));
+      if (chosen.empty()) {
+        break;
+      }
+      chosenIndex = others.indices[chosen.front()];
+    } else {
+      const auto chosen =
+        this->Pack(aUsable.packing, this->MakeRequest(aCandidate, aUsable, 1));
+      if (chosen.empty()) {
+        break;
+      }
+      chosenIndex = aUsable.indices[chosen.front()];
     }
     const std::uint32_t tasks[] = { index };
-    this->CommitPlacement(aCandidate, tasks, *chosen);
+    Worker* const worker[] = { workers[chosenIndex].worker };
+    this->CommitPlacement(aCandidate, tasks, worker);
+    ++placed;
+    PackingWorker& packing = aUsable.packing[static_cast<std::size_t>(
+      std::lower_bound(
+        aUsable.indices.begin(), aUsable.indices.end(), chosenIndex) -
+      aUsable.indices.begin())];
+    packing.free = worker[0]->Free();
+    if (aCandidate.Spec().maxPerWorker > 0) {
+      --packing.remainingTaskLimit;
+    }
   }
-  return true;
+  return placed;
 }
 
 void
@@ -366,7 +425,9 @@
     task.startedAt = this->callTime.now;
     task.isInherited = false;
     const job::TaskRun run{ { step.id, aTasks[i] }, task.run };
+    const std::uint32_t usedBefore = worker.used.accelerators;
     this->AllocateResources(worker, run, RequiredResources(spec));
+    aCandidate.pool->usedAccelerators += worker.used.accelerators - usedBefore;
     this->pendingPlacements.emplace_back(this->lastVersion + 1, run);
     this->observer.OnPlaced(
       run, worker.agent, this->callTime.now - *step.readyAt);
@@ -374,20 +435,6 @@
   this->MarkDirty(step);
 }
 
-double
-Dispatcher::State::AcceleratorUtilization(const base::PoolId& aPool) const
-{
-  std::uint64_t used = 0;
-  std::uint64_t all = 0;
-  for (const auto& [agent, worker] : this->workers) {
-    if (worker.info && worker.info->pool == aPool && !worker.info->isDraining) {
-      used += worker.used.accelerators;
-      all += worker.info->capacity.accelerators;
-    }
-  }
-  return all == 0 ? 1.0 : static_cast<double>(used) / static_cast<double>(all);
-}
-
 base::Duration
 Dispatcher::State::EstimateRemaining(const job::TaskRun& aRun)
 {
@@ -407,11 +454,19 @@
  * never fits.
  */
 bool
-Dispatcher::State::Reserve(const Candidate& aCandidate, std::uint32_t aCount)
+Dispatcher::State::Reserve(const Candidate& aCandidate,
+                           const UsableWorkers& aUsable,
+                           std::uint32_t aCount)
 {
-  const auto usable = this->UsableWorkers(aCandidate);
-  auto available =
-    this->ToPackingWorkers(usable, *aCandidate.step, aCandidate.Spec());
+  const auto& workers = aCandidate.pool->workers;
+  const RackedRequest request = this->MakeRequest(aCandidate, aUsable, aCount);
+  auto available = aUsable.packing;
+  for (std::size_t i = 0; i < available.size(); ++i) {
+    available[i].free += workers[aUsable.indices[i]].worker->used;
+  }
+  if (this->Pack(available, request).empty()) {
+    return false;
+  }
   struct Release
   {
     base::Duration in;
@@ -419,8 +474,9 @@
     fleet::TaskResources freed;
   };
   std::vector<Release> releases;
-  for (std::size_t i = 0; i < usable.size(); ++i) {
-    for (const auto& [run, need] : usable[i]->allocations) {
+  for (std::size_t i = 0; i < aUsable.indices.size(); ++i) {
+    for (const auto& [run, need] :
+         workers[aUsable.indices[i]].worker->allocations) {
       releases.push_back({ this->EstimateRemaining(run), i, need });
     }
   }
@@ -429,19 +485,42 @@
             [](const Release& aLeft, const Release& aRight) {
               return aLeft.in < aRight.in;
             });
-  for (const Release& release : releases) {
-    available[release.worker].free += release.freed;
-    if (const auto chosen = this->Pack(usable, aCandidate, aCount, available)) {
-      Reservation reservation;
-      reservation.until = this->callTime.now + release.in;
-      for (const Worker* worker : *chosen) {
-        reservation.workers.insert(worker->agent);
-      }
-      this->reservations.push_back(std::move(reservation));
-      return true;
+  // Finds the first sufficient release by bisection.
+  std::size_t first = 0;
+  std::vector<std::uint32_t> chosen;
+  for (std::size_t end = releases.size(); first < end;) {
+    const std::size_t middle = first + (end - first) / 2;
+    available = aUsable.packing;
+    for (std::size_t i = 0; i <= middle; ++i) {
+      available[releases[i].worker].free += releases[i].freed;
     }
+    if (auto packed = this->Pack(available, request); !packed.empty()) {
+      end = middle;
+      chosen = std::move(packed);
+    } else {
+      first = middle + 1;
+    }
+  }
+  if (chosen.empty()) {
+    return false;
+  }
+  this->AddReservation(
+    *aCandidate.pool, aUsable, chosen, this->callTime.now + releases[first].in);
+  return true;
+}
+
+void
+Dispatcher::State::AddReservation(Pool& aPool,
+                                  const UsableWorkers& aUsable,
+                                  std::span<const std::uint32_t> aChosen,
+                                  base::TimePoint aUntil)
+{
+  ++this->reservations;
+  for (const std::uint32_t position : aChosen) {
+    base::TimePoint& reservedAt =
+      aPool.workers[aUsable.indices[position]].reservedAt;
+    reservedAt = std::min(reservedAt, aUntil);
   }
-  return false;
 }
 
 } // namespace amaranthwind::dispatch
--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -102,7 +102,11 @@
   ledger::JobTable table(this->codec);
   table.Load(records);
   this->dispatcher = std::make_unique<Dispatcher>(
-    this->options, table, std::make_unique<BestFitPacking>(), *this, this->now);
+    this->options,
+    table,
+    std::make_unique<CountingPacking>(this->packCalls),
+    *this,
+    this->now);
   this->Finish(this->dispatcher->OnGuarantees(this->guarantees, this->now));
   for (const auto& [name, agent] : this->agents) {
     if (agent.isReporting) {
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -37,6 +37,26 @@
   std::map<std::string, ledger::StepRecord> steps;
 };
 
+/** Best-fit placement that counts its calls. */
+class CountingPacking final : public Packing
+{
+public:
+  explicit CountingPacking(std::uint64_t& aCalls)
+    : calls(aCalls)
+  {
+  }
+  std::vector<std::uint32_t> Pack(std::span<const PackingWorker> aWorkers,
+                                  const PackingRequest& aRequest) const override
+  {
+    ++this->calls;
+    return this->packing.Pack(aWorkers, aRequest);
+  }
+
+private:
+  BestFitPacking packing;
+  std::uint64_t& calls;
+};
+
 /**
  * Test harness: a dispatcher with simulated workers of 8 accelerators, three
  * per rack, whose agents execute every order immediately.
@@ -118,6 +138,8 @@
   std::vector<std::string> stops;
   std::vector<ForgetJob> forgotten;
   int lost = 0;
+  /** Number of calls of Packing::Pack(). */
+  std::uint64_t packCalls = 0;
   /** Stop orders end a run immediately; otherwise it runs until End(). */
   bool stopsImmediately = true;
   /** Writes become durable within the call that issues them. */
