Look up the runs and victims of a pool once for a pass

What remained of a pass were look-ups: each reservation and each search for victims found the job of every run on the usable workers, twice for its estimate, and sorted all victims of the pool again for each urgent step.

The runs of a pool and the sorted victims are now kept until a placement or a preemption changes them; candidates with the same usable workers share the victims. Workers without room for one task are skipped before the divisions.

dispatch_pass_benchmark takes the kind of the waiting steps as an argument.

--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -8,10 +8,11 @@
 #include <iomanip>
 #include <iostream>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 // Measures one scheduling pass on a full pool, in which no step can be placed.
-// Usage: dispatch_pass_benchmark [rounds]
+// Usage: dispatch_pass_benchmark [rounds [kind]]
 
 namespace amaranthwind::dispatch {
 
@@ -261,7 +262,7 @@
   using namespace amaranthwind::dispatch;
   const int rounds = aCount > 1 ? std::atoi(aArguments[1]) : 5;
   if (rounds <= 0) {
-    std::cerr << "usage: dispatch_pass_benchmark [rounds]\n";
+    std::cerr << "usage: dispatch_pass_benchmark [rounds [kind]]\n";
     return EXIT_FAILURE;
   }
   std::cout << std::fixed << std::setprecision(3)
@@ -274,6 +275,9 @@
                           WaitingKind{ "gang", true, 1, 8, 0, true },
                           WaitingKind{ "urgent", false, 0 } };
   for (const WaitingKind& kind : kinds) {
+    if (aCount > 2 && std::string_view(kind.name) != aArguments[2]) {
+      continue;
+    }
     for (const std::uint32_t workers : { 25U, 74U, 300U, 775U }) {
       for (const std::uint32_t steps : { 1U, 10U, 50U }) {
         for (const std::uint32_t width : { 5U, 39U, 230U }) {
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -112,8 +112,17 @@
   std::uint32_t rack = 0;
   /** Runs that end after this time may not use the worker. */
   base::TimePoint reservedAt = base::TimePoint::max();
-  /** Resources of runs that are ending. */
-  fleet::TaskResources releasing;
+  /** Index of its first run in Pool::runs, which has them in this order. */
+  std::size_t firstRun = 0;
+};
+
+/** A run that may be using resources of a worker of the pool. */
+struct PoolRun
+{
+  fleet::TaskResources need;
+  /** Estimated time until the run has ended. */
+  base::Duration remaining{};
+  bool isEnding = false;
 };
 
 /** A task that a less important step runs on a worker of the pool. */
@@ -129,6 +138,35 @@
   double cost = 0;
 };
 
+/** A preemptible task on a worker that a candidate may use. */
+struct UsableTask
+{
+  const PreemptibleTask* task = nullptr;
+  /** Index into UsableWorkers. */
+  std::uint32_t position = 0;
+};
+
+/** Tasks that end together if one of them is preempted. */
+struct Victim
+{
+  /** Range in VictimList::tasks. */
+  std::size_t first = 0;
+  std::size_t end = 0;
+  /** Core-seconds of lost work. */
+  double cost = 0;
+};
+
+/** What a candidate may preempt on its usable workers. */
+struct VictimList
+{
+  /** The usable workers, as indices into Pool::workers. */
+  std::vector<std::uint32_t> workers;
+  bool isGuaranteed = false;
+  std::vector<UsableTask> tasks;
+  /** Cheapest first. */
+  std::vector<Victim> victims;
+};
+
 /** The workers of a pool that accept tasks, for one scheduling pass. */
 struct Pool
 {
@@ -137,10 +175,12 @@
   std::uint32_t racks = 0;
   std::uint64_t usedAccelerators = 0;
   std::uint64_t accelerators = 0;
-  /** In the order of jobs, steps and indices; valid if isPreemptionKnown. */
-  std::vector<PreemptibleTask> preemptibleTasks;
-  /** Whether preemptibleTasks and PoolWorker::releasing are up to date. */
-  bool isPreemptionKnown = false;
+  /** By worker; nullopt if it has to be collected. */
+  std::optional<std::vector<PoolRun>> runs;
+  /** By job, step and index; nullopt if it has to be collected. */
+  std::optional<std::vector<PreemptibleTask>> preemptibleTasks;
+  /** Of the last candidate that looked for victims. */
+  std::optional<VictimList> victims;
 
   /** Fraction of the accelerators that is in use. */
   double Utilization() const noexcept
@@ -282,13 +322,19 @@
                       const UsableWorkers& aUsable,
                       std::span<const std::uint32_t> aChosen,
                       base::TimePoint aUntil);
-  base::Duration EstimateRemaining(const job::TaskRun& aRun);
+  void CollectRuns(Pool& aPool);
+  PoolRun ToPoolRun(const job::TaskRun& aRun,
+                    const fleet::TaskResources& aNeed);
+  /** The runs on a worker of the pool. */
+  std::span<const PoolRun> RunsOn(Pool& aPool, std::uint32_t aWorker);
 
   // Preemption of less important work (Preemption.cpp).
   bool Preempt(const Candidate& aCandidate,
                const UsableWorkers& aUsable,
                std::uint32_t aCount);
   void CollectPreemptibleTasks(Pool& aPool);
+  const VictimList& FindVictims(const Candidate& aCandidate,
+                                const UsableWorkers& aUsable);
 
   const DispatcherOptions options;
   std::unique_ptr<Packing> packing;
--- a/libs/dispatch/src/Packing.cpp
+++ b/libs/dispatch/src/Packing.cpp
@@ -11,6 +11,9 @@
 std::uint32_t
 MaxTasksOn(const PackingWorker& aWorker, const fleet::TaskResources& aNeed)
 {
+  if (!aWorker.free.Covers(aNeed)) {
+    return 0; // Saves the divisions for most workers of a full pool.
+  }
   std::uint32_t count = aWorker.remainingTaskLimit;
   if (aNeed.accelerators > 0) {
     count = std::min(count, aWorker.free.accelerators / aNeed.accelerators);
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -20,24 +20,6 @@
 /** Run time that a checkpointing task loses when it is stopped. */
 constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
 
-/** Tasks that end together if one of them is preempted. */
-struct Victim
-{
-  /** Range of the usable preemptible tasks. */
-  std::size_t first = 0;
-  std::size_t end = 0;
-  /** Core-seconds of lost work. */
-  double cost = 0;
-};
-
-/** A preemptible task on a worker that the candidate may use. */
-struct UsableTask
-{
-  const PreemptibleTask* task = nullptr;
-  /** Index into UsableWorkers. */
-  std::uint32_t position = 0;
-};
-
 /** Core-seconds of work that one task does in the given time. */
 double
 WorkOf(const job::StepSpec& aSpec, base::Duration aTime)
@@ -61,18 +43,7 @@
 void
 Dispatcher::State::CollectPreemptibleTasks(Pool& aPool)
 {
-  aPool.isPreemptionKnown = true;
-  aPool.preemptibleTasks.clear();
-  for (PoolWorker& each : aPool.workers) {
-    each.releasing = {};
-    for (const auto& [run, need] : each.worker->allocations) {
-      const Task* task = this->FindRun(run);
-      if (task == nullptr || !task->IsOnWorker() ||
-          task->phase == Phase::Stopping) {
-        each.releasing += need;
-      }
-    }
-  }
+  auto& tasks = aPool.preemptibleTasks.emplace();
   for (auto& [id, job] : this->jobs) {
     if (this->guaranteedJobs.contains(id)) {
       continue;
@@ -93,7 +64,7 @@
           });
         if (found != aPool.workers.end() &&
             found->worker->agent == task.agent) {
-          aPool.preemptibleTasks.push_back(
+          tasks.push_back(
             { &job,
               &step,
               i,
@@ -106,27 +77,27 @@
   }
 }
 
-bool
-Dispatcher::State::Preempt(const Candidate& aCandidate,
-                           const UsableWorkers& aUsable,
-                           std::uint32_t aCount)
+const VictimList&
+Dispatcher::State::FindVictims(const Candidate& aCandidate,
+                               const UsableWorkers& aUsable)
 {
   Pool& pool = *aCandidate.pool;
-  if (!pool.isPreemptionKnown) {
+  if (pool.victims && pool.victims->isGuaranteed == aCandidate.isGuaranteed &&
+      pool.victims->workers == aUsable.indices) {
+    return *pool.victims;
+  }
+  if (!pool.preemptibleTasks) {
     this->CollectPreemptibleTasks(pool);
   }
   constexpr std::uint32_t kUnusable = UINT32_MAX;
   std::vector<std::uint32_t> positions(pool.workers.size(), kUnusable);
-  // Resources of tasks that are already stopping count as available.
-  std::vector<PackingWorker> available = aUsable.packing;
   for (std::uint32_t i = 0; i < aUsable.indices.size(); ++i) {
     positions[aUsable.indices[i]] = i;
-    available[i].free += pool.workers[aUsable.indices[i]].releasing;
   }
-  const RackedRequest request = this->MakeRequest(aCandidate, aUsable, aCount);
-  std::vector<UsableTask> tasks;
-  std::vector<Victim> victims;
-  for (const PreemptibleTask& each : pool.preemptibleTasks) {
+  VictimList& list = pool.victims.emplace();
+  list.workers = aUsable.indices;
+  list.isGuaranteed = aCandidate.isGuaranteed;
+  for (const PreemptibleTask& each : *pool.preemptibleTasks) {
     const bool isUrgent = each.job->spec->urgency == 0;
     // A task that was preempted before is preempted again only for a
     // guarantee; otherwise its work could be discarded run after run.
@@ -135,16 +106,57 @@
         (!aCandidate.isGuaranteed && (isUrgent || isProtected))) {
       continue;
     }
-    const bool isSameGang = !victims.empty() &&
-                            tasks.back().task->step == each.step &&
+    const bool isSameGang = !list.tasks.empty() &&
+                            list.tasks.back().task->step == each.step &&
                             each.job->spec->steps[each.step->id.step].isGang;
     if (!isSameGang) {
-      victims.push_back({ tasks.size(), tasks.size(), 0 });
+      list.victims.push_back({ list.tasks.size(), list.tasks.size(), 0 });
+    }
+    list.tasks.push_back({ &each, positions[each.worker] });
+    list.victims.back().end = list.tasks.size();
+    list.victims.back().cost += each.cost;
+  }
+  std::sort(list.victims.begin(),
+            list.victims.end(),
+            [](const Victim& aLeft, const Victim& aRight) {
+              return aLeft.cost < aRight.cost;
+            });
+  return list;
+}
+
+bool
+Dispatcher::State::Preempt(const Candidate& aCandidate,
+                           const UsableWorkers& aUsable,
+                           std::uint32_t aCount)
+{
+  Pool& pool = *aCandidate.pool;
+  // Resources of tasks that are already stopping count as available.
+  std::vector<PackingWorker> available = aUsable.packing;
+  for (std::size_t i = 0; i < available.size(); ++i) {
+    for (const PoolRun& run : this->RunsOn(pool, aUsable.indices[i])) {
+      if (run.isEnding) {
+        available[i].free += run.need;
+      }
     }
-    tasks.push_back({ &each, positions[each.worker] });
-    victims.back().end = tasks.size();
-    victims.back().cost += each.cost;
   }
+  const RackedRequest request = this->MakeRequest(aCandidate, aUsable, aCount);
+  const double wasteLimit =
+    aCandidate.isGuaranteed
+      ? std::numeric_limits<double>::infinity()
+      : kWasteLimit * WorkOf(aCandidate.Spec(), aCandidate.Spec().estimate) *
+          aCount;
+  const VictimList& list = this->FindVictims(aCandidate, aUsable);
+  const auto& tasks = list.tasks;
+  // The last of the chosen victims is always needed, so that none may exceed
+  // the limit by itself.
+  std::span<const Victim> victims(
+    list.victims.begin(),
+    std::upper_bound(list.victims.begin(),
+                     list.victims.end(),
+                     wasteLimit,
+                     [](double aLimit, const Victim& aVictim) {
+                       return aLimit < aVictim.cost;
+                     }));
   const auto release = [&](std::vector<PackingWorker>& aWorkers,
                            const Victim& aVictim) {
     for (std::size_t i = aVictim.first; i < aVictim.end; ++i) {
@@ -157,20 +169,6 @@
       aWorkers[tasks[i].position].free -= tasks[i].task->need;
     }
   };
-  const double wasteLimit =
-    aCandidate.isGuaranteed
-      ? std::numeric_limits<double>::infinity()
-      : kWasteLimit * WorkOf(aCandidate.Spec(), aCandidate.Spec().estimate) *
-          aCount;
-  std::sort(victims.begin(),
-            victims.end(),
-            [](const Victim& aLeft, const Victim& aRight) {
-              return aLeft.cost < aRight.cost;
-            });
-  // The last of the chosen victims is always needed, so that none may exceed
-  // the limit by itself.
-  std::erase_if(
-    victims, [&](const Victim& aVictim) { return aVictim.cost > wasteLimit; });
   // The shortest sufficient prefix of the victims, found by bisection.
   std::vector<PackingWorker> freed = available;
   for (const Victim& victim : victims) {
@@ -194,7 +192,7 @@
       count = middle + 1;
     }
   }
-  victims.resize(count);
+  victims = victims.first(count);
   freed = available;
   for (const Victim& victim : victims) {
     release(freed, victim);
@@ -240,7 +238,11 @@
                                                 : "preempted by urgent work");
     }
   }
-  pool.isPreemptionKnown = needed.empty();
+  if (!needed.empty()) {
+    pool.runs.reset();
+    pool.preemptibleTasks.reset();
+    pool.victims.reset();
+  }
   return true;
 }
 
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -82,14 +82,14 @@
 Dispatcher::State::CollectPools()
 {
   this->pools.clear();
-  std::map<std::pair<base::PoolId, base::RackId>, std::uint32_t> racks;
+  std::map<base::PoolId, std::map<base::RackId, std::uint32_t>> racks;
   for (auto& [agent, worker] : this->workers) {
     if (!worker.info || worker.info->isDraining) {
       continue;
     }
     Pool& pool = this->pools[worker.info->pool];
     const auto [rack, isNew] =
-      racks.try_emplace({ worker.info->pool, worker.info->rack }, pool.racks);
+      racks[worker.info->pool].try_emplace(worker.info->rack, pool.racks);
     pool.racks += isNew ? 1 : 0;
     PoolWorker& added = pool.workers.emplace_back();
     added.worker = &worker;
@@ -432,20 +432,53 @@
     this->observer.OnPlaced(
       run, worker.agent, this->callTime.now - *step.readyAt);
   }
+  aCandidate.pool->runs.reset();
   this->MarkDirty(step);
 }
 
-base::Duration
-Dispatcher::State::EstimateRemaining(const job::TaskRun& aRun)
+PoolRun
+Dispatcher::State::ToPoolRun(const job::TaskRun& aRun,
+                             const fleet::TaskResources& aNeed)
 {
-  const Task* task = this->FindRun(aRun);
-  const job::StepSpec* spec = this->SpecOf(aRun.task.step);
-  if (task == nullptr || spec == nullptr || task->phase == Phase::Stopping ||
-      !task->IsOnWorker()) {
-    return this->options.stopTime;
+  const job::TaskId& id = aRun.task;
+  if (const Job* job = this->FindJob(id.step.job)) {
+    const auto step = job->steps.find({ id.step.occurrence, id.step.step });
+    if (step != job->steps.end() && id.index < step->second.tasks.size()) {
+      const Task& task = step->second.tasks[id.index];
+      if (task.run == aRun.run && task.IsOnWorker() &&
+          task.phase != Phase::Stopping) {
+        const base::Duration estimate = job->spec->steps[id.step.step].estimate;
+        const base::Duration elapsed = this->callTime.now - task.startedAt;
+        return { aNeed,
+                 std::max(estimate - elapsed, estimate / kOverrunDivisor),
+                 false };
+      }
+    }
+  }
+  return { aNeed, this->options.stopTime, true };
+}
+
+void
+Dispatcher::State::CollectRuns(Pool& aPool)
+{
+  auto& runs = aPool.runs.emplace();
+  for (PoolWorker& each : aPool.workers) {
+    each.firstRun = runs.size();
+    for (const auto& [run, need] : each.worker->allocations) {
+      runs.push_back(this->ToPoolRun(run, need));
+    }
+  }
+}
+
+std::span<const PoolRun>
+Dispatcher::State::RunsOn(Pool& aPool, std::uint32_t aWorker)
+{
+  if (!aPool.runs) {
+    this->CollectRuns(aPool);
   }
-  const base::Duration elapsed = this->callTime.now - task->startedAt;
-  return std::max(spec->estimate - elapsed, spec->estimate / kOverrunDivisor);
+  const PoolWorker& worker = aPool.workers[aWorker];
+  return std::span(*aPool.runs)
+    .subspan(worker.firstRun, worker.worker->allocations.size());
 }
 
 /**
@@ -475,9 +508,9 @@
   };
   std::vector<Release> releases;
   for (std::size_t i = 0; i < aUsable.indices.size(); ++i) {
-    for (const auto& [run, need] :
-         workers[aUsable.indices[i]].worker->allocations) {
-      releases.push_back({ this->EstimateRemaining(run), i, need });
+    for (const PoolRun& run :
+         this->RunsOn(*aCandidate.pool, aUsable.indices[i])) {
+      releases.push_back({ run.remaining, i, run.need });
     }
   }
   std::sort(releases.begin(),
