Encode and decode the records of wide steps with fewer allocations

Each change of one task writes the record of its whole step, and every scheduler decodes it: 230 tasks are 24.7 KB of JSON. EncodeStep() built a tree of values and serialized it; parsing allocated each key, each value and the list of keys of each object.

EncodeStep() now appends to the text. ParseJson() keeps its values in one monotonic buffer and the keys of all open objects in one string.

--- a/libs/codec/benchmark/CodecBenchmark.cpp
+++ b/libs/codec/benchmark/CodecBenchmark.cpp
@@ -1,4 +1,5 @@
 #include "amaranthwind/codec/JsonRecordCodec.h"
+#include "amaranthwind/codec/LedgerCodec.h"
 #include "amaranthwind/codec/NoteCodec.h"
 
 #include <benchmark/benchmark.h>
@@ -76,6 +77,49 @@
 }
 BENCHMARK(DecodePolicy)->Arg(4)->Arg(150);
 
+/** A step whose tasks have all been placed. */
+ledger::StepRecord
+MakeStepRecord(std::int64_t aTasks)
+{
+  ledger::StepRecord record;
+  record.id = { base::JobId("80aad10c0de67265"), 0, 0 };
+  for (std::int64_t i = 0; i < aTasks; ++i) {
+    ledger::TaskRecord& task = record.tasks.emplace_back();
+    task.index = static_cast<std::uint32_t>(i);
+    task.phase = ledger::TaskPhase::Placed;
+    task.run = 1;
+    task.worker = { base::TargetId("worker-" + std::to_string(i)),
+                    1'780'000'000'000 };
+    task.agent = base::AgentId("side-palmira-" + std::to_string(i));
+  }
+  return record;
+}
+
+void
+EncodeStep(benchmark::State& aState)
+{
+  const codec::LedgerCodec codec;
+  const ledger::StepRecord record = MakeStepRecord(aState.range(0));
+  for (auto step : aState) {
+    (void)step;
+    benchmark::DoNotOptimize(codec.EncodeStep(record));
+  }
+}
+BENCHMARK(EncodeStep)->Arg(1)->Arg(39)->Arg(230);
+
+void
+DecodeStep(benchmark::State& aState)
+{
+  const codec::LedgerCodec codec;
+  const std::string text = codec.EncodeStep(MakeStepRecord(aState.range(0)));
+  for (auto step : aState) {
+    (void)step;
+    benchmark::DoNotOptimize(codec.DecodeStep(text));
+  }
+  aState.counters["bytes"] = static_cast<double>(text.size());
+}
+BENCHMARK(DecodeStep)->Arg(1)->Arg(39)->Arg(230);
+
 } // namespace
 
 BENCHMARK_MAIN();
--- a/libs/codec/src/JsonParse.cpp
+++ b/libs/codec/src/JsonParse.cpp
@@ -1,10 +1,12 @@
 #include "JsonParse.h"
 
 #include <boost/json/basic_parser_impl.hpp>
+#include <boost/json/monotonic_resource.hpp>
 #include <boost/json/value_stack.hpp>
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <utility>
@@ -21,46 +23,44 @@
 /** Longer field names are truncated in error messages. */
 constexpr std::size_t kMaxNameInPath = 64;
 
-/**
- * The keys of one object. Linear search is faster than a tree for the few keys
- * of most objects; beyond kMaxLinearKeys, a tree avoids quadratic time.
- */
-class KeySet
-{
-public:
-  /** Returns false if the key is already present. */
-  bool Insert(const std::string& aKey)
-  {
-    if (this->linearKeys.size() < kMaxLinearKeys) {
-      if (std::find(this->linearKeys.begin(), this->linearKeys.end(), aKey) !=
-          this->linearKeys.end()) {
-        return false;
-      }
-      this->linearKeys.push_back(aKey);
-      return true;
-    }
-    if (this->sortedKeys.empty()) {
-      this->sortedKeys.insert(this->linearKeys.begin(), this->linearKeys.end());
-    }
-    return this->sortedKeys.insert(aKey).second;
-  }
-
-private:
-  static constexpr std::size_t kMaxLinearKeys = 32;
-
-  std::vector<std::string> linearKeys;
-  std::set<std::string> sortedKeys;
-};
-
 /** An object or array whose end has not been parsed yet. */
 struct OpenContainer
 {
   bool isObject = false;
   /** Arrays only: number of elements started so far. */
   std::size_t elementCount = 0;
-  /** Objects only: the most recent key. */
-  std::optional<std::string> key;
-  KeySet keys;
+  /** Objects only: index of its first key in KeyStack. */
+  std::size_t firstKey = 0;
+  /** Objects only: index of the most recent key in KeyStack. */
+  std::optional<std::size_t> key;
+  /** All keys of an object that has many. */
+  std::set<std::string, std::less<>> sortedKeys;
+};
+
+/** The keys of the open objects, in the order in which they were parsed. */
+class KeyStack
+{
+public:
+  std::size_t Size() const noexcept { return this->ends.size(); }
+  std::string_view Key(std::size_t aIndex) const
+  {
+    const std::size_t start = aIndex == 0 ? 0 : this->ends[aIndex - 1];
+    return std::string_view(this->bytes)
+      .substr(start, this->ends[aIndex] - start);
+  }
+  void AppendPart(std::string_view aPart) { this->bytes += aPart; }
+  void FinishKey() { this->ends.push_back(this->bytes.size()); }
+  /** Removes all keys from aSize on. */
+  void Truncate(std::size_t aSize)
+  {
+    this->ends.resize(aSize);
+    this->bytes.resize(aSize == 0 ? 0 : this->ends.back());
+  }
+
+private:
+  std::string bytes;
+  /** End of each key in `bytes`. */
+  std::vector<std::size_t> ends;
 };
 
 /**
@@ -79,13 +79,15 @@
 
   bool on_document_begin(error_code&)
   {
-    this->stack.reset();
+    this->stack.reset(
+      json::make_shared_resource<json::monotonic_resource>(this->textSize));
     return true;
   }
   bool on_document_end(error_code&) { return true; }
   bool on_object_begin(error_code&) { return this->Open(true); }
   bool on_object_end(std::size_t aCount, error_code&)
   {
+    this->keys.Truncate(this->openContainers.back().firstKey);
     this->openContainers.pop_back();
     this->stack.push_object(aCount);
     return true;
@@ -99,16 +101,17 @@
   }
   bool on_key_part(json::string_view aPart, std::size_t, error_code&)
   {
-    this->partialKey.append(aPart.data(), aPart.size());
+    this->keys.AppendPart({ aPart.data(), aPart.size() });
     this->stack.push_chars(aPart);
     return true;
   }
   bool on_key(json::string_view aPart, std::size_t, error_code& aError)
   {
-    this->partialKey.append(aPart.data(), aPart.size());
+    this->keys.AppendPart({ aPart.data(), aPart.size() });
+    this->keys.FinishKey();
     OpenContainer& object = this->openContainers.back();
-    object.key = std::exchange(this->partialKey, {});
-    if (!object.keys.Insert(*object.key)) {
+    object.key = this->keys.Size() - 1;
+    if (!this->IsNewKey(object)) {
       this->isDuplicate = true;
       aError = json::error::syntax;
       return false;
@@ -167,7 +170,7 @@
     std::string path;
     for (const OpenContainer& container : this->openContainers) {
       if (container.key) {
-        AppendName(path, *container.key);
+        AppendName(path, this->keys.Key(*container.key));
       } else if (!container.isObject && container.elementCount > 0) {
         AppendIndex(path, container.elementCount - 1);
       }
@@ -177,14 +180,43 @@
 
   json::value_stack stack;
   std::vector<OpenContainer> openContainers;
-  std::string partialKey;
+  KeyStack keys;
+  std::size_t textSize = 0;
   bool isDuplicate = false;
 
 private:
+  /**
+   * Whether the most recent key of the object differs from its earlier ones.
+   * Linear search is faster than a tree for the few keys of most objects;
+   * beyond kMaxLinearKeys, a tree avoids quadratic time.
+   */
+  bool IsNewKey(OpenContainer& aObject) const
+  {
+    constexpr std::size_t kMaxLinearKeys = 32;
+    const std::size_t last = *aObject.key;
+    const std::string_view key = this->keys.Key(last);
+    if (last - aObject.firstKey < kMaxLinearKeys) {
+      for (std::size_t i = aObject.firstKey; i < last; ++i) {
+        if (this->keys.Key(i) == key) {
+          return false;
+        }
+      }
+      return true;
+    }
+    if (aObject.sortedKeys.empty()) {
+      for (std::size_t i = aObject.firstKey; i < last; ++i) {
+        aObject.sortedKeys.emplace(this->keys.Key(i));
+      }
+    }
+    return aObject.sortedKeys.emplace(key).second;
+  }
+
   bool Open(bool aIsObject)
   {
     this->BeginValue();
-    this->openContainers.emplace_back().isObject = aIsObject;
+    OpenContainer& opened = this->openContainers.emplace_back();
+    opened.isObject = aIsObject;
+    opened.firstKey = this->keys.Size();
     return true;
   }
 
@@ -229,6 +261,7 @@
   json::parse_options options;
   options.max_depth = kMaxDepth;
   json::basic_parser<ValueBuilder> parser(options);
+  parser.handler().textSize = aText.size();
   error_code error;
   const std::size_t position =
     parser.write_some(false, aText.data(), aText.size(), error);
--- a/libs/codec/src/JsonReader.cpp
+++ b/libs/codec/src/JsonReader.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxErrors = 64;
 /** Doubles of at least this magnitude are integers that exceed 64 bits. */
 constexpr double kTwoTo64 = 18446744073709551616.0;
+/** Fields requested of most objects. */
+constexpr std::size_t kUsualFields = 16;
 constexpr unsigned char kFirstPrintable = 0x20;
 constexpr unsigned char kDelete = 0x7F;
 
@@ -172,6 +174,7 @@
   : reader(aReader)
   , object(aReader.value.if_object())
 {
+  this->requestedNames.reserve(kUsualFields);
   if (this->object == nullptr) {
     this->reader.Fail(ErrorCode::WrongType);
   }
--- a/libs/codec/src/JsonReader.h
+++ b/libs/codec/src/JsonReader.h
@@ -175,9 +175,9 @@
 void
 Read(const ValueReader& aReader, base::StrongId<Tag>& aOut)
 {
-  std::string text;
-  Read(aReader, text);
-  aOut = base::StrongId<Tag>(text);
+  if (const boost::json::string* text = ReadText(aReader)) {
+    aOut = base::StrongId<Tag>(std::string_view(text->data(), text->size()));
+  }
 }
 
 template<typename Tag>
--- a/libs/codec/src/JsonWriter.h
+++ b/libs/codec/src/JsonWriter.h
@@ -17,6 +17,13 @@
 boost::json::string
 ToText(std::string_view aText);
 
+/** Appends the text as a JSON string with the same content as ToText(). */
+void
+AppendText(std::string& aOut, std::string_view aText);
+
+void
+AppendNumber(std::string& aOut, std::uint64_t aNumber);
+
 /** Milliseconds, rounded down and clamped to the range accepted on reading. */
 std::uint64_t
 ToMs(base::Duration aDuration);
@@ -29,15 +36,22 @@
 }
 
 template<typename E>
-boost::json::string
-ToText(E aValue, std::span<const std::pair<E, std::string_view>> aNames)
+std::string_view
+NameOf(E aValue, std::span<const std::pair<E, std::string_view>> aNames)
 {
   for (const auto& [value, name] : aNames) {
     if (value == aValue) {
-      return ToText(name);
+      return name;
     }
   }
   return {};
 }
 
+template<typename E>
+boost::json::string
+ToText(E aValue, std::span<const std::pair<E, std::string_view>> aNames)
+{
+  return ToText(NameOf(aValue, aNames));
+}
+
 } // namespace amaranthwind::codec
--- a/libs/codec/src/LedgerCodec.cpp
+++ b/libs/codec/src/LedgerCodec.cpp
@@ -187,34 +187,42 @@
   return DecodeDocument<job::WorkflowSpec>(aValue, kMaxRecordBytes);
 }
 
+// Written without a tree of values: the record of a wide step is written again
+// for each change of one task.
 std::string
 LedgerCodec::EncodeStep(const ledger::StepRecord& aStep) const
 {
-  json::array tasks;
+  constexpr std::size_t kUsualTaskBytes = 128;
+  std::string text;
+  text.reserve((aStep.tasks.size() + 1) * kUsualTaskBytes);
+  text += R"({"tasks":[)";
   for (const auto& task : aStep.tasks) {
-    json::object object{
-      { "index", task.index },
-      { "phase", ToText<TaskPhase>(task.phase, std::span(kTaskPhaseNames)) },
-      { "run", task.run },
-      { "worker", ToText(task.worker.id) },
-      { "born", task.worker.born },
-    };
+    text += &task == aStep.tasks.data() ? R"({"index":)" : R"(,{"index":)";
+    AppendNumber(text, task.index);
+    text += R"(,"phase":)";
+    AppendText(text, NameOf<TaskPhase>(task.phase, std::span(kTaskPhaseNames)));
+    text += R"(,"run":)";
+    AppendNumber(text, task.run);
+    text += R"(,"worker":)";
+    AppendText(text, task.worker.id.View());
+    text += R"(,"born":)";
+    AppendNumber(text, task.worker.born);
     if (!task.agent.IsEmpty()) {
-      object["agent"] = ToText(task.agent);
+      text += R"(,"agent":)";
+      AppendText(text, task.agent.View());
     }
     if (task.failures > 0) {
-      object["failures"] = task.failures;
+      text += R"(,"failures":)";
+      AppendNumber(text, task.failures);
     }
     if (!task.checkpoint.empty()) {
-      object["checkpoint"] = ToText(task.checkpoint);
+      text += R"(,"checkpoint":)";
+      AppendText(text, task.checkpoint);
     }
-    tasks.push_back(std::move(object));
+    text += '}';
   }
-  json::object object{ { "tasks", std::move(tasks) } };
-  if (aStep.hasFailed) {
-    object["hasFailed"] = true;
-  }
-  return json::serialize(object);
+  text += aStep.hasFailed ? R"(],"hasFailed":true})" : "]}";
+  return text;
 }
 
 base::Result<ledger::StepRecord>
--- a/libs/codec/tests/RecordCodecTest.cpp
+++ b/libs/codec/tests/RecordCodecTest.cpp
@@ -166,6 +166,20 @@
   CHECK(large.error() == base::Error{ ErrorCode::TooLarge, "document" });
 }
 
+// Guards against mixing up the keys of nested objects.
+TEST_CASE("duplicate keys are found beside equal keys of nested objects")
+{
+  const auto repeated = Decode(R"({"a":[{"b":0,"a":0},{"b":0}],"b":0,"a":0})");
+  REQUIRE(repeated.has_error());
+  CHECK(repeated.error() == base::Error{ ErrorCode::DuplicateKey, "a" });
+  const auto nested = Decode(R"({"a":[{"b":0},{"c":{"b":0},"c":0}]})");
+  REQUIRE(nested.has_error());
+  CHECK(nested.error() == base::Error{ ErrorCode::DuplicateKey, "a[1].c" });
+  const auto distinct = Decode(R"({"a":[{"a":0},{"a":{"a":0}}],"b":{"a":0}})");
+  REQUIRE(distinct.has_error());
+  CHECK(distinct.error().code != ErrorCode::DuplicateKey);
+}
+
 // Guards against missing a duplicate key in an object with many keys.
 TEST_CASE("duplicate keys are found in an object with many keys")
 {
--- a/libs/ledger/tests/JobTableTest.cpp
+++ b/libs/ledger/tests/JobTableTest.cpp
@@ -112,6 +112,27 @@
   CHECK(step.value() == record);
 }
 
+// Guards against records that schedulers of another version cannot read.
+TEST_CASE("the stored text of a step record does not change")
+{
+  StepRecord record = MakeStep(TaskPhase::Placed, TaskPhase::Done);
+  CHECK(kCodec.EncodeStep(record) ==
+        R"({"tasks":[{"index":0,"phase":"placed","run":1,"worker":"w",)"
+        R"("born":1,"agent":"vm"},{"index":1,"phase":"done","run":1,)"
+        R"("worker":"w","born":1,"failures":1,"checkpoint":"saved"}]})");
+  record.tasks.resize(1);
+  record.tasks[0].worker = { base::TargetId("q\"\\/\n\x7F"), UINT64_MAX };
+  record.tasks[0].agent = base::AgentId("\xFF\xC3\xA9");
+  record.hasFailed = true;
+  CHECK(kCodec.EncodeStep(record) ==
+        "{\"tasks\":[{\"index\":0,\"phase\":\"placed\",\"run\":1,"
+        "\"worker\":\"q\\\"\\\\/\\n\x7F\",\"born\":18446744073709551615,"
+        "\"agent\":\"\xEF\xBF\xBD\xC3\xA9\"}],\"hasFailed\":true}");
+  record.tasks.clear();
+  record.hasFailed = false;
+  CHECK(kCodec.EncodeStep(record) == R"({"tasks":[]})");
+}
+
 TEST_CASE("record keys are parsed by their prefix")
 {
   CHECK(ParseKey(AcceptedKey(kJob)).kind == RecordKind::Accepted);
