--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -3,6 +3,7 @@
 #include "DispatchState.h"
 
 #include <algorithm>
+#include <bit>
 #include <limits>
 
 namespace amaranthwind::dispatch {
@@ -19,16 +20,6 @@
 /** Run time that a checkpointing task loses when it is stopped. */
 constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
 
-/** A preemption candidate: tasks that end together if one is stopped. */
-struct Victim
-{
-  Step* step = nullptr;
-  std::vector<std::uint32_t> tasks;
-  /** Core-seconds of lost work. */
-  double cost = 0;
-  bool isChosen = false;
-};
-
 /** Core-seconds of work that one task does in the given time. */
 double
 WorkOf(const job::StepSpec& aSpec, base::Duration aTime)
@@ -49,131 +40,209 @@
 
 } // namespace
 
-bool
-Dispatcher::State::Preempt(const Candidate& aCandidate, std::uint32_t aCount)
+void
+Dispatcher::State::CollectPreemptibleTasks(Pool& aPool)
 {
-  const auto usable = this->UsableWorkers(aCandidate);
-  const job::StepSpec& spec = aCandidate.Spec();
-  auto available = this->ToPackingWorkers(usable, *aCandidate.step, spec);
-  std::map<base::AgentId, std::size_t> workerIndices;
-  for (std::size_t i = 0; i < usable.size(); ++i) {
-    workerIndices[usable[i]->agent] = i;
-  }
-  std::vector<Victim> victims;
+  auto& tasks = aPool.preemptibleTasks.emplace();
   for (auto& [id, job] : this->jobs) {
-    const bool isUrgent = job.spec->urgency == 0;
-    const bool mayBePreempted = !this->guaranteedJobs.contains(id) &&
-                                (aCandidate.isGuaranteed || !isUrgent);
+    if (this->guaranteedJobs.contains(id)) {
+      continue;
+    }
     for (auto& [key, step] : job.steps) {
-      const auto& stepSpec = job.spec->steps[key.second];
-      Victim gang{ &step, {}, 0, false };
+      const job::StepSpec& spec = job.spec->steps[key.second];
       for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
         const Task& task = step.tasks[i];
-        const bool isRunning =
-          task.phase == Phase::Ordered || task.phase == Phase::Running;
-        // A task that was preempted before is preempted again only for a
-        // guarantee; otherwise its work could be discarded run after run.
-        const bool isProtected =
-          task.preemptions > 0 && !aCandidate.isGuaranteed;
-        if (!mayBePreempted || !isRunning || isProtected ||
-            !workerIndices.contains(task.agent)) {
+        if (task.phase != Phase::Ordered && task.phase != Phase::Running) {
           continue;
         }
-        const double cost =
-          CostOf(stepSpec, this->callTime.now - task.startedAt);
-        if (stepSpec.isGang) {
-          gang.tasks.push_back(i);
-          gang.cost += cost;
-        } else {
-          victims.push_back({ &step, { i }, cost, false });
+        const auto found = std::lower_bound(
+          aPool.workers.begin(),
+          aPool.workers.end(),
+          task.agent,
+          [](const PoolWorker& aWorker, const base::AgentId& aAgent) {
+            return aWorker.worker->agent < aAgent;
+          });
+        if (found != aPool.workers.end() &&
+            found->worker->agent == task.agent) {
+          tasks.push_back(
+            { &job,
+              &step,
+              i,
+              static_cast<std::uint32_t>(found - aPool.workers.begin()),
+              RequiredResources(spec),
+              CostOf(spec, this->callTime.now - task.startedAt) });
         }
       }
-      if (!gang.tasks.empty()) {
-        victims.push_back(std::move(gang));
-      }
     }
   }
-  // Resources of tasks that are already stopping count as available.
-  for (std::size_t i = 0; i < usable.size(); ++i) {
-    for (const auto& [run, need] : usable[i]->allocations) {
-      const Task* task = this->FindRun(run);
-      if (task == nullptr || !task->IsOnWorker() ||
-          task->phase == Phase::Stopping) {
-        available[i].free += need;
-      }
-    }
+}
+
+const VictimList&
+Dispatcher::State::FindVictims(const Candidate& aCandidate,
+                               const UsableWorkers& aUsable)
+{
+  Pool& pool = *aCandidate.pool;
+  if (pool.victims && pool.victims->isGuaranteed == aCandidate.isGuaranteed &&
+      pool.victims->workers == aUsable.indices) {
+    return *pool.victims;
   }
-  const auto setFreed = [&](const Victim& aVictim, bool aIsFreed) {
-    const fleet::TaskResources need = RequiredResources(
-      this->FindJob(aVictim.step->id.job)->spec->steps[aVictim.step->id.step]);
-    for (const std::uint32_t index : aVictim.tasks) {
-      auto& worker =
-        available[workerIndices[aVictim.step->tasks[index].agent]].free;
-      if (aIsFreed) {
-        worker += need;
-      } else {
-        worker -= need;
-      }
-    }
-  };
-  std::sort(victims.begin(),
-            victims.end(),
-            [](const Victim& aLeft, const Victim& aRight) {
-              return aLeft.cost < aRight.cost;
-            });
-  auto chosen = this->Pack(usable, aCandidate, aCount, available);
-  for (Victim& victim : victims) {
-    if (chosen) {
-      break;
-    }
-    victim.isChosen = true;
-    setFreed(victim, true);
-    chosen = this->Pack(usable, aCandidate, aCount, available);
+  if (!pool.preemptibleTasks) {
+    this->CollectPreemptibleTasks(pool);
   }
-  if (!chosen) {
-    return false;
+  constexpr std::uint32_t kUnusable = UINT32_MAX;
+  std::vector<std::uint32_t> positions(pool.workers.size(), kUnusable);
+  for (std::uint32_t i = 0; i < aUsable.indices.size(); ++i) {
+    positions[aUsable.indices[i]] = i;
   }
-  // Drops victims that turn out to be unnecessary, most expensive first.
-  for (auto victim = victims.rbegin(); victim != victims.rend(); ++victim) {
-    if (!victim->isChosen) {
+  VictimList& list = pool.victims.emplace();
+  list.workers = aUsable.indices;
+  list.isGuaranteed = aCandidate.isGuaranteed;
+  for (const PreemptibleTask& each : *pool.preemptibleTasks) {
+    const bool isUrgent = each.job->spec->urgency == 0;
+    // A task that was preempted before is preempted again only for a
+    // guarantee; otherwise its work could be discarded run after run.
+    const bool isProtected = each.step->tasks[each.index].preemptions > 0;
+    if (positions[each.worker] == kUnusable ||
+        (!aCandidate.isGuaranteed && (isUrgent || isProtected))) {
       continue;
     }
-    setFreed(*victim, false);
-    if (auto reduced = this->Pack(usable, aCandidate, aCount, available)) {
-      victim->isChosen = false;
-      chosen = std::move(reduced);
-    } else {
-      setFreed(*victim, true);
+    const bool isSameGang = !list.tasks.empty() &&
+                            list.tasks.back().task->step == each.step &&
+                            each.job->spec->steps[each.step->id.step].isGang;
+    if (!isSameGang) {
+      list.victims.push_back({ list.tasks.size(), list.tasks.size(), 0 });
+    }
+    list.tasks.push_back({ &each, positions[each.worker] });
+    list.victims.back().end = list.tasks.size();
+    list.victims.back().cost += each.cost;
+  }
+  std::sort(list.victims.begin(),
+            list.victims.end(),
+            [](const Victim& aLeft, const Victim& aRight) {
+              return aLeft.cost < aRight.cost;
+            });
+  return list;
+}
+
+bool
+Dispatcher::State::Preempt(const Candidate& aCandidate,
+                           const UsableWorkers& aUsable,
+                           std::uint32_t aCount)
+{
+  Pool& pool = *aCandidate.pool;
+  // Resources of tasks that are already stopping count as available.
+  std::vector<PackingWorker> available = aUsable.packing;
+  for (std::size_t i = 0; i < available.size(); ++i) {
+    for (const PoolRun& run : this->RunsOn(pool, aUsable.indices[i])) {
+      if (run.isEnding) {
+        available[i].free += run.need;
+      }
     }
   }
+  const RackedRequest request = this->MakeRequest(aCandidate, aUsable, aCount);
   const double wasteLimit =
     aCandidate.isGuaranteed
       ? std::numeric_limits<double>::infinity()
-      : kWasteLimit * WorkOf(spec, spec.estimate) * aCount;
-  double waste = 0;
+      : kWasteLimit * WorkOf(aCandidate.Spec(), aCandidate.Spec().estimate) *
+          aCount;
+  const VictimList& list = this->FindVictims(aCandidate, aUsable);
+  const auto& tasks = list.tasks;
+  // The last of the chosen victims is always needed, so that none may exceed
+  // the limit by itself.
+  std::span<const Victim> victims(
+    list.victims.begin(),
+    std::upper_bound(list.victims.begin(),
+                     list.victims.end(),
+                     wasteLimit,
+                     [](double aLimit, const Victim& aVictim) {
+                       return aLimit < aVictim.cost;
+                     }));
+  const auto release = [&](std::vector<PackingWorker>& aWorkers,
+                           const Victim& aVictim) {
+    for (std::size_t i = aVictim.first; i < aVictim.end; ++i) {
+      aWorkers[tasks[i].position].free += tasks[i].task->need;
+    }
+  };
+  const auto withhold = [&](std::vector<PackingWorker>& aWorkers,
+                            const Victim& aVictim) {
+    for (std::size_t i = aVictim.first; i < aVictim.end; ++i) {
+      aWorkers[tasks[i].position].free -= tasks[i].task->need;
+    }
+  };
+  // The shortest sufficient prefix of the victims, found by bisection.
+  std::vector<PackingWorker> freed = available;
   for (const Victim& victim : victims) {
-    waste += victim.isChosen ? victim.cost : 0;
+    release(freed, victim);
   }
-  if (waste > wasteLimit) {
+  auto chosen = this->Pack(freed, request);
+  if (chosen.empty()) {
     return false;
   }
-  Reservation reservation;
-  reservation.until = this->callTime.now;
-  for (const Worker* worker : *chosen) {
-    reservation.workers.insert(worker->agent);
+  std::size_t count = 0;
+  for (std::size_t end = victims.size(); count < end;) {
+    const std::size_t middle = count + (end - count) / 2;
+    freed = available;
+    for (std::size_t i = 0; i < middle; ++i) {
+      release(freed, victims[i]);
+    }
+    if (auto packed = this->Pack(freed, request); !packed.empty()) {
+      end = middle;
+      chosen = std::move(packed);
+    } else {
+      count = middle + 1;
+    }
   }
-  this->reservations.push_back(std::move(reservation));
+  victims = victims.first(count);
+  freed = available;
   for (const Victim& victim : victims) {
-    if (victim.isChosen) {
-      for (const std::uint32_t index : victim.tasks) {
-        ++victim.step->tasks[index].preemptions;
-        this->RequestStop(*victim.step,
-                          index,
-                          aCandidate.isGuaranteed ? "reclaimed for a guarantee"
-                                                  : "preempted by urgent work");
+    release(freed, victim);
+  }
+  // Drops victims that turn out to be unnecessary, most expensive first. The
+  // last one is needed, or a shorter prefix would have been sufficient.
+  std::vector<Victim> needed;
+  double waste = 0;
+  for (std::size_t undecided = count; undecided > 0;) {
+    const Victim& victim = victims[--undecided];
+    needed.push_back(victim);
+    waste += victim.cost;
+    if (waste > wasteLimit) {
+      return false;
+    }
+    // Drops as many of the next victims as possible: tries 1, 2, 4, ... of
+    // them at once, and half as many after the first failure.
+    std::size_t step = 1;
+    for (bool isGrowing = true; step > 0 && undecided > 0;) {
+      step = std::min(step, std::bit_floor(undecided));
+      std::vector<PackingWorker> reduced = freed;
+      for (std::size_t i = undecided - step; i < undecided; ++i) {
+        withhold(reduced, victims[i]);
+      }
+      if (auto packed = this->Pack(reduced, request); !packed.empty()) {
+        undecided -= step;
+        freed = std::move(reduced);
+        chosen = std::move(packed);
+      } else {
+        isGrowing = false;
       }
+      step = isGrowing ? step * 2 : step / 2;
     }
   }
+  this->AddReservation(pool, aUsable, chosen, this->callTime.now);
+  for (auto victim = needed.rbegin(); victim != needed.rend(); ++victim) {
+    for (std::size_t i = victim->first; i < victim->end; ++i) {
+      const PreemptibleTask& task = *tasks[i].task;
+      ++task.step->tasks[task.index].preemptions;
+      this->RequestStop(*task.step,
+                        task.index,
+                        aCandidate.isGuaranteed ? "reclaimed for a guarantee"
+                                                : "preempted by urgent work");
+    }
+  }
+  if (!needed.empty()) {
+    pool.runs.reset();
+    pool.preemptibleTasks.reset();
+    pool.victims.reset();
+  }
   return true;
 }
 
