Say in the log whether a term is settled

Cause: a leader counted the confirmation of its predecessor as a bound for the grants of all earlier ones. A predecessor that led without such a bound itself confirmed nevertheless once it knew from the log, from its resignation or from a restart that it no longer led, and an entry that claimed again after a restart took its own former term for settled. In the other direction a leader stayed unsettled after 15.4 s, when no earlier grant can be running.

Now membership::InheritedGrants decides it. A term is settled if the former leader has stopped and its term was settled, or after 15.4 s. Heartbeats and resignations say so, and a successor that hears of a stop relies on them.

--- a/libs/codec/include/amaranthwind/codec/ClaimCodec.h
+++ b/libs/codec/include/amaranthwind/codec/ClaimCodec.h
@@ -16,4 +16,12 @@
 base::Result<membership::LeaderClaim>
 DecodeClaim(std::string_view aText);
 
+/** Encodes a pulse as text: the token, followed by flags. */
+std::string
+EncodePulse(const membership::LeaderPulse& aPulse);
+
+/** Ignores flags that it does not know. Errors: Malformed. */
+base::Result<membership::LeaderPulse>
+DecodePulse(std::string_view aText);
+
 } // namespace amaranthwind::codec
--- a/libs/codec/src/ClaimCodec.cpp
+++ b/libs/codec/src/ClaimCodec.cpp
@@ -5,8 +5,16 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <charconv>
+
 namespace amaranthwind::codec {
 
+namespace {
+
+constexpr std::string_view kSettledFlag = " settled";
+
+} // namespace
+
 static void
 Read(const ValueReader& aReader, membership::LeaderClaim& aOut)
 {
@@ -37,4 +45,30 @@
   return DecodeDocument<membership::LeaderClaim>(aText);
 }
 
+std::string
+EncodePulse(const membership::LeaderPulse& aPulse)
+{
+  // Earlier versions read the digits at the beginning and ignore the rest.
+  std::string text = std::to_string(aPulse.token.Get());
+  if (aPulse.isSettled) {
+    text += kSettledFlag;
+  }
+  return text;
+}
+
+base::Result<membership::LeaderPulse>
+DecodePulse(std::string_view aText)
+{
+  std::uint64_t token = 0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), token);
+  if (error != std::errc{}) {
+    return base::Fail(base::ErrorCode::Malformed, "pulse");
+  }
+  const std::string_view flags(end, aText.data() + aText.size());
+  return membership::LeaderPulse{ base::FencingToken(token),
+                                  flags.find(kSettledFlag) !=
+                                    std::string_view::npos };
+}
+
 } // namespace amaranthwind::codec
--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -42,6 +42,20 @@
   std::function<std::unique_ptr<dispatch::Packing>()> makePacking = [] {
     return std::make_unique<dispatch::BestFitPacking>();
   };
+
+  /** Time from a report to the latest end of the grant that answers it. */
+  base::Duration MaxGrantDuration() const
+  {
+    return this->grant + this->grantMargin;
+  }
+  /**
+   * How long after the election of a coordinator the grants of earlier ones can
+   * run: those issue grants until maxLogSilence has passed.
+   */
+  base::Duration InheritedGrantDuration() const
+  {
+    return this->MaxGrantDuration() + this->maxLogSilence;
+  }
 };
 
 /** Snapshot for state dumps and health checks. */
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -6,6 +6,7 @@
 #include "LeaderLog.h"
 #include "LoadMonitor.h"
 #include "Submissions.h"
+#include "amaranthwind/membership/InheritedGrants.h"
 #include "amaranthwind/protocol/Node.h"
 
 #include <array>
@@ -71,6 +72,7 @@
                aExecutor,
                aLog,
                *this)
+    , inheritedGrants(aOptions.self, aOptions.InheritedGrantDuration())
   {
   }
 
@@ -135,7 +137,7 @@
   // Leadership.
 
   void OnElected(base::FencingToken aToken,
-                 const std::optional<membership::LeaderClaim>& aFormer) override
+                 const std::optional<membership::LeaderTerm>& aFormer) override
   {
     this->runner = std::make_unique<DispatchRunner>(
       this->options,
@@ -152,12 +154,11 @@
         this->executor.Post([this] { this->leaderLog.StepDown(); });
       });
     this->predecessor.reset();
-    this->isSettled = !aFormer || aFormer->holder == this->options.self ||
-                      (aFormer->isResigned && aFormer->isSettled);
-    if (this->isSettled) {
-      this->runner->OnPredecessorSteppedDown();
-    } else {
-      this->predecessorAddress = aFormer->address;
+    this->inheritedGrants.OnElected(aFormer, this->clock.Now());
+    this->isSettled = false;
+    this->UpdateSettled();
+    if (this->inheritedGrants.IsFormerActive()) {
+      this->predecessorAddress = aFormer->claim.address;
       this->NotifyPredecessor(aToken);
     }
     this->runner->FencePredecessors([this, aToken] {
@@ -196,6 +197,23 @@
     }
   }
 
+  void UpdateSettled()
+  {
+    if (this->runner == nullptr || this->isSettled) {
+      return;
+    }
+    // The pulse that says so may be read after the claim that it precedes.
+    this->inheritedGrants.OnTermSettled(
+      this->leaderLog.Election().SettledToken());
+    if (this->inheritedGrants.IsSettled(this->clock.Now())) {
+      this->isSettled = true;
+      this->logger.Info("grants of earlier coordinators bounded",
+                        { { "token", this->runner->Token() } });
+      this->runner->OnPredecessorSteppedDown();
+      this->leaderLog.MarkSettled();
+    }
+  }
+
   /**
    * Notifies the previous coordinator that it has been replaced. Its
    * confirmation bounds the time of the grants that it issued.
@@ -203,7 +221,7 @@
   void NotifyPredecessor(base::FencingToken aToken)
   {
     if (this->runner == nullptr || this->runner->Token() != aToken ||
-        this->isSettled) {
+        !this->inheritedGrants.IsFormerActive()) {
       return;
     }
     if (!this->predecessor) {
@@ -228,7 +246,7 @@
       this->logger.Warning(
         "agent reported a newer coordinator",
         { { "agent", aReport.report.agent }, { "token", aReport.token } });
-      this->leaderLog.StepDown();
+      this->leaderLog.OnNewerLeader(aReport.token);
     }
     if (!election.IsLeader()) {
       const auto& leader = election.Leader();
@@ -280,8 +298,8 @@
       // The previous coordinator confirms that it has stepped down.
       if (this->predecessor == aConnection && this->runner != nullptr) {
         this->logger.Info("previous coordinator stepped down", {});
-        this->isSettled = true;
-        this->runner->OnPredecessorSteppedDown();
+        this->inheritedGrants.OnFormerStopped();
+        this->UpdateSettled();
         this->sessions.Close(aConnection);
       }
       return;
@@ -289,16 +307,15 @@
     if (election.IsLeader() && aNotice.token < election.OwnToken()) {
       return;
     }
-    // Grants of an even earlier coordinator may outlast those of this one.
-    const bool mayConfirm = !election.IsLeader() || this->isSettled;
     if (election.IsLeader()) {
       this->logger.Warning(
         "notified of a newer coordinator",
         { { "token", aNotice.token }, { "address", aNotice.address } });
-      this->leaderLog.StepDown();
       this->sessions.SendToAll(aNotice);
     }
-    if (mayConfirm) {
+    this->leaderLog.OnNewerLeader(aNotice.token);
+    // Grants of an even earlier coordinator may outlast those of this one.
+    if (this->inheritedGrants.IsSettled(this->clock.Now())) {
       this->sessions.SendTo(aConnection, aNotice);
     }
   }
@@ -314,6 +331,7 @@
   {
     // An agent is not silent if its report waits to be handled.
     this->sessions.HandleReceived();
+    this->UpdateSettled();
     if (this->runner != nullptr) {
       this->runner->OnTick();
     }
@@ -367,8 +385,9 @@
   std::string predecessorAddress;
   /** Connection to the previous coordinator. */
   std::optional<ConnectionId> predecessor;
-  /** All grants of earlier coordinators are known to be bounded in time. */
-  bool isSettled = true;
+  membership::InheritedGrants inheritedGrants;
+  /** Whether the current term is known to be settled. */
+  bool isSettled = false;
   bool isLogDown = false;
   bool isStopped = false;
 };
@@ -417,8 +436,10 @@
 void
 Coordinator::Resign()
 {
-  this->impl->executor.Post(
-    [self = this->impl] { self->leaderLog.Resign(self->isSettled); });
+  this->impl->executor.Post([self = this->impl] {
+    self->UpdateSettled();
+    self->leaderLog.Resign();
+  });
 }
 
 void
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -64,10 +64,9 @@
   std::span<const dispatch::AccountGuarantee> aGuarantees)
 {
   dispatch::DispatcherOptions dispatchOptions;
-  dispatchOptions.maxGrantDuration =
-    this->options.grant + this->options.grantMargin;
+  dispatchOptions.maxGrantDuration = this->options.MaxGrantDuration();
   dispatchOptions.inheritedGrantDuration =
-    dispatchOptions.maxGrantDuration + this->options.maxLogSilence;
+    this->options.InheritedGrantDuration();
   dispatchOptions.stopTime = this->options.stopTime;
   dispatchOptions.retention = this->options.retention;
   this->dispatcher =
@@ -139,8 +138,8 @@
 {
   this->hasPredecessorSteppedDown = true;
   if (this->dispatcher != nullptr) {
-    this->dispatcher->OnPredecessorSteppedDown(
-      this->options.grant + this->options.grantMargin, this->Now());
+    this->dispatcher->OnPredecessorSteppedDown(this->options.MaxGrantDuration(),
+                                               this->Now());
   }
 }
 
--- a/libs/coordinator/src/LeaderLog.cpp
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -3,7 +3,7 @@
 #include "amaranthwind/codec/ClaimCodec.h"
 #include "amaranthwind/membership/LeaderTopic.h"
 
-#include <charconv>
+#include <algorithm>
 #include <utility>
 
 namespace amaranthwind::coordinator {
@@ -51,16 +51,20 @@
   }
   void OnRecords(std::span<const journal::KeyedRecord> aRecords) override
   {
-    std::uint64_t token = 0;
     for (const auto& record : aRecords) {
-      if (record.key == kHeartbeatKey) {
-        std::from_chars(record.value.data(),
-                        record.value.data() + record.value.size(),
-                        token);
+      if (record.key != kHeartbeatKey) {
+        continue;
       }
+      const auto pulse = codec::DecodePulse(record.value);
+      if (pulse.has_error()) {
+        this->owner.logger.Warning(
+          "failed to decode leader heartbeat",
+          { { "offset", record.offset },
+            { "error", base::Describe(pulse.error()) } });
+        continue;
+      }
+      this->owner.election.OnPulse(pulse.value(), this->owner.clock.Now());
     }
-    this->owner.election.OnPulse(base::FencingToken(token),
-                                 this->owner.clock.Now());
   }
   void OnCurrent(base::TimePoint aAsOf) override
   {
@@ -148,29 +152,8 @@
   const bool wasLeader = this->election.IsLeader();
   for (const auto& record : aRecords) {
     this->claimLogEnd = LogOffset(record.offset.Get() + 1);
-    if (record.key != kLeaderKey) {
-      continue;
-    }
-    const auto claim = codec::DecodeClaim(record.value);
-    if (claim.has_error()) {
-      this->logger.Warning("failed to decode leadership claim",
-                           { { "offset", record.offset },
-                             { "error", base::Describe(claim.error()) } });
-      continue;
-    }
-    const base::FencingToken token = TokenOf(record.offset);
-    this->election.OnClaim(claim.value(), token, this->clock.Now());
-    const bool isOwn = claim.value() == this->ownClaim;
-    if (!isOwn) {
-      this->former = claim.value();
-      this->logger.Info(
-        "leadership claimed",
-        { { "holder", claim.value().holder },
-          { "token", token },
-          { "resigned", claim.value().isResigned ? "yes" : "no" } });
-    } else if (token > this->lastOwnToken) {
-      // The answer to the append was lost or has not arrived yet.
-      this->BecomeLeader(token);
+    if (record.key == kLeaderKey) {
+      this->OnClaimRecord(record);
     }
   }
   if (wasLeader && !this->election.IsLeader()) {
@@ -179,6 +162,31 @@
   this->ClaimIfDue();
 }
 
+void
+LeaderLog::OnClaimRecord(const journal::KeyedRecord& aRecord)
+{
+  const auto claim = codec::DecodeClaim(aRecord.value);
+  if (claim.has_error()) {
+    this->logger.Warning("failed to decode leadership claim",
+                         { { "offset", aRecord.offset },
+                           { "error", base::Describe(claim.error()) } });
+    return;
+  }
+  const base::FencingToken token = TokenOf(aRecord.offset);
+  this->election.OnClaim(claim.value(), token, this->clock.Now());
+  if (claim.value() != this->ownClaim) {
+    this->former = membership::LeaderTerm{ claim.value(), token };
+    this->logger.Info(
+      "leadership claimed",
+      { { "holder", claim.value().holder },
+        { "token", token },
+        { "resigned", claim.value().isResigned ? "yes" : "no" } });
+  } else if (token > this->lastOwnToken) {
+    // The answer to the append was lost or has not arrived yet.
+    this->BecomeLeader(token);
+  }
+}
+
 void
 LeaderLog::OnCurrent(base::TimePoint aAsOf)
 {
@@ -216,7 +224,7 @@
   this->isClaiming = true;
   this->logger.Info(
     "claiming leadership",
-    { { "former", this->former ? this->former->holder.View() : "none" },
+    { { "former", this->former ? this->former->claim.holder.View() : "none" },
       { "expected", this->claimLogEnd } });
   const journal::KeyedValue record{ std::string(kLeaderKey),
                                     codec::EncodeClaim(this->ownClaim) };
@@ -273,20 +281,34 @@
       !this->election.OnClaimed(aToken, this->clock.Now())) {
     return;
   }
+  this->isSettled = false;
   this->confirmedAt = this->clock.Now();
   this->logger.Info("became leader", { { "token", aToken } });
   this->observer.OnElected(aToken, this->former);
-  this->WriteHeartbeat();
+  this->ContinueHeartbeats(aToken);
 }
 
 void
-LeaderLog::WriteHeartbeat()
+LeaderLog::ContinueHeartbeats(base::FencingToken aToken)
 {
-  if (!this->election.IsLeader()) {
+  if (this->election.OwnToken() != aToken) {
     return;
   }
+  this->WriteHeartbeat();
+  this->executor.RunAfter(this->options.pulseInterval,
+                          [this, alive = this->isAlive, aToken] {
+                            if (*alive) {
+                              this->ContinueHeartbeats(aToken);
+                            }
+                          });
+}
+
+void
+LeaderLog::WriteHeartbeat()
+{
   const journal::KeyedValue record{
-    std::string(kHeartbeatKey), std::to_string(this->election.OwnToken().Get())
+    std::string(kHeartbeatKey),
+    codec::EncodePulse({ this->election.OwnToken(), this->isSettled })
   };
   this->log.Append({ std::string(kLeaderTopic), 1 },
                    std::span(&record, 1),
@@ -301,7 +323,23 @@
                        }
                      });
                    });
-  this->ScheduleAfter(this->options.pulseInterval, &LeaderLog::WriteHeartbeat);
+}
+
+void
+LeaderLog::MarkSettled()
+{
+  if (this->election.IsLeader() && !std::exchange(this->isSettled, true)) {
+    // The successor should know even if this entry fails now.
+    this->WriteHeartbeat();
+  }
+}
+
+void
+LeaderLog::OnNewerLeader(base::FencingToken aToken)
+{
+  if (this->election.IsLeader() && this->election.OwnToken() < aToken) {
+    this->StepDown();
+  }
 }
 
 void
@@ -314,7 +352,7 @@
 }
 
 void
-LeaderLog::Resign(bool aIsSettled)
+LeaderLog::Resign()
 {
   this->isResigned = true;
   if (!this->election.IsLeader()) {
@@ -322,7 +360,7 @@
   }
   membership::LeaderClaim resignation = this->ownClaim;
   resignation.isResigned = true;
-  resignation.isSettled = aIsSettled;
+  resignation.isSettled = this->isSettled;
   const journal::KeyedValue record{ std::string(kLeaderKey),
                                     codec::EncodeClaim(resignation) };
   this->logger.Info("resigning leadership",
--- a/libs/coordinator/src/LeaderLog.h
+++ b/libs/coordinator/src/LeaderLog.h
@@ -16,10 +16,10 @@
 {
 public:
   virtual ~LeaderObserver() = default;
-  /** This entry became the leader. aFormer is the previous claim, if any. */
+  /** This entry became the leader. aFormer is the previous term, if any. */
   virtual void OnElected(
     base::FencingToken aToken,
-    const std::optional<membership::LeaderClaim>& aFormer) = 0;
+    const std::optional<membership::LeaderTerm>& aFormer) = 0;
   /** This entry is no longer the leader. */
   virtual void OnDeposed() = 0;
 };
@@ -45,9 +45,16 @@
   /** @param aAddress Address of this entry, published in its claims. */
   void Start(std::string_view aAddress);
   /** Gives up the leadership for good; this entry claims no more. */
-  void Resign(bool aIsSettled);
+  void Resign();
   /** Ends the leadership because another entry is known to lead. */
   void StepDown();
+  /**
+   * Another entry leads with the given token. Ends an older leadership of this
+   * entry.
+   */
+  void OnNewerLeader(base::FencingToken aToken);
+  /** The current term is settled, see membership::LeaderPulse::isSettled. */
+  void MarkSettled();
   void Stop();
 
   bool IsLeader() const noexcept { return this->election.IsLeader(); }
@@ -73,10 +80,12 @@
   void ClaimIfDue();
   void CheckPeriodically();
   void Claim();
+  void OnClaimRecord(const journal::KeyedRecord& aRecord);
   void OnClaimAnswer(const base::Result<base::LogOffset>& aResult);
   void AbandonClaim();
   void BecomeLeader(base::FencingToken aToken);
   void WriteHeartbeat();
+  void ContinueHeartbeats(base::FencingToken aToken);
   void ScheduleAfter(base::Duration aDelay, void (LeaderLog::*aTask)());
 
   const membership::LeaderElectionOptions options;
@@ -88,7 +97,7 @@
   membership::LeaderElection election;
   membership::LeaderClaim ownClaim;
   /** Latest claim by another holder or an earlier incarnation of this one. */
-  std::optional<membership::LeaderClaim> former;
+  std::optional<membership::LeaderTerm> former;
   std::unique_ptr<HeartbeatFollower> heartbeatFollower;
   std::unique_ptr<journal::KeyedFollower> claimFollower;
   base::LogOffset claimLogEnd;
@@ -96,6 +105,8 @@
   base::Backoff claimBackoff;
   bool hasLoadedClaims = false;
   bool isClaiming = false;
+  /** Whether the current term is settled. */
+  bool isSettled = false;
   /** Token of the newest own claim seen in the log. */
   base::FencingToken lastOwnToken;
   bool isResigned = false;
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -1,5 +1,6 @@
 #include "amaranthwind/coordinator/Coordinator.h"
 
+#include "Fleet.h"
 #include "LeaderLog.h"
 #include "Submissions.h"
 #include "amaranthwind/base/ManualExecutor.h"
@@ -7,6 +8,8 @@
 
 #include <doctest/doctest.h>
 
+#include <utility>
+
 using namespace amaranthwind;
 using namespace amaranthwind::coordinator;
 using namespace std::chrono_literals;
@@ -15,19 +18,12 @@
 
 namespace {
 
-class NullLogSink final : public telemetry::LogSink
-{
-public:
-  bool IsEnabled(telemetry::LogLevel) const noexcept override { return false; }
-  void Write(telemetry::LogLevel, std::string_view) noexcept override {}
-};
-
 /** An entry that takes part in the election. */
 struct Entry final : LeaderObserver
 {
   Entry(const char* aName,
         base::ManualClock& aClock,
-        base::ManualExecutor& aExecutor,
+        base::Executor& aExecutor,
         journal::KeyedLog& aLog)
     : logger(sink, aClock, "coordinator")
     , leaderLog(
@@ -41,13 +37,13 @@
     aExecutor.Post([this] { this->leaderLog.Start("a:1"); });
   }
   void OnElected(base::FencingToken aToken,
-                 const std::optional<membership::LeaderClaim>&) override
+                 const std::optional<membership::LeaderTerm>&) override
   {
     this->elected.push_back(aToken);
   }
   void OnDeposed() override { ++this->deposed; }
 
-  NullLogSink sink;
+  testing::NullLogSink sink;
   telemetry::Logger logger;
   std::vector<base::FencingToken> elected;
   int deposed = 0;
@@ -92,7 +88,7 @@
   Entry& other = &leader == &election.first ? election.second : election.first;
   SUBCASE("when it resigns")
   {
-    leader.leaderLog.Resign(true);
+    leader.leaderLog.Resign();
     election.Run(1200ms);
   }
   SUBCASE("when it stops sending heartbeats")
--- a/libs/membership/include/amaranthwind/membership/LeaderElection.h
+++ b/libs/membership/include/amaranthwind/membership/LeaderElection.h
@@ -20,13 +20,33 @@
   /** Whether the holder has resigned. */
   bool isResigned = false;
   /**
-   * With isResigned: no period that an earlier holder granted is still running.
+   * With isResigned: as LeaderPulse::isSettled.
    */
   bool isSettled = false;
 
   bool operator==(const LeaderClaim&) const = default;
 };
 
+/** Record with which the leader shows that it is active. */
+struct LeaderPulse
+{
+  base::FencingToken token;
+  /**
+   * The grants of all earlier leaders end no later than those of the leader
+   * itself.
+   */
+  bool isSettled = false;
+
+  bool operator==(const LeaderPulse&) const = default;
+};
+
+/** A claim and the fencing token that follows from its offset. */
+struct LeaderTerm
+{
+  LeaderClaim claim;
+  base::FencingToken token;
+};
+
 struct LeaderElectionOptions
 {
   base::EntryId self;
@@ -56,8 +76,8 @@
   void OnClaim(const LeaderClaim& aClaim,
                base::FencingToken aToken,
                base::TimePoint aNow);
-  /** Handles a pulse of the leader with the given token. */
-  void OnPulse(base::FencingToken aToken, base::TimePoint aNow);
+  /** Handles a pulse of the current or an earlier leader. */
+  void OnPulse(const LeaderPulse& aPulse, base::TimePoint aNow);
   /**
    * Called when all pulses acknowledged before aAsOf have been read. Reading
    * claims does not imply this, because pulses may be held up while claims are
@@ -83,11 +103,17 @@
     return this->claim;
   }
   base::FencingToken Token() const noexcept { return this->token; }
+  /** Newest term of which a pulse said that it is settled, or 0. */
+  base::FencingToken SettledToken() const noexcept
+  {
+    return this->settledToken;
+  }
 
 private:
   const LeaderElectionOptions options;
   std::optional<LeaderClaim> claim;
   base::FencingToken token;
+  base::FencingToken settledToken{ 0 };
   std::optional<base::FencingToken> ownToken;
   /** Last time at which the leader was active, or could not write pulses. */
   std::optional<base::TimePoint> lastActivity;
--- a/libs/membership/src/LeaderElection.cpp
+++ b/libs/membership/src/LeaderElection.cpp
@@ -26,11 +26,14 @@
 }
 
 void
-LeaderElection::OnPulse(base::FencingToken aToken, base::TimePoint aNow)
+LeaderElection::OnPulse(const LeaderPulse& aPulse, base::TimePoint aNow)
 {
-  if (aToken == this->token) {
+  if (aPulse.token == this->token) {
     this->lastActivity = aNow;
   }
+  if (aPulse.isSettled) {
+    this->settledToken = std::max(this->settledToken, aPulse.token);
+  }
 }
 
 void
--- a/libs/membership/tests/LeaderElectionTest.cpp
+++ b/libs/membership/tests/LeaderElectionTest.cpp
@@ -64,7 +64,7 @@
   election.OnClaim(ClaimOf(kOther, 1), kToken, now);
   for (int i = 0; i < 20; ++i) {
     now += 500ms;
-    election.OnPulse(kToken, now);
+    election.OnPulse({ kToken }, now);
     election.OnCurrent(now, now);
     CHECK_FALSE(election.ShouldClaim(now));
   }
@@ -72,7 +72,7 @@
   {
     for (int i = 0; i < 5; ++i) {
       now += 500ms;
-      election.OnPulse(base::FencingToken(2), now);
+      election.OnPulse({ base::FencingToken(2) }, now);
       election.OnCurrent(now, now);
     }
     CHECK(election.ShouldClaim(now));
@@ -91,7 +91,7 @@
   election.OnCurrent(now, now);
   CHECK_FALSE(election.ShouldClaim(now));
   now += 600ms;
-  election.OnPulse(kToken, now);
+  election.OnPulse({ kToken }, now);
   election.OnCurrent(now, now);
   CHECK_FALSE(election.ShouldClaim(now));
 }
