Depose an entry that reads its own and a newer claim at once

What callers saw: a runner that dispatched on although another entry led; it never ended, since StepDown() only acts on a leader.

Cause: OnRecords() compared the leadership before and after a batch. An entry whose claim had lost its answer and that read late became the leader and lost the leadership within one batch, without a call of OnDeposed().

Now each claim is judged by itself.

--- a/libs/coordinator/src/LeaderLog.cpp
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -149,16 +149,12 @@
 void
 LeaderLog::OnRecords(std::span<const journal::KeyedRecord> aRecords)
 {
-  const bool wasLeader = this->election.IsLeader();
   for (const auto& record : aRecords) {
     this->claimLogEnd = LogOffset(record.offset.Get() + 1);
     if (record.key == kLeaderKey) {
       this->OnClaimRecord(record);
     }
   }
-  if (wasLeader && !this->election.IsLeader()) {
-    this->observer.OnDeposed();
-  }
   this->ClaimIfDue();
 }
 
@@ -172,8 +168,12 @@
                            { "error", base::Describe(claim.error()) } });
     return;
   }
+  const bool wasLeader = this->election.IsLeader();
   const base::FencingToken token = TokenOf(aRecord.offset);
   this->election.OnClaim(claim.value(), token, this->clock.Now());
+  if (wasLeader && !this->election.IsLeader()) {
+    this->observer.OnDeposed();
+  }
   if (claim.value() != this->ownClaim) {
     this->former = membership::LeaderTerm{ claim.value(), token };
     this->logger.Info(
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -113,6 +113,32 @@
   CHECK(election.first.deposed + election.second.deposed == 0);
 }
 
+// Guards against a coordinator that dispatches on without being the leader:
+// a late entry reads its own claim together with the one that replaced it.
+TEST_CASE("an entry that reads its own and a newer claim at once is deposed")
+{
+  Election election;
+  election.Run(3s);
+  Entry& other =
+    election.first.leaderLog.IsLeader() ? election.second : election.first;
+  const membership::LeaderClaim own{
+    base::EntryId(&other == &election.first ? "entry-1" : "entry-2"),
+    base::Incarnation(1),
+    "a:1",
+    false,
+    false
+  };
+  membership::LeaderClaim newer = own;
+  newer.holder = base::EntryId("entry-3");
+  const std::vector<journal::KeyedRecord> records{
+    { base::LogOffset(10), "leader", codec::EncodeClaim(own) },
+    { base::LogOffset(11), "leader", codec::EncodeClaim(newer) }
+  };
+  other.leaderLog.OnRecords(records);
+  CHECK_FALSE(other.leaderLog.IsLeader());
+  CHECK(std::cmp_equal(other.elected.size(), other.deposed));
+}
+
 // Guards against two leaders after the answer to a claim was lost.
 TEST_CASE("a claim with a lost response takes effect once it is read back")
 {
