Count the view of a new leader from when its claim was sent

What callers saw: grants that outlast the wait of the next coordinator are possible, and with them two runs of a task.

Cause: the time of the election, not that of the claim, was taken as the last word from the log. On a busy decision thread the answer waits for seconds; another entry may claim meanwhile, and this one would go on granting for 10 s.

Fails with the change reverted: a late answer to a claim does not confirm the view of the log CHECK( entry.leaderLog.ConfirmedAt() <= claimedAt ) values: CHECK( {?} <= {?} )

--- a/libs/coordinator/src/LeaderLog.cpp
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -222,6 +222,7 @@
 LeaderLog::Claim()
 {
   this->isClaiming = true;
+  this->claimSentAt = this->clock.Now();
   this->logger.Info(
     "claiming leadership",
     { { "former", this->former ? this->former->claim.holder.View() : "none" },
@@ -248,6 +249,8 @@
     return;
   }
   if (aResult.has_value()) {
+    // The answer may have waited; another entry may have claimed since then.
+    this->confirmedAt = std::max(this->confirmedAt, this->claimSentAt);
     this->BecomeLeader(TokenOf(aResult.value()));
     return;
   }
@@ -282,7 +285,6 @@
     return;
   }
   this->isSettled = false;
-  this->confirmedAt = this->clock.Now();
   this->logger.Info("became leader", { { "token", aToken } });
   this->observer.OnElected(aToken, this->former);
   this->ContinueHeartbeats(aToken);
--- a/libs/coordinator/src/LeaderLog.h
+++ b/libs/coordinator/src/LeaderLog.h
@@ -105,6 +105,7 @@
   base::Backoff claimBackoff;
   bool hasLoadedClaims = false;
   bool isClaiming = false;
+  base::TimePoint claimSentAt{};
   /** Whether the current term is settled. */
   bool isSettled = false;
   /** Token of the newest own claim seen in the log. */
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -139,6 +139,29 @@
   CHECK(std::cmp_equal(other.elected.size(), other.deposed));
 }
 
+// Guards against grants that outlast the wait of the next coordinator: the
+// answer to a claim proves nothing about the time after the claim was sent.
+TEST_CASE("a late answer to a claim does not confirm the view of the log")
+{
+  base::ManualClock clock;
+  clock.Advance(1h);
+  base::ManualExecutor executor(clock);
+  testing::FakeThread thread(executor);
+  thread.lateness = 1s;
+  journal::testing::FakeKeyedLog log;
+  Entry entry{ "entry-1", clock, thread, log };
+  while (log.PartitionOf({ std::string(membership::kLeaderTopic), 0 })
+           .records.empty()) {
+    executor.Advance(10ms);
+  }
+  const base::TimePoint claimedAt = clock.Now();
+  while (!entry.leaderLog.IsLeader()) {
+    executor.Advance(10ms);
+  }
+  CHECK(clock.Now() > claimedAt + 900ms);
+  CHECK(entry.leaderLog.ConfirmedAt() <= claimedAt);
+}
+
 // Guards against two leaders after the answer to a claim was lost.
 TEST_CASE("a claim with a lost response takes effect once it is read back")
 {
