Void an unanswered claim once a newer leader is known

What callers saw: an entry could begin to grant after it had confirmed to its successor that it grants nothing, so that the successor waits 5.4 s instead of 15.4 s.

Cause: an entry whose claim was in the log but not yet answered was not the leader for itself, confirmed, and took office when the answer was handled.

Now the token of a notice or report bounds the tokens that this entry accepts. Fails with the change reverted: an unanswered claim is void once a newer leader is known CHECK( election.Leaders() == 0 ) values: CHECK( 1 == 0 )

--- a/libs/coordinator/src/LeaderLog.cpp
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -280,7 +280,7 @@
   this->isClaiming = false;
   this->lastOwnToken = aToken;
   this->claimBackoff.Reset();
-  if (this->isResigned ||
+  if (this->isResigned || aToken < this->newerToken ||
       !this->election.OnClaimed(aToken, this->clock.Now())) {
     return;
   }
@@ -339,7 +339,9 @@
 void
 LeaderLog::OnNewerLeader(base::FencingToken aToken)
 {
-  if (this->election.IsLeader() && this->election.OwnToken() < aToken) {
+  this->newerToken = std::max(this->newerToken, aToken);
+  if (this->election.IsLeader() &&
+      this->election.OwnToken() < this->newerToken) {
     this->StepDown();
   }
 }
--- a/libs/coordinator/src/LeaderLog.h
+++ b/libs/coordinator/src/LeaderLog.h
@@ -50,7 +50,7 @@
   void StepDown();
   /**
    * Another entry leads with the given token. Ends an older leadership of this
-   * entry.
+   * entry, also one whose claim has not been answered yet.
    */
   void OnNewerLeader(base::FencingToken aToken);
   /** The current term is settled, see membership::LeaderPulse::isSettled. */
@@ -106,6 +106,8 @@
   bool hasLoadedClaims = false;
   bool isClaiming = false;
   base::TimePoint claimSentAt{};
+  /** Newest token with which another entry is known to lead. */
+  base::FencingToken newerToken{ 0 };
   /** Whether the current term is settled. */
   bool isSettled = false;
   /** Token of the newest own claim seen in the log. */
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -162,6 +162,16 @@
   CHECK(entry.leaderLog.ConfirmedAt() <= claimedAt);
 }
 
+// Guards against grants of an entry that has confirmed that it issues none.
+TEST_CASE("an unanswered claim is void once a newer leader is known")
+{
+  Election election;
+  election.first.leaderLog.OnNewerLeader(base::FencingToken(1000));
+  election.second.leaderLog.OnNewerLeader(base::FencingToken(1000));
+  election.Run(3s);
+  CHECK(election.Leaders() == 0);
+}
+
 // Guards against two leaders after the answer to a claim was lost.
 TEST_CASE("a claim with a lost response takes effect once it is read back")
 {
