Write the leader's heartbeats on a thread of their own

Cause: heartbeats were written by the decision thread, at the end of its queue and 0.5 s after the last one. With messages of agents waiting for more than 1.2 s the others saw more than 1.7 s without a heartbeat.

Now HeartbeatWriter writes them on an executor of its own. A leader that is stuck must still be replaced: base::ProgressExecutor measures for how long the decision thread has had work without beginning or ending a task, each heartbeat carries that time, and followers count it as silence.

--- a/libs/codec/src/ClaimCodec.cpp
+++ b/libs/codec/src/ClaimCodec.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::string_view kSettledFlag = " settled";
+constexpr std::string_view kStalledFlag = " stalledMs=";
 
 } // namespace
 
@@ -53,6 +54,10 @@
   if (aPulse.isSettled) {
     text += kSettledFlag;
   }
+  if (aPulse.stalledFor.count() > 0) {
+    text += kStalledFlag;
+    text += std::to_string(aPulse.stalledFor.count());
+  }
   return text;
 }
 
@@ -60,15 +65,25 @@
 DecodePulse(std::string_view aText)
 {
   std::uint64_t token = 0;
-  const auto [end, error] =
-    std::from_chars(aText.data(), aText.data() + aText.size(), token);
+  const char* const textEnd = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(aText.data(), textEnd, token);
   if (error != std::errc{}) {
     return base::Fail(base::ErrorCode::Malformed, "pulse");
   }
-  const std::string_view flags(end, aText.data() + aText.size());
-  return membership::LeaderPulse{ base::FencingToken(token),
-                                  flags.find(kSettledFlag) !=
-                                    std::string_view::npos };
+  membership::LeaderPulse pulse;
+  pulse.token = base::FencingToken(token);
+  const std::string_view flags(end, textEnd);
+  pulse.isSettled = flags.find(kSettledFlag) != std::string_view::npos;
+  const auto stalled = flags.find(kStalledFlag);
+  if (stalled != std::string_view::npos) {
+    std::uint32_t stalledMs = 0;
+    const char* const digits = flags.data() + stalled + kStalledFlag.size();
+    if (std::from_chars(digits, textEnd, stalledMs).ec != std::errc{}) {
+      return base::Fail(base::ErrorCode::Malformed, "pulse");
+    }
+    pulse.stalledFor = std::chrono::milliseconds(stalledMs);
+  }
+  return pulse;
 }
 
 } // namespace amaranthwind::codec
--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "amaranthwind/base/Executor.h"
 #include "amaranthwind/base/Ids.h"
+#include "amaranthwind/base/ProgressExecutor.h"
 #include "amaranthwind/coordinator/JobService.h"
 #include "amaranthwind/dispatch/Dispatcher.h"
 #include "amaranthwind/journal/KeyedLog.h"
@@ -78,10 +78,15 @@
 class Coordinator final : public JobService
 {
 public:
-  /** All references must outlive the coordinator. */
+  /**
+   * All references must outlive the coordinator.
+   * @param aHeartbeatExecutor For the leader's heartbeats, which must not wait
+   * behind its decisions.
+   */
   Coordinator(const CoordinatorOptions& aOptions,
               const base::Clock& aClock,
-              base::Executor& aExecutor,
+              base::ProgressExecutor& aExecutor,
+              base::Executor& aHeartbeatExecutor,
               const protocol::MessagePortFactory& aMakePort,
               journal::KeyedLog& aLog,
               const ledger::RecordCodec& aCodec,
--- a/libs/coordinator/src/LeaderLog.cpp
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::string_view kHeartbeatKey = "pulse";
 /** Interval between checks for a silent leader. */
 constexpr base::Duration kCheckInterval = 400ms;
 /**
@@ -80,7 +79,8 @@
 
 LeaderLog::LeaderLog(const membership::LeaderElectionOptions& aOptions,
                      const base::Clock& aClock,
-                     base::Executor& aExecutor,
+                     base::ProgressExecutor& aExecutor,
+                     base::Executor& aHeartbeatExecutor,
                      journal::KeyedLog& aLog,
                      telemetry::Logger& aLogger,
                      LeaderObserver& aObserver)
@@ -91,6 +91,7 @@
   , logger(aLogger)
   , observer(aObserver)
   , election(aOptions)
+  , heartbeats(aOptions, aExecutor, aHeartbeatExecutor, aLog, aLogger)
   , heartbeatFollower(std::make_unique<HeartbeatFollower>(*this))
   , claimFollower(std::make_unique<journal::KeyedFollower>(
       journal::FollowerOptions{ .topic = { std::string(kLeaderTopic), 0 },
@@ -125,6 +126,7 @@
 LeaderLog::Stop()
 {
   *this->isAlive = false;
+  this->heartbeats.Stop();
   this->claimFollower->Stop();
   this->heartbeatFollower->Stop();
 }
@@ -172,7 +174,7 @@
   const base::FencingToken token = TokenOf(aRecord.offset);
   this->election.OnClaim(claim.value(), token, this->clock.Now());
   if (wasLeader && !this->election.IsLeader()) {
-    this->observer.OnDeposed();
+    this->EndTerm();
   }
   if (claim.value() != this->ownClaim) {
     this->former = membership::LeaderTerm{ claim.value(), token };
@@ -205,8 +207,11 @@
 void
 LeaderLog::ClaimIfDue()
 {
-  if (this->hasLoadedClaims && !this->isClaiming && !this->isResigned &&
-      this->election.ShouldClaim(this->clock.Now())) {
+  if (!this->hasLoadedClaims || this->isClaiming || this->isResigned) {
+    return;
+  }
+  const base::TimePoint now = this->clock.Now();
+  if (this->election.ShouldClaim(now)) {
     this->Claim();
   }
 }
@@ -287,53 +292,21 @@
   this->isSettled = false;
   this->logger.Info("became leader", { { "token", aToken } });
   this->observer.OnElected(aToken, this->former);
-  this->ContinueHeartbeats(aToken);
+  this->heartbeats.Start(aToken, this->isSettled);
 }
 
 void
-LeaderLog::ContinueHeartbeats(base::FencingToken aToken)
+LeaderLog::EndTerm()
 {
-  if (this->election.OwnToken() != aToken) {
-    return;
-  }
-  this->WriteHeartbeat();
-  this->executor.RunAfter(this->options.pulseInterval,
-                          [this, alive = this->isAlive, aToken] {
-                            if (*alive) {
-                              this->ContinueHeartbeats(aToken);
-                            }
-                          });
-}
-
-void
-LeaderLog::WriteHeartbeat()
-{
-  const journal::KeyedValue record{
-    std::string(kHeartbeatKey),
-    codec::EncodePulse({ this->election.OwnToken(), this->isSettled })
-  };
-  this->log.Append({ std::string(kLeaderTopic), 1 },
-                   std::span(&record, 1),
-                   {},
-                   [this, alive = this->isAlive](const auto& aResult) {
-                     // A lost heartbeat is not retried; the next one follows.
-                     this->executor.Post([this, alive, result = aResult] {
-                       if (*alive && result.has_error()) {
-                         this->logger.Warning(
-                           "failed to append leader heartbeat",
-                           { { "error", base::Describe(result.error()) } });
-                       }
-                     });
-                   });
+  this->heartbeats.Stop();
+  this->observer.OnDeposed();
 }
 
 void
 LeaderLog::MarkSettled()
 {
-  if (this->election.IsLeader() && !std::exchange(this->isSettled, true)) {
-    // The successor should know even if this entry fails now.
-    this->WriteHeartbeat();
-  }
+  this->isSettled = true;
+  this->heartbeats.MarkSettled();
 }
 
 void
@@ -351,7 +324,7 @@
 {
   if (this->election.IsLeader()) {
     this->election.StepDown();
-    this->observer.OnDeposed();
+    this->EndTerm();
   }
 }
 
--- a/libs/coordinator/src/LeaderLog.h
+++ b/libs/coordinator/src/LeaderLog.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "HeartbeatWriter.h"
 #include "amaranthwind/base/Backoff.h"
-#include "amaranthwind/base/Executor.h"
+#include "amaranthwind/base/ProgressExecutor.h"
 #include "amaranthwind/journal/KeyedFollower.h"
 #include "amaranthwind/membership/LeaderElection.h"
 #include "amaranthwind/telemetry/Logger.h"
@@ -27,14 +28,15 @@
 /**
  * Runs membership::LeaderElection on the log: follows claims and heartbeats,
  * appends claims, and writes heartbeats while this entry is the leader.
- * Confined to one executor.
+ * Confined to one executor, except for the heartbeats.
  */
 class LeaderLog final : public journal::FollowerObserver
 {
 public:
   LeaderLog(const membership::LeaderElectionOptions& aOptions,
             const base::Clock& aClock,
-            base::Executor& aExecutor,
+            base::ProgressExecutor& aExecutor,
+            base::Executor& aHeartbeatExecutor,
             journal::KeyedLog& aLog,
             telemetry::Logger& aLogger,
             LeaderObserver& aObserver);
@@ -84,8 +86,7 @@
   void OnClaimAnswer(const base::Result<base::LogOffset>& aResult);
   void AbandonClaim();
   void BecomeLeader(base::FencingToken aToken);
-  void WriteHeartbeat();
-  void ContinueHeartbeats(base::FencingToken aToken);
+  void EndTerm();
   void ScheduleAfter(base::Duration aDelay, void (LeaderLog::*aTask)());
 
   const membership::LeaderElectionOptions options;
@@ -95,6 +96,7 @@
   telemetry::Logger& logger;
   LeaderObserver& observer;
   membership::LeaderElection election;
+  HeartbeatWriter heartbeats;
   membership::LeaderClaim ownClaim;
   /** Latest claim by another holder or an earlier incarnation of this one. */
   std::optional<membership::LeaderTerm> former;
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -26,10 +26,12 @@
         base::Executor& aExecutor,
         journal::KeyedLog& aLog)
     : logger(sink, aClock, "coordinator")
+    , executor(aExecutor, aClock)
     , leaderLog(
         { .self = base::EntryId(aName), .incarnation = base::Incarnation(1) },
         aClock,
-        aExecutor,
+        executor,
+        executor,
         aLog,
         logger,
         *this)
@@ -45,6 +47,7 @@
 
   testing::NullLogSink sink;
   telemetry::Logger logger;
+  base::ProgressExecutor executor;
   std::vector<base::FencingToken> elected;
   int deposed = 0;
   LeaderLog leaderLog;
--- a/libs/coordinator/tests/Fleet.h
+++ b/libs/coordinator/tests/Fleet.h
@@ -299,7 +299,9 @@
     : name(aName)
     , address(aName + ":1")
     , network(aNetwork)
-    , decisions(aExecutor)
+    , decisionThread(aExecutor)
+    , heartbeatThread(aExecutor)
+    , decisions(decisionThread, aClock)
     , log(aLog)
     , logger(sink, aClock, "coordinator")
   {
@@ -310,6 +312,7 @@
     this->coordinator = std::make_unique<Coordinator>(options,
                                                       aClock,
                                                       this->decisions,
+                                                      this->heartbeatThread,
                                                       aNetwork.MakePorts(),
                                                       this->log,
                                                       this->codec,
@@ -318,11 +321,20 @@
     (void)this->coordinator->Start();
   }
 
-  void Freeze() { this->decisions.Freeze(); }
-  void Thaw() { this->decisions.Thaw(); }
+  void Freeze()
+  {
+    this->decisionThread.Freeze();
+    this->heartbeatThread.Freeze();
+  }
+  void Thaw()
+  {
+    this->decisionThread.Thaw();
+    this->heartbeatThread.Thaw();
+  }
   void Kill()
   {
-    this->decisions.Kill();
+    this->decisionThread.Kill();
+    this->heartbeatThread.Kill();
     this->coordinator.reset();
   }
   /** Cuts the process off from the log and from the other entries. */
@@ -335,7 +347,9 @@
   const std::string name;
   const std::string address;
   FakeNetwork& network;
-  FakeThread decisions;
+  FakeThread decisionThread;
+  FakeThread heartbeatThread;
+  base::ProgressExecutor decisions;
   CuttableLog log;
   NullLogSink sink;
   telemetry::Logger logger;
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -410,11 +410,14 @@
 {
   Entry(SimulatedCell& aCell, std::uint32_t aNumber)
     : process(aCell.time.AddProcess(aCell.options.costs.perTask))
+    , heartbeats(aCell.time.AddProcess({}))
+    , executor(process, aCell.time)
     , codec(aCell.time, aCell.options.costs.perRecordTask)
     , logger(sink, aCell.time, "coordinator")
     , coordinator(MakeOptions(aCell, aNumber),
                   aCell.time,
-                  process,
+                  executor,
+                  heartbeats,
                   aCell.network.MakePorts(),
                   aCell.log,
                   codec,
@@ -439,6 +442,8 @@
 
   NullLogSink sink;
   SimulatedTime::Process& process;
+  SimulatedTime::Process& heartbeats;
+  base::ProgressExecutor executor;
   ChargedCodec codec;
   telemetry::Logger logger;
   telemetry::Metrics metrics;
--- a/libs/membership/include/amaranthwind/membership/LeaderElection.h
+++ b/libs/membership/include/amaranthwind/membership/LeaderElection.h
@@ -36,6 +36,8 @@
    * itself.
    */
   bool isSettled = false;
+  /** How long the leader's decisions have made no progress. */
+  std::chrono::milliseconds stalledFor{ 0 };
 
   bool operator==(const LeaderPulse&) const = default;
 };
@@ -110,6 +112,8 @@
   }
 
 private:
+  bool IsViewFresh(base::TimePoint aNow) const;
+
   const LeaderElectionOptions options;
   std::optional<LeaderClaim> claim;
   base::FencingToken token;
--- a/libs/membership/src/LeaderElection.cpp
+++ b/libs/membership/src/LeaderElection.cpp
@@ -29,7 +29,8 @@
 LeaderElection::OnPulse(const LeaderPulse& aPulse, base::TimePoint aNow)
 {
   if (aPulse.token == this->token) {
-    this->lastActivity = aNow;
+    const base::TimePoint active = aNow - aPulse.stalledFor;
+    this->lastActivity = std::max(this->lastActivity.value_or(active), active);
   }
   if (aPulse.isSettled) {
     this->settledToken = std::max(this->settledToken, aPulse.token);
@@ -49,11 +50,16 @@
     std::max(this->viewAsOf.value_or(base::TimePoint::min()), aAsOf);
 }
 
+bool
+LeaderElection::IsViewFresh(base::TimePoint aNow) const
+{
+  return this->viewAsOf && aNow - *this->viewAsOf <= this->options.maxViewAge;
+}
+
 bool
 LeaderElection::ShouldClaim(base::TimePoint aNow) const
 {
-  if (this->ownToken || !this->viewAsOf ||
-      aNow - *this->viewAsOf > this->options.maxViewAge) {
+  if (this->ownToken || !this->IsViewFresh(aNow)) {
     return false;
   }
   if (!this->claim || this->claim->isResigned) {
