Judge a leader's silence by when a read was sent

What callers saw: an entry that was held up itself claimed the leadership of a healthy leader.

Cause: silence counted until the check for it, which may run before heartbeats that were received and wait in the entry's own queue. The age of the view hid that only beyond 2 s.

Now the silence lasts from the handling of the last heartbeat to the sending of a read that brings no other. When it may be over, the entry reads once without waiting, so that a failed leader is replaced as soon as before, plus one read.

--- a/libs/coordinator/src/LeaderLog.cpp
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -43,6 +43,10 @@
   }
   void Start() { this->follower.Start(); }
   void Stop() { this->follower.Stop(); }
+  void Confirm(std::function<void(bool)> aHandler)
+  {
+    this->follower.Confirm(std::move(aHandler));
+  }
 
   void OnLoaded(std::span<const journal::KeyedRecord> aNewest) override
   {
@@ -213,6 +217,15 @@
   const base::TimePoint now = this->clock.Now();
   if (this->election.ShouldClaim(now)) {
     this->Claim();
+  } else if (this->election.ShouldConfirmSilence(now) &&
+             !std::exchange(this->isConfirmingSilence, true)) {
+    this->heartbeatFollower->Confirm([this, alive = this->isAlive](bool) {
+      // The answer was passed to OnCurrent(). Without one, a later check
+      // tries again.
+      if (*alive) {
+        this->isConfirmingSilence = false;
+      }
+    });
   }
 }
 
--- a/libs/coordinator/src/LeaderLog.h
+++ b/libs/coordinator/src/LeaderLog.h
@@ -107,6 +107,7 @@
   base::Backoff claimBackoff;
   bool hasLoadedClaims = false;
   bool isClaiming = false;
+  bool isConfirmingSilence = false;
   base::TimePoint claimSentAt{};
   /** Newest token with which another entry is known to lead. */
   base::FencingToken newerToken{ 0 };
--- a/libs/coordinator/tests/TakeoverTest.cpp
+++ b/libs/coordinator/tests/TakeoverTest.cpp
@@ -67,6 +67,35 @@
   CHECK(pair.fleet.Holder() == "leader");
 }
 
+// Guards against a busy entry that replaces a healthy leader: heartbeats that
+// it has received wait in its own queue.
+TEST_CASE("a follower whose queue is long does not replace a healthy leader")
+{
+  for (const auto lateness : { 500ms, 1000ms, 1500ms, 1800ms, 2500ms }) {
+    CAPTURE(lateness.count());
+    Pair pair;
+    pair.MakeBusy(*pair.other, lateness);
+    pair.RunBusy(*pair.other, 20s);
+    CHECK(pair.fleet.Holder() == "leader");
+  }
+}
+
+// Guards against a takeover by an entry whose thread was held up: a check for
+// silence runs before the heartbeats that have been received meanwhile.
+TEST_CASE("a follower that was held up does not replace a healthy leader")
+{
+  for (int phase = 0; phase < 20; ++phase) {
+    CAPTURE(phase);
+    Pair pair;
+    pair.fleet.Run(phase * 100ms);
+    pair.other->decisionThread.Freeze();
+    pair.fleet.Run(1800ms);
+    pair.other->decisionThread.Thaw();
+    pair.fleet.Run(3s);
+    CHECK(pair.fleet.Holder() == "leader");
+  }
+}
+
 TEST_CASE("a leader that has failed is replaced in time")
 {
   Pair pair;
--- a/libs/membership/include/amaranthwind/membership/LeaderElection.h
+++ b/libs/membership/include/amaranthwind/membership/LeaderElection.h
@@ -89,6 +89,11 @@
 
   /** Whether the entry should append a claim now. */
   bool ShouldClaim(base::TimePoint aNow) const;
+  /**
+   * Whether the leader may be replaced if a read that is sent now delivers no
+   * pulse. Pulses may have been read that this entry has not handled yet.
+   */
+  bool ShouldConfirmSilence(base::TimePoint aNow) const;
   /** Handles the append of the own claim. False if a newer claim is known. */
   bool OnClaimed(base::FencingToken aToken, base::TimePoint aNow);
   /** Called when a newer leader has fenced this entry, or on resignation. */
--- a/libs/membership/src/LeaderElection.cpp
+++ b/libs/membership/src/LeaderElection.cpp
@@ -69,7 +69,18 @@
       this->claim->incarnation != this->options.incarnation) {
     return true;
   }
-  return aNow - this->lastActivity.value_or(aNow) > this->options.leaderTimeout;
+  // Judged by when the newest read was sent, not by when its answer was
+  // handled: a busy entry handles pulses late.
+  return this->lastActivity &&
+         *this->viewAsOf - *this->lastActivity > this->options.leaderTimeout;
+}
+
+bool
+LeaderElection::ShouldConfirmSilence(base::TimePoint aNow) const
+{
+  return !this->ownToken && this->claim && this->lastActivity &&
+         this->IsViewFresh(aNow) &&
+         aNow - *this->lastActivity > this->options.leaderTimeout;
 }
 
 bool
