Test that a coordinator with a long queue keeps its leadership

The simulated cell with sixteen times the processor costs: with the heartbeats on the decision thread it fails, CHECK( cell.Completed() == kJobs ) values: CHECK( 3 == 24 ) CHECK( cell.Elections() == 1 ) values: CHECK( 32 == 1 ) and with a thread of their own it passes.

--- a/libs/coordinator/tests/SlowCoordinatorTest.cpp
+++ b/libs/coordinator/tests/SlowCoordinatorTest.cpp
@@ -30,17 +30,11 @@
   return spec;
 }
 
-} // namespace
-
-// No worker or connection fails; only processor time is short.
-TEST_CASE(
-  "a busy coordinator neither stops healthy runs nor loses accepted jobs")
+void
+CheckLoad(const ProcessorCosts& aCosts)
 {
   SimulatedCell::Options options;
-  options.costs = { .perTask = 100us,
-                    .perPackedWorker = 40us,
-                    .perSentMessage = 200us,
-                    .perRecordTask = 30us };
+  options.costs = aCosts;
   SimulatedCell cell(options);
   cell.Run(6s);
   for (std::uint32_t i = 0; i < kJobs; ++i) {
@@ -52,3 +46,25 @@
   CHECK(cell.Interrupted() == 0);
   CHECK(cell.Elections() == 1);
 }
+
+} // namespace
+
+// No worker or connection fails; only processor time is short.
+TEST_CASE(
+  "a busy coordinator neither stops healthy runs nor loses accepted jobs")
+{
+  CheckLoad({ .perTask = 100us,
+              .perPackedWorker = 40us,
+              .perSentMessage = 200us,
+              .perRecordTask = 30us });
+}
+
+// Guards against a leadership that changes all the time: no leader works off
+// the backlog before the next one begins anew with it.
+TEST_CASE("a coordinator whose queue is seconds long keeps its leadership")
+{
+  CheckLoad({ .perTask = 1600us,
+              .perPackedWorker = 640us,
+              .perSentMessage = 3200us,
+              .perRecordTask = 480us });
+}
