Stop looking for a predecessor whose grants have ended

What callers saw: a leader whose predecessor is gone tried to connect to it twice a second for as long as it led.

Cause: only a confirmation ended the attempts. Now the end of the wait for its grants does, too. Failed before: a settled leader does not look for its predecessor any more CHECK( term.fleet.network.attempts[term.first.address] == attempts ) values: CHECK( 57 == 37 )

--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -226,6 +226,13 @@
         !this->inheritedGrants.IsFormerActive()) {
       return;
     }
+    if (this->isSettled) {
+      // Its grants have ended by themselves.
+      if (this->predecessor) {
+        this->sessions.Close(*this->predecessor);
+      }
+      return;
+    }
     if (!this->predecessor) {
       this->predecessor = this->sessions.Connect(this->predecessorAddress);
       this->sessions.SendTo(
--- a/libs/coordinator/tests/Fleet.h
+++ b/libs/coordinator/tests/Fleet.h
@@ -202,6 +202,8 @@
 
   /** Addresses that nobody reaches and that reach nobody. */
   std::map<std::string, bool> isCut;
+  /** Attempts to connect, by the address of the peer. */
+  std::map<std::string, int> attempts;
 
 private:
   struct End
@@ -223,6 +225,7 @@
   }
   protocol::ConnectionId Connect(Port& aFrom, const std::string& aTo)
   {
+    ++this->attempts[aTo];
     const auto from = this->NextId();
     const auto to = this->NextId();
     this->ends[from] = { aFrom.address, aTo, to };
--- a/libs/coordinator/tests/SettlementTest.cpp
+++ b/libs/coordinator/tests/SettlementTest.cpp
@@ -170,3 +170,16 @@
     CHECK_FALSE(ResignsSettled(fleet, *term.second));
   }
 }
+
+// Guards against connections to a VM that is gone, twice a second for as
+// long as the leader leads.
+TEST_CASE("a settled leader does not look for its predecessor any more")
+{
+  UnsettledTerm term;
+  term.fleet.Run(5s);
+  CHECK(term.fleet.network.attempts[term.first.address] > 5);
+  term.fleet.Run(12s);
+  const int attempts = term.fleet.network.attempts[term.first.address];
+  term.fleet.Run(10s);
+  CHECK(term.fleet.network.attempts[term.first.address] == attempts);
+}
