--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "amaranthwind/base/Executor.h"
 #include "amaranthwind/base/Ids.h"
+#include "amaranthwind/base/ProgressExecutor.h"
 #include "amaranthwind/coordinator/JobService.h"
 #include "amaranthwind/dispatch/Dispatcher.h"
 #include "amaranthwind/journal/KeyedLog.h"
@@ -42,6 +42,20 @@
   std::function<std::unique_ptr<dispatch::Packing>()> makePacking = [] {
     return std::make_unique<dispatch::BestFitPacking>();
   };
+
+  /** Time from a report to the latest end of the grant that answers it. */
+  base::Duration MaxGrantDuration() const
+  {
+    return this->grant + this->grantMargin;
+  }
+  /**
+   * How long after the election of a coordinator the grants of earlier ones can
+   * run: those issue grants until maxLogSilence has passed.
+   */
+  base::Duration InheritedGrantDuration() const
+  {
+    return this->MaxGrantDuration() + this->maxLogSilence;
+  }
 };
 
 /** Snapshot for state dumps and health checks. */
@@ -64,10 +78,15 @@
 class Coordinator final : public JobService
 {
 public:
-  /** All references must outlive the coordinator. */
+  /**
+   * All references must outlive the coordinator.
+   * @param aHeartbeatExecutor For the leader's heartbeats, which must not wait
+   * behind its decisions.
+   */
   Coordinator(const CoordinatorOptions& aOptions,
               const base::Clock& aClock,
-              base::Executor& aExecutor,
+              base::ProgressExecutor& aExecutor,
+              base::Executor& aHeartbeatExecutor,
               const protocol::MessagePortFactory& aMakePort,
               journal::KeyedLog& aLog,
               const ledger::RecordCodec& aCodec,
--- a/libs/coordinator/src/LeaderLog.cpp
+++ b/libs/coordinator/src/LeaderLog.cpp
@@ -3,7 +3,7 @@
 #include "amaranthwind/codec/ClaimCodec.h"
 #include "amaranthwind/membership/LeaderTopic.h"
 
-#include <charconv>
+#include <algorithm>
 #include <utility>
 
 namespace amaranthwind::coordinator {
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::string_view kHeartbeatKey = "pulse";
 /** Interval between checks for a silent leader. */
 constexpr base::Duration kCheckInterval = 400ms;
 /**
@@ -44,6 +43,10 @@
   }
   void Start() { this->follower.Start(); }
   void Stop() { this->follower.Stop(); }
+  void Confirm(std::function<void(bool)> aHandler)
+  {
+    this->follower.Confirm(std::move(aHandler));
+  }
 
   void OnLoaded(std::span<const journal::KeyedRecord> aNewest) override
   {
@@ -51,16 +54,20 @@
   }
   void OnRecords(std::span<const journal::KeyedRecord> aRecords) override
   {
-    std::uint64_t token = 0;
     for (const auto& record : aRecords) {
-      if (record.key == kHeartbeatKey) {
-        std::from_chars(record.value.data(),
-                        record.value.data() + record.value.size(),
-                        token);
+      if (record.key != kHeartbeatKey) {
+        continue;
       }
+      const auto pulse = codec::DecodePulse(record.value);
+      if (pulse.has_error()) {
+        this->owner.logger.Warning(
+          "failed to decode leader heartbeat",
+          { { "offset", record.offset },
+            { "error", base::Describe(pulse.error()) } });
+        continue;
+      }
+      this->owner.election.OnPulse(pulse.value(), this->owner.clock.Now());
     }
-    this->owner.election.OnPulse(base::FencingToken(token),
-                                 this->owner.clock.Now());
   }
   void OnCurrent(base::TimePoint aAsOf) override
   {
@@ -76,7 +83,8 @@
 
 LeaderLog::LeaderLog(const membership::LeaderElectionOptions& aOptions,
                      const base::Clock& aClock,
-                     base::Executor& aExecutor,
+                     base::ProgressExecutor& aExecutor,
+                     base::Executor& aHeartbeatExecutor,
                      journal::KeyedLog& aLog,
                      telemetry::Logger& aLogger,
                      LeaderObserver& aObserver)
@@ -87,6 +95,7 @@
   , logger(aLogger)
   , observer(aObserver)
   , election(aOptions)
+  , heartbeats(aOptions, aExecutor, aHeartbeatExecutor, aLog, aLogger)
   , heartbeatFollower(std::make_unique<HeartbeatFollower>(*this))
   , claimFollower(std::make_unique<journal::KeyedFollower>(
       journal::FollowerOptions{ .topic = { std::string(kLeaderTopic), 0 },
@@ -121,6 +130,7 @@
 LeaderLog::Stop()
 {
   *this->isAlive = false;
+  this->heartbeats.Stop();
   this->claimFollower->Stop();
   this->heartbeatFollower->Stop();
 }
@@ -145,38 +155,42 @@
 void
 LeaderLog::OnRecords(std::span<const journal::KeyedRecord> aRecords)
 {
-  const bool wasLeader = this->election.IsLeader();
   for (const auto& record : aRecords) {
     this->claimLogEnd = LogOffset(record.offset.Get() + 1);
-    if (record.key != kLeaderKey) {
-      continue;
-    }
-    const auto claim = codec::DecodeClaim(record.value);
-    if (claim.has_error()) {
-      this->logger.Warning("failed to decode leadership claim",
-                           { { "offset", record.offset },
-                             { "error", base::Describe(claim.error()) } });
-      continue;
-    }
-    const base::FencingToken token = TokenOf(record.offset);
-    this->election.OnClaim(claim.value(), token, this->clock.Now());
-    const bool isOwn = claim.value() == this->ownClaim;
-    if (!isOwn) {
-      this->former = claim.value();
-      this->logger.Info(
-        "leadership claimed",
-        { { "holder", claim.value().holder },
-          { "token", token },
-          { "resigned", claim.value().isResigned ? "yes" : "no" } });
-    } else if (token > this->lastOwnToken) {
-      // The answer to the append was lost or has not arrived yet.
-      this->BecomeLeader(token);
+    if (record.key == kLeaderKey) {
+      this->OnClaimRecord(record);
     }
   }
+  this->ClaimIfDue();
+}
+
+void
+LeaderLog::OnClaimRecord(const journal::KeyedRecord& aRecord)
+{
+  const auto claim = codec::DecodeClaim(aRecord.value);
+  if (claim.has_error()) {
+    this->logger.Warning("failed to decode leadership claim",
+                         { { "offset", aRecord.offset },
+                           { "error", base::Describe(claim.error()) } });
+    return;
+  }
+  const bool wasLeader = this->election.IsLeader();
+  const base::FencingToken token = TokenOf(aRecord.offset);
+  this->election.OnClaim(claim.value(), token, this->clock.Now());
   if (wasLeader && !this->election.IsLeader()) {
-    this->observer.OnDeposed();
+    this->EndTerm();
+  }
+  if (claim.value() != this->ownClaim) {
+    this->former = membership::LeaderTerm{ claim.value(), token };
+    this->logger.Info(
+      "leadership claimed",
+      { { "holder", claim.value().holder },
+        { "token", token },
+        { "resigned", claim.value().isResigned ? "yes" : "no" } });
+  } else if (token > this->lastOwnToken) {
+    // The answer to the append was lost or has not arrived yet.
+    this->BecomeLeader(token);
   }
-  this->ClaimIfDue();
 }
 
 void
@@ -197,9 +211,21 @@
 void
 LeaderLog::ClaimIfDue()
 {
-  if (this->hasLoadedClaims && !this->isClaiming && !this->isResigned &&
-      this->election.ShouldClaim(this->clock.Now())) {
+  if (!this->hasLoadedClaims || this->isClaiming || this->isResigned) {
+    return;
+  }
+  const base::TimePoint now = this->clock.Now();
+  if (this->election.ShouldClaim(now)) {
     this->Claim();
+  } else if (this->election.ShouldConfirmSilence(now) &&
+             !std::exchange(this->isConfirmingSilence, true)) {
+    this->heartbeatFollower->Confirm([this, alive = this->isAlive](bool) {
+      // The answer was passed to OnCurrent(). Without one, a later check
+      // tries again.
+      if (*alive) {
+        this->isConfirmingSilence = false;
+      }
+    });
   }
 }
 
@@ -214,9 +240,10 @@
 LeaderLog::Claim()
 {
   this->isClaiming = true;
+  this->claimSentAt = this->clock.Now();
   this->logger.Info(
     "claiming leadership",
-    { { "former", this->former ? this->former->holder.View() : "none" },
+    { { "former", this->former ? this->former->claim.holder.View() : "none" },
       { "expected", this->claimLogEnd } });
   const journal::KeyedValue record{ std::string(kLeaderKey),
                                     codec::EncodeClaim(this->ownClaim) };
@@ -240,6 +267,8 @@
     return;
   }
   if (aResult.has_value()) {
+    // The answer may have waited; another entry may have claimed since then.
+    this->confirmedAt = std::max(this->confirmedAt, this->claimSentAt);
     this->BecomeLeader(TokenOf(aResult.value()));
     return;
   }
@@ -269,39 +298,38 @@
   this->isClaiming = false;
   this->lastOwnToken = aToken;
   this->claimBackoff.Reset();
-  if (this->isResigned ||
+  if (this->isResigned || aToken < this->newerToken ||
       !this->election.OnClaimed(aToken, this->clock.Now())) {
     return;
   }
-  this->confirmedAt = this->clock.Now();
+  this->isSettled = false;
   this->logger.Info("became leader", { { "token", aToken } });
   this->observer.OnElected(aToken, this->former);
-  this->WriteHeartbeat();
+  this->heartbeats.Start(aToken, this->isSettled);
 }
 
 void
-LeaderLog::WriteHeartbeat()
+LeaderLog::EndTerm()
 {
-  if (!this->election.IsLeader()) {
-    return;
+  this->heartbeats.Stop();
+  this->observer.OnDeposed();
+}
+
+void
+LeaderLog::MarkSettled()
+{
+  this->isSettled = true;
+  this->heartbeats.MarkSettled();
+}
+
+void
+LeaderLog::OnNewerLeader(base::FencingToken aToken)
+{
+  this->newerToken = std::max(this->newerToken, aToken);
+  if (this->election.IsLeader() &&
+      this->election.OwnToken() < this->newerToken) {
+    this->StepDown();
   }
-  const journal::KeyedValue record{
-    std::string(kHeartbeatKey), std::to_string(this->election.OwnToken().Get())
-  };
-  this->log.Append({ std::string(kLeaderTopic), 1 },
-                   std::span(&record, 1),
-                   {},
-                   [this, alive = this->isAlive](const auto& aResult) {
-                     // A lost heartbeat is not retried; the next one follows.
-                     this->executor.Post([this, alive, result = aResult] {
-                       if (*alive && result.has_error()) {
-                         this->logger.Warning(
-                           "failed to append leader heartbeat",
-                           { { "error", base::Describe(result.error()) } });
-                       }
-                     });
-                   });
-  this->ScheduleAfter(this->options.pulseInterval, &LeaderLog::WriteHeartbeat);
 }
 
 void
@@ -309,12 +337,12 @@
 {
   if (this->election.IsLeader()) {
     this->election.StepDown();
-    this->observer.OnDeposed();
+    this->EndTerm();
   }
 }
 
 void
-LeaderLog::Resign(bool aIsSettled)
+LeaderLog::Resign()
 {
   this->isResigned = true;
   if (!this->election.IsLeader()) {
@@ -322,7 +350,7 @@
   }
   membership::LeaderClaim resignation = this->ownClaim;
   resignation.isResigned = true;
-  resignation.isSettled = aIsSettled;
+  resignation.isSettled = this->isSettled;
   const journal::KeyedValue record{ std::string(kLeaderKey),
                                     codec::EncodeClaim(resignation) };
   this->logger.Info("resigning leadership",
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -1,5 +1,6 @@
 #include "amaranthwind/coordinator/Coordinator.h"
 
+#include "Fleet.h"
 #include "LeaderLog.h"
 #include "Submissions.h"
 #include "amaranthwind/base/ManualExecutor.h"
@@ -7,6 +8,8 @@
 
 #include <doctest/doctest.h>
 
+#include <utility>
+
 using namespace amaranthwind;
 using namespace amaranthwind::coordinator;
 using namespace std::chrono_literals;
@@ -15,25 +18,20 @@
 
 namespace {
 
-class NullLogSink final : public telemetry::LogSink
-{
-public:
-  bool IsEnabled(telemetry::LogLevel) const noexcept override { return false; }
-  void Write(telemetry::LogLevel, std::string_view) noexcept override {}
-};
-
 /** An entry that takes part in the election. */
 struct Entry final : LeaderObserver
 {
   Entry(const char* aName,
         base::ManualClock& aClock,
-        base::ManualExecutor& aExecutor,
+        base::Executor& aExecutor,
         journal::KeyedLog& aLog)
     : logger(sink, aClock, "coordinator")
+    , executor(aExecutor, aClock)
     , leaderLog(
         { .self = base::EntryId(aName), .incarnation = base::Incarnation(1) },
         aClock,
-        aExecutor,
+        executor,
+        executor,
         aLog,
         logger,
         *this)
@@ -41,14 +39,15 @@
     aExecutor.Post([this] { this->leaderLog.Start("a:1"); });
   }
   void OnElected(base::FencingToken aToken,
-                 const std::optional<membership::LeaderClaim>&) override
+                 const std::optional<membership::LeaderTerm>&) override
   {
     this->elected.push_back(aToken);
   }
   void OnDeposed() override { ++this->deposed; }
 
-  NullLogSink sink;
+  testing::NullLogSink sink;
   telemetry::Logger logger;
+  base::ProgressExecutor executor;
   std::vector<base::FencingToken> elected;
   int deposed = 0;
   LeaderLog leaderLog;
@@ -92,7 +91,7 @@
   Entry& other = &leader == &election.first ? election.second : election.first;
   SUBCASE("when it resigns")
   {
-    leader.leaderLog.Resign(true);
+    leader.leaderLog.Resign();
     election.Run(1200ms);
   }
   SUBCASE("when it stops sending heartbeats")
@@ -117,6 +116,65 @@
   CHECK(election.first.deposed + election.second.deposed == 0);
 }
 
+// Guards against a coordinator that dispatches on without being the leader:
+// a late entry reads its own claim together with the one that replaced it.
+TEST_CASE("an entry that reads its own and a newer claim at once is deposed")
+{
+  Election election;
+  election.Run(3s);
+  Entry& other =
+    election.first.leaderLog.IsLeader() ? election.second : election.first;
+  const membership::LeaderClaim own{
+    base::EntryId(&other == &election.first ? "entry-1" : "entry-2"),
+    base::Incarnation(1),
+    "a:1",
+    false,
+    false
+  };
+  membership::LeaderClaim newer = own;
+  newer.holder = base::EntryId("entry-3");
+  const std::vector<journal::KeyedRecord> records{
+    { base::LogOffset(10), "leader", codec::EncodeClaim(own) },
+    { base::LogOffset(11), "leader", codec::EncodeClaim(newer) }
+  };
+  other.leaderLog.OnRecords(records);
+  CHECK_FALSE(other.leaderLog.IsLeader());
+  CHECK(std::cmp_equal(other.elected.size(), other.deposed));
+}
+
+// Guards against grants that outlast the wait of the next coordinator: the
+// answer to a claim proves nothing about the time after the claim was sent.
+TEST_CASE("a late answer to a claim does not confirm the view of the log")
+{
+  base::ManualClock clock;
+  clock.Advance(1h);
+  base::ManualExecutor executor(clock);
+  testing::FakeThread thread(executor);
+  thread.lateness = 1s;
+  journal::testing::FakeKeyedLog log;
+  Entry entry{ "entry-1", clock, thread, log };
+  while (log.PartitionOf({ std::string(membership::kLeaderTopic), 0 })
+           .records.empty()) {
+    executor.Advance(10ms);
+  }
+  const base::TimePoint claimedAt = clock.Now();
+  while (!entry.leaderLog.IsLeader()) {
+    executor.Advance(10ms);
+  }
+  CHECK(clock.Now() > claimedAt + 900ms);
+  CHECK(entry.leaderLog.ConfirmedAt() <= claimedAt);
+}
+
+// Guards against grants of an entry that has confirmed that it issues none.
+TEST_CASE("an unanswered claim is void once a newer leader is known")
+{
+  Election election;
+  election.first.leaderLog.OnNewerLeader(base::FencingToken(1000));
+  election.second.leaderLog.OnNewerLeader(base::FencingToken(1000));
+  election.Run(3s);
+  CHECK(election.Leaders() == 0);
+}
+
 // Guards against two leaders after the answer to a claim was lost.
 TEST_CASE("a claim with a lost response takes effect once it is read back")
 {
--- a/libs/membership/include/amaranthwind/membership/LeaderElection.h
+++ b/libs/membership/include/amaranthwind/membership/LeaderElection.h
@@ -20,13 +20,35 @@
   /** Whether the holder has resigned. */
   bool isResigned = false;
   /**
-   * With isResigned: no period that an earlier holder granted is still running.
+   * With isResigned: as LeaderPulse::isSettled.
    */
   bool isSettled = false;
 
   bool operator==(const LeaderClaim&) const = default;
 };
 
+/** Record with which the leader shows that it is active. */
+struct LeaderPulse
+{
+  base::FencingToken token;
+  /**
+   * The grants of all earlier leaders end no later than those of the leader
+   * itself.
+   */
+  bool isSettled = false;
+  /** How long the leader's decisions have made no progress. */
+  std::chrono::milliseconds stalledFor{ 0 };
+
+  bool operator==(const LeaderPulse&) const = default;
+};
+
+/** A claim and the fencing token that follows from its offset. */
+struct LeaderTerm
+{
+  LeaderClaim claim;
+  base::FencingToken token;
+};
+
 struct LeaderElectionOptions
 {
   base::EntryId self;
@@ -56,8 +78,8 @@
   void OnClaim(const LeaderClaim& aClaim,
                base::FencingToken aToken,
                base::TimePoint aNow);
-  /** Handles a pulse of the leader with the given token. */
-  void OnPulse(base::FencingToken aToken, base::TimePoint aNow);
+  /** Handles a pulse of the current or an earlier leader. */
+  void OnPulse(const LeaderPulse& aPulse, base::TimePoint aNow);
   /**
    * Called when all pulses acknowledged before aAsOf have been read. Reading
    * claims does not imply this, because pulses may be held up while claims are
@@ -67,6 +89,11 @@
 
   /** Whether the entry should append a claim now. */
   bool ShouldClaim(base::TimePoint aNow) const;
+  /**
+   * Whether the leader may be replaced if a read that is sent now delivers no
+   * pulse. Pulses may have been read that this entry has not handled yet.
+   */
+  bool ShouldConfirmSilence(base::TimePoint aNow) const;
   /** Handles the append of the own claim. False if a newer claim is known. */
   bool OnClaimed(base::FencingToken aToken, base::TimePoint aNow);
   /** Called when a newer leader has fenced this entry, or on resignation. */
@@ -83,11 +110,19 @@
     return this->claim;
   }
   base::FencingToken Token() const noexcept { return this->token; }
+  /** Newest term of which a pulse said that it is settled, or 0. */
+  base::FencingToken SettledToken() const noexcept
+  {
+    return this->settledToken;
+  }
 
 private:
+  bool IsViewFresh(base::TimePoint aNow) const;
+
   const LeaderElectionOptions options;
   std::optional<LeaderClaim> claim;
   base::FencingToken token;
+  base::FencingToken settledToken{ 0 };
   std::optional<base::FencingToken> ownToken;
   /** Last time at which the leader was active, or could not write pulses. */
   std::optional<base::TimePoint> lastActivity;
--- a/libs/membership/src/LeaderElection.cpp
+++ b/libs/membership/src/LeaderElection.cpp
@@ -26,10 +26,14 @@
 }
 
 void
-LeaderElection::OnPulse(base::FencingToken aToken, base::TimePoint aNow)
+LeaderElection::OnPulse(const LeaderPulse& aPulse, base::TimePoint aNow)
 {
-  if (aToken == this->token) {
-    this->lastActivity = aNow;
+  if (aPulse.token == this->token) {
+    const base::TimePoint active = aNow - aPulse.stalledFor;
+    this->lastActivity = std::max(this->lastActivity.value_or(active), active);
+  }
+  if (aPulse.isSettled) {
+    this->settledToken = std::max(this->settledToken, aPulse.token);
   }
 }
 
@@ -46,11 +50,16 @@
     std::max(this->viewAsOf.value_or(base::TimePoint::min()), aAsOf);
 }
 
+bool
+LeaderElection::IsViewFresh(base::TimePoint aNow) const
+{
+  return this->viewAsOf && aNow - *this->viewAsOf <= this->options.maxViewAge;
+}
+
 bool
 LeaderElection::ShouldClaim(base::TimePoint aNow) const
 {
-  if (this->ownToken || !this->viewAsOf ||
-      aNow - *this->viewAsOf > this->options.maxViewAge) {
+  if (this->ownToken || !this->IsViewFresh(aNow)) {
     return false;
   }
   if (!this->claim || this->claim->isResigned) {
@@ -60,7 +69,18 @@
       this->claim->incarnation != this->options.incarnation) {
     return true;
   }
-  return aNow - this->lastActivity.value_or(aNow) > this->options.leaderTimeout;
+  // Judged by when the newest read was sent, not by when its answer was
+  // handled: a busy entry handles pulses late.
+  return this->lastActivity &&
+         *this->viewAsOf - *this->lastActivity > this->options.leaderTimeout;
+}
+
+bool
+LeaderElection::ShouldConfirmSilence(base::TimePoint aNow) const
+{
+  return !this->ownToken && this->claim && this->lastActivity &&
+         this->IsViewFresh(aNow) &&
+         aNow - *this->lastActivity > this->options.leaderTimeout;
 }
 
 bool
