Wait longer for a coordinator that accepts a connection and is silent

Cause: after a takeover all agents connect to the new coordinator at once. On a slow machine its first answer took more than 1.8 s. The agents then closed the connection for its silence and opened the next one 0.1 s later, so that the coordinator spent its time on connections that were closed already: 37 of 74 agents did so every 2 s from 13 to 39 s, and no order or grant reached them. The delay between attempts never grew, since an open connection reset it.

Change: only an answer resets the delay. After a connection that was open and brought nothing, the next one may be silent for twice as long, up to 4 s. A connection that falls silent after an answer is given up as early as before. The coordinator does not handle the reports of connections that are closed.

--- a/libs/agent/src/CoordinatorLink.cpp
+++ b/libs/agent/src/CoordinatorLink.cpp
@@ -6,6 +6,7 @@
 #include "amaranthwind/membership/LeaderTopic.h"
 #include "amaranthwind/protocol/Node.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -23,6 +24,12 @@
 constexpr protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
                                               .silenceTimeout = 1800ms,
                                               .connectTimeout = 800ms };
+/**
+ * Limit of the silence timeout after connections on which the coordinator sent
+ * nothing. It must stay below the silence after which the worker counts as
+ * lost, so that another connection can be tried before.
+ */
+constexpr auto kMaxSilenceTimeout = 4000ms;
 /**
  * Long-poll timeout for leadership claims, which are rare; a lost connection
  * triggers an immediate query.
@@ -97,6 +104,8 @@
       this->port->Close(*std::exchange(this->connection, std::nullopt));
     }
     this->backoff.Reset();
+    this->isUnanswered = false;
+    this->silenceTimeout = kNodeOptions.silenceTimeout;
     this->Connect();
   }
 
@@ -126,7 +135,9 @@
   {
     this->Post([aConnection](Impl& aSelf) {
       if (aSelf.connection == aConnection) {
-        aSelf.backoff.Reset();
+        aSelf.isUnanswered = true;
+        aSelf.port->SetLiveness(
+          aConnection, kNodeOptions.pingInterval, aSelf.silenceTimeout);
         aSelf.logger.Info("connected to coordinator",
                           { { "address", aSelf.address } });
         aSelf.agent->OnCoordinatorConnected();
@@ -141,6 +152,12 @@
         return;
       }
       aSelf.connection.reset();
+      if (std::exchange(aSelf.isUnanswered, false)) {
+        // A busy coordinator accepts connections but answers late. Each new
+        // connection would delay its answers further.
+        aSelf.silenceTimeout =
+          std::min(aSelf.silenceTimeout * 2, kMaxSilenceTimeout);
+      }
       aSelf.logger.Warning(
         "connection to coordinator lost",
         { { "address", aSelf.address }, { "error", base::Describe(aReason) } });
@@ -148,6 +165,19 @@
     });
   }
 
+  void OnAnswered(ConnectionId aConnection)
+  {
+    if (!std::exchange(this->isUnanswered, false)) {
+      return;
+    }
+    this->backoff.Reset();
+    if (std::exchange(this->silenceTimeout, kNodeOptions.silenceTimeout) !=
+        kNodeOptions.silenceTimeout) {
+      this->port->SetLiveness(
+        aConnection, kNodeOptions.pingInterval, kNodeOptions.silenceTimeout);
+    }
+  }
+
   void ScheduleReconnect()
   {
     // Another entry may have become the coordinator.
@@ -165,6 +195,7 @@
   {
     this->Post([aConnection, message = aEnvelope.message](Impl& aSelf) {
       if (aSelf.connection == aConnection) {
+        aSelf.OnAnswered(aConnection);
         aSelf.Handle(message);
       }
     });
@@ -200,6 +231,9 @@
   std::string address;
   std::optional<ConnectionId> connection;
   base::Backoff backoff{ kConnectBackoff };
+  /** The connection is open and has brought no message yet. */
+  bool isUnanswered = false;
+  std::chrono::milliseconds silenceTimeout = kNodeOptions.silenceTimeout;
   bool isStopped = false;
 };
 
--- a/libs/coordinator/src/AgentSessions.cpp
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -136,6 +136,7 @@
 AgentSessions::FindSuperseded(std::span<const Received> aReceived)
 {
   std::set<std::size_t> superseded;
+  std::set<ConnectionId> closed;
   std::map<ConnectionId, std::size_t> newest;
   const auto reportAt = [&](std::size_t aIndex) {
     const auto* message =
@@ -144,12 +145,20 @@
                               : std::get_if<protocol::AgentReport>(message);
   };
   for (std::size_t i = aReceived.size(); i-- > 0;) {
+    const ConnectionId connection = aReceived[i].connection;
+    if (std::holds_alternative<base::Error>(aReceived[i].event)) {
+      closed.insert(connection);
+    }
     const protocol::AgentReport* report = reportAt(i);
     if (report == nullptr) {
       continue;
     }
-    const auto [found, isNewest] =
-      newest.try_emplace(aReceived[i].connection, i);
+    if (closed.contains(connection)) {
+      // It cannot be answered; the agent reports again on its next connection.
+      superseded.insert(i);
+      continue;
+    }
+    const auto [found, isNewest] = newest.try_emplace(connection, i);
     if (isNewest) {
       continue;
     }
--- a/libs/coordinator/src/AgentSessions.h
+++ b/libs/coordinator/src/AgentSessions.h
@@ -84,7 +84,10 @@
   };
 
   void Enqueue(Received aReceived);
-  /** Indices of the reports that a later one in the batch supersedes. */
+  /**
+   * Indices of the reports in the batch that a later one supersedes, or whose
+   * connection is closed.
+   */
   static std::set<std::size_t> FindSuperseded(
     std::span<const Received> aReceived);
   /** Messages to the agent go to this connection from now on. */
--- a/libs/coordinator/tests/Fleet.h
+++ b/libs/coordinator/tests/Fleet.h
@@ -180,6 +180,12 @@
     {
       this->network.Close(aConnection);
     }
+    void SetLiveness(protocol::ConnectionId,
+                     std::chrono::milliseconds,
+                     std::chrono::milliseconds) override
+    {
+      // Connections stay open until they are closed.
+    }
     void Stop() override
     {
       const auto found = this->network.ports.find(this->address);
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -296,6 +296,13 @@
     });
   }
 
+  void SetLiveness(ConnectionId,
+                   std::chrono::milliseconds,
+                   std::chrono::milliseconds) override
+  {
+    // Connections stay open until they are closed.
+  }
+
   void Stop() override { this->network.listeners.erase(this->address); }
 
 private:
--- a/libs/protocol/include/amaranthwind/protocol/MessagePort.h
+++ b/libs/protocol/include/amaranthwind/protocol/MessagePort.h
@@ -4,6 +4,7 @@
 #include "amaranthwind/protocol/MessageHandler.h"
 #include "amaranthwind/protocol/Messages.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,6 +28,10 @@
   /** Does nothing on a closed connection. */
   virtual void Send(ConnectionId aConnection, const Message& aMessage) = 0;
   virtual void Close(ConnectionId aConnection) = 0;
+  /** Overrides the ping interval and silence timeout of one connection. */
+  virtual void SetLiveness(ConnectionId aConnection,
+                           std::chrono::milliseconds aPingInterval,
+                           std::chrono::milliseconds aSilenceTimeout) = 0;
   /** Closes the listener and all connections. */
   virtual void Stop() = 0;
 };
--- a/libs/protocol/include/amaranthwind/protocol/Node.h
+++ b/libs/protocol/include/amaranthwind/protocol/Node.h
@@ -103,10 +103,9 @@
 
   void Close(ConnectionId aConnection) override;
 
-  /** Overrides the ping interval and silence timeout of one connection. */
   void SetLiveness(ConnectionId aConnection,
                    std::chrono::milliseconds aPingInterval,
-                   std::chrono::milliseconds aSilenceTimeout);
+                   std::chrono::milliseconds aSilenceTimeout) override;
 
   NodeCounters Counters() const;
 
