Number the orders to agents and report which were received

A coordinator cannot tell whether a report was sent before or after an order arrived at the agent. Orders to start and stop get an optional number that rises within the term of their coordinator. The agent keeps the highest number that it received under its current fencing token, ignores an order with a number that is not higher, and states the number in each report, so that the report says which orders it accounts for. A new token starts the count at 0, as does a new process.

Both fields are optional on the wire: an older agent sends no count, which is distinct from a count of 0, and an older coordinator sends orders without a number, which the agent carries out as before. The coordinator does not number its orders yet.

--- a/libs/agent/include/amaranthwind/agent/WorkerAgent.h
+++ b/libs/agent/include/amaranthwind/agent/WorkerAgent.h
@@ -83,12 +83,13 @@
                base::Duration aDuration);
   void OnEndAcknowledged(const ledger::WorkerIncarnation& aIncarnation,
                          std::uint64_t aNumber);
-  void OnStart(base::FencingToken aToken,
+  /** An order with a number that was already received is ignored. */
+  void OnStart(const dispatch::OrderId& aOrder,
                const ledger::WorkerIncarnation& aIncarnation,
                const job::TaskRun& aRun,
                std::string_view aPayload,
                std::string_view aCheckpoint);
-  void OnStop(base::FencingToken aToken,
+  void OnStop(const dispatch::OrderId& aOrder,
               const ledger::WorkerIncarnation& aIncarnation,
               const job::TaskRun& aRun);
 
--- a/libs/agent/src/AgentCommands.cpp
+++ b/libs/agent/src/AgentCommands.cpp
@@ -8,6 +8,39 @@
 
 using namespace std::chrono_literals;
 
+void
+WorkerAgent::State::AdvanceToken(base::FencingToken aToken)
+{
+  if (aToken > this->token) {
+    this->token = aToken;
+    this->receivedOrder = {};
+  }
+}
+
+bool
+WorkerAgent::State::AcceptOrder(const dispatch::OrderId& aOrder,
+                                const TaskRun& aRun)
+{
+  if (aOrder.token < this->token) {
+    this->logger.Warning(
+      "command rejected: stale fencing token",
+      { { "task", ToLogText(aRun) }, { "token", aOrder.token } });
+    return false;
+  }
+  this->AdvanceToken(aOrder.token);
+  if (aOrder.number == dispatch::OrderNumber()) {
+    return true; // The coordinator does not number its orders.
+  }
+  if (aOrder.number <= this->receivedOrder) {
+    this->logger.Info(
+      "command ignored: already received",
+      { { "task", ToLogText(aRun) }, { "number", aOrder.number } });
+    return false;
+  }
+  this->receivedOrder = aOrder.number;
+  return true;
+}
+
 void
 WorkerAgent::State::ReportOutcome(const TaskRun& aRun, OrderOutcome aOutcome)
 {
--- a/libs/agent/src/AgentReports.cpp
+++ b/libs/agent/src/AgentReports.cpp
@@ -57,6 +57,7 @@
   for (const auto& [number, end] : this->unacknowledgedEnds) {
     report.ended.push_back(end);
   }
+  report.receivedOrder = this->receivedOrder;
   if (this->unansweredReports.size() >= kMaxUnansweredReports) {
     this->unansweredReports.erase(this->unansweredReports.begin());
   }
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -127,6 +127,13 @@
   bool ResolveRun(const TaskRun& aRun, const Run& aState);
 
   // Commands (AgentCommands.cpp).
+  /** Adopts the token if it is newer; orders are numbered anew under it. */
+  void AdvanceToken(base::FencingToken aToken);
+  /**
+   * Counts the order as received. Returns false if a newer coordinator is known
+   * or the order was received before.
+   */
+  bool AcceptOrder(const dispatch::OrderId& aOrder, const TaskRun& aRun);
   void ReportOutcome(const TaskRun& aRun, OrderOutcome aOutcome);
   void SendStart(const TaskRun& aRun);
   /** Retries after a backoff, unless the phase of the run has changed. */
@@ -180,6 +187,8 @@
   std::map<TaskRun, Run> runs;
 
   base::FencingToken token;
+  /** Highest number of an order received under the token. */
+  dispatch::OrderNumber receivedOrder;
   TimePoint grantUntil{};
   /** Upper bound of the end of the worker's lease. */
   TimePoint leaseBound{};
--- a/libs/agent/src/CoordinatorLink.cpp
+++ b/libs/agent/src/CoordinatorLink.cpp
@@ -209,13 +209,13 @@
       this->agent->OnEndAcknowledged(ack->life, ack->number);
     } else if (const auto* start =
                  std::get_if<protocol::AgentStart>(&aMessage)) {
-      this->agent->OnStart(start->token,
+      this->agent->OnStart({ start->token, start->number },
                            start->life,
                            start->run,
                            start->payload,
                            start->checkpoint);
     } else if (const auto* stop = std::get_if<protocol::AgentStop>(&aMessage)) {
-      this->agent->OnStop(stop->token, stop->life, stop->run);
+      this->agent->OnStop({ stop->token, stop->number }, stop->life, stop->run);
     } else if (const auto* notice =
                  std::get_if<protocol::LeaderNotice>(&aMessage)) {
       this->SetCoordinator(notice->token, notice->address);
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -98,7 +98,7 @@
 void
 WorkerAgent::OnCoordinatorToken(base::FencingToken aToken)
 {
-  this->state->token = std::max(this->state->token, aToken);
+  this->state->AdvanceToken(aToken);
 }
 
 void
@@ -119,7 +119,7 @@
   }
   const TimePoint now = self.clock.Now();
   const TimePoint previous = self.grantUntil;
-  self.token = aToken;
+  self.AdvanceToken(aToken);
   self.grantUntil = std::max(self.grantUntil, sent->second + aDuration);
   self.unansweredReports.erase(self.unansweredReports.begin(), std::next(sent));
   const bool wasExpiringSoon = previous < now + self.options.reportInterval * 4;
@@ -146,19 +146,16 @@
 }
 
 void
-WorkerAgent::OnStart(base::FencingToken aToken,
+WorkerAgent::OnStart(const dispatch::OrderId& aOrder,
                      const ledger::WorkerIncarnation& aIncarnation,
                      const job::TaskRun& aRun,
                      std::string_view aPayload,
                      std::string_view aCheckpoint)
 {
   State& self = *this->state;
-  if (aToken < self.token) {
-    self.logger.Warning("command rejected: stale fencing token",
-                        { { "task", ToLogText(aRun) }, { "token", aToken } });
+  if (!self.AcceptOrder(aOrder, aRun)) {
     return;
   }
-  self.token = aToken;
   const char* refusal = nullptr;
   if (!self.workerInfo || self.workerInfo->life != aIncarnation) {
     refusal = "worker was replaced";
@@ -185,15 +182,14 @@
 }
 
 void
-WorkerAgent::OnStop(base::FencingToken aToken,
+WorkerAgent::OnStop(const dispatch::OrderId& aOrder,
                     const ledger::WorkerIncarnation& aIncarnation,
                     const job::TaskRun& aRun)
 {
   State& self = *this->state;
-  if (aToken < self.token || !self.workerInfo) {
+  if (!self.AcceptOrder(aOrder, aRun) || !self.workerInfo) {
     return;
   }
-  self.token = aToken;
   if (self.workerInfo->life != aIncarnation) {
     if (aIncarnation.born < self.workerInfo->life.born) {
       self.coordinator.SendOutcome(aIncarnation, aRun, OrderOutcome::Absent);
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -227,9 +227,10 @@
       }
     }
   }
-  void Start()
+  /** Without a number, the order is that of an older coordinator. */
+  void Start(dispatch::OrderNumber aNumber = {})
   {
-    this->agent.OnStart(kToken, kIncarnation, kRun, "spec", "");
+    this->agent.OnStart({ kToken, aNumber }, kIncarnation, kRun, "spec", "");
     this->executor.RunDue();
   }
 
@@ -360,7 +361,7 @@
   Fixture fixture;
   fixture.agent.OnCoordinatorToken(base::FencingToken(4));
   fixture.Start();
-  fixture.agent.OnStop(kToken, kIncarnation, kRun);
+  fixture.agent.OnStop({ kToken, {} }, kIncarnation, kRun);
   fixture.Run(6s);
   CHECK(fixture.worker.starts == 0);
   CHECK(fixture.worker.stops == 0);
@@ -370,7 +371,7 @@
 TEST_CASE("stopping an unknown run is reported as absent")
 {
   Fixture fixture;
-  fixture.agent.OnStop(kToken, kIncarnation, kRun);
+  fixture.agent.OnStop({ kToken, {} }, kIncarnation, kRun);
   fixture.Run(1s);
   CHECK(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Absent });
 }
@@ -380,12 +381,117 @@
   Fixture fixture;
   fixture.Start();
   fixture.Run(500ms);
-  fixture.agent.OnStop(kToken, kIncarnation, kRun);
+  fixture.agent.OnStop({ kToken, {} }, kIncarnation, kRun);
   fixture.Run(1500ms);
   REQUIRE(fixture.coordinator.lastReport.ended.size() == 1);
   CHECK(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Started });
 }
 
+// Guards against a coordinator that takes a report from before its order for
+// one that the order preceded, and against one that waits for a lost order.
+TEST_CASE("a report carries the highest order received under the token")
+{
+  Fixture fixture;
+  const auto received = [&] {
+    fixture.Run(1s);
+    return fixture.coordinator.lastReport.receivedOrder;
+  };
+  CHECK(received() == dispatch::OrderNumber(0));
+  fixture.Start(dispatch::OrderNumber(4));
+  CHECK(received() == dispatch::OrderNumber(4));
+  fixture.agent.OnStop(
+    { kToken, dispatch::OrderNumber(7) }, kIncarnation, kRun);
+  CHECK(received() == dispatch::OrderNumber(7));
+  SUBCASE("an order without a number does not count")
+  {
+    fixture.agent.OnStop({ kToken, {} }, kIncarnation, kRun);
+    CHECK(received() == dispatch::OrderNumber(7));
+  }
+  SUBCASE("a refused order was received, too")
+  {
+    fixture.agent.OnStart({ kToken, dispatch::OrderNumber(9) },
+                          { kIncarnation.id, 1 },
+                          kRun,
+                          "spec",
+                          "");
+    CHECK(fixture.coordinator.outcomes.back() == OrderOutcome::Refused);
+    CHECK(received() == dispatch::OrderNumber(9));
+  }
+  SUBCASE("an order of a superseded coordinator does not count")
+  {
+    fixture.agent.OnStop(
+      { base::FencingToken(2), dispatch::OrderNumber(9) }, kIncarnation, kRun);
+    CHECK(received() == dispatch::OrderNumber(7));
+  }
+}
+
+// Guards against orders of a new coordinator that are ignored, or counted as
+// received, because of the numbers of its predecessor.
+TEST_CASE("orders are counted anew for each coordinator")
+{
+  Fixture fixture;
+  fixture.Start(dispatch::OrderNumber(40));
+  const base::FencingToken next(4);
+  SUBCASE("that the agent learns of before its first order")
+  {
+    fixture.agent.OnCoordinatorToken(next);
+    fixture.Run(1s);
+    CHECK(fixture.coordinator.lastReport.receivedOrder ==
+          dispatch::OrderNumber(0));
+  }
+  SUBCASE("that the agent learns of from its first order") {}
+  fixture.agent.OnStop({ next, dispatch::OrderNumber(1) }, kIncarnation, kRun);
+  fixture.Run(1s);
+  CHECK(fixture.coordinator.lastReport.receivedOrder ==
+        dispatch::OrderNumber(1));
+  CHECK(fixture.worker.stops == 1);
+}
+
+// Guards against a run that starts again after its end was reported, because
+// its order arrives a second time.
+TEST_CASE("an order that was already received is ignored")
+{
+  Fixture fixture;
+  fixture.Start(dispatch::OrderNumber(4));
+  fixture.worker.EndRun(kRun, EndKind::Done);
+  fixture.Run(2s);
+  fixture.Start(dispatch::OrderNumber(4));
+  CHECK(fixture.worker.starts == 1);
+  CHECK(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Started });
+  fixture.agent.OnStop(
+    { kToken, dispatch::OrderNumber(3) }, kIncarnation, kRun);
+  CHECK(fixture.worker.stops == 0);
+}
+
+// Guards against a second run when a start is sent again to an agent process
+// that replaced the one that had started the run.
+TEST_CASE("a restarted agent carries out a repeated start once")
+{
+  Fixture fixture;
+  fixture.Start(dispatch::OrderNumber(4));
+  FakeCoordinator coordinator;
+  WorkerAgent restarted({ .id = base::AgentId("vm") },
+                        fixture.clock,
+                        fixture.executor,
+                        fixture.worker,
+                        coordinator,
+                        fixture.logger);
+  fixture.agent.Stop();
+  restarted.Start();
+  restarted.OnRegistration(MakeWorker(), 2);
+  fixture.executor.Advance(1s);
+  CHECK(coordinator.lastReport.receivedOrder == dispatch::OrderNumber(0));
+  restarted.OnGrant(coordinator.lastSequence, kToken, 5s);
+  restarted.OnStart(
+    { kToken, dispatch::OrderNumber(5) }, kIncarnation, kRun, "spec", "");
+  fixture.executor.RunDue();
+  CHECK(coordinator.outcomes == Outcomes{ OrderOutcome::Started });
+  CHECK(fixture.worker.running.size() == 1);
+  fixture.executor.Advance(1s);
+  CHECK(coordinator.lastReport.receivedOrder == dispatch::OrderNumber(5));
+  CHECK(coordinator.lastReport.running.size() == 1);
+}
+
 // Guards against a report that omits running tasks, which the coordinator would
 // treat as gone.
 TEST_CASE("nothing is reported before the worker has listed its tasks")
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -220,11 +220,12 @@
                                                 start->incarnation,
                                                 start->run,
                                                 start->payload,
-                                                start->checkpoint });
+                                                start->checkpoint,
+                                                {} });
     } else if (const auto* stop = std::get_if<dispatch::StopTask>(&effect)) {
       this->sessions.Send(
         stop->agent,
-        protocol::AgentStop{ this->token, stop->incarnation, stop->run });
+        protocol::AgentStop{ this->token, stop->incarnation, stop->run, {} });
     } else if (const auto* ack =
                  std::get_if<dispatch::AcknowledgeEnds>(&effect)) {
       this->sessions.Send(ack->agent,
--- a/libs/dispatch/include/amaranthwind/dispatch/WorkerReport.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/WorkerReport.h
@@ -13,6 +13,22 @@
 
 namespace amaranthwind::dispatch {
 
+/**
+ * Numbers the orders of one coordinator's term in the order in which they are
+ * sent, from 1; 0 stands for no order, or for one without a number.
+ */
+using OrderNumber = base::StrongNumber<struct OrderNumberTag>;
+
+/** Identifies an order to an agent. */
+struct OrderId
+{
+  /** Fencing token of the coordinator that sent the order. */
+  base::FencingToken token;
+  OrderNumber number;
+
+  bool operator==(const OrderId&) const = default;
+};
+
 /** How a run ended. */
 enum class EndKind : std::uint8_t
 {
@@ -71,6 +87,11 @@
   std::optional<WorkerInfo> worker;
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  /**
+   * Highest number of an order that the agent had received from the current
+   * coordinator when it made the report. Empty if it does not count orders.
+   */
+  std::optional<OrderNumber> receivedOrder;
 
   bool operator==(const WorkerReport&) const = default;
 };
--- a/libs/protocol/include/amaranthwind/protocol/Messages.h
+++ b/libs/protocol/include/amaranthwind/protocol/Messages.h
@@ -245,6 +245,8 @@
   std::string payload;
   /** Progress to resume from; empty if there is none. */
   std::string checkpoint;
+  /** 0 from a coordinator that does not number its orders. */
+  dispatch::OrderNumber number;
   bool operator==(const AgentStart&) const = default;
 };
 
@@ -254,6 +256,8 @@
   base::FencingToken token;
   ledger::WorkerIncarnation life;
   job::TaskRun run;
+  /** 0 from a coordinator that does not number its orders. */
+  dispatch::OrderNumber number;
   bool operator==(const AgentStop&) const = default;
 };
 
--- a/libs/protocol/src/AgentDecoder.cpp
+++ b/libs/protocol/src/AgentDecoder.cpp
@@ -95,6 +95,10 @@
           Text(each->checkpoint()) });
     }
   }
+  if (aReport.received_order().has_value()) {
+    decoded.report.receivedOrder =
+      dispatch::OrderNumber(*aReport.received_order());
+  }
   return decoded;
 }
 
@@ -124,7 +128,8 @@
                      std::move(life),
                      std::move(run),
                      Text(aStart.payload()),
-                     Text(aStart.checkpoint()) };
+                     Text(aStart.checkpoint()),
+                     dispatch::OrderNumber(aStart.number()) };
 }
 
 Result<Message>
@@ -135,7 +140,8 @@
   BOOST_OUTCOME_TRY(auto run, ToRun(aStop.run(), "AgentStop.run"));
   return AgentStop{ base::FencingToken(aStop.token()),
                     std::move(life),
-                    std::move(run) };
+                    std::move(run),
+                    dispatch::OrderNumber(aStop.number()) };
 }
 
 Result<Message>
--- a/libs/protocol/src/AgentEncoder.cpp
+++ b/libs/protocol/src/AgentEncoder.cpp
@@ -71,6 +71,9 @@
     ended->checkpoint = each.checkpoint;
     report.ended.push_back(std::move(ended));
   }
+  if (aReport.report.receivedOrder) {
+    report.received_order = aReport.report.receivedOrder->Get();
+  }
   return wire::CreateAgentReport(this->builder, &report);
 }
 
@@ -102,6 +105,7 @@
   start.run = ToWire(aStart.run);
   start.payload = aStart.payload;
   start.checkpoint = aStart.checkpoint;
+  start.number = aStart.number.Get();
   return wire::CreateAgentStart(this->builder, &start);
 }
 
@@ -112,6 +116,7 @@
   stop.token = aStop.token.Get();
   stop.life = ToWire(aStop.life);
   stop.run = ToWire(aStop.run);
+  stop.number = aStop.number.Get();
   return wire::CreateAgentStop(this->builder, &stop);
 }
 
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -50,7 +50,8 @@
   return { base::AgentId("vm-1"),
            worker,
            { { kRun, "saved", 41 } },
-           { { 9, kRun, dispatch::EndKind::Broken, "last" } } };
+           { { 9, kRun, dispatch::EndKind::Broken, "last" } },
+           dispatch::OrderNumber(41) };
 }
 
 /** One message of each type, with all fields set. */
@@ -141,9 +142,16 @@
     AgentReport{ 5, base::FencingToken(3), MakeReport() },
     AgentGrant{ 5, base::FencingToken(3), milliseconds(5000) },
     AgentAck{ kWorkerIncarnation, 17 },
-    AgentStart{
-      base::FencingToken(3), kWorkerIncarnation, kRun, "spec", "saved" },
-    AgentStop{ base::FencingToken(3), kWorkerIncarnation, kRun },
+    AgentStart{ base::FencingToken(3),
+                kWorkerIncarnation,
+                kRun,
+                "spec",
+                "saved",
+                dispatch::OrderNumber(41) },
+    AgentStop{ base::FencingToken(3),
+               kWorkerIncarnation,
+               kRun,
+               dispatch::OrderNumber(42) },
     AgentOutcome{ kWorkerIncarnation, kRun, dispatch::OrderOutcome::Absent },
     LeaderNotice{ base::FencingToken(3), "127.0.0.1:7" },
   };
@@ -266,7 +274,7 @@
     { ForwardJob{}, ErrorCode::MissingField, "ForwardJob.path" },
     { AgentReport{}, ErrorCode::MissingField, "AgentReport.agent" },
     { AgentStart{}, ErrorCode::MissingField, "AgentStart.life" },
-    { AgentStop{ {}, kWorkerIncarnation, {} },
+    { AgentStop{ {}, kWorkerIncarnation, {}, {} },
       ErrorCode::MissingField,
       "AgentStop.run" },
     { AgentOutcome{
@@ -285,6 +293,22 @@
   }
 }
 
+// Guards against taking an agent that has received no order yet for an older
+// one that counts none.
+TEST_CASE("a report of no received order differs from one without the count")
+{
+  for (const std::optional<dispatch::OrderNumber> count :
+       { std::optional(dispatch::OrderNumber(0)),
+         std::optional<dispatch::OrderNumber>() }) {
+    AgentReport report{ 6, base::FencingToken(3), MakeReport() };
+    report.report.receivedOrder = count;
+    const auto decoded =
+      DecodeFrame(FrameBody(EncodeFrame({ {}, false, report })));
+    REQUIRE(decoded.has_value());
+    CHECK(std::get<AgentReport>(decoded.value().message) == report);
+  }
+}
+
 // Guards against a crash or a buffer overrun on input from a faulty peer.
 TEST_CASE("mutated and truncated frames decode or fail with a typed error")
 {
