Judge runs by which orders a report accounts for, not by its handling time

Callers saw running tasks stopped by the system ("missing from worker report") and left stopped while most of the workers had room.

Cause: a task in phase Ordered that a report did not list was stopped once 2.5 s had passed since its order was handed to the connection, on the clock of the coordinator at the time at which it handled the report. A report that the agent had sent before the order arrived, and that waited in the queue, stopped a healthy run. In the same way stops were repeated to agents that had not yet received the first one, and the resources of a gang member were released while it ran if its gang was already done.

Evidence: the test "a report that was sent before the start order arrived stops nothing" failed on the former code: DispatcherTest.cpp:283: ERROR: CHECK( harness.stops.empty() ) is NOT correct! values: CHECK( false )

Orders are numbered now, and a report states the highest number that the agent has received. A run that is not listed is missing only if its order was received. Messages of one connection arrive in order, so that an order above the count is either in transit, or was sent on an earlier connection and lost: then it is sent again, with the same run number, on the new one. The time of 2.5 s remains only for agents that send no count. Orders go only to the connection whose report the dispatcher handled last, because the count of received orders would otherwise skip lost ones, and messages of earlier connections are ignored.

A repeated start that is refused is followed by a stop before the task may be placed again: an earlier agent process may have passed the first start to the worker, which can still carry it out.

--- a/libs/coordinator/src/AgentSessions.cpp
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -179,7 +179,7 @@
 AgentSessions::Identify(ConnectionId aConnection, const base::AgentId& aAgent)
 {
   ConnectionId& current = this->agents[aAgent];
-  if (current != aConnection) {
+  if (current < aConnection) {
     this->logger.Info("agent connected", { { "agent", aAgent } });
     this->connections.erase(current);
     current = aConnection;
@@ -198,7 +198,7 @@
                std::get_if<protocol::AgentOutcome>(&aMessage)) {
     const auto found = this->connections.find(aConnection);
     if (found != this->connections.end()) {
-      this->observer.OnOutcome(found->second, *outcome);
+      this->observer.OnOutcome(aConnection, found->second, *outcome);
     }
   } else if (const auto* notice =
                std::get_if<protocol::LeaderNotice>(&aMessage)) {
--- a/libs/coordinator/src/AgentSessions.h
+++ b/libs/coordinator/src/AgentSessions.h
@@ -24,7 +24,8 @@
   virtual void OnReport(protocol::ConnectionId aConnection,
                         const protocol::AgentReport& aReport,
                         base::TimePoint aReceivedAt) = 0;
-  virtual void OnOutcome(const base::AgentId& aAgent,
+  virtual void OnOutcome(protocol::ConnectionId aConnection,
+                         const base::AgentId& aAgent,
                          const protocol::AgentOutcome& aOutcome) = 0;
   virtual void OnLeaderNotice(protocol::ConnectionId aConnection,
                               const protocol::LeaderNotice& aNotice) = 0;
@@ -90,7 +91,10 @@
    */
   static std::set<std::size_t> FindSuperseded(
     std::span<const Received> aReceived);
-  /** Messages to the agent go to this connection from now on. */
+  /**
+   * Messages to the agent go to this connection from now on, unless it has
+   * opened a later one.
+   */
   void Identify(protocol::ConnectionId aConnection,
                 const base::AgentId& aAgent);
   void HandleMessage(protocol::ConnectionId aConnection,
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -281,14 +281,15 @@
                           protocol::AgentGrant{ aReport.sequence,
                                                 election.OwnToken(),
                                                 this->options.grant });
-    this->runner->OnReport(aReport.report, aReceivedAt);
+    this->runner->OnReport(aConnection, aReport, aReceivedAt);
   }
 
-  void OnOutcome(const base::AgentId& aAgent,
+  void OnOutcome(ConnectionId aConnection,
+                 const base::AgentId& aAgent,
                  const protocol::AgentOutcome& aOutcome) override
   {
     if (this->runner != nullptr) {
-      this->runner->OnOutcome(aAgent, aOutcome);
+      this->runner->OnOutcome(aConnection, aAgent, aOutcome);
     }
   }
 
--- a/libs/coordinator/src/DecisionLog.cpp
+++ b/libs/coordinator/src/DecisionLog.cpp
@@ -74,6 +74,18 @@
                       { "waitedMs", ToMs(aWaited) } });
 }
 
+void
+DecisionLog::OnStartRepeated(const job::TaskRun& aRun,
+                             const base::AgentId& aAgent)
+{
+  this->logger.Info("repeating task start",
+                    { { "job", aRun.task.step.job },
+                      { "task", job::ToText(aRun.task) },
+                      { "run", aRun.run },
+                      { "agent", aAgent },
+                      { "inputAgeMs", ToMs(this->inputAge) } });
+}
+
 void
 DecisionLog::OnEnded(const job::TaskRun& aRun,
                      const base::AgentId& aAgent,
--- a/libs/coordinator/src/DecisionLog.h
+++ b/libs/coordinator/src/DecisionLog.h
@@ -18,6 +18,8 @@
   void OnPlaced(const job::TaskRun& aRun,
                 const base::AgentId& aAgent,
                 base::Duration aWaited) override;
+  void OnStartRepeated(const job::TaskRun& aRun,
+                       const base::AgentId& aAgent) override;
   void OnEnded(const job::TaskRun& aRun,
                const base::AgentId& aAgent,
                dispatch::EndKind aKind,
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -12,6 +12,19 @@
 /** Key of a term's first record, which fences off writers of earlier terms. */
 constexpr std::string_view kTermKey = "term";
 
+/** Each connection of an agent is one session; later ones have higher ids. */
+dispatch::SessionId
+SessionOf(protocol::ConnectionId aConnection) noexcept
+{
+  return dispatch::SessionId(aConnection.Get());
+}
+
+protocol::ConnectionId
+ConnectionOf(dispatch::SessionId aSession) noexcept
+{
+  return protocol::ConnectionId(aSession.Get());
+}
+
 } // namespace
 
 DispatchRunner::DispatchRunner(const CoordinatorOptions& aOptions,
@@ -109,27 +122,44 @@
 }
 
 void
-DispatchRunner::OnReport(const dispatch::WorkerReport& aReport,
+DispatchRunner::OnReport(protocol::ConnectionId aConnection,
+                         const protocol::AgentReport& aReport,
                          base::TimePoint aReceivedAt)
 {
-  if (this->dispatcher != nullptr) {
-    const LoadMonitor::Measurement measurement(this->load,
-                                               DecisionWork::Report);
-    this->decisions.SetInputAge(this->clock.Now() - aReceivedAt);
-    this->ExecuteEffects(this->dispatcher->OnReport(aReport, this->Now()));
-    this->decisions.SetInputAge({});
+  if (this->dispatcher == nullptr) {
+    return;
+  }
+  const LoadMonitor::Measurement measurement(this->load, DecisionWork::Report);
+  this->decisions.SetInputAge(this->clock.Now() - aReceivedAt);
+  const auto handle = [&](const dispatch::WorkerReport& aCounted) {
+    this->ExecuteEffects(this->dispatcher->OnReport(
+      aCounted, SessionOf(aConnection), this->Now()));
+  };
+  if (aReport.report.receivedOrder && aReport.token != this->token) {
+    // The agent counts the orders of a previous coordinator.
+    dispatch::WorkerReport counted = aReport.report;
+    counted.receivedOrder = dispatch::OrderNumber();
+    handle(counted);
+  } else {
+    handle(aReport.report);
   }
+  this->decisions.SetInputAge({});
 }
 
 void
-DispatchRunner::OnOutcome(const base::AgentId& aAgent,
+DispatchRunner::OnOutcome(protocol::ConnectionId aConnection,
+                          const base::AgentId& aAgent,
                           const protocol::AgentOutcome& aOutcome)
 {
   if (this->dispatcher != nullptr) {
     const LoadMonitor::Measurement measurement(this->load,
                                                DecisionWork::Outcome);
-    this->ExecuteEffects(this->dispatcher->OnOutcome(
-      aAgent, aOutcome.life, aOutcome.run, aOutcome.outcome, this->Now()));
+    this->ExecuteEffects(this->dispatcher->OnOutcome(aAgent,
+                                                     SessionOf(aConnection),
+                                                     aOutcome.life,
+                                                     aOutcome.run,
+                                                     aOutcome.outcome,
+                                                     this->Now()));
   }
 }
 
@@ -215,17 +245,18 @@
                           this->codec.EncodeStep(persist->record) });
       version = persist->version;
     } else if (const auto* start = std::get_if<dispatch::StartTask>(&effect)) {
-      this->sessions.Send(start->agent,
-                          protocol::AgentStart{ this->token,
-                                                start->incarnation,
-                                                start->run,
-                                                start->payload,
-                                                start->checkpoint,
-                                                {} });
+      this->sessions.SendTo(ConnectionOf(start->session),
+                            protocol::AgentStart{ this->token,
+                                                  start->incarnation,
+                                                  start->run,
+                                                  start->payload,
+                                                  start->checkpoint,
+                                                  start->number });
     } else if (const auto* stop = std::get_if<dispatch::StopTask>(&effect)) {
-      this->sessions.Send(
-        stop->agent,
-        protocol::AgentStop{ this->token, stop->incarnation, stop->run, {} });
+      this->sessions.SendTo(
+        ConnectionOf(stop->session),
+        protocol::AgentStop{
+          this->token, stop->incarnation, stop->run, stop->number });
     } else if (const auto* ack =
                  std::get_if<dispatch::AcknowledgeEnds>(&effect)) {
       this->sessions.Send(ack->agent,
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -49,9 +49,11 @@
 
   void OnJob(const ledger::JobEntry& aJob);
   void OnGuarantees(std::span<const dispatch::AccountGuarantee> aGuarantees);
-  void OnReport(const dispatch::WorkerReport& aReport,
+  void OnReport(protocol::ConnectionId aConnection,
+                const protocol::AgentReport& aReport,
                 base::TimePoint aReceivedAt);
-  void OnOutcome(const base::AgentId& aAgent,
+  void OnOutcome(protocol::ConnectionId aConnection,
+                 const base::AgentId& aAgent,
                  const protocol::AgentOutcome& aOutcome);
   void OnPredecessorSteppedDown();
   void OnTick();
--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -27,6 +27,8 @@
 constexpr Seconds kNetworkDelay = 2ms;
 constexpr Seconds kTickInterval = 500ms;
 constexpr Seconds kReportInterval = 1s;
+/** Agents never lose their connections. */
+constexpr SessionId kSession(1);
 constexpr std::array kSpeeds{ 0.8, 1.0, 1.25 };
 
 /** Codec for an empty job table, which has no records to decode. */
@@ -141,6 +143,7 @@
                 base::Duration) override
   {
   }
+  void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnEnded(const job::TaskRun&,
                const base::AgentId&,
                EndKind,
@@ -348,7 +351,7 @@
     for (const auto& [number, end] : worker.ended) {
       report.ended.push_back(end);
     }
-    this->Finish(this->dispatcher->OnReport(report, this->Now()));
+    this->Finish(this->dispatcher->OnReport(report, kSession, this->Now()));
   }
 
   /** Executes the effects of an event, then schedules and commits. */
@@ -396,6 +399,7 @@
     Run run{ agent, this->time, -1, worker.speed, false };
     worker.runs[aOrder.run] = run;
     this->Finish(this->dispatcher->OnOutcome(aOrder.agent,
+                                             kSession,
                                              aOrder.incarnation,
                                              aOrder.run,
                                              OrderOutcome::Started,
@@ -519,6 +523,7 @@
     const auto found = this->workers[agent].runs.find(aOrder.run);
     if (found == this->workers[agent].runs.end()) {
       this->Finish(this->dispatcher->OnOutcome(aOrder.agent,
+                                               kSession,
                                                aOrder.incarnation,
                                                aOrder.run,
                                                OrderOutcome::Absent,
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -30,9 +30,15 @@
    * grant from a previous coordinator.
    */
   base::Duration inheritedGrantDuration = std::chrono::milliseconds(15'400);
-  /** A start order without an outcome is revoked after this time. */
+  /**
+   * A start order to an agent that does not count its orders is revoked after
+   * this time without an outcome.
+   */
   base::Duration startTimeout = std::chrono::milliseconds(2500);
-  /** A stop order is repeated if the task has not ended after this time. */
+  /**
+   * A stop order that the agent has received is repeated if the task has not
+   * ended after this time.
+   */
   base::Duration stopRetryInterval = std::chrono::milliseconds(1500);
   /** Maximum time that a worker needs to stop a task. */
   base::Duration stopTime = std::chrono::milliseconds(900);
@@ -47,6 +53,14 @@
   base::WallTime wall;
 };
 
+/**
+ * Identifies a connection of an agent. A later connection of the same agent has
+ * a higher id. Messages of one session arrive in the order in which they were
+ * sent; an order that was sent in an earlier session and is not counted by the
+ * first report of a later one never arrives.
+ */
+using SessionId = base::StrongNumber<struct SessionTag>;
+
 /** Accelerators guaranteed to the most urgent jobs of an account. */
 struct AccountGuarantee
 {
@@ -64,10 +78,12 @@
   std::uint64_t version = 0;
 };
 
-/** Sends an order to start a run. */
+/** Sends an order to start a run, in the given session only. */
 struct StartTask
 {
   base::AgentId agent;
+  SessionId session;
+  OrderNumber number;
   ledger::WorkerIncarnation incarnation;
   job::TaskRun run;
   std::string payload;
@@ -75,10 +91,12 @@
   std::string checkpoint;
 };
 
-/** Sends an order to stop a run. */
+/** Sends an order to stop a run, in the given session only. */
 struct StopTask
 {
   base::AgentId agent;
+  SessionId session;
+  OrderNumber number;
   ledger::WorkerIncarnation incarnation;
   job::TaskRun run;
 };
@@ -110,6 +128,9 @@
   virtual void OnPlaced(const job::TaskRun& aRun,
                         const base::AgentId& aAgent,
                         base::Duration aWaited) = 0;
+  /** The start order was lost and is sent again. */
+  virtual void OnStartRepeated(const job::TaskRun& aRun,
+                               const base::AgentId& aAgent) = 0;
   virtual void OnEnded(const job::TaskRun& aRun,
                        const base::AgentId& aAgent,
                        EndKind aKind,
@@ -140,6 +161,10 @@
  *   the worker has expired.
  * - The worker's resources are released under the same conditions.
  *
+ * A report says nothing of an order that the agent had not received when it
+ * sent the report, however late the report is handled. An order that was lost
+ * with its session is sent again in the next one.
+ *
  * Owns no thread and reads no clock. Not thread-safe.
  */
 class Dispatcher
@@ -162,8 +187,12 @@
   Effects OnJob(const ledger::JobEntry& aJob, const ClockReading& aNow);
   Effects OnGuarantees(std::span<const AccountGuarantee> aGuarantees,
                        const ClockReading& aNow);
-  Effects OnReport(const WorkerReport& aReport, const ClockReading& aNow);
+  /** Reports and outcomes of an earlier session of the agent are ignored. */
+  Effects OnReport(const WorkerReport& aReport,
+                   SessionId aSession,
+                   const ClockReading& aNow);
   Effects OnOutcome(const base::AgentId& aAgent,
+                    SessionId aSession,
                     const ledger::WorkerIncarnation& aIncarnation,
                     const job::TaskRun& aRun,
                     OrderOutcome aOutcome,
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -47,6 +47,13 @@
   std::uint32_t preemptions = 0;
   /** Placed by a previous coordinator and not reported since. */
   bool isInherited = false;
+  /** Latest order for the current run. */
+  OrderNumber order;
+  /**
+   * The start order was sent again because it was lost with its session. An
+   * agent process that has ended since may have received it and passed it on.
+   */
+  bool isStartRepeated = false;
   /** Agent of the latest failed run; other workers are preferred. */
   base::AgentId failedOn;
 
@@ -81,9 +88,29 @@
   base::Duration criticalPath{};
 };
 
+/** What is known of an order to an agent when a report is handled. */
+enum class OrderFate : std::uint8_t
+{
+  InTransit, // May still arrive; the report says nothing of its effect.
+  Received,
+  Lost, // Will never arrive.
+};
+
+/** A stop order for a run that no task is on. */
+struct OrphanStop
+{
+  OrderNumber order;
+  base::TimePoint sentAt;
+};
+
 struct Worker
 {
   base::AgentId agent;
+  SessionId session;
+  /** Latest order that was sent before the session began. */
+  OrderNumber lastOrderBeforeSession;
+  /** As in the latest report. */
+  std::optional<OrderNumber> receivedOrder;
   std::optional<WorkerInfo> info;
   /** Without another report, tasks may run on the worker until this time. */
   base::TimePoint grantExpiresAt{};
@@ -93,8 +120,8 @@
   /** Failed runs since the last completed one. */
   std::uint32_t failureStreak = 0;
   base::TimePoint avoidUntil{};
-  /** When a stop order was last sent for each orphaned run. */
-  std::map<job::TaskRun, base::TimePoint> orphanStops;
+  /** Latest stop order for each orphaned run. */
+  std::map<job::TaskRun, OrphanStop> orphanStops;
 
   fleet::TaskResources Free() const noexcept
   {
@@ -254,7 +281,7 @@
   void FlushWrites();
 
   // Workers (WorkerState.cpp).
-  void HandleReport(const WorkerReport& aReport);
+  void HandleReport(const WorkerReport& aReport, SessionId aSession);
   void SetWorker(Worker& aWorker, const WorkerInfo& aInfo);
   /**
    * Adopts the tasks that a previous coordinator placed on the worker, and
@@ -264,6 +291,22 @@
   void HandleEnd(Worker& aWorker, const EndedTask& aEnd);
   void HandleRunning(Worker& aWorker, const RunningTask& aRunning);
   void Reconcile(Worker& aWorker, const WorkerReport& aReport);
+  /** Handles a run that the report does not list but its task is on. */
+  void HandleMissingRun(Worker& aWorker, const job::TaskRun& aRun, Task& aTask);
+  /** Whether the start of a run that ended early may not be listed yet. */
+  bool MayStillStart(const Worker& aWorker, const Task& aTask) const;
+  /**
+   * An agent that does not count its orders is assumed to have received them
+   * after the timeout.
+   */
+  OrderFate FateOf(const Worker& aWorker,
+                   OrderNumber aOrder,
+                   base::TimePoint aSentAt,
+                   base::Duration aTimeout) const;
+  /** Whether to repeat the stop order of a run that is still on the worker. */
+  bool MustRepeatStop(const Worker& aWorker,
+                      OrderNumber aOrder,
+                      base::TimePoint aSentAt) const;
   void StopOrphanedRun(Worker& aWorker, const job::TaskRun& aRun);
   void EndIncarnation(Worker& aWorker, std::string_view aReason);
   void ExpireSilentWorkers();
@@ -279,6 +322,10 @@
   bool ReleaseResources(Worker& aWorker, const job::TaskRun& aRun);
   void MarkLost(Step& aStep, std::uint32_t aIndex, std::string_view aReason);
   void RequestStop(Step& aStep, std::uint32_t aIndex, std::string_view aReason);
+  OrderNumber NextOrder();
+  SessionId SessionOf(const base::AgentId& aAgent) const;
+  void SendStart(Task& aTask, const job::TaskRun& aRun);
+  void SendStop(Task& aTask, const job::TaskRun& aRun);
   /** Stops the other members of a gang run after one has ended. */
   void StopGangMembers(Step& aStep,
                        std::uint32_t aRun,
@@ -356,6 +403,7 @@
   /** Placements that are not durable yet, with the version of their record. */
   std::deque<std::pair<std::uint64_t, job::TaskRun>> pendingPlacements;
   std::deque<std::pair<std::uint64_t, AcknowledgeEnds>> pendingAcks;
+  OrderNumber lastOrder;
 
   // State of the current scheduling pass.
   std::map<base::PoolId, Pool> pools;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -66,15 +66,18 @@
 }
 
 Effects
-Dispatcher::OnReport(const WorkerReport& aReport, const ClockReading& aNow)
+Dispatcher::OnReport(const WorkerReport& aReport,
+                     SessionId aSession,
+                     const ClockReading& aNow)
 {
   CallScope call(this->state->callTime, this->state->effects, aNow);
-  this->state->HandleReport(aReport);
+  this->state->HandleReport(aReport, aSession);
   return call.Finish();
 }
 
 Effects
 Dispatcher::OnOutcome(const base::AgentId& aAgent,
+                      SessionId aSession,
                       const ledger::WorkerIncarnation& aIncarnation,
                       const job::TaskRun& aRun,
                       OrderOutcome aOutcome,
@@ -82,7 +85,8 @@
 {
   CallScope call(this->state->callTime, this->state->effects, aNow);
   const auto found = this->state->workers.find(aAgent);
-  if (found != this->state->workers.end() && found->second.info &&
+  if (found != this->state->workers.end() &&
+      aSession >= found->second.session && found->second.info &&
       found->second.info->life == aIncarnation) {
     this->state->HandleOutcome(found->second, aRun, aOutcome);
   }
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -41,10 +41,18 @@
 } // namespace
 
 void
-Dispatcher::State::HandleReport(const WorkerReport& aReport)
+Dispatcher::State::HandleReport(const WorkerReport& aReport, SessionId aSession)
 {
   Worker& worker = this->workers[aReport.agent];
+  if (aSession < worker.session) {
+    return;
+  }
+  if (aSession > worker.session) {
+    worker.session = aSession;
+    worker.lastOrderBeforeSession = this->lastOrder;
+  }
   worker.agent = aReport.agent;
+  worker.receivedOrder = aReport.receivedOrder;
   worker.grantExpiresAt = this->callTime.now + this->options.maxGrantDuration;
   if (!aReport.worker) {
     if (worker.info) {
@@ -256,27 +264,23 @@
   if (this->FindJob(step.id.job)->hasEnded && task->phase == Phase::Running) {
     this->RequestStop(step, aRunning.run.task.index, "job has ended");
   } else if (task->phase == Phase::Stopping &&
-             this->callTime.now - task->phaseStartedAt >
-               this->options.stopRetryInterval) {
-    task->phaseStartedAt = this->callTime.now;
-    this->effects.emplace_back(
-      StopTask{ aWorker.agent, aWorker.info->life, aRunning.run });
+             this->MustRepeatStop(aWorker, task->order, task->phaseStartedAt)) {
+    this->SendStop(*task, aRunning.run);
   }
 }
 
 void
 Dispatcher::State::StopOrphanedRun(Worker& aWorker, const job::TaskRun& aRun)
 {
-  const auto [found, isNew] =
-    aWorker.orphanStops.try_emplace(aRun, this->callTime.now);
-  if (!isNew &&
-      this->callTime.now - found->second < this->options.stopRetryInterval) {
+  const auto [found, isNew] = aWorker.orphanStops.try_emplace(aRun);
+  OrphanStop& stop = found->second;
+  if (!isNew && !this->MustRepeatStop(aWorker, stop.order, stop.sentAt)) {
     return;
   }
-  found->second = this->callTime.now;
+  stop = { this->NextOrder(), this->callTime.now };
   this->observer.OnStopping(aRun, aWorker.agent, "orphaned run");
-  this->effects.emplace_back(
-    StopTask{ aWorker.agent, aWorker.info->life, aRun });
+  this->effects.emplace_back(StopTask{
+    aWorker.agent, aWorker.session, stop.order, aWorker.info->life, aRun });
 }
 
 void
@@ -291,27 +295,97 @@
   }
   for (const auto& run : missing) {
     Task* task = this->FindRun(run);
-    if (task == nullptr || !task->IsOnWorker() ||
-        task->incarnation != aWorker.info->life) {
+    if (task != nullptr && task->IsOnWorker() &&
+        task->incarnation == aWorker.info->life) {
+      this->HandleMissingRun(aWorker, run, *task);
+    } else if (task == nullptr || !this->MayStillStart(aWorker, *task)) {
       // Its end was already acknowledged, or it never ran.
       this->ReleaseResources(aWorker, run);
       aWorker.orphanStops.erase(run);
       this->mustSchedule = true;
-      continue;
     }
-    const base::Duration age = this->callTime.now - task->phaseStartedAt;
-    const bool isOverdue =
-      (task->phase == Phase::Ordered && age > this->options.startTimeout) ||
-      (task->phase == Phase::Stopping && age > this->options.stopRetryInterval);
+  }
+}
+
+void
+Dispatcher::State::HandleMissingRun(Worker& aWorker,
+                                    const job::TaskRun& aRun,
+                                    Task& aTask)
+{
+  bool isMissing = false;
+  if (aTask.phase == Phase::Ordered) {
+    const OrderFate fate = this->FateOf(
+      aWorker, aTask.order, aTask.phaseStartedAt, this->options.startTimeout);
     // The agent rejects orders of the previous coordinator, but one may still
     // be on its way to the worker until a stop rules that out.
-    const bool isInherited = task->isInherited && task->phase == Phase::Ordered;
-    if (task->phase == Phase::Running || isOverdue || isInherited) {
-      Step& step = *this->FindStep(run.task.step);
-      task->phase = Phase::Running;
-      this->RequestStop(step, run.task.index, "missing from worker report");
+    isMissing = aTask.isInherited || fate == OrderFate::Received;
+    if (!isMissing && fate == OrderFate::Lost) {
+      aTask.isStartRepeated = true;
+      this->observer.OnStartRepeated(aRun, aWorker.agent);
+      this->SendStart(aTask, aRun);
+    }
+  } else if (aTask.phase == Phase::Stopping) {
+    const OrderFate fate = this->FateOf(aWorker,
+                                        aTask.order,
+                                        aTask.phaseStartedAt,
+                                        this->options.stopRetryInterval);
+    isMissing = fate == OrderFate::Received;
+    if (fate == OrderFate::Lost) {
+      this->SendStop(aTask, aRun);
     }
+  } else {
+    // The message that confirmed the start was sent before this report.
+    isMissing = aTask.phase == Phase::Running;
   }
+  if (isMissing) {
+    aTask.phase = Phase::Running;
+    this->RequestStop(*this->FindStep(aRun.task.step),
+                      aRun.task.index,
+                      "missing from worker report");
+  }
+}
+
+bool
+Dispatcher::State::MayStillStart(const Worker& aWorker, const Task& aTask) const
+{
+  // A gang is done when one member has ended; another one may have started
+  // after its agent sent this report.
+  return aTask.phase == Phase::Done && aWorker.receivedOrder &&
+         this->FateOf(aWorker, aTask.order, {}, {}) == OrderFate::InTransit;
+}
+
+OrderFate
+Dispatcher::State::FateOf(const Worker& aWorker,
+                          OrderNumber aOrder,
+                          base::TimePoint aSentAt,
+                          base::Duration aTimeout) const
+{
+  if (!aWorker.receivedOrder) {
+    return this->callTime.now - aSentAt > aTimeout ? OrderFate::Received
+                                                   : OrderFate::InTransit;
+  }
+  if (aOrder <= *aWorker.receivedOrder) {
+    return OrderFate::Received;
+  }
+  return aOrder <= aWorker.lastOrderBeforeSession ? OrderFate::Lost
+                                                  : OrderFate::InTransit;
+}
+
+bool
+Dispatcher::State::MustRepeatStop(const Worker& aWorker,
+                                  OrderNumber aOrder,
+                                  base::TimePoint aSentAt) const
+{
+  switch (
+    this->FateOf(aWorker, aOrder, aSentAt, this->options.stopRetryInterval)) {
+    case OrderFate::InTransit:
+      return false;
+    case OrderFate::Received:
+      return this->callTime.now - aSentAt > this->options.stopRetryInterval;
+    case OrderFate::Lost:
+      return true;
+  }
+  return false;
 }
 
 void
@@ -382,6 +456,15 @@
     }
     return;
   }
+  if (aOutcome == OrderOutcome::Refused && isCurrent && task->isStartRepeated) {
+    // The agent refused the order that was sent last; the worker may still
+    // carry out the one before it until a stop rules that out.
+    this->DeferPlacement(aWorker);
+    this->RequestStop(*this->FindStep(aRun.task.step),
+                      aRun.task.index,
+                      "repeated start was refused");
+    return;
+  }
   this->ReleaseResources(aWorker, aRun);
   aWorker.orphanStops.erase(aRun);
   this->mustSchedule = true;
@@ -482,9 +565,49 @@
     return;
   }
   task.phase = Phase::Stopping;
-  task.phaseStartedAt = this->callTime.now;
   this->observer.OnStopping(run, task.agent, aReason);
-  this->effects.emplace_back(StopTask{ task.agent, task.incarnation, run });
+  this->SendStop(task, run);
+}
+
+OrderNumber
+Dispatcher::State::NextOrder()
+{
+  this->lastOrder = OrderNumber(this->lastOrder.Get() + 1);
+  return this->lastOrder;
+}
+
+SessionId
+Dispatcher::State::SessionOf(const base::AgentId& aAgent) const
+{
+  const auto found = this->workers.find(aAgent);
+  return found == this->workers.end() ? SessionId() : found->second.session;
+}
+
+void
+Dispatcher::State::SendStart(Task& aTask, const job::TaskRun& aRun)
+{
+  aTask.order = this->NextOrder();
+  aTask.phaseStartedAt = this->callTime.now;
+  this->effects.emplace_back(
+    StartTask{ aTask.agent,
+               this->SessionOf(aTask.agent),
+               aTask.order,
+               aTask.incarnation,
+               aRun,
+               this->FindJob(aRun.task.step.job)->spec->payload,
+               aTask.checkpoint });
+}
+
+void
+Dispatcher::State::SendStop(Task& aTask, const job::TaskRun& aRun)
+{
+  aTask.order = this->NextOrder();
+  aTask.phaseStartedAt = this->callTime.now;
+  this->effects.emplace_back(StopTask{ aTask.agent,
+                                       this->SessionOf(aTask.agent),
+                                       aTask.order,
+                                       aTask.incarnation,
+                                       aRun });
 }
 
 void
@@ -499,13 +622,8 @@
       continue;
     }
     task->phase = Phase::Ordered;
-    task->phaseStartedAt = this->callTime.now;
-    this->effects.emplace_back(
-      StartTask{ task->agent,
-                 task->incarnation,
-                 run,
-                 this->FindJob(run.task.step.job)->spec->payload,
-                 task->checkpoint });
+    task->isStartRepeated = false;
+    this->SendStart(*task, run);
   }
 }
 
--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -108,7 +108,9 @@
     *this,
     this->now);
   this->Finish(this->dispatcher->OnGuarantees(this->guarantees, this->now));
-  for (const auto& [name, agent] : this->agents) {
+  for (auto& [name, agent] : this->agents) {
+    this->Reconnect(name);
+    agent.receivedOrder = {}; // Orders are numbered anew.
     if (agent.isReporting) {
       this->Report(name);
     }
@@ -123,21 +125,10 @@
       this->writes.push_back(*persist);
     } else if (const auto* start = std::get_if<StartTask>(&effect)) {
       this->starts.push_back(*start);
-      Agent& agent = this->agents.at(start->agent.Text());
-      if (!agent.ignoresOrders) {
-        agent.running[start->run] = { start->run, {}, 0 };
-        this->Outcome(start->agent.Text(), start->run, OrderOutcome::Started);
-      }
+      this->SendOrder(start->agent, start->session, effect);
     } else if (const auto* stop = std::get_if<StopTask>(&effect)) {
-      Agent& agent = this->agents.at(stop->agent.Text());
-      if (agent.ignoresOrders) {
-        continue;
-      }
-      if (!agent.running.contains(stop->run)) {
-        this->Outcome(stop->agent.Text(), stop->run, OrderOutcome::Absent);
-      } else if (this->stopsImmediately) {
-        this->End(stop->run, EndKind::Stopped);
-      }
+      this->stopOrders.push_back(*stop);
+      this->SendOrder(stop->agent, stop->session, effect);
     } else if (const auto* ack = std::get_if<AcknowledgeEnds>(&effect)) {
       Agent& agent = this->agents.at(ack->agent.Text());
       agent.acknowledged = std::max(agent.acknowledged, ack->number);
@@ -152,6 +143,83 @@
   }
 }
 
+void
+DispatcherHarness::SendOrder(const base::AgentId& aAgent,
+                             SessionId aSession,
+                             const Effect& aOrder)
+{
+  Agent& agent = this->agents.at(aAgent.Text());
+  if (agent.ignoresOrders || aSession != agent.session) {
+    return;
+  }
+  agent.delayed.push_back(aOrder);
+  if (!agent.delaysOrders) {
+    this->DeliverOrders(aAgent.Text());
+  }
+}
+
+void
+DispatcherHarness::DeliverOrders(const std::string& aAgent)
+{
+  Agent& agent = this->agents.at(aAgent);
+  for (const auto& order : std::exchange(agent.delayed, {})) {
+    if (const auto* start = std::get_if<StartTask>(&order)) {
+      this->ExecuteStart(agent, *start);
+    } else {
+      this->ExecuteStop(agent, std::get<StopTask>(order));
+    }
+  }
+}
+
+void
+DispatcherHarness::ExecuteStart(Agent& aAgent, const StartTask& aStart)
+{
+  if (aStart.number <= aAgent.receivedOrder) {
+    return;
+  }
+  aAgent.receivedOrder = aStart.number;
+  if (!aAgent.refusesStarts) {
+    aAgent.running[aStart.run] = { aStart.run, {}, 0 };
+  }
+  if (!aAgent.losesOutcomes) {
+    this->Outcome(aStart.agent.Text(),
+                  aStart.run,
+                  aAgent.refusesStarts ? OrderOutcome::Refused
+                                       : OrderOutcome::Started);
+  }
+}
+
+void
+DispatcherHarness::ExecuteStop(Agent& aAgent, const StopTask& aStop)
+{
+  if (aStop.number <= aAgent.receivedOrder) {
+    return;
+  }
+  aAgent.receivedOrder = aStop.number;
+  if (aAgent.running.contains(aStop.run)) {
+    if (this->stopsImmediately) {
+      this->End(aStop.run, EndKind::Stopped);
+    }
+  } else if (!aAgent.losesOutcomes) {
+    this->Outcome(aStop.agent.Text(), aStop.run, OrderOutcome::Absent);
+  }
+}
+
+void
+DispatcherHarness::Reconnect(const std::string& aAgent)
+{
+  Agent& agent = this->agents.at(aAgent);
+  agent.session = SessionId(agent.session.Get() + 1);
+  agent.delayed.clear();
+}
+
+void
+DispatcherHarness::RestartAgent(const std::string& aAgent)
+{
+  this->Reconnect(aAgent);
+  this->agents.at(aAgent).receivedOrder = {};
+}
+
 void
 DispatcherHarness::Finish(const Effects& aEffects)
 {
@@ -182,6 +250,7 @@
                            OrderOutcome aOutcome)
 {
   this->Finish(this->dispatcher->OnOutcome(base::AgentId(aAgent),
+                                           this->agents.at(aAgent).session,
                                            this->agents.at(aAgent).info.life,
                                            aRun,
                                            aOutcome,
@@ -190,6 +259,18 @@
 
 void
 DispatcherHarness::Report(const std::string& aAgent)
+{
+  this->Handle(this->MakeReport(aAgent), this->agents.at(aAgent).session);
+}
+
+void
+DispatcherHarness::Handle(const WorkerReport& aReport, SessionId aSession)
+{
+  this->Finish(this->dispatcher->OnReport(aReport, aSession, this->now));
+}
+
+WorkerReport
+DispatcherHarness::MakeReport(const std::string& aAgent) const
 {
   const Agent& agent = this->agents.at(aAgent);
   WorkerReport report;
@@ -201,7 +282,10 @@
   for (const auto& [number, end] : agent.ended) {
     report.ended.push_back(end);
   }
-  this->Finish(this->dispatcher->OnReport(report, this->now));
+  if (agent.countsOrders) {
+    report.receivedOrder = agent.receivedOrder;
+  }
+  return report;
 }
 
 void
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -78,6 +78,14 @@
   void Run(base::Duration aTime);
   void Tick();
   void Report(const std::string& aAgent);
+  WorkerReport MakeReport(const std::string& aAgent) const;
+  void Handle(const WorkerReport& aReport, SessionId aSession);
+  /** Delivers the orders that the agent's connection has delayed. */
+  void DeliverOrders(const std::string& aAgent);
+  /** The agent connects again; orders that were not delivered are lost. */
+  void Reconnect(const std::string& aAgent);
+  /** Also restarts the agent, which forgets the orders that it received. */
+  void RestartAgent(const std::string& aAgent);
   /** Ends the run on its worker; the next Report() contains the end. */
   void End(const job::TaskRun& aRun, EndKind aKind);
   /** Ends all running runs of the job and reports. */
@@ -101,6 +109,7 @@
                 base::Duration) override
   {
   }
+  void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnEnded(const job::TaskRun&,
                const base::AgentId&,
                EndKind,
@@ -130,11 +139,23 @@
     bool isReporting = true;
     /** Orders are dropped. */
     bool ignoresOrders = false;
+    /** Orders wait for DeliverOrders(). */
+    bool delaysOrders = false;
+    /** Starts are refused. */
+    bool refusesStarts = false;
+    /** Outcomes of orders do not reach the dispatcher. */
+    bool losesOutcomes = false;
+    /** Older agents do not count their orders. */
+    bool countsOrders = true;
+    OrderNumber receivedOrder;
+    SessionId session{ 1 };
+    std::vector<Effect> delayed;
   };
 
   std::map<std::string, Agent> agents;
   std::map<job::StepId, ledger::StepRecord> durable;
   std::vector<StartTask> starts;
+  std::vector<StopTask> stopOrders;
   std::vector<std::string> stops;
   std::vector<ForgetJob> forgotten;
   int lost = 0;
@@ -153,6 +174,11 @@
   /** Executes the effects of an event, then schedules and commits. */
   void Finish(const Effects& aEffects);
   void ExecuteEffects(const Effects& aEffects);
+  void SendOrder(const base::AgentId& aAgent,
+                 SessionId aSession,
+                 const Effect& aOrder);
+  void ExecuteStart(Agent& aAgent, const StartTask& aStart);
+  void ExecuteStop(Agent& aAgent, const StopTask& aStop);
   ledger::JobEntry EntryOf(const std::string& aJob) const;
 
   FakeRecordCodec codec;
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -257,9 +257,10 @@
 
 // Guards against a task that stays placed forever because its agent never
 // received the order.
-TEST_CASE("a start order without an outcome is revoked")
+TEST_CASE("a start order without an outcome is revoked on an older agent")
 {
   DispatcherHarness harness(1);
+  harness.agents.at("vm-0").countsOrders = false;
   harness.agents.at("vm-0").ignoresOrders = true;
   harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
   harness.Run(1s);
@@ -270,6 +271,316 @@
   CHECK(harness.Running("j").size() == 1);
 }
 
+// Guards against stopping a healthy run because a report that its agent sent
+// before the start order arrived waits in the queue for seconds.
+TEST_CASE("a report that was sent before the start order arrived stops nothing")
+{
+  DispatcherHarness harness(1);
+  harness.agents.at("vm-0").delaysOrders = true;
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  REQUIRE(harness.starts.size() == 1);
+  harness.now.now += 3s;
+  harness.Report("vm-0");
+  CHECK(harness.stops.empty());
+  harness.DeliverOrders("vm-0");
+  harness.Run(3s);
+  CHECK(harness.stops.empty());
+  CHECK(harness.starts.size() == 1);
+  CHECK(harness.Running("j").size() == 1);
+}
+
+// Guards against ever more stop orders to an agent whose messages are late.
+TEST_CASE("a stop order is repeated only after the agent has received it")
+{
+  DispatcherHarness harness(1);
+  harness.stopsImmediately = false;
+  auto& agent = harness.agents.at("vm-0");
+  SUBCASE("for a task that is no longer wanted")
+  {
+    const auto job = DispatcherHarness::MakeJob("j", 1, 1);
+    harness.Submit(job);
+    agent.delaysOrders = true;
+    harness.Cancel(job);
+  }
+  SUBCASE("for an orphaned run")
+  {
+    const job::TaskRun stray{ { { base::JobId("gone"), 0, 0 }, 0 }, 1 };
+    agent.running[stray] = { stray, {}, 0 };
+    agent.delaysOrders = true;
+    harness.Report("vm-0");
+  }
+  REQUIRE(harness.stopOrders.size() == 1);
+  harness.Run(5s);
+  CHECK(harness.stopOrders.size() == 1);
+  harness.DeliverOrders("vm-0");
+  harness.Run(harness.options.stopRetryInterval + 500ms);
+  CHECK(harness.stopOrders.size() == 2);
+}
+
+// Guards against a task that stays placed forever because its order was queued
+// on a connection that closed.
+TEST_CASE("a start order that was lost with its session is sent again")
+{
+  DispatcherHarness harness(1);
+  auto& agent = harness.agents.at("vm-0");
+  SUBCASE("sent on the closed connection")
+  {
+    agent.delaysOrders = true;
+    harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+    SUBCASE("the agent connects again")
+    {
+      harness.Reconnect("vm-0");
+    }
+    SUBCASE("the agent is another process")
+    {
+      harness.RestartAgent("vm-0");
+    }
+    agent.delaysOrders = false;
+  }
+  SUBCASE("sent before the first report of the new session")
+  {
+    harness.Reconnect("vm-0");
+    harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  }
+  REQUIRE(harness.starts.size() == 1);
+  CHECK(harness.Running("j").empty());
+  harness.Run(3s);
+  REQUIRE(harness.starts.size() == 2);
+  CHECK(harness.starts[1].run == harness.starts[0].run);
+  CHECK(harness.starts[1].number > harness.starts[0].number);
+  CHECK(harness.Running("j").size() == 1);
+  CHECK(harness.stops.empty());
+}
+
+// Guards against a task that is being stopped forever, and against resources
+// that are released although the run goes on.
+TEST_CASE("a stop order that was lost with its session is sent again")
+{
+  DispatcherHarness harness(1);
+  harness.stopsImmediately = false;
+  auto& agent = harness.agents.at("vm-0");
+  const auto job = DispatcherHarness::MakeJob("j", 1, 8);
+  bool isRunning = true;
+  SUBCASE("before the agent received it")
+  {
+    harness.Submit(job);
+    agent.delaysOrders = true;
+    harness.Cancel(job);
+    harness.Reconnect("vm-0");
+  }
+  SUBCASE("after the agent received it, and the agent restarted")
+  {
+    harness.Submit(job);
+    harness.Cancel(job);
+    harness.RestartAgent("vm-0");
+  }
+  SUBCASE("together with the start order")
+  {
+    agent.delaysOrders = true;
+    harness.Submit(job);
+    harness.Cancel(job);
+    harness.Reconnect("vm-0");
+    isRunning = false;
+  }
+  agent.delaysOrders = false;
+  harness.Submit(DispatcherHarness::MakeJob("next", 1, 8));
+  REQUIRE(harness.stopOrders.size() == 1);
+  harness.Report("vm-0");
+  CHECK(harness.stopOrders.size() == 2);
+  harness.Report("vm-0");
+  CHECK(harness.stopOrders.size() == 2);
+  CHECK(harness.Running("j").size() == (isRunning ? 1 : 0));
+  CHECK(harness.Running("next").size() == (isRunning ? 0 : 1));
+  harness.EndAll("j", EndKind::Stopped);
+  CHECK(harness.Running("next").size() == 1);
+  CHECK(harness.Phase("j") == JobPhase::Cancelled);
+}
+
+// Guards against a stop of each task whose agent restarts.
+TEST_CASE("tasks keep running when their agent restarts")
+{
+  DispatcherHarness harness(1);
+  harness.Submit(DispatcherHarness::MakeJob("j", 3, 1));
+  SUBCASE("and their starts were confirmed") {}
+  SUBCASE("and their starts were not confirmed")
+  {
+    harness.agents.at("vm-0").losesOutcomes = true;
+    harness.Submit(DispatcherHarness::MakeJob("k", 1, 1));
+    harness.agents.at("vm-0").losesOutcomes = false;
+  }
+  const auto sent = harness.starts.size();
+  harness.RestartAgent("vm-0");
+  harness.Run(4s);
+  CHECK(harness.starts.size() == sent);
+  CHECK(harness.stops.empty());
+}
+
+// Guards against two concurrent runs: an agent process passes the start on to
+// the worker and ends, the next one refuses the repeated order, and then the
+// worker carries out the first one.
+TEST_CASE("a refused repetition of a start is ruled out before a new run")
+{
+  DispatcherHarness harness(2);
+  auto& agent = harness.agents.at("vm-0");
+  harness.agents.at("vm-1").info.isDraining = true;
+  harness.Report("vm-1");
+  agent.ignoresOrders = true;
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 8));
+  REQUIRE(harness.starts.size() == 1);
+  const job::TaskRun first = harness.starts[0].run;
+  harness.RestartAgent("vm-0");
+  agent.ignoresOrders = false;
+  agent.refusesStarts = true;
+  harness.agents.at("vm-1").info.isDraining = false;
+  harness.Report("vm-1");
+  harness.stopsImmediately = false;
+  SUBCASE("the first order takes effect")
+  {
+    agent.delaysOrders = true;
+    harness.Report("vm-0");
+    REQUIRE(harness.starts.size() == 2);
+    agent.running[first] = { first, {}, 0 };
+    harness.DeliverOrders("vm-0");
+    harness.DeliverOrders("vm-0");
+    agent.delaysOrders = false;
+    agent.refusesStarts = false;
+    harness.Run(1s);
+    CHECK(harness.starts.size() == 2);
+    harness.EndAll("j", EndKind::Stopped);
+  }
+  SUBCASE("the first order takes no effect")
+  {
+    harness.Report("vm-0");
+  }
+  CHECK(harness.starts[1].run == first);
+  REQUIRE(harness.starts.size() == 3);
+  CHECK(harness.starts[2].run == job::TaskRun{ first.task, 2 });
+  CHECK(harness.Running("j").size() == 1);
+}
+
+// Guards against a task that stays placed forever because the refusal of its
+// start was queued on a connection that closed.
+TEST_CASE("a start whose refusal was lost is revoked")
+{
+  DispatcherHarness harness(1);
+  auto& agent = harness.agents.at("vm-0");
+  agent.refusesStarts = true;
+  agent.losesOutcomes = true;
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  REQUIRE(harness.starts.size() == 1);
+  harness.Reconnect("vm-0");
+  agent.refusesStarts = false;
+  agent.losesOutcomes = false;
+  harness.Run(1s);
+  REQUIRE(harness.starts.size() == 2);
+  CHECK(harness.starts[1].run.run == 2);
+  CHECK(harness.Running("j").size() == 1);
+}
+
+// Guards against a task that is being stopped forever because the answer was
+// lost.
+TEST_CASE("a stop whose outcome was lost is repeated")
+{
+  DispatcherHarness harness(1);
+  auto& agent = harness.agents.at("vm-0");
+  agent.ignoresOrders = true;
+  const auto job = DispatcherHarness::MakeJob("j", 1, 1);
+  harness.Submit(job);
+  agent.ignoresOrders = false;
+  agent.losesOutcomes = true;
+  harness.Cancel(job);
+  harness.Reconnect("vm-0");
+  agent.losesOutcomes = false;
+  harness.Report("vm-0");
+  CHECK(harness.stopOrders.size() == 2);
+  CHECK(harness.Phase("j") == JobPhase::Cancelled);
+}
+
+// Guards against a stop of a healthy run because a report of a closed
+// connection is handled after those of the next one.
+TEST_CASE("reports of an earlier session are ignored")
+{
+  DispatcherHarness harness(1);
+  const auto early = harness.MakeReport("vm-0");
+  const auto session = harness.agents.at("vm-0").session;
+  harness.Reconnect("vm-0");
+  harness.Report("vm-0");
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  harness.Run(500ms);
+  harness.Handle(early, session);
+  CHECK(harness.stops.empty());
+  CHECK(harness.Running("j").size() == 1);
+}
+
+// Guards against taking the orders of a previous coordinator for those of the
+// new one, which are numbered anew.
+TEST_CASE("a new coordinator repeats its lost orders")
+{
+  DispatcherHarness harness(1);
+  harness.Submit(DispatcherHarness::MakeJob("a", 5, 1));
+  harness.TakeOver();
+  auto& agent = harness.agents.at("vm-0");
+  agent.delaysOrders = true;
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  REQUIRE(harness.starts.size() == 6);
+  CHECK(harness.starts[5].number == OrderNumber(1));
+  harness.Run(3s);
+  CHECK(harness.stops.empty());
+  harness.Reconnect("vm-0");
+  agent.delaysOrders = false;
+  harness.Run(500ms);
+  REQUIRE(harness.starts.size() == 7);
+  CHECK(harness.starts[6].run == harness.starts[5].run);
+  CHECK(harness.Running("j").size() == 1);
+}
+
+// Guards against running the task of a lost order on a worker that replaced the
+// one that the order names.
+TEST_CASE("a lost order is not repeated after the worker was replaced")
+{
+  DispatcherHarness harness(1);
+  auto& agent = harness.agents.at("vm-0");
+  agent.delaysOrders = true;
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  harness.Restart("vm-0");
+  harness.RestartAgent("vm-0");
+  agent.delaysOrders = false;
+  harness.Report("vm-0");
+  REQUIRE(harness.starts.size() == 2);
+  CHECK(harness.starts[1].run.run == 2);
+  CHECK(harness.starts[1].incarnation == agent.info.life);
+  CHECK(harness.Running("j").size() == 1);
+}
+
+// Guards against overcommitting a worker: one member's end completes its gang
+// while another member's report is from before its start.
+TEST_CASE("a gang member holds its resources until a report covers its start")
+{
+  DispatcherHarness harness(2);
+  for (auto& [name, agent] : harness.agents) {
+    agent.losesOutcomes = true;
+  }
+  harness.Submit(MakeGang("g", 2, 8));
+  REQUIRE(harness.Running("g").size() == 2);
+  const auto run = harness.Running("g").at(0);
+  const std::string other = harness.AgentOf(harness.Running("g").at(1));
+  const std::string agent = harness.AgentOf(run);
+  WorkerReport early = harness.MakeReport(other);
+  early.running.clear();
+  early.receivedOrder = OrderNumber(0);
+  harness.End(run, EndKind::Done);
+  harness.Report(agent);
+  REQUIRE(harness.Phase("g") == JobPhase::Completed);
+  harness.agents.at(agent).info.isDraining = true;
+  harness.Report(agent);
+  harness.agents.at(other).losesOutcomes = false;
+  harness.Handle(early, harness.agents.at(other).session);
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 8));
+  CHECK(harness.Running("j").empty());
+  harness.EndAll("g", EndKind::Broken);
+  CHECK(harness.Running("j").size() == 1);
+}
+
 // Guards against late starts that are never stopped and use resources that the
 // dispatcher considers free.
 TEST_CASE("an orphaned run uses resources until it has ended")
@@ -414,6 +725,13 @@
 TEST_CASE("an unconfirmed placement is ruled out before a new one")
 {
   DispatcherHarness harness;
+  SUBCASE("on an agent that counts its orders") {}
+  SUBCASE("on an older agent")
+  {
+    for (auto& [name, agent] : harness.agents) {
+      agent.countsOrders = false;
+    }
+  }
   harness.agents.at("vm-0").ignoresOrders = true;
   harness.agents.at("vm-1").ignoresOrders = true;
   harness.agents.at("vm-2").ignoresOrders = true;
