Test that lost connections cost no run

The simulated cell closes all connections at random times while jobs are submitted; messages that have not arrived are lost. Each task must start under its first run number, run once at a time and not be interrupted.

--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -305,6 +305,11 @@
 
   void Stop() override { this->network.listeners.erase(this->address); }
 
+  void OnClosed(ConnectionId aConnection, const base::Error& aReason)
+  {
+    this->handler.OnClosed(aConnection, aReason);
+  }
+
 private:
   SimulatedNetwork& network;
   protocol::MessageHandler& handler;
@@ -326,6 +331,15 @@
   };
 }
 
+void
+SimulatedNetwork::CloseAll()
+{
+  const base::Error reason{ base::ErrorCode::ConnectionClosed, {} };
+  for (const auto& [end, peer] : std::exchange(this->peers, {})) {
+    end.first->OnClosed(end.second, reason);
+  }
+}
+
 // Worker.
 
 SimulatedWorker::SimulatedWorker(SimulatedTime& aTime, base::Duration aTaskTime)
@@ -351,6 +365,7 @@
                        dispatch::RunningTask{ aRequest.run, {}, 0 })
           .second;
       if (isNew) {
+        this->highestRun = std::max(this->highestRun, aRequest.run.run);
         this->time.Schedule(this->taskTime, [this, run = aRequest.run] {
           this->End(run, EndKind::Done);
         });
@@ -589,6 +604,26 @@
   return completed;
 }
 
+void
+SimulatedCell::CloseConnections(base::Duration aDelay)
+{
+  this->time.Schedule(aDelay, [this] { this->network.CloseAll(); });
+}
+
+bool
+SimulatedCell::HasConcurrentRuns() const
+{
+  std::set<job::TaskId> tasks;
+  for (const auto& agent : this->agents) {
+    for (const auto& [run, task] : agent->worker.running) {
+      if (!tasks.insert(run.task).second) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 int
 SimulatedCell::Interrupted() const
 {
@@ -599,6 +634,16 @@
   return interrupted;
 }
 
+std::uint32_t
+SimulatedCell::HighestRun() const
+{
+  std::uint32_t highest = 0;
+  for (const auto& agent : this->agents) {
+    highest = std::max(highest, agent->worker.highestRun);
+  }
+  return highest;
+}
+
 std::size_t
 SimulatedCell::StepRecords()
 {
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -76,6 +76,8 @@
 public:
   SimulatedNetwork(SimulatedTime& aTime, base::Duration aCostPerMessage);
   protocol::MessagePortFactory MakePorts();
+  /** Closes all connections; messages that have not arrived are lost. */
+  void CloseAll();
 
 private:
   class Port;
@@ -108,6 +110,7 @@
   std::map<job::TaskRun, dispatch::RunningTask> running;
   int stopped = 0;
   int lapsed = 0;
+  std::uint32_t highestRun = 0;
 
 private:
   struct ParkedHold
@@ -155,11 +158,17 @@
 
   void Submit(const job::WorkflowSpec& aSpec);
   void Run(base::Duration aTime);
+  /** Closes all connections of entries and agents after the delay. */
+  void CloseConnections(base::Duration aDelay);
   std::size_t Completed() const;
+  /** Whether two runs of one task are on workers now. */
+  bool HasConcurrentRuns() const;
   /** Runs that were stopped, or ended because their lease expired. */
   int Interrupted() const;
   /** Records of steps that were written. */
   std::size_t StepRecords();
+  /** Highest run number of a task that has started. */
+  std::uint32_t HighestRun() const;
   /** Fencing token of the newest leader, which counts the elections. */
   std::size_t Elections();
 
--- a/libs/coordinator/tests/SlowCoordinatorTest.cpp
+++ b/libs/coordinator/tests/SlowCoordinatorTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
+
 using namespace amaranthwind;
 using namespace amaranthwind::coordinator;
 using namespace std::chrono_literals;
@@ -85,3 +87,28 @@
   // One for the placements, and two or three while the tasks end.
   CHECK(cell.StepRecords() <= 5);
 }
+
+// Guards against runs that are revoked, or repeated under another number,
+// because their orders or the outcomes of these are lost with a connection.
+TEST_CASE("each task runs once although connections are lost")
+{
+  constexpr std::uint64_t kSeed = 18;
+  std::mt19937_64 random(kSeed);
+  SimulatedCell::Options options;
+  options.costs = { .perTask = 100us,
+                    .perPackedWorker = 40us,
+                    .perSentMessage = 200us,
+                    .perRecordTask = 30us };
+  SimulatedCell cell(options);
+  cell.Run(6s);
+  for (std::uint32_t i = 0; i < kJobs; ++i) {
+    cell.Submit(MakeWideJob(i));
+    cell.CloseConnections(random() % 600 * 1ms);
+    cell.Run(600ms);
+    CHECK_FALSE(cell.HasConcurrentRuns());
+  }
+  cell.Run(60s);
+  CHECK(cell.Completed() == kJobs);
+  CHECK(cell.Interrupted() == 0);
+  CHECK(cell.HighestRun() == 1);
+}
