Limit the size of one append of the coordinator

What callers would see: after an outage of the store with a large backlog, or on a slow link, the coordinator leads and reports its work, but no job makes progress.

Cause: FencedWriter put all records that arrived while an append was under way into the next one, without a limit. The store refuses a call above its 'request-bytes' (2 MB), and an append that does not pass the link within 0.7 s counts as lost; either is retried as it is, without end, and the backlog grows behind it.

Evidence: the new test 'a backlog larger than the limit of one append is written in parts' failed before with CHECK( done == kWrites ), values: CHECK( 1 == 30 ).

The writer keeps single writes queued and takes as many as fit into 256 KiB for one append, in order; a write is not divided. A write that is larger than the store's limit by itself is still retried without end.

--- a/libs/journal/include/amaranthwind/journal/FencedWriter.h
+++ b/libs/journal/include/amaranthwind/journal/FencedWriter.h
@@ -25,8 +25,9 @@
 /**
  * Writes the records of the single coordinator of a topic. Appends are issued
  * one at a time and in order; records that arrive meanwhile are batched into
- * the next one. An append whose response was lost is retried with the same
- * sequence number, so that it takes effect once. Must be used on one executor.
+ * the next ones, each of limited size. An append whose response was lost is
+ * retried with the same sequence number, so that it takes effect once. Must be
+ * used on one executor.
  */
 class FencedWriter
 {
--- a/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
+++ b/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
@@ -2,6 +2,7 @@
 
 #include "amaranthwind/journal/KeyedLog.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -21,6 +22,8 @@
   bool isDown = false;
   /** Appends take effect but fail with AppendUnconfirmed. */
   bool losesAnswers = false;
+  /** Larger appends are refused with TooLarge. */
+  std::size_t maxAppendBytes = SIZE_MAX;
   /** Number of records per page of ReadNewest(). */
   std::size_t pageSize = 500;
   int appends = 0;
@@ -75,6 +78,14 @@
       aHandler(base::Fail(base::ErrorCode::LogUnavailable));
       return;
     }
+    std::size_t bytes = 0;
+    for (const auto& record : aRecords) {
+      bytes += record.key.size() + record.value.size();
+    }
+    if (bytes > this->maxAppendBytes) {
+      aHandler(base::Fail(base::ErrorCode::TooLarge));
+      return;
+    }
     const auto result = this->AppendNow(aTopic, aRecords, aConditions);
     if (this->losesAnswers) {
       aHandler(base::Fail(base::ErrorCode::AppendUnconfirmed));
--- a/libs/journal/src/FencedWriter.cpp
+++ b/libs/journal/src/FencedWriter.cpp
@@ -1,6 +1,8 @@
 #include "amaranthwind/journal/FencedWriter.h"
 
+#include <deque>
 #include <iterator>
+#include <span>
 #include <utility>
 
 namespace amaranthwind::journal {
@@ -9,6 +11,17 @@
 using base::LogOffset;
 using base::Result;
 
+namespace {
+
+/**
+ * Limit of the keys and values in one append, unless a single write is larger.
+ * An append of unlimited size may be refused or may not fit through the link
+ * within the time limit, and is then retried without end.
+ */
+constexpr std::size_t kMaxAppendBytes = 256UL * 1024;
+
+} // namespace
+
 struct FencedWriter::State : std::enable_shared_from_this<State>
 {
   State(FencedWriterOptions aOptions,
@@ -23,6 +36,12 @@
   {
   }
 
+  struct QueuedWrite
+  {
+    std::vector<KeyedValue> records;
+    std::size_t bytes = 0;
+    std::function<void()> callback;
+  };
   struct Batch
   {
     std::vector<KeyedValue> records;
@@ -31,21 +50,40 @@
 
   void Enqueue(std::vector<KeyedValue> aRecords, std::function<void()> aDone)
   {
-    std::move(aRecords.begin(),
-              aRecords.end(),
-              std::back_inserter(this->queued.records));
-    this->queued.callbacks.push_back(std::move(aDone));
+    const std::size_t bytes = SizeOf(aRecords);
+    this->queuedRecords += aRecords.size();
+    this->queue.push_back({ std::move(aRecords), bytes, std::move(aDone) });
     if (!this->isSending) {
       this->SendNext();
     }
   }
 
+  static std::size_t SizeOf(std::span<const KeyedValue> aRecords)
+  {
+    std::size_t bytes = 0;
+    for (const auto& record : aRecords) {
+      bytes += record.key.size() + record.value.size();
+    }
+    return bytes;
+  }
+
   void SendNext()
   {
-    if (this->queued.callbacks.empty()) {
+    if (this->queue.empty()) {
       return;
     }
-    this->inFlight = std::exchange(this->queued, {});
+    std::size_t bytes = 0;
+    do {
+      QueuedWrite write = std::move(this->queue.front());
+      this->queue.pop_front();
+      bytes += write.bytes;
+      this->queuedRecords -= write.records.size();
+      std::move(write.records.begin(),
+                write.records.end(),
+                std::back_inserter(this->inFlight.records));
+      this->inFlight.callbacks.push_back(std::move(write.callback));
+    } while (!this->queue.empty() &&
+             bytes + this->queue.front().bytes <= kMaxAppendBytes);
     this->isSending = true;
     ++this->sequence;
     this->Send();
@@ -109,7 +147,8 @@
   KeyedLog& log;
   const std::function<void()> onFenced;
   base::Backoff backoff;
-  Batch queued;
+  std::deque<QueuedWrite> queue;
+  std::size_t queuedRecords = 0;
   Batch inFlight;
   bool isSending = false;
   bool isFenced = false;
@@ -139,8 +178,7 @@
 std::size_t
 FencedWriter::Pending() const noexcept
 {
-  return this->state->queued.records.size() +
-         this->state->inFlight.records.size();
+  return this->state->queuedRecords + this->state->inFlight.records.size();
 }
 
 } // namespace amaranthwind::journal
--- a/libs/journal/tests/FencedWriterTest.cpp
+++ b/libs/journal/tests/FencedWriterTest.cpp
@@ -86,6 +86,34 @@
   CHECK(fixture.log.appends == attempts + 2);
 }
 
+// Guards against an append that grows during an outage until the log refuses
+// it, whose records are then never written.
+TEST_CASE("a backlog larger than the limit of one append is written in parts")
+{
+  Fixture fixture;
+  const auto writer = fixture.MakeWriter(1);
+  constexpr std::size_t kWrites = 30;
+  const std::string value(100'000, 'v');
+  fixture.log.maxAppendBytes = 2'000'000;
+  fixture.log.isDown = true;
+  std::size_t done = 0;
+  for (std::size_t i = 0; i < kWrites; ++i) {
+    writer->Write({ { std::to_string(i), value } }, [&, i] {
+      CHECK(done == i);
+      ++done;
+    });
+  }
+  fixture.executor.Advance(2s);
+  CHECK(writer->Pending() == kWrites);
+  fixture.log.isDown = false;
+  fixture.executor.Advance(5s);
+  CHECK(done == kWrites);
+  CHECK(writer->Pending() == 0);
+  const auto& records = fixture.log.PartitionOf(kTopic).records;
+  REQUIRE(records.size() == kWrites);
+  CHECK(records.back().key == std::to_string(kWrites - 1));
+}
+
 // Guards against two coordinators writing at the same time.
 TEST_CASE("a writer with a lower token is fenced and notified once")
 {
