Judge a silent connection after reading what has arrived

What callers would see: after a pause of a process, or a task that holds up one of its I/O threads, connections are closed as silent although the peer's messages wait in the socket. Requests in flight on them end as 'unknown', agents have to connect again.

Cause: CheckLiveness compares the time of the last read with the time at which its timer runs. The timer may run before the read that is due as well.

Evidence: the new test 'a peer is not silent while its messages wait to be read' failed before in three of three runs with CHECK( handler.Closed() == 0 ), values: CHECK( 2 == 0 ).

A connection is closed only when a second check, in the next turn of the event loop, finds it silent too; all reads that were due run before it. The test passed in eight of eight runs afterwards.

--- a/libs/protocol/src/Connection.cpp
+++ b/libs/protocol/src/Connection.cpp
@@ -362,7 +362,9 @@
 Connection::ArmLivenessTimer()
 {
   this->livenessTimer.expires_after(
-    std::min(this->pingInterval, this->silenceTimeout));
+    this->isConfirmingSilence
+      ? std::chrono::milliseconds::zero()
+      : std::min(this->pingInterval, this->silenceTimeout));
   this->livenessTimer.async_wait(
     [self = this->shared_from_this()](const error_code& aError) {
       if (!aError) {
@@ -378,11 +380,13 @@
     return;
   }
   const auto now = steady_clock::now();
-  if (now - this->lastReceived >= this->silenceTimeout) {
+  const bool isSilent = now - this->lastReceived >= this->silenceTimeout;
+  if (isSilent && this->isConfirmingSilence) {
     this->counters->silentConnections.fetch_add(1, kRelaxed);
     this->CloseNow({ ErrorCode::TimedOut, "silent connection" });
     return;
   }
+  this->isConfirmingSilence = isSilent;
   if (now - this->lastSent >= this->pingInterval) {
     this->Enqueue(EncodeFrame({ CorrelationId(0), false, Ping{} }));
   }
--- a/libs/protocol/src/Connection.h
+++ b/libs/protocol/src/Connection.h
@@ -124,6 +124,12 @@
   boost::asio::steady_timer connectTimer;
   base::TimePoint lastReceived{};
   base::TimePoint lastSent{};
+  /**
+   * Set while a second check is due, which runs after everything that waits in
+   * the socket has been read. After a pause of the process or a long task on
+   * this thread, the first check may come before those reads.
+   */
+  bool isConfirmingSilence = false;
 };
 
 } // namespace amaranthwind::protocol
--- a/libs/protocol/tests/NodeTest.cpp
+++ b/libs/protocol/tests/NodeTest.cpp
@@ -1,6 +1,7 @@
 #include "amaranthwind/protocol/Node.h"
 
 #include "amaranthwind/net/IoPool.h"
+#include "amaranthwind/net/TcpAcceptor.h"
 #include "amaranthwind/protocol/FrameCodec.h"
 
 #include <doctest/doctest.h>
@@ -11,8 +12,12 @@
 #include <boost/asio/write.hpp>
 
 #include <condition_variable>
+#include <deque>
+#include <functional>
 #include <future>
 #include <mutex>
+#include <thread>
+#include <utility>
 #include <vector>
 
 using namespace amaranthwind;
@@ -70,6 +75,86 @@
   int messages = 0;
 };
 
+/** Runs the given blocks on the I/O thread, one for each message. */
+class BlockingHandler : public MessageHandler
+{
+public:
+  void OnOpened(ConnectionId, bool, std::string_view) override
+  {
+    this->Count(this->opened);
+  }
+  void OnMessage(ConnectionId, const Envelope&) override
+  {
+    if (!this->blocks.empty()) {
+      const auto block = std::move(this->blocks.front());
+      this->blocks.pop_front();
+      block();
+    }
+    this->Count(this->messages);
+  }
+  void OnClosed(ConnectionId, const base::Error&) override
+  {
+    this->Count(this->closed);
+  }
+
+  /** Must not be called once the node receives messages. */
+  void AddBlock(std::function<void()> aBlock)
+  {
+    this->blocks.push_back(std::move(aBlock));
+  }
+  bool WaitForOpened(int aCount) { return this->WaitFor(this->opened, aCount); }
+  bool WaitForMessages(int aCount)
+  {
+    return this->WaitFor(this->messages, aCount);
+  }
+  int Closed()
+  {
+    std::lock_guard lock(this->mutex);
+    return this->closed;
+  }
+
+private:
+  void Count(int& aCounter)
+  {
+    std::lock_guard lock(this->mutex);
+    ++aCounter;
+    this->changed.notify_all();
+  }
+  bool WaitFor(const int& aCounter, int aCount)
+  {
+    std::unique_lock lock(this->mutex);
+    return this->changed.wait_for(
+      lock, kTestTimeout, [&] { return aCounter >= aCount; });
+  }
+
+  std::deque<std::function<void()>> blocks;
+  std::mutex mutex;
+  std::condition_variable changed;
+  int opened = 0;
+  int messages = 0;
+  int closed = 0;
+};
+
+/** A peer that sends nothing on its own, not even pings. */
+class RawPeer
+{
+public:
+  RawPeer(boost::asio::io_context& aContext, const std::string& aAddress)
+    : socket(aContext)
+  {
+    this->socket.connect(net::ToEndpoint(aAddress).value());
+  }
+  void Send(Message aMessage)
+  {
+    const auto frame =
+      EncodeFrame({ CorrelationId(0), false, std::move(aMessage) });
+    boost::asio::write(this->socket, boost::asio::buffer(frame));
+  }
+
+private:
+  boost::asio::ip::tcp::socket socket;
+};
+
 /** Two nodes with a connection from the client to the server. */
 struct NodePair
 {
@@ -202,6 +287,41 @@
   CHECK(pair.clientHandler.closed.empty());
 }
 
+// Guards against closing connections after a pause of this process, whose
+// peers were not silent: their messages wait in the socket.
+TEST_CASE("a peer is not silent while its messages wait to be read")
+{
+  NodeOptions options;
+  options.pingInterval = 50ms;
+  options.silenceTimeout = 1s;
+  net::IoPool pool(1);
+  BlockingHandler handler;
+  Node node(pool, options, handler);
+  const auto address = node.Listen("127.0.0.1:0").value();
+  boost::asio::io_context context;
+  RawPeer blocking(context, address);
+  RawPeer other(context, address);
+  handler.AddBlock([&] {
+    blocking.Send(MakeCall("second"));
+    std::this_thread::sleep_for(2 * options.pingInterval);
+  });
+  // The liveness timers are due by now: they run right after this message,
+  // before the sockets are read again.
+  handler.AddBlock([&] {
+    blocking.Send(Ping{});
+    other.Send(Ping{});
+    std::this_thread::sleep_for(options.silenceTimeout);
+  });
+  REQUIRE(handler.WaitForOpened(2));
+  blocking.Send(MakeCall("first"));
+  REQUIRE(handler.WaitForMessages(2));
+  other.Send(MakeCall("third"));
+  CHECK(handler.WaitForMessages(3));
+  CHECK(handler.Closed() == 0);
+  node.Stop();
+  pool.Stop();
+}
+
 TEST_CASE("a peer that sends an oversized or malformed frame is disconnected")
 {
   NodePair pair;
