Do not time out a call whose reply waits to be read

What callers would see: after a pause of a process, requests end as 'unknown' although the reply of the target has arrived.

Cause: as for silent connections, the timer of the calls may run before the read that is due as well.

Evidence: the new test 'a call does not time out while its reply waits to be read' failed before in four of four runs with CHECK( hasReply.get_future().get() ), values: CHECK( false ).

Overdue calls fail in the next turn of the event loop, after the reads that were due. The test passed in four of four runs afterwards.

--- a/libs/protocol/src/Connection.cpp
+++ b/libs/protocol/src/Connection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace amaranthwind::protocol {
 
@@ -337,6 +338,12 @@
     return;
   }
   this->callTimer.expires_at(next);
+  this->WaitForCallTimer();
+}
+
+void
+Connection::WaitForCallTimer()
+{
   this->callTimer.async_wait(
     [self = this->shared_from_this()](const error_code& aError) {
       if (!aError) {
@@ -349,6 +356,14 @@
 Connection::ExpireCalls()
 {
   const auto now = steady_clock::now();
+  const bool isDue =
+    !this->deadlines.empty() && this->deadlines.begin()->first <= now;
+  if (isDue && !std::exchange(this->isConfirmingExpiry, true)) {
+    this->callTimer.expires_after(base::Duration::zero());
+    this->WaitForCallTimer();
+    return;
+  }
+  this->isConfirmingExpiry = false;
   while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
     const std::uint64_t correlation = this->deadlines.begin()->second;
     this->deadlines.erase(this->deadlines.begin());
--- a/libs/protocol/src/Connection.h
+++ b/libs/protocol/src/Connection.h
@@ -92,6 +92,7 @@
   void OnFrame();
   void CompleteCall(const Envelope& aEnvelope);
   void ArmCallTimer();
+  void WaitForCallTimer();
   void ExpireCalls();
   void ArmLivenessTimer();
   void CheckLiveness();
@@ -119,6 +120,8 @@
   std::uint64_t nextCorrelation = 1;
   std::unordered_map<std::uint64_t, PendingCall> calls;
   std::set<Deadline> deadlines;
+  /** As isConfirmingSilence, for the replies to overdue calls. */
+  bool isConfirmingExpiry = false;
   boost::asio::steady_timer callTimer;
   boost::asio::steady_timer livenessTimer;
   boost::asio::steady_timer connectTimer;
--- a/libs/protocol/tests/NodeTest.cpp
+++ b/libs/protocol/tests/NodeTest.cpp
@@ -79,9 +79,11 @@
 class BlockingHandler : public MessageHandler
 {
 public:
-  void OnOpened(ConnectionId, bool, std::string_view) override
+  void OnOpened(ConnectionId aConnection, bool, std::string_view) override
   {
-    this->Count(this->opened);
+    std::lock_guard lock(this->mutex);
+    this->opened.push_back(aConnection);
+    this->changed.notify_all();
   }
   void OnMessage(ConnectionId, const Envelope&) override
   {
@@ -102,7 +104,14 @@
   {
     this->blocks.push_back(std::move(aBlock));
   }
-  bool WaitForOpened(int aCount) { return this->WaitFor(this->opened, aCount); }
+  /** Connections in the order in which they opened. */
+  std::vector<ConnectionId> WaitForOpened(std::size_t aCount)
+  {
+    std::unique_lock lock(this->mutex);
+    this->changed.wait_for(
+      lock, kTestTimeout, [&] { return this->opened.size() >= aCount; });
+    return this->opened;
+  }
   bool WaitForMessages(int aCount)
   {
     return this->WaitFor(this->messages, aCount);
@@ -130,7 +139,7 @@
   std::deque<std::function<void()>> blocks;
   std::mutex mutex;
   std::condition_variable changed;
-  int opened = 0;
+  std::vector<ConnectionId> opened;
   int messages = 0;
   int closed = 0;
 };
@@ -146,12 +155,20 @@
   }
   void Send(Message aMessage)
   {
-    const auto frame =
-      EncodeFrame({ CorrelationId(0), false, std::move(aMessage) });
-    boost::asio::write(this->socket, boost::asio::buffer(frame));
+    this->Write({ CorrelationId(0), false, std::move(aMessage) });
+  }
+  void Reply(CorrelationId aCorrelation, Message aMessage)
+  {
+    this->Write({ aCorrelation, true, std::move(aMessage) });
   }
 
 private:
+  void Write(const Envelope& aEnvelope)
+  {
+    boost::asio::write(this->socket,
+                       boost::asio::buffer(EncodeFrame(aEnvelope)));
+  }
+
   boost::asio::ip::tcp::socket socket;
 };
 
@@ -312,7 +329,7 @@
     other.Send(Ping{});
     std::this_thread::sleep_for(options.silenceTimeout);
   });
-  REQUIRE(handler.WaitForOpened(2));
+  REQUIRE(handler.WaitForOpened(2).size() == 2);
   blocking.Send(MakeCall("first"));
   REQUIRE(handler.WaitForMessages(2));
   other.Send(MakeCall("third"));
@@ -322,6 +339,40 @@
   pool.Stop();
 }
 
+// Guards against an unknown outcome of a request whose reply had arrived when
+// this process continued after a pause.
+TEST_CASE("a call does not time out while its reply waits to be read")
+{
+  constexpr auto kCallTimeout = 500ms;
+  net::IoPool pool(1);
+  BlockingHandler handler;
+  Node node(pool, {}, handler);
+  const auto address = node.Listen("127.0.0.1:0").value();
+  boost::asio::io_context context;
+  RawPeer blocking(context, address);
+  RawPeer other(context, address);
+  std::promise<bool> hasReply;
+  handler.AddBlock([&] {
+    blocking.Send(MakeCall("second"));
+    std::this_thread::sleep_for(kCallTimeout);
+  });
+  // The timer of the call is due by now: it runs right after this message,
+  // before the sockets are read again.
+  handler.AddBlock([&] {
+    other.Reply(CorrelationId(1), ForwardJobReply{ 200, {}, "reply" });
+  });
+  const auto opened = handler.WaitForOpened(2);
+  REQUIRE(opened.size() == 2);
+  node.Call(
+    opened[1], MakeCall("x"), kCallTimeout, [&](const CallResult& aResult) {
+      hasReply.set_value(aResult.reply != nullptr);
+    });
+  blocking.Send(MakeCall("first"));
+  CHECK(hasReply.get_future().get());
+  node.Stop();
+  pool.Stop();
+}
+
 TEST_CASE("a peer that sends an oversized or malformed frame is disconnected")
 {
   NodePair pair;
