Report changes together while the coordinator does not answer

Cause, found by reading: an agent sent a report 3 ms after each change of its worker's state, whether or not the coordinator had answered the one before. A coordinator that is late got the more reports, each with the whole state of the worker, the later it was.

Evidence: the new test 'changes share a report while the coordinator does not answer' failed before with CHECK( fixture.coordinator.reports - before <= 6 ), values: CHECK( 19 <= 6 ).

While the newest report is unanswered, changes wait for its answer or for the next periodic report, at most 0.6 s. A new connection gets a report at once, as before.

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -201,7 +201,7 @@
     if (this->clock.Now() > bound + kExpiryMargin) {
       // The lease has expired, so the worker can no longer run anything.
       this->EndIncarnation("silent");
-      this->ScheduleReport();
+      this->ReportChange();
       return;
     }
     aContinuation(*this, false);
@@ -214,7 +214,7 @@
     this->EndIncarnation("restarted");
     this->staleRunsUntil =
       this->clock.Now() + this->options.maxLease + kExpiryMargin;
-    this->ScheduleReport();
+    this->ReportChange();
     return;
   }
   this->holdBackoff.Reset();
@@ -257,7 +257,7 @@
     }
   }
   if (hasChanges) {
-    this->ScheduleReport();
+    this->ReportChange();
   }
 }
 
--- a/libs/agent/src/AgentReports.cpp
+++ b/libs/agent/src/AgentReports.cpp
@@ -17,6 +17,17 @@
 
 } // namespace
 
+void
+WorkerAgent::State::ReportChange()
+{
+  if (this->unansweredReports.contains(this->lastReport)) {
+    // A coordinator that is late would only get more work from more reports.
+    this->hasUnreportedChange = true;
+    return;
+  }
+  this->ScheduleReport();
+}
+
 void
 WorkerAgent::State::ScheduleReport()
 {
@@ -37,6 +48,7 @@
 WorkerAgent::State::SendReport()
 {
   this->isReportScheduled = false;
+  this->hasUnreportedChange = false;
   if (!this->hasRegistered || (this->workerInfo && !this->hasTaskList) ||
       this->HasUncancelledRequests()) {
     // Without a report, the coordinator keeps its current state; a task that is
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -137,6 +137,12 @@
   void OnStopAnswer(const TaskRun& aRun, const WorkerRequestReply& aAnswer);
 
   // Reports (AgentReports.cpp).
+  /**
+   * Reports a change of the worker's state. While the newest report is
+   * unanswered, the change waits for its answer or for the next periodic
+   * report.
+   */
+  void ReportChange();
   void ScheduleReport();
   void ReportLoop();
   void SendReport();
@@ -185,6 +191,7 @@
   TimePoint leaseBound{};
   std::uint64_t lastReport = 0;
   bool isReportScheduled = false;
+  bool hasUnreportedChange = false;
   /** Runs of previous incarnations whose requests may reach the next one. */
   std::set<TaskRun> staleRuns;
   /** Reports are withheld until then while staleRuns is not empty. */
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -66,7 +66,7 @@
     self.workerInfo->isDraining = isDraining;
     if (hasChanged) {
       self.logger.Info("worker draining", { { "worker", aWorker.life.id } });
-      self.ScheduleReport();
+      self.ReportChange();
     }
     return;
   }
@@ -90,7 +90,7 @@
                      [number = self.incarnationNumber](State& aSelf) {
                        if (aSelf.incarnationNumber == number) {
                          aSelf.EndIncarnation("deregistered");
-                         aSelf.ScheduleReport();
+                         aSelf.ReportChange();
                        }
                      });
 }
@@ -122,6 +122,9 @@
   self.token = aToken;
   self.grantUntil = std::max(self.grantUntil, sent->second + aDuration);
   self.unansweredReports.erase(self.unansweredReports.begin(), std::next(sent));
+  if (self.hasUnreportedChange) {
+    self.ReportChange();
+  }
   const bool wasExpiringSoon = previous < now + self.options.reportInterval * 4;
   if (wasExpiringSoon && self.workerInfo && self.hasTaskList &&
       !self.listedTasks.empty()) {
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -282,6 +282,33 @@
   CHECK(fixture.worker.LeaseLeft() <= 0ms);
 }
 
+// Guards against more work for a coordinator that is late already: a report
+// for each of many changes, which it answers only later.
+TEST_CASE("changes share a report while the coordinator does not answer")
+{
+  Fixture fixture;
+  const int before = fixture.coordinator.reports;
+  for (std::uint32_t i = 1; i <= 30; ++i) {
+    fixture.worker.EndRun({ kRun.task, i }, EndKind::Done);
+    fixture.executor.Advance(100ms);
+  }
+  // In 3 s: five periodic reports and the one of the first change.
+  CHECK(fixture.coordinator.reports - before <= 6);
+  SUBCASE("and all of them are reported in the end")
+  {
+    fixture.agent.OnGrant(fixture.coordinator.lastSequence, kToken, 5s);
+    fixture.executor.Advance(200ms);
+    CHECK(fixture.coordinator.lastReport.ended.size() == 30);
+  }
+  SUBCASE("and a new connection gets a report immediately")
+  {
+    const int unanswered = fixture.coordinator.reports;
+    fixture.agent.OnCoordinatorConnected();
+    fixture.executor.Advance(10ms);
+    CHECK(fixture.coordinator.reports == unanswered + 1);
+  }
+}
+
 // Guards against a lease that outlives the grant on a worker whose clock runs
 // slow: 5 s on a clock that is 2% slow are 5.1 s.
 TEST_CASE("the lease accounts for a slow worker clock")
