Slow processes in the soak

A slow process is stopped and continued in turn, on one scheduler or agent or on all schedulers at once, also while other faults are active.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -69,6 +69,7 @@
 void
 FaultInjector::EndAllFaults()
 {
+  this->isEnding = true;
   this->RunRecoveriesUntil(Clock::time_point::max());
 }
 
@@ -85,7 +86,7 @@
 void
 FaultInjector::InjectRandomFault()
 {
-  const std::uint64_t kind = this->RandomBelow(10);
+  const std::uint64_t kind = this->RandomBelow(11);
   if (kind < 3) {
     auto& scheduler =
       this->deployment
@@ -105,8 +106,10 @@
     this->InjectLinkFault();
   } else if (kind < 9) {
     this->InjectStoreFault();
-  } else {
+  } else if (kind < 10) {
     this->InjectWorkerFault();
+  } else {
+    this->ThrottleAllSchedulers();
   }
 }
 
@@ -118,7 +121,7 @@
   if (aProcess == nullptr) {
     return; // The process is already down.
   }
-  switch (this->RandomBelow(3)) {
+  switch (this->RandomBelow(4)) {
     case 0:
       this->LogFault("kill " + aName);
       aProcess.reset();
@@ -137,6 +140,10 @@
                                start();
                              });
       break;
+    case 2:
+      this->LogFault("slow " + aName);
+      this->ThrottleProcess(aProcess, this->RandomThrottle());
+      break;
     default:
       this->LogFault("pause " + aName);
       aProcess->Signal(SIGSTOP);
@@ -148,6 +155,44 @@
   }
 }
 
+FaultInjector::Throttle
+FaultInjector::RandomThrottle()
+{
+  return { this->RandomDuration(10, 30),
+           this->RandomDuration(60, 200),
+           Clock::now() + this->RandomDuration(1000, 8000) };
+}
+
+void
+FaultInjector::ThrottleProcess(std::unique_ptr<harness::Process>& aProcess,
+                               const Throttle& aThrottle)
+{
+  if (this->isEnding || Clock::now() >= aThrottle.end) {
+    return;
+  }
+  if (aProcess != nullptr) {
+    aProcess->Signal(SIGSTOP);
+  }
+  this->ScheduleRecovery(
+    aThrottle.pauseTime, [this, &aProcess, throttle = aThrottle] {
+      if (aProcess != nullptr) {
+        aProcess->Signal(SIGCONT);
+      }
+      this->ScheduleRecovery(throttle.runTime, [this, &aProcess, throttle] {
+        this->ThrottleProcess(aProcess, throttle);
+      });
+    });
+}
+
+void
+FaultInjector::ThrottleAllSchedulers()
+{
+  this->LogFault("slow schedulers");
+  for (auto& scheduler : this->deployment.schedulers) {
+    this->ThrottleProcess(scheduler.process, this->RandomThrottle());
+  }
+}
+
 void
 FaultInjector::InjectLinkFault()
 {
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -48,12 +48,28 @@
     }
   };
 
+  /** A process runs and is paused in turn until the end. */
+  struct Throttle
+  {
+    std::chrono::milliseconds runTime;
+    std::chrono::milliseconds pauseTime;
+    Clock::time_point end;
+  };
+
   /** Ends the faults whose end is due by aTime. */
   void RunRecoveriesUntil(Clock::time_point aTime);
   void InjectRandomFault();
   void InjectProcessFault(std::unique_ptr<harness::Process>& aProcess,
                           const std::string& aName,
                           std::function<void()> aStart);
+  Throttle RandomThrottle();
+  /**
+   * Gives a process only part of its processor time. Also slows down a process
+   * that is started in its place meanwhile.
+   */
+  void ThrottleProcess(std::unique_ptr<harness::Process>& aProcess,
+                       const Throttle& aThrottle);
+  void ThrottleAllSchedulers();
   void InjectLinkFault();
   void InjectStoreFault();
   void InjectWorkerFault();
@@ -70,6 +86,8 @@
   Clock::time_point nextFault = Clock::now();
   std::priority_queue<Recovery> recoveries;
   std::vector<std::string> log;
+  /** No fault may be prolonged while all of them are being ended. */
+  bool isEnding = false;
 };
 
 } // namespace amaranthwind::soak
