Count notes that come into force through a peer

Cause: an entry that is told of a newer policy by its peer's topology, before its own read of the log, adopts the policy; the notes in it are not replayed and so were not counted, and the delay was measured only when a heartbeat had told of it.

Evidence: the new test 'notes that come into force through a peer are counted' failed before with CHECK( fixture.Has("notes_applied_total 2") ), values: CHECK( false ).

--- a/libs/entry/src/MembershipService.cpp
+++ b/libs/entry/src/MembershipService.cpp
@@ -182,6 +182,7 @@
       this->SetCell(cell);
     }
     if (aTopology.noteOffset > this->policy.Offset()) {
+      this->policy.OnPeerOffset(aTopology.noteOffset);
       this->FetchPolicy(aTopology.sender);
     }
   });
--- a/libs/entry/src/PolicyKeeper.cpp
+++ b/libs/entry/src/PolicyKeeper.cpp
@@ -133,7 +133,13 @@
 {
   std::lock_guard lock(this->mutex);
   std::vector<journal::ReplayedRecord> records;
+  const std::uint64_t version = this->replay.Current().version.Get();
   if (this->replay.Adopt(aPolicy, records)) {
+    if (this->isLoaded.load() && aPolicy.version.Get() > version) {
+      // The notes that the peer has applied are not replayed here.
+      this->metrics.notesApplied.Increment(
+        static_cast<double>(aPolicy.version.Get() - version));
+    }
     this->logger.Info("policy adopted from peer",
                       { { "offset", aPolicy.nextOffset } });
     this->ReportNotes(records);
