--- a/libs/protocol/src/Connection.h
+++ b/libs/protocol/src/Connection.h
@@ -92,6 +92,7 @@
   void OnFrame();
   void CompleteCall(const Envelope& aEnvelope);
   void ArmCallTimer();
+  void WaitForCallTimer();
   void ExpireCalls();
   void ArmLivenessTimer();
   void CheckLiveness();
@@ -119,11 +120,19 @@
   std::uint64_t nextCorrelation = 1;
   std::unordered_map<std::uint64_t, PendingCall> calls;
   std::set<Deadline> deadlines;
+  /** As isConfirmingSilence, for the replies to overdue calls. */
+  bool isConfirmingExpiry = false;
   boost::asio::steady_timer callTimer;
   boost::asio::steady_timer livenessTimer;
   boost::asio::steady_timer connectTimer;
   base::TimePoint lastReceived{};
   base::TimePoint lastSent{};
+  /**
+   * Set while a second check is due, which runs after everything that waits in
+   * the socket has been read. After a pause of the process or a long task on
+   * this thread, the first check may come before those reads.
+   */
+  bool isConfirmingSilence = false;
 };
 
 } // namespace amaranthwind::protocol
