Compare a report with the placed runs in less than quadratic time

For each run placed on a worker, the whole report was searched, and each release added up the resources of all remaining runs again.

The runs of a report are now searched by bisection, and a release subtracts what the run had.

At the 8 runs a worker of today's pools this was no noticeable cost.

--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -11,8 +11,9 @@
 #include <string_view>
 #include <vector>
 
-// Measures one scheduling pass on a full pool, in which no step can be placed.
-// Usage: dispatch_pass_benchmark [rounds [kind]]
+// Measures one scheduling pass on a full pool, in which no step can be placed,
+// and the handling of one report.
+// Usage: dispatch_pass_benchmark [rounds [kind | report]]
 
 namespace amaranthwind::dispatch {
 
@@ -21,7 +22,11 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint32_t kTasksPerWorker = 8;
+/** Resources of one task. */
+constexpr std::uint32_t kMilliCores = 5600;
+constexpr std::uint64_t kMemoryMiB = 1024;
 constexpr std::uint32_t kWorkersPerRack = 25;
+constexpr int kReports = 1000;
 constexpr std::uint32_t kEndedJobs = 400;
 constexpr std::uint32_t kTasksPerEndedJob = 10;
 
@@ -108,7 +113,8 @@
 class FullPool
 {
 public:
-  explicit FullPool(std::uint32_t aWorkers)
+  explicit FullPool(std::uint32_t aWorkers,
+                    std::uint32_t aTasksPerWorker = kTasksPerWorker)
     : dispatcher(DispatcherOptions{},
                  ledger::JobTable(this->codec),
                  std::make_unique<CountingPacking>(this->packCalls),
@@ -122,8 +128,13 @@
       info.life = { base::TargetId("w-" + std::to_string(i)), 1 };
       info.pool = base::PoolId("pool");
       info.rack = base::RackId("r" + std::to_string(i / kWorkersPerRack));
-      info.capacity = { 64'000, 262'144, kTasksPerWorker };
+      info.capacity = { kMilliCores * aTasksPerWorker,
+                        kMemoryMiB * aTasksPerWorker,
+                        aTasksPerWorker };
       this->dispatcher.OnReport(report, this->now);
+      if (i == 0) {
+        this->firstReport = report;
+      }
     }
     for (std::uint32_t i = 0; i < kEndedJobs; ++i) {
       ledger::JobEntry ended = this->MakeEntry({}, kTasksPerEndedJob, "ended");
@@ -131,7 +142,7 @@
       this->dispatcher.OnJob(ended, this->now);
     }
     // The running tasks are started at different times.
-    for (std::uint32_t left = aWorkers * kTasksPerWorker; left > 0;) {
+    for (std::uint32_t left = aWorkers * aTasksPerWorker; left > 0;) {
       const std::uint32_t width = std::min(left, 10U);
       left -= width;
       this->Submit({}, width);
@@ -164,6 +175,28 @@
     return 1000.0 * static_cast<double>(end - start) / CLOCKS_PER_SEC;
   }
 
+  /** Returns the processor time of one report of the worker in microseconds. */
+  double Report(const WorkerReport& aReport)
+  {
+    const std::clock_t start = std::clock();
+    for (int i = 0; i < kReports; ++i) {
+      this->dispatcher.OnReport(aReport, this->now);
+    }
+    const std::clock_t end = std::clock();
+    return 1e6 * static_cast<double>(end - start) / CLOCKS_PER_SEC / kReports;
+  }
+  /** The report of the first worker while its tasks run. */
+  WorkerReport MakeReport() const
+  {
+    WorkerReport report = this->firstReport;
+    for (const StartTask& start : this->starts) {
+      if (start.agent == report.agent) {
+        report.running.push_back({ start.run, {}, 0 });
+      }
+    }
+    return report;
+  }
+
   std::uint64_t PackCalls() const { return this->packCalls; }
   std::size_t RunningTasks() const
   {
@@ -186,7 +219,7 @@
     spec.acceptedAt = this->now.wall;
     job::StepSpec step;
     step.count = aWidth;
-    step.need = { 5600, 1024, aKind.accelerators };
+    step.need = { kMilliCores, kMemoryMiB, aKind.accelerators };
     step.estimate = 4s;
     step.isGang = aKind.isGang;
     step.maxPerWorker = aKind.maxPerWorker;
@@ -216,6 +249,7 @@
                                    start->run,
                                    OrderOutcome::Started,
                                    this->now);
+        this->starts.push_back(*start);
       }
     }
   }
@@ -224,6 +258,8 @@
   NullObserver observer;
   std::uint64_t packCalls = 0;
   std::uint64_t lastJob = 0;
+  WorkerReport firstReport;
+  std::vector<StartTask> starts;
   ClockReading now{ base::TimePoint{ 1h }, base::WallTime{ 1000h } };
   Dispatcher dispatcher;
 };
@@ -252,6 +288,21 @@
             << times[times.size() / 2] << std::endl;
 }
 
+void
+MeasureReport(std::uint32_t aTasksPerWorker, int aRounds)
+{
+  FullPool pool(1, aTasksPerWorker);
+  const WorkerReport report = pool.MakeReport();
+  std::vector<double> times;
+  times.reserve(static_cast<std::size_t>(aRounds));
+  for (int round = 0; round < aRounds; ++round) {
+    times.push_back(pool.Report(report));
+  }
+  std::sort(times.begin(), times.end());
+  std::cout << std::setw(16) << report.running.size() << std::setw(12)
+            << times[times.size() / 2] << std::endl;
+}
+
 } // namespace
 
 } // namespace amaranthwind::dispatch
@@ -262,12 +313,15 @@
   using namespace amaranthwind::dispatch;
   const int rounds = aCount > 1 ? std::atoi(aArguments[1]) : 5;
   if (rounds <= 0) {
-    std::cerr << "usage: dispatch_pass_benchmark [rounds [kind]]\n";
+    std::cerr << "usage: dispatch_pass_benchmark [rounds [kind | report]]\n";
     return EXIT_FAILURE;
   }
-  std::cout << std::fixed << std::setprecision(3)
-            << " workers running   steps   width  kind        pack calls"
-               "   median ms\n";
+  const std::string_view selected = aCount > 2 ? aArguments[2] : "";
+  std::cout << std::fixed << std::setprecision(3);
+  if (selected != "report") {
+    std::cout << " workers running   steps   width  kind        pack calls"
+                 "   median ms\n";
+  }
   // The accelerators of a gang of 230 do not fit into 25 workers, so that its
   // reservation fails.
   const std::array kinds{ WaitingKind{ "single" },
@@ -275,7 +329,7 @@
                           WaitingKind{ "gang", true, 1, 8, 0, true },
                           WaitingKind{ "urgent", false, 0 } };
   for (const WaitingKind& kind : kinds) {
-    if (aCount > 2 && std::string_view(kind.name) != aArguments[2]) {
+    if (!selected.empty() && selected != kind.name) {
       continue;
     }
     for (const std::uint32_t workers : { 25U, 74U, 300U, 775U }) {
@@ -286,5 +340,11 @@
       }
     }
   }
+  if (selected.empty() || selected == "report") {
+    std::cout << "  runs in report   median us\n";
+    for (const std::uint32_t runs : { 8U, 64U, 256U }) {
+      MeasureReport(runs, rounds);
+    }
+  }
   return EXIT_SUCCESS;
 }
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -19,14 +19,38 @@
 /** How long a worker is avoided after a failed start. */
 constexpr base::Duration kStartFailureBackoff = std::chrono::milliseconds(500);
 
-template<typename Range>
-bool
-ContainsRun(const Range& aRange, const job::TaskRun& aRun)
+/** The runs that a report names, for repeated search. */
+class ReportedRuns
 {
-  return std::any_of(aRange.begin(), aRange.end(), [&](const auto& aEach) {
-    return aEach.run == aRun;
-  });
-}
+public:
+  explicit ReportedRuns(const WorkerReport& aReport)
+  {
+    this->runs.reserve(aReport.running.size() + aReport.ended.size());
+    for (const auto& running : aReport.running) {
+      this->runs.push_back(&running.run);
+    }
+    for (const auto& end : aReport.ended) {
+      this->runs.push_back(&end.run);
+    }
+    if (!std::is_sorted(this->runs.begin(), this->runs.end(), IsBefore)) {
+      std::sort(this->runs.begin(), this->runs.end(), IsBefore);
+    }
+  }
+
+  bool Contains(const job::TaskRun& aRun) const
+  {
+    return std::binary_search(
+      this->runs.begin(), this->runs.end(), &aRun, IsBefore);
+  }
+
+private:
+  static bool IsBefore(const job::TaskRun* aLeft, const job::TaskRun* aRight)
+  {
+    return *aLeft < *aRight;
+  }
+
+  std::vector<const job::TaskRun*> runs;
+};
 
 /** Returns true if a task of the step is not on a worker. */
 bool
@@ -282,10 +306,10 @@
 void
 Dispatcher::State::Reconcile(Worker& aWorker, const WorkerReport& aReport)
 {
+  const ReportedRuns reported(aReport);
   std::vector<job::TaskRun> missing;
   for (const auto& [run, need] : aWorker.allocations) {
-    if (!ContainsRun(aReport.running, run) &&
-        !ContainsRun(aReport.ended, run)) {
+    if (!reported.Contains(run)) {
       missing.push_back(run);
     }
   }
@@ -424,11 +448,9 @@
   if (found == aWorker.allocations.end()) {
     return false;
   }
+  // `used` is the exact sum of the allocations, so that nothing saturates.
+  aWorker.used -= found->second;
   aWorker.allocations.erase(found);
-  aWorker.used = {};
-  for (const auto& [run, need] : aWorker.allocations) {
-    aWorker.used += need;
-  }
   return true;
 }
 
