--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -12,8 +12,8 @@
 #include <vector>
 
 // Measures one scheduling pass on a full pool, in which no step can be placed,
-// and the handling of one report.
-// Usage: dispatch_pass_benchmark [rounds [kind | report]]
+// one that places a wide step on an idle pool, and the handling of one report.
+// Usage: dispatch_pass_benchmark [rounds [kind | placement | report]]
 
 namespace amaranthwind::dispatch {
 
@@ -109,12 +109,13 @@
   bool prefersOneRack = false;
 };
 
-/** A pool of full workers with steps that wait, and some ended jobs. */
-class FullPool
+/** A pool whose workers are full at first, and some ended jobs. */
+class FilledPool
 {
 public:
-  explicit FullPool(std::uint32_t aWorkers,
-                    std::uint32_t aTasksPerWorker = kTasksPerWorker)
+  explicit FilledPool(std::uint32_t aWorkers,
+                      std::uint32_t aTasksPerWorker = kTasksPerWorker,
+                      bool aIsIdle = false)
     : dispatcher(DispatcherOptions{},
                  ledger::JobTable(this->codec),
                  std::make_unique<CountingPacking>(this->packCalls),
@@ -142,7 +143,8 @@
       this->dispatcher.OnJob(ended, this->now);
     }
     // The running tasks are started at different times.
-    for (std::uint32_t left = aWorkers * aTasksPerWorker; left > 0;) {
+    for (std::uint32_t left = aIsIdle ? 0 : aWorkers * aTasksPerWorker;
+         left > 0;) {
       const std::uint32_t width = std::min(left, 10U);
       left -= width;
       this->Submit({}, width);
@@ -169,7 +171,7 @@
     const Effects effects = this->dispatcher.Schedule(this->now);
     const std::clock_t end = std::clock();
     if (!effects.empty()) {
-      std::cerr << "a step was placed or a task preempted\n";
+      std::cerr << "a task was preempted\n";
       std::exit(EXIT_FAILURE);
     }
     return 1000.0 * static_cast<double>(end - start) / CLOCKS_PER_SEC;
@@ -271,7 +273,7 @@
         const WaitingKind& aKind,
         int aRounds)
 {
-  FullPool pool(aWorkers);
+  FilledPool pool(aWorkers);
   for (std::uint32_t i = 0; i < aSteps; ++i) {
     pool.Submit(aKind, aWidth);
   }
@@ -288,10 +290,33 @@
             << times[times.size() / 2] << std::endl;
 }
 
+void
+MeasurePlacement(std::uint32_t aWorkers,
+                 std::uint32_t aWidth,
+                 const WaitingKind& aKind,
+                 int aRounds)
+{
+  std::vector<double> times;
+  times.reserve(static_cast<std::size_t>(aRounds));
+  for (int round = 0; round < aRounds; ++round) {
+    FilledPool pool(aWorkers, kTasksPerWorker, true);
+    pool.Submit(aKind, aWidth);
+    times.push_back(pool.Schedule());
+    if (pool.RunningTasks() != aWidth) {
+      std::cerr << "a task was not placed\n";
+      std::exit(EXIT_FAILURE);
+    }
+  }
+  std::sort(times.begin(), times.end());
+  std::cout << std::setw(8) << aWorkers << std::setw(8) << aWidth << "  "
+            << std::setw(12) << std::left << aKind.name << std::right
+            << std::setw(12) << times[times.size() / 2] << std::endl;
+}
+
 void
 MeasureReport(std::uint32_t aTasksPerWorker, int aRounds)
 {
-  FullPool pool(1, aTasksPerWorker);
+  FilledPool pool(1, aTasksPerWorker);
   const WorkerReport report = pool.MakeReport();
   std::vector<double> times;
   times.reserve(static_cast<std::size_t>(aRounds));
@@ -313,12 +338,13 @@
   using namespace amaranthwind::dispatch;
   const int rounds = aCount > 1 ? std::atoi(aArguments[1]) : 5;
   if (rounds <= 0) {
-    std::cerr << "usage: dispatch_pass_benchmark [rounds [kind | report]]\n";
+    std::cerr << "usage: dispatch_pass_benchmark [rounds [kind | placement | "
+                 "report]]\n";
     return EXIT_FAILURE;
   }
   const std::string_view selected = aCount > 2 ? aArguments[2] : "";
   std::cout << std::fixed << std::setprecision(3);
-  if (selected != "report") {
+  if (selected != "report" && selected != "placement") {
     std::cout << " workers running   steps   width  kind        pack calls"
                  "   median ms\n";
   }
@@ -340,6 +366,19 @@
       }
     }
   }
+  if (selected.empty() || selected == "placement") {
+    std::cout << " workers  placed  kind           median ms\n";
+    for (const WaitingKind& kind :
+         { WaitingKind{ "single" },
+           WaitingKind{ "limited", false, 1, 1, 4 },
+           WaitingKind{ "one rack", false, 1, 1, 0, true } }) {
+      for (const std::uint32_t workers : { 74U, 775U }) {
+        for (const std::uint32_t width : { 39U, 230U }) {
+          MeasurePlacement(workers, width, kind, rounds);
+        }
+      }
+    }
+  }
   if (selected.empty() || selected == "report") {
     std::cout << "  runs in report   median us\n";
     for (const std::uint32_t runs : { 8U, 64U, 256U }) {
