Refuse a preemption that costs too much before any attempt to pack

The victims have to free at least the accelerators and cores that the step lacks. The cheapest way to free that amount, with a part of the last victim, is a lower bound of the cost; if it exceeds the limit, the preemption would be refused in any case. The sums are made once for the victims of a pass.

The new case of the test failed before: CHECK( CallsOfOnePass(harness) <= kMaxCalls ) is NOT correct! values: CHECK( 189 <= 40 ) (all victims together cost too much)

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -156,6 +156,21 @@
   double cost = 0;
 };
 
+/** What it costs at least to free an amount of one resource. */
+struct FreeingCosts
+{
+  struct Sum
+  {
+    std::uint64_t amount = 0;
+    double cost = 0;
+  };
+  /** Sums over the victims up to each one, cheapest by unit first. */
+  std::vector<Sum> sums;
+
+  /** No victims that free the amount cost less. */
+  double LowerBound(std::uint64_t aAmount) const;
+};
+
 /** What a candidate may preempt on its usable workers. */
 struct VictimList
 {
@@ -165,6 +180,8 @@
   std::vector<UsableTask> tasks;
   /** Cheapest first. */
   std::vector<Victim> victims;
+  FreeingCosts accelerators;
+  FreeingCosts milliCores;
 };
 
 /** The workers of a pool that accept tasks, for one scheduling pass. */
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -17,6 +17,8 @@
  * because it gains only the difference between finishing on time and late.
  */
 constexpr double kWasteLimit = 0.5;
+/** Tolerance for the order in which costs are added up. */
+constexpr double kRoundingTolerance = 1e-9;
 /** Run time that a checkpointing task loses when it is stopped. */
 constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
 
@@ -38,8 +40,86 @@
                                       : aElapsed);
 }
 
+using Amount = std::uint64_t (*)(const fleet::TaskResources&);
+
+std::uint64_t
+AcceleratorsOf(const fleet::TaskResources& aResources)
+{
+  return aResources.accelerators;
+}
+
+std::uint64_t
+MilliCoresOf(const fleet::TaskResources& aResources)
+{
+  return aResources.milliCores;
+}
+
+FreeingCosts
+MakeFreeingCosts(const VictimList& aList, Amount aAmount)
+{
+  FreeingCosts costs;
+  costs.sums.reserve(aList.victims.size());
+  for (const Victim& victim : aList.victims) {
+    std::uint64_t amount = 0;
+    for (std::size_t i = victim.first; i < victim.end; ++i) {
+      amount += aAmount(aList.tasks[i].task->need);
+    }
+    if (amount > 0) {
+      costs.sums.push_back({ amount, victim.cost });
+    }
+  }
+  using Sum = FreeingCosts::Sum;
+  std::sort(costs.sums.begin(),
+            costs.sums.end(),
+            [](const Sum& aLeft, const Sum& aRight) {
+              return aLeft.cost * static_cast<double>(aRight.amount) <
+                     aRight.cost * static_cast<double>(aLeft.amount);
+            });
+  for (std::size_t i = 1; i < costs.sums.size(); ++i) {
+    costs.sums[i].amount += costs.sums[i - 1].amount;
+    costs.sums[i].cost += costs.sums[i - 1].cost;
+  }
+  return costs;
+}
+
+/** What is lost at least to free what the tasks lack of one resource. */
+double
+MinWaste(const FreeingCosts& aCosts,
+         std::span<const PackingWorker> aAvailable,
+         const PackingRequest& aRequest,
+         Amount aAmount)
+{
+  const std::uint64_t needed = aAmount(aRequest.need) * aRequest.count;
+  std::uint64_t free = 0;
+  for (const PackingWorker& worker : aAvailable) {
+    free += aAmount(worker.free);
+  }
+  return aCosts.LowerBound(needed - std::min(needed, free));
+}
+
 } // namespace
 
+double
+FreeingCosts::LowerBound(std::uint64_t aAmount) const
+{
+  const auto last = std::lower_bound(
+    this->sums.begin(),
+    this->sums.end(),
+    aAmount,
+    [](const Sum& aSum, std::uint64_t aFreed) { return aSum.amount < aFreed; });
+  if (aAmount == 0) {
+    return 0;
+  }
+  if (last == this->sums.end()) {
+    return std::numeric_limits<double>::infinity();
+  }
+  // A part of the last victim would be enough.
+  const Sum before = last == this->sums.begin() ? Sum{} : *std::prev(last);
+  const double part = static_cast<double>(aAmount - before.amount) /
+                      static_cast<double>(last->amount - before.amount);
+  return before.cost + part * (last->cost - before.cost);
+}
+
 void
 Dispatcher::State::CollectPreemptibleTasks(Pool& aPool)
 {
@@ -121,6 +201,8 @@
             [](const Victim& aLeft, const Victim& aRight) {
               return aLeft.cost < aRight.cost;
             });
+  list.accelerators = MakeFreeingCosts(list, AcceleratorsOf);
+  list.milliCores = MakeFreeingCosts(list, MilliCoresOf);
   return list;
 }
 
@@ -146,6 +228,12 @@
       : kWasteLimit * WorkOf(aCandidate.Spec(), aCandidate.Spec().estimate) *
           aCount;
   const VictimList& list = this->FindVictims(aCandidate, aUsable);
+  const double minWaste = std::max(
+    MinWaste(list.accelerators, available, request.request, AcceleratorsOf),
+    MinWaste(list.milliCores, available, request.request, MilliCoresOf));
+  if (minWaste > wasteLimit * (1 + kRoundingTolerance)) {
+    return false;
+  }
   const auto& tasks = list.tasks;
   // The last of the chosen victims is always needed, so that none may exceed
   // the limit by itself.
--- a/libs/dispatch/tests/PassCostTest.cpp
+++ b/libs/dispatch/tests/PassCostTest.cpp
@@ -74,7 +74,18 @@
   auto urgent = MakeGang("u", kWorkers);
   urgent.urgency = 0;
   // The work that it would discard is worth more than its own.
-  urgent.steps[0].estimate = 100ms;
+  SUBCASE("each victim costs too much")
+  {
+    urgent.steps[0].estimate = 5ms;
+  }
+  SUBCASE("a few victims cost too much")
+  {
+    urgent.steps[0].estimate = 100ms;
+  }
+  SUBCASE("all victims together cost too much")
+  {
+    urgent.steps[0].estimate = 4s;
+  }
   harness.Submit(urgent);
   CHECK(CallsOfOnePass(harness) <= kMaxCalls);
   CHECK(harness.stops.empty());
