--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+constexpr SessionId kSession(1);
+
 using namespace std::chrono_literals;
 
 constexpr std::uint32_t kTasksPerWorker = 8;
@@ -33,6 +35,7 @@
 class NullObserver final : public DispatchObserver
 {
 public:
+  void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnPlaced(const job::TaskRun&,
                 const base::AgentId&,
                 base::Duration) override
@@ -132,7 +135,7 @@
       info.capacity = { kMilliCores * aTasksPerWorker,
                         kMemoryMiB * aTasksPerWorker,
                         aTasksPerWorker };
-      this->dispatcher.OnReport(report, this->now);
+      this->dispatcher.OnReport(report, kSession, this->now);
       if (i == 0) {
         this->firstReport = report;
       }
@@ -182,7 +185,7 @@
   {
     const std::clock_t start = std::clock();
     for (int i = 0; i < kReports; ++i) {
-      this->dispatcher.OnReport(aReport, this->now);
+      this->dispatcher.OnReport(aReport, kSession, this->now);
     }
     const std::clock_t end = std::clock();
     return 1e6 * static_cast<double>(end - start) / CLOCKS_PER_SEC / kReports;
@@ -247,6 +250,7 @@
          this->dispatcher.OnPersisted(version, this->now)) {
       if (const auto* start = std::get_if<StartTask>(&effect)) {
         this->dispatcher.OnOutcome(start->agent,
+                                   kSession,
                                    start->incarnation,
                                    start->run,
                                    OrderOutcome::Started,
