Start no task on an old view of the jobs

A cancellation is a record of the log that any scheduler writes. A coordinator that reads the log seconds late ordered starts without having read it, and an order that waited in a queue was carried out whenever it arrived.

The dispatcher now places tasks and orders starts only while the records are known as of a recent moment (OnJobsConfirmed). An order carries the sequence number of the latest report that was handled and for how long after that report it is valid; the agent dates the report by its own clock and refuses an older order, also before each further attempt to start. The limit follows from cancelLimitMs. An order that would arrive too late waits for the next report, and the members of a gang are ordered together, so that none waits for one whose order is refused. A further attempt is also refused once the worker drains.

--- a/libs/agent/include/amaranthwind/agent/WorkerAgent.h
+++ b/libs/agent/include/amaranthwind/agent/WorkerAgent.h
@@ -88,7 +88,8 @@
                const ledger::WorkerIncarnation& aIncarnation,
                const job::TaskRun& aRun,
                std::string_view aPayload,
-               std::string_view aCheckpoint);
+               std::string_view aCheckpoint,
+               const dispatch::StartValidity& aValidity);
   void OnStop(const dispatch::OrderId& aOrder,
               const ledger::WorkerIncarnation& aIncarnation,
               const job::TaskRun& aRun);
--- a/libs/agent/src/AgentCommands.cpp
+++ b/libs/agent/src/AgentCommands.cpp
@@ -50,10 +50,26 @@
   this->coordinator.SendOutcome(this->workerInfo->life, aRun, aOutcome);
 }
 
+const char*
+WorkerAgent::State::RefusalOf(const Run& aRun) const
+{
+  if (this->workerInfo->isDraining) {
+    return "worker is draining";
+  }
+  if (this->clock.Now() >= aRun.startBefore) {
+    return "order is too old";
+  }
+  return nullptr;
+}
+
 void
 WorkerAgent::State::SendStart(const TaskRun& aRun)
 {
   Run& run = this->runs[aRun];
+  if (const char* refusal = this->RefusalOf(run)) {
+    this->AbandonStart(aRun, refusal);
+    return;
+  }
   const auto deadline = this->LeaseDeadline();
   if (!deadline) {
     this->AbandonStart(aRun, "no lease grant");
--- a/libs/agent/src/AgentReports.cpp
+++ b/libs/agent/src/AgentReports.cpp
@@ -12,15 +12,15 @@
 
 /** Changes within this time are batched into one report. */
 constexpr Duration kReportDelay = 3ms;
-/** Limit of unanswered reports whose send times are kept. */
-constexpr std::size_t kMaxUnansweredReports = 32;
+/** Limit of reports whose send times are kept. */
+constexpr std::size_t kMaxReportTimes = 32;
 
 } // namespace
 
 void
 WorkerAgent::State::ReportChange()
 {
-  if (this->unansweredReports.contains(this->lastReport)) {
+  if (this->lastAnsweredReport < this->lastReport) {
     // A coordinator that is late would only get more work from more reports.
     this->hasUnreportedChange = true;
     return;
@@ -70,10 +70,10 @@
     report.ended.push_back(end);
   }
   report.receivedOrder = this->receivedOrder;
-  if (this->unansweredReports.size() >= kMaxUnansweredReports) {
-    this->unansweredReports.erase(this->unansweredReports.begin());
+  if (this->reportTimes.size() >= kMaxReportTimes) {
+    this->reportTimes.erase(this->reportTimes.begin());
   }
-  this->unansweredReports[++this->lastReport] = this->clock.Now();
+  this->reportTimes[++this->lastReport] = this->clock.Now();
   this->coordinator.SendReport(this->lastReport, this->token, report);
 }
 
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -33,6 +33,8 @@
   std::string payload;
   std::string checkpoint;
   std::uint32_t startAttempts = 0;
+  /** No start is sent to the worker from this time on. */
+  TimePoint startBefore = TimePoint::max();
   /** A request was not answered and may still take effect on the worker. */
   bool mayTakeEffectLate = false;
   /**
@@ -139,6 +141,11 @@
   /** Retries after a backoff, unless the phase of the run has changed. */
   void RetryLater(const TaskRun& aRun, void (State::*aSend)(const TaskRun&));
   void OnStartAnswer(const TaskRun& aRun, const WorkerRequestReply& aAnswer);
+  /**
+   * Why the run must not be started, or null. Checked before each attempt,
+   * because conditions change between them.
+   */
+  const char* RefusalOf(const Run& aRun) const;
   void AbandonStart(const TaskRun& aRun, std::string_view aReason);
   void SendStop(const TaskRun& aRun);
   void OnStopAnswer(const TaskRun& aRun, const WorkerRequestReply& aAnswer);
@@ -199,14 +206,15 @@
   /** Upper bound of the end of the worker's lease. */
   TimePoint leaseBound{};
   std::uint64_t lastReport = 0;
+  std::uint64_t lastAnsweredReport = 0;
   bool isReportScheduled = false;
   bool hasUnreportedChange = false;
   /** Runs of previous incarnations whose requests may reach the next one. */
   std::set<TaskRun> staleRuns;
   /** Reports are withheld until then while staleRuns is not empty. */
   TimePoint staleRunsUntil{};
-  /** Send time of each unanswered report, by sequence number. */
-  std::map<std::uint64_t, TimePoint> unansweredReports;
+  /** Send times of the newest answered report and of all later ones. */
+  std::map<std::uint64_t, TimePoint> reportTimes;
 };
 
 } // namespace amaranthwind::agent
--- a/libs/agent/src/CoordinatorLink.cpp
+++ b/libs/agent/src/CoordinatorLink.cpp
@@ -213,7 +213,8 @@
                            start->life,
                            start->run,
                            start->payload,
-                           start->checkpoint);
+                           start->checkpoint,
+                           start->validity);
     } else if (const auto* stop = std::get_if<protocol::AgentStop>(&aMessage)) {
       this->agent->OnStop({ stop->token, stop->number }, stop->life, stop->run);
     } else if (const auto* notice =
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -3,7 +3,7 @@
 #include "AgentState.h"
 
 #include <algorithm>
-#include <iterator>
+#include <utility>
 
 namespace amaranthwind::agent {
 
@@ -113,15 +113,16 @@
                      base::Duration aDuration)
 {
   State& self = *this->state;
-  const auto sent = self.unansweredReports.find(aSequence);
-  if (sent == self.unansweredReports.end() || aToken < self.token) {
+  const auto sent = self.reportTimes.find(aSequence);
+  if (sent == self.reportTimes.end() || aToken < self.token) {
     return;
   }
   const TimePoint now = self.clock.Now();
   const TimePoint previous = self.grantUntil;
   self.AdvanceToken(aToken);
   self.grantUntil = std::max(self.grantUntil, sent->second + aDuration);
-  self.unansweredReports.erase(self.unansweredReports.begin(), std::next(sent));
+  self.lastAnsweredReport = std::max(self.lastAnsweredReport, aSequence);
+  self.reportTimes.erase(self.reportTimes.begin(), sent);
   if (self.hasUnreportedChange) {
     self.ReportChange();
   }
@@ -153,17 +154,28 @@
                      const ledger::WorkerIncarnation& aIncarnation,
                      const job::TaskRun& aRun,
                      std::string_view aPayload,
-                     std::string_view aCheckpoint)
+                     std::string_view aCheckpoint,
+                     const dispatch::StartValidity& aValidity)
 {
   State& self = *this->state;
   if (!self.AcceptOrder(aOrder, aRun)) {
     return;
   }
+  Run run;
+  run.payload = aPayload;
+  run.checkpoint = aCheckpoint;
+  const auto report = self.reportTimes.find(aValidity.reportSequence);
+  if (report != self.reportTimes.end()) {
+    run.startBefore = report->second + aValidity.duration;
+  }
   const char* refusal = nullptr;
   if (!self.workerInfo || self.workerInfo->life != aIncarnation) {
     refusal = "worker was replaced";
-  } else if (self.workerInfo->isDraining) {
-    refusal = "worker is draining";
+  } else if (aValidity.reportSequence != 0 &&
+             report == self.reportTimes.end()) {
+    refusal = "order follows no known report";
+  } else if (const char* reason = self.RefusalOf(run)) {
+    refusal = reason;
   } else if (self.consecutiveHoldFailures >= kMaxHoldFailures) {
     refusal = "worker is unresponsive";
   } else if (self.clock.Now() + kMinRemainingGrant > self.grantUntil) {
@@ -175,13 +187,9 @@
     self.coordinator.SendOutcome(aIncarnation, aRun, OrderOutcome::Refused);
     return;
   }
-  const auto [found, isNew] = self.runs.try_emplace(aRun);
-  if (!isNew) {
-    return;
+  if (self.runs.try_emplace(aRun, std::move(run)).second) {
+    self.SendStart(aRun);
   }
-  found->second.payload = aPayload;
-  found->second.checkpoint = aCheckpoint;
-  self.SendStart(aRun);
 }
 
 void
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -228,9 +228,11 @@
     }
   }
   /** Without a number, the order is that of an older coordinator. */
-  void Start(dispatch::OrderNumber aNumber = {})
+  void Start(dispatch::OrderNumber aNumber = {},
+             const dispatch::StartValidity& aValidity = {})
   {
-    this->agent.OnStart({ kToken, aNumber }, kIncarnation, kRun, "spec", "");
+    this->agent.OnStart(
+      { kToken, aNumber }, kIncarnation, kRun, "spec", "", aValidity);
     this->executor.RunDue();
   }
 
@@ -348,6 +350,61 @@
   CHECK(fixture.worker.running.size() == 1);
 }
 
+// Guards against starting a run of a job that was cancelled meanwhile: the
+// order waited for seconds in the queues of a slow coordinator.
+TEST_CASE("a start is refused if its order is too old")
+{
+  Fixture fixture;
+  dispatch::StartValidity validity{ fixture.coordinator.lastSequence, 2600ms };
+  fixture.coordinator.isReachable = false;
+  Outcomes expected{ OrderOutcome::Started };
+  SUBCASE("it arrives in time")
+  {
+    fixture.Run(1800ms);
+  }
+  SUBCASE("it arrives too late")
+  {
+    fixture.Run(2700ms);
+    expected = { OrderOutcome::Refused };
+  }
+  SUBCASE("it follows a report of another process")
+  {
+    validity.reportSequence += 100;
+    expected = { OrderOutcome::Refused };
+  }
+  fixture.Start({}, validity);
+  CHECK(fixture.coordinator.outcomes == expected);
+  CHECK(fixture.worker.starts ==
+        (expected.front() == OrderOutcome::Started ? 1 : 0));
+}
+
+// Guards against a late start by a repeated attempt, after an order that came
+// in time: the job may be cancelled, or the worker may drain, in between.
+TEST_CASE("a start is not attempted again once it must be refused")
+{
+  Fixture fixture;
+  const int reports = fixture.coordinator.reports;
+  while (fixture.coordinator.reports == reports) {
+    fixture.Run(50ms);
+  }
+  fixture.worker.isUnresponsive = true;
+  SUBCASE("because the order became too old")
+  {
+    fixture.Start({}, { fixture.coordinator.lastSequence, 400ms });
+  }
+  SUBCASE("because the worker drains")
+  {
+    fixture.Start();
+    fixture.agent.OnRegistration(MakeWorker(kIncarnation, true), 2);
+  }
+  REQUIRE(fixture.worker.starts == 1);
+  fixture.worker.isUnresponsive = false;
+  fixture.Run(2s);
+  CHECK(fixture.worker.starts == 1);
+  CHECK(fixture.worker.stoppedRuns.contains(kRun));
+  CHECK(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Absent });
+}
+
 TEST_CASE("a refused start is reported immediately")
 {
   Fixture fixture;
@@ -440,7 +497,8 @@
                           { kIncarnation.id, 1 },
                           kRun,
                           "spec",
-                          "");
+                          "",
+                          {});
     CHECK(fixture.coordinator.outcomes.back() == OrderOutcome::Refused);
     CHECK(received() == dispatch::OrderNumber(9));
   }
@@ -510,7 +568,7 @@
   CHECK(coordinator.lastReport.receivedOrder == dispatch::OrderNumber(0));
   restarted.OnGrant(coordinator.lastSequence, kToken, 5s);
   restarted.OnStart(
-    { kToken, dispatch::OrderNumber(5) }, kIncarnation, kRun, "spec", "");
+    { kToken, dispatch::OrderNumber(5) }, kIncarnation, kRun, "spec", "", {});
   fixture.executor.RunDue();
   CHECK(coordinator.outcomes == Outcomes{ OrderOutcome::Started });
   CHECK(fixture.worker.running.size() == 1);
--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -36,6 +36,7 @@
 constexpr std::uint64_t kMinLeaseMs = 2000;
 constexpr std::uint64_t kMaxLeaseMs = 60'000;
 constexpr std::uint64_t kMinRevokeMs = 1500;
+constexpr std::uint64_t kMinCancelMs = 2500;
 constexpr std::uint64_t kMaxStopMs = 60'000;
 
 constexpr std::array<EnumName<LogLevel>, 4> kLogLevelNames{
@@ -282,6 +283,7 @@
   object.Optional("stopTimeMs", Millis{ aOut.stopTime, 1, kMaxStopMs });
   object.Optional("revokeLimitMs",
                   Millis{ aOut.keyRevocationLimit, kMinRevokeMs });
+  object.Optional("cancelLimitMs", Millis{ aOut.cancelLimit, kMinCancelMs });
   object.Optional("noticePeriodMs",
                   Millis{ aOut.noticePeriod, 0, kMaxNoticeMs });
   object.Optional("jobRetentionS", Seconds{ aOut.jobRetention, 1 });
--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -34,6 +34,8 @@
   base::Duration maxLogSilence = std::chrono::seconds(10);
   /** Margin after the end of a grant before its tasks are considered lost. */
   base::Duration grantMargin = std::chrono::milliseconds(400);
+  /** No task is started later than this after its job was cancelled. */
+  base::Duration cancelLimit = std::chrono::milliseconds(3000);
   /** Maximum time that a worker needs to stop a task. */
   base::Duration stopTime = std::chrono::milliseconds(900);
   /** How long the records of an ended job are kept. */
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -126,6 +126,9 @@
     if (std::exchange(this->isLogDown, false)) {
       this->logger.Info("log available again", { { "topic", kJobTopic } });
     }
+    if (this->runner != nullptr) {
+      this->runner->OnJobsConfirmed(aAsOf);
+    }
   }
 
   void OnUnavailable(const base::Error& aError) override
@@ -186,6 +189,8 @@
     this->logger.Info("started coordinating",
                       { { "token", aToken }, { "jobs", this->table.Size() } });
     this->runner->StartDispatching(this->table, this->guarantees);
+    this->runner->OnJobsConfirmed(
+      TimePoint(TimePoint::duration(this->currentAsOf.load())));
   }
 
   void OnDeposed() override
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view kProducer = "coordinator";
+/** For clock error and the worker's time to start a run. */
+constexpr base::Duration kStartMargin = std::chrono::milliseconds(400);
 /** Key of a term's first record, which fences off writers of earlier terms. */
 constexpr std::string_view kTermKey = "term";
 
@@ -80,6 +82,7 @@
   dispatchOptions.maxGrantDuration = this->options.MaxGrantDuration();
   dispatchOptions.inheritedGrantDuration =
     this->options.InheritedGrantDuration();
+  dispatchOptions.maxStartAge = this->options.cancelLimit - kStartMargin;
   dispatchOptions.stopTime = this->options.stopTime;
   dispatchOptions.retention = this->options.retention;
   this->dispatcher =
@@ -110,6 +113,14 @@
   }
 }
 
+void
+DispatchRunner::OnJobsConfirmed(base::TimePoint aAsOf)
+{
+  if (this->dispatcher != nullptr) {
+    this->ExecuteEffects(this->dispatcher->OnJobsConfirmed(aAsOf, this->Now()));
+  }
+}
+
 void
 DispatchRunner::OnGuarantees(
   std::span<const dispatch::AccountGuarantee> aGuarantees)
@@ -130,10 +141,13 @@
     return;
   }
   const LoadMonitor::Measurement measurement(this->load, DecisionWork::Report);
-  this->decisions.SetInputAge(this->clock.Now() - aReceivedAt);
+  const dispatch::ClockReading now = this->Now();
+  const base::Duration queueTime = now.now - aReceivedAt;
+  this->reportSequences[aReport.report.agent] = aReport.sequence;
+  this->decisions.SetInputAge(queueTime);
   const auto handle = [&](const dispatch::WorkerReport& aCounted) {
     this->ExecuteEffects(this->dispatcher->OnReport(
-      aCounted, SessionOf(aConnection), this->Now()));
+      aCounted, SessionOf(aConnection), now, queueTime));
   };
   if (aReport.report.receivedOrder && aReport.token != this->token) {
     // The agent counts the orders of a previous coordinator.
@@ -190,7 +204,7 @@
   if (this->dispatcher == nullptr) {
     return;
   }
-  if (this->dispatcher->NeedsSchedule()) {
+  if (this->dispatcher->NeedsSchedule(this->Now())) {
     this->ScheduleIfDue();
   }
   // A step that changes again while an append is under way needs one record.
@@ -245,13 +259,18 @@
                           this->codec.EncodeStep(persist->record) });
       version = persist->version;
     } else if (const auto* start = std::get_if<dispatch::StartTask>(&effect)) {
-      this->sessions.SendTo(ConnectionOf(start->session),
-                            protocol::AgentStart{ this->token,
-                                                  start->incarnation,
-                                                  start->run,
-                                                  start->payload,
-                                                  start->checkpoint,
-                                                  start->number });
+      this->sessions.SendTo(
+        ConnectionOf(start->session),
+        protocol::AgentStart{
+          this->token,
+          start->incarnation,
+          start->run,
+          start->payload,
+          start->checkpoint,
+          start->number,
+          { this->reportSequences[start->agent],
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+              start->validFor) } });
     } else if (const auto* stop = std::get_if<dispatch::StopTask>(&effect)) {
       this->sessions.SendTo(
         ConnectionOf(stop->session),
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -7,6 +7,7 @@
 #include "amaranthwind/journal/FencedWriter.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace amaranthwind::coordinator {
@@ -48,6 +49,8 @@
   bool IsDispatching() const noexcept { return this->dispatcher != nullptr; }
 
   void OnJob(const ledger::JobEntry& aJob);
+  /** OnJob() was called for all records acknowledged before this time. */
+  void OnJobsConfirmed(base::TimePoint aAsOf);
   void OnGuarantees(std::span<const dispatch::AccountGuarantee> aGuarantees);
   void OnReport(protocol::ConnectionId aConnection,
                 const protocol::AgentReport& aReport,
@@ -82,6 +85,8 @@
   LoadMonitor& load;
   std::unique_ptr<journal::FencedWriter> writer;
   std::unique_ptr<dispatch::Dispatcher> dispatcher;
+  /** Sequence number of the latest report of each agent. */
+  std::map<base::AgentId, std::uint64_t> reportSequences;
   bool hasPredecessorSteppedDown = false;
   /** Earliest time of the next scheduling pass. */
   base::TimePoint nextPassAt{};
--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -358,7 +358,9 @@
   void Finish(const Effects& aEffects)
   {
     this->ExecuteEffects(aEffects);
-    if (this->dispatcher->NeedsSchedule()) {
+    const ClockReading now = this->Now();
+    this->ExecuteEffects(this->dispatcher->OnJobsConfirmed(now.now, now));
+    if (this->dispatcher->NeedsSchedule(now)) {
       this->ExecuteEffects(this->dispatcher->Schedule(this->Now()));
     }
     this->ExecuteEffects(this->dispatcher->Commit(this->Now()));
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -30,6 +30,11 @@
    * grant from a previous coordinator.
    */
   base::Duration inheritedGrantDuration = std::chrono::milliseconds(15'400);
+  /**
+   * A start is carried out at most this long after the moment for which the
+   * jobs were known, so that no run starts long after its job was cancelled.
+   */
+  base::Duration maxStartAge = std::chrono::milliseconds(2600);
   /**
    * A start order to an agent that does not count its orders is revoked after
    * this time without an outcome.
@@ -89,6 +94,8 @@
   std::string payload;
   /** Checkpoint to resume from; empty if there is none. */
   std::string checkpoint;
+  /** How long after the latest report of the agent the start is valid. */
+  base::Duration validFor{};
 };
 
 /** Sends an order to stop a run, in the given session only. */
@@ -165,6 +172,9 @@
  * sent the report, however late the report is handled. An order that was lost
  * with its session is sent again in the next one.
  *
+ * Tasks are placed, and start orders sent, only while the jobs are known as of
+ * a recent moment; see OnJobsConfirmed().
+ *
  * Owns no thread and reads no clock. Not thread-safe.
  */
 class Dispatcher
@@ -187,10 +197,14 @@
   Effects OnJob(const ledger::JobEntry& aJob, const ClockReading& aNow);
   Effects OnGuarantees(std::span<const AccountGuarantee> aGuarantees,
                        const ClockReading& aNow);
-  /** Reports and outcomes of an earlier session of the agent are ignored. */
+  /**
+   * Reports and outcomes of an earlier session of the agent are ignored.
+   * @param aQueueTime Time since the report was received.
+   */
   Effects OnReport(const WorkerReport& aReport,
                    SessionId aSession,
-                   const ClockReading& aNow);
+                   const ClockReading& aNow,
+                   base::Duration aQueueTime = {});
   Effects OnOutcome(const base::AgentId& aAgent,
                     SessionId aSession,
                     const ledger::WorkerIncarnation& aIncarnation,
@@ -204,11 +218,16 @@
    */
   void OnPredecessorSteppedDown(base::Duration aBound,
                                 const ClockReading& aNow);
+  /** OnJob() was called for all records acknowledged before this time. */
+  Effects OnJobsConfirmed(base::TimePoint aAsOf, const ClockReading& aNow);
   /** Must be called about every half second. */
   Effects OnTick(const ClockReading& aNow);
 
-  /** Whether a scheduling pass could place tasks since the last one. */
-  bool NeedsSchedule() const noexcept;
+  /**
+   * Whether a scheduling pass could place tasks since the last one. False while
+   * the jobs are not known as of a recent moment.
+   */
+  bool NeedsSchedule(const ClockReading& aNow);
   /** Runs a scheduling pass, which places and preempts tasks. */
   Effects Schedule(const ClockReading& aNow);
   /** Writes the records of all steps that have changed. */
--- a/libs/dispatch/include/amaranthwind/dispatch/WorkerReport.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/WorkerReport.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/job/TaskId.h"
 #include "amaranthwind/ledger/Records.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -96,6 +97,20 @@
   bool operator==(const WorkerReport&) const = default;
 };
 
+/**
+ * Limits the age of an order to start a run: it may be carried out until this
+ * time after the agent sent the report with this sequence number. The agent
+ * dates the order by its own clock, however long the order was on its way.
+ */
+struct StartValidity
+{
+  /** 0 if the age of the order is not limited. */
+  std::uint64_t reportSequence = 0;
+  std::chrono::milliseconds duration{};
+
+  bool operator==(const StartValidity&) const = default;
+};
+
 /** Outcome of an order to an agent. */
 enum class OrderOutcome : std::uint8_t
 {
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -114,6 +115,8 @@
   std::optional<WorkerInfo> info;
   /** Without another report, tasks may run on the worker until this time. */
   base::TimePoint grantExpiresAt{};
+  /** When the latest report was received. */
+  base::TimePoint reportedAt{};
   fleet::TaskResources used;
   /** Runs that may be using resources of the worker. */
   std::map<job::TaskRun, fleet::TaskResources> allocations;
@@ -298,7 +301,9 @@
   void FlushWrites();
 
   // Workers (WorkerState.cpp).
-  void HandleReport(const WorkerReport& aReport, SessionId aSession);
+  void HandleReport(const WorkerReport& aReport,
+                    SessionId aSession,
+                    base::Duration aQueueTime);
   void SetWorker(Worker& aWorker, const WorkerInfo& aInfo);
   /**
    * Adopts the tasks that a previous coordinator placed on the worker, and
@@ -348,7 +353,15 @@
                        std::uint32_t aRun,
                        std::string_view aReason);
   void RecordTaskFailure(Worker& aWorker, Step& aStep, std::uint32_t aIndex);
-  void SendReadyOrders(std::uint64_t aVersion);
+  /** Whether the jobs are known as of a moment that is recent enough. */
+  bool AreJobsRecent() const;
+  /** Whether the agent can receive and execute a start order in time. */
+  bool CanStartInTime(const Task& aTask) const;
+  /**
+   * Orders the start of placements that are durable. Those whose order would be
+   * refused as too old wait; members of a gang are ordered together.
+   */
+  void SendReadyOrders();
   void AcknowledgeDurableEnds();
 
   // The scheduling pass (Scheduling.cpp).
@@ -417,6 +430,8 @@
   std::set<job::StepId> dirtySteps;
   std::uint64_t lastVersion = 0;
   std::uint64_t persistedVersion = 0;
+  /** All records acknowledged before this time are reflected in the jobs. */
+  base::TimePoint jobsAsOf{};
   /** Placements that are not durable yet, with the version of their record. */
   std::deque<std::pair<std::uint64_t, job::TaskRun>> pendingPlacements;
   std::deque<std::pair<std::uint64_t, AcknowledgeEnds>> pendingAcks;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -68,10 +68,11 @@
 Effects
 Dispatcher::OnReport(const WorkerReport& aReport,
                      SessionId aSession,
-                     const ClockReading& aNow)
+                     const ClockReading& aNow,
+                     base::Duration aQueueTime)
 {
   CallScope call(this->state->callTime, this->state->effects, aNow);
-  this->state->HandleReport(aReport, aSession);
+  this->state->HandleReport(aReport, aSession, aQueueTime);
   return call.Finish();
 }
 
@@ -98,7 +99,7 @@
 {
   CallScope call(this->state->callTime, this->state->effects, aNow);
   this->state->persistedVersion = aVersion;
-  this->state->SendReadyOrders(aVersion);
+  this->state->SendReadyOrders();
   this->state->AcknowledgeDurableEnds();
   return call.Finish();
 }
@@ -111,6 +112,15 @@
     std::min(this->state->inheritedGrantsExpireAt, aNow.now + aBound);
 }
 
+Effects
+Dispatcher::OnJobsConfirmed(base::TimePoint aAsOf, const ClockReading& aNow)
+{
+  CallScope call(this->state->callTime, this->state->effects, aNow);
+  this->state->jobsAsOf = std::max(this->state->jobsAsOf, aAsOf);
+  this->state->SendReadyOrders();
+  return call.Finish();
+}
+
 Effects
 Dispatcher::OnTick(const ClockReading& aNow)
 {
@@ -124,9 +134,10 @@
 }
 
 bool
-Dispatcher::NeedsSchedule() const noexcept
+Dispatcher::NeedsSchedule(const ClockReading& aNow)
 {
-  return this->state->mustSchedule;
+  this->state->callTime = aNow;
+  return this->state->mustSchedule && this->state->AreJobsRecent();
 }
 
 Effects
@@ -143,6 +154,7 @@
 {
   CallScope call(this->state->callTime, this->state->effects, aNow);
   this->state->FlushWrites();
+  this->state->SendReadyOrders();
   this->state->AcknowledgeDurableEnds();
   return call.Finish();
 }
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -16,6 +16,11 @@
  */
 constexpr base::Duration kSuspectInterval = std::chrono::seconds(4);
 constexpr std::uint32_t kMaxSuspectMultiplier = 8;
+/**
+ * Part of DispatcherOptions::maxStartAge that must be left when a start order
+ * is sent: the order's way to the agent, and two attempts to start the run.
+ */
+constexpr base::Duration kStartOrderTime = std::chrono::milliseconds(500);
 /** How long a worker is avoided after a failed start. */
 constexpr base::Duration kStartFailureBackoff = std::chrono::milliseconds(500);
 
@@ -65,7 +70,9 @@
 } // namespace
 
 void
-Dispatcher::State::HandleReport(const WorkerReport& aReport, SessionId aSession)
+Dispatcher::State::HandleReport(const WorkerReport& aReport,
+                                SessionId aSession,
+                                base::Duration aQueueTime)
 {
   Worker& worker = this->workers[aReport.agent];
   if (aSession < worker.session) {
@@ -77,6 +84,7 @@
   }
   worker.agent = aReport.agent;
   worker.receivedOrder = aReport.receivedOrder;
+  worker.reportedAt = this->callTime.now - aQueueTime;
   worker.grantExpiresAt = this->callTime.now + this->options.maxGrantDuration;
   if (!aReport.worker) {
     if (worker.info) {
@@ -343,7 +351,7 @@
     // The agent rejects orders of the previous coordinator, but one may still
     // be on its way to the worker until a stop rules that out.
     isMissing = aTask.isInherited || fate == OrderFate::Received;
-    if (!isMissing && fate == OrderFate::Lost) {
+    if (!isMissing && fate == OrderFate::Lost && this->CanStartInTime(aTask)) {
       aTask.isStartRepeated = true;
       this->observer.OnStartRepeated(aRun, aWorker.agent);
       this->SendStart(aTask, aRun);
@@ -610,14 +618,15 @@
 {
   aTask.order = this->NextOrder();
   aTask.phaseStartedAt = this->callTime.now;
-  this->effects.emplace_back(
-    StartTask{ aTask.agent,
-               this->SessionOf(aTask.agent),
-               aTask.order,
-               aTask.incarnation,
-               aRun,
-               this->FindJob(aRun.task.step.job)->spec->payload,
-               aTask.checkpoint });
+  this->effects.emplace_back(StartTask{
+    aTask.agent,
+    this->SessionOf(aTask.agent),
+    aTask.order,
+    aTask.incarnation,
+    aRun,
+    this->FindJob(aRun.task.step.job)->spec->payload,
+    aTask.checkpoint,
+    this->options.maxStartAge - (this->callTime.now - this->jobsAsOf) });
 }
 
 void
@@ -632,21 +641,61 @@
                                        aRun });
 }
 
+bool
+Dispatcher::State::AreJobsRecent() const
+{
+  // Half of the time is left for the age of the agent's report.
+  return this->callTime.now - this->jobsAsOf <= this->options.maxStartAge / 2;
+}
+
+bool
+Dispatcher::State::CanStartInTime(const Task& aTask) const
+{
+  const auto worker = this->workers.find(aTask.agent);
+  return worker != this->workers.end() && this->AreJobsRecent() &&
+         (this->callTime.now - this->jobsAsOf) +
+             (this->callTime.now - worker->second.reportedAt) +
+             kStartOrderTime <=
+           this->options.maxStartAge;
+}
+
 void
-Dispatcher::State::SendReadyOrders(std::uint64_t aVersion)
+Dispatcher::State::SendReadyOrders()
 {
+  std::deque<std::pair<std::uint64_t, job::TaskRun>> waiting;
   while (!this->pendingPlacements.empty() &&
-         this->pendingPlacements.front().first <= aVersion) {
-    const job::TaskRun run = this->pendingPlacements.front().second;
-    this->pendingPlacements.pop_front();
-    Task* task = this->FindRun(run);
-    if (task == nullptr || task->phase != Phase::Placing) {
-      continue;
+         this->pendingPlacements.front().first <= this->persistedVersion) {
+    const auto first = this->pendingPlacements.front();
+    const job::StepSpec* spec = this->SpecOf(first.second.task.step);
+    std::vector<job::TaskRun> together;
+    bool canStart = true;
+    // The members of a gang are placed one after another.
+    do {
+      const job::TaskRun run = this->pendingPlacements.front().second;
+      this->pendingPlacements.pop_front();
+      const Task* task = this->FindRun(run);
+      if (task != nullptr && task->phase == Phase::Placing) {
+        together.push_back(run);
+        canStart = canStart && this->CanStartInTime(*task);
+      }
+    } while (spec != nullptr && spec->isGang &&
+             !this->pendingPlacements.empty() &&
+             this->pendingPlacements.front().second.run == first.second.run &&
+             this->pendingPlacements.front().second.task.step ==
+               first.second.task.step);
+    for (const auto& run : together) {
+      if (canStart) {
+        Task& task = *this->FindRun(run);
+        task.phase = Phase::Ordered;
+        task.isStartRepeated = false;
+        this->SendStart(task, run);
+      } else {
+        waiting.emplace_back(first.first, run);
+      }
     }
-    task->phase = Phase::Ordered;
-    task->isStartRepeated = false;
-    this->SendStart(*task, run);
   }
+  this->pendingPlacements.insert(
+    this->pendingPlacements.begin(), waiting.begin(), waiting.end());
 }
 
 void
--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -224,7 +224,11 @@
 DispatcherHarness::Finish(const Effects& aEffects)
 {
   this->ExecuteEffects(aEffects);
-  if (this->dispatcher->NeedsSchedule()) {
+  if (this->areJobsConfirmed) {
+    this->ExecuteEffects(
+      this->dispatcher->OnJobsConfirmed(this->now.now, this->now));
+  }
+  if (this->dispatcher->NeedsSchedule(this->now)) {
     this->ExecuteEffects(this->dispatcher->Schedule(this->now));
   }
   this->ExecuteEffects(this->dispatcher->Commit(this->now));
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -165,6 +165,8 @@
   bool stopsImmediately = true;
   /** Writes become durable within the call that issues them. */
   bool persistsImmediately = true;
+  /** The log was read to its end before each event. */
+  bool areJobsConfirmed = true;
   ClockReading now{ base::TimePoint{ std::chrono::hours(1) },
                     base::WallTime{ std::chrono::hours(1000) } };
   DispatcherOptions options;
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -47,6 +47,69 @@
   CHECK(harness.starts.size() == 1);
 }
 
+// Guards against starting a run long after its job was cancelled: a slow
+// coordinator has not read the cancellation yet.
+TEST_CASE("no task is placed while the jobs may have changed")
+{
+  DispatcherHarness harness;
+  harness.areJobsConfirmed = false;
+  harness.now.now += 1500ms;
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  harness.Run(1s);
+  CHECK(harness.durable.empty());
+  harness.areJobsConfirmed = true;
+  harness.Run(500ms);
+  REQUIRE(harness.starts.size() == 1);
+  CHECK(harness.starts.front().validFor == 2600ms);
+}
+
+// Guards against starting a run long after its job was cancelled: the record of
+// its placement became durable late.
+TEST_CASE("no start is ordered while the jobs may have changed")
+{
+  DispatcherHarness harness;
+  const auto job = DispatcherHarness::MakeJob("j", 1, 1);
+  harness.persistsImmediately = false;
+  harness.Submit(job);
+  harness.areJobsConfirmed = false;
+  harness.Run(2s);
+  harness.Persist();
+  CHECK(harness.durable.size() == 1);
+  CHECK(harness.starts.empty());
+  harness.areJobsConfirmed = true;
+  harness.persistsImmediately = true;
+  SUBCASE("and the job still exists")
+  {
+    harness.Run(500ms);
+    CHECK(harness.starts.size() == 1);
+  }
+  SUBCASE("and the job was cancelled")
+  {
+    harness.Cancel(job);
+    harness.Run(2s);
+    CHECK(harness.starts.empty());
+  }
+}
+
+// Guards against gangs that wait for a member whose agent refuses the order as
+// too old: its reports come late, so that the order refers to an old one.
+TEST_CASE("the members of a gang are ordered once all agents can start in time")
+{
+  DispatcherHarness harness(2);
+  auto job = DispatcherHarness::MakeJob("j", 2, 8);
+  job.steps.front().isGang = true;
+  harness.agents.at("vm-1").isReporting = false;
+  harness.persistsImmediately = false;
+  harness.Submit(job);
+  harness.Run(2500ms);
+  harness.Persist();
+  harness.Run(500ms);
+  CHECK(harness.starts.empty());
+  harness.agents.at("vm-1").isReporting = true;
+  harness.Run(500ms);
+  CHECK(harness.starts.size() == 2);
+}
+
 // Guards against losing an end: the worker discards it once acknowledged.
 TEST_CASE("an end is acknowledged only after it is durable")
 {
--- a/libs/protocol/include/amaranthwind/protocol/Messages.h
+++ b/libs/protocol/include/amaranthwind/protocol/Messages.h
@@ -247,6 +247,7 @@
   std::string checkpoint;
   /** 0 from a coordinator that does not number its orders. */
   dispatch::OrderNumber number;
+  dispatch::StartValidity validity;
   bool operator==(const AgentStart&) const = default;
 };
 
--- a/libs/protocol/src/AgentDecoder.cpp
+++ b/libs/protocol/src/AgentDecoder.cpp
@@ -129,7 +129,9 @@
                      std::move(run),
                      Text(aStart.payload()),
                      Text(aStart.checkpoint()),
-                     dispatch::OrderNumber(aStart.number()) };
+                     dispatch::OrderNumber(aStart.number()),
+                     { aStart.report_sequence(),
+                       std::chrono::milliseconds(aStart.valid_for_ms()) } };
 }
 
 Result<Message>
--- a/libs/protocol/src/AgentEncoder.cpp
+++ b/libs/protocol/src/AgentEncoder.cpp
@@ -106,6 +106,9 @@
   start.payload = aStart.payload;
   start.checkpoint = aStart.checkpoint;
   start.number = aStart.number.Get();
+  start.report_sequence = aStart.validity.reportSequence;
+  start.valid_for_ms =
+    static_cast<std::uint32_t>(aStart.validity.duration.count());
   return wire::CreateAgentStart(this->builder, &start);
 }
 
