--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -37,6 +37,7 @@
 constexpr std::uint64_t kMaxLeaseMs = 60'000;
 constexpr std::uint64_t kMinRevokeMs = 1500;
 constexpr std::uint64_t kMinCancelMs = 2500;
+constexpr std::uint64_t kMinConfigurationMs = 1500;
 constexpr std::uint64_t kMaxStopMs = 60'000;
 
 constexpr std::array<EnumName<LogLevel>, 4> kLogLevelNames{
@@ -283,6 +284,8 @@
   object.Optional("stopTimeMs", Millis{ aOut.stopTime, 1, kMaxStopMs });
   object.Optional("revokeLimitMs",
                   Millis{ aOut.keyRevocationLimit, kMinRevokeMs });
+  object.Optional("configurationLimitMs",
+                  Millis{ aOut.configurationLimit, kMinConfigurationMs });
   object.Optional("cancelLimitMs", Millis{ aOut.cancelLimit, kMinCancelMs });
   object.Optional("noticePeriodMs",
                   Millis{ aOut.noticePeriod, 0, kMaxNoticeMs });
--- a/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
+++ b/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
@@ -42,6 +42,8 @@
   base::Duration stopTime = std::chrono::milliseconds(900);
   /** Time after its withdrawal by which an API key must be rejected. */
   base::Duration keyRevocationLimit = std::chrono::milliseconds(5000);
+  /** Time after which a new configuration must be in force. */
+  base::Duration configurationLimit = std::chrono::milliseconds(3000);
   /** Time after a job's cancellation by which none of its tasks may start. */
   base::Duration cancelLimit = std::chrono::milliseconds(3000);
   /** On a planned stop: how long it serves after it reports not ready. */
