--- a/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
+++ b/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
@@ -26,6 +26,8 @@
   std::size_t maxAppendBytes = SIZE_MAX;
   /** Number of records per page of ReadNewest(). */
   std::size_t pageSize = 500;
+  /** Maximum number of records that a read returns. */
+  std::size_t maxBatch = SIZE_MAX;
   int appends = 0;
   int reads = 0;
 
@@ -148,12 +150,14 @@
     return base::LogOffset(aPartition.records.size());
   }
 
-  static KeyedBatch ReadFrom(const Partition& aPartition, base::LogOffset aFrom)
+  KeyedBatch ReadFrom(const Partition& aPartition, base::LogOffset aFrom) const
   {
     KeyedBatch batch;
     batch.first = aPartition.first;
     batch.end = EndOf(aPartition);
-    for (std::size_t i = aFrom.Get(); i < aPartition.records.size(); ++i) {
+    for (std::size_t i = aFrom.Get();
+         i < aPartition.records.size() && batch.records.size() < this->maxBatch;
+         ++i) {
       batch.records.push_back(aPartition.records[i]);
     }
     return batch;
