Accept the completion of a run after the task was placed again

A run that was given up could complete and be reported after its task was placed again. The dispatcher ignored such an end, because its number was not the newest, and acknowledged it to the worker all the same: the next run started after a completion that was taken note of.

A done end of any earlier run now completes the task. A placement that is being written is withdrawn, and a run on another worker is stopped; its room stays taken until its own end is reported.

The test failed before, for a placement that was being written: CHECK( harness.Phase("j") == JobPhase::Completed ), values 1 == 2, and CHECK( harness.starts.size() == expectedStarts ), values 2 == 1.

--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -174,13 +174,15 @@
 Dispatcher::State::HandleEnd(Worker& aWorker, const EndedTask& aEnd)
 {
   const bool heldResources = this->ReleaseResources(aWorker, aEnd.run);
-  Task* task = this->FindRun(aEnd.run);
+  Task* task = aEnd.kind == EndKind::Done ? this->WithdrawLaterRun(aEnd.run)
+                                          : this->FindRun(aEnd.run);
   const bool isCurrent = heldResources && task != nullptr &&
                          task->IsOnWorker() &&
                          task->incarnation == aWorker.info->life;
   // The run was considered lost because its worker was silent or restarted, but
   // it completed. This is safe to accept: a run number is used by one start
-  // only.
+  // only. It has to be accepted also after the task was placed again, because
+  // nothing may start once the end is acknowledged.
   const bool isLateCompletion =
     task != nullptr && task->phase == Phase::Idle && aEnd.kind == EndKind::Done;
   if (!isCurrent && !isLateCompletion) {
@@ -229,6 +231,32 @@
   this->UpdateJobOutcome(job);
 }
 
+Task*
+Dispatcher::State::WithdrawLaterRun(const job::TaskRun& aCompleted)
+{
+  Step* step = this->FindStep(aCompleted.task.step);
+  if (step == nullptr || aCompleted.task.index >= step->tasks.size()) {
+    return nullptr;
+  }
+  Task& task = step->tasks[aCompleted.task.index];
+  if (task.run == aCompleted.run) {
+    return &task;
+  }
+  const job::StepSpec& spec = *this->SpecOf(step->id);
+  if (task.run < aCompleted.run || task.phase == Phase::Done ||
+      spec.isLongRunning) {
+    return nullptr;
+  }
+  constexpr std::string_view kReason = "an earlier run completed";
+  if (spec.isGang) {
+    this->StopGangMembers(*step, task.run, kReason);
+  } else {
+    this->RequestStop(*step, aCompleted.task.index, kReason);
+  }
+  task.phase = Phase::Idle;
+  return &task;
+}
+
 void
 Dispatcher::State::RecordTaskFailure(Worker& aWorker,
                                      Step& aStep,
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -728,6 +728,42 @@
   CHECK(harness.starts.size() == 1);
 }
 
+// Guards against starting a task again after its completion was acknowledged:
+// the run was given up and the task placed again before the end was reported.
+TEST_CASE("an earlier run that completed completes the task")
+{
+  DispatcherHarness harness(2);
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 8));
+  const auto first = harness.Running("j").front();
+  const std::string agent = harness.AgentOf(first);
+  harness.agents.at(agent).isReporting = false;
+  std::size_t expectedStarts = 1;
+  SUBCASE("while the placement of the next run is written")
+  {
+    harness.persistsImmediately = false;
+  }
+  SUBCASE("while the next run is on another worker")
+  {
+    expectedStarts = 2;
+  }
+  harness.Run(6s);
+  REQUIRE(harness.lost == 1);
+  REQUIRE(harness.starts.size() == expectedStarts);
+  harness.agents.at(agent).isReporting = true;
+  harness.End(first, EndKind::Done);
+  harness.Report(agent);
+  harness.persistsImmediately = true;
+  harness.Run(3s);
+  CHECK(harness.agents.at(agent).ended.empty());
+  CHECK(harness.Phase("j") == JobPhase::Completed);
+  CHECK(harness.Running("j").empty());
+  CHECK(harness.starts.size() == expectedStarts);
+  // The resources of both runs are free again.
+  harness.Submit(DispatcherHarness::MakeJob("k", 2, 8));
+  harness.Run(1s);
+  CHECK(harness.Running("k").size() == 2);
+}
+
 // Guards against the same duplicate run when the worker's next incarnation
 // executed the order.
 TEST_CASE("a run completed by another incarnation of its worker counts")
