Ignore reports of earlier incarnations of a worker

A report could be handled after the agent had reported a newer worker on its VM: read late from an earlier connection by a scheduler that is short of processor time, or by the next coordinator. The dispatcher took the earlier worker for a replacement, gave up the tasks of the present one and placed them again while they ran.

Incarnations are ordered by their start, as agents order registrations. A report of an earlier one is ignored, and a placement counts as replaced on its VM only if the reported worker started after the one that it names.

The test failed before: CHECK( harness.lost == 0 ), values 2 == 0, and CHECK( harness.starts.size() == 1 ), values 3 == 1.

--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -94,6 +94,9 @@
     }
     return;
   }
+  if (worker.info && aReport.worker->life.born < worker.info->life.born) {
+    return; // Sent on an earlier connection, before the worker was replaced.
+  }
   this->SetWorker(worker, *aReport.worker);
   std::uint64_t lastEnd = 0;
   for (const auto& end : aReport.ended) {
@@ -159,9 +162,11 @@
             this->RequestStop(step, i, "gang member lost");
           }
         } else if (task.placedOn == aWorker.agent &&
-                   task.incarnation.id != aWorker.info->life.id) {
-          // A VM has one worker at a time. Orders name the worker's id, so a
-          // late order has no effect on a successor with another id. One with
+                   task.incarnation.id != aWorker.info->life.id &&
+                   task.incarnation.born < aWorker.info->life.born) {
+          // A VM has one worker at a time; the report may be from before the
+          // worker that the task was placed on. Orders name the worker's id, so
+          // a late order has no effect on a successor with another id. One with
           // the same id might execute it, so its lease has to expire first.
           this->MarkLost(step, i, "worker was replaced on its VM");
         }
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -764,6 +764,36 @@
   CHECK(harness.Running("k").size() == 2);
 }
 
+// Guards against a second run of a task that still runs: a report from before
+// the worker was replaced is handled late, also by the next coordinator.
+TEST_CASE("a report of an earlier incarnation of the worker is ignored")
+{
+  DispatcherHarness harness(1);
+  DispatcherHarness::Agent& agent = harness.agents.at("vm-0");
+  const WorkerInfo earlier = agent.info;
+  agent.info.life = { base::TargetId("w-new"), 2 };
+  harness.Report("vm-0");
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  REQUIRE(harness.Running("j").size() == 1);
+  const WorkerInfo current = agent.info;
+  const auto running = agent.running;
+  SUBCASE("in the same term") {}
+  SUBCASE("after a takeover")
+  {
+    agent.isReporting = false;
+    harness.TakeOver();
+  }
+  agent.info = earlier;
+  agent.running.clear();
+  harness.Report("vm-0");
+  agent.info = current;
+  agent.running = running;
+  harness.Report("vm-0");
+  harness.Run(1s);
+  CHECK(harness.lost == 0);
+  CHECK(harness.starts.size() == 1);
+}
+
 // Guards against the same duplicate run when the worker's next incarnation
 // executed the order.
 TEST_CASE("a run completed by another incarnation of its worker counts")
