Grant no report on an agent's earlier connection

The I/O threads of a scheduler read connections independently. When processor time is short, a report that an agent sent on an earlier connection can be handled after one on its newer connection. Orders and the dispatcher keep to the newer connection, but such a report was still granted, and start orders then referred to its sequence number.

Connections are numbered as they are accepted. A report on a connection that is older than the agent's newest one is now dropped.

--- a/libs/coordinator/src/AgentSessions.cpp
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -122,10 +122,11 @@
       continue;
     }
     const auto& message = std::get<protocol::Message>(each.event);
-    if (const auto* report = std::get_if<protocol::AgentReport>(&message)) {
-      this->Identify(each.connection, report->report.agent);
-    }
-    if (!superseded.contains(i)) {
+    const auto* report = std::get_if<protocol::AgentReport>(&message);
+    const bool isOutdated =
+      report != nullptr &&
+      !this->Identify(each.connection, report->report.agent);
+    if (!isOutdated && !superseded.contains(i)) {
       this->HandleMessage(each.connection, message, each.at);
     }
   }
@@ -175,16 +176,21 @@
   return superseded;
 }
 
-void
+bool
 AgentSessions::Identify(ConnectionId aConnection, const base::AgentId& aAgent)
 {
+  // Connections are numbered as they are accepted, but read by several threads.
   ConnectionId& current = this->agents[aAgent];
-  if (current < aConnection) {
+  if (aConnection < current) {
+    return false;
+  }
+  if (current != aConnection) {
     this->logger.Info("agent connected", { { "agent", aAgent } });
     this->connections.erase(current);
     current = aConnection;
     this->connections[aConnection] = aAgent;
   }
+  return true;
 }
 
 void
--- a/libs/coordinator/src/AgentSessions.h
+++ b/libs/coordinator/src/AgentSessions.h
@@ -92,10 +92,10 @@
   static std::set<std::size_t> FindSuperseded(
     std::span<const Received> aReceived);
   /**
-   * Messages to the agent go to this connection from now on, unless it has
-   * opened a later one.
+   * Messages to the agent go to this connection from now on. Returns false if
+   * the agent has opened a newer connection.
    */
-  void Identify(protocol::ConnectionId aConnection,
+  bool Identify(protocol::ConnectionId aConnection,
                 const base::AgentId& aAgent);
   void HandleMessage(protocol::ConnectionId aConnection,
                      const protocol::Message& aMessage,
--- /dev/null
+++ b/libs/coordinator/tests/AgentSessionsTest.cpp
@@ -0,0 +1,108 @@
+#include "AgentSessions.h"
+
+#include "Fleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthwind;
+using namespace amaranthwind::coordinator;
+using protocol::ConnectionId;
+
+namespace {
+
+/** Records the connections to which messages are sent. */
+class RecordingPort final : public protocol::MessagePort
+{
+public:
+  explicit RecordingPort(std::vector<ConnectionId>& aSent)
+    : sent(aSent)
+  {
+  }
+  base::Result<std::string> Listen(std::string_view aAddress) override
+  {
+    return std::string(aAddress);
+  }
+  ConnectionId Connect(std::string_view) override { return {}; }
+  void Send(ConnectionId aConnection, const protocol::Message&) override
+  {
+    this->sent.push_back(aConnection);
+  }
+  void Close(ConnectionId) override {}
+  void SetLiveness(ConnectionId,
+                   std::chrono::milliseconds,
+                   std::chrono::milliseconds) override
+  {
+  }
+  void Stop() override {}
+
+private:
+  std::vector<ConnectionId>& sent;
+};
+
+struct Sessions final : SessionObserver
+{
+  void OnReport(ConnectionId aConnection,
+                const protocol::AgentReport&,
+                base::TimePoint) override
+  {
+    this->reported.push_back(aConnection);
+  }
+  void OnOutcome(ConnectionId,
+                 const base::AgentId&,
+                 const protocol::AgentOutcome&) override
+  {
+  }
+  void OnLeaderNotice(ConnectionId, const protocol::LeaderNotice&) override {}
+  void OnClosed(ConnectionId) override {}
+  void OnBatchHandled() override {}
+
+  /** The agent's report arrives on the connection. */
+  void Report(ConnectionId aConnection)
+  {
+    protocol::AgentReport report;
+    report.report.agent = this->agent;
+    this->sessions.OnMessage(aConnection, { {}, false, report });
+    this->executor.RunDue();
+  }
+
+  const base::AgentId agent{ "vm" };
+  std::vector<ConnectionId> sent;
+  std::vector<ConnectionId> reported;
+  base::ManualClock clock;
+  base::ManualExecutor executor{ clock };
+  testing::NullLogSink sink;
+  telemetry::Logger logger{ sink, clock, "coordinator" };
+  telemetry::Metrics metrics;
+  LoadMonitor load{ clock, logger, metrics };
+  AgentSessions sessions{ [this](protocol::MessageHandler&) {
+                           return std::make_unique<RecordingPort>(this->sent);
+                         },
+                          clock,
+                          executor,
+                          logger,
+                          load,
+                          *this };
+};
+
+using Connections = std::vector<ConnectionId>;
+
+} // namespace
+
+// Guards against orders to a closed connection and against judging tasks by old
+// reports: a scheduler short of processor time reads an agent's earlier
+// connection after its newer one.
+TEST_CASE("a report on an earlier connection of the agent is ignored")
+{
+  Sessions sessions;
+  const ConnectionId earlier(1);
+  const ConnectionId newer(2);
+  sessions.Report(newer);
+  sessions.Report(earlier);
+  CHECK(sessions.reported == Connections{ newer });
+  sessions.sessions.Send(sessions.agent, protocol::AgentAck{});
+  CHECK(sessions.sent == Connections{ newer });
+  // The agent connects anew after its connection has closed.
+  sessions.sessions.OnClosed(newer, { base::ErrorCode::ConnectionClosed, {} });
+  sessions.Report(ConnectionId(3));
+  CHECK(sessions.reported.size() == 2);
+}
