--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -16,6 +16,11 @@
  */
 constexpr base::Duration kSuspectInterval = std::chrono::seconds(4);
 constexpr std::uint32_t kMaxSuspectMultiplier = 8;
+/**
+ * Part of DispatcherOptions::maxStartAge that must be left when a start order
+ * is sent: the order's way to the agent, and two attempts to start the run.
+ */
+constexpr base::Duration kStartOrderTime = std::chrono::milliseconds(500);
 /** How long a worker is avoided after a failed start. */
 constexpr base::Duration kStartFailureBackoff = std::chrono::milliseconds(500);
 
@@ -65,7 +70,9 @@
 } // namespace
 
 void
-Dispatcher::State::HandleReport(const WorkerReport& aReport, SessionId aSession)
+Dispatcher::State::HandleReport(const WorkerReport& aReport,
+                                SessionId aSession,
+                                base::Duration aQueueTime)
 {
   Worker& worker = this->workers[aReport.agent];
   if (aSession < worker.session) {
@@ -77,6 +84,7 @@
   }
   worker.agent = aReport.agent;
   worker.receivedOrder = aReport.receivedOrder;
+  worker.reportedAt = this->callTime.now - aQueueTime;
   worker.grantExpiresAt = this->callTime.now + this->options.maxGrantDuration;
   if (!aReport.worker) {
     if (worker.info) {
@@ -86,6 +94,9 @@
     }
     return;
   }
+  if (worker.info && aReport.worker->life.born < worker.info->life.born) {
+    return; // Sent on an earlier connection, before the worker was replaced.
+  }
   this->SetWorker(worker, *aReport.worker);
   std::uint64_t lastEnd = 0;
   for (const auto& end : aReport.ended) {
@@ -151,9 +162,11 @@
             this->RequestStop(step, i, "gang member lost");
           }
         } else if (task.placedOn == aWorker.agent &&
-                   task.incarnation.id != aWorker.info->life.id) {
-          // A VM has one worker at a time. Orders name the worker's id, so a
-          // late order has no effect on a successor with another id. One with
+                   task.incarnation.id != aWorker.info->life.id &&
+                   task.incarnation.born < aWorker.info->life.born) {
+          // A VM has one worker at a time; the report may be from before the
+          // worker that the task was placed on. Orders name the worker's id, so
+          // a late order has no effect on a successor with another id. One with
           // the same id might execute it, so its lease has to expire first.
           this->MarkLost(step, i, "worker was replaced on its VM");
         }
@@ -166,13 +179,15 @@
 Dispatcher::State::HandleEnd(Worker& aWorker, const EndedTask& aEnd)
 {
   const bool heldResources = this->ReleaseResources(aWorker, aEnd.run);
-  Task* task = this->FindRun(aEnd.run);
+  Task* task = aEnd.kind == EndKind::Done ? this->WithdrawLaterRun(aEnd.run)
+                                          : this->FindRun(aEnd.run);
   const bool isCurrent = heldResources && task != nullptr &&
                          task->IsOnWorker() &&
                          task->incarnation == aWorker.info->life;
   // The run was considered lost because its worker was silent or restarted, but
   // it completed. This is safe to accept: a run number is used by one start
-  // only.
+  // only. It has to be accepted also after the task was placed again, because
+  // nothing may start once the end is acknowledged.
   const bool isLateCompletion =
     task != nullptr && task->phase == Phase::Idle && aEnd.kind == EndKind::Done;
   if (!isCurrent && !isLateCompletion) {
@@ -221,6 +236,32 @@
   this->UpdateJobOutcome(job);
 }
 
+Task*
+Dispatcher::State::WithdrawLaterRun(const job::TaskRun& aCompleted)
+{
+  Step* step = this->FindStep(aCompleted.task.step);
+  if (step == nullptr || aCompleted.task.index >= step->tasks.size()) {
+    return nullptr;
+  }
+  Task& task = step->tasks[aCompleted.task.index];
+  if (task.run == aCompleted.run) {
+    return &task;
+  }
+  const job::StepSpec& spec = *this->SpecOf(step->id);
+  if (task.run < aCompleted.run || task.phase == Phase::Done ||
+      spec.isLongRunning) {
+    return nullptr;
+  }
+  constexpr std::string_view kReason = "an earlier run completed";
+  if (spec.isGang) {
+    this->StopGangMembers(*step, task.run, kReason);
+  } else {
+    this->RequestStop(*step, aCompleted.task.index, kReason);
+  }
+  task.phase = Phase::Idle;
+  return &task;
+}
+
 void
 Dispatcher::State::RecordTaskFailure(Worker& aWorker,
                                      Step& aStep,
@@ -343,7 +384,7 @@
     // The agent rejects orders of the previous coordinator, but one may still
     // be on its way to the worker until a stop rules that out.
     isMissing = aTask.isInherited || fate == OrderFate::Received;
-    if (!isMissing && fate == OrderFate::Lost) {
+    if (!isMissing && fate == OrderFate::Lost && this->CanStartInTime(aTask)) {
       aTask.isStartRepeated = true;
       this->observer.OnStartRepeated(aRun, aWorker.agent);
       this->SendStart(aTask, aRun);
@@ -610,14 +651,15 @@
 {
   aTask.order = this->NextOrder();
   aTask.phaseStartedAt = this->callTime.now;
-  this->effects.emplace_back(
-    StartTask{ aTask.agent,
-               this->SessionOf(aTask.agent),
-               aTask.order,
-               aTask.incarnation,
-               aRun,
-               this->FindJob(aRun.task.step.job)->spec->payload,
-               aTask.checkpoint });
+  this->effects.emplace_back(StartTask{
+    aTask.agent,
+    this->SessionOf(aTask.agent),
+    aTask.order,
+    aTask.incarnation,
+    aRun,
+    this->FindJob(aRun.task.step.job)->spec->payload,
+    aTask.checkpoint,
+    this->options.maxStartAge - (this->callTime.now - this->jobsAsOf) });
 }
 
 void
@@ -632,21 +674,61 @@
                                        aRun });
 }
 
+bool
+Dispatcher::State::AreJobsRecent() const
+{
+  // Half of the time is left for the age of the agent's report.
+  return this->callTime.now - this->jobsAsOf <= this->options.maxStartAge / 2;
+}
+
+bool
+Dispatcher::State::CanStartInTime(const Task& aTask) const
+{
+  const auto worker = this->workers.find(aTask.agent);
+  return worker != this->workers.end() && this->AreJobsRecent() &&
+         (this->callTime.now - this->jobsAsOf) +
+             (this->callTime.now - worker->second.reportedAt) +
+             kStartOrderTime <=
+           this->options.maxStartAge;
+}
+
 void
-Dispatcher::State::SendReadyOrders(std::uint64_t aVersion)
+Dispatcher::State::SendReadyOrders()
 {
+  std::deque<std::pair<std::uint64_t, job::TaskRun>> waiting;
   while (!this->pendingPlacements.empty() &&
-         this->pendingPlacements.front().first <= aVersion) {
-    const job::TaskRun run = this->pendingPlacements.front().second;
-    this->pendingPlacements.pop_front();
-    Task* task = this->FindRun(run);
-    if (task == nullptr || task->phase != Phase::Placing) {
-      continue;
+         this->pendingPlacements.front().first <= this->persistedVersion) {
+    const auto first = this->pendingPlacements.front();
+    const job::StepSpec* spec = this->SpecOf(first.second.task.step);
+    std::vector<job::TaskRun> together;
+    bool canStart = true;
+    // The members of a gang are placed one after another.
+    do {
+      const job::TaskRun run = this->pendingPlacements.front().second;
+      this->pendingPlacements.pop_front();
+      const Task* task = this->FindRun(run);
+      if (task != nullptr && task->phase == Phase::Placing) {
+        together.push_back(run);
+        canStart = canStart && this->CanStartInTime(*task);
+      }
+    } while (spec != nullptr && spec->isGang &&
+             !this->pendingPlacements.empty() &&
+             this->pendingPlacements.front().second.run == first.second.run &&
+             this->pendingPlacements.front().second.task.step ==
+               first.second.task.step);
+    for (const auto& run : together) {
+      if (canStart) {
+        Task& task = *this->FindRun(run);
+        task.phase = Phase::Ordered;
+        task.isStartRepeated = false;
+        this->SendStart(task, run);
+      } else {
+        waiting.emplace_back(first.first, run);
+      }
     }
-    task->phase = Phase::Ordered;
-    task->isStartRepeated = false;
-    this->SendStart(*task, run);
   }
+  this->pendingPlacements.insert(
+    this->pendingPlacements.begin(), waiting.begin(), waiting.end());
 }
 
 void
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -47,6 +47,69 @@
   CHECK(harness.starts.size() == 1);
 }
 
+// Guards against starting a run long after its job was cancelled: a slow
+// coordinator has not read the cancellation yet.
+TEST_CASE("no task is placed while the jobs may have changed")
+{
+  DispatcherHarness harness;
+  harness.areJobsConfirmed = false;
+  harness.now.now += 1500ms;
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  harness.Run(1s);
+  CHECK(harness.durable.empty());
+  harness.areJobsConfirmed = true;
+  harness.Run(500ms);
+  REQUIRE(harness.starts.size() == 1);
+  CHECK(harness.starts.front().validFor == 2600ms);
+}
+
+// Guards against starting a run long after its job was cancelled: the record of
+// its placement became durable late.
+TEST_CASE("no start is ordered while the jobs may have changed")
+{
+  DispatcherHarness harness;
+  const auto job = DispatcherHarness::MakeJob("j", 1, 1);
+  harness.persistsImmediately = false;
+  harness.Submit(job);
+  harness.areJobsConfirmed = false;
+  harness.Run(2s);
+  harness.Persist();
+  CHECK(harness.durable.size() == 1);
+  CHECK(harness.starts.empty());
+  harness.areJobsConfirmed = true;
+  harness.persistsImmediately = true;
+  SUBCASE("and the job still exists")
+  {
+    harness.Run(500ms);
+    CHECK(harness.starts.size() == 1);
+  }
+  SUBCASE("and the job was cancelled")
+  {
+    harness.Cancel(job);
+    harness.Run(2s);
+    CHECK(harness.starts.empty());
+  }
+}
+
+// Guards against gangs that wait for a member whose agent refuses the order as
+// too old: its reports come late, so that the order refers to an old one.
+TEST_CASE("the members of a gang are ordered once all agents can start in time")
+{
+  DispatcherHarness harness(2);
+  auto job = DispatcherHarness::MakeJob("j", 2, 8);
+  job.steps.front().isGang = true;
+  harness.agents.at("vm-1").isReporting = false;
+  harness.persistsImmediately = false;
+  harness.Submit(job);
+  harness.Run(2500ms);
+  harness.Persist();
+  harness.Run(500ms);
+  CHECK(harness.starts.empty());
+  harness.agents.at("vm-1").isReporting = true;
+  harness.Run(500ms);
+  CHECK(harness.starts.size() == 2);
+}
+
 // Guards against losing an end: the worker discards it once acknowledged.
 TEST_CASE("an end is acknowledged only after it is durable")
 {
@@ -665,6 +728,72 @@
   CHECK(harness.starts.size() == 1);
 }
 
+// Guards against starting a task again after its completion was acknowledged:
+// the run was given up and the task placed again before the end was reported.
+TEST_CASE("an earlier run that completed completes the task")
+{
+  DispatcherHarness harness(2);
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 8));
+  const auto first = harness.Running("j").front();
+  const std::string agent = harness.AgentOf(first);
+  harness.agents.at(agent).isReporting = false;
+  std::size_t expectedStarts = 1;
+  SUBCASE("while the placement of the next run is written")
+  {
+    harness.persistsImmediately = false;
+  }
+  SUBCASE("while the next run is on another worker")
+  {
+    expectedStarts = 2;
+  }
+  harness.Run(6s);
+  REQUIRE(harness.lost == 1);
+  REQUIRE(harness.starts.size() == expectedStarts);
+  harness.agents.at(agent).isReporting = true;
+  harness.End(first, EndKind::Done);
+  harness.Report(agent);
+  harness.persistsImmediately = true;
+  harness.Run(3s);
+  CHECK(harness.agents.at(agent).ended.empty());
+  CHECK(harness.Phase("j") == JobPhase::Completed);
+  CHECK(harness.Running("j").empty());
+  CHECK(harness.starts.size() == expectedStarts);
+  // The resources of both runs are free again.
+  harness.Submit(DispatcherHarness::MakeJob("k", 2, 8));
+  harness.Run(1s);
+  CHECK(harness.Running("k").size() == 2);
+}
+
+// Guards against a second run of a task that still runs: a report from before
+// the worker was replaced is handled late, also by the next coordinator.
+TEST_CASE("a report of an earlier incarnation of the worker is ignored")
+{
+  DispatcherHarness harness(1);
+  DispatcherHarness::Agent& agent = harness.agents.at("vm-0");
+  const WorkerInfo earlier = agent.info;
+  agent.info.life = { base::TargetId("w-new"), 2 };
+  harness.Report("vm-0");
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  REQUIRE(harness.Running("j").size() == 1);
+  const WorkerInfo current = agent.info;
+  const auto running = agent.running;
+  SUBCASE("in the same term") {}
+  SUBCASE("after a takeover")
+  {
+    agent.isReporting = false;
+    harness.TakeOver();
+  }
+  agent.info = earlier;
+  agent.running.clear();
+  harness.Report("vm-0");
+  agent.info = current;
+  agent.running = running;
+  harness.Report("vm-0");
+  harness.Run(1s);
+  CHECK(harness.lost == 0);
+  CHECK(harness.starts.size() == 1);
+}
+
 // Guards against the same duplicate run when the worker's next incarnation
 // executed the order.
 TEST_CASE("a run completed by another incarnation of its worker counts")
