Ignore gang messages until the worker's tasks are known

Cause: a restarted daemon listens before it has listed the tasks of its predecessor. A member's heartbeat in that time names a gang that it does not know, and is answered with a stop.

Messages are dropped until the tasks are adopted.

--- a/libs/target/src/GangServer.cpp
+++ b/libs/target/src/GangServer.cpp
@@ -122,6 +122,7 @@
         return;
       }
       this->AdoptTasks(result.value());
+      this->hasAdoptedTasks = true;
       this->readyHandler();
     });
   });
@@ -153,6 +154,11 @@
 void
 GangServer::OnMessage(ConnectionId aConnection, const gang::MemberEvent& aEvent)
 {
+  if (!this->hasAdoptedTasks) {
+    // A gang that is not known yet would be answered with a stop. Members
+    // repeat their heartbeats, and entries learn of this worker only later.
+    return;
+  }
   if (const auto fence = std::visit(FenceOf{}, aEvent)) {
     Coordinator& coordinator = this->coordinators[fence->cell];
     if (fence->token >= coordinator.token) {
--- a/libs/target/src/GangServer.h
+++ b/libs/target/src/GangServer.h
@@ -127,6 +127,8 @@
   std::map<base::ZoneId, Coordinator> coordinators;
   /** Called once the worker has listed its tasks. */
   std::function<void()> readyHandler;
+  /** Whether the tasks of the previous daemon are known. */
+  bool hasAdoptedTasks = false;
   base::Backoff listBackoff;
   std::optional<base::TimePoint> nextListAttempt;
   bool isPollingTasks = false;
