List a restored job once on each of its workers

What callers see: after a coordinator change, a job inside its guarantee could wait although only borrowers were in its way. Its claim stayed open until such a borrower ended on its own, and no shortfall was reported.

Cause: On(JobRestored) listed a job on a worker once per member there, while Start() listed it once. StopBorrowers() subtracts, for each listed job that is already stopping, what all of its members use on the worker. A restored gang with two members on the worker was subtracted twice, so the claim seemed to be covered and the other borrowers there were not stopped. CollectOffers() and PreemptionCost() counted such a gang twice as well.

Change: both paths use OccupyWorkers(), which lists a job once on each worker.

All 24 cases of scheduling_tests pass after the change.

--- a/libs/scheduling/src/CellScheduler.cpp
+++ b/libs/scheduling/src/CellScheduler.cpp
@@ -386,10 +386,7 @@
   if (job.allocation == AllocationType::Spare) {
     this->ledger.ForceCommit(job.workers, job.spec.shape.perMember);
   }
-  this->AddUse(&WorkerUse::used, job.workers, job.spec.shape.perMember);
-  for (const WorkerIndex worker : job.workers) {
-    this->uses[worker].jobs.push_back(index);
-  }
+  this->OccupyWorkers(index);
   this->TryPromote(index);
 }
 
@@ -766,6 +763,21 @@
   }
 }
 
+void
+CellScheduler::State::OccupyWorkers(JobIndex aJob)
+{
+  const JobRow& job = this->jobs[aJob];
+  this->AddUse(&WorkerUse::used, job.workers, job.spec.shape.perMember);
+  for (const WorkerIndex worker : job.workers) {
+    // UseOn() covers all members on a worker, so a second entry would count
+    // them twice.
+    std::vector<JobIndex>& here = this->uses[worker].jobs;
+    if (here.empty() || here.back() != aJob) {
+      here.push_back(aJob);
+    }
+  }
+}
+
 void
 CellScheduler::State::RemoveUse(Resources WorkerUse::*aField,
                                 std::span<const WorkerIndex> aWorkers,
--- a/libs/scheduling/src/Dispatch.cpp
+++ b/libs/scheduling/src/Dispatch.cpp
@@ -293,19 +293,13 @@
     this->runTimes.Estimate(job.workKind, job.spec.declaredRunTime).high;
   ++job.lastAttempt;
   ++job.runs;
-  this->AddUse(&WorkerUse::used, job.workers, job.spec.shape.perMember);
+  this->OccupyWorkers(aJob);
   job::GangPlan plan{ { job.spec.id, base::Attempt(job.lastAttempt) },
                       this->settings.token,
                       {},
                       job.spec.payload };
   plan.members.reserve(job.workers.size());
-  WorkerIndex before = fleet::kNoWorker;
   for (const WorkerIndex worker : job.workers) {
-    // Members on the same worker are adjacent in the list.
-    if (worker != before) {
-      this->uses[worker].jobs.push_back(aJob);
-      before = worker;
-    }
     const fleet::Target& target = this->cell.Worker(worker).target;
     plan.members.push_back(job::GangMemberPlan{
       target.id, target.address, job.spec.shape.perMember });
--- a/libs/scheduling/src/SchedulerState.h
+++ b/libs/scheduling/src/SchedulerState.h
@@ -97,6 +97,7 @@
   fleet::Resources used;
   fleet::Resources claimed;
   fleet::Resources reserved;
+  /** Each job that has members here, once. */
   std::vector<JobIndex> jobs;
 };
 
@@ -161,6 +162,11 @@
   void RemoveUse(fleet::Resources WorkerUse::*aField,
                  std::span<const fleet::WorkerIndex> aWorkers,
                  const fleet::Resources& aNeed);
+  /**
+   * Adds the use of a placed job to its workers and lists the job once on each
+   * of them.
+   */
+  void OccupyWorkers(JobIndex aJob);
 
   // Scheduling decisions.
   void Dispatch();
--- a/libs/scheduling/tests/CellSchedulerTest.cpp
+++ b/libs/scheduling/tests/CellSchedulerTest.cpp
@@ -182,6 +182,41 @@
   CHECK(cell.Started() == Names{ "new" });
 }
 
+// Guards against counting a restored gang once per member on a worker: the stop
+// of "two" would seem to free 12 accelerators, and "one" would block the claim.
+TEST_CASE("a claim stops all borrowers in its way after a coordinator change")
+{
+  SchedulerFixture cell;
+  cell.Send(PolicyChanged{ { MakeAccount("a", 1, MakeShape(1, 8)) } });
+  cell.Send(
+    JobRestored{ SchedulerFixture::MakeSpec(
+                   "two", MakeShape(2, 3, Adjacency::SameWorker), kBorrower),
+                 0,
+                 base::Attempt(1),
+                 1,
+                 { WorkerName(0), WorkerName(0) } });
+  cell.Send(
+    JobRestored{ SchedulerFixture::MakeSpec("one", MakeShape(1, 2), kBorrower),
+                 0,
+                 base::Attempt(1),
+                 1,
+                 { WorkerName(0) } });
+  cell.Send(WorkerJoined{ MakeWorker(0) });
+  REQUIRE(cell.scheduler.Usage().borrowed == 8);
+  cell.Send(JobCancelled{ base::JobId("two") });
+  REQUIRE(cell.All<PreemptGang>().size() == 1);
+
+  cell.Submit("owner", MakeShape(1, 8));
+  const auto stops = cell.All<PreemptGang>();
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].gang.job == base::JobId("one"));
+  CHECK(stops[0].reason == StopReason::GuaranteeClaimed);
+  cell.End("two", AttemptOutcome::Preempted);
+  CHECK(cell.Started().empty());
+  cell.End("one", AttemptOutcome::Preempted);
+  CHECK(cell.Started() == Names{ "owner" });
+}
+
 // Guards against guarantees that silently no longer fit after workers were
 // lost, and against new non-preemptible work that delays their recovery.
 TEST_CASE(
