Draw the random events of the scheduler test in a fixed order

Cause: SubmitRandom() drew the members, the runs and whether the job is preemptible inside the arguments of one call. Their evaluation order is unspecified, so the events of a seed depended on the compiler and the machine. Seed 134 failed on arm64; on x86-64 the test had passed.

Change: the three values are drawn in statements of their own, in the order of the arguments.

--- a/libs/scheduling/tests/InvariantTest.cpp
+++ b/libs/scheduling/tests/InvariantTest.cpp
@@ -203,15 +203,18 @@
     }
     const auto adjacency = static_cast<Adjacency>(this->Draw(0, 2));
     const auto accelerators = static_cast<std::uint32_t>(this->Draw(0, 8));
+    // Separate statements: the evaluation order of arguments is unspecified,
+    // and a seed must give the same events with every compiler.
+    const auto members = static_cast<std::uint32_t>(this->Draw(1, 3));
+    const auto runs = static_cast<std::uint32_t>(this->Draw(1, 4));
+    const bool isPreemptible = this->Draw(0, 3) != 0;
     // Borrowers have other shapes than the guarantees or belong to an account
     // without one, so that counting used units stays simple.
     this->SubmitJob(this->NextName(),
                     3,
-                    MakeShape(static_cast<std::uint32_t>(this->Draw(1, 3)),
-                              accelerators,
-                              adjacency),
-                    static_cast<std::uint32_t>(this->Draw(1, 4)),
-                    this->Draw(0, 3) != 0);
+                    MakeShape(members, accelerators, adjacency),
+                    runs,
+                    isPreemptible);
   }
 
   void EndRandom()
