Use a worker that was started after its clock was set back

What callers would see: tasks of a VM that crashed are never started again and its worker gets none, until the coordinator changes (LOST).

An agent that starts anew accepts any worker. If the wall clock of the VM was set back before, each of its reports is ignored, and the worker that is gone never expires: its runs stay in phase Running, and new ones are placed on it and refused.

An ignored report no longer renews the worker. A late report was sent before the last one of the known worker, so that its grant ends no later; otherwise the grant is for the new worker. So the known worker expires with its last grant, and the next report is that of a worker that joins.

--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -84,6 +84,14 @@
   }
   worker.agent = aReport.agent;
   worker.receivedOrder = aReport.receivedOrder;
+  if (worker.info && aReport.worker &&
+      aReport.worker->life.born < worker.info->life.born) {
+    // Sent on an earlier connection, before the worker was replaced; or the
+    // worker started after its clock was set back. The grant that answers the
+    // report extends no run of the known worker, which therefore expires if
+    // all further reports are like this one.
+    return;
+  }
   worker.reportedAt = this->callTime.now - aQueueTime;
   worker.grantExpiresAt = this->callTime.now + this->options.maxGrantDuration;
   if (!aReport.worker) {
@@ -94,9 +102,6 @@
     }
     return;
   }
-  if (worker.info && aReport.worker->life.born < worker.info->life.born) {
-    return; // Sent on an earlier connection, before the worker was replaced.
-  }
   this->SetWorker(worker, *aReport.worker);
   std::uint64_t lastEnd = 0;
   for (const auto& end : aReport.ended) {
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -794,6 +794,24 @@
   CHECK(harness.starts.size() == 1);
 }
 
+// Guards against tasks that stay on a worker that is gone, and against a worker
+// that is ignored for good: the clock of its VM was set back before it restarted.
+TEST_CASE("a worker that was started after its clock was set back is used")
+{
+  DispatcherHarness harness(1);
+  DispatcherHarness::Agent& agent = harness.agents.at("vm-0");
+  agent.info.life = { base::TargetId("w-first"), 100 };
+  harness.Report("vm-0");
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  REQUIRE(harness.Running("j").size() == 1);
+  agent.info.life = { base::TargetId("w-second"), 50 };
+  agent.running.clear();
+  harness.RestartAgent("vm-0");
+  harness.Run(harness.options.maxGrantDuration + 2s);
+  CHECK(harness.lost == 1);
+  CHECK(harness.Running("j").size() == 1);
+}
+
 // Guards against the same duplicate run when the worker's next incarnation
 // executed the order.
 TEST_CASE("a run completed by another incarnation of its worker counts")
