Use no version for records of a job that was deleted

Evidence: the test failed before: CHECK( other.acknowledged == 1 ) values: CHECK( 0 == 1 )

The version counts only if a record has it.

--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -250,15 +250,13 @@
 void
 Dispatcher::State::FlushWrites()
 {
-  if (this->dirtySteps.empty()) {
-    return;
-  }
-  ++this->lastVersion;
+  const std::uint64_t version = this->lastVersion + 1;
   for (const job::StepId& id : std::exchange(this->dirtySteps, {})) {
     // The records of a job that was forgotten meanwhile are being deleted.
     if (const Step* step = this->FindStep(id)) {
-      this->effects.emplace_back(
-        PersistStep{ ToRecord(*step), this->lastVersion });
+      this->effects.emplace_back(PersistStep{ ToRecord(*step), version });
+      // A version without a record would never become durable.
+      this->lastVersion = version;
     }
   }
 }
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -897,6 +897,33 @@
   CHECK(harness.starts[1].run.run == 2);
 }
 
+// Guards against ends that stay unacknowledged: the only step that changed
+// belongs to a job that is deleted in the same call.
+TEST_CASE("ends are acknowledged after a job with a lost run was deleted")
+{
+  DispatcherHarness harness(2);
+  harness.stopsImmediately = false;
+  harness.options.retention = 5s;
+  harness.TakeOver();
+  const auto job = DispatcherHarness::MakeJob("j", 1, 8);
+  harness.Submit(job);
+  REQUIRE(harness.Running("j").size() == 1);
+  const job::TaskRun run = harness.Running("j")[0];
+  const std::string silent = harness.AgentOf(run);
+  harness.Cancel(job);
+  harness.Run(harness.options.retention + 1s);
+  REQUIRE(harness.forgotten.empty());
+  harness.agents.at(silent).isReporting = false;
+  harness.Run(harness.options.maxGrantDuration + 1s);
+  REQUIRE(harness.forgotten.size() == 1);
+  DispatcherHarness::Agent& other =
+    harness.agents.at(silent == "vm-0" ? "vm-1" : "vm-0");
+  other.lastEnd = 1;
+  other.ended[1] = { 1, run, EndKind::Stopped, {} };
+  harness.Run(1s);
+  CHECK(other.acknowledged == 1);
+}
+
 TEST_CASE("an ended job is deleted after its retention time")
 {
   DispatcherHarness harness;
