--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -794,8 +794,8 @@
   CHECK(harness.starts.size() == 1);
 }
 
-// Guards against tasks that stay on a worker that is gone, and against a worker
-// that is ignored for good: the clock of its VM was set back before it restarted.
+// Guards against tasks that stay on a worker that is gone, and against a new
+// worker that is ignored for good because the clock of its VM was set back.
 TEST_CASE("a worker that was started after its clock was set back is used")
 {
   DispatcherHarness harness(1);
