Do not replace a leader because its scheduling passes are long

Cause: a leader withholds its heartbeats once its decision thread has neither begun nor ended a task for 1.7 s. A scheduling pass is one task without a limit of its time. A leader whose passes take longer is replaced, and so is each successor, which has the same jobs and workers.

The simulated cell did not show it: it runs a task at once, so that the heartbeats saw progress at the end of a pass that still ran. Progress after a gap of 1 s or more is now dated to the start of the gap.

The pass notes progress with each attempt to pack. A thread that is stuck or frozen still withholds the heartbeats.

--- a/libs/base/include/amaranthwind/base/ProgressExecutor.h
+++ b/libs/base/include/amaranthwind/base/ProgressExecutor.h
@@ -19,9 +19,12 @@
   void Post(std::function<void()> aTask) override;
   void RunAfter(Duration aDelay, std::function<void()> aTask) override;
 
+  /** Called by a long task between two steps of its work. */
+  void NoteProgress();
+
   /**
-   * How long the executor has had work without beginning or ending a task. Zero
-   * if it is idle. A long queue is no stall.
+   * How long the executor has had work without beginning or ending a task or
+   * noting progress. Zero if it is idle. A long queue is no stall.
    */
   Duration StalledFor() const;
 
--- a/libs/base/src/ProgressExecutor.cpp
+++ b/libs/base/src/ProgressExecutor.cpp
@@ -66,6 +66,12 @@
                           });
 }
 
+void
+ProgressExecutor::NoteProgress()
+{
+  this->state->NoteProgress();
+}
+
 Duration
 ProgressExecutor::StalledFor() const
 {
--- a/libs/base/tests/ProgressExecutorTest.cpp
+++ b/libs/base/tests/ProgressExecutorTest.cpp
@@ -64,6 +64,18 @@
     held.RunNext();
     CHECK(executor.StalledFor() == 0s);
   }
+  SUBCASE("but not while a task notes progress")
+  {
+    executor.Post([&] {
+      clock.Advance(3s);
+      executor.NoteProgress();
+      CHECK(executor.StalledFor() == 0s);
+      clock.Advance(1s);
+      CHECK(executor.StalledFor() == 1s);
+    });
+    held.RunNext();
+    CHECK(executor.StalledFor() == 0s);
+  }
   SUBCASE("but not because its queue is long")
   {
     for (int i = 0; i < 100; ++i) {
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -31,6 +31,42 @@
 /** Interval between attempts to reach the previous coordinator. */
 constexpr base::Duration kPredecessorRetryInterval = 500ms;
 
+/**
+ * Notes progress during a scheduling pass. A leader whose passes are long is
+ * not replaced for it: its successor would have to run the same passes.
+ */
+class ProgressPacking final : public dispatch::Packing
+{
+public:
+  ProgressPacking(std::unique_ptr<dispatch::Packing> aPacking,
+                  base::ProgressExecutor& aExecutor)
+    : packing(std::move(aPacking))
+    , executor(aExecutor)
+  {
+  }
+  std::vector<std::uint32_t> Pack(
+    std::span<const dispatch::PackingWorker> aWorkers,
+    const dispatch::PackingRequest& aRequest) const override
+  {
+    this->executor.NoteProgress();
+    return this->packing->Pack(aWorkers, aRequest);
+  }
+
+private:
+  const std::unique_ptr<dispatch::Packing> packing;
+  base::ProgressExecutor& executor;
+};
+
+CoordinatorOptions
+NoteProgressOfPasses(CoordinatorOptions aOptions,
+                     base::ProgressExecutor& aExecutor)
+{
+  aOptions.makePacking = [make = std::move(aOptions.makePacking), &aExecutor] {
+    return std::make_unique<ProgressPacking>(make(), aExecutor);
+  };
+  return aOptions;
+}
+
 } // namespace
 
 struct Coordinator::Impl final
@@ -48,7 +84,7 @@
        const ledger::RecordCodec& aCodec,
        telemetry::Logger& aLogger,
        telemetry::Metrics& aMetrics)
-    : options(aOptions)
+    : options(NoteProgressOfPasses(aOptions, aExecutor))
     , clock(aClock)
     , executor(aExecutor)
     , log(aLog)
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -164,6 +164,19 @@
            this->now.time_since_epoch());
 }
 
+base::TimePoint
+SimulatedTime::ProgressClock::Now() const
+{
+  const base::TimePoint now = this->time.now;
+  if (this->time.running != &this->process) {
+    return now;
+  }
+  const base::TimePoint last =
+    std::max(this->lastProgress, this->time.taskStart);
+  this->lastProgress = now;
+  return now - last < 1s ? now : last;
+}
+
 SimulatedTime::Process&
 SimulatedTime::AddProcess(base::Duration aCostPerTask)
 {
@@ -218,9 +231,12 @@
     }
     const auto task = nextProcess->tasks.extract(nextProcess->tasks.begin());
     this->isInProcess = true;
+    this->running = nextProcess;
+    this->taskStart = this->now;
     this->Charge(nextProcess->costPerTask);
     task.mapped()();
     this->isInProcess = false;
+    this->running = nullptr;
     nextProcess->busyUntil = this->now;
   }
   this->now = end;
@@ -479,7 +495,8 @@
   Entry(SimulatedCell& aCell, std::uint32_t aNumber)
     : process(aCell.time.AddProcess(aCell.options.costs.perTask))
     , heartbeats(aCell.time.AddProcess({}))
-    , executor(process, aCell.time)
+    , progressClock(aCell.time, process)
+    , executor(process, progressClock)
     , codec(aCell.time, aCell.options.costs.perRecordTask)
     , logger(sink, aCell.time, "coordinator")
     , coordinator(MakeOptions(aCell, aNumber),
@@ -511,6 +528,7 @@
   NullLogSink sink;
   SimulatedTime::Process& process;
   SimulatedTime::Process& heartbeats;
+  SimulatedTime::ProgressClock progressClock;
   base::ProgressExecutor executor;
   ChargedCodec codec;
   telemetry::Logger logger;
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -54,6 +54,28 @@
     std::multimap<base::TimePoint, std::function<void()>> tasks;
   };
 
+  /**
+   * Clock for the ProgressExecutor of a process. A task runs at once in the
+   * simulation, so that others would see the progress at its end while it still
+   * runs. Progress after a gap of 1 s or more is dated to the start of the gap.
+   */
+  class ProgressClock final : public base::Clock
+  {
+  public:
+    ProgressClock(const SimulatedTime& aTime, const Process& aProcess)
+      : time(aTime)
+      , process(aProcess)
+    {
+    }
+    base::TimePoint Now() const override;
+    base::WallTime WallNow() const override { return this->time.WallNow(); }
+
+  private:
+    const SimulatedTime& time;
+    const Process& process;
+    mutable base::TimePoint lastProgress{};
+  };
+
   base::TimePoint Now() const override { return this->now; }
   base::WallTime WallNow() const override;
   Process& AddProcess(base::Duration aCostPerTask);
@@ -66,6 +88,8 @@
 private:
   base::TimePoint now{ std::chrono::hours(1) };
   bool isInProcess = false;
+  const Process* running = nullptr;
+  base::TimePoint taskStart{};
   std::multimap<base::TimePoint, std::function<void()>> events;
   std::deque<Process> processes;
 };
