Show in the log why placements wait

What callers saw: accepted jobs that do not start. A view of the jobs that is too old to place by, placements that are not durable, and agents whose reports are too old looked the same as a lack of room (found by the reviewer).

Change: the line 'decision load' has the age of the view and the number of placements whose order was not sent. A confirmed view starts the pass that waited for it instead of the next tick.

--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -117,7 +117,9 @@
 DispatchRunner::OnJobsConfirmed(base::TimePoint aAsOf)
 {
   if (this->dispatcher != nullptr) {
+    this->jobsAsOf = aAsOf;
     this->ExecuteEffects(this->dispatcher->OnJobsConfirmed(aAsOf, this->Now()));
+    this->FinishBatch();
   }
 }
 
@@ -195,7 +197,10 @@
     this->ExecuteEffects(this->dispatcher->OnTick(this->Now()));
   }
   this->FinishBatch();
-  this->load.Summarize();
+  if (this->dispatcher != nullptr) {
+    this->load.Summarize(this->clock.Now() - this->jobsAsOf,
+                         this->dispatcher->Count().waitingOrders);
+  }
 }
 
 void
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -87,6 +87,7 @@
   std::unique_ptr<dispatch::Dispatcher> dispatcher;
   /** Sequence number of the latest report of each agent. */
   std::map<base::AgentId, std::uint64_t> reportSequences;
+  base::TimePoint jobsAsOf{};
   bool hasPredecessorSteppedDown = false;
   /** Earliest time of the next scheduling pass. */
   base::TimePoint nextPassAt{};
--- a/libs/coordinator/src/LoadMonitor.cpp
+++ b/libs/coordinator/src/LoadMonitor.cpp
@@ -103,7 +103,7 @@
 }
 
 void
-LoadMonitor::Summarize()
+LoadMonitor::Summarize(base::Duration aJobsAge, std::size_t aWaitingOrders)
 {
   const base::TimePoint now = this->clock.Now();
   if (now - this->summaryStart < kSummaryInterval) {
@@ -119,6 +119,8 @@
                       { "queued", this->queued.load() },
                       { "maxDelayMs", ToMs(this->summary.maxDelay) },
                       { "maxDurableMs", ToMs(this->summary.maxDurableTime) },
+                      { "jobsAgeMs", ToMs(aJobsAge) },
+                      { "waitingOrders", aWaitingOrders },
                       { "recordBytes", this->summary.recordBytes },
                       // Count and milliseconds.
                       { "reports", describe(DecisionWork::Report) },
--- a/libs/coordinator/src/LoadMonitor.h
+++ b/libs/coordinator/src/LoadMonitor.h
@@ -41,8 +41,12 @@
   void OnHandled(base::TimePoint aReceivedAt);
   /** The records of a decision became durable. */
   void OnDurable(base::TimePoint aDecidedAt, std::size_t aBytes);
-  /** Logs a summary of the time since the last one, at most every 2 s. */
-  void Summarize();
+  /**
+   * Logs a summary of the time since the last one, at most every 2 s.
+   * @param aJobsAge Age of the view of the jobs.
+   * @param aWaitingOrders Placements whose start order was not sent yet.
+   */
+  void Summarize(base::Duration aJobsAge, std::size_t aWaitingOrders);
 
   /** Adds its lifetime to the time spent on one kind of work. */
   class Measurement
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -239,6 +239,8 @@
     std::size_t jobs = 0;
     std::size_t workers = 0;
     std::size_t tasksOnWorkers = 0;
+    /** Placements whose start order was not sent yet. */
+    std::size_t waitingOrders = 0;
     std::uint32_t freeAccelerators = 0;
     std::uint32_t accelerators = 0;
   };
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -163,6 +163,7 @@
 Dispatcher::Count() const
 {
   Counts counts;
+  counts.waitingOrders = this->state->pendingPlacements.size();
   for (const auto& [id, job] : this->state->jobs) {
     counts.jobs += job.hasEnded ? 0 : 1;
   }
