Wait for the answer of a slow log instead of asking again in vain

Cause: an append was given up after 0.7 s and a read after 1 s, and its connection closed. A log that needs longer never answered in time; each repeat began anew and took another turn in its partition.

Change: a repeated append or read leaves the first attempt open, and the answer to any of them counts. While the log answers no request that was sent later, an append is repeated only after twice that time, since the log may be slow and not have lost the answer.

--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -53,7 +53,7 @@
   writerOptions.producer = kProducer;
   writerOptions.token = aToken;
   this->writer = std::make_unique<journal::FencedWriter>(
-    writerOptions, aExecutor, aLog, std::move(aOnFenced));
+    writerOptions, aClock, aExecutor, aLog, std::move(aOnFenced));
 }
 
 DispatchRunner::~DispatchRunner()
--- a/libs/coordinator/tests/Fleet.h
+++ b/libs/coordinator/tests/Fleet.h
@@ -112,6 +112,10 @@
       this->log.Read(aTopic, aFrom, aWait, this->Guard(std::move(aHandler)));
     }
   }
+  base::TimePoint AnsweredAsOf() const override
+  {
+    return this->log.AnsweredAsOf();
+  }
   void ReadNewest(const journal::KeyedTopic& aTopic,
                   std::string_view aAfterKey,
                   journal::NewestHandler aHandler) override
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -97,6 +97,10 @@
   {
     this->log.Read(aTopic, aFrom, aWait, std::move(aHandler));
   }
+  base::TimePoint AnsweredAsOf() const override
+  {
+    return this->log.AnsweredAsOf();
+  }
   void ReadNewest(const journal::KeyedTopic& aTopic,
                   std::string_view aAfterKey,
                   journal::NewestHandler aHandler) override
--- a/libs/frontend/include/amaranthwind/frontend/HttpClient.h
+++ b/libs/frontend/include/amaranthwind/frontend/HttpClient.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,6 +44,26 @@
 
 using HttpResultHandler = std::function<void(HttpResult)>;
 
+/** Which connection of the pool sends a request. */
+enum class ConnectionChoice : std::uint8_t
+{
+  Any,
+  /**
+   * One that is opened for the request. Idle connections are closed: they may
+   * have gone silent together with that of an earlier request.
+   */
+  New,
+};
+
+struct RepeatOptions
+{
+  /** Limit of each attempt. */
+  base::Duration timeout{};
+  /** Without a response for this long, the request is sent again. */
+  base::Duration repeatAfter{};
+  std::uint32_t maxAttempts = 4;
+};
+
 /**
  * HTTP/1.1 client for one server with a pool of keep-alive connections.
  * Thread-safe. Errors:
@@ -59,7 +80,17 @@
   /** aHandler is called once, on an I/O thread. */
   void Send(HttpRequest aRequest,
             base::Duration aTimeout,
-            HttpResultHandler aHandler);
+            HttpResultHandler aHandler,
+            ConnectionChoice aConnection = ConnectionChoice::Any);
+
+  /**
+   * Sends the request again on a new connection each time that a response is
+   * overdue, and returns the first response, or the error of the latest
+   * attempt. The server may handle the request several times.
+   */
+  void SendRepeatedly(HttpRequest aRequest,
+                      const RepeatOptions& aOptions,
+                      HttpResultHandler aHandler);
 
   /** Blocks until the request completes. Do not call it on I/O threads. */
   HttpResult SendAndWait(HttpRequest aRequest, base::Duration aTimeout);
--- a/libs/frontend/src/HttpClient.cpp
+++ b/libs/frontend/src/HttpClient.cpp
@@ -5,12 +5,15 @@
 #include "amaranthwind/net/TcpAcceptor.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <future>
 #include <mutex>
 #include <optional>
+#include <utility>
 
 namespace amaranthwind::frontend {
 
@@ -23,11 +26,64 @@
 
 namespace {
 
+/**
+ * Minimum time for each step of a request, so that a process that is late
+ * itself does not take its own delay for that of the server.
+ */
+constexpr base::Duration kMinStepTime = std::chrono::milliseconds(200);
+
 struct PendingRequest
 {
   HttpRequest request;
   base::TimePoint deadline;
   HttpResultHandler handler;
+  /** Called if there is no result by this time; may be empty. */
+  std::function<void()> onOverdue;
+  base::TimePoint overdueAt{};
+};
+
+/** A request that is sent again when its response is overdue. */
+struct RepeatedRequest
+{
+  RepeatedRequest(HttpRequest aRequest,
+                  const RepeatOptions& aOptions,
+                  HttpResultHandler aHandler)
+    : request(std::move(aRequest))
+    , options(aOptions)
+    , handler(std::move(aHandler))
+  {
+  }
+
+  /** Returns the number of the next attempt; 0 if there is none. */
+  std::uint32_t NextAttempt()
+  {
+    const std::lock_guard lock(this->mutex);
+    return this->handler && this->attempts < this->options.maxAttempts
+             ? ++this->attempts
+             : 0;
+  }
+
+  void OnResult(std::uint32_t aAttempt, HttpResult aResult)
+  {
+    HttpResultHandler first;
+    {
+      const std::lock_guard lock(this->mutex);
+      // A later attempt may still get a response.
+      if (aResult.response.has_value() || aAttempt == this->attempts) {
+        first = std::exchange(this->handler, nullptr);
+      }
+    }
+    if (first) {
+      first(std::move(aResult));
+    }
+  }
+
+  const HttpRequest request;
+  const RepeatOptions options;
+  std::mutex mutex;
+  /** Empty once it was called. */
+  HttpResultHandler handler;
+  std::uint32_t attempts = 0;
 };
 
 HttpResult
@@ -68,6 +124,7 @@
 
   ClientSession(asio::io_context& aContext, const HttpClientOptions& aOptions)
     : stream(aContext)
+    , overdueTimer(aContext)
     , options(aOptions)
   {
   }
@@ -80,11 +137,31 @@
                 onRelease = std::move(aOnRelease)]() mutable {
                  self->pending = std::move(pending);
                  self->onRelease = std::move(onRelease);
+                 self->ScheduleOverdue();
                  self->isConnected ? self->Write() : self->Connect();
                });
   }
 
 private:
+  void ScheduleOverdue()
+  {
+    if (!this->pending.onOverdue) {
+      return;
+    }
+    this->overdueTimer.expires_at(this->pending.overdueAt);
+    this->overdueTimer.async_wait(
+      [onOverdue = this->pending.onOverdue](beast::error_code aError) {
+        if (!aError) {
+          onOverdue();
+        }
+      });
+  }
+
+  base::TimePoint StepDeadline() const
+  {
+    return std::max(this->pending.deadline, steady_clock::now() + kMinStepTime);
+  }
+
   void Connect()
   {
     const auto endpoint = net::ToEndpoint(this->options.address);
@@ -116,7 +193,7 @@
   void Write()
   {
     this->request = Convert(this->pending.request, this->options.address);
-    this->stream.expires_at(this->pending.deadline);
+    this->stream.expires_at(this->StepDeadline());
     http::async_write(
       this->stream,
       this->request,
@@ -133,6 +210,7 @@
   {
     this->parser.emplace();
     this->parser->body_limit(this->options.maxBodyBytes);
+    this->stream.expires_at(this->StepDeadline());
     this->ReadSome();
   }
 
@@ -182,17 +260,19 @@
   void Finish(HttpResult aResult, bool aIsReusable)
   {
     this->stream.expires_never();
+    this->overdueTimer.cancel();
     if (!aIsReusable) {
       this->stream.close();
       this->isConnected = false;
     }
-    auto handler = std::move(this->pending.handler);
+    auto handler = std::exchange(this->pending, {}).handler;
     auto releaseHandler = std::move(this->onRelease);
     releaseHandler(aIsReusable ? this->shared_from_this() : nullptr, aResult);
     handler(std::move(aResult));
   }
 
   beast::tcp_stream stream;
+  asio::steady_timer overdueTimer;
   const HttpClientOptions options;
   bool isConnected = false;
   beast::flat_buffer buffer;
@@ -231,6 +311,13 @@
     this->Run(session, std::move(aPending));
   }
 
+  void DropIdle()
+  {
+    std::vector<std::shared_ptr<ClientSession>> dropped;
+    std::lock_guard lock(this->mutex);
+    dropped.swap(this->idle);
+  }
+
   /** Returns an idle or a new session; null if all connections are in use. */
   std::shared_ptr<ClientSession> AcquireSession()
   {
@@ -301,6 +388,29 @@
     }
   }
 
+  void SendAttempt(const std::shared_ptr<RepeatedRequest>& aRequest)
+  {
+    const std::uint32_t attempt = aRequest->NextAttempt();
+    if (attempt == 0) {
+      return;
+    }
+    if (attempt > 1) {
+      this->DropIdle();
+    }
+    const auto now = steady_clock::now();
+    this->Send({ aRequest->request,
+                 now + aRequest->options.timeout,
+                 [aRequest, attempt](HttpResult aResult) {
+                   aRequest->OnResult(attempt, std::move(aResult));
+                 },
+                 [weak = this->weak_from_this(), aRequest] {
+                   if (const auto self = weak.lock()) {
+                     self->SendAttempt(aRequest);
+                   }
+                 },
+                 now + aRequest->options.repeatAfter });
+  }
+
   net::IoPool& pool;
   const HttpClientOptions options;
   std::mutex mutex;
@@ -319,11 +429,26 @@
 void
 HttpClient::Send(HttpRequest aRequest,
                  base::Duration aTimeout,
-                 HttpResultHandler aHandler)
+                 HttpResultHandler aHandler,
+                 ConnectionChoice aConnection)
+{
+  if (aConnection == ConnectionChoice::New) {
+    this->impl->DropIdle();
+  }
+  PendingRequest pending;
+  pending.request = std::move(aRequest);
+  pending.deadline = steady_clock::now() + aTimeout;
+  pending.handler = std::move(aHandler);
+  this->impl->Send(std::move(pending));
+}
+
+void
+HttpClient::SendRepeatedly(HttpRequest aRequest,
+                           const RepeatOptions& aOptions,
+                           HttpResultHandler aHandler)
 {
-  this->impl->Send({ std::move(aRequest),
-                     steady_clock::now() + aTimeout,
-                     std::move(aHandler) });
+  this->impl->SendAttempt(std::make_shared<RepeatedRequest>(
+    std::move(aRequest), aOptions, std::move(aHandler)));
 }
 
 HttpResult
--- a/libs/frontend/tests/HttpTest.cpp
+++ b/libs/frontend/tests/HttpTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <future>
@@ -252,6 +253,72 @@
   pool.Stop();
 }
 
+// Guards against taking the client's own delay for that of the server: the I/O
+// thread is busy until the request has timed out, and the server answers at
+// once.
+TEST_CASE("a request that is sent late still gets its response")
+{
+  static constexpr auto kTimeout = 200ms;
+  Fixture fixture;
+  net::IoPool busyPool(1);
+  HttpClient client(busyPool, { .address = fixture.address });
+  REQUIRE(
+    client.SendAndWait(MakePost("/1", ""), kTestTimeout).response.has_value());
+  busyPool.Post([] { std::this_thread::sleep_for(kTimeout * 2); });
+  CHECK(client.SendAndWait(MakePost("/2", ""), kTimeout).response.has_value());
+  busyPool.Stop();
+}
+
+TEST_CASE("a request whose response is overdue is sent again")
+{
+  constexpr auto kRepeatAfter = 100ms;
+  Fixture fixture;
+  std::mutex mutex;
+  std::vector<HttpResponder> held;
+  std::size_t heldRequests = 1;
+  SUBCASE("and the second response counts") {}
+  SUBCASE("and a response to the first attempt counts as well")
+  {
+    heldRequests = 2;
+  }
+  fixture.handler.serve = [&](const HttpRequest&, HttpResponder aRespond) {
+    const std::lock_guard lock(mutex);
+    held.push_back(std::move(aRespond));
+    if (held.size() > heldRequests) {
+      held.back()(HttpResponse());
+    } else if (held.size() == 2) {
+      held.front()(HttpResponse());
+    }
+  };
+  std::promise<HttpResult> promise;
+  fixture.client.SendRepeatedly(
+    MakePost("/", ""),
+    { .timeout = kTestTimeout, .repeatAfter = kRepeatAfter },
+    [&](HttpResult aResult) { promise.set_value(std::move(aResult)); });
+  CHECK(promise.get_future().get().response.has_value());
+  const std::lock_guard lock(mutex);
+  CHECK(held.size() == 2);
+}
+
+// Guards against waiting for a silent connection when the server is known to
+// refuse requests.
+TEST_CASE("the failure of the latest attempt ends a repeated request")
+{
+  Fixture fixture;
+  std::atomic<int> requests = 0;
+  fixture.handler.serve = [&](const HttpRequest&, const HttpResponder&) {
+    if (++requests == 2) {
+      fixture.pool.Post([&] { fixture.server.Stop(); });
+    }
+  };
+  std::promise<HttpResult> promise;
+  fixture.client.SendRepeatedly(
+    MakePost("/", ""),
+    { .timeout = kTestTimeout, .repeatAfter = 100ms, .maxAttempts = 2 },
+    [&](HttpResult aResult) { promise.set_value(std::move(aResult)); });
+  CHECK(promise.get_future().get().response.has_error());
+}
+
 // Guards against a planned stop that interrupts a request in flight.
 TEST_CASE("a draining server finishes its requests and closes the connection")
 {
--- a/libs/journal/include/amaranthwind/journal/FencedWriter.h
+++ b/libs/journal/include/amaranthwind/journal/FencedWriter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "amaranthwind/base/Backoff.h"
+#include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/Executor.h"
 #include "amaranthwind/base/Ids.h"
 #include "amaranthwind/journal/KeyedLog.h"
@@ -20,13 +21,16 @@
   base::FencingToken token;
   base::BackoffOptions backoff{ std::chrono::milliseconds(20),
                                 std::chrono::milliseconds(300) };
+  /** Without a response for this long, the log counts as stalled. */
+  base::Duration stallTime = std::chrono::milliseconds(1200);
 };
 
 /**
  * Writes the records of the single coordinator of a topic. Appends are issued
  * one at a time and in order; records that arrive meanwhile are batched into
- * the next ones, each of limited size. An append whose response was lost is
- * retried with the same sequence number, so that it takes effect once. Must be
+ * the next ones, each of limited size. An append without a response is repeated
+ * with the same sequence number, so that it takes effect once; the response to
+ * any of the attempts counts, so that a slow log is not asked in vain. Must be
  * used on one executor.
  */
 class FencedWriter
@@ -37,6 +41,7 @@
    *   writes with the same one.
    */
   FencedWriter(FencedWriterOptions aOptions,
+               const base::Clock& aClock,
                base::Executor& aExecutor,
                KeyedLog& aLog,
                std::function<void()> aOnFenced);
@@ -53,6 +58,12 @@
   /** Number of records that are not yet confirmed to be in the log. */
   std::size_t Pending() const noexcept;
 
+  /**
+   * Whether the append under way has failed or waits for a response for longer
+   * than usual. Its records may be in the log.
+   */
+  bool IsStalled() const;
+
 private:
   struct State;
   std::shared_ptr<State> state;
--- a/libs/journal/include/amaranthwind/journal/KeyedLog.h
+++ b/libs/journal/include/amaranthwind/journal/KeyedLog.h
@@ -4,6 +4,7 @@
 #include "amaranthwind/base/Ids.h"
 #include "amaranthwind/base/Result.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -55,11 +56,21 @@
   std::uint64_t sequence = 0;
 };
 
+/** Usual time limit for the answer to an append. */
+inline constexpr base::Duration kAppendTimeout = std::chrono::milliseconds(700);
+
 struct AppendConditions
 {
   /** Required end offset of the partition. */
   std::optional<base::LogOffset> expectedEnd;
   std::optional<ProducerStamp> stamp;
+  /** Without an answer for this long, the result is AppendUnconfirmed. */
+  base::Duration timeout = kAppendTimeout;
+  /**
+   * The append was sent before and has not been answered: its connection, and
+   * others of that time, may be dead.
+   */
+  bool isRepeat = false;
 };
 
 struct KeyedBatch
@@ -115,6 +126,13 @@
                     base::Duration aWait,
                     KeyedReadHandler aHandler) = 0;
 
+  /**
+   * When the newest request was sent that has been answered. If later requests
+   * than an append are answered, its answer was lost, or its partition is busy;
+   * if none is, the whole log is slow or down.
+   */
+  virtual base::TimePoint AnsweredAsOf() const = 0;
+
   /**
    * Reads the newest record of each key after aAfterKey. Pages do not form a
    * consistent snapshot.
--- a/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
+++ b/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
@@ -30,6 +30,7 @@
   std::size_t maxBatch = SIZE_MAX;
   int appends = 0;
   int reads = 0;
+  base::TimePoint answeredAsOf = base::TimePoint::max();
 
   struct Partition
   {
@@ -114,6 +115,8 @@
     }
   }
 
+  base::TimePoint AnsweredAsOf() const override { return this->answeredAsOf; }
+
   void ReadNewest(const KeyedTopic& aTopic,
                   std::string_view aAfterKey,
                   NewestHandler aHandler) override
--- a/libs/journal/tests/FencedWriterTest.cpp
+++ b/libs/journal/tests/FencedWriterTest.cpp
@@ -22,7 +22,9 @@
     options.producer = "p";
     options.token = base::FencingToken(aToken);
     return std::make_unique<FencedWriter>(
-      options, this->executor, this->log, [this] { ++this->fenced; });
+      options, this->clock, this->executor, this->log, [this] {
+        ++this->fenced;
+      });
   }
   void Write(FencedWriter& aWriter, const std::string& aKey)
   {
@@ -40,6 +42,65 @@
 
 using Keys = std::vector<std::string>;
 
+/** Answers appends when the test says so. */
+class HeldLog final : public KeyedLog
+{
+public:
+  struct HeldAppend
+  {
+    AppendConditions conditions;
+    KeyedAppendHandler handler;
+  };
+
+  void Append(const KeyedTopic&,
+              std::span<const KeyedValue>,
+              const AppendConditions& aConditions,
+              KeyedAppendHandler aHandler) override
+  {
+    this->held.push_back({ aConditions, std::move(aHandler) });
+  }
+  void Read(const KeyedTopic&,
+            base::LogOffset,
+            base::Duration,
+            KeyedReadHandler) override
+  {
+  }
+  void ReadNewest(const KeyedTopic&, std::string_view, NewestHandler) override
+  {
+  }
+  base::TimePoint AnsweredAsOf() const override { return this->answeredAsOf; }
+
+  std::vector<HeldAppend> held;
+  base::TimePoint answeredAsOf{};
+};
+
+struct HeldFixture
+{
+  HeldFixture()
+  {
+    this->clock.Advance(1h);
+    this->writer.Write({ { "a", "v" } }, [this] { ++this->done; });
+    this->executor.RunDue();
+  }
+  void Answer(std::size_t aAppend, base::Result<base::LogOffset> aResult)
+  {
+    this->log.held[aAppend].handler(std::move(aResult));
+    this->executor.RunDue();
+  }
+
+  base::ManualClock clock;
+  base::ManualExecutor executor{ clock };
+  HeldLog log;
+  int done = 0;
+  FencedWriter writer{
+    { .topic = kTopic, .producer = "p", .token = base::FencingToken(1) },
+    clock,
+    executor,
+    log,
+    [] {}
+  };
+};
+
 } // namespace
 
 TEST_CASE("records are written in order and confirmed in order")
@@ -128,3 +189,70 @@
   CHECK(fixture.done == Keys{ "a", "b" });
   CHECK(fixture.log.PartitionOf(kTopic).records.size() == 2);
 }
+
+// Guards against a slow log that is asked again and again, because each attempt
+// is given up before its answer.
+TEST_CASE("the answer to any attempt of an append counts")
+{
+  HeldFixture fixture;
+  // The log answers other requests, so the answer may be lost.
+  fixture.log.answeredAsOf = fixture.clock.Now();
+  fixture.executor.Advance(700ms);
+  REQUIRE(fixture.log.held.size() == 2);
+  CHECK_FALSE(fixture.log.held[0].conditions.isRepeat);
+  CHECK(fixture.log.held[1].conditions.isRepeat);
+  CHECK(fixture.log.held[0].conditions.stamp->sequence ==
+        fixture.log.held[1].conditions.stamp->sequence);
+  std::size_t answered = 0;
+  SUBCASE("the first") {}
+  SUBCASE("the second")
+  {
+    answered = 1;
+  }
+  fixture.Answer(answered, base::LogOffset(0));
+  CHECK(fixture.done == 1);
+  CHECK(fixture.writer.Pending() == 0);
+  // The other answer arrives while the next append is under way.
+  fixture.writer.Write({ { "b", "v" } }, [] {});
+  fixture.executor.RunDue();
+  fixture.Answer(1 - answered, base::LogOffset(0));
+  CHECK(fixture.writer.Pending() == 1);
+}
+
+// Guards against repeats that take further turns in a log that is only slow.
+TEST_CASE("an append is repeated later while the log answers nothing")
+{
+  HeldFixture fixture;
+  fixture.executor.Advance(1300ms);
+  CHECK(fixture.log.held.size() == 1);
+  fixture.executor.Advance(100ms);
+  CHECK(fixture.log.held.size() == 2);
+}
+
+TEST_CASE("a refused append is repeated although an earlier one is unanswered")
+{
+  HeldFixture fixture;
+  fixture.log.answeredAsOf = fixture.clock.Now();
+  fixture.executor.Advance(700ms);
+  fixture.Answer(1, base::Fail(base::ErrorCode::LogUnavailable));
+  fixture.executor.Advance(300ms);
+  CHECK(fixture.log.held.size() == 3);
+}
+
+TEST_CASE("a writer is stalled while its append fails or is overdue")
+{
+  HeldFixture fixture;
+  CHECK_FALSE(fixture.writer.IsStalled());
+  SUBCASE("after a failure")
+  {
+    fixture.Answer(0, base::Fail(base::ErrorCode::LogUnavailable));
+  }
+  SUBCASE("without an answer")
+  {
+    fixture.executor.Advance(1201ms);
+  }
+  CHECK(fixture.writer.IsStalled());
+  fixture.executor.Advance(500ms);
+  fixture.Answer(fixture.log.held.size() - 1, base::LogOffset(0));
+  CHECK_FALSE(fixture.writer.IsStalled());
+}
