Append the records of callers together with those of the coordinator

Cause: each entry appended one record for each job and cancellation to the partition of the coordinator. A log that answers 64 times slower takes 3.9 appends a second; submissions and their repeats took all of its turns, so that no placement became durable until 2.5 s after the slowness, and the queue of 2 s refused most submissions.

Change: an entry passes the record to the coordinator, which confirms the receipt at once and writes it in its next append (AppendRecord, AppendRecordReply). Without a receipt within 250 ms, or if the coordinator refuses, resigns or has no answer from the log for 1.2 s, the entry appends the record itself; the records are idempotent. A record that the coordinator may still append is never reported as not accepted. Old entries and leaders work with new ones: an unknown message closes the connection, and the entry falls back to its own append.

--- a/libs/coordinator/src/AgentSessions.cpp
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -3,6 +3,18 @@
 namespace amaranthwind::coordinator {
 
 using protocol::ConnectionId;
+using namespace std::chrono_literals;
+
+namespace {
+
+/**
+ * Between entries, the answers to requests show whether a connection works, so
+ * that few pings are needed.
+ */
+constexpr auto kEntryPingInterval = 10'000ms;
+constexpr auto kEntrySilenceTimeout = 30'000ms;
+
+} // namespace
 
 AgentSessions::AgentSessions(const protocol::MessagePortFactory& aMakePort,
                              const base::Clock& aClock,
@@ -62,6 +74,14 @@
   return this->port->Connect(aAddress);
 }
 
+ConnectionId
+AgentSessions::ConnectToEntry(std::string_view aAddress)
+{
+  const ConnectionId connection = this->port->Connect(aAddress);
+  this->port->SetLiveness(connection, kEntryPingInterval, kEntrySilenceTimeout);
+  return connection;
+}
+
 void
 AgentSessions::Close(ConnectionId aConnection)
 {
@@ -209,6 +229,14 @@
   } else if (const auto* notice =
                std::get_if<protocol::LeaderNotice>(&aMessage)) {
     this->observer.OnLeaderNotice(aConnection, *notice);
+  } else if (const auto* append =
+               std::get_if<protocol::AppendRecord>(&aMessage)) {
+    this->port->SetLiveness(
+      aConnection, kEntryPingInterval, kEntrySilenceTimeout);
+    this->observer.OnAppendRecord(aConnection, *append);
+  } else if (const auto* reply =
+               std::get_if<protocol::AppendRecordReply>(&aMessage)) {
+    this->observer.OnAppendReply(aConnection, *reply);
   }
 }
 
--- a/libs/coordinator/src/AgentSessions.h
+++ b/libs/coordinator/src/AgentSessions.h
@@ -29,6 +29,10 @@
                          const protocol::AgentOutcome& aOutcome) = 0;
   virtual void OnLeaderNotice(protocol::ConnectionId aConnection,
                               const protocol::LeaderNotice& aNotice) = 0;
+  virtual void OnAppendRecord(protocol::ConnectionId aConnection,
+                              const protocol::AppendRecord& aAppend) = 0;
+  virtual void OnAppendReply(protocol::ConnectionId aConnection,
+                             const protocol::AppendRecordReply& aReply) = 0;
   virtual void OnClosed(protocol::ConnectionId aConnection) = 0;
   /** All messages received so far have been passed on. */
   virtual void OnBatchHandled() = 0;
@@ -62,6 +66,8 @@
               const protocol::Message& aMessage);
   void SendToAll(const protocol::Message& aMessage);
   protocol::ConnectionId Connect(std::string_view aAddress);
+  /** As Connect(), for messages that come irregularly. */
+  protocol::ConnectionId ConnectToEntry(std::string_view aAddress);
   void Close(protocol::ConnectionId aConnection);
   /** Handles the messages received so far. */
   void HandleReceived();
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -74,6 +74,7 @@
   , journal::FollowerObserver
   , LeaderObserver
   , SessionObserver
+  , SharedAppender
 {
   Impl(const CoordinatorOptions& aOptions,
        const base::Clock& aClock,
@@ -96,8 +97,9 @@
         { "submit_seconds", "From a job's request to its acceptance." },
         std::array{ 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0 }))
     , table(aCodec)
-    , submissions(aClock, aExecutor, aLog)
+    , submissions(aClock, aExecutor, aHeartbeatExecutor, aLog, *this)
     , sessions(aMakePort, aClock, aExecutor, aLogger, this->load, *this)
+    , forwarder(aClock, aExecutor, this->sessions, aLogger)
     , leaderLog({ .self = aOptions.self, .incarnation = aOptions.incarnation },
                 aClock,
                 aExecutor,
@@ -232,6 +234,9 @@
   void OnDeposed() override
   {
     this->logger.Warning("stopped coordinating", {});
+    if (this->runner != nullptr) {
+      this->runner->GiveUpSubmissions();
+    }
     this->runner.reset();
     const auto& leader = this->leaderLog.Election().Leader();
     if (leader && !leader->isResigned && leader->holder != this->options.self) {
@@ -371,8 +376,58 @@
     }
   }
 
+  // Records of callers.
+
+  void AppendShared(journal::KeyedValue aRecord,
+                    base::Duration aTimeout,
+                    AppendHandler aHandler) override
+  {
+    if (this->runner != nullptr) {
+      this->runner->Append(
+        std::move(aRecord),
+        [handler = std::move(aHandler)](protocol::AppendState aState) {
+          if (aState != protocol::AppendState::Queued) {
+            handler(aState);
+          }
+        });
+      this->runner->FinishBatch();
+      return;
+    }
+    const auto& leader = this->leaderLog.Election().Leader();
+    const bool isElsewhere =
+      leader && !leader->isResigned && leader->holder != this->options.self;
+    this->forwarder.SetCoordinator(
+      isElsewhere ? std::string_view(leader->address) : std::string_view());
+    this->forwarder.Forward(std::move(aRecord), aTimeout, std::move(aHandler));
+  }
+
+  void OnAppendRecord(ConnectionId aConnection,
+                      const protocol::AppendRecord& aAppend) override
+  {
+    const auto reply = [this, aConnection, number = aAppend.number](
+                         protocol::AppendState aState) {
+      this->sessions.SendTo(aConnection,
+                            protocol::AppendRecordReply{ number, aState });
+    };
+    const auto kind = ledger::ParseKey(aAppend.key).kind;
+    const bool isOfCaller = kind == ledger::RecordKind::Accepted ||
+                            kind == ledger::RecordKind::Cancelled;
+    if (this->runner == nullptr || !isOfCaller) {
+      reply(protocol::AppendState::NotAppended);
+      return;
+    }
+    this->runner->Append({ aAppend.key, aAppend.value }, reply);
+  }
+
+  void OnAppendReply(ConnectionId aConnection,
+                     const protocol::AppendRecordReply& aReply) override
+  {
+    this->forwarder.OnReply(aConnection, aReply);
+  }
+
   void OnClosed(ConnectionId aConnection) override
   {
+    this->forwarder.OnClosed(aConnection);
     if (this->predecessor == aConnection) {
       this->predecessor.reset();
     }
@@ -430,6 +485,7 @@
   std::unique_ptr<DispatchRunner> runner;
   Submissions submissions;
   AgentSessions sessions;
+  RecordForwarder forwarder;
   LeaderLog leaderLog;
   journal::KeyedFollower follower;
   std::string innerAddress;
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -5,12 +5,15 @@
 namespace amaranthwind::coordinator {
 
 using journal::KeyedValue;
+using protocol::AppendState;
 
 namespace {
 
 constexpr std::string_view kProducer = "coordinator";
 /** For clock error and the worker's time to start a run. */
 constexpr base::Duration kStartMargin = std::chrono::milliseconds(400);
+/** Limit of the submitted records that wait for one append. */
+constexpr std::size_t kMaxSubmittedBytes = 128UL * 1024;
 /** Key of a term's first record, which fences off writers of earlier terms. */
 constexpr std::string_view kTermKey = "term";
 
@@ -189,9 +192,47 @@
   }
 }
 
+void
+DispatchRunner::Submission::Finish(protocol::AppendState aState)
+{
+  if (this->observer) {
+    std::exchange(this->observer, nullptr)(aState);
+  }
+}
+
+void
+DispatchRunner::Append(KeyedValue aRecord, AppendHandler aObserver)
+{
+  const std::size_t bytes = aRecord.key.size() + aRecord.value.size();
+  if (this->dispatcher == nullptr || this->writer->IsStalled() ||
+      this->submittedBytes + bytes > kMaxSubmittedBytes) {
+    aObserver(AppendState::NotAppended);
+    return;
+  }
+  aObserver(AppendState::Queued);
+  this->submittedBytes += bytes;
+  this->submitted.push_back(std::make_shared<Submission>(
+    Submission{ std::move(aRecord), std::move(aObserver) }));
+}
+
+void
+DispatchRunner::GiveUpSubmissions()
+{
+  this->submittedBytes = 0;
+  for (const auto& each : std::exchange(this->submitted, {})) {
+    each->Finish(AppendState::NotAppended);
+  }
+  for (const auto& each : std::exchange(this->writing, {})) {
+    each->Finish(AppendState::Unconfirmed);
+  }
+}
+
 void
 DispatchRunner::OnTick()
 {
+  if (this->writer->IsStalled()) {
+    this->GiveUpSubmissions();
+  }
   if (this->dispatcher != nullptr) {
     const LoadMonitor::Measurement measurement(this->load, DecisionWork::Tick);
     this->ExecuteEffects(this->dispatcher->OnTick(this->Now()));
@@ -216,6 +257,9 @@
   if (this->writer->Pending() == 0) {
     this->ExecuteEffects(this->dispatcher->Commit(this->Now()));
   }
+  if (this->writer->Pending() == 0 && !this->submitted.empty()) {
+    this->Write({}, 0);
+  }
 }
 
 void
@@ -293,28 +337,46 @@
       records.push_back({ ledger::AcceptedKey(forget->job), {} });
     }
   }
-  if (records.empty()) {
-    return;
+  if (!records.empty()) {
+    this->Write(std::move(records), version);
   }
+}
+
+void
+DispatchRunner::Write(std::vector<KeyedValue> aRecords, std::uint64_t aVersion)
+{
   std::size_t bytes = 0;
-  for (const auto& record : records) {
+  for (const auto& record : aRecords) {
     bytes += record.value.size();
   }
-  this->writer->Write(std::move(records),
+  const Submissions added = std::exchange(this->submitted, {});
+  this->submittedBytes = 0;
+  for (const auto& each : added) {
+    aRecords.push_back(each->record);
+  }
+  this->writing.insert(this->writing.end(), added.begin(), added.end());
+  this->writer->Write(std::move(aRecords),
                       [this,
                        alive = this->isAlive,
-                       version,
+                       aVersion,
                        bytes,
+                       added,
                        decidedAt = this->clock.Now()] {
                         if (!*alive) {
                           return;
                         }
+                        for (const auto& each : added) {
+                          each->Finish(AppendState::Durable);
+                        }
+                        std::erase_if(this->writing, [](const auto& aEach) {
+                          return !aEach->observer;
+                        });
                         this->load.OnDurable(decidedAt, bytes);
-                        if (version > 0) {
+                        if (aVersion > 0) {
                           const LoadMonitor::Measurement measurement(
                             this->load, DecisionWork::Persisted);
                           this->ExecuteEffects(this->dispatcher->OnPersisted(
-                            version, this->Now()));
+                            aVersion, this->Now()));
                         }
                         this->FinishBatch();
                       });
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -3,6 +3,7 @@
 #include "AgentSessions.h"
 #include "DecisionLog.h"
 #include "LoadMonitor.h"
+#include "RecordForwarder.h"
 #include "amaranthwind/coordinator/Coordinator.h"
 #include "amaranthwind/journal/FencedWriter.h"
 
@@ -59,10 +60,21 @@
                  const base::AgentId& aAgent,
                  const protocol::AgentOutcome& aOutcome);
   void OnPredecessorSteppedDown();
+  /**
+   * Appends a record of a caller with the next records of this term. aObserver
+   * is called with Queued if the record is taken, then once with its final
+   * state.
+   */
+  void Append(journal::KeyedValue aRecord, AppendHandler aObserver);
+  /**
+   * Returns the submitted records to their entries, which may append them
+   * themselves.
+   */
+  void GiveUpSubmissions();
   void OnTick();
   /**
    * Schedules and writes records after a batch of events. Must be called after
-   * OnJob(), OnReport() and OnOutcome(), which only update the state.
+   * OnJob(), OnReport(), OnOutcome() and Append(), which only update the state.
    */
   void FinishBatch();
 
@@ -70,7 +82,19 @@
   dispatch::Dispatcher::Counts Count() const;
 
 private:
+  /** A record of a caller; the observer is empty once it has the result. */
+  struct Submission
+  {
+    journal::KeyedValue record;
+    AppendHandler observer;
+
+    void Finish(protocol::AppendState aState);
+  };
+  using Submissions = std::vector<std::shared_ptr<Submission>>;
+
   void ExecuteEffects(const dispatch::Effects& aEffects);
+  /** Writes the records and those that callers have submitted. */
+  void Write(std::vector<journal::KeyedValue> aRecords, std::uint64_t aVersion);
   /** Runs a scheduling pass now, or as soon as its share of time allows. */
   void ScheduleIfDue();
   dispatch::ClockReading Now() const;
@@ -84,6 +108,11 @@
   DecisionLog& decisions;
   LoadMonitor& load;
   std::unique_ptr<journal::FencedWriter> writer;
+  /** Submitted records that wait for the append under way. */
+  Submissions submitted;
+  std::size_t submittedBytes = 0;
+  /** Submitted records whose append is not confirmed. */
+  Submissions writing;
   std::unique_ptr<dispatch::Dispatcher> dispatcher;
   /** Sequence number of the latest report of each agent. */
   std::map<base::AgentId, std::uint64_t> reportSequences;
--- a/libs/coordinator/src/Submissions.cpp
+++ b/libs/coordinator/src/Submissions.cpp
@@ -4,38 +4,56 @@
 #include "amaranthwind/base/Backoff.h"
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 namespace amaranthwind::coordinator {
 
 using base::ErrorCode;
+using protocol::AppendState;
 using namespace std::chrono_literals;
 
 namespace {
 
 /**
- * Maximum time before the caller is answered, even if it would wait longer: it
- * can retry the same request at another entry, which may reach the log.
+ * Maximum time of an entry's own append, even if the caller would wait longer:
+ * it can retry the same request at another entry, which may reach the log.
  */
 constexpr base::Duration kMaxAppendTime = 1200ms;
+/** Maximum time that a record waits for the executor, which may be busy. */
+constexpr base::Duration kMaxQueueTime = 250ms;
 
 } // namespace
 
 struct Submissions::Attempt
 {
   journal::KeyedValue record;
+  base::TimePoint callerDeadline;
   base::TimePoint deadline;
   DoneHandler handler;
   base::Backoff backoff{ { .first = 30ms, .max = 300ms } };
   bool mayBeAppended = false;
+
+  /** Drops the handler, since timers may still refer to the attempt. */
+  void Finish(const base::Result<void>& aResult)
+  {
+    std::exchange(this->handler, nullptr)(aResult);
+  }
+
+  /** Whether a thread has started to handle the record. */
+  std::atomic<bool> isTaken{ false };
 };
 
 Submissions::Submissions(const base::Clock& aClock,
                          base::Executor& aExecutor,
-                         journal::KeyedLog& aLog)
+                         base::Executor& aTimerExecutor,
+                         journal::KeyedLog& aLog,
+                         SharedAppender& aShared)
   : clock(aClock)
   , executor(aExecutor)
+  , timerExecutor(aTimerExecutor)
   , log(aLog)
+  , shared(aShared)
 {
 }
 
@@ -46,9 +64,40 @@
 {
   auto attempt = std::make_shared<Attempt>();
   attempt->record = std::move(aRecord);
-  attempt->deadline = this->clock.Now() + std::min(aTimeout, kMaxAppendTime);
+  attempt->callerDeadline = this->clock.Now() + aTimeout;
   attempt->handler = std::move(aHandler);
-  this->AppendOnce(attempt);
+  this->executor.Post([this, attempt, aTimeout] {
+    if (attempt->isTaken.exchange(true)) {
+      return;
+    }
+    this->shared.AppendShared(
+      attempt->record, aTimeout, [this, attempt](AppendState aState) {
+        if (aState == AppendState::Durable) {
+          attempt->Finish(base::success());
+          return;
+        }
+        attempt->mayBeAppended = aState != AppendState::NotAppended;
+        this->AppendAlone(attempt);
+      });
+  });
+  this->timerExecutor.RunAfter(kMaxQueueTime, [this, attempt] {
+    if (!attempt->isTaken.exchange(true)) {
+      this->AppendAlone(attempt);
+    }
+  });
+}
+
+void
+Submissions::AppendAlone(const std::shared_ptr<Attempt>& aAttempt)
+{
+  aAttempt->deadline =
+    std::min(aAttempt->callerDeadline, this->clock.Now() + kMaxAppendTime);
+  if (aAttempt->mayBeAppended && this->clock.Now() >= aAttempt->deadline) {
+    aAttempt->Finish(
+      base::Fail(ErrorCode::AppendUnconfirmed, aAttempt->record.key));
+    return;
+  }
+  this->AppendOnce(aAttempt);
 }
 
 void
@@ -60,7 +109,7 @@
     {},
     [this, attempt = aAttempt](const auto& aResult) {
       if (aResult.has_value()) {
-        attempt->handler(base::success());
+        attempt->Finish(base::success());
         return;
       }
       const base::Error& error = aResult.error();
@@ -69,11 +118,11 @@
       const base::Duration delay = attempt->backoff.Next();
       const bool isFinal = error.code == ErrorCode::TooLarge;
       if (isFinal || this->clock.Now() + delay >= attempt->deadline) {
-        attempt->handler(base::Fail(attempt->mayBeAppended
-                                      ? ErrorCode::AppendUnconfirmed
-                                    : isFinal ? ErrorCode::TooLarge
-                                              : ErrorCode::LogUnavailable,
-                                    error.subject));
+        attempt->Finish(base::Fail(attempt->mayBeAppended
+                                     ? ErrorCode::AppendUnconfirmed
+                                   : isFinal ? ErrorCode::TooLarge
+                                             : ErrorCode::LogUnavailable,
+                                   error.subject));
         return;
       }
       this->executor.RunAfter(delay,
--- a/libs/coordinator/src/Submissions.h
+++ b/libs/coordinator/src/Submissions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RecordForwarder.h"
 #include "amaranthwind/base/Executor.h"
 #include "amaranthwind/coordinator/JobService.h"
 #include "amaranthwind/journal/KeyedLog.h"
@@ -8,17 +9,36 @@
 
 namespace amaranthwind::coordinator {
 
+/** Appends records together with those of the coordinator. */
+class SharedAppender
+{
+public:
+  virtual ~SharedAppender() = default;
+  /**
+   * Must be called on the executor. The result is NotAppended at once if there
+   * is no coordinator.
+   */
+  virtual void AppendShared(journal::KeyedValue aRecord,
+                            base::Duration aTimeout,
+                            AppendHandler aHandler) = 0;
+};
+
 /**
- * Appends records on behalf of callers. The records are idempotent, so an
- * append that is not confirmed is retried until the caller's timeout.
- * Thread-safe.
+ * Appends records on behalf of callers: through the coordinator if possible,
+ * otherwise by an append of their own. The records are idempotent, so an append
+ * that is not confirmed is repeated until the caller's timeout. Thread-safe.
  */
 class Submissions
 {
 public:
+  /**
+   * @param aTimerExecutor Not delayed by the decisions that aExecutor makes.
+   */
   Submissions(const base::Clock& aClock,
               base::Executor& aExecutor,
-              journal::KeyedLog& aLog);
+              base::Executor& aTimerExecutor,
+              journal::KeyedLog& aLog,
+              SharedAppender& aShared);
 
   /**
    * Errors: LogUnavailable (not appended), AppendUnconfirmed (may have been
@@ -30,11 +50,14 @@
 
 private:
   struct Attempt;
+  void AppendAlone(const std::shared_ptr<Attempt>& aAttempt);
   void AppendOnce(const std::shared_ptr<Attempt>& aAttempt);
 
   const base::Clock& clock;
   base::Executor& executor;
+  base::Executor& timerExecutor;
   journal::KeyedLog& log;
+  SharedAppender& shared;
 };
 
 } // namespace amaranthwind::coordinator
--- a/libs/coordinator/tests/AgentSessionsTest.cpp
+++ b/libs/coordinator/tests/AgentSessionsTest.cpp
@@ -53,6 +53,10 @@
   {
   }
   void OnLeaderNotice(ConnectionId, const protocol::LeaderNotice&) override {}
+  void OnAppendRecord(ConnectionId, const protocol::AppendRecord&) override {}
+  void OnAppendReply(ConnectionId, const protocol::AppendRecordReply&) override
+  {
+  }
   void OnClosed(ConnectionId) override {}
   void OnBatchHandled() override {}
 
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -79,6 +79,17 @@
   Entry second{ "entry-2", clock, executor, log };
 };
 
+class NoCoordinator final : public SharedAppender
+{
+public:
+  void AppendShared(journal::KeyedValue,
+                    base::Duration,
+                    AppendHandler aHandler) override
+  {
+    aHandler(protocol::AppendState::NotAppended);
+  }
+};
+
 } // namespace
 
 TEST_CASE("one of two entries leads, and the other takes over")
@@ -190,12 +201,14 @@
   clock.Advance(1h);
   base::ManualExecutor executor(clock);
   journal::testing::FakeKeyedLog log;
-  Submissions submissions(clock, executor, log);
+  NoCoordinator coordinator;
+  Submissions submissions(clock, executor, executor, log, coordinator);
   std::optional<base::Result<void>> result;
   const auto submit = [&] {
     result.reset();
     submissions.Append(
       { "a/j", "1" }, 3s, [&](const auto& aResult) { result = aResult; });
+    executor.RunDue();
   };
   SUBCASE("on the first attempt")
   {
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -1,8 +1,10 @@
 #include "SimulatedCell.h"
 
+#include "DispatchRunner.h"
 #include "amaranthwind/membership/LeaderTopic.h"
 
 #include <algorithm>
+#include <array>
 
 namespace amaranthwind::coordinator {
 
@@ -64,56 +66,6 @@
   const codec::LedgerCodec codec;
 };
 
-/** Answers appends after a delay; everything else is passed on. */
-class DelayedLog final : public journal::KeyedLog
-{
-public:
-  DelayedLog(SimulatedTime& aTime,
-             journal::KeyedLog& aLog,
-             base::Duration aAppendTime)
-    : time(aTime)
-    , log(aLog)
-    , appendTime(aAppendTime)
-  {
-  }
-  void Append(const journal::KeyedTopic& aTopic,
-              std::span<const journal::KeyedValue> aRecords,
-              const journal::AppendConditions& aConditions,
-              journal::KeyedAppendHandler aHandler) override
-  {
-    this->log.Append(
-      aTopic,
-      aRecords,
-      aConditions,
-      [this, handler = std::move(aHandler)](const auto& aResult) {
-        this->time.Schedule(this->appendTime,
-                            [handler, result = aResult] { handler(result); });
-      });
-  }
-  void Read(const journal::KeyedTopic& aTopic,
-            base::LogOffset aFrom,
-            base::Duration aWait,
-            journal::KeyedReadHandler aHandler) override
-  {
-    this->log.Read(aTopic, aFrom, aWait, std::move(aHandler));
-  }
-  base::TimePoint AnsweredAsOf() const override
-  {
-    return this->log.AnsweredAsOf();
-  }
-  void ReadNewest(const journal::KeyedTopic& aTopic,
-                  std::string_view aAfterKey,
-                  journal::NewestHandler aHandler) override
-  {
-    this->log.ReadNewest(aTopic, aAfterKey, std::move(aHandler));
-  }
-
-private:
-  SimulatedTime& time;
-  journal::KeyedLog& log;
-  const base::Duration appendTime;
-};
-
 class ChargedPacking final : public dispatch::Packing
 {
 public:
@@ -494,6 +446,127 @@
 
 // Cell.
 
+/** The log as the entries see it. */
+class SimulatedCell::DelayedLog final : public journal::KeyedLog
+{
+public:
+  DelayedLog(SimulatedTime& aTime,
+             journal::KeyedLog& aLog,
+             const Options& aOptions,
+             LogUse& aUse)
+    : appendTime(aOptions.appendTime)
+    , time(aTime)
+    , log(aLog)
+    , takesTurns(aOptions.appendsInTurn)
+    , use(aUse)
+  {
+  }
+
+  void Append(const journal::KeyedTopic& aTopic,
+              std::span<const journal::KeyedValue> aRecords,
+              const journal::AppendConditions& aConditions,
+              journal::KeyedAppendHandler aHandler) override
+  {
+    if (!this->takesTurns) {
+      this->log.Append(
+        aTopic,
+        aRecords,
+        aConditions,
+        [this, handler = std::move(aHandler)](const auto& aResult) {
+          this->time.Schedule(this->appendTime,
+                              [handler, result = aResult] { handler(result); });
+        });
+      return;
+    }
+    // Heartbeats are not counted: each one supersedes the earlier ones.
+    const bool isCounted = aTopic.name == kJobTopic;
+    this->use.appends += isCounted ? 1 : 0;
+    const auto answer = this->AnswerOnce(std::move(aHandler), isCounted);
+    base::TimePoint& busyUntil =
+      this->partitions[{ aTopic.name, aTopic.partition }];
+    const base::TimePoint now = this->time.Now();
+    const base::TimePoint start = std::max(now, busyUntil);
+    if (start - now > kMaxLogQueue) {
+      this->time.Schedule(this->appendTime, [answer] {
+        answer(base::Fail(base::ErrorCode::LogUnavailable, "queue"));
+      });
+      return;
+    }
+    busyUntil = start + this->appendTime;
+    this->time.Schedule(
+      busyUntil - now,
+      [this,
+       aTopic,
+       records =
+         std::vector<journal::KeyedValue>(aRecords.begin(), aRecords.end()),
+       aConditions,
+       answer] { this->log.Append(aTopic, records, aConditions, answer); });
+    this->time.Schedule(aConditions.timeout, [answer] {
+      answer(base::Fail(base::ErrorCode::AppendUnconfirmed, "timeout"));
+    });
+  }
+
+  void Read(const journal::KeyedTopic& aTopic,
+            base::LogOffset aFrom,
+            base::Duration aWait,
+            journal::KeyedReadHandler aHandler) override
+  {
+    if (!this->takesTurns) {
+      this->log.Read(aTopic, aFrom, aWait, std::move(aHandler));
+      return;
+    }
+    this->log.Read(
+      aTopic,
+      aFrom,
+      aWait,
+      [this, sentAt = this->time.Now(), handler = std::move(aHandler)](
+        const auto& aResult) {
+        this->time.Schedule(
+          this->appendTime, [this, sentAt, handler, result = aResult] {
+            this->answeredAsOf = std::max(this->answeredAsOf, sentAt);
+            handler(result);
+          });
+      });
+  }
+
+  base::TimePoint AnsweredAsOf() const override { return this->answeredAsOf; }
+
+  void ReadNewest(const journal::KeyedTopic& aTopic,
+                  std::string_view aAfterKey,
+                  journal::NewestHandler aHandler) override
+  {
+    this->log.ReadNewest(aTopic, aAfterKey, std::move(aHandler));
+  }
+
+  base::Duration appendTime;
+
+private:
+  static constexpr base::Duration kMaxLogQueue = 2s;
+
+  /** Passes on the first result only. */
+  journal::KeyedAppendHandler AnswerOnce(journal::KeyedAppendHandler aHandler,
+                                         bool aIsCounted)
+  {
+    return [this,
+            aIsCounted,
+            handler = std::make_shared<journal::KeyedAppendHandler>(
+              std::move(aHandler))](base::Result<base::LogOffset> aResult) {
+      if (*handler) {
+        this->use.failedAppends += aIsCounted && aResult.has_error() ? 1 : 0;
+        std::exchange(*handler, nullptr)(std::move(aResult));
+      }
+    };
+  }
+
+  SimulatedTime& time;
+  journal::KeyedLog& log;
+  const bool takesTurns;
+  LogUse& use;
+  base::TimePoint answeredAsOf{};
+  /** Until when each partition is busy with appends. */
+  std::map<std::pair<std::string, std::uint32_t>, base::TimePoint> partitions;
+};
+
 struct SimulatedCell::Entry
 {
   Entry(SimulatedCell& aCell, std::uint32_t aNumber)
@@ -579,7 +652,7 @@
   : options(aOptions)
   , network(this->time, aOptions.costs.perSentMessage)
   , delayedLog(
-      std::make_unique<DelayedLog>(this->time, this->log, aOptions.appendTime))
+      std::make_unique<DelayedLog>(this->time, this->log, aOptions, this->use))
 {
   for (std::uint32_t i = 0; i < aOptions.entries; ++i) {
     this->entries.push_back(std::make_unique<Entry>(*this, i));
@@ -593,37 +666,66 @@
 SimulatedCell::~SimulatedCell() = default;
 
 void
-SimulatedCell::Submit(const job::WorkflowSpec& aSpec)
+SimulatedCell::Submit(const job::WorkflowSpec& aSpec, std::size_t aEntry)
 {
   this->jobs.push_back(aSpec.id);
   job::WorkflowSpec spec = aSpec;
   spec.acceptedAt = this->time.WallNow();
-  this->entries.front()->coordinator.Submit(
-    std::move(spec), 3s, [](const auto&) {});
+  this->entries[aEntry]->coordinator.Submit(
+    std::move(spec),
+    3s,
+    [this, sentAt = this->time.Now()](const auto& aResult) {
+      ++(aResult.has_value() ? this->use.accepted : this->use.notAccepted);
+      this->use.maxAcceptTime =
+        std::max(this->use.maxAcceptTime, this->time.Now() - sentAt);
+    });
+}
+
+void
+SimulatedCell::SetAppendTime(base::Duration aTime)
+{
+  this->delayedLog->appendTime = aTime;
 }
 
 void
 SimulatedCell::Run(base::Duration aTime)
 {
-  for (base::Duration done{}; done < aTime; done += kLogReadTimeout) {
-    this->time.Run(kLogReadTimeout);
-    this->log.TimeOutWaitingReads();
+  const base::TimePoint end = this->time.Now() + aTime;
+  while (this->time.Now() < end) {
+    this->time.Run(std::min(end, this->nextReadTimeout) - this->time.Now());
+    if (this->time.Now() >= this->nextReadTimeout) {
+      this->log.TimeOutWaitingReads();
+      this->nextReadTimeout = this->time.Now() + kLogReadTimeout;
+    }
   }
 }
 
 std::size_t
-SimulatedCell::Completed() const
+SimulatedCell::CountJobs(std::span<const ledger::JobPhase> aPhases) const
 {
-  std::size_t completed = 0;
+  std::size_t count = 0;
   for (const auto& job : this->jobs) {
     this->entries.front()->coordinator.Find(job, [&](const auto& aStatus) {
-      completed += aStatus.has_value() &&
-                       aStatus.value().phase == ledger::JobPhase::Completed
-                     ? 1
-                     : 0;
+      count +=
+        aStatus.has_value()
+          ? std::count(aPhases.begin(), aPhases.end(), aStatus.value().phase)
+          : 0;
     });
   }
-  return completed;
+  return count;
+}
+
+std::size_t
+SimulatedCell::Completed() const
+{
+  return this->CountJobs(std::array{ ledger::JobPhase::Completed });
+}
+
+std::size_t
+SimulatedCell::Placed() const
+{
+  return this->CountJobs(
+    std::array{ ledger::JobPhase::Running, ledger::JobPhase::Completed });
 }
 
 void
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -174,13 +175,34 @@
     base::Duration taskTimeStep{};
     /** Time until an append is answered. */
     base::Duration appendTime{};
+    /**
+     * Each partition takes one append at a time, for appendTime, and refuses
+     * more when the queue is long, as the platform's log does. Reads are
+     * answered after the same time.
+     */
+    bool appendsInTurn = false;
     ProcessorCosts costs;
   };
 
+  /** What became of the submitted jobs and of the appends of the entries. */
+  struct LogUse
+  {
+    std::size_t accepted = 0;
+    std::size_t notAccepted = 0;
+    base::Duration maxAcceptTime{};
+    std::size_t appends = 0;
+    std::size_t failedAppends = 0;
+  };
+
   explicit SimulatedCell(const Options& aOptions);
   ~SimulatedCell();
 
-  void Submit(const job::WorkflowSpec& aSpec);
+  void Submit(const job::WorkflowSpec& aSpec, std::size_t aEntry = 0);
+  /** Changes the time of the appends from now on. */
+  void SetAppendTime(base::Duration aTime);
+  const LogUse& Use() const noexcept { return this->use; }
+  /** Jobs of which a task was placed. */
+  std::size_t Placed() const;
   void Run(base::Duration aTime);
   /** Closes all connections of entries and agents after the delay. */
   void CloseConnections(base::Duration aDelay);
@@ -197,14 +219,20 @@
   std::size_t Elections();
 
 private:
+  class DelayedLog;
   struct Entry;
   struct Agent;
 
+  std::size_t CountJobs(std::span<const ledger::JobPhase> aPhases) const;
+
   const Options options;
+  LogUse use;
   SimulatedTime time;
+  /** When the log answers the reads that wait. */
+  base::TimePoint nextReadTimeout{};
   SimulatedNetwork network;
   journal::testing::FakeKeyedLog log;
-  std::unique_ptr<journal::KeyedLog> delayedLog;
+  std::unique_ptr<DelayedLog> delayedLog;
   std::vector<std::unique_ptr<Entry>> entries;
   std::vector<std::unique_ptr<Agent>> agents;
   std::vector<base::JobId> jobs;
--- a/libs/protocol/include/amaranthwind/protocol/Messages.h
+++ b/libs/protocol/include/amaranthwind/protocol/Messages.h
@@ -278,6 +278,31 @@
   bool operator==(const LeaderNotice&) const = default;
 };
 
+/** Asks the coordinator to append a record together with its own. */
+struct AppendRecord
+{
+  /** Distinguishes the requests on one connection. */
+  std::uint64_t number = 0;
+  std::string key;
+  std::string value;
+  bool operator==(const AppendRecord&) const = default;
+};
+
+enum class AppendState : std::uint8_t
+{
+  Queued, // Another reply follows.
+  Durable,
+  NotAppended, // The record is not in the log and will not be appended.
+  Unconfirmed, // The record may be in the log, or be appended later.
+};
+
+struct AppendRecordReply
+{
+  std::uint64_t number = 0;
+  AppendState state = AppendState::Unconfirmed;
+  bool operator==(const AppendRecordReply&) const = default;
+};
+
 using Message = std::variant<TargetHello,
                              EntryHello,
                              FetchTopology,
@@ -316,7 +341,9 @@
                              AgentStart,
                              AgentStop,
                              AgentOutcome,
-                             LeaderNotice>;
+                             LeaderNotice,
+                             AppendRecord,
+                             AppendRecordReply>;
 
 /** Matches replies to calls on one connection; 0 if no reply is expected. */
 using CorrelationId = base::StrongNumber<struct CorrelationTag>;
--- a/libs/protocol/src/AgentDecoder.cpp
+++ b/libs/protocol/src/AgentDecoder.cpp
@@ -172,4 +172,25 @@
                        Text(aNotice.address()) };
 }
 
+Result<Message>
+Decode(const wire::AppendRecord& aAppend)
+{
+  if (Text(aAppend.key()).empty()) {
+    return Fail(ErrorCode::MissingField, "AppendRecord.key");
+  }
+  return AppendRecord{ aAppend.number(),
+                       Text(aAppend.key()),
+                       Text(aAppend.value()) };
+}
+
+Result<Message>
+Decode(const wire::AppendRecordReply& aReply)
+{
+  if (aReply.state() > static_cast<std::uint8_t>(AppendState::Unconfirmed)) {
+    return Fail(ErrorCode::OutOfRange, "AppendRecordReply.state");
+  }
+  return AppendRecordReply{ aReply.number(),
+                            static_cast<AppendState>(aReply.state()) };
+}
+
 } // namespace amaranthwind::protocol
--- a/libs/protocol/src/AgentDecoder.h
+++ b/libs/protocol/src/AgentDecoder.h
@@ -22,5 +22,9 @@
 Decode(const wire::AgentOutcome& aOutcome);
 base::Result<Message>
 Decode(const wire::LeaderNotice& aNotice);
+base::Result<Message>
+Decode(const wire::AppendRecord& aAppend);
+base::Result<Message>
+Decode(const wire::AppendRecordReply& aReply);
 
 } // namespace amaranthwind::protocol
--- a/libs/protocol/src/AgentEncoder.cpp
+++ b/libs/protocol/src/AgentEncoder.cpp
@@ -1,4 +1,5 @@
-// Encodes the messages between a coordinator and the daemons of workers.
+// Encodes the messages between a coordinator and the daemons of workers, and
+// between coordinating entries.
 
 #include "WireEncoder.h"
 
@@ -140,4 +141,19 @@
   return wire::CreateLeaderNotice(this->builder, aNotice.token.Get(), address);
 }
 
+Offset<wire::AppendRecord>
+WireEncoder::operator()(const AppendRecord& aAppend)
+{
+  const auto key = this->String(aAppend.key);
+  const auto value = this->String(aAppend.value);
+  return wire::CreateAppendRecord(this->builder, aAppend.number, key, value);
+}
+
+Offset<wire::AppendRecordReply>
+WireEncoder::operator()(const AppendRecordReply& aReply)
+{
+  return wire::CreateAppendRecordReply(
+    this->builder, aReply.number, static_cast<std::uint8_t>(aReply.state));
+}
+
 } // namespace amaranthwind::protocol
--- a/libs/protocol/src/WireDecoder.cpp
+++ b/libs/protocol/src/WireDecoder.cpp
@@ -601,6 +601,10 @@
       return protocol::Decode(*aEnvelope.body_as_AgentOutcome());
     case wire::Body::LeaderNotice:
       return protocol::Decode(*aEnvelope.body_as_LeaderNotice());
+    case wire::Body::AppendRecord:
+      return protocol::Decode(*aEnvelope.body_as_AppendRecord());
+    case wire::Body::AppendRecordReply:
+      return protocol::Decode(*aEnvelope.body_as_AppendRecordReply());
     case wire::Body::NONE:
       break;
   }
--- a/libs/protocol/src/WireEncoder.h
+++ b/libs/protocol/src/WireEncoder.h
@@ -72,6 +72,10 @@
     const AgentOutcome& aOutcome);
   flatbuffers::Offset<wire::LeaderNotice> operator()(
     const LeaderNotice& aNotice);
+  flatbuffers::Offset<wire::AppendRecord> operator()(
+    const AppendRecord& aAppend);
+  flatbuffers::Offset<wire::AppendRecordReply> operator()(
+    const AppendRecordReply& aReply);
 
 private:
   using StringOffset = flatbuffers::Offset<flatbuffers::String>;
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -155,6 +155,8 @@
                dispatch::OrderNumber(42) },
     AgentOutcome{ kWorkerIncarnation, kRun, dispatch::OrderOutcome::Absent },
     LeaderNotice{ base::FencingToken(3), "127.0.0.1:7" },
+    AppendRecord{ 7, "a/1", std::string("\0\xFF{}", 4) },
+    AppendRecordReply{ 7, AppendState::Durable },
   };
 }
 
@@ -283,6 +285,10 @@
       ErrorCode::OutOfRange,
       "AgentOutcome.outcome" },
     { LeaderNotice{}, ErrorCode::MissingField, "LeaderNotice.address" },
+    { AppendRecord{}, ErrorCode::MissingField, "AppendRecord.key" },
+    { AppendRecordReply{ 1, static_cast<AppendState>(9) },
+      ErrorCode::OutOfRange,
+      "AppendRecordReply.state" },
   };
   for (const auto& each : cases) {
     CAPTURE(each.subject);
