Drop the records of callers from an append that had no effect

The caller was told 504, and the job ran 3 s later; before, it was refused for certain at once.

Change: FencedWriter drops requests with onRefused as soon as all attempts of their append are known to have had no effect; a sequence number that the log has not seen is used again. The entry then tries by itself and refuses the job.

--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -258,7 +258,14 @@
     this->ExecuteEffects(this->dispatcher->Commit(this->Now()));
   }
   if (this->writer->Pending() == 0 && !this->submitted.empty()) {
-    this->Write({}, 0);
+    std::vector<journal::WriteRequest> requests = this->TakeSubmissions();
+    const auto finish = [this, alive = this->isAlive] {
+      if (*alive) {
+        this->FinishBatch();
+      }
+    };
+    requests.push_back({ {}, finish, finish });
+    this->writer->Write(std::move(requests));
   }
 }
 
@@ -349,37 +356,47 @@
   for (const auto& record : aRecords) {
     bytes += record.value.size();
   }
-  const Submissions added = std::exchange(this->submitted, {});
+  std::vector<journal::WriteRequest> requests = this->TakeSubmissions();
+  requests.push_back({ std::move(aRecords),
+                       [this,
+                        alive = this->isAlive,
+                        aVersion,
+                        bytes,
+                        decidedAt = this->clock.Now()] {
+                         if (*alive) {
+                           this->load.OnDurable(decidedAt, bytes);
+                           this->OnWritten(aVersion);
+                         }
+                       },
+                       {} });
+  this->writer->Write(std::move(requests));
+}
+
+std::vector<journal::WriteRequest>
+DispatchRunner::TakeSubmissions()
+{
+  std::vector<journal::WriteRequest> requests;
   this->submittedBytes = 0;
-  for (const auto& each : added) {
-    aRecords.push_back(each->record);
+  std::erase_if(this->writing,
+                [](const auto& aEach) { return !aEach->observer; });
+  for (const auto& each : std::exchange(this->submitted, {})) {
+    this->writing.push_back(each);
+    requests.push_back({ { each->record },
+                         [each] { each->Finish(AppendState::Durable); },
+                         [each] { each->Finish(AppendState::NotAppended); } });
   }
-  this->writing.insert(this->writing.end(), added.begin(), added.end());
-  this->writer->Write(std::move(aRecords),
-                      [this,
-                       alive = this->isAlive,
-                       aVersion,
-                       bytes,
-                       added,
-                       decidedAt = this->clock.Now()] {
-                        if (!*alive) {
-                          return;
-                        }
-                        for (const auto& each : added) {
-                          each->Finish(AppendState::Durable);
-                        }
-                        std::erase_if(this->writing, [](const auto& aEach) {
-                          return !aEach->observer;
-                        });
-                        this->load.OnDurable(decidedAt, bytes);
-                        if (aVersion > 0) {
-                          const LoadMonitor::Measurement measurement(
-                            this->load, DecisionWork::Persisted);
-                          this->ExecuteEffects(this->dispatcher->OnPersisted(
-                            aVersion, this->Now()));
-                        }
-                        this->FinishBatch();
-                      });
+  return requests;
+}
+
+void
+DispatchRunner::OnWritten(std::uint64_t aVersion)
+{
+  if (aVersion > 0) {
+    const LoadMonitor::Measurement measurement(this->load,
+                                               DecisionWork::Persisted);
+    this->ExecuteEffects(this->dispatcher->OnPersisted(aVersion, this->Now()));
+  }
+  this->FinishBatch();
 }
 
 } // namespace amaranthwind::coordinator
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -95,6 +95,9 @@
   void ExecuteEffects(const dispatch::Effects& aEffects);
   /** Writes the records and those that callers have submitted. */
   void Write(std::vector<journal::KeyedValue> aRecords, std::uint64_t aVersion);
+  std::vector<journal::WriteRequest> TakeSubmissions();
+  /** The records that the dispatcher calls aVersion are durable. */
+  void OnWritten(std::uint64_t aVersion);
   /** Runs a scheduling pass now, or as soon as its share of time allows. */
   void ScheduleIfDue();
   dispatch::ClockReading Now() const;
--- a/libs/journal/include/amaranthwind/journal/FencedWriter.h
+++ b/libs/journal/include/amaranthwind/journal/FencedWriter.h
@@ -25,6 +25,20 @@
   base::Duration stallTime = std::chrono::milliseconds(1200);
 };
 
+/** Records that are appended together or not at all. */
+struct WriteRequest
+{
+  std::vector<KeyedValue> records;
+  /** Called once the records are in the log. */
+  std::function<void()> onDurable;
+  /**
+   * If set, the records are dropped as soon as an append with them is certain
+   * to have had no effect, and this is called instead of onDurable. Otherwise
+   * they are retried without end.
+   */
+  std::function<void()> onRefused;
+};
+
 /**
  * Writes the records of the single coordinator of a topic. Appends are issued
  * one at a time and in order; records that arrive meanwhile are batched into
@@ -50,9 +64,10 @@
   FencedWriter& operator=(const FencedWriter&) = delete;
 
   /**
-   * Calls aDone once the records are in the log; callbacks run in the order of
-   * the calls. The first append fences all writers with a lower token.
+   * Writes the records in the order of the calls. The first append fences all
+   * writers with a lower token.
    */
+  void Write(std::vector<WriteRequest> aRequests);
   void Write(std::vector<KeyedValue> aRecords, std::function<void()> aDone);
 
   /** Number of records that are not yet confirmed to be in the log. */
--- a/libs/journal/src/FencedWriter.cpp
+++ b/libs/journal/src/FencedWriter.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <iterator>
 #include <span>
 #include <utility>
 
@@ -46,29 +45,19 @@
   {
   }
 
-  struct QueuedWrite
-  {
-    std::vector<KeyedValue> records;
-    std::size_t bytes = 0;
-    std::function<void()> callback;
-  };
   struct SentAttempt
   {
     std::uint64_t sequence = 0;
     std::uint64_t attempt = 0;
     base::TimePoint at{};
   };
-  struct Batch
-  {
-    std::vector<KeyedValue> records;
-    std::vector<std::function<void()>> callbacks;
-  };
 
-  void Enqueue(std::vector<KeyedValue> aRecords, std::function<void()> aDone)
+  void Enqueue(std::vector<WriteRequest> aRequests)
   {
-    const std::size_t bytes = SizeOf(aRecords);
-    this->queuedRecords += aRecords.size();
-    this->queue.push_back({ std::move(aRecords), bytes, std::move(aDone) });
+    for (auto& request : aRequests) {
+      this->queuedRecords += request.records.size();
+      this->queue.push_back(std::move(request));
+    }
     if (!this->isSending) {
       this->SendNext();
     }
@@ -90,19 +79,18 @@
     }
     std::size_t bytes = 0;
     do {
-      QueuedWrite write = std::move(this->queue.front());
+      WriteRequest request = std::move(this->queue.front());
       this->queue.pop_front();
-      bytes += write.bytes;
-      this->queuedRecords -= write.records.size();
-      std::move(write.records.begin(),
-                write.records.end(),
-                std::back_inserter(this->inFlight.records));
-      this->inFlight.callbacks.push_back(std::move(write.callback));
+      bytes += SizeOf(request.records);
+      this->queuedRecords -= request.records.size();
+      this->inFlight.push_back(std::move(request));
     } while (!this->queue.empty() &&
-             bytes + this->queue.front().bytes <= kMaxAppendBytes);
+             bytes + SizeOf(this->queue.front().records) <= kMaxAppendBytes);
+    this->CollectRecords();
     this->isSending = true;
     this->hasFailed = false;
     this->attempt = 0;
+    this->refusals = 0;
     this->sendingSince = this->clock.Now();
     ++this->sequence;
     this->Send();
@@ -120,7 +108,7 @@
     this->ScheduleRepeat();
     this->log.Append(
       this->options.topic,
-      this->inFlight.records,
+      this->inFlightRecords,
       conditions,
       [weak = this->weak_from_this(),
        sent = SentAttempt{ this->sequence, this->attempt, this->clock.Now() }](
@@ -182,9 +170,9 @@
       this->backoff.Reset();
       this->isSending = false;
       // A callback may call Write(), which starts the next append.
-      const auto callbacks = std::exchange(this->inFlight, {}).callbacks;
-      for (const auto& callback : callbacks) {
-        callback();
+      this->inFlightRecords.clear();
+      for (const auto& request : std::exchange(this->inFlight, {})) {
+        request.onDurable();
       }
       if (!this->isSending) {
         this->SendNext();
@@ -201,11 +189,58 @@
       return;
     }
     this->hasFailed = true;
+    const bool hadNoEffect =
+      aResult.error().code == ErrorCode::LogUnavailable ||
+      aResult.error().code == ErrorCode::TooLarge;
+    if (hadNoEffect && ++this->refusals == this->attempt &&
+        this->DropOptional()) {
+      return;
+    }
     if (aSent.attempt == this->attempt) {
       this->RunLater(this->backoff.Next(), [](State& aSelf) { aSelf.Send(); });
     }
   }
 
+  void CollectRecords()
+  {
+    this->inFlightRecords.clear();
+    for (const auto& request : this->inFlight) {
+      this->inFlightRecords.insert(this->inFlightRecords.end(),
+                                   request.records.begin(),
+                                   request.records.end());
+    }
+  }
+
+  /**
+   * Drops the requests that need no retry from an append that had no effect.
+   * Returns true if nothing of it is left.
+   */
+  bool DropOptional()
+  {
+    std::vector<std::function<void()>> callbacks;
+    std::erase_if(this->inFlight, [&](WriteRequest& aRequest) {
+      if (!aRequest.onRefused) {
+        return false;
+      }
+      callbacks.push_back(std::move(aRequest.onRefused));
+      return true;
+    });
+    this->CollectRecords();
+    const bool isEmpty = this->inFlight.empty();
+    if (isEmpty) {
+      // The log has not seen this number.
+      --this->sequence;
+      this->isSending = false;
+    }
+    for (const auto& callback : callbacks) {
+      callback();
+    }
+    if (isEmpty && !this->isSending) {
+      this->SendNext();
+    }
+    return isEmpty;
+  }
+
   bool IsStalled() const
   {
     return this->isSending &&
@@ -220,15 +255,19 @@
   KeyedLog& log;
   const std::function<void()> onFenced;
   base::Backoff backoff;
-  std::deque<QueuedWrite> queue;
+  std::deque<WriteRequest> queue;
   std::size_t queuedRecords = 0;
-  Batch inFlight;
+  std::vector<WriteRequest> inFlight;
+  /** The records of inFlight. */
+  std::vector<KeyedValue> inFlightRecords;
   bool isSending = false;
   bool isFenced = false;
   std::uint64_t sequence = 0;
   // Of the append under way.
   base::TimePoint sendingSince{};
   std::uint64_t attempt = 0;
+  /** Attempts that are known to have had no effect. */
+  std::uint64_t refusals = 0;
   bool hasFailed = false;
   base::AdaptiveTimeout repeatDelay{ kMinRepeatDelay, kMaxRepeatDelay };
 };
@@ -248,17 +287,26 @@
 
 FencedWriter::~FencedWriter() = default;
 
+void
+FencedWriter::Write(std::vector<WriteRequest> aRequests)
+{
+  this->state->Enqueue(std::move(aRequests));
+}
+
 void
 FencedWriter::Write(std::vector<KeyedValue> aRecords,
                     std::function<void()> aDone)
 {
-  this->state->Enqueue(std::move(aRecords), std::move(aDone));
+  std::vector<WriteRequest> requests(1);
+  requests[0].records = std::move(aRecords);
+  requests[0].onDurable = std::move(aDone);
+  this->state->Enqueue(std::move(requests));
 }
 
 std::size_t
 FencedWriter::Pending() const noexcept
 {
-  return this->state->queuedRecords + this->state->inFlight.records.size();
+  return this->state->queuedRecords + this->state->inFlightRecords.size();
 }
 
 bool
--- a/libs/journal/tests/FencedWriterTest.cpp
+++ b/libs/journal/tests/FencedWriterTest.cpp
@@ -256,3 +256,53 @@
   fixture.Answer(fixture.log.held.size() - 1, base::LogOffset(0));
   CHECK_FALSE(fixture.writer.IsStalled());
 }
+
+// Guards against running a job whose submission was refused during an outage.
+TEST_CASE("records that need no retry are dropped if the log refuses them")
+{
+  HeldFixture fixture;
+  fixture.Answer(0, base::LogOffset(0));
+  int durable = 0;
+  int refused = 0;
+  std::vector<WriteRequest> requests(2);
+  requests[0] = { { { "optional", "v" } }, [] {}, [&] { ++refused; } };
+  requests[1] = { { { "needed", "v" } }, [&] { ++durable; }, {} };
+  fixture.writer.Write(std::move(requests));
+  fixture.executor.RunDue();
+  CHECK(fixture.log.held.size() == 2);
+  SUBCASE("if the append had no effect")
+  {
+    fixture.Answer(1, base::Fail(base::ErrorCode::LogUnavailable));
+    CHECK(refused == 1);
+    CHECK(fixture.writer.Pending() == 1);
+    fixture.executor.Advance(300ms);
+    fixture.Answer(2, base::LogOffset(1));
+    CHECK(durable == 1);
+  }
+  SUBCASE("unless the append may have had an effect")
+  {
+    fixture.Answer(1, base::Fail(base::ErrorCode::AppendUnconfirmed));
+    fixture.executor.Advance(300ms);
+    fixture.Answer(2, base::Fail(base::ErrorCode::LogUnavailable));
+    CHECK(refused == 0);
+    CHECK(fixture.writer.Pending() == 2);
+  }
+}
+
+TEST_CASE("a refused append of optional records uses no sequence number")
+{
+  HeldFixture fixture;
+  fixture.Answer(0, base::LogOffset(0));
+  int refused = 0;
+  std::vector<WriteRequest> requests(1);
+  requests[0] = { { { "optional", "v" } }, [] {}, [&] { ++refused; } };
+  fixture.writer.Write(std::move(requests));
+  fixture.executor.RunDue();
+  fixture.Answer(1, base::Fail(base::ErrorCode::LogUnavailable));
+  CHECK(refused == 1);
+  CHECK(fixture.writer.Pending() == 0);
+  fixture.writer.Write({ { "next", "v" } }, [] {});
+  fixture.executor.RunDue();
+  CHECK(fixture.log.held[2].conditions.stamp->sequence ==
+        fixture.log.held[0].conditions.stamp->sequence + 1);
+}
