Do not wait for a coordinator that fails with a record it has taken

Cause: an entry whose record was taken waited for the whole time of its caller (2.7 s) if the coordinator froze or lost power before it could answer, although the log answered the entry. A new leader was noticed only with the next record.

Change: after 1.2 s the entry appends the record itself, provided that the log has answered requests that it sent 0.7 s later or more; on a slow log it keeps waiting. What a former coordinator still has to answer is appended as soon as the claim of the next one is read.

Measured: ForwardingTest "a job is accepted although the coordinator fails with its record", which failed before (no answer after 1.3 s).

--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -99,7 +99,7 @@
     , table(aCodec)
     , submissions(aClock, aExecutor, aHeartbeatExecutor, aLog, *this)
     , sessions(aMakePort, aClock, aExecutor, aLogger, this->load, *this)
-    , forwarder(aClock, aExecutor, this->sessions, aLogger)
+    , forwarder(aClock, aExecutor, aLog, this->sessions, aLogger)
     , leaderLog({ .self = aOptions.self, .incarnation = aOptions.incarnation },
                 aClock,
                 aExecutor,
@@ -393,12 +393,18 @@
       this->runner->FinishBatch();
       return;
     }
+    this->FollowCoordinator();
+    this->forwarder.Forward(std::move(aRecord), aTimeout, std::move(aHandler));
+  }
+
+  /** What a former coordinator still has to answer is appended otherwise. */
+  void FollowCoordinator()
+  {
     const auto& leader = this->leaderLog.Election().Leader();
     const bool isElsewhere =
       leader && !leader->isResigned && leader->holder != this->options.self;
     this->forwarder.SetCoordinator(
       isElsewhere ? std::string_view(leader->address) : std::string_view());
-    this->forwarder.Forward(std::move(aRecord), aTimeout, std::move(aHandler));
   }
 
   void OnAppendRecord(ConnectionId aConnection,
@@ -438,6 +444,7 @@
     // An agent is not silent if its report waits to be handled.
     this->sessions.HandleReceived();
     this->UpdateSettled();
+    this->FollowCoordinator();
     if (this->runner != nullptr) {
       this->runner->OnTick();
     }
--- a/libs/coordinator/src/RecordForwarder.cpp
+++ b/libs/coordinator/src/RecordForwarder.cpp
@@ -15,6 +15,12 @@
  * not waited for, since the entry can append the record itself.
  */
 constexpr base::Duration kReceiptTimeout = 250ms;
+/**
+ * Time for the coordinator to append a record while the log answers requests of
+ * this entry within kUsualAnswerTime.
+ */
+constexpr base::Duration kAppendLimit = 1200ms;
+constexpr base::Duration kUsualAnswerTime = 500ms;
 /** How long a coordinator that did not answer is not asked again. */
 constexpr base::BackoffOptions kSuspension{ .first = 500ms, .max = 8s };
 
@@ -22,10 +28,12 @@
 
 RecordForwarder::RecordForwarder(const base::Clock& aClock,
                                  base::Executor& aExecutor,
+                                 const journal::KeyedLog& aLog,
                                  AgentSessions& aSessions,
                                  telemetry::Logger& aLogger)
   : clock(aClock)
   , executor(aExecutor)
+  , log(aLog)
   , sessions(aSessions)
   , logger(aLogger)
   , backoff(kSuspension)
@@ -79,17 +87,32 @@
                         protocol::AppendRecord{ number,
                                                 std::move(aRecord.key),
                                                 std::move(aRecord.value) });
-  this->RunAfter(kReceiptTimeout, [this, number] {
-    // A reply that waits to be handled is no silence.
+  this->ScheduleTimeouts(number, aTimeout);
+}
+
+void
+RecordForwarder::ScheduleTimeouts(std::uint64_t aNumber,
+                                  base::Duration aTimeout)
+{
+  // A reply that waits to be handled is no silence.
+  this->RunAfter(kReceiptTimeout, [this, aNumber] {
     this->sessions.HandleReceived();
-    const auto found = this->pending.find(number);
+    const auto found = this->pending.find(aNumber);
     if (found != this->pending.end() && !found->second.isQueued) {
       this->Suspend("no receipt");
     }
   });
-  this->RunAfter(aTimeout, [this, number] {
+  const base::TimePoint expectedAnswer =
+    this->clock.Now() + kAppendLimit - kUsualAnswerTime;
+  this->RunAfter(kAppendLimit, [this, aNumber, expectedAnswer] {
+    this->sessions.HandleReceived();
+    if (this->log.AnsweredAsOf() >= expectedAnswer) {
+      this->FinishOne(aNumber, AppendState::Unconfirmed);
+    }
+  });
+  this->RunAfter(aTimeout, [this, aNumber] {
     this->sessions.HandleReceived();
-    this->FinishOne(number, AppendState::Unconfirmed);
+    this->FinishOne(aNumber, AppendState::Unconfirmed);
   });
 }
 
--- a/libs/coordinator/src/RecordForwarder.h
+++ b/libs/coordinator/src/RecordForwarder.h
@@ -31,6 +31,7 @@
 public:
   RecordForwarder(const base::Clock& aClock,
                   base::Executor& aExecutor,
+                  const journal::KeyedLog& aLog,
                   AgentSessions& aSessions,
                   telemetry::Logger& aLogger);
   ~RecordForwarder();
@@ -42,8 +43,8 @@
 
   /**
    * The result is NotAppended at once if the coordinator cannot be asked, and
-   * Unconfirmed if it does not confirm the receipt soon or the append within
-   * the timeout.
+   * Unconfirmed if it does not confirm the receipt soon, or the append within
+   * the timeout or although the log answers this entry.
    */
   void Forward(journal::KeyedValue aRecord,
                base::Duration aTimeout,
@@ -61,6 +62,8 @@
   };
 
   void FinishOne(std::uint64_t aNumber, protocol::AppendState aState);
+  /** Schedules the checks for a coordinator that does not answer. */
+  void ScheduleTimeouts(std::uint64_t aNumber, base::Duration aTimeout);
   /** Drops the connection; what it still has to answer is unconfirmed. */
   void Disconnect();
   /** As Disconnect(); the coordinator is not asked again for some time. */
@@ -70,6 +73,7 @@
 
   const base::Clock& clock;
   base::Executor& executor;
+  const journal::KeyedLog& log;
   AgentSessions& sessions;
   telemetry::Logger& logger;
   std::string address;
--- a/libs/coordinator/tests/Fleet.h
+++ b/libs/coordinator/tests/Fleet.h
@@ -96,7 +96,7 @@
   {
     if (this->isCut) {
       aHandler(base::Fail(base::ErrorCode::LogUnavailable));
-    } else {
+    } else if (!this->dropsAppends) {
       this->log.Append(
         aTopic, aRecords, aConditions, this->Guard(std::move(aHandler)));
     }
@@ -128,6 +128,8 @@
   }
 
   bool isCut = false;
+  /** Appends have no effect and no answer. */
+  bool dropsAppends = false;
 
 private:
   /** Loses answers that arrive while the process is cut off. */
--- a/libs/coordinator/tests/ForwardingTest.cpp
+++ b/libs/coordinator/tests/ForwardingTest.cpp
@@ -105,6 +105,19 @@
   CHECK(forwarding.IsAccepted());
 }
 
+// Guards against a caller that waits for a coordinator that has failed after it
+// had taken the record.
+TEST_CASE("a job is accepted although the coordinator fails with its record")
+{
+  Forwarding forwarding;
+  forwarding.leader.log.dropsAppends = true;
+  forwarding.Submit();
+  forwarding.fleet.Run(100ms);
+  forwarding.leader.Freeze();
+  forwarding.fleet.Run(1200ms);
+  CHECK(forwarding.IsAccepted());
+}
+
 // Guards against a caller that waits for the decisions of its own entry.
 TEST_CASE("a job is accepted in time by an entry whose decisions are late")
 {
