--- a/libs/coordinator/src/RecordForwarder.cpp
+++ b/libs/coordinator/src/RecordForwarder.cpp
@@ -14,7 +14,7 @@
  * Time for the coordinator to confirm the receipt of a record. A busy one is
  * not waited for, since the entry can append the record itself.
  */
-constexpr base::Duration kReceiptTimeout = 250ms;
+constexpr base::Duration kReceiptTimeout = 150ms;
 /**
  * Time for the coordinator to append a record while the log answers requests of
  * this entry within kUsualAnswerTime.
--- a/libs/coordinator/src/Submissions.cpp
+++ b/libs/coordinator/src/Submissions.cpp
@@ -21,7 +21,7 @@
  */
 constexpr base::Duration kMaxAppendTime = 1200ms;
 /** Maximum time that a record waits for the executor, which may be busy. */
-constexpr base::Duration kMaxQueueTime = 250ms;
+constexpr base::Duration kMaxQueueTime = 150ms;
 
 } // namespace
 
