Play a slow store with real processes, and show the way of callers' records

A store that is slow was played on simulated time only, and no metric or log line told by which way a caller's record reached the log.

--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -97,7 +97,7 @@
         { "submit_seconds", "From a job's request to its acceptance." },
         std::array{ 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0 }))
     , table(aCodec)
-    , submissions(aClock, aExecutor, aHeartbeatExecutor, aLog, *this)
+    , submissions(aClock, aExecutor, aHeartbeatExecutor, aLog, *this, aMetrics)
     , sessions(aMakePort, aClock, aExecutor, aLogger, this->load, *this)
     , forwarder(aClock, aExecutor, aLog, this->sessions, aLogger)
     , leaderLog({ .self = aOptions.self, .incarnation = aOptions.incarnation },
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -215,9 +215,20 @@
     Submission{ std::move(aRecord), std::move(aObserver) }));
 }
 
+void
+DispatchRunner::ForgetFinished()
+{
+  std::erase_if(this->writing,
+                [](const auto& aEach) { return !aEach->observer; });
+}
+
 void
 DispatchRunner::GiveUpSubmissions()
 {
+  this->ForgetFinished();
+  if (!this->submitted.empty() || !this->writing.empty()) {
+    this->load.OnRecordsReturned(this->submitted.size(), this->writing.size());
+  }
   this->submittedBytes = 0;
   for (const auto& each : std::exchange(this->submitted, {})) {
     each->Finish(AppendState::NotAppended);
@@ -377,8 +388,7 @@
 {
   std::vector<journal::WriteRequest> requests;
   this->submittedBytes = 0;
-  std::erase_if(this->writing,
-                [](const auto& aEach) { return !aEach->observer; });
+  this->ForgetFinished();
   for (const auto& each : std::exchange(this->submitted, {})) {
     this->writing.push_back(each);
     requests.push_back({ { each->record },
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -96,6 +96,8 @@
   /** Writes the records and those that callers have submitted. */
   void Write(std::vector<journal::KeyedValue> aRecords, std::uint64_t aVersion);
   std::vector<journal::WriteRequest> TakeSubmissions();
+  /** Removes submissions that have their result. */
+  void ForgetFinished();
   /** The records that the dispatcher calls aVersion are durable. */
   void OnWritten(std::uint64_t aVersion);
   /** Runs a scheduling pass now, or as soon as its share of time allows. */
--- a/libs/coordinator/src/LoadMonitor.cpp
+++ b/libs/coordinator/src/LoadMonitor.cpp
@@ -102,6 +102,14 @@
   this->summary.recordBytes += aBytes;
 }
 
+void
+LoadMonitor::OnRecordsReturned(std::size_t aWaiting, std::size_t aUnconfirmed)
+{
+  this->logger.Warning(
+    "records of callers returned: log stalls",
+    { { "waiting", aWaiting }, { "unconfirmed", aUnconfirmed } });
+}
+
 void
 LoadMonitor::Summarize(base::Duration aJobsAge, std::size_t aWaitingOrders)
 {
--- a/libs/coordinator/src/LoadMonitor.h
+++ b/libs/coordinator/src/LoadMonitor.h
@@ -41,6 +41,8 @@
   void OnHandled(base::TimePoint aReceivedAt);
   /** The records of a decision became durable. */
   void OnDurable(base::TimePoint aDecidedAt, std::size_t aBytes);
+  /** The log stalls, so records of callers were returned to their entries. */
+  void OnRecordsReturned(std::size_t aWaiting, std::size_t aUnconfirmed);
   /**
    * Logs a summary of the time since the last one, at most every 2 s.
    * @param aJobsAge Age of the view of the jobs.
--- a/libs/coordinator/src/Submissions.cpp
+++ b/libs/coordinator/src/Submissions.cpp
@@ -48,12 +48,19 @@
                          base::Executor& aExecutor,
                          base::Executor& aTimerExecutor,
                          journal::KeyedLog& aLog,
-                         SharedAppender& aShared)
+                         SharedAppender& aShared,
+                         telemetry::Metrics& aMetrics)
   : clock(aClock)
   , executor(aExecutor)
   , timerExecutor(aTimerExecutor)
   , log(aLog)
   , shared(aShared)
+  , sharedRecords(aMetrics.MakeCounter(
+      { "records_through_coordinator_total",
+        "Records of callers that the coordinator appended." }))
+  , ownRecords(aMetrics.MakeCounter(
+      { "records_appended_alone_total",
+        "Records of callers that the entry itself had to append." }))
 {
 }
 
@@ -73,6 +80,7 @@
     this->shared.AppendShared(
       attempt->record, aTimeout, [this, attempt](AppendState aState) {
         if (aState == AppendState::Durable) {
+          this->sharedRecords.Increment();
           attempt->Finish(base::success());
           return;
         }
@@ -97,6 +105,7 @@
       base::Fail(ErrorCode::AppendUnconfirmed, aAttempt->record.key));
     return;
   }
+  this->ownRecords.Increment();
   this->AppendOnce(aAttempt);
 }
 
--- a/libs/coordinator/src/Submissions.h
+++ b/libs/coordinator/src/Submissions.h
@@ -4,6 +4,7 @@
 #include "amaranthwind/base/Executor.h"
 #include "amaranthwind/coordinator/JobService.h"
 #include "amaranthwind/journal/KeyedLog.h"
+#include "amaranthwind/telemetry/Metrics.h"
 
 #include <string>
 
@@ -38,7 +39,8 @@
               base::Executor& aExecutor,
               base::Executor& aTimerExecutor,
               journal::KeyedLog& aLog,
-              SharedAppender& aShared);
+              SharedAppender& aShared,
+              telemetry::Metrics& aMetrics);
 
   /**
    * Errors: LogUnavailable (not appended), AppendUnconfirmed (may have been
@@ -58,6 +60,8 @@
   base::Executor& timerExecutor;
   journal::KeyedLog& log;
   SharedAppender& shared;
+  telemetry::Counter sharedRecords;
+  telemetry::Counter ownRecords;
 };
 
 } // namespace amaranthwind::coordinator
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -202,7 +202,8 @@
   base::ManualExecutor executor(clock);
   journal::testing::FakeKeyedLog log;
   NoCoordinator coordinator;
-  Submissions submissions(clock, executor, executor, log, coordinator);
+  telemetry::Metrics metrics;
+  Submissions submissions(clock, executor, executor, log, coordinator, metrics);
   std::optional<base::Result<void>> result;
   const auto submit = [&] {
     result.reset();
--- a/tests/endtoend/PlatformTest.cpp
+++ b/tests/endtoend/PlatformTest.cpp
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <csignal>
+#include <future>
 #include <set>
 
 using namespace amaranthwind;
@@ -203,3 +205,38 @@
   const auto starts = deployment.Starts();
   CHECK(std::set(starts.begin(), starts.end()).size() == starts.size());
 }
+
+// Guards against a store that still works, only slower, but stops everything:
+// each scheduler appends each job by itself, and gives up before the answer.
+TEST_CASE("platform: jobs are accepted and completed while the store is slow")
+{
+  constexpr std::size_t kJobsOfScheduler = 4;
+  PlatformDeployment deployment(3, 2);
+  REQUIRE(deployment.Start());
+  const auto before = deployment.store.Appends();
+  deployment.store.SetAnswerTime(std::chrono::milliseconds(256));
+  const std::string body =
+    R"({"spec":"50","steps":[{"count":1,"cpu":100,"mem-mb":1,)"
+    R"("estimate-ms":50}]})";
+  std::vector<std::string> jobs;
+  std::vector<std::future<unsigned>> answers;
+  for (std::size_t i = 0; i < deployment.schedulers.size(); ++i) {
+    for (std::size_t k = 0; k < kJobsOfScheduler; ++k) {
+      jobs.push_back("00000000000000" + std::to_string(i) + std::to_string(k));
+      answers.push_back(
+        std::async(std::launch::async, [&, i, id = jobs.back()] {
+          return deployment.Send(deployment.schedulers[i], "POST", id, body);
+        }));
+    }
+  }
+  for (auto& answer : answers) {
+    CHECK(answer.get() == 200);
+  }
+  for (const auto& job : jobs) {
+    CHECK(IsCompleted(deployment, job));
+  }
+  const auto after = deployment.store.Appends();
+  CHECK(after.refused == before.refused);
+  CHECK(after.repeated == before.repeated);
+  CheckEachTaskStartedOnce(deployment, jobs.size());
+}
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -229,11 +229,19 @@
 void
 FaultInjector::InjectStoreFault()
 {
-  switch (this->RandomBelow(3)) {
+  switch (this->RandomBelow(4)) {
     case 0:
       this->LogFault("store compacts");
       this->deployment.store.Compact();
       return;
+    case 3: {
+      this->LogFault("store slow");
+      this->deployment.store.SetAnswerTime(this->RandomDuration(50, 1000));
+      this->ScheduleRecovery(this->RandomDuration(300, 5000), [this] {
+        this->deployment.store.SetAnswerTime(0ms);
+      });
+      return;
+    }
     case 1:
       this->LogFault("store down");
       this->deployment.store.SetMode(Mode::Down);
--- a/tests/standins/PlatformStore.cpp
+++ b/tests/standins/PlatformStore.cpp
@@ -88,13 +88,63 @@
 PlatformStore::Handle(HttpRequest aRequest, HttpResponder aRespond)
 {
   std::lock_guard lock(this->mutex);
+  if (this->answerTime.count() == 0) {
+    this->HandleNow(aRequest, aRespond);
+  } else if (aRequest.path == "/api/log-append") {
+    this->HandleAppendInTurn(std::move(aRequest), std::move(aRespond));
+  } else {
+    this->HandleNow(
+      aRequest,
+      [this, time = this->answerTime, respond = std::move(aRespond)](
+        HttpResponse aResponse) {
+        this->pool.RunAfter(time, [respond, response = std::move(aResponse)] {
+          respond(response);
+        });
+      });
+  }
+}
+
+void
+PlatformStore::HandleAppendInTurn(HttpRequest aRequest, HttpResponder aRespond)
+{
+  constexpr auto kMaxQueueTime = std::chrono::seconds(2);
+  const auto now = std::chrono::steady_clock::now();
+  auto& busy = this->busyUntil[PartitionName(aRequest)];
+  const auto start = std::max(now, busy);
+  if (start - now > kMaxQueueTime) {
+    ++this->appends.refused;
+    this->pool.RunAfter(this->answerTime, [respond = std::move(aRespond)] {
+      respond(MakeResponse(503));
+    });
+    return;
+  }
+  busy = start + this->answerTime;
+  this->pool.RunAfter(
+    busy - now,
+    [this, request = std::move(aRequest), respond = std::move(aRespond)] {
+      const std::lock_guard lock(this->mutex);
+      this->HandleNow(request, respond);
+    });
+}
+
+void
+PlatformStore::HandleAppend(const HttpRequest& aRequest,
+                            const HttpResponder& aRespond)
+{
+  auto response = this->Append(aRequest);
+  if (this->mode != Mode::DropReplies) {
+    aRespond(std::move(response));
+  }
+}
+
+void
+PlatformStore::HandleNow(const HttpRequest& aRequest,
+                         const HttpResponder& aRespond)
+{
   if (this->mode == Mode::Down) {
     aRespond(MakeResponse(503));
   } else if (aRequest.path == "/api/log-append") {
-    auto response = this->Append(aRequest);
-    if (this->mode != Mode::DropReplies) {
-      aRespond(std::move(response));
-    }
+    this->HandleAppend(aRequest, aRespond);
   } else if (aRequest.path == "/api/log-read") {
     this->Read(aRequest, aRespond);
   } else if (aRequest.path == "/api/log-newest") {
@@ -122,6 +172,20 @@
   this->mode = aMode;
 }
 
+void
+PlatformStore::SetAnswerTime(std::chrono::milliseconds aTime)
+{
+  std::lock_guard lock(this->mutex);
+  this->answerTime = aTime;
+}
+
+PlatformStore::AppendCounts
+PlatformStore::Appends()
+{
+  std::lock_guard lock(this->mutex);
+  return this->appends;
+}
+
 void
 PlatformStore::Compact()
 {
@@ -163,6 +227,7 @@
       return MakeResponse(409, { { "reason", "fenced" } });
     }
     if (epoch == lastAppend.epoch && sequence == lastAppend.sequence) {
+      ++this->appends.repeated;
       return MakeResponse(200,
                           { { "offset", lastAppend.offset }, { "end", end } });
     }
@@ -171,6 +236,7 @@
     }
     lastAppend = { epoch, sequence, end };
   }
+  ++this->appends.done;
   std::string_view body = aRequest.body;
   while (!body.empty()) {
     const auto length = ConsumeNumber(body, 4);
--- a/tests/standins/PlatformStore.h
+++ b/tests/standins/PlatformStore.h
@@ -3,6 +3,8 @@
 #include "amaranthwind/frontend/HttpServer.h"
 #include "amaranthwind/net/IoPool.h"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -37,6 +39,21 @@
            const std::string& aKey,
            const std::string& aValue);
   void SetMode(Mode aMode);
+  /**
+   * From now on, each answer takes this long; the appends to a partition wait
+   * for each other, and are refused if the queue is long.
+   */
+  void SetAnswerTime(std::chrono::milliseconds aTime);
+  /** Appends since the start. */
+  struct AppendCounts
+  {
+    std::size_t done = 0;
+    /** Had no effect. */
+    std::size_t refused = 0;
+    /** Carried the number of an append that was done before. */
+    std::size_t repeated = 0;
+  };
+  AppendCounts Appends();
   /** Discards all records except the newest of each key. */
   void Compact();
 
@@ -63,6 +80,12 @@
     frontend::HttpResponder respond;
   };
 
+  void HandleNow(const frontend::HttpRequest& aRequest,
+                 const frontend::HttpResponder& aRespond);
+  void HandleAppend(const frontend::HttpRequest& aRequest,
+                    const frontend::HttpResponder& aRespond);
+  void HandleAppendInTurn(frontend::HttpRequest aRequest,
+                          frontend::HttpResponder aRespond);
   frontend::HttpResponse Append(const frontend::HttpRequest& aRequest);
   void Read(const frontend::HttpRequest& aRequest,
             const frontend::HttpResponder& aRespond);
@@ -76,7 +99,11 @@
   net::IoPool& pool;
   std::mutex mutex;
   Mode mode = Mode::Up;
+  std::chrono::milliseconds answerTime{ 0 };
+  AppendCounts appends;
   std::map<std::string, Partition> partitions;
+  /** Until when the partitions are busy with appends. */
+  std::map<std::string, std::chrono::steady_clock::time_point> busyUntil;
   std::vector<WaitingRead> waitingReads;
   std::uint64_t lastReadId = 0;
 };
