--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -5,12 +5,15 @@
 namespace amaranthwind::coordinator {
 
 using journal::KeyedValue;
+using protocol::AppendState;
 
 namespace {
 
 constexpr std::string_view kProducer = "coordinator";
 /** For clock error and the worker's time to start a run. */
 constexpr base::Duration kStartMargin = std::chrono::milliseconds(400);
+/** Limit of the submitted records that wait for one append. */
+constexpr std::size_t kMaxSubmittedBytes = 128UL * 1024;
 /** Key of a term's first record, which fences off writers of earlier terms. */
 constexpr std::string_view kTermKey = "term";
 
@@ -53,7 +56,7 @@
   writerOptions.producer = kProducer;
   writerOptions.token = aToken;
   this->writer = std::make_unique<journal::FencedWriter>(
-    writerOptions, aExecutor, aLog, std::move(aOnFenced));
+    writerOptions, aClock, aExecutor, aLog, std::move(aOnFenced));
 }
 
 DispatchRunner::~DispatchRunner()
@@ -189,9 +192,58 @@
   }
 }
 
+void
+DispatchRunner::Submission::Finish(protocol::AppendState aState)
+{
+  if (this->observer) {
+    std::exchange(this->observer, nullptr)(aState);
+  }
+}
+
+void
+DispatchRunner::Append(KeyedValue aRecord, AppendHandler aObserver)
+{
+  const std::size_t bytes = aRecord.key.size() + aRecord.value.size();
+  if (this->dispatcher == nullptr || this->writer->IsStalled() ||
+      this->submittedBytes + bytes > kMaxSubmittedBytes) {
+    aObserver(AppendState::NotAppended);
+    return;
+  }
+  aObserver(AppendState::Queued);
+  this->submittedBytes += bytes;
+  this->submitted.push_back(std::make_shared<Submission>(
+    Submission{ std::move(aRecord), std::move(aObserver) }));
+}
+
+void
+DispatchRunner::ForgetFinished()
+{
+  std::erase_if(this->writing,
+                [](const auto& aEach) { return !aEach->observer; });
+}
+
+void
+DispatchRunner::GiveUpSubmissions()
+{
+  this->ForgetFinished();
+  if (!this->submitted.empty() || !this->writing.empty()) {
+    this->load.OnRecordsReturned(this->submitted.size(), this->writing.size());
+  }
+  this->submittedBytes = 0;
+  for (const auto& each : std::exchange(this->submitted, {})) {
+    each->Finish(AppendState::NotAppended);
+  }
+  for (const auto& each : std::exchange(this->writing, {})) {
+    each->Finish(AppendState::Unconfirmed);
+  }
+}
+
 void
 DispatchRunner::OnTick()
 {
+  if (this->writer->IsStalled()) {
+    this->GiveUpSubmissions();
+  }
   if (this->dispatcher != nullptr) {
     const LoadMonitor::Measurement measurement(this->load, DecisionWork::Tick);
     this->ExecuteEffects(this->dispatcher->OnTick(this->Now()));
@@ -216,6 +268,16 @@
   if (this->writer->Pending() == 0) {
     this->ExecuteEffects(this->dispatcher->Commit(this->Now()));
   }
+  if (this->writer->Pending() == 0 && !this->submitted.empty()) {
+    std::vector<journal::WriteRequest> requests = this->TakeSubmissions();
+    const auto finish = [this, alive = this->isAlive] {
+      if (*alive) {
+        this->FinishBatch();
+      }
+    };
+    requests.push_back({ {}, finish, finish });
+    this->writer->Write(std::move(requests));
+  }
 }
 
 void
@@ -293,31 +355,58 @@
       records.push_back({ ledger::AcceptedKey(forget->job), {} });
     }
   }
-  if (records.empty()) {
-    return;
+  if (!records.empty()) {
+    this->Write(std::move(records), version);
   }
+}
+
+void
+DispatchRunner::Write(std::vector<KeyedValue> aRecords, std::uint64_t aVersion)
+{
   std::size_t bytes = 0;
-  for (const auto& record : records) {
+  for (const auto& record : aRecords) {
     bytes += record.value.size();
   }
-  this->writer->Write(std::move(records),
-                      [this,
-                       alive = this->isAlive,
-                       version,
-                       bytes,
-                       decidedAt = this->clock.Now()] {
-                        if (!*alive) {
-                          return;
-                        }
-                        this->load.OnDurable(decidedAt, bytes);
-                        if (version > 0) {
-                          const LoadMonitor::Measurement measurement(
-                            this->load, DecisionWork::Persisted);
-                          this->ExecuteEffects(this->dispatcher->OnPersisted(
-                            version, this->Now()));
-                        }
-                        this->FinishBatch();
-                      });
+  std::vector<journal::WriteRequest> requests = this->TakeSubmissions();
+  requests.push_back({ std::move(aRecords),
+                       [this,
+                        alive = this->isAlive,
+                        aVersion,
+                        bytes,
+                        decidedAt = this->clock.Now()] {
+                         if (*alive) {
+                           this->load.OnDurable(decidedAt, bytes);
+                           this->OnWritten(aVersion);
+                         }
+                       },
+                       {} });
+  this->writer->Write(std::move(requests));
+}
+
+std::vector<journal::WriteRequest>
+DispatchRunner::TakeSubmissions()
+{
+  std::vector<journal::WriteRequest> requests;
+  this->submittedBytes = 0;
+  this->ForgetFinished();
+  for (const auto& each : std::exchange(this->submitted, {})) {
+    this->writing.push_back(each);
+    requests.push_back({ { each->record },
+                         [each] { each->Finish(AppendState::Durable); },
+                         [each] { each->Finish(AppendState::NotAppended); } });
+  }
+  return requests;
+}
+
+void
+DispatchRunner::OnWritten(std::uint64_t aVersion)
+{
+  if (aVersion > 0) {
+    const LoadMonitor::Measurement measurement(this->load,
+                                               DecisionWork::Persisted);
+    this->ExecuteEffects(this->dispatcher->OnPersisted(aVersion, this->Now()));
+  }
+  this->FinishBatch();
 }
 
 } // namespace amaranthwind::coordinator
--- a/libs/coordinator/tests/Fleet.h
+++ b/libs/coordinator/tests/Fleet.h
@@ -96,7 +96,7 @@
   {
     if (this->isCut) {
       aHandler(base::Fail(base::ErrorCode::LogUnavailable));
-    } else {
+    } else if (!this->dropsAppends) {
       this->log.Append(
         aTopic, aRecords, aConditions, this->Guard(std::move(aHandler)));
     }
@@ -112,6 +112,10 @@
       this->log.Read(aTopic, aFrom, aWait, this->Guard(std::move(aHandler)));
     }
   }
+  base::TimePoint AnsweredAsOf() const override
+  {
+    return this->log.AnsweredAsOf();
+  }
   void ReadNewest(const journal::KeyedTopic& aTopic,
                   std::string_view aAfterKey,
                   journal::NewestHandler aHandler) override
@@ -124,6 +128,8 @@
   }
 
   bool isCut = false;
+  /** Appends have no effect and no answer. */
+  bool dropsAppends = false;
 
 private:
   /** Loses answers that arrive while the process is cut off. */
--- a/libs/journal/include/amaranthwind/journal/FencedWriter.h
+++ b/libs/journal/include/amaranthwind/journal/FencedWriter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "amaranthwind/base/Backoff.h"
+#include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/Executor.h"
 #include "amaranthwind/base/Ids.h"
 #include "amaranthwind/journal/KeyedLog.h"
@@ -20,13 +21,30 @@
   base::FencingToken token;
   base::BackoffOptions backoff{ std::chrono::milliseconds(20),
                                 std::chrono::milliseconds(300) };
+  /** Without a response for this long, the log counts as stalled. */
+  base::Duration stallTime = std::chrono::milliseconds(1200);
+};
+
+/** Records that are appended together or not at all. */
+struct WriteRequest
+{
+  std::vector<KeyedValue> records;
+  /** Called once the records are in the log. */
+  std::function<void()> onDurable;
+  /**
+   * If set, the records are dropped as soon as an append with them is certain
+   * to have had no effect, and this is called instead of onDurable. Otherwise
+   * they are retried without end.
+   */
+  std::function<void()> onRefused;
 };
 
 /**
  * Writes the records of the single coordinator of a topic. Appends are issued
  * one at a time and in order; records that arrive meanwhile are batched into
- * the next ones, each of limited size. An append whose response was lost is
- * retried with the same sequence number, so that it takes effect once. Must be
+ * the next ones, each of limited size. An append without a response is repeated
+ * with the same sequence number, so that it takes effect once; the response to
+ * any of the attempts counts, so that a slow log is not asked in vain. Must be
  * used on one executor.
  */
 class FencedWriter
@@ -37,6 +55,7 @@
    *   writes with the same one.
    */
   FencedWriter(FencedWriterOptions aOptions,
+               const base::Clock& aClock,
                base::Executor& aExecutor,
                KeyedLog& aLog,
                std::function<void()> aOnFenced);
@@ -45,14 +64,21 @@
   FencedWriter& operator=(const FencedWriter&) = delete;
 
   /**
-   * Calls aDone once the records are in the log; callbacks run in the order of
-   * the calls. The first append fences all writers with a lower token.
+   * Writes the records in the order of the calls. The first append fences all
+   * writers with a lower token.
    */
+  void Write(std::vector<WriteRequest> aRequests);
   void Write(std::vector<KeyedValue> aRecords, std::function<void()> aDone);
 
   /** Number of records that are not yet confirmed to be in the log. */
   std::size_t Pending() const noexcept;
 
+  /**
+   * Whether the append under way has failed or waits for a response for longer
+   * than usual. Its records may be in the log.
+   */
+  bool IsStalled() const;
+
 private:
   struct State;
   std::shared_ptr<State> state;
--- a/libs/journal/src/FencedWriter.cpp
+++ b/libs/journal/src/FencedWriter.cpp
@@ -1,7 +1,9 @@
 #include "amaranthwind/journal/FencedWriter.h"
 
+#include "amaranthwind/base/AdaptiveTimeout.h"
+
+#include <algorithm>
 #include <deque>
-#include <iterator>
 #include <span>
 #include <utility>
 
@@ -19,16 +21,23 @@
  * within the time limit, and is then retried without end.
  */
 constexpr std::size_t kMaxAppendBytes = 256UL * 1024;
+/** Longer than an append can wait in a log that refuses longer queues. */
+constexpr base::Duration kAnswerTimeout = std::chrono::milliseconds(4000);
+/** Limits of the time after which an unanswered append is repeated. */
+constexpr base::Duration kMinRepeatDelay = kAppendTimeout;
+constexpr base::Duration kMaxRepeatDelay = std::chrono::milliseconds(3000);
 
 } // namespace
 
 struct FencedWriter::State : std::enable_shared_from_this<State>
 {
   State(FencedWriterOptions aOptions,
+        const base::Clock& aClock,
         base::Executor& aExecutor,
         KeyedLog& aLog,
         std::function<void()> aOnFenced)
     : options(std::move(aOptions))
+    , clock(aClock)
     , executor(aExecutor)
     , log(aLog)
     , onFenced(std::move(aOnFenced))
@@ -36,23 +45,19 @@
   {
   }
 
-  struct QueuedWrite
-  {
-    std::vector<KeyedValue> records;
-    std::size_t bytes = 0;
-    std::function<void()> callback;
-  };
-  struct Batch
+  struct SentAttempt
   {
-    std::vector<KeyedValue> records;
-    std::vector<std::function<void()>> callbacks;
+    std::uint64_t sequence = 0;
+    std::uint64_t attempt = 0;
+    base::TimePoint at{};
   };
 
-  void Enqueue(std::vector<KeyedValue> aRecords, std::function<void()> aDone)
+  void Enqueue(std::vector<WriteRequest> aRequests)
   {
-    const std::size_t bytes = SizeOf(aRecords);
-    this->queuedRecords += aRecords.size();
-    this->queue.push_back({ std::move(aRecords), bytes, std::move(aDone) });
+    for (auto& request : aRequests) {
+      this->queuedRecords += request.records.size();
+      this->queue.push_back(std::move(request));
+    }
     if (!this->isSending) {
       this->SendNext();
     }
@@ -74,17 +79,19 @@
     }
     std::size_t bytes = 0;
     do {
-      QueuedWrite write = std::move(this->queue.front());
+      WriteRequest request = std::move(this->queue.front());
       this->queue.pop_front();
-      bytes += write.bytes;
-      this->queuedRecords -= write.records.size();
-      std::move(write.records.begin(),
-                write.records.end(),
-                std::back_inserter(this->inFlight.records));
-      this->inFlight.callbacks.push_back(std::move(write.callback));
+      bytes += SizeOf(request.records);
+      this->queuedRecords -= request.records.size();
+      this->inFlight.push_back(std::move(request));
     } while (!this->queue.empty() &&
-             bytes + this->queue.front().bytes <= kMaxAppendBytes);
+             bytes + SizeOf(this->queue.front().records) <= kMaxAppendBytes);
+    this->CollectRecords();
     this->isSending = true;
+    this->hasFailed = false;
+    this->attempt = 0;
+    this->refusals = 0;
+    this->sendingSince = this->clock.Now();
     ++this->sequence;
     this->Send();
   }
@@ -95,30 +102,77 @@
     conditions.stamp = ProducerStamp{ this->options.producer,
                                       this->options.token.Get(),
                                       this->sequence };
-    this->log.Append(this->options.topic,
-                     this->inFlight.records,
-                     conditions,
-                     [weak = this->weak_from_this()](auto aResult) {
-                       if (const auto self = weak.lock()) {
-                         self->executor.Post(
-                           [weak, result = std::move(aResult)] {
-                             if (const auto writer = weak.lock()) {
-                               writer->OnAppendResult(result);
-                             }
-                           });
-                       }
-                     });
+    conditions.timeout = kAnswerTimeout;
+    conditions.isRepeat = this->attempt > 0;
+    ++this->attempt;
+    this->ScheduleRepeat();
+    this->log.Append(
+      this->options.topic,
+      this->inFlightRecords,
+      conditions,
+      [weak = this->weak_from_this(),
+       sent = SentAttempt{ this->sequence, this->attempt, this->clock.Now() }](
+        auto aResult) {
+        if (const auto self = weak.lock()) {
+          self->executor.Post([weak, sent, result = std::move(aResult)] {
+            if (const auto writer = weak.lock()) {
+              writer->OnAppendResult(sent, result);
+            }
+          });
+        }
+      });
   }
 
-  void OnAppendResult(const Result<LogOffset>& aResult)
+  /**
+   * Repeats the append unless it is answered or sent again before. While the
+   * log answers no other request either, it may only be slow, and a repeat
+   * would take another turn in it.
+   */
+  void ScheduleRepeat()
   {
+    const base::Duration delay = this->repeatDelay.Limit();
+    const base::TimePoint sentAt = this->clock.Now();
+    this->RunLater(delay, [delay, sentAt](State& aSelf) {
+      if (aSelf.log.AnsweredAsOf() >= sentAt) {
+        aSelf.Send();
+      } else {
+        aSelf.RunLater(delay, [](State& aSlow) { aSlow.Send(); });
+      }
+    });
+  }
+
+  template<typename Task>
+  void RunLater(base::Duration aDelay, Task aTask)
+  {
+    this->executor.RunAfter(aDelay,
+                            [weak = this->weak_from_this(),
+                             number = this->sequence,
+                             expected = this->attempt,
+                             task = std::move(aTask)] {
+                              const auto self = weak.lock();
+                              if (self != nullptr && self->isSending &&
+                                  !self->isFenced && self->sequence == number &&
+                                  self->attempt == expected) {
+                                task(*self);
+                              }
+                            });
+  }
+
+  void OnAppendResult(const SentAttempt& aSent,
+                      const Result<LogOffset>& aResult)
+  {
+    if (!this->isSending || aSent.sequence != this->sequence) {
+      // Another attempt of the same append was answered before.
+      return;
+    }
     if (aResult.has_value()) {
+      this->repeatDelay.OnResponse(this->clock.Now() - aSent.at);
       this->backoff.Reset();
       this->isSending = false;
       // A callback may call Write(), which starts the next append.
-      const auto callbacks = std::exchange(this->inFlight, {}).callbacks;
-      for (const auto& callback : callbacks) {
-        callback();
+      this->inFlightRecords.clear();
+      for (const auto& request : std::exchange(this->inFlight, {})) {
+        request.onDurable();
       }
       if (!this->isSending) {
         this->SendNext();
@@ -134,32 +188,97 @@
       }
       return;
     }
-    this->executor.RunAfter(this->backoff.Next(),
-                            [weak = this->weak_from_this()] {
-                              if (const auto self = weak.lock()) {
-                                self->Send();
-                              }
-                            });
+    this->hasFailed = true;
+    const bool hadNoEffect =
+      aResult.error().code == ErrorCode::LogUnavailable ||
+      aResult.error().code == ErrorCode::TooLarge;
+    if (hadNoEffect && ++this->refusals == this->attempt &&
+        this->DropOptional()) {
+      return;
+    }
+    if (aSent.attempt == this->attempt) {
+      this->RunLater(this->backoff.Next(), [](State& aSelf) { aSelf.Send(); });
+    }
+  }
+
+  void CollectRecords()
+  {
+    this->inFlightRecords.clear();
+    for (const auto& request : this->inFlight) {
+      this->inFlightRecords.insert(this->inFlightRecords.end(),
+                                   request.records.begin(),
+                                   request.records.end());
+    }
+  }
+
+  /**
+   * Drops the requests that need no retry from an append that had no effect.
+   * Returns true if nothing of it is left.
+   */
+  bool DropOptional()
+  {
+    std::vector<std::function<void()>> callbacks;
+    std::erase_if(this->inFlight, [&](WriteRequest& aRequest) {
+      if (!aRequest.onRefused) {
+        return false;
+      }
+      callbacks.push_back(std::move(aRequest.onRefused));
+      return true;
+    });
+    this->CollectRecords();
+    const bool isEmpty = this->inFlight.empty();
+    if (isEmpty) {
+      // The log has not seen this number.
+      --this->sequence;
+      this->isSending = false;
+    }
+    for (const auto& callback : callbacks) {
+      callback();
+    }
+    if (isEmpty && !this->isSending) {
+      this->SendNext();
+    }
+    return isEmpty;
+  }
+
+  bool IsStalled() const
+  {
+    return this->isSending &&
+           (this->hasFailed ||
+            this->clock.Now() - this->sendingSince >
+              std::max(this->options.stallTime, this->repeatDelay.Limit()));
   }
 
   const FencedWriterOptions options;
+  const base::Clock& clock;
   base::Executor& executor;
   KeyedLog& log;
   const std::function<void()> onFenced;
   base::Backoff backoff;
-  std::deque<QueuedWrite> queue;
+  std::deque<WriteRequest> queue;
   std::size_t queuedRecords = 0;
-  Batch inFlight;
+  std::vector<WriteRequest> inFlight;
+  /** The records of inFlight. */
+  std::vector<KeyedValue> inFlightRecords;
   bool isSending = false;
   bool isFenced = false;
   std::uint64_t sequence = 0;
+  // Of the append under way.
+  base::TimePoint sendingSince{};
+  std::uint64_t attempt = 0;
+  /** Attempts that are known to have had no effect. */
+  std::uint64_t refusals = 0;
+  bool hasFailed = false;
+  base::AdaptiveTimeout repeatDelay{ kMinRepeatDelay, kMaxRepeatDelay };
 };
 
 FencedWriter::FencedWriter(FencedWriterOptions aOptions,
+                           const base::Clock& aClock,
                            base::Executor& aExecutor,
                            KeyedLog& aLog,
                            std::function<void()> aOnFenced)
   : state(std::make_shared<State>(std::move(aOptions),
+                                  aClock,
                                   aExecutor,
                                   aLog,
                                   std::move(aOnFenced)))
@@ -168,17 +287,32 @@
 
 FencedWriter::~FencedWriter() = default;
 
+void
+FencedWriter::Write(std::vector<WriteRequest> aRequests)
+{
+  this->state->Enqueue(std::move(aRequests));
+}
+
 void
 FencedWriter::Write(std::vector<KeyedValue> aRecords,
                     std::function<void()> aDone)
 {
-  this->state->Enqueue(std::move(aRecords), std::move(aDone));
+  std::vector<WriteRequest> requests(1);
+  requests[0].records = std::move(aRecords);
+  requests[0].onDurable = std::move(aDone);
+  this->state->Enqueue(std::move(requests));
 }
 
 std::size_t
 FencedWriter::Pending() const noexcept
 {
-  return this->state->queuedRecords + this->state->inFlight.records.size();
+  return this->state->queuedRecords + this->state->inFlightRecords.size();
+}
+
+bool
+FencedWriter::IsStalled() const
+{
+  return this->state->IsStalled();
 }
 
 } // namespace amaranthwind::journal
