--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -63,8 +63,7 @@
   std::int64_t idleSince = -1;
   std::int64_t longestIdle = 0;
   int completed = 0;
-  const std::int64_t end =
-    trafficEnd + (IsCalm() ? kCalmMs : kFinishMs + 4000);
+  const std::int64_t end = trafficEnd + (IsCalm() ? kCalmMs : kFinishMs + 4000);
   while (Now() < end) {
     completed = 0;
     for (unsigned i = 2; i <= jobs; ++i) {
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -57,14 +57,12 @@
     const auto events = deployment.fleet.Events();
     const auto starts = std::count_if(
       events.begin(), events.end(), [](const WorkerEvent& aEvent) {
-        return aEvent.kind == "start" &&
-               !aEvent.task.starts_with(JobId(1)) &&
+        return aEvent.kind == "start" && !aEvent.task.starts_with(JobId(1)) &&
                !aEvent.task.starts_with(JobId(2));
       });
     record.Write("small jobs completed: " + std::to_string(completed) +
                  ", their starts: " + std::to_string(starts) + " of " +
-                 std::to_string(kSmallJobs) +
-                 ", work items running: " +
+                 std::to_string(kSmallJobs) + ", work items running: " +
                  std::to_string(deployment.fleet.Running()));
     if (completed == static_cast<int>(kSmallJobs)) {
       return Held;
@@ -79,8 +77,9 @@
     }
     SleepMs(500);
   }
-  record.Write("longest time with idle capacity and a job that has not begun: " +
-               std::to_string(longestIdle) + " ms; the bound is 3000");
+  record.Write(
+    "longest time with idle capacity and a job that has not begun: " +
+    std::to_string(longestIdle) + " ms; the bound is 3000");
   return longestIdle >= 3000 ? Broken : CouldNotRun;
 }
 
--- a/review/rig/Rig.cc
+++ b/review/rig/Rig.cc
@@ -22,6 +22,9 @@
 
 const Clock::time_point kStart = Clock::now();
 constexpr std::int64_t kAppendMs = 4;
+constexpr std::int64_t kHeartbeatMs = 1500;
+/** A status report is acknowledged by an answer within this time. */
+constexpr int kReportTimeoutMs = 1000;
 /** Work items are looked at this often. */
 constexpr std::int64_t kUpdateMs = 5;
 constexpr std::size_t kMaxRecordBytes = 262144;
@@ -161,6 +164,20 @@
   return true;
 }
 
+/** A loopback address of this process, so that scripts don't share ports. */
+const std::string&
+LoopbackIp()
+{
+  static const std::string kIp = [] {
+    constexpr int kRange = 250;
+    const int pid = ::getpid();
+    return "127." + std::to_string(1 + pid / kRange / kRange % kRange) + "." +
+           std::to_string(pid / kRange % kRange) + "." +
+           std::to_string(1 + pid % kRange);
+  }();
+  return kIp;
+}
+
 sockaddr_in
 ToAddress(const std::string& aText)
 {
@@ -179,7 +196,7 @@
   sockaddr_in address{};
   socklen_t size = sizeof address;
   ::getsockname(aSocket, reinterpret_cast<sockaddr*>(&address), &size);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  return LoopbackIp() + ":" + std::to_string(ntohs(address.sin_port));
 }
 
 std::uint64_t
@@ -265,7 +282,7 @@
   : handler(std::move(aHandler))
 {
   const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = ToAddress("127.0.0.1:0");
+  sockaddr_in address = ToAddress(LoopbackIp() + ":0");
   if (::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
         0 ||
       ::listen(listener, 256) != 0) {
@@ -290,16 +307,14 @@
   std::string buffer;
   std::string first;
   Request request;
-  while (
-    ReadMessage(aSocket, buffer, first, request.headers, request.body)) {
+  while (ReadMessage(aSocket, buffer, first, request.headers, request.body)) {
     std::istringstream words(first);
     std::string target;
     words >> request.method >> target;
     const auto mark = std::min(target.find('?'), target.size());
     request.path = target.substr(0, mark);
     request.query.clear();
-    std::istringstream query(
-      target.substr(std::min(mark + 1, target.size())));
+    std::istringstream query(target.substr(std::min(mark + 1, target.size())));
     for (std::string pair; std::getline(query, pair, '&');) {
       const auto equals = std::min(pair.find('='), pair.size());
       request.query[pair.substr(0, equals)] =
@@ -310,8 +325,8 @@
       continue;
     }
     std::ostringstream head;
-    head << "HTTP/1.1 " << response->status << " X\r\nContent-Length: "
-         << response->body.size()
+    head << "HTTP/1.1 " << response->status
+         << " X\r\nContent-Length: " << response->body.size()
          << "\r\nContent-Type: application/json\r\n\r\n";
     if (!SendAll(aSocket, head.str() + response->body)) {
       break;
@@ -342,8 +357,8 @@
     for (const auto& [name, value] : aHeaders) {
       head << name << ": " << value << "\r\n";
     }
-    head << "Content-Type: application/json\r\nContent-Length: "
-         << aBody.size() << "\r\n\r\n";
+    head << "Content-Type: application/json\r\nContent-Length: " << aBody.size()
+         << "\r\n\r\n";
     std::string buffer;
     std::string first;
     std::map<std::string, std::string> headers;
@@ -364,7 +379,7 @@
   static std::set<std::string> given;
   while (true) {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = ToAddress("127.0.0.1:0");
+    sockaddr_in address = ToAddress(LoopbackIp() + ":0");
     ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
     const std::string text = BoundAddress(socket);
     ::close(socket);
@@ -434,8 +449,8 @@
   while (position + 4 <= aRequest.body.size()) {
     std::size_t length = 0;
     for (int i = 0; i < 4; ++i) {
-      length = length << 8U |
-               static_cast<unsigned char>(aRequest.body[position + i]);
+      length =
+        length << 8U | static_cast<unsigned char>(aRequest.body[position + i]);
     }
     position += 4;
     if (length > kMaxRecordBytes) {
@@ -546,7 +561,8 @@
   json::array items;
   bool hasMore = false;
   std::size_t bytes = 0;
-  for (auto each = partition.newest.upper_bound(QueryOf(aRequest, "depends-on"));
+  for (auto each =
+         partition.newest.upper_bound(QueryOf(aRequest, "depends-on"));
        each != partition.newest.end();
        ++each) {
     const std::string& value = partition.records[each->second].second;
@@ -631,6 +647,25 @@
   return this->workers[aWorker]->server->Address();
 }
 
+json::object
+Fleet::StatusReport(Worker& aWorker) const
+{
+  return {
+    { "service", kService },
+    { "address", aWorker.server->Address() },
+    { "zone", "z" },
+    { "version", "v1" },
+    { "slots", 8 },
+    { "state", "ready" },
+    { "cold-ms", 0 },
+    { "capacity", { { "cpu", 64000 }, { "mem-mb", 262144 }, { "gpu", 8 } } },
+    { "labels", json::array(aWorker.labels.begin(), aWorker.labels.end()) },
+    { "clock-ms", this->ClockOf(aWorker) },
+    { "born", aWorker.bornMs },
+    { "sequence", ++aWorker.sequence }
+  };
+}
+
 void
 Fleet::Register(std::size_t aWorker)
 {
@@ -644,28 +679,44 @@
         Worker& worker = *this->workers[aWorker];
         control = worker.control;
         path = "/api/Instances.Heartbeat/" + worker.id;
-        body = { { "service", kService },
-                 { "address", worker.server->Address() },
-                 { "zone", "z" },
-                 { "version", "v1" },
-                 { "slots", 8 },
-                 { "state", "ready" },
-                 { "cold-ms", 0 },
-                 { "capacity",
-                   { { "cpu", 64000 }, { "mem-mb", 262144 }, { "gpu", 8 } } },
-                 { "labels",
-                   json::array(worker.labels.begin(), worker.labels.end()) },
-                 { "clock-ms", this->ClockOf(worker) },
-                 { "born", worker.bornMs },
-                 { "sequence", ++worker.sequence } };
+        body = this->StatusReport(worker);
       }
-      Call(control, "POST", path, { { "Host", control } },
-           json::serialize(body), 1000);
-      SleepMs(1500);
+      Call(control,
+           "POST",
+           path,
+           { { "Host", control } },
+           json::serialize(body),
+           kReportTimeoutMs);
+      SleepMs(kHeartbeatMs);
     }
   }).detach();
 }
 
+void
+Fleet::SendStrayReport(std::size_t aWorker)
+{
+  std::string control;
+  json::object body;
+  {
+    const std::lock_guard lock(this->mutex);
+    control = this->workers[aWorker]->control;
+    body = this->StatusReport(*this->workers[aWorker]);
+  }
+  body["service"] = "not-named-here";
+  body["born"] = UnixMs();
+  body["sequence"] = 1;
+  const Response response = Call(control,
+                                 "POST",
+                                 "/api/Instances.Heartbeat/i-00odd000",
+                                 { { "Host", control } },
+                                 json::serialize(body),
+                                 kReportTimeoutMs);
+  this->record.Write("another writer reports to the agent of worker " +
+                     std::to_string(aWorker + 1) + ": " +
+                     json::serialize(body) + " -> " +
+                     std::to_string(response.status));
+}
+
 void
 Fleet::SetUnhealthy(std::size_t aWorker, bool aIsUnhealthy)
 {
@@ -855,11 +906,10 @@
 {
   json::array running;
   for (const auto& [task, run] : aWorker.running) {
-    const double share =
-      run.behaviour.workMs > 0
-        ? 100 * std::max(0.0, run.done) /
-            static_cast<double>(run.behaviour.workMs)
-        : 100;
+    const double share = run.behaviour.workMs > 0
+                           ? 100 * std::max(0.0, run.done) /
+                               static_cast<double>(run.behaviour.workMs)
+                           : 100;
     running.push_back(json::array{
       task, run.run, run.checkpoint, static_cast<std::int64_t>(share), 0 });
   }
@@ -868,8 +918,8 @@
     if (ended.size() == 500) {
       break;
     }
-    ended.push_back(json::array{
-      end.number, end.task, end.run, end.how, end.checkpoint });
+    ended.push_back(
+      json::array{ end.number, end.task, end.run, end.how, end.checkpoint });
   }
   return Reply(200,
                { { "clock-ms", this->ClockOf(aWorker) },
@@ -963,7 +1013,7 @@
                           sizeof text,
                           "%08llx%08zx",
                           static_cast<unsigned long long>(step),
-                          std::hash<std::string>{}(task) & 0xFFFFFFFFU);
+                          std::hash<std::string>{}(task)&0xFFFFFFFFU);
             run.checkpoint = text;
           }
         }
@@ -1098,21 +1148,21 @@
     this->clientAddresses.push_back(FreeAddress());
     this->readyAddresses.push_back(FreeAddress());
     const std::string path = this->folder + "/" + name + ".json";
-    std::ofstream(path) << json::serialize(json::object{
-      { "id", name },
-      { "region", "r" },
-      { "zone", "z" },
-      { "innerListen", FreeAddress() },
-      { "adminListen", FreeAddress() },
-      { "clientListen", this->clientAddresses[i] },
-      { "readyListen", this->readyAddresses[i] },
-      { "logService", this->store.Address() },
-      { "maxLeaseMs", 6000 },
-      { "stopTimeMs", 900 },
-      { "revokeLimitMs", 5000 },
-      { "configurationLimitMs", 2000 },
-      { "cancelLimitMs", 3000 },
-      { "logFormat", "json" } });
+    std::ofstream(path) << json::serialize(
+      json::object{ { "id", name },
+                    { "region", "r" },
+                    { "zone", "z" },
+                    { "innerListen", FreeAddress() },
+                    { "adminListen", FreeAddress() },
+                    { "clientListen", this->clientAddresses[i] },
+                    { "readyListen", this->readyAddresses[i] },
+                    { "logService", this->store.Address() },
+                    { "maxLeaseMs", 6000 },
+                    { "stopTimeMs", 900 },
+                    { "revokeLimitMs", 5000 },
+                    { "configurationLimitMs", 2000 },
+                    { "cancelLimitMs", 3000 },
+                    { "logFormat", "json" } });
     this->schedulers.push_back(std::make_unique<Daemon>(
       "scheduler", path, this->folder + "/" + name + ".log"));
   }
@@ -1135,14 +1185,10 @@
 bool
 Deployment::Start()
 {
-  json::object route{ { "name", "queue" },
-                      { "host", kHost },
-                      { "path-prefix", kPrefix },
-                      { "service", kService },
-                      { "priority", 1 },
-                      { "max-attempts", 2 },
-                      { "stretch", 3.0 },
-                      { "slo-ms", 1000 },
+  json::object route{ { "name", "queue" },        { "host", kHost },
+                      { "path-prefix", kPrefix }, { "service", kService },
+                      { "priority", 1 },          { "max-attempts", 2 },
+                      { "stretch", 3.0 },         { "slo-ms", 1000 },
                       { "timeout-ms", 3000 } };
   for (const auto& [name, value] : this->routeFields) {
     route[name] = value;
@@ -1160,7 +1206,8 @@
     json::serialize(json::object{
       { "version", 1 },
       { "routes", { route } },
-      { "services", { { { "name", kService }, { "admission-control", false } } } },
+      { "services",
+        { { { "name", kService }, { "admission-control", false } } } },
       { "limits", json::object() },
       { "tenants", std::move(tenants) } }));
   for (std::size_t i = 0; i < this->workerCount; ++i) {
@@ -1170,16 +1217,16 @@
     std::snprintf(id, sizeof id, "i-7f3a91%02zx", i);
     this->fleet.Add(id, control, this->labels(i));
     const std::string path = this->folder + "/" + name + ".json";
-    std::ofstream(path) << json::serialize(json::object{
-      { "id", name },
-      { "region", "r" },
-      { "zone", "z" },
-      { "adminListen", FreeAddress() },
-      { "registrationListen", control },
-      { "workerAddress", this->fleet.Address(i) },
-      { "logService", this->store.Address() },
-      { "maxLeaseMs", 6000 },
-      { "logFormat", "json" } });
+    std::ofstream(path) << json::serialize(
+      json::object{ { "id", name },
+                    { "region", "r" },
+                    { "zone", "z" },
+                    { "adminListen", FreeAddress() },
+                    { "registrationListen", control },
+                    { "workerAddress", this->fleet.Address(i) },
+                    { "logService", this->store.Address() },
+                    { "maxLeaseMs", 6000 },
+                    { "logFormat", "json" } });
     this->agents.push_back(std::make_unique<Daemon>(
       "agent", path, this->folder + "/" + name + ".log"));
   }
@@ -1237,8 +1284,7 @@
                    std::size_t aTenant)
 {
   for (int i = 0; i < 5; ++i) {
-    if (this->Send(aScheduler, "POST", aId, aBody, aTenant).status / 100 ==
-        2) {
+    if (this->Send(aScheduler, "POST", aId, aBody, aTenant).status / 100 == 2) {
       return true;
     }
     SleepMs(300);
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -1,6 +1,6 @@
-// Stand-ins and process control for the scripts of this review: a store, workers
-// and clients that follow the users' pages, and the project's own daemons as
-// separate processes on loopback addresses.
+// Stand-ins and process control for the scripts of this review: a store,
+// workers and clients that follow the users' pages, and the project's own
+// daemons as separate processes on loopback addresses.
 #pragma once
 
 #include <boost/json.hpp>
@@ -62,14 +62,15 @@
   std::string body;
 };
 
-/** HTTP/1.1 server on 127.0.0.1 with one thread for each connection. */
+/** HTTP/1.1 server on a loopback address with one thread for each connection.
+ */
 class Server
 {
 public:
   /** A handler without a response leaves the request unanswered. */
   using Handler = std::function<std::optional<Response>(const Request&)>;
   explicit Server(Handler aHandler);
-  /** "127.0.0.1:port". */
+  /** "IP:port". */
   const std::string& Address() const { return this->address; }
 
 private:
@@ -86,7 +87,7 @@
      const std::string& aBody,
      int aTimeoutMs);
 
-/** An address on 127.0.0.1 whose port is free now. */
+/** A loopback address whose port is free now. */
 std::string
 FreeAddress();
 
@@ -138,7 +139,8 @@
   std::unique_ptr<Server> server;
 };
 
-/** What a work item does; the clients write it into `spec` as "key=value ...". */
+/** What a work item does; the clients write it into `spec` as "key=value ...".
+ */
 struct Behaviour
 {
   std::int64_t workMs = 1000;
@@ -186,6 +188,11 @@
   std::string Address(std::size_t aWorker) const;
   /** Begins to send status reports. */
   void Register(std::size_t aWorker);
+  /**
+   * Sends one status report of another writer to the control address of a
+   * worker: complete, but for a service that the desired state does not name.
+   */
+  void SendStrayReport(std::size_t aWorker);
   /** While unhealthy, a worker refuses orders to start with 503. */
   void SetUnhealthy(std::size_t aWorker, bool aIsUnhealthy);
   /** While a worker hangs, its work items stand still. */
@@ -240,6 +247,7 @@
     std::unique_ptr<Server> server;
   };
   std::optional<Response> Handle(std::size_t aWorker, const Request& aRequest);
+  json::object StatusReport(Worker& aWorker) const;
   Response Start(Worker& aWorker, const json::object& aBody);
   Response Stop(Worker& aWorker, const json::object& aBody);
   Response List(Worker& aWorker);
@@ -247,7 +255,9 @@
   std::int64_t ClockOf(const Worker& aWorker) const;
   void Update();
   void EndRun(Worker& aWorker, const std::string& aTask, const char* aHow);
-  void BreakGang(const std::string& aStep, std::uint64_t aRun, const char* aHow);
+  void BreakGang(const std::string& aStep,
+                 std::uint64_t aRun,
+                 const char* aHow);
   void Note(const Worker& aWorker,
             const std::string& aKind,
             const std::string& aTask,
