--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::int64_t kGangMs = 12'000;
-constexpr std::int64_t kIntervalMs = 1000;
+constexpr std::int64_t kIntervalMs = 850;
 /** As on the users' sites: at most 2.7 times the traffic. */
 constexpr double kBurst = 2.7;
 constexpr std::int64_t kBurstMs = 5000;
@@ -49,7 +49,7 @@
     if (!deployment.Submit(jobs % 3,
                            JobId(jobs),
                            R"({"spec":"work=500","steps":[{"count":1024,)"
-                           R"("cpu":20,"mem-mb":40,"estimate-ms":500}]})")) {
+                           R"("cpu":18,"mem-mb":40,"estimate-ms":500}]})")) {
       return CouldNotRun;
     }
     SleepMs(IsBurst(Now() - begin)
