--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -87,6 +87,13 @@
     }
     SleepMs(500);
   }
+  // What a job of one small work item meets now; for the record only.
+  deployment.Submit(0,
+                    JobId(jobs + 1),
+                    R"({"spec":"work=500","steps":[{"count":1,"cpu":18,)"
+                    R"("mem-mb":40,"estimate-ms":500}]})");
+  SleepMs(3000);
+  record.Write("a new small job is " + deployment.State(0, JobId(jobs + 1)));
   return longestIdle >= 3000 ? Broken : CouldNotRun;
 }
 
--- a/review/rig/Rig.cc
+++ b/review/rig/Rig.cc
@@ -235,8 +235,6 @@
       behaviour.gang = static_cast<int>(value);
     } else if (name == "fail") {
       behaviour.failAtMs = value;
-    } else if (name == "saves") {
-      behaviour.hasCheckpoints = value != 0;
     }
   }
   return behaviour;
@@ -647,25 +645,6 @@
   return this->workers[aWorker]->server->Address();
 }
 
-json::object
-Fleet::StatusReport(Worker& aWorker) const
-{
-  return {
-    { "service", kService },
-    { "address", aWorker.server->Address() },
-    { "zone", "z" },
-    { "version", "v1" },
-    { "slots", 8 },
-    { "state", "ready" },
-    { "cold-ms", 0 },
-    { "capacity", { { "cpu", 64000 }, { "mem-mb", 262144 }, { "gpu", 8 } } },
-    { "labels", json::array(aWorker.labels.begin(), aWorker.labels.end()) },
-    { "clock-ms", this->ClockOf(aWorker) },
-    { "born", aWorker.bornMs },
-    { "sequence", ++aWorker.sequence }
-  };
-}
-
 void
 Fleet::Register(std::size_t aWorker)
 {
@@ -679,7 +658,20 @@
         Worker& worker = *this->workers[aWorker];
         control = worker.control;
         path = "/api/Instances.Heartbeat/" + worker.id;
-        body = this->StatusReport(worker);
+        body = { { "service", kService },
+                 { "address", worker.server->Address() },
+                 { "zone", "z" },
+                 { "version", "v1" },
+                 { "slots", 8 },
+                 { "state", "ready" },
+                 { "cold-ms", 0 },
+                 { "capacity",
+                   { { "cpu", 64000 }, { "mem-mb", 262144 }, { "gpu", 8 } } },
+                 { "labels",
+                   json::array(worker.labels.begin(), worker.labels.end()) },
+                 { "clock-ms", this->ClockOf(worker) },
+                 { "born", worker.bornMs },
+                 { "sequence", ++worker.sequence } };
       }
       Call(control,
            "POST",
@@ -692,46 +684,6 @@
   }).detach();
 }
 
-void
-Fleet::SendStrayReport(std::size_t aWorker)
-{
-  std::string control;
-  json::object body;
-  {
-    const std::lock_guard lock(this->mutex);
-    control = this->workers[aWorker]->control;
-    body = this->StatusReport(*this->workers[aWorker]);
-  }
-  body["service"] = "not-named-here";
-  body["born"] = UnixMs();
-  body["sequence"] = 1;
-  const Response response = Call(control,
-                                 "POST",
-                                 "/api/Instances.Heartbeat/i-00odd000",
-                                 { { "Host", control } },
-                                 json::serialize(body),
-                                 kReportTimeoutMs);
-  this->record.Write("another writer reports to the agent of worker " +
-                     std::to_string(aWorker + 1) + ": " +
-                     json::serialize(body) + " -> " +
-                     std::to_string(response.status));
-}
-
-void
-Fleet::SetUnhealthy(std::size_t aWorker, bool aIsUnhealthy)
-{
-  const std::lock_guard lock(this->mutex);
-  this->workers[aWorker]->isUnhealthy = aIsUnhealthy;
-}
-
-void
-Fleet::SetHanging(std::size_t aWorker, bool aIsHanging)
-{
-  const std::lock_guard lock(this->mutex);
-  this->Update();
-  this->workers[aWorker]->isHanging = aIsHanging;
-}
-
 std::vector<WorkerEvent>
 Fleet::Events()
 {
@@ -800,14 +752,6 @@
     return this->Conflict(worker, "fence");
   }
   worker.token = token;
-  if (aRequest.path == "/api/run-start" && worker.isUnhealthy) {
-    this->Note(worker,
-               "refused with 503",
-               Text(body, "task"),
-               Number(body, "run-id"),
-               {});
-    return Reply(503);
-  }
   if (body.contains("deadline-ms")) {
     const auto limit = this->ClockOf(worker) + this->limits.maxHoldMs;
     const auto deadline =
@@ -873,12 +817,6 @@
   started.startedAt = Now();
   started.lastUpdate = Now();
   started.checkpoint = Text(aBody, "checkpoint");
-  if (!started.checkpoint.empty()) {
-    // The work done and what it took to restore it.
-    started.done = static_cast<double>(
-      std::stoll(started.checkpoint.substr(0, 8), nullptr, 16) -
-      this->limits.restoreMs);
-  }
   this->Note(aWorker, "start", task, run, started.checkpoint);
   this->Update();
   return Reply(200, { { "clock-ms", this->ClockOf(aWorker) } });
@@ -999,24 +937,8 @@
         run.lastUpdate = now;
       }
       if (run.workingSince >= 0) {
-        if (!worker->isHanging) {
-          run.done += static_cast<double>(now - run.lastUpdate);
-        }
+        run.done += static_cast<double>(now - run.lastUpdate);
         run.lastUpdate = now;
-        if (run.behaviour.hasCheckpoints) {
-          const auto step = static_cast<std::int64_t>(run.done) /
-                            this->limits.checkpointMs *
-                            this->limits.checkpointMs;
-          if (step > 0) {
-            char text[32];
-            std::snprintf(text,
-                          sizeof text,
-                          "%08llx%08zx",
-                          static_cast<unsigned long long>(step),
-                          std::hash<std::string>{}(task)&0xFFFFFFFFU);
-            run.checkpoint = text;
-          }
-        }
       }
       const char* how = nullptr;
       if (hasLapsed) {
@@ -1095,28 +1017,6 @@
   }
 }
 
-bool
-Daemon::WaitForEnd(int aTimeoutMs)
-{
-  for (std::int64_t end = Now() + aTimeoutMs; this->pid > 0;) {
-    if (::waitpid(this->pid, nullptr, WNOHANG) == this->pid) {
-      this->pid = -1;
-      return true;
-    }
-    if (Now() >= end) {
-      return false;
-    }
-    SleepMs(5);
-  }
-  return true;
-}
-
-bool
-Daemon::IsRunning()
-{
-  return !this->WaitForEnd(0) && this->pid > 0;
-}
-
 void
 Daemon::Kill()
 {
--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -150,7 +150,6 @@
   int gang = 0;
   /** The first run ends `failed` after this time of work; 0 if it doesn't. */
   std::int64_t failAtMs = 0;
-  bool hasCheckpoints = false;
 };
 
 struct WorkerEvent
@@ -177,8 +176,6 @@
     std::int64_t maxHoldMs = 6000;
     std::int64_t stopMs = 100;
     std::int64_t gangTimeoutMs = 3000;
-    std::int64_t checkpointMs = 500;
-    std::int64_t restoreMs = 250;
   };
   Limits limits;
   /** Adds a worker that reports to the control address of its agent. */
@@ -188,15 +185,6 @@
   std::string Address(std::size_t aWorker) const;
   /** Begins to send status reports. */
   void Register(std::size_t aWorker);
-  /**
-   * Sends one status report of another writer to the control address of a
-   * worker: complete, but for a service that the desired state does not name.
-   */
-  void SendStrayReport(std::size_t aWorker);
-  /** While unhealthy, a worker refuses orders to start with 503. */
-  void SetUnhealthy(std::size_t aWorker, bool aIsUnhealthy);
-  /** While a worker hangs, its work items stand still. */
-  void SetHanging(std::size_t aWorker, bool aIsHanging);
   std::vector<WorkerEvent> Events();
   std::size_t Running();
   /** Whether each run is written to the record. */
@@ -242,12 +230,9 @@
     std::map<std::string, Run> running;
     std::vector<End> ended;
     std::map<std::string, std::uint64_t> highest;
-    bool isUnhealthy = false;
-    bool isHanging = false;
     std::unique_ptr<Server> server;
   };
   std::optional<Response> Handle(std::size_t aWorker, const Request& aRequest);
-  json::object StatusReport(Worker& aWorker) const;
   Response Start(Worker& aWorker, const json::object& aBody);
   Response Stop(Worker& aWorker, const json::object& aBody);
   Response List(Worker& aWorker);
@@ -279,10 +264,7 @@
   ~Daemon();
   void Start();
   void Signal(int aSignal);
-  /** Waits for the end of the process; returns false after the time. */
-  bool WaitForEnd(int aTimeoutMs);
   void Kill();
-  bool IsRunning();
 
 private:
   std::string role;
