Review: move the stand-ins out of a folder, and bound the time of a script

Only the folders of the cases stand in review/ now. A script that waits for something that never comes, as two loops could, ends with 2 after 115 s.

--- a/review/rig/Rig.cc
+++ b/review/Rig.cc
@@ -22,6 +22,8 @@
 
 const Clock::time_point kStart = Clock::now();
 constexpr std::int64_t kAppendMs = 4;
+/** A script may take 120 s. */
+constexpr std::int64_t kMaxScriptMs = 115'000;
 constexpr std::int64_t kHeartbeatMs = 1500;
 /** A status report is acknowledged by an answer within this time. */
 constexpr int kReportTimeoutMs = 1000;
@@ -1248,6 +1250,13 @@
 {
   Record record(aRecordPath);
   Deployment deployment(record, aSchedulers, aWorkers);
+  // Ends a script that waits for something that never comes.
+  std::thread([&] {
+    SleepMs(kMaxScriptMs);
+    record.Write("result: could not run (out of time)");
+    deployment.End();
+    std::_Exit(CouldNotRun);
+  }).detach();
   Result result = CouldNotRun;
   try {
     result = aScript(deployment);
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,12 +5,17 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/rig/Rig.cc review/*/case.cc; do
+g++ -std=c++20 -O2 -Wall -Wextra -c review/Rig.cc -o target/review/rig.o &
+pids=($!)
+for source in review/*/case.cc; do
   name=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O2 -Wall -Wextra -Ireview/rig -c "$source" \
+  g++ -std=c++20 -O2 -Wall -Wextra -Ireview -c "$source" \
     -o "target/review/$name.o" &
+  pids+=($!)
+done
+for pid in "${pids[@]}"; do
+  wait "$pid"
 done
-wait
 for object in target/review/[0-9]*.o; do
   g++ "$object" target/review/rig.o -o "${object%.o}" -lboost_json -lpthread
 done
