Divide the coordinator's decisions among appends that the log takes

Callers saw accepted jobs that never began: when many wide steps were placed at once (or many jobs were deleted at once), all of their records became one append. The log refused it as too large, and the writer repeated it without end, so that no placement of any job became durable any more.

Cause: a batch of decisions was atomic and unbounded, and a refusal that is final was handled as an outage.

Now each step record has a version of its own, in an order in which every prefix can be read by a successor: ends come before placements, a placement is ordered and an end acknowledged once their own records are durable, and the record that accepted a job is deleted before its steps, whose remains a new coordinator deletes. The runner fills one append at a time and adds the records of callers to each of them. The writer divides what exceeds the limit, also when the log refuses less than it told. Failed appends are logged with their size.

--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -39,6 +39,9 @@
 constexpr std::uint64_t kMinCancelMs = 2500;
 constexpr std::uint64_t kMinConfigurationMs = 1500;
 constexpr std::uint64_t kMaxStopMs = 60'000;
+/** Holds the record of a job with the longest payload. */
+constexpr std::uint32_t kMinLogRecordBytes = 32U * 1024;
+constexpr std::uint32_t kMaxLogBytes = 1U << 30U;
 
 constexpr std::array<EnumName<LogLevel>, 4> kLogLevelNames{
   { { LogLevel::Debug, "debug" },
@@ -281,6 +284,12 @@
                   AddressField{ aOut.clientListen, AddressUse::Listen });
   object.Required("readyListen",
                   AddressField{ aOut.readyListen, AddressUse::Listen });
+  object.Optional("logRecordBytes",
+                  Bounded<std::uint32_t>{
+                    aOut.logRecordBytes, kMinLogRecordBytes, kMaxLogBytes });
+  object.Optional("logAppendBytes",
+                  Bounded<std::uint32_t>{
+                    aOut.logAppendBytes, kMinLogRecordBytes, kMaxLogBytes });
   object.Optional("stopTimeMs", Millis{ aOut.stopTime, 1, kMaxStopMs });
   object.Optional("revokeLimitMs",
                   Millis{ aOut.keyRevocationLimit, kMinRevokeMs });
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -9,6 +9,7 @@
 #include "amaranthwind/membership/InheritedGrants.h"
 #include "amaranthwind/protocol/Node.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <future>
@@ -378,6 +379,20 @@
 
   // Records of callers.
 
+  /** Whether the log takes the records that the job will have. */
+  bool CanRecord(const job::WorkflowSpec& aSpec,
+                 const journal::KeyedValue& aAccepted) const
+  {
+    const std::size_t limit = this->log.Limits().recordBytes;
+    return journal::SizeOf(aAccepted) <= limit &&
+           std::all_of(aSpec.steps.begin(),
+                       aSpec.steps.end(),
+                       [&](const job::StepSpec& aStep) {
+                         return aStep.count * ledger::kMaxTaskRecordBytes <=
+                                limit;
+                       });
+  }
+
   void AppendShared(journal::KeyedValue aRecord,
                     base::Duration aTimeout,
                     AppendHandler aHandler) override
@@ -596,8 +611,14 @@
   for (const auto& step : aSpec.steps) {
     tasks += step.count;
   }
+  journal::KeyedValue record{ ledger::AcceptedKey(aSpec.id),
+                              this->impl->codec.EncodeWorkflow(aSpec) };
+  if (!this->impl->CanRecord(aSpec, record)) {
+    aHandler(base::Fail(ErrorCode::TooLarge, "steps"));
+    return;
+  }
   this->impl->submissions.Append(
-    { ledger::AcceptedKey(aSpec.id), this->impl->codec.EncodeWorkflow(aSpec) },
+    std::move(record),
     aTimeout,
     [self = this->impl,
      start,
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -1,5 +1,6 @@
 #include "DispatchRunner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthwind::coordinator {
@@ -50,11 +51,15 @@
   , sessions(aSessions)
   , decisions(aDecisions)
   , load(aLoad)
+  , maxRecordBytes(aLog.Limits().recordBytes)
 {
   journal::FencedWriterOptions writerOptions;
   writerOptions.topic = { std::string(kJobTopic), 0 };
   writerOptions.producer = kProducer;
   writerOptions.token = aToken;
+  writerOptions.onFailure = [&aLoad](const journal::AppendFailure& aFailure) {
+    aLoad.OnAppendFailed(aFailure);
+  };
   this->writer = std::make_unique<journal::FencedWriter>(
     writerOptions, aClock, aExecutor, aLog, std::move(aOnFenced));
 }
@@ -265,19 +270,10 @@
     this->ScheduleIfDue();
   }
   // A step that changes again while an append is under way needs one record.
-  if (this->writer->Pending() == 0) {
+  if (this->writer->Pending() == 0 && this->unwritten.empty()) {
     this->ExecuteEffects(this->dispatcher->Commit(this->Now()));
   }
-  if (this->writer->Pending() == 0 && !this->submitted.empty()) {
-    std::vector<journal::WriteRequest> requests = this->TakeSubmissions();
-    const auto finish = [this, alive = this->isAlive] {
-      if (*alive) {
-        this->FinishBatch();
-      }
-    };
-    requests.push_back({ {}, finish, finish });
-    this->writer->Write(std::move(requests));
-  }
+  this->WriteNext();
 }
 
 void
@@ -314,17 +310,16 @@
 }
 
 void
-DispatchRunner::ExecuteEffects(const dispatch::Effects& aEffects)
+DispatchRunner::ExecuteEffects(dispatch::Effects aEffects)
 {
-  std::vector<KeyedValue> records;
-  std::uint64_t version = 0;
-  for (const auto& effect : aEffects) {
-    if (const auto* persist = std::get_if<dispatch::PersistStep>(&effect)) {
+  for (auto& effect : aEffects) {
+    if (auto* persist = std::get_if<dispatch::PersistStep>(&effect)) {
       const LoadMonitor::Measurement measurement(this->load,
                                                  DecisionWork::Encode);
-      records.push_back({ ledger::StepKey(persist->record.id),
-                          this->codec.EncodeStep(persist->record) });
-      version = persist->version;
+      std::string key = ledger::StepKey(persist->record.id);
+      this->QueueRecord(
+        { std::move(key), this->EncodeStep(std::move(persist->record)) },
+        persist->version);
     } else if (const auto* start = std::get_if<dispatch::StartTask>(&effect)) {
       this->sessions.SendTo(
         ConnectionOf(start->session),
@@ -348,38 +343,87 @@
       this->sessions.Send(ack->agent,
                           protocol::AgentAck{ ack->incarnation, ack->number });
     } else if (const auto* forget = std::get_if<dispatch::ForgetJob>(&effect)) {
+      // Without its steps an accepted job would run again, so that its own
+      // record is deleted first: the deletions may be divided among appends.
+      this->QueueRecord({ ledger::AcceptedKey(forget->job), {} });
+      this->QueueRecord({ ledger::CancelledKey(forget->job), {} });
       for (const auto& step : forget->steps) {
-        records.push_back({ ledger::StepKey(step), {} });
+        this->QueueRecord({ ledger::StepKey(step), {} });
       }
-      records.push_back({ ledger::CancelledKey(forget->job), {} });
-      records.push_back({ ledger::AcceptedKey(forget->job), {} });
     }
   }
-  if (!records.empty()) {
-    this->Write(std::move(records), version);
+  this->WriteNext();
+}
+
+void
+DispatchRunner::QueueRecord(KeyedValue aRecord, std::uint64_t aVersion)
+{
+  this->unwritten.push_back(
+    { std::move(aRecord), aVersion, this->clock.Now() });
+}
+
+std::string
+DispatchRunner::EncodeStep(ledger::StepRecord aRecord)
+{
+  std::string encoded = this->codec.EncodeStep(aRecord);
+  if (encoded.size() + ledger::StepKey(aRecord.id).size() +
+        journal::kRecordOverheadBytes <=
+      this->maxRecordBytes) {
+    return encoded;
+  }
+  // Checkpoints save work, but only a record that the log takes saves the job.
+  this->load.OnCheckpointsLeftOut(aRecord.id, encoded.size());
+  for (auto& task : aRecord.tasks) {
+    task.checkpoint.clear();
   }
+  return this->codec.EncodeStep(aRecord);
 }
 
 void
-DispatchRunner::Write(std::vector<KeyedValue> aRecords, std::uint64_t aVersion)
+DispatchRunner::WriteNext()
 {
-  std::size_t bytes = 0;
-  for (const auto& record : aRecords) {
-    bytes += record.value.size();
+  if (this->writer->Pending() > 0 ||
+      (this->unwritten.empty() && this->submitted.empty())) {
+    return;
   }
+  std::size_t bytes = this->submittedBytes;
   std::vector<journal::WriteRequest> requests = this->TakeSubmissions();
-  requests.push_back({ std::move(aRecords),
-                       [this,
-                        alive = this->isAlive,
-                        aVersion,
-                        bytes,
-                        decidedAt = this->clock.Now()] {
-                         if (*alive) {
-                           this->load.OnDurable(decidedAt, bytes);
-                           this->OnWritten(aVersion);
-                         }
-                       },
-                       {} });
+  journal::WriteRequest own;
+  std::uint64_t version = 0;
+  std::size_t ownBytes = 0;
+  const base::TimePoint decidedAt = this->unwritten.empty()
+                                      ? this->clock.Now()
+                                      : this->unwritten.front().decidedAt;
+  while (!this->unwritten.empty()) {
+    UnwrittenRecord& next = this->unwritten.front();
+    bytes += journal::SizeOf(next.record);
+    if (bytes > this->writer->MaxAppendBytes() && !own.records.empty()) {
+      break;
+    }
+    ownBytes += next.record.value.size();
+    version = std::max(version, next.version);
+    own.records.push_back(std::move(next.record));
+    this->unwritten.pop_front();
+  }
+  const auto finish = [this, alive = this->isAlive] {
+    if (*alive) {
+      this->FinishBatch();
+    }
+  };
+  if (own.records.empty()) {
+    // Continues after the records of callers, whatever becomes of them.
+    own.onDurable = finish;
+    own.onRefused = finish;
+  } else {
+    own.onDurable =
+      [this, alive = this->isAlive, version, ownBytes, decidedAt] {
+        if (*alive) {
+          this->load.OnDurable(decidedAt, ownBytes);
+          this->OnWritten(version);
+        }
+      };
+  }
+  requests.push_back(std::move(own));
   this->writer->Write(std::move(requests));
 }
 
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -7,6 +7,7 @@
 #include "amaranthwind/coordinator/Coordinator.h"
 #include "amaranthwind/journal/FencedWriter.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -92,13 +93,28 @@
   };
   using Submissions = std::vector<std::shared_ptr<Submission>>;
 
-  void ExecuteEffects(const dispatch::Effects& aEffects);
-  /** Writes the records and those that callers have submitted. */
-  void Write(std::vector<journal::KeyedValue> aRecords, std::uint64_t aVersion);
+  /** A record of the dispatcher that waits for an append. */
+  struct UnwrittenRecord
+  {
+    journal::KeyedValue record;
+    /** 0 if the dispatcher does not wait for it. */
+    std::uint64_t version = 0;
+    base::TimePoint decidedAt{};
+  };
+
+  void ExecuteEffects(dispatch::Effects aEffects);
+  /** Queues the record until the next append that has room for it. */
+  void QueueRecord(journal::KeyedValue aRecord, std::uint64_t aVersion = 0);
+  std::string EncodeStep(ledger::StepRecord aRecord);
+  /**
+   * Unless an append is under way, writes the records that callers have
+   * submitted and as many of the dispatcher's as fit the same append.
+   */
+  void WriteNext();
   std::vector<journal::WriteRequest> TakeSubmissions();
   /** Removes submissions that have their result. */
   void ForgetFinished();
-  /** The records that the dispatcher calls aVersion are durable. */
+  /** The dispatcher's records up to aVersion are durable; 0 if none is new. */
   void OnWritten(std::uint64_t aVersion);
   /** Runs a scheduling pass now, or as soon as its share of time allows. */
   void ScheduleIfDue();
@@ -112,7 +128,11 @@
   AgentSessions& sessions;
   DecisionLog& decisions;
   LoadMonitor& load;
+  /** Largest record that the log takes, see journal::SizeOf(). */
+  const std::size_t maxRecordBytes;
   std::unique_ptr<journal::FencedWriter> writer;
+  /** In the order in which they must become durable. */
+  std::deque<UnwrittenRecord> unwritten;
   /** Submitted records that wait for the append under way. */
   Submissions submitted;
   std::size_t submittedBytes = 0;
--- a/libs/coordinator/src/LoadMonitor.cpp
+++ b/libs/coordinator/src/LoadMonitor.cpp
@@ -102,6 +102,26 @@
   this->summary.recordBytes += aBytes;
 }
 
+void
+LoadMonitor::OnAppendFailed(const journal::AppendFailure& aFailure)
+{
+  this->logger.Warning("append failed",
+                       { { "error", base::Describe(aFailure.error) },
+                         { "attempt", aFailure.attempt },
+                         { "records", aFailure.records },
+                         { "bytes", aFailure.bytes } });
+}
+
+void
+LoadMonitor::OnCheckpointsLeftOut(const job::StepId& aStep, std::size_t aBytes)
+{
+  this->logger.Warning("checkpoints left out: record is too large",
+                       { { "job", aStep.job },
+                         { "occurrence", aStep.occurrence },
+                         { "step", aStep.step },
+                         { "bytes", aBytes } });
+}
+
 void
 LoadMonitor::OnRecordsReturned(std::size_t aWaiting, std::size_t aUnconfirmed)
 {
--- a/libs/coordinator/src/LoadMonitor.h
+++ b/libs/coordinator/src/LoadMonitor.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "amaranthwind/base/Clock.h"
+#include "amaranthwind/job/TaskId.h"
+#include "amaranthwind/journal/FencedWriter.h"
 #include "amaranthwind/telemetry/Logger.h"
 #include "amaranthwind/telemetry/Metrics.h"
 
@@ -41,6 +43,9 @@
   void OnHandled(base::TimePoint aReceivedAt);
   /** The records of a decision became durable. */
   void OnDurable(base::TimePoint aDecidedAt, std::size_t aBytes);
+  void OnAppendFailed(const journal::AppendFailure& aFailure);
+  /** The record of the step is larger than the log takes. */
+  void OnCheckpointsLeftOut(const job::StepId& aStep, std::size_t aBytes);
   /** The log stalls, so records of callers were returned to their entries. */
   void OnRecordsReturned(std::size_t aWaiting, std::size_t aUnconfirmed);
   /**
--- a/libs/coordinator/tests/Fleet.h
+++ b/libs/coordinator/tests/Fleet.h
@@ -89,6 +89,7 @@
     : log(aLog)
   {
   }
+  journal::SizeLimits Limits() const override { return this->log.Limits(); }
   void Append(const journal::KeyedTopic& aTopic,
               std::span<const journal::KeyedValue> aRecords,
               const journal::AppendConditions& aConditions,
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -462,6 +462,8 @@
   {
   }
 
+  journal::SizeLimits Limits() const override { return this->log.Limits(); }
+
   void Append(const journal::KeyedTopic& aTopic,
               std::span<const journal::KeyedValue> aRecords,
               const journal::AppendConditions& aConditions,
@@ -654,6 +656,8 @@
   , delayedLog(
       std::make_unique<DelayedLog>(this->time, this->log, aOptions, this->use))
 {
+  this->log.maxAppendBytes = aOptions.maxAppendBytes;
+  this->log.limits = aOptions.toldLimits;
   for (std::uint32_t i = 0; i < aOptions.entries; ++i) {
     this->entries.push_back(std::make_unique<Entry>(*this, i));
     (void)this->entries.back()->coordinator.Start();
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -181,6 +181,10 @@
      * answered after the same time.
      */
     bool appendsInTurn = false;
+    /** Larger appends are refused. */
+    std::size_t maxAppendBytes = SIZE_MAX;
+    /** The limits that the log tells. */
+    journal::SizeLimits toldLimits;
     ProcessorCosts costs;
   };
 
@@ -211,6 +215,8 @@
   bool HasConcurrentRuns() const;
   /** Runs that were stopped, or ended because their lease expired. */
   int Interrupted() const;
+  /** Size of the largest append that was tried. */
+  std::size_t LargestAppend() const noexcept { return this->log.largestAppend; }
   /** Records of steps that were written. */
   std::size_t StepRecords();
   /** Highest run number of a task that has started. */
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -75,7 +75,8 @@
 
 /**
  * Writes a step record. The caller calls Dispatcher::OnPersisted(version) once
- * this record and all earlier ones are durable.
+ * this record and all earlier ones are durable; they become durable in the
+ * order of their versions, but not necessarily together.
  */
 struct PersistStep
 {
@@ -116,7 +117,11 @@
   std::uint64_t number = 0;
 };
 
-/** Deletes the records of a job whose retention time has passed. */
+/**
+ * Deletes the records of a job whose retention time has passed, or the steps of
+ * one whose other records were deleted before. The record that accepted the job
+ * must be deleted first.
+ */
 struct ForgetJob
 {
   base::JobId job;
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -298,7 +298,12 @@
   Task* FindRun(const job::TaskRun& aRun);
   const job::StepSpec* SpecOf(const job::StepId& aStep);
   void MarkDirty(const Step& aStep) { this->dirtySteps.insert(aStep.id); }
+  /**
+   * Writes the records of all changed steps, each with a version of its own.
+   * Any number of the first ones may be all that a successor reads.
+   */
   void FlushWrites();
+  void WriteStep(const job::StepId& aStep);
 
   // Workers (WorkerState.cpp).
   void HandleReport(const WorkerReport& aReport,
@@ -430,6 +435,8 @@
   /** When all grants of previous coordinators have expired. */
   base::TimePoint inheritedGrantsExpireAt{};
   bool hasInheritedTasks = false;
+  /** Jobs whose deletion a previous coordinator did not finish. */
+  std::vector<ForgetJob> orphans;
 
   /** Steps that have changed since their last record was written. */
   std::set<job::StepId> dirtySteps;
@@ -437,8 +444,13 @@
   std::uint64_t persistedVersion = 0;
   /** All records acknowledged before this time are reflected in the jobs. */
   base::TimePoint jobsAsOf{};
-  /** Placements that are not durable yet, with the version of their record. */
+  /** Placements whose record was not written yet, in the order of decision. */
+  std::vector<job::TaskRun> unwrittenPlacements;
+  /** Placements that are not ordered yet, with the version of their record. */
   std::deque<std::pair<std::uint64_t, job::TaskRun>> pendingPlacements;
+  /** Acknowledgements that depend on changes that were not written yet. */
+  std::vector<AcknowledgeEnds> unwrittenAcks;
+  /** With the version of the last record that must be durable before. */
   std::deque<std::pair<std::uint64_t, AcknowledgeEnds>> pendingAcks;
   OrderNumber lastOrder;
 
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -20,6 +20,14 @@
   aJobs.ForEach([this](const base::JobId&, const ledger::JobEntry& aEntry) {
     this->state->Restore(aEntry);
   });
+  aJobs.ForEachOrphan(
+    [this](const base::JobId& aId, const ledger::JobEntry& aEntry) {
+      ForgetJob& orphan = this->state->orphans.emplace_back();
+      orphan.job = aId;
+      for (const auto& [key, record] : aEntry.steps) {
+        orphan.steps.push_back(record.id);
+      }
+    });
 }
 
 Dispatcher::~Dispatcher() = default;
@@ -163,7 +171,8 @@
 Dispatcher::Count() const
 {
   Counts counts;
-  counts.waitingOrders = this->state->pendingPlacements.size();
+  counts.waitingOrders = this->state->unwrittenPlacements.size() +
+                         this->state->pendingPlacements.size();
   for (const auto& [id, job] : this->state->jobs) {
     counts.jobs += job.hasEnded ? 0 : 1;
   }
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -147,6 +147,9 @@
 void
 Dispatcher::State::ForgetOldJobs()
 {
+  for (ForgetJob& orphan : std::exchange(this->orphans, {})) {
+    this->effects.emplace_back(std::move(orphan));
+  }
   for (auto position = this->jobs.begin(); position != this->jobs.end();) {
     const auto current = position++;
     const Job& job = current->second;
@@ -250,15 +253,46 @@
 void
 Dispatcher::State::FlushWrites()
 {
-  const std::uint64_t version = this->lastVersion + 1;
-  for (const job::StepId& id : std::exchange(this->dirtySteps, {})) {
-    // The records of a job that was forgotten meanwhile are being deleted.
-    if (const Step* step = this->FindStep(id)) {
-      this->effects.emplace_back(PersistStep{ ToRecord(*step), version });
-      // A version without a record would never become durable.
-      this->lastVersion = version;
+  // Placements follow all other changes: those of a step whose dependencies are
+  // done must not become durable before the ends of the dependencies.
+  std::vector<job::StepId> placed;
+  for (const auto& placement : this->unwrittenPlacements) {
+    if (this->dirtySteps.erase(placement.task.step) > 0) {
+      placed.push_back(placement.task.step);
     }
   }
+  for (const job::StepId& id : std::exchange(this->dirtySteps, {})) {
+    this->WriteStep(id);
+  }
+  std::map<job::StepId, std::uint64_t> versions;
+  for (const job::StepId& id : placed) {
+    this->WriteStep(id);
+    versions[id] = this->lastVersion;
+  }
+  // Steps are written in the order of their first placements.
+  std::stable_sort(this->unwrittenPlacements.begin(),
+                   this->unwrittenPlacements.end(),
+                   [&](const job::TaskRun& aLeft, const job::TaskRun& aRight) {
+                     return versions[aLeft.task.step] <
+                            versions[aRight.task.step];
+                   });
+  for (auto& placement : std::exchange(this->unwrittenPlacements, {})) {
+    const std::uint64_t version = versions[placement.task.step];
+    this->pendingPlacements.emplace_back(version, std::move(placement));
+  }
+  for (auto& ack : std::exchange(this->unwrittenAcks, {})) {
+    this->pendingAcks.emplace_back(this->lastVersion, std::move(ack));
+  }
+}
+
+void
+Dispatcher::State::WriteStep(const job::StepId& aStep)
+{
+  // The records of a job that was forgotten meanwhile are being deleted.
+  if (const Step* step = this->FindStep(aStep)) {
+    this->effects.emplace_back(
+      PersistStep{ ToRecord(*step), ++this->lastVersion });
+  }
 }
 
 } // namespace amaranthwind::dispatch
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -428,7 +428,7 @@
     const std::uint32_t usedBefore = worker.used.accelerators;
     this->AllocateResources(worker, run, RequiredResources(spec));
     aCandidate.pool->usedAccelerators += worker.used.accelerators - usedBefore;
-    this->pendingPlacements.emplace_back(this->lastVersion + 1, run);
+    this->unwrittenPlacements.push_back(run);
     this->observer.OnPlaced(
       run, worker.agent, this->callTime.now - *step.readyAt);
   }
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -115,9 +115,7 @@
   if (lastEnd > 0) {
     // Sent only after all changes made so far are durable, because the worker
     // discards an end once it is acknowledged.
-    this->pendingAcks.emplace_back(
-      this->lastVersion + 1,
-      AcknowledgeEnds{ worker.agent, worker.info->life, lastEnd });
+    this->unwrittenAcks.push_back({ worker.agent, worker.info->life, lastEnd });
   }
 }
 
@@ -739,14 +737,8 @@
 void
 Dispatcher::State::AcknowledgeDurableEnds()
 {
-  // An end that caused no write has a version that was never used; it is due
-  // once every write is durable. Changes that are not written yet take the next
-  // version.
-  const bool isAllDurable =
-    this->persistedVersion == this->lastVersion && this->dirtySteps.empty();
   while (!this->pendingAcks.empty() &&
-         (this->pendingAcks.front().first <= this->persistedVersion ||
-          isAllDurable)) {
+         this->pendingAcks.front().first <= this->persistedVersion) {
     this->effects.emplace_back(std::move(this->pendingAcks.front().second));
     this->pendingAcks.pop_front();
   }
--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -235,12 +235,16 @@
 }
 
 void
-DispatcherHarness::Persist()
+DispatcherHarness::Persist(std::size_t aCount)
 {
-  if (this->writes.empty()) {
+  const auto end =
+    this->writes.begin() +
+    static_cast<std::ptrdiff_t>(std::min(aCount, this->writes.size()));
+  const std::vector<PersistStep> written(this->writes.begin(), end);
+  this->writes.erase(this->writes.begin(), end);
+  if (written.empty()) {
     return;
   }
-  const auto written = std::exchange(this->writes, {});
   for (const auto& write : written) {
     this->durable[write.record.id] = write.record;
   }
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -72,8 +72,12 @@
                                    std::uint32_t aAccelerators);
   void Submit(const job::WorkflowSpec& aSpec);
   void Cancel(const job::WorkflowSpec& aSpec);
-  /** Makes pending writes durable and executes the resulting effects. */
-  void Persist();
+  /**
+   * Makes pending writes durable, all or the first ones, and executes the
+   * resulting effects.
+   */
+  void Persist(std::size_t aCount = SIZE_MAX);
+  std::size_t PendingWrites() const { return this->writes.size(); }
   /** Advances the time in steps; agents with `isReporting` report. */
   void Run(base::Duration aTime);
   void Tick();
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 using namespace amaranthwind;
 using namespace amaranthwind::dispatch;
@@ -124,6 +126,117 @@
   CHECK(harness.agents.at(agent).acknowledged == 1);
 }
 
+// Guards against orders that wait for records of other steps, and against
+// orders that do not wait for their own.
+TEST_CASE("each start is ordered once the record of its own step is durable")
+{
+  DispatcherHarness harness;
+  harness.persistsImmediately = false;
+  for (const char* id : { "c", "a", "b" }) {
+    harness.areJobsConfirmed = false;
+    harness.Submit(DispatcherHarness::MakeJob(id, 2, 1));
+  }
+  harness.areJobsConfirmed = true;
+  harness.Tick();
+  REQUIRE(harness.PendingWrites() == 3);
+  for (std::size_t written = 1; written <= 3; ++written) {
+    harness.Persist(1);
+    REQUIRE(harness.starts.size() == 2 * written);
+    CHECK(harness.durable.contains(harness.starts.back().run.task.step));
+  }
+}
+
+TEST_CASE("an end is acknowledged after the last record that it changed")
+{
+  DispatcherHarness harness(1);
+  harness.Submit(DispatcherHarness::MakeJob("a", 1, 1));
+  harness.Submit(DispatcherHarness::MakeJob("b", 1, 1));
+  harness.persistsImmediately = false;
+  harness.End(harness.Running("a").at(0), EndKind::Done);
+  harness.End(harness.Running("b").at(0), EndKind::Done);
+  harness.Report("vm-0");
+  REQUIRE(harness.PendingWrites() == 2);
+  harness.Persist(1);
+  CHECK(harness.agents.at("vm-0").acknowledged == 0);
+  harness.Persist(1);
+  CHECK(harness.agents.at("vm-0").acknowledged == 2);
+}
+
+// Guards against a successor that has read only the first of the records of one
+// decision: it must neither run a task twice nor lose one.
+TEST_CASE("a takeover between the records of one decision repeats no run")
+{
+  for (std::size_t written = 0; written <= 9; ++written) {
+    CAPTURE(written);
+    DispatcherHarness harness(3);
+    for (int i = 0; i < 3; ++i) {
+      auto job = DispatcherHarness::MakeJob("chain-" + std::to_string(i), 2, 1);
+      job.steps.push_back(job.steps[0]);
+      job.steps[1].dependsOn = { 0 };
+      harness.Submit(job);
+    }
+    auto gang = MakeGang("gang", 3, 8);
+    harness.Submit(gang);
+    REQUIRE(harness.starts.size() == 6);
+    // In one decision, three steps end, the next ones start, and so does a gang
+    // that needs the room of what has ended.
+    harness.persistsImmediately = false;
+    harness.areJobsConfirmed = false;
+    for (int i = 0; i < 3; ++i) {
+      for (const auto& run : harness.Running("chain-" + std::to_string(i))) {
+        harness.End(run, EndKind::Done);
+      }
+    }
+    for (const auto& [name, agent] : harness.agents) {
+      harness.Report(name);
+    }
+    harness.areJobsConfirmed = true;
+    harness.Tick();
+    harness.Persist(written);
+    // The rest is lost with the coordinator.
+    harness.persistsImmediately = true;
+    harness.TakeOver();
+    std::map<job::TaskId, int> done;
+    for (int i = 0; i < 40; ++i) {
+      harness.Run(1s);
+      std::set<job::TaskId> running;
+      for (const char* job : { "chain-0", "chain-1", "chain-2", "gang" }) {
+        for (const auto& run : harness.Running(job)) {
+          CHECK(running.insert(run.task).second);
+          CHECK(done[run.task] == 0);
+          if (i % 3 == 2) {
+            ++done[run.task];
+            harness.End(run, EndKind::Done);
+          }
+        }
+      }
+    }
+    for (const char* job : { "chain-0", "chain-1", "chain-2", "gang" }) {
+      CHECK(harness.Phase(job) == JobPhase::Completed);
+    }
+    std::set<job::TaskRun> started;
+    for (const auto& start : harness.starts) {
+      CHECK(started.insert(start.run).second);
+    }
+  }
+}
+
+// Guards against records that stay in the log for ever: the deletion of a job
+// was interrupted after the record that had accepted it.
+TEST_CASE("a new coordinator deletes the steps that a deleted job left behind")
+{
+  DispatcherHarness harness;
+  const job::StepId left{ base::JobId("deleted"), 0, 1 };
+  harness.durable[left] = { left, false, {} };
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  harness.TakeOver();
+  harness.Run(1s);
+  REQUIRE(harness.forgotten.size() == 1);
+  CHECK(harness.forgotten[0].job == left.job);
+  CHECK(harness.forgotten[0].steps == std::vector{ left });
+  CHECK(harness.Running("j").size() == 1);
+}
+
 TEST_CASE("a placement cancelled before it is durable is never ordered")
 {
   DispatcherHarness harness;
--- a/libs/journal/include/amaranthwind/journal/FencedWriter.h
+++ b/libs/journal/include/amaranthwind/journal/FencedWriter.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/base/Ids.h"
 #include "amaranthwind/journal/KeyedLog.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -13,6 +14,15 @@
 
 namespace amaranthwind::journal {
 
+/** An append that failed, for logs. */
+struct AppendFailure
+{
+  base::Error error;
+  std::uint64_t attempt = 0;
+  std::size_t records = 0;
+  std::size_t bytes = 0;
+};
+
 struct FencedWriterOptions
 {
   KeyedTopic topic;
@@ -23,9 +33,15 @@
                                 std::chrono::milliseconds(300) };
   /** Without a response for this long, the log counts as stalled. */
   base::Duration stallTime = std::chrono::milliseconds(1200);
+  /** Called for each failed attempt of an append; may be empty. */
+  std::function<void(const AppendFailure&)> onFailure = nullptr;
 };
 
-/** Records that are appended together or not at all. */
+/**
+ * Records that are appended in this order. They share one append if it can hold
+ * them; otherwise they are divided among several, and a reader may see the
+ * first of them without the others. Records with onRefused are not divided.
+ */
 struct WriteRequest
 {
   std::vector<KeyedValue> records;
@@ -42,7 +58,8 @@
 /**
  * Writes the records of the single coordinator of a topic. Appends are issued
  * one at a time and in order; records that arrive meanwhile are batched into
- * the next ones, each of limited size. An append without a response is repeated
+ * the next ones, each of limited size. An append that the log refuses as too
+ * large is divided further. An append without a response is repeated
  * with the same sequence number, so that it takes effect once; the response to
  * any of the attempts counts, so that a slow log is not asked in vain. Must be
  * used on one executor.
@@ -73,6 +90,9 @@
   /** Number of records that are not yet confirmed to be in the log. */
   std::size_t Pending() const noexcept;
 
+  /** Size of the records that one append holds at most. */
+  std::size_t MaxAppendBytes() const noexcept;
+
   /**
    * Whether the append under way has failed or waits for a response for longer
    * than usual. Its records may be in the log.
--- a/libs/journal/include/amaranthwind/journal/KeyedLog.h
+++ b/libs/journal/include/amaranthwind/journal/KeyedLog.h
@@ -33,6 +33,26 @@
   bool operator==(const KeyedValue&) const = default;
 };
 
+/** Allowance for what a log adds to the key and the value of a record. */
+inline constexpr std::size_t kRecordOverheadBytes = 16;
+
+/** Upper bound of the size that a record takes in an append. */
+inline std::size_t
+SizeOf(const KeyedValue& aRecord) noexcept
+{
+  return aRecord.key.size() + aRecord.value.size() + kRecordOverheadBytes;
+}
+
+/** Largest sizes that a log takes, as SizeOf() counts them. */
+struct SizeLimits
+{
+  std::size_t recordBytes = 256UL * 1024;
+  /** Of all records of one append. */
+  std::size_t appendBytes = 2UL * 1024 * 1024;
+
+  bool operator==(const SizeLimits&) const = default;
+};
+
 /** A record as stored in the log. */
 struct KeyedRecord
 {
@@ -104,6 +124,9 @@
 public:
   virtual ~KeyedLog() = default;
 
+  /** Larger records and appends are refused with TooLarge. */
+  virtual SizeLimits Limits() const = 0;
+
   /**
    * Appends all records or none and returns the offset of the first. An empty
    * append with a stamp only raises the producer's epoch. Errors:
--- a/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
+++ b/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
@@ -2,6 +2,7 @@
 
 #include "amaranthwind/journal/KeyedLog.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -24,12 +25,16 @@
   bool losesAnswers = false;
   /** Larger appends are refused with TooLarge. */
   std::size_t maxAppendBytes = SIZE_MAX;
+  /** What Limits() says. */
+  SizeLimits limits;
   /** Number of records per page of ReadNewest(). */
   std::size_t pageSize = 500;
   /** Maximum number of records that a read returns. */
   std::size_t maxBatch = SIZE_MAX;
   int appends = 0;
   int reads = 0;
+  /** Size of the largest append, including those that were refused. */
+  std::size_t largestAppend = 0;
   base::TimePoint answeredAsOf = base::TimePoint::max();
 
   struct Partition
@@ -71,6 +76,8 @@
 
   std::size_t Waiting() const { return this->waitingReads.size(); }
 
+  SizeLimits Limits() const override { return this->limits; }
+
   void Append(const KeyedTopic& aTopic,
               std::span<const KeyedValue> aRecords,
               const AppendConditions& aConditions,
@@ -83,8 +90,9 @@
     }
     std::size_t bytes = 0;
     for (const auto& record : aRecords) {
-      bytes += record.key.size() + record.value.size();
+      bytes += SizeOf(record);
     }
+    this->largestAppend = std::max(this->largestAppend, bytes);
     if (bytes > this->maxAppendBytes) {
       aHandler(base::Fail(base::ErrorCode::TooLarge));
       return;
--- a/libs/journal/src/FencedWriter.cpp
+++ b/libs/journal/src/FencedWriter.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <span>
 #include <utility>
 
@@ -16,9 +17,9 @@
 namespace {
 
 /**
- * Limit of the keys and values in one append, unless a single write is larger.
- * An append of unlimited size may be refused or may not fit through the link
- * within the time limit, and is then retried without end.
+ * Limit of the size of an append of several records. An append of unlimited
+ * size may be refused or may not fit through the link within the time limit,
+ * and is then retried without end.
  */
 constexpr std::size_t kMaxAppendBytes = 256UL * 1024;
 /** Longer than an append can wait in a log that refuses longer queues. */
@@ -42,6 +43,7 @@
     , log(aLog)
     , onFenced(std::move(aOnFenced))
     , backoff(this->options.backoff)
+    , maxAppendBytes(std::min(kMaxAppendBytes, aLog.Limits().appendBytes))
   {
   }
 
@@ -63,15 +65,44 @@
     }
   }
 
-  static std::size_t SizeOf(std::span<const KeyedValue> aRecords)
+  static std::size_t SizeOfAll(std::span<const KeyedValue> aRecords)
   {
     std::size_t bytes = 0;
     for (const auto& record : aRecords) {
-      bytes += record.key.size() + record.value.size();
+      bytes += SizeOf(record);
     }
     return bytes;
   }
 
+  /**
+   * Takes the next request from the queue, or as many of its first records as
+   * one append holds; the others stay in the queue.
+   */
+  WriteRequest TakeFront()
+  {
+    WriteRequest& front = this->queue.front();
+    std::size_t count = 0;
+    std::size_t bytes = 0;
+    while (count < front.records.size() &&
+           (count == 0 ||
+            bytes + SizeOf(front.records[count]) <= this->maxAppendBytes)) {
+      bytes += SizeOf(front.records[count++]);
+    }
+    WriteRequest taken;
+    if (count == front.records.size() || front.onRefused) {
+      taken = std::move(front);
+      this->queue.pop_front();
+    } else {
+      const auto end =
+        front.records.begin() + static_cast<std::ptrdiff_t>(count);
+      taken.records.assign(std::make_move_iterator(front.records.begin()),
+                           std::make_move_iterator(end));
+      front.records.erase(front.records.begin(), end);
+    }
+    this->queuedRecords -= taken.records.size();
+    return taken;
+  }
+
   void SendNext()
   {
     if (this->queue.empty()) {
@@ -79,13 +110,11 @@
     }
     std::size_t bytes = 0;
     do {
-      WriteRequest request = std::move(this->queue.front());
-      this->queue.pop_front();
-      bytes += SizeOf(request.records);
-      this->queuedRecords -= request.records.size();
-      this->inFlight.push_back(std::move(request));
+      this->inFlight.push_back(this->TakeFront());
+      bytes += SizeOfAll(this->inFlight.back().records);
     } while (!this->queue.empty() &&
-             bytes + SizeOf(this->queue.front().records) <= kMaxAppendBytes);
+             bytes + SizeOfAll(this->queue.front().records) <=
+               this->maxAppendBytes);
     this->CollectRecords();
     this->isSending = true;
     this->hasFailed = false;
@@ -172,7 +201,9 @@
       // A callback may call Write(), which starts the next append.
       this->inFlightRecords.clear();
       for (const auto& request : std::exchange(this->inFlight, {})) {
-        request.onDurable();
+        if (request.onDurable) {
+          request.onDurable();
+        }
       }
       if (!this->isSending) {
         this->SendNext();
@@ -189,6 +220,17 @@
       return;
     }
     this->hasFailed = true;
+    if (this->options.onFailure) {
+      this->options.onFailure({ aResult.error(),
+                                aSent.attempt,
+                                this->inFlightRecords.size(),
+                                SizeOfAll(this->inFlightRecords) });
+    }
+    if (aResult.error().code == ErrorCode::TooLarge &&
+        this->inFlightRecords.size() > 1) {
+      this->DivideAppend();
+      return;
+    }
     const bool hadNoEffect =
       aResult.error().code == ErrorCode::LogUnavailable ||
       aResult.error().code == ErrorCode::TooLarge;
@@ -201,6 +243,26 @@
     }
   }
 
+  /**
+   * Sends the records of the append under way again, in smaller ones. The log
+   * refuses every attempt of the same append as too large, so that none has an
+   * effect.
+   */
+  void DivideAppend()
+  {
+    this->maxAppendBytes =
+      std::max<std::size_t>(SizeOfAll(this->inFlightRecords) / 2, 1);
+    this->queuedRecords += this->inFlightRecords.size();
+    this->queue.insert(this->queue.begin(),
+                       std::make_move_iterator(this->inFlight.begin()),
+                       std::make_move_iterator(this->inFlight.end()));
+    this->inFlight.clear();
+    // The log has not seen this number.
+    --this->sequence;
+    this->isSending = false;
+    this->SendNext();
+  }
+
   void CollectRecords()
   {
     this->inFlightRecords.clear();
@@ -263,6 +325,7 @@
   bool isSending = false;
   bool isFenced = false;
   std::uint64_t sequence = 0;
+  std::size_t maxAppendBytes = 0;
   // Of the append under way.
   base::TimePoint sendingSince{};
   std::uint64_t attempt = 0;
@@ -309,6 +372,12 @@
   return this->state->queuedRecords + this->state->inFlightRecords.size();
 }
 
+std::size_t
+FencedWriter::MaxAppendBytes() const noexcept
+{
+  return this->state->maxAppendBytes;
+}
+
 bool
 FencedWriter::IsStalled() const
 {
--- a/libs/journal/tests/FencedWriterTest.cpp
+++ b/libs/journal/tests/FencedWriterTest.cpp
@@ -52,6 +52,7 @@
     KeyedAppendHandler handler;
   };
 
+  SizeLimits Limits() const override { return {}; }
   void Append(const KeyedTopic&,
               std::span<const KeyedValue>,
               const AppendConditions& aConditions,
@@ -175,6 +176,63 @@
   CHECK(records.back().key == std::to_string(kWrites - 1));
 }
 
+// Guards against a single decision that is larger than the log takes, which
+// would hold up all later records.
+TEST_CASE("a request larger than the limit of one append is divided in order")
+{
+  Fixture fixture;
+  fixture.log.maxAppendBytes = 300'000;
+  SUBCASE("the log tells its limit")
+  {
+    fixture.log.limits.appendBytes = 300'000;
+  }
+  SUBCASE("the log tells a higher limit") {}
+  SUBCASE("the log takes less than one usual append")
+  {
+    fixture.log.maxAppendBytes = 110'000;
+  }
+  const auto writer = fixture.MakeWriter(1);
+  constexpr std::size_t kRecords = 30;
+  std::vector<KeyedValue> records;
+  for (std::size_t i = 0; i < kRecords; ++i) {
+    records.push_back({ std::to_string(i), std::string(100'000, 'v') });
+  }
+  const auto& written = fixture.log.PartitionOf(kTopic).records;
+  int done = 0;
+  writer->Write(records, [&] {
+    ++done;
+    CHECK(written.size() >= kRecords);
+  });
+  fixture.Write(*writer, "next");
+  fixture.executor.Advance(5s);
+  CHECK(done == 1);
+  CHECK(fixture.done == Keys{ "next" });
+  REQUIRE(written.size() == kRecords + 1);
+  for (std::size_t i = 0; i < kRecords; ++i) {
+    CHECK(written[i].key == std::to_string(i));
+  }
+}
+
+// Guards against a caller's record that the log will never take.
+TEST_CASE("an optional record that is too large is refused, the others written")
+{
+  Fixture fixture;
+  fixture.log.maxAppendBytes = 50'000;
+  const auto writer = fixture.MakeWriter(1);
+  int refused = 0;
+  int durable = 0;
+  std::vector<WriteRequest> requests(2);
+  requests[0] = { { { "large", std::string(60'000, 'v') } },
+                  [] {},
+                  [&] { ++refused; } };
+  requests[1] = { { { "needed", "v" } }, [&] { ++durable; }, {} };
+  writer->Write(std::move(requests));
+  fixture.executor.Advance(1s);
+  CHECK(refused == 1);
+  CHECK(durable == 1);
+  CHECK(fixture.log.PartitionOf(kTopic).records.size() == 1);
+}
+
 // Guards against two coordinators writing at the same time.
 TEST_CASE("a writer with a lower token is fenced and notified once")
 {
--- a/libs/ledger/include/amaranthwind/ledger/JobTable.h
+++ b/libs/ledger/include/amaranthwind/ledger/JobTable.h
@@ -29,6 +29,8 @@
 struct JobEntry
 {
   std::shared_ptr<const job::WorkflowSpec> spec;
+  /** Whether a record accepts the job, even one that could not be decoded. */
+  bool isAccepted = false;
   /** Offset of the record that accepted the job; defines submission order. */
   base::LogOffset acceptedOffset;
   bool isCancelRequested = false;
@@ -72,6 +74,12 @@
   /** Visits the jobs in unspecified order. */
   void ForEach(const std::function<void(const base::JobId&, const JobEntry&)>&
                  aVisit) const;
+  /**
+   * Visits the steps and cancellations that were left behind when the deletion
+   * of a job was interrupted.
+   */
+  void ForEachOrphan(const std::function<void(const base::JobId&,
+                                              const JobEntry&)>& aVisit) const;
   std::size_t Size() const noexcept { return this->jobs.size(); }
 
 private:
--- a/libs/ledger/include/amaranthwind/ledger/Records.h
+++ b/libs/ledger/include/amaranthwind/ledger/Records.h
@@ -31,6 +31,12 @@
   Done,
 };
 
+/**
+ * Upper bound of the encoded size of a task's record without its checkpoint,
+ * for ids of VMs and workers of usual length.
+ */
+inline constexpr std::size_t kMaxTaskRecordBytes = 252;
+
 /** Durable state of a task that was placed at least once. */
 struct TaskRecord
 {
--- a/libs/ledger/src/JobTable.cpp
+++ b/libs/ledger/src/JobTable.cpp
@@ -109,6 +109,7 @@
     return std::nullopt;
   }
   JobEntry& entry = this->jobs[aJob];
+  entry.isAccepted = true;
   if (entry.spec != nullptr) {
     // A resubmission of the same job; the first record wins.
     return std::nullopt;
@@ -132,7 +133,12 @@
   if (aRecord.value.empty()) {
     const auto found = this->jobs.find(aStep.job);
     if (found != this->jobs.end()) {
-      found->second.steps.erase(key);
+      JobEntry& entry = found->second;
+      entry.steps.erase(key);
+      if (!entry.isAccepted && !entry.isCancelRequested &&
+          entry.steps.empty()) {
+        this->jobs.erase(found);
+      }
     }
     return std::nullopt;
   }
@@ -165,4 +171,15 @@
   }
 }
 
+void
+JobTable::ForEachOrphan(
+  const std::function<void(const base::JobId&, const JobEntry&)>& aVisit) const
+{
+  for (const auto& [id, entry] : this->jobs) {
+    if (!entry.isAccepted) {
+      aVisit(id, entry);
+    }
+  }
+}
+
 } // namespace amaranthwind::ledger
--- a/libs/ledger/tests/JobTableTest.cpp
+++ b/libs/ledger/tests/JobTableTest.cpp
@@ -223,3 +223,29 @@
   CHECK(changes.jobs == std::vector{ kJob });
   CHECK(table.Size() == 0);
 }
+
+// Guards against work that runs again, and against records that are left in the
+// log, when the deletion of a job is divided and its writer fails.
+TEST_CASE("what is left of a partly deleted job is no job but an orphan")
+{
+  const base::JobId undecodable("bad");
+  const journal::KeyedRecord records[] = {
+    { base::LogOffset(0), AcceptedKey(undecodable), "{" },
+    StepAt(1, MakeStep(TaskPhase::Done, TaskPhase::Done)),
+  };
+  JobTable table(kCodec);
+  table.Load(records);
+  CHECK(table.Find(kJob) == nullptr);
+  std::vector<base::JobId> orphans;
+  table.ForEachOrphan([&](const base::JobId& aId, const JobEntry& aEntry) {
+    orphans.push_back(aId);
+    CHECK(aEntry.steps.size() == 1);
+  });
+  // A job of a newer version still belongs to that version.
+  CHECK(orphans == std::vector{ kJob });
+  const journal::KeyedRecord dropped{ base::LogOffset(2),
+                                      StepKey({ kJob, 0, 0 }),
+                                      {} };
+  table.Apply(std::span(&dropped, 1));
+  CHECK(table.Size() == 1);
+}
--- a/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
+++ b/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
@@ -38,6 +38,9 @@
   std::string clientListen;
   /** Listen address of the load balancer's readiness probe, "IP:port". */
   std::string readyListen;
+  /** Largest record, and largest append, that the log service takes. */
+  std::uint32_t logRecordBytes = 256U * 1024;
+  std::uint32_t logAppendBytes = 2U * 1024 * 1024;
   /** Longest time that a worker needs to stop a task. */
   base::Duration stopTime = std::chrono::milliseconds(900);
   /** Time after its withdrawal by which an API key must be rejected. */
