Send the report of a worker with many runs in parts

Callers would have seen the tasks of a worker restart again and again: the report of a worker lists all of its runs and unacknowledged ends in one message, and the coordinator closes a connection on which a frame exceeds 1 MiB. The daemon connected again and sent the same report, until its grant expired and the coordinator took all runs for lost.

Cause: a message that grows with the work, and a refusal that is final and was answered by the same message.

The coordinator joins them again and handles a report only if it has all of its parts, since a run that is not listed counts as gone. A part on a connection that closes is dropped. An older coordinator cannot decode a part and closes the connection, as it did for the whole report.

--- a/libs/agent/src/CoordinatorLink.cpp
+++ b/libs/agent/src/CoordinatorLink.cpp
@@ -5,6 +5,7 @@
 #include "amaranthwind/journal/KeyedFollower.h"
 #include "amaranthwind/membership/LeaderTopic.h"
 #include "amaranthwind/protocol/Node.h"
+#include "amaranthwind/protocol/ReportParts.h"
 
 #include <algorithm>
 #include <optional>
@@ -276,8 +277,10 @@
                             const dispatch::WorkerReport& aReport)
 {
   if (this->impl->connection) {
-    this->impl->port->Send(*this->impl->connection,
-                           protocol::AgentReport{ aSequence, aToken, aReport });
+    for (const auto& message :
+         protocol::DivideReport({ aSequence, aToken, aReport })) {
+      this->impl->port->Send(*this->impl->connection, message);
+    }
   }
 }
 
--- a/libs/coordinator/src/AgentSessions.cpp
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -133,6 +133,7 @@
   if (batch.empty()) {
     return;
   }
+  this->JoinReports(batch);
   const auto superseded = FindSuperseded(batch);
   for (std::size_t i = 0; i < batch.size(); ++i) {
     const Received& each = batch[i];
@@ -153,6 +154,37 @@
   this->observer.OnBatchHandled();
 }
 
+void
+AgentSessions::JoinReports(std::vector<Received>& aReceived)
+{
+  std::erase_if(aReceived, [&](Received& aEach) {
+    auto* message = std::get_if<protocol::Message>(&aEach.event);
+    if (message == nullptr) {
+      this->joiners.erase(aEach.connection);
+      return false;
+    }
+    if (const auto* part = std::get_if<protocol::AgentReportPart>(message)) {
+      this->load.OnHandled(aEach.at);
+      this->joiners[aEach.connection].Add(*part);
+      return true;
+    }
+    auto* report = std::get_if<protocol::AgentReport>(message);
+    if (report == nullptr || report->parts == 0) {
+      return false;
+    }
+    const auto joiner = this->joiners.extract(aEach.connection);
+    if (!joiner.empty() && joiner.mapped().Complete(*report)) {
+      return false;
+    }
+    this->load.OnHandled(aEach.at);
+    this->logger.Warning("incomplete report ignored",
+                         { { "agent", report->report.agent },
+                           { "sequence", report->sequence },
+                           { "parts", report->parts } });
+    return true;
+  });
+}
+
 std::set<std::size_t>
 AgentSessions::FindSuperseded(std::span<const Received> aReceived)
 {
--- a/libs/coordinator/src/AgentSessions.h
+++ b/libs/coordinator/src/AgentSessions.h
@@ -3,6 +3,7 @@
 #include "LoadMonitor.h"
 #include "amaranthwind/base/Executor.h"
 #include "amaranthwind/protocol/MessagePort.h"
+#include "amaranthwind/protocol/ReportParts.h"
 #include "amaranthwind/telemetry/Logger.h"
 
 #include <map>
@@ -91,6 +92,8 @@
   };
 
   void Enqueue(Received aReceived);
+  /** Joins the parts of reports; those with missing parts are dropped. */
+  void JoinReports(std::vector<Received>& aReceived);
   /**
    * Indices of the reports in the batch that a later one supersedes, or whose
    * connection is closed.
@@ -119,6 +122,8 @@
   std::vector<Received> received;
   std::map<base::AgentId, protocol::ConnectionId> agents;
   std::map<protocol::ConnectionId, base::AgentId> connections;
+  /** Of connections that have sent a part of a report last. */
+  std::map<protocol::ConnectionId, protocol::ReportJoiner> joiners;
 };
 
 } // namespace amaranthwind::coordinator
--- a/libs/coordinator/tests/AgentSessionsTest.cpp
+++ b/libs/coordinator/tests/AgentSessionsTest.cpp
@@ -42,10 +42,11 @@
 struct Sessions final : SessionObserver
 {
   void OnReport(ConnectionId aConnection,
-                const protocol::AgentReport&,
+                const protocol::AgentReport& aReport,
                 base::TimePoint) override
   {
     this->reported.push_back(aConnection);
+    this->listed = aReport.report.running.size();
   }
   void OnOutcome(ConnectionId,
                  const base::AgentId&,
@@ -60,6 +61,25 @@
   void OnClosed(ConnectionId) override {}
   void OnBatchHandled() override {}
 
+  /** A part of the report of the agent's only run arrives. */
+  void ReportPart(ConnectionId aConnection)
+  {
+    const job::TaskRun run{ { { base::JobId("j"), 0, 0 }, 0 }, 1 };
+    this->sessions.OnMessage(
+      aConnection,
+      { {}, false, protocol::AgentReportPart{ 1, { { run, {}, 0 } }, {} } });
+    this->executor.RunDue();
+  }
+  /** The rest of the report, after the given number of parts, arrives. */
+  void ReportRest(ConnectionId aConnection, std::uint32_t aParts)
+  {
+    protocol::AgentReport report;
+    report.sequence = 1;
+    report.report.agent = this->agent;
+    report.parts = aParts;
+    this->sessions.OnMessage(aConnection, { {}, false, report });
+    this->executor.RunDue();
+  }
   /** The agent's report arrives on the connection. */
   void Report(ConnectionId aConnection)
   {
@@ -72,6 +92,8 @@
   const base::AgentId agent{ "vm" };
   std::vector<ConnectionId> sent;
   std::vector<ConnectionId> reported;
+  /** Number of running tasks in the last report. */
+  std::size_t listed = 0;
   base::ManualClock clock;
   base::ManualExecutor executor{ clock };
   testing::NullLogSink sink;
@@ -110,3 +132,35 @@
   sessions.Report(ConnectionId(3));
   CHECK(sessions.reported.size() == 2);
 }
+
+// Guards against stopping the runs of a report that did not arrive as a whole.
+TEST_CASE("a report in parts counts only if all of them have arrived")
+{
+  Sessions sessions;
+  const ConnectionId connection(1);
+  sessions.ReportPart(connection);
+  sessions.ReportPart(connection);
+  CHECK(sessions.reported.empty());
+  SUBCASE("all parts")
+  {
+    sessions.ReportRest(connection, 2);
+    CHECK(sessions.reported == Connections{ connection });
+    CHECK(sessions.listed == 2);
+  }
+  SUBCASE("a part is missing")
+  {
+    sessions.ReportRest(connection, 3);
+    CHECK(sessions.reported.empty());
+  }
+  SUBCASE("the parts came on an earlier connection")
+  {
+    sessions.sessions.OnClosed(connection,
+                               { base::ErrorCode::ConnectionClosed, {} });
+    sessions.ReportRest(connection, 2);
+    sessions.ReportRest(ConnectionId(2), 2);
+    CHECK(sessions.reported.empty());
+  }
+  sessions.Report(ConnectionId(3));
+  CHECK(sessions.reported.size() > 0);
+  CHECK(sessions.listed == 0);
+}
--- a/libs/protocol/include/amaranthwind/protocol/Messages.h
+++ b/libs/protocol/include/amaranthwind/protocol/Messages.h
@@ -213,9 +213,24 @@
   /** Highest fencing token that the daemon has seen. */
   base::FencingToken token;
   dispatch::WorkerReport report;
+  /** Number of AgentReportPart messages that precede it. */
+  std::uint32_t parts = 0;
   bool operator==(const AgentReport&) const = default;
 };
 
+/**
+ * Runs of a report that is too large for one message. It precedes the
+ * AgentReport with the same sequence number on the same connection; without
+ * that, it says nothing of the runs that it does not list.
+ */
+struct AgentReportPart
+{
+  std::uint64_t sequence = 0;
+  std::vector<dispatch::RunningTask> running;
+  std::vector<dispatch::EndedTask> ended;
+  bool operator==(const AgentReportPart&) const = default;
+};
+
 /**
  * Lease to keep tasks running. The duration counts from the time at which the
  * daemon sent the report with the same sequence number.
@@ -343,7 +358,8 @@
                              AgentOutcome,
                              LeaderNotice,
                              AppendRecord,
-                             AppendRecordReply>;
+                             AppendRecordReply,
+                             AgentReportPart>;
 
 /** Matches replies to calls on one connection; 0 if no reply is expected. */
 using CorrelationId = base::StrongNumber<struct CorrelationTag>;
--- a/libs/protocol/src/AgentDecoder.cpp
+++ b/libs/protocol/src/AgentDecoder.cpp
@@ -59,26 +59,18 @@
   return worker;
 }
 
-} // namespace
-
-Result<Message>
-Decode(const wire::AgentReport& aReport)
+/** Reads the runs of a report or of a part of one. */
+template<typename Report>
+Result<void>
+ReadRuns(const Report& aReport,
+         std::vector<dispatch::RunningTask>& aRunning,
+         std::vector<dispatch::EndedTask>& aEnded)
 {
-  AgentReport decoded;
-  decoded.sequence = aReport.sequence();
-  decoded.token = base::FencingToken(aReport.token());
-  decoded.report.agent = base::AgentId(Text(aReport.agent()));
-  if (decoded.report.agent.IsEmpty()) {
-    return Fail(ErrorCode::MissingField, "AgentReport.agent");
-  }
-  if (aReport.worker() != nullptr) {
-    BOOST_OUTCOME_TRY(decoded.report.worker, ToWorker(*aReport.worker()));
-  }
   if (aReport.running() != nullptr) {
     for (const auto* each : *aReport.running()) {
       BOOST_OUTCOME_TRY(auto run,
                         ToRun(each->run(), "AgentReport.running.run"));
-      decoded.report.running.push_back(
+      aRunning.push_back(
         { std::move(run), Text(each->checkpoint()), each->percent() });
     }
   }
@@ -88,13 +80,33 @@
       if (each->kind() > static_cast<std::uint8_t>(dispatch::EndKind::Alone)) {
         return Fail(ErrorCode::OutOfRange, "AgentReport.ended.kind");
       }
-      decoded.report.ended.push_back(
-        { each->number(),
-          std::move(run),
-          static_cast<dispatch::EndKind>(each->kind()),
-          Text(each->checkpoint()) });
+      aEnded.push_back({ each->number(),
+                         std::move(run),
+                         static_cast<dispatch::EndKind>(each->kind()),
+                         Text(each->checkpoint()) });
     }
   }
+  return base::success();
+}
+
+} // namespace
+
+Result<Message>
+Decode(const wire::AgentReport& aReport)
+{
+  AgentReport decoded;
+  decoded.sequence = aReport.sequence();
+  decoded.token = base::FencingToken(aReport.token());
+  decoded.report.agent = base::AgentId(Text(aReport.agent()));
+  if (decoded.report.agent.IsEmpty()) {
+    return Fail(ErrorCode::MissingField, "AgentReport.agent");
+  }
+  if (aReport.worker() != nullptr) {
+    BOOST_OUTCOME_TRY(decoded.report.worker, ToWorker(*aReport.worker()));
+  }
+  BOOST_OUTCOME_TRY(
+    ReadRuns(aReport, decoded.report.running, decoded.report.ended));
+  decoded.parts = aReport.parts();
   if (aReport.received_order().has_value()) {
     decoded.report.receivedOrder =
       dispatch::OrderNumber(*aReport.received_order());
@@ -102,6 +114,15 @@
   return decoded;
 }
 
+Result<Message>
+Decode(const wire::AgentReportPart& aPart)
+{
+  AgentReportPart decoded;
+  decoded.sequence = aPart.sequence();
+  BOOST_OUTCOME_TRY(ReadRuns(aPart, decoded.running, decoded.ended));
+  return decoded;
+}
+
 Result<Message>
 Decode(const wire::AgentGrant& aGrant)
 {
--- a/libs/protocol/src/AgentDecoder.h
+++ b/libs/protocol/src/AgentDecoder.h
@@ -11,6 +11,8 @@
 base::Result<Message>
 Decode(const wire::AgentReport& aReport);
 base::Result<Message>
+Decode(const wire::AgentReportPart& aPart);
+base::Result<Message>
 Decode(const wire::AgentGrant& aGrant);
 base::Result<Message>
 Decode(const wire::AgentAck& aAck);
--- a/libs/protocol/src/AgentEncoder.cpp
+++ b/libs/protocol/src/AgentEncoder.cpp
@@ -45,39 +45,59 @@
   return worker;
 }
 
-} // namespace
-
-Offset<wire::AgentReport>
-WireEncoder::operator()(const AgentReport& aReport)
+/** Writes the runs of a report or of a part of one. */
+template<typename ReportT>
+void
+AddRuns(std::span<const dispatch::RunningTask> aRunning,
+        std::span<const dispatch::EndedTask> aEnded,
+        ReportT& aOut)
 {
-  wire::AgentReportT report;
-  report.sequence = aReport.sequence;
-  report.token = aReport.token.Get();
-  report.agent = aReport.report.agent.Text();
-  if (aReport.report.worker) {
-    report.worker = ToWire(*aReport.report.worker);
-  }
-  for (const auto& each : aReport.report.running) {
+  for (const auto& each : aRunning) {
     auto running = std::make_unique<wire::RunningTaskT>();
     running->run = ToWire(each.run);
     running->checkpoint = each.checkpoint;
     running->percent = each.percent;
-    report.running.push_back(std::move(running));
+    aOut.running.push_back(std::move(running));
   }
-  for (const auto& each : aReport.report.ended) {
+  for (const auto& each : aEnded) {
     auto ended = std::make_unique<wire::EndedTaskT>();
     ended->number = each.number;
     ended->run = ToWire(each.run);
     ended->kind = static_cast<std::uint8_t>(each.kind);
     ended->checkpoint = each.checkpoint;
-    report.ended.push_back(std::move(ended));
+    aOut.ended.push_back(std::move(ended));
+  }
+}
+
+} // namespace
+
+Offset<wire::AgentReport>
+WireEncoder::operator()(const AgentReport& aReport)
+{
+  wire::AgentReportT report;
+  report.sequence = aReport.sequence;
+  report.token = aReport.token.Get();
+  report.agent = aReport.report.agent.Text();
+  if (aReport.report.worker) {
+    report.worker = ToWire(*aReport.report.worker);
   }
+  AddRuns(aReport.report.running, aReport.report.ended, report);
+  report.parts = aReport.parts;
   if (aReport.report.receivedOrder) {
     report.received_order = aReport.report.receivedOrder->Get();
   }
   return wire::CreateAgentReport(this->builder, &report);
 }
 
+Offset<wire::AgentReportPart>
+WireEncoder::operator()(const AgentReportPart& aPart)
+{
+  wire::AgentReportPartT part;
+  part.sequence = aPart.sequence;
+  AddRuns(aPart.running, aPart.ended, part);
+  return wire::CreateAgentReportPart(this->builder, &part);
+}
+
 Offset<wire::AgentGrant>
 WireEncoder::operator()(const AgentGrant& aGrant)
 {
--- /dev/null
+++ b/libs/protocol/src/ReportParts.cpp
@@ -0,0 +1,91 @@
+#include "amaranthwind/protocol/ReportParts.h"
+
+#include <iterator>
+#include <utility>
+
+namespace amaranthwind::protocol {
+
+namespace {
+
+/** Encoded size of a run without the job's id and the checkpoint. */
+constexpr std::size_t kRunBytes = 128;
+
+std::size_t
+EncodedSize(const job::TaskRun& aRun, std::string_view aCheckpoint)
+{
+  return kRunBytes + aRun.task.step.job.View().size() + aCheckpoint.size();
+}
+
+template<typename T>
+void
+MoveTo(std::vector<T>& aFrom, std::vector<T>& aTo)
+{
+  aTo.insert(aTo.end(),
+             std::make_move_iterator(aFrom.begin()),
+             std::make_move_iterator(aFrom.end()));
+  aFrom.clear();
+}
+
+} // namespace
+
+std::vector<Message>
+DivideReport(AgentReport aReport, std::size_t aMaxBytes)
+{
+  std::vector<Message> messages;
+  AgentReportPart part{ aReport.sequence, {}, {} };
+  std::size_t bytes = 0;
+  const auto makeRoom = [&](std::size_t aNeeded) {
+    if (bytes > 0 && bytes + aNeeded > aMaxBytes) {
+      messages.emplace_back(
+        std::exchange(part, AgentReportPart{ aReport.sequence, {}, {} }));
+      bytes = 0;
+    }
+    bytes += aNeeded;
+  };
+  for (auto& each : aReport.report.running) {
+    makeRoom(EncodedSize(each.run, each.checkpoint));
+    part.running.push_back(std::move(each));
+  }
+  for (auto& each : aReport.report.ended) {
+    makeRoom(EncodedSize(each.run, each.checkpoint));
+    part.ended.push_back(std::move(each));
+  }
+  aReport.report.running = std::move(part.running);
+  aReport.report.ended = std::move(part.ended);
+  aReport.parts = static_cast<std::uint32_t>(messages.size());
+  messages.emplace_back(std::move(aReport));
+  return messages;
+}
+
+void
+ReportJoiner::Add(const AgentReportPart& aPart)
+{
+  if (aPart.sequence != this->sequence) {
+    *this = {};
+    this->sequence = aPart.sequence;
+  }
+  ++this->parts;
+  this->running.insert(
+    this->running.end(), aPart.running.begin(), aPart.running.end());
+  this->ended.insert(this->ended.end(), aPart.ended.begin(), aPart.ended.end());
+}
+
+bool
+ReportJoiner::Complete(AgentReport& aReport)
+{
+  ReportJoiner joined = std::exchange(*this, {});
+  if (aReport.parts == 0) {
+    return true;
+  }
+  if (joined.sequence != aReport.sequence || joined.parts != aReport.parts) {
+    return false;
+  }
+  MoveTo(aReport.report.running, joined.running);
+  MoveTo(aReport.report.ended, joined.ended);
+  aReport.report.running = std::move(joined.running);
+  aReport.report.ended = std::move(joined.ended);
+  aReport.parts = 0;
+  return true;
+}
+
+} // namespace amaranthwind::protocol
--- a/libs/protocol/src/WireDecoder.cpp
+++ b/libs/protocol/src/WireDecoder.cpp
@@ -589,6 +589,8 @@
       return Decode(*aEnvelope.body_as_FetchTopology());
     case wire::Body::AgentReport:
       return protocol::Decode(*aEnvelope.body_as_AgentReport());
+    case wire::Body::AgentReportPart:
+      return protocol::Decode(*aEnvelope.body_as_AgentReportPart());
     case wire::Body::AgentGrant:
       return protocol::Decode(*aEnvelope.body_as_AgentGrant());
     case wire::Body::AgentAck:
--- a/libs/protocol/src/WireEncoder.h
+++ b/libs/protocol/src/WireEncoder.h
@@ -64,6 +64,8 @@
   flatbuffers::Offset<wire::FetchTopology> operator()(
     const FetchTopology& aFetch);
   flatbuffers::Offset<wire::AgentReport> operator()(const AgentReport& aReport);
+  flatbuffers::Offset<wire::AgentReportPart> operator()(
+    const AgentReportPart& aPart);
   flatbuffers::Offset<wire::AgentGrant> operator()(const AgentGrant& aGrant);
   flatbuffers::Offset<wire::AgentAck> operator()(const AgentAck& aAck);
   flatbuffers::Offset<wire::AgentStart> operator()(const AgentStart& aStart);
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -157,6 +157,7 @@
     LeaderNotice{ base::FencingToken(3), "127.0.0.1:7" },
     AppendRecord{ 7, "a/1", std::string("\0\xFF{}", 4) },
     AppendRecordReply{ 7, AppendState::Durable },
+    AgentReportPart{ 5, MakeReport().running, MakeReport().ended },
   };
 }
 
