Order the starts of a worker in limited numbers until it has answered

In its logs the coordinator handled 60,000 outcomes in 2 s, nearly all of them refusals, and tasks reached run 13.

Cause: all durable placements of a worker were ordered at once. More than 1,024 starts exceed the queue of the daemon, which refuses the rest; each refusal frees the task, which is placed again, written again and refused again. Large orders could exceed the 8 MiB of the connection's send queue as well, which closes it, and they were sent again in the next session.

Now a worker has at most 256 starts, or 1 MiB of them, whose outcome is not known; the next ones follow the outcomes. Those of a lost session are settled by the first report of the next one. A gang that waits only for earlier starts holds back independent tasks of its workers, so that it cannot starve.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -125,6 +125,14 @@
   base::TimePoint avoidUntil{};
   /** Latest stop order for each orphaned run. */
   std::map<job::TaskRun, OrphanStop> orphanStops;
+  /** Durable placements of independent tasks whose start waits for its turn. */
+  std::deque<job::TaskRun> readyStarts;
+  /** Size of the start orders whose outcome is not known yet. */
+  std::map<job::TaskRun, std::size_t> awaitedStarts;
+  std::size_t awaitedBytes = 0;
+
+  /** Whether another start may be ordered now. */
+  bool HasRoomForStart() const noexcept;
 
   fleet::TaskResources Free() const noexcept
   {
@@ -357,6 +365,8 @@
   OrderNumber NextOrder();
   SessionId SessionOf(const base::AgentId& aAgent) const;
   void SendStart(Task& aTask, const job::TaskRun& aRun);
+  /** The outcome of the start order is known, or no longer of interest. */
+  static void SettleStart(Worker& aWorker, const job::TaskRun& aRun);
   void SendStop(Task& aTask, const job::TaskRun& aRun);
   /** Stops the other members of a gang run after one has ended. */
   void StopGangMembers(Step& aStep,
@@ -369,9 +379,20 @@
   bool CanStartInTime(const Task& aTask) const;
   /**
    * Orders the start of placements that are durable. Those whose order would be
-   * refused as too old wait; members of a gang are ordered together.
+   * refused as too old wait, and so do those of workers that have many starts
+   * to carry out; members of a gang are ordered together.
    */
   void SendReadyOrders();
+  void CollectReadyStarts();
+  /**
+   * Whether all members of the gang can be ordered to start. If it only waits
+   * for the earlier starts of its workers, no others are sent to them.
+   */
+  bool CanStartGang(std::span<const job::TaskRun> aMembers,
+                    std::set<base::AgentId>& aHeldWorkers);
+  /** The placement is still to be ordered. */
+  bool IsToBeStarted(const job::TaskRun& aRun);
+  void OrderStart(const job::TaskRun& aRun);
   void AcknowledgeDurableEnds();
 
   // The scheduling pass (Scheduling.cpp).
@@ -448,6 +469,8 @@
   std::vector<job::TaskRun> unwrittenPlacements;
   /** Placements that are not ordered yet, with the version of their record. */
   std::deque<std::pair<std::uint64_t, job::TaskRun>> pendingPlacements;
+  /** Gangs with durable placements, by the members that are to be started. */
+  std::vector<std::vector<job::TaskRun>> readyGangs;
   /** Acknowledgements that depend on changes that were not written yet. */
   std::vector<AcknowledgeEnds> unwrittenAcks;
   /** With the version of the last record that must be durable before. */
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -173,10 +173,14 @@
   Counts counts;
   counts.waitingOrders = this->state->unwrittenPlacements.size() +
                          this->state->pendingPlacements.size();
+  for (const auto& gang : this->state->readyGangs) {
+    counts.waitingOrders += gang.size();
+  }
   for (const auto& [id, job] : this->state->jobs) {
     counts.jobs += job.hasEnded ? 0 : 1;
   }
   for (const auto& [agent, worker] : this->state->workers) {
+    counts.waitingOrders += worker.readyStarts.size();
     if (worker.info) {
       ++counts.workers;
       counts.tasksOnWorkers += worker.allocations.size();
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -23,6 +23,13 @@
 constexpr base::Duration kStartOrderTime = std::chrono::milliseconds(500);
 /** How long a worker is avoided after a failed start. */
 constexpr base::Duration kStartFailureBackoff = std::chrono::milliseconds(500);
+/**
+ * Limits of the start orders to a worker whose outcome is not known yet. More
+ * would exceed the queues on their way, which refuse them or break the
+ * connection.
+ */
+constexpr std::size_t kMaxAwaitedStarts = 256;
+constexpr std::size_t kMaxAwaitedBytes = std::size_t{ 1024 } * 1024;
 
 /** The runs that a report names, for repeated search. */
 class ReportedRuns
@@ -69,6 +76,13 @@
 
 } // namespace
 
+bool
+Worker::HasRoomForStart() const noexcept
+{
+  return this->awaitedStarts.size() < kMaxAwaitedStarts &&
+         this->awaitedBytes < kMaxAwaitedBytes;
+}
+
 void
 Dispatcher::State::HandleReport(const WorkerReport& aReport,
                                 SessionId aSession,
@@ -325,6 +339,10 @@
     }
   }
   task->isInherited = false;
+  if (task->order <= aWorker.lastOrderBeforeSession) {
+    // Its outcome was lost with its session.
+    SettleStart(aWorker, aRunning.run);
+  }
   if (task->phase == Phase::Ordered) {
     task->phase = Phase::Running;
     task->phaseStartedAt = this->callTime.now;
@@ -462,6 +480,9 @@
   const auto allocations = std::exchange(aWorker.allocations, {});
   aWorker.used = {};
   aWorker.orphanStops.clear();
+  aWorker.readyStarts.clear();
+  aWorker.awaitedStarts.clear();
+  aWorker.awaitedBytes = 0;
   for (const auto& [run, need] : allocations) {
     Task* task = this->FindRun(run);
     if (task != nullptr && task->IsOnWorker() &&
@@ -517,6 +538,7 @@
   Task* task = this->FindRun(aRun);
   const bool isCurrent = task != nullptr && task->IsOnWorker() &&
                          task->incarnation == aWorker.info->life;
+  SettleStart(aWorker, aRun);
   if (aOutcome == OrderOutcome::Started) {
     if (isCurrent && task->phase == Phase::Ordered) {
       task->phase = Phase::Running;
@@ -571,6 +593,7 @@
 bool
 Dispatcher::State::ReleaseResources(Worker& aWorker, const job::TaskRun& aRun)
 {
+  SettleStart(aWorker, aRun);
   const auto found = aWorker.allocations.find(aRun);
   if (found == aWorker.allocations.end()) {
     return false;
@@ -654,17 +677,33 @@
 {
   aTask.order = this->NextOrder();
   aTask.phaseStartedAt = this->callTime.now;
+  const std::string& payload = this->FindJob(aRun.task.step.job)->spec->payload;
+  Worker& worker = this->workers.at(aTask.agent);
+  const std::size_t bytes = payload.size() + aTask.checkpoint.size();
+  if (worker.awaitedStarts.emplace(aRun, bytes).second) {
+    worker.awaitedBytes += bytes;
+  }
   this->effects.emplace_back(StartTask{
     aTask.agent,
-    this->SessionOf(aTask.agent),
+    worker.session,
     aTask.order,
     aTask.incarnation,
     aRun,
-    this->FindJob(aRun.task.step.job)->spec->payload,
+    payload,
     aTask.checkpoint,
     this->options.maxStartAge - (this->callTime.now - this->jobsAsOf) });
 }
 
+void
+Dispatcher::State::SettleStart(Worker& aWorker, const job::TaskRun& aRun)
+{
+  const auto found = aWorker.awaitedStarts.find(aRun);
+  if (found != aWorker.awaitedStarts.end()) {
+    aWorker.awaitedBytes -= found->second;
+    aWorker.awaitedStarts.erase(found);
+  }
+}
+
 void
 Dispatcher::State::SendStop(Task& aTask, const job::TaskRun& aRun)
 {
@@ -695,43 +734,98 @@
            this->options.maxStartAge;
 }
 
+bool
+Dispatcher::State::IsToBeStarted(const job::TaskRun& aRun)
+{
+  const Task* task = this->FindRun(aRun);
+  return task != nullptr && task->phase == Phase::Placing &&
+         this->workers.contains(task->agent);
+}
+
 void
-Dispatcher::State::SendReadyOrders()
+Dispatcher::State::OrderStart(const job::TaskRun& aRun)
+{
+  Task& task = *this->FindRun(aRun);
+  task.phase = Phase::Ordered;
+  task.isStartRepeated = false;
+  this->SendStart(task, aRun);
+}
+
+void
+Dispatcher::State::CollectReadyStarts()
 {
-  std::deque<std::pair<std::uint64_t, job::TaskRun>> waiting;
   while (!this->pendingPlacements.empty() &&
          this->pendingPlacements.front().first <= this->persistedVersion) {
-    const auto first = this->pendingPlacements.front();
-    const job::StepSpec* spec = this->SpecOf(first.second.task.step);
-    std::vector<job::TaskRun> together;
-    bool canStart = true;
+    const job::TaskRun run = this->pendingPlacements.front().second;
+    this->pendingPlacements.pop_front();
+    if (!this->IsToBeStarted(run)) {
+      continue;
+    }
+    if (!this->SpecOf(run.task.step)->isGang) {
+      const Task& task = *this->FindRun(run);
+      this->workers.at(task.agent).readyStarts.push_back(run);
+      continue;
+    }
     // The members of a gang are placed one after another.
-    do {
-      const job::TaskRun run = this->pendingPlacements.front().second;
-      this->pendingPlacements.pop_front();
-      const Task* task = this->FindRun(run);
-      if (task != nullptr && task->phase == Phase::Placing) {
-        together.push_back(run);
-        canStart = canStart && this->CanStartInTime(*task);
-      }
-    } while (spec != nullptr && spec->isGang &&
-             !this->pendingPlacements.empty() &&
-             this->pendingPlacements.front().second.run == first.second.run &&
-             this->pendingPlacements.front().second.task.step ==
-               first.second.task.step);
-    for (const auto& run : together) {
-      if (canStart) {
-        Task& task = *this->FindRun(run);
-        task.phase = Phase::Ordered;
-        task.isStartRepeated = false;
-        this->SendStart(task, run);
-      } else {
-        waiting.emplace_back(first.first, run);
+    const bool isFirst =
+      this->readyGangs.empty() ||
+      this->readyGangs.back().back().run != run.run ||
+      this->readyGangs.back().back().task.step != run.task.step;
+    if (isFirst) {
+      this->readyGangs.emplace_back();
+    }
+    this->readyGangs.back().push_back(run);
+  }
+}
+
+bool
+Dispatcher::State::CanStartGang(std::span<const job::TaskRun> aMembers,
+                                std::set<base::AgentId>& aHeldWorkers)
+{
+  std::vector<base::AgentId> busyWorkers;
+  for (const auto& run : aMembers) {
+    const Task& task = *this->FindRun(run);
+    if (!this->CanStartInTime(task)) {
+      return false;
+    }
+    if (!this->workers.at(task.agent).HasRoomForStart()) {
+      busyWorkers.push_back(task.agent);
+    }
+  }
+  aHeldWorkers.insert(busyWorkers.begin(), busyWorkers.end());
+  return busyWorkers.empty();
+}
+
+void
+Dispatcher::State::SendReadyOrders()
+{
+  this->CollectReadyStarts();
+  std::set<base::AgentId> heldWorkers;
+  std::erase_if(this->readyGangs, [&](std::vector<job::TaskRun>& aGang) {
+    std::erase_if(aGang, [this](const job::TaskRun& aRun) {
+      return !this->IsToBeStarted(aRun);
+    });
+    if (!aGang.empty() && !this->CanStartGang(aGang, heldWorkers)) {
+      return false;
+    }
+    for (const auto& run : aGang) {
+      this->OrderStart(run);
+    }
+    return true;
+  });
+  for (auto& [agent, worker] : this->workers) {
+    while (!worker.readyStarts.empty()) {
+      const job::TaskRun run = worker.readyStarts.front();
+      if (this->IsToBeStarted(run)) {
+        if (heldWorkers.contains(agent) || !worker.HasRoomForStart() ||
+            !this->CanStartInTime(*this->FindRun(run))) {
+          break;
+        }
+        this->OrderStart(run);
       }
+      worker.readyStarts.pop_front();
     }
   }
-  this->pendingPlacements.insert(
-    this->pendingPlacements.begin(), waiting.begin(), waiting.end());
 }
 
 void
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -146,6 +146,51 @@
   }
 }
 
+// Guards against a worker that gets more starts than the queues on their way
+// hold, refuses them, and gets them again.
+TEST_CASE("a worker gets a limited number of starts until it has answered")
+{
+  constexpr std::uint32_t kTasks = 1000;
+  DispatcherHarness harness(1);
+  DispatcherHarness::Agent& agent = harness.agents.at("vm-0");
+  auto job = DispatcherHarness::MakeJob("j", kTasks, 0);
+  job.steps[0].need = { 10, 10, 0 };
+  std::size_t limit = 256;
+  SUBCASE("small orders") {}
+  SUBCASE("large orders")
+  {
+    job.payload = std::string(16UL * 1024, 'x');
+    limit = 64;
+  }
+  agent.delaysOrders = true;
+  harness.Submit(job);
+  harness.Run(2s);
+  CHECK(harness.starts.size() == limit);
+  auto gang = MakeGang("gang", 2, 1);
+  gang.steps[0].need = { 10, 10, 1 };
+  harness.Submit(gang);
+  harness.DeliverOrders("vm-0");
+  // The gang is not held up by the tasks that wait.
+  REQUIRE(harness.starts.size() >= limit * 2);
+  CHECK(harness.starts[limit].run.task.step.job.View() == "gang");
+  CHECK(harness.starts[limit + 1].run.task.step.job.View() == "gang");
+  SUBCASE("all outcomes arrive") {}
+  SUBCASE("outcomes are lost with their connection")
+  {
+    agent.losesOutcomes = true;
+    harness.DeliverOrders("vm-0");
+    harness.Reconnect("vm-0");
+    agent.losesOutcomes = false;
+  }
+  for (int i = 0; i < 20; ++i) {
+    harness.Run(500ms);
+    CHECK(agent.delayed.size() <= limit + 2);
+    harness.DeliverOrders("vm-0");
+  }
+  CHECK(harness.Running("j").size() == kTasks);
+  CHECK(harness.starts.size() == kTasks + 2);
+}
+
 TEST_CASE("an end is acknowledged after the last record that it changed")
 {
   DispatcherHarness harness(1);
