Reserve for a blocked step only what will be released for certain

Cause: the reservation of a blocked step took the end of each run from its estimate. A run without an estimate, one that lasts, and one that was overdue counted as ending at once or soon, in each pass anew, so that a reservation that could not come true never ended. It also withheld whole workers, although the step may need a part of each.

Now a run that lasts, has no estimate, or has taken twice its estimate is not counted on; a step that only fits after its end reserves nothing. One that is overdue is expected to take as long again as it is overdue, so that longer and longer jobs pass. A reservation withholds only those resources of a worker that the step needs beyond what will be released. In a pool whose work is less than half of its capacity, no step for which there is room twice over is held back for longer than 1.5 s, and a lasting step is never held back; room for which other tasks were stopped stays reserved. The limit of two reservations counts for each pool, since two blocked steps of one pool took the reservations of all.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -142,14 +142,26 @@
   }
 };
 
+/** Resources of a worker that a step will need. */
+struct Reservation
+{
+  /** When the step is expected to start. Runs that end before are unaffected.
+   */
+  base::TimePoint from;
+  fleet::TaskResources need;
+  /** What runs on the worker are expected to release until then. */
+  fleet::TaskResources released;
+  /** Made for a step that stopped other tasks, which end for certain. */
+  bool isFirm = false;
+};
+
 /** A worker that accepts tasks, as the current scheduling pass sees it. */
 struct PoolWorker
 {
   Worker* worker = nullptr;
   /** Racks are numbered from 0 within the pool. */
   std::uint32_t rack = 0;
-  /** Runs that end after this time may not use the worker. */
-  base::TimePoint reservedAt = base::TimePoint::max();
+  std::vector<Reservation> reservations;
   /** Index of its first run in Pool::runs, which has them in this order. */
   std::size_t firstRun = 0;
 };
@@ -158,8 +170,8 @@
 struct PoolRun
 {
   fleet::TaskResources need;
-  /** Estimated time until the run has ended. */
-  base::Duration remaining{};
+  /** Estimated time until the run has ended; empty if it may never end. */
+  std::optional<base::Duration> remaining;
   bool isEnding = false;
 };
 
@@ -230,6 +242,10 @@
   std::uint32_t racks = 0;
   std::uint64_t usedAccelerators = 0;
   std::uint64_t accelerators = 0;
+  std::uint64_t usedMilliCores = 0;
+  std::uint64_t milliCores = 0;
+  /** Number of blocked steps with reservations. */
+  std::size_t reservations = 0;
   /** By worker; nullopt if it has to be collected. */
   std::optional<std::vector<PoolRun>> runs;
   /** By job, step and index; nullopt if it has to be collected. */
@@ -238,13 +254,10 @@
   std::optional<VictimList> victims;
 
   /** Fraction of the accelerators that is in use. */
-  double Utilization() const noexcept
-  {
-    return this->accelerators == 0
-             ? 1.0
-             : static_cast<double>(this->usedAccelerators) /
-                 static_cast<double>(this->accelerators);
-  }
+  double Utilization() const noexcept;
+  /** Fraction of the cores in use; an accelerator counts as several cores. */
+  double UsedWork() const noexcept;
+  bool IsMostlyIdle() const noexcept;
 };
 
 /** A ready step with unplaced tasks. */
@@ -266,12 +279,25 @@
   }
 };
 
-/** The workers that a candidate may use; both vectors have the same order. */
+/** The workers that a candidate may use; all vectors have the same order. */
 struct UsableWorkers
 {
   /** Indices into Pool::workers, ascending. */
   std::vector<std::uint32_t> indices;
   std::vector<PackingWorker> packing;
+  /** What others have reserved of all resources; empty if nothing is. */
+  std::vector<fleet::TaskResources> reserved;
+
+  /** What is left of the given resources of the worker at this position. */
+  fleet::TaskResources Unreserved(std::size_t aPosition,
+                                  fleet::TaskResources aResources) const
+  {
+    if (!this->reserved.empty()) {
+      aResources -= this->reserved[aPosition];
+    }
+    return aResources;
+  }
+  UsableWorkers Without(const Pool& aPool, const base::AgentId& aAgent) const;
 };
 
 /** Request to place a number of a candidate's tasks. */
@@ -413,6 +439,18 @@
                        std::span<const std::uint32_t> aTasks,
                        std::span<Worker* const> aWorkers);
   UsableWorkers FindUsableWorkers(const Candidate& aCandidate) const;
+  /**
+   * Whether the candidate has waited for long enough, although there is plenty
+   * of room, to use what is reserved for steps that wait.
+   */
+  bool MayUseReserved(const Candidate& aCandidate,
+                      const UsableWorkers& aAll) const;
+  /** Subtracts from the usable resources what others have reserved. */
+  void WithholdReserved(const Candidate& aCandidate,
+                        UsableWorkers& aUsable) const;
+  /** When the candidate's tasks are expected to end if they start now. */
+  base::TimePoint ExpectedEnd(const Candidate& aCandidate) const;
+  base::Duration WaitedTime(const Candidate& aCandidate) const;
   /** Describes the workers of the pool with the given indices. */
   static UsableWorkers ToUsableWorkers(const Candidate& aCandidate,
                                        std::vector<std::uint32_t> aIndices);
@@ -425,11 +463,16 @@
   bool Reserve(const Candidate& aCandidate,
                const UsableWorkers& aUsable,
                std::uint32_t aCount);
-  /** Reserves the chosen workers for runs that end after the given time. */
-  void AddReservation(Pool& aPool,
-                      const UsableWorkers& aUsable,
-                      std::span<const std::uint32_t> aChosen,
-                      base::TimePoint aUntil);
+  /**
+   * Reserves the resources of the candidate's tasks on the chosen workers.
+   * @param aReservation From when, and whether for certain.
+   * @param aReleased What will be released until then, by position.
+   */
+  static void AddReservation(const Candidate& aCandidate,
+                             const UsableWorkers& aUsable,
+                             std::span<const std::uint32_t> aChosen,
+                             std::span<const fleet::TaskResources> aReleased,
+                             Reservation aReservation);
   void CollectRuns(Pool& aPool);
   PoolRun ToPoolRun(const job::TaskRun& aRun,
                     const fleet::TaskResources& aNeed);
@@ -479,7 +522,6 @@
 
   // State of the current scheduling pass.
   std::map<base::PoolId, Pool> pools;
-  std::size_t reservations = 0;
 
   // State of the current call.
   ClockReading callTime;
@@ -487,6 +529,9 @@
   bool mustSchedule = false;
 };
 
+/** Cores that one accelerator is equivalent to when work is weighed. */
+inline constexpr double kCoresPerAccelerator = 8.0;
+
 /** Resources that a task of the step uses on a worker. */
 fleet::TaskResources
 RequiredResources(const job::StepSpec& aSpec) noexcept;
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/** Cores that one accelerator is equivalent to when lost work is weighed. */
-constexpr double kCoresPerAccelerator = 8.0;
 /**
  * A step without a guarantee may discard at most this multiple of its own work,
  * because it gains only the difference between finishing on time and late.
@@ -213,14 +211,24 @@
 {
   Pool& pool = *aCandidate.pool;
   // Resources of tasks that are already stopping count as available.
+  std::vector<fleet::TaskResources> ending(aUsable.indices.size());
   std::vector<PackingWorker> available = aUsable.packing;
   for (std::size_t i = 0; i < available.size(); ++i) {
     for (const PoolRun& run : this->RunsOn(pool, aUsable.indices[i])) {
       if (run.isEnding) {
-        available[i].free += run.need;
+        ending[i] += run.need;
       }
     }
+    available[i].free = pool.workers[aUsable.indices[i]].worker->Free();
+    available[i].free += ending[i];
   }
+  const auto pack = [&](std::vector<PackingWorker> aWorkers,
+                        const RackedRequest& aRequest) {
+    for (std::size_t i = 0; i < aWorkers.size(); ++i) {
+      aWorkers[i].free = aUsable.Unreserved(i, aWorkers[i].free);
+    }
+    return this->Pack(aWorkers, aRequest);
+  };
   const RackedRequest request = this->MakeRequest(aCandidate, aUsable, aCount);
   const double wasteLimit =
     aCandidate.isGuaranteed
@@ -262,7 +270,7 @@
   for (const Victim& victim : victims) {
     release(freed, victim);
   }
-  auto chosen = this->Pack(freed, request);
+  auto chosen = pack(freed, request);
   if (chosen.empty()) {
     return false;
   }
@@ -273,7 +281,7 @@
     for (std::size_t i = 0; i < middle; ++i) {
       release(freed, victims[i]);
     }
-    if (auto packed = this->Pack(freed, request); !packed.empty()) {
+    if (auto packed = pack(freed, request); !packed.empty()) {
       end = middle;
       chosen = std::move(packed);
     } else {
@@ -305,7 +313,7 @@
       for (std::size_t i = undecided - step; i < undecided; ++i) {
         withhold(reduced, victims[i]);
       }
-      if (auto packed = this->Pack(reduced, request); !packed.empty()) {
+      if (auto packed = pack(reduced, request); !packed.empty()) {
         undecided -= step;
         freed = std::move(reduced);
         chosen = std::move(packed);
@@ -315,7 +323,18 @@
       step = isGrowing ? step * 2 : step / 2;
     }
   }
-  this->AddReservation(pool, aUsable, chosen, this->callTime.now);
+  std::vector<fleet::TaskResources> released = std::move(ending);
+  for (const Victim& victim : needed) {
+    for (std::size_t i = victim.first; i < victim.end; ++i) {
+      released[tasks[i].position] += tasks[i].task->need;
+    }
+  }
+  AddReservation(
+    aCandidate,
+    aUsable,
+    chosen,
+    released,
+    { .from = this->callTime.now, .need = {}, .released = {}, .isFirm = true });
   for (auto victim = needed.rbegin(); victim != needed.rend(); ++victim) {
     for (std::size_t i = victim->first; i < victim->end; ++i) {
       const PreemptibleTask& task = *tasks[i].task;
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -17,14 +17,21 @@
 constexpr int kRackWaitEstimates = kRemoteSlowdown - 1;
 /** Maximum wait while the pool is mostly idle, so that capacity is used. */
 constexpr base::Duration kIdlePoolMaxWait = std::chrono::milliseconds(1500);
-/** Accelerator utilization below which a pool counts as mostly idle. */
+/** Utilization below which a pool counts as mostly idle. */
 constexpr double kIdlePoolUtilization = 0.75;
+/**
+ * Part of the work of a pool, see Pool::UsedWork(), below which nothing that
+ * fits waits for longer than kIdlePoolMaxWait.
+ */
+constexpr double kHalfIdleWork = 0.5;
 /** Maximum time that a guaranteed step waits for its preferred rack. */
 constexpr base::Duration kGuaranteedMaxRackWait =
   std::chrono::milliseconds(1200);
 /** A run is assumed to need at least its estimate / kOverrunDivisor more. */
 constexpr int kOverrunDivisor = 10;
-/** Maximum number of blocked steps with reserved workers. */
+/** A run that exceeds this multiple of its estimate may never end. */
+constexpr int kMaxOverrunFactor = 2;
+/** Maximum number of blocked steps of a pool with reserved resources. */
 constexpr std::size_t kMaxReservations = 2;
 
 std::vector<std::uint32_t>
@@ -39,12 +46,57 @@
   return idle;
 }
 
+double
+Fraction(std::uint64_t aUsed, std::uint64_t aTotal)
+{
+  return aTotal == 0 ? 1.0
+                     : static_cast<double>(aUsed) / static_cast<double>(aTotal);
+}
+
 } // namespace
 
+double
+Pool::Utilization() const noexcept
+{
+  return this->accelerators > 0
+           ? Fraction(this->usedAccelerators, this->accelerators)
+           : 1.0;
+}
+
+double
+Pool::UsedWork() const noexcept
+{
+  constexpr auto kWeight =
+    static_cast<std::uint64_t>(kCoresPerAccelerator * 1000);
+  return Fraction(this->usedMilliCores + kWeight * this->usedAccelerators,
+                  this->milliCores + kWeight * this->accelerators);
+}
+
+bool
+Pool::IsMostlyIdle() const noexcept
+{
+  return this->Utilization() < kIdlePoolUtilization;
+}
+
+UsableWorkers
+UsableWorkers::Without(const Pool& aPool, const base::AgentId& aAgent) const
+{
+  UsableWorkers others;
+  for (std::size_t i = 0; i < this->indices.size(); ++i) {
+    if (aPool.workers[this->indices[i]].worker->agent != aAgent) {
+      others.indices.push_back(this->indices[i]);
+      others.packing.push_back(this->packing[i]);
+      if (!this->reserved.empty()) {
+        others.reserved.push_back(this->reserved[i]);
+      }
+    }
+  }
+  return others;
+}
+
 void
 Dispatcher::State::Schedule()
 {
-  this->reservations = 0;
   this->CollectPools();
   this->UpdateGuaranteedJobs();
   for (const Candidate& candidate : this->CollectCandidates()) {
@@ -68,7 +120,7 @@
     // A gang needs workers for all of its tasks at once. Independent tasks can
     // start one by one, but a large one still needs a reserved worker.
     for (auto count = static_cast<std::uint32_t>(waiting);
-         count > 0 && this->reservations < kMaxReservations;
+         count > 0 && candidate.pool->reservations < kMaxReservations;
          count = candidate.Spec().isGang ? 0 : count / 2) {
       if (this->Reserve(candidate, usable, count)) {
         break;
@@ -96,6 +148,8 @@
     added.rack = rack->second;
     pool.usedAccelerators += worker.used.accelerators;
     pool.accelerators += worker.info->capacity.accelerators;
+    pool.usedMilliCores += worker.used.milliCores;
+    pool.milliCores += worker.info->capacity.milliCores;
   }
 }
 
@@ -207,6 +261,22 @@
   return candidates;
 }
 
+base::Duration
+Dispatcher::State::WaitedTime(const Candidate& aCandidate) const
+{
+  return this->callTime.now -
+         aCandidate.step->readyAt.value_or(this->callTime.now);
+}
+
+base::TimePoint
+Dispatcher::State::ExpectedEnd(const Candidate& aCandidate) const
+{
+  const job::StepSpec& spec = aCandidate.Spec();
+  const bool isKnown =
+    !spec.isLongRunning && spec.estimate > base::Duration::zero();
+  return isKnown ? this->callTime.now + spec.estimate : base::TimePoint::max();
+}
+
 UsableWorkers
 Dispatcher::State::FindUsableWorkers(const Candidate& aCandidate) const
 {
@@ -215,16 +285,12 @@
   // A suspect worker is better than none once a step has waited although the
   // pool is mostly idle: all other workers are busy or unsuitable.
   const bool mayUseSuspects =
-    this->callTime.now - aCandidate.step->readyAt.value_or(this->callTime.now) >
-      kIdlePoolMaxWait &&
-    pool.Utilization() < kIdlePoolUtilization;
-  const base::TimePoint expectedEnd = this->callTime.now + spec.estimate;
+    this->WaitedTime(aCandidate) > kIdlePoolMaxWait && pool.IsMostlyIdle();
   std::vector<std::uint32_t> indices;
   indices.reserve(pool.workers.size());
   for (std::uint32_t i = 0; i < pool.workers.size(); ++i) {
     const PoolWorker& each = pool.workers[i];
-    if (expectedEnd > each.reservedAt ||
-        (each.worker->avoidUntil > this->callTime.now && !mayUseSuspects)) {
+    if (each.worker->avoidUntil > this->callTime.now && !mayUseSuspects) {
       continue;
     }
     const auto& labels = each.worker->info->labels;
@@ -234,7 +300,56 @@
       indices.push_back(i);
     }
   }
-  return ToUsableWorkers(aCandidate, std::move(indices));
+  UsableWorkers usable = ToUsableWorkers(aCandidate, std::move(indices));
+  if (pool.reservations > 0) {
+    this->WithholdReserved(aCandidate, usable);
+  }
+  return usable;
+}
+
+bool
+Dispatcher::State::MayUseReserved(const Candidate& aCandidate,
+                                  const UsableWorkers& aAll) const
+{
+  const job::StepSpec& spec = aCandidate.Spec();
+  if (spec.isLongRunning) {
+    return true; // Its users notice each moment without it.
+  }
+  if (this->WaitedTime(aCandidate) <= kIdlePoolMaxWait ||
+      aCandidate.pool->UsedWork() >= kHalfIdleWork) {
+    return false;
+  }
+  PackingRequest twice;
+  twice.need = RequiredResources(spec);
+  twice.count =
+    2 *
+    (spec.isGang ? static_cast<std::uint32_t>(aCandidate.idleTasks.size()) : 1);
+  return !this->packing->Pack(aAll.packing, twice).empty();
+}
+
+void
+Dispatcher::State::WithholdReserved(const Candidate& aCandidate,
+                                    UsableWorkers& aUsable) const
+{
+  const Pool& pool = *aCandidate.pool;
+  const base::TimePoint end = this->ExpectedEnd(aCandidate);
+  const bool mayUseReserved = this->MayUseReserved(aCandidate, aUsable);
+  aUsable.reserved.resize(aUsable.indices.size());
+  for (std::size_t i = 0; i < aUsable.indices.size(); ++i) {
+    fleet::TaskResources released;
+    for (const Reservation& each :
+         pool.workers[aUsable.indices[i]].reservations) {
+      if (end > each.from && (each.isFirm || !mayUseReserved)) {
+        aUsable.reserved[i] += each.need;
+        released += each.released;
+      }
+    }
+    // The reservations are met from what will be released first.
+    const fleet::TaskResources free = aUsable.packing[i].free;
+    released += free;
+    aUsable.packing[i].free =
+      ComponentwiseMin(free, aUsable.Unreserved(i, released));
+  }
 }
 
 UsableWorkers
@@ -285,15 +400,13 @@
   PackingRequest request;
   request.need = RequiredResources(spec);
   request.count = aCount;
-  const base::Duration waited =
-    this->callTime.now - aCandidate.step->readyAt.value_or(this->callTime.now);
   base::Duration maxRackWait = spec.estimate * kRackWaitEstimates;
   if (aCandidate.isGuaranteed) {
     maxRackWait = kGuaranteedMaxRackWait;
-  } else if (pool.Utilization() < kIdlePoolUtilization) {
+  } else if (pool.IsMostlyIdle()) {
     maxRackWait = std::min(maxRackWait, kIdlePoolMaxWait);
   }
-  const bool mayWaitForRack = waited < maxRackWait;
+  const bool mayWaitForRack = this->WaitedTime(aCandidate) < maxRackWait;
   if (spec.prefersOneRack && spec.count > 1 && mayWaitForRack) {
     // Does not wait if the tasks would not fit even into an empty rack.
     std::vector<PackingWorker> empty = aUsable.packing;
@@ -355,45 +468,40 @@
                                          UsableWorkers& aUsable)
 {
   const auto& workers = aCandidate.pool->workers;
+  const fleet::TaskResources need = RequiredResources(aCandidate.Spec());
+  const auto pack = [&](const UsableWorkers& aWorkers) {
+    const auto chosen =
+      this->Pack(aWorkers.packing, this->MakeRequest(aCandidate, aWorkers, 1));
+    return chosen.empty() ? std::optional<std::uint32_t>()
+                          : aWorkers.indices[chosen.front()];
+  };
   std::size_t placed = 0;
   for (const std::uint32_t index : aCandidate.idleTasks) {
-    const base::AgentId& failedOn = aCandidate.step->tasks[index].failedOn;
-    std::vector<std::uint32_t> allowed;
-    if (!failedOn.IsEmpty()) {
-      std::copy_if(aUsable.indices.begin(),
-                   aUsable.indices.end(),
-                   std::back_inserter(allowed),
-                   [&](std::uint32_t aIndex) {
-                     return workers[aIndex].worker->agent != failedOn;
-                   });
-    }
-    std::uint32_t chosenIndex = 0;
-    if (!allowed.empty() && allowed.size() < aUsable.indices.size()) {
+    const Task& task = aCandidate.step->tasks[index];
+    std::optional<std::uint32_t> chosen;
+    if (!task.failedOn.IsEmpty()) {
       const UsableWorkers others =
-        ToUsableWorkers(aCandidate, std::move(allowed));
-      const auto chosen =
-        this->Pack(others.packing, this->MakeRequest(aCandidate, others, 1));
-      if (chosen.empty()) {
-        break;
-      }
-      chosenIndex = others.indices[chosen.front()];
-    } else {
-      const auto chosen =
-        this->Pack(aUsable.packing, this->MakeRequest(aCandidate, aUsable, 1));
-      if (chosen.empty()) {
+        aUsable.Without(*aCandidate.pool, task.failedOn);
+      chosen = pack(others);
+      if (!chosen && !others.indices.empty()) {
         break;
       }
-      chosenIndex = aUsable.indices[chosen.front()];
+    }
+    if (!chosen) {
+      chosen = pack(aUsable);
+    }
+    if (!chosen) {
+      break;
     }
     const std::uint32_t tasks[] = { index };
-    Worker* const worker[] = { workers[chosenIndex].worker };
+    Worker* const worker[] = { workers[*chosen].worker };
     this->CommitPlacement(aCandidate, tasks, worker);
     ++placed;
     PackingWorker& packing = aUsable.packing[static_cast<std::size_t>(
       std::lower_bound(
-        aUsable.indices.begin(), aUsable.indices.end(), chosenIndex) -
+        aUsable.indices.begin(), aUsable.indices.end(), *chosen) -
       aUsable.indices.begin())];
-    packing.free = worker[0]->Free();
+    packing.free -= need;
     if (aCandidate.Spec().maxPerWorker > 0) {
       --packing.remainingTaskLimit;
     }
@@ -425,9 +533,12 @@
     task.startedAt = this->callTime.now;
     task.isInherited = false;
     const job::TaskRun run{ { step.id, aTasks[i] }, task.run };
-    const std::uint32_t usedBefore = worker.used.accelerators;
+    const fleet::TaskResources usedBefore = worker.used;
     this->AllocateResources(worker, run, RequiredResources(spec));
-    aCandidate.pool->usedAccelerators += worker.used.accelerators - usedBefore;
+    aCandidate.pool->usedAccelerators +=
+      worker.used.accelerators - usedBefore.accelerators;
+    aCandidate.pool->usedMilliCores +=
+      worker.used.milliCores - usedBefore.milliCores;
     this->unwrittenPlacements.push_back(run);
     this->observer.OnPlaced(
       run, worker.agent, this->callTime.now - *step.readyAt);
@@ -440,22 +551,22 @@
 Dispatcher::State::ToPoolRun(const job::TaskRun& aRun,
                              const fleet::TaskResources& aNeed)
 {
-  const job::TaskId& id = aRun.task;
-  if (const Job* job = this->FindJob(id.step.job)) {
-    const auto step = job->steps.find({ id.step.occurrence, id.step.step });
-    if (step != job->steps.end() && id.index < step->second.tasks.size()) {
-      const Task& task = step->second.tasks[id.index];
-      if (task.run == aRun.run && task.IsOnWorker() &&
-          task.phase != Phase::Stopping) {
-        const base::Duration estimate = job->spec->steps[id.step.step].estimate;
-        const base::Duration elapsed = this->callTime.now - task.startedAt;
-        return { aNeed,
-                 std::max(estimate - elapsed, estimate / kOverrunDivisor),
-                 false };
-      }
-    }
+  const Task* task = this->FindRun(aRun);
+  if (task == nullptr || !task->IsOnWorker() ||
+      task->phase == Phase::Stopping) {
+    return { aNeed, this->options.stopTime, true };
   }
-  return { aNeed, this->options.stopTime, true };
+  const job::StepSpec& spec = *this->SpecOf(aRun.task.step);
+  const base::Duration elapsed = this->callTime.now - task->startedAt;
+  if (spec.isLongRunning || elapsed >= spec.estimate * kMaxOverrunFactor) {
+    return { aNeed, std::nullopt, false };
+  }
+  // An overdue run is assumed to need as long again as it is overdue.
+  const base::Duration difference =
+    spec.estimate > elapsed ? spec.estimate - elapsed : elapsed - spec.estimate;
+  return { aNeed,
+           std::max(difference, spec.estimate / kOverrunDivisor),
+           false };
 }
 
 void
@@ -483,8 +594,8 @@
 
 /**
  * Finds the earliest time at which the step fits if running tasks end as
- * estimated, and reserves the workers that it would use. Returns false if it
- * never fits.
+ * estimated, and reserves what it would use. Returns false if it never fits, or
+ * only after the end of a run that may never end.
  */
 bool
 Dispatcher::State::Reserve(const Candidate& aCandidate,
@@ -493,13 +604,6 @@
 {
   const auto& workers = aCandidate.pool->workers;
   const RackedRequest request = this->MakeRequest(aCandidate, aUsable, aCount);
-  auto available = aUsable.packing;
-  for (std::size_t i = 0; i < available.size(); ++i) {
-    available[i].free += workers[aUsable.indices[i]].worker->used;
-  }
-  if (this->Pack(available, request).empty()) {
-    return false;
-  }
   struct Release
   {
     base::Duration in;
@@ -510,7 +614,9 @@
   for (std::size_t i = 0; i < aUsable.indices.size(); ++i) {
     for (const PoolRun& run :
          this->RunsOn(*aCandidate.pool, aUsable.indices[i])) {
-      releases.push_back({ run.remaining, i, run.need });
+      if (run.remaining) {
+        releases.push_back({ *run.remaining, i, run.need });
+      }
     }
   }
   std::sort(releases.begin(),
@@ -518,41 +624,64 @@
             [](const Release& aLeft, const Release& aRight) {
               return aLeft.in < aRight.in;
             });
+  std::vector<fleet::TaskResources> released;
+  const auto packAfter = [&](std::size_t aReleases) {
+    released.assign(aUsable.indices.size(), {});
+    for (std::size_t i = 0; i < aReleases; ++i) {
+      released[releases[i].worker] += releases[i].freed;
+    }
+    auto available = aUsable.packing;
+    for (std::size_t i = 0; i < available.size(); ++i) {
+      available[i].free = workers[aUsable.indices[i]].worker->Free();
+      available[i].free += released[i];
+      available[i].free = aUsable.Unreserved(i, available[i].free);
+    }
+    return this->Pack(available, request);
+  };
+  if (releases.empty() || packAfter(releases.size()).empty()) {
+    return false;
+  }
   // Finds the first sufficient release by bisection.
   std::size_t first = 0;
-  std::vector<std::uint32_t> chosen;
-  for (std::size_t end = releases.size(); first < end;) {
+  for (std::size_t end = releases.size() - 1; first < end;) {
     const std::size_t middle = first + (end - first) / 2;
-    available = aUsable.packing;
-    for (std::size_t i = 0; i <= middle; ++i) {
-      available[releases[i].worker].free += releases[i].freed;
-    }
-    if (auto packed = this->Pack(available, request); !packed.empty()) {
-      end = middle;
-      chosen = std::move(packed);
-    } else {
+    if (packAfter(middle + 1).empty()) {
       first = middle + 1;
+    } else {
+      end = middle;
     }
   }
-  if (chosen.empty()) {
-    return false;
-  }
-  this->AddReservation(
-    *aCandidate.pool, aUsable, chosen, this->callTime.now + releases[first].in);
+  const auto chosen = packAfter(first + 1);
+  AddReservation(aCandidate,
+                 aUsable,
+                 chosen,
+                 released,
+                 { .from = this->callTime.now + releases[first].in,
+                   .need = {},
+                   .released = {},
+                   .isFirm = false });
   return true;
 }
 
 void
-Dispatcher::State::AddReservation(Pool& aPool,
-                                  const UsableWorkers& aUsable,
-                                  std::span<const std::uint32_t> aChosen,
-                                  base::TimePoint aUntil)
+Dispatcher::State::AddReservation(
+  const Candidate& aCandidate,
+  const UsableWorkers& aUsable,
+  std::span<const std::uint32_t> aChosen,
+  std::span<const fleet::TaskResources> aReleased,
+  Reservation aReservation)
 {
-  ++this->reservations;
+  ++aCandidate.pool->reservations;
+  const fleet::TaskResources need = RequiredResources(aCandidate.Spec());
+  std::map<std::uint32_t, fleet::TaskResources> needs;
   for (const std::uint32_t position : aChosen) {
-    base::TimePoint& reservedAt =
-      aPool.workers[aUsable.indices[position]].reservedAt;
-    reservedAt = std::min(reservedAt, aUntil);
+    needs[position] += need;
+  }
+  for (const auto& [position, sum] : needs) {
+    aReservation.need = sum;
+    aReservation.released = aReleased[position];
+    aCandidate.pool->workers[aUsable.indices[position]].reservations.push_back(
+      aReservation);
   }
 }
 
--- a/libs/dispatch/tests/SchedulingTest.cpp
+++ b/libs/dispatch/tests/SchedulingTest.cpp
@@ -169,6 +169,136 @@
   CHECK(harness.Running("g").size() == 1);
 }
 
+// Guards against idle workers that are withheld from all later jobs while a
+// gang waits for a run that may never end.
+TEST_CASE("a gang that waits for a run of unknown length withholds nothing")
+{
+  DispatcherHarness harness(3);
+  auto blocker = DispatcherHarness::MakeJob("blocker", 1, 1);
+  base::Duration ranFor{};
+  SUBCASE("a lasting run")
+  {
+    blocker.steps[0].isLongRunning = true;
+  }
+  SUBCASE("a run without an estimate")
+  {
+    blocker.steps[0].estimate = 0s;
+  }
+  SUBCASE("a run that is long overdue")
+  {
+    ranFor = 9s;
+  }
+  harness.Submit(blocker);
+  harness.Run(ranFor);
+  harness.Submit(MakeGang("g", 3, 8));
+  REQUIRE(harness.Running("g").empty());
+  harness.Submit(DispatcherHarness::MakeJob("small", 1, 1));
+  CHECK(harness.Running("small").size() == 1);
+  harness.EndAll("small", EndKind::Done);
+  harness.End(harness.Running("blocker").at(0), EndKind::Stopped);
+  harness.Cancel(blocker);
+  harness.Run(1s);
+  CHECK(harness.Running("g").size() == 3);
+}
+
+// Guards against a reservation that never ends: each pass expected the overdue
+// run to end soon.
+TEST_CASE("longer jobs pass a blocked gang the longer a run is overdue")
+{
+  DispatcherHarness harness(1);
+  auto blocker = DispatcherHarness::MakeJob("blocker", 1, 6);
+  blocker.steps[0].need.milliCores = 50'000;
+  blocker.steps[0].estimate = 10s;
+  harness.Submit(blocker);
+  auto gang = MakeGang("g", 1, 8);
+  gang.slack = 60s;
+  harness.Submit(gang);
+  auto later = DispatcherHarness::MakeJob("later", 1, 2);
+  later.steps[0].estimate = 4s;
+  harness.Run(9s);
+  harness.Submit(later);
+  harness.Run(3s);
+  CHECK(harness.Running("later").empty());
+  harness.Run(3s);
+  CHECK(harness.Running("later").size() == 1);
+}
+
+// Guards against whole workers that are withheld for a part of one.
+TEST_CASE("a blocked step reserves only the resources that it needs")
+{
+  DispatcherHarness harness(1);
+  harness.Submit(DispatcherHarness::MakeJob("a", 1, 6));
+  harness.Submit(MakeGang("g", 1, 4));
+  auto longer = DispatcherHarness::MakeJob("l", 2, 2);
+  longer.steps[0].estimate = 20s;
+  harness.Submit(longer);
+  CHECK(harness.Running("l").size() == 1);
+  harness.EndAll("a", EndKind::Done);
+  CHECK(harness.Running("g").size() == 1);
+  CHECK(harness.Running("l").size() == 2);
+}
+
+// Guards against half of a pool that stays idle while jobs wait, even if all
+// estimates are right.
+TEST_CASE("no job that fits waits long for a blocked gang in a half idle pool")
+{
+  DispatcherHarness harness(3);
+  auto blocker = DispatcherHarness::MakeJob("blocker", 1, 1);
+  blocker.steps[0].estimate = 20s;
+  auto later = DispatcherHarness::MakeJob("later", 1, 1);
+  later.steps[0].estimate = 25s;
+  bool isHalfIdle = false;
+  SUBCASE("half idle")
+  {
+    isHalfIdle = true;
+  }
+  SUBCASE("mostly in use")
+  {
+    blocker.steps[0].count = 3;
+    blocker.steps[0].need = { 40'000, 1024, 6 };
+  }
+  harness.Submit(blocker);
+  harness.Submit(MakeGang("g", 3, 8));
+  harness.Submit(later);
+  CHECK(harness.Running("later").empty());
+  harness.Run(2500ms);
+  CHECK(harness.Running("later").size() == (isHalfIdle ? 1 : 0));
+}
+
+// Guards against a lasting task that is not restarted at once because a gang
+// waits.
+TEST_CASE("a lasting task does not wait for a blocked gang")
+{
+  DispatcherHarness harness(2);
+  harness.Submit(DispatcherHarness::MakeJob("a", 1, 6));
+  harness.Submit(MakeGang("g", 2, 8));
+  auto lasting = DispatcherHarness::MakeJob("l", 1, 2);
+  lasting.steps[0].isLongRunning = true;
+  lasting.steps[0].estimate = 60s;
+  harness.Submit(lasting);
+  CHECK(harness.Running("l").size() == 1);
+}
+
+TEST_CASE("blocked steps of one pool take no reservation from another pool")
+{
+  DispatcherHarness harness(2);
+  harness.agents.at("vm-1").info.pool = base::PoolId("other");
+  harness.TakeOver();
+  const auto inOther = [](job::WorkflowSpec aSpec) {
+    aSpec.pool = base::PoolId("other");
+    return aSpec;
+  };
+  harness.Submit(DispatcherHarness::MakeJob("a", 1, 6));
+  harness.Submit(inOther(DispatcherHarness::MakeJob("b", 1, 6)));
+  harness.Submit(MakeGang("g1", 1, 8));
+  harness.Submit(MakeGang("g2", 1, 8));
+  harness.Submit(inOther(MakeGang("g3", 1, 8)));
+  auto longer = inOther(DispatcherHarness::MakeJob("l", 1, 2));
+  longer.steps[0].estimate = 20s;
+  harness.Submit(longer);
+  CHECK(harness.Running("l").empty());
+}
+
 // Guards against every job missing its objective under overload because it
 // waits for jobs that are already late.
 TEST_CASE(
--- a/libs/fleet/include/amaranthwind/fleet/TaskResources.h
+++ b/libs/fleet/include/amaranthwind/fleet/TaskResources.h
@@ -42,4 +42,14 @@
   }
 };
 
+/** The smaller of each quantity. */
+constexpr TaskResources
+ComponentwiseMin(const TaskResources& aLeft,
+                 const TaskResources& aRight) noexcept
+{
+  return { std::min(aLeft.milliCores, aRight.milliCores),
+           std::min(aLeft.memoryMiB, aRight.memoryMiB),
+           std::min(aLeft.accelerators, aRight.accelerators) };
+}
+
 } // namespace amaranthwind::fleet
