Let a failed task run where it failed if no other worker takes it

A task that had failed waited for another worker without limit, and so did the other waiting tasks of its step: if all others were taken by lasting work, it never ran again, though the worker on which it had failed was idle. Found while looking for what else is withheld for a time that may never end.

The test "a failed task waits only briefly for another worker" failed before.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -44,6 +44,8 @@
   base::TimePoint phaseStartedAt{};
   /** When the current run was placed. */
   base::TimePoint startedAt{};
+  /** When the latest failed run ended. */
+  base::TimePoint failedAt{};
   /** Number of times it was preempted. */
   std::uint32_t preemptions = 0;
   /** Placed by a previous coordinator and not reported since. */
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -482,9 +482,12 @@
     if (!task.failedOn.IsEmpty()) {
       const UsableWorkers others =
         aUsable.Without(*aCandidate.pool, task.failedOn);
+      const bool mayWait =
+        !others.indices.empty() &&
+        this->callTime.now - task.failedAt <= kIdlePoolMaxWait;
       chosen = pack(others);
-      if (!chosen && !others.indices.empty()) {
-        break;
+      if (!chosen && mayWait) {
+        continue;
       }
     }
     if (!chosen) {
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -289,6 +289,7 @@
   Task& failed = aStep.tasks[aIndex];
   ++failed.failures;
   failed.failedOn = aWorker.agent;
+  failed.failedAt = this->callTime.now;
   if (spec.isGang) {
     for (Task& member : aStep.tasks) {
       member.failures = failed.failures;
--- a/libs/dispatch/tests/SchedulingTest.cpp
+++ b/libs/dispatch/tests/SchedulingTest.cpp
@@ -299,6 +299,24 @@
   CHECK(harness.Running("l").empty());
 }
 
+// Guards against a task that waits for other workers for ever, though the one
+// on which it has failed is idle.
+TEST_CASE("a failed task waits only briefly for another worker")
+{
+  DispatcherHarness harness(2);
+  auto lasting = DispatcherHarness::MakeJob("lasting", 1, 8);
+  lasting.steps[0].isLongRunning = true;
+  harness.Submit(lasting);
+  auto job = DispatcherHarness::MakeJob("j", 2, 1);
+  harness.Submit(job);
+  REQUIRE(harness.Running("j").size() == 2);
+  harness.End(harness.Running("j").at(0), EndKind::Failed);
+  harness.Run(500ms);
+  CHECK(harness.Running("j").size() == 1);
+  harness.Run(2s);
+  CHECK(harness.Running("j").size() == 2);
+}
+
 // Guards against every job missing its objective under overload because it
 // waits for jobs that are already late.
 TEST_CASE(
