Measure how idle a pool is by its cores if it has no accelerators

A pool without accelerators counted as fully used, so that its steps waited for the rack of their data for twice their estimate, and for suspect workers for up to 32 s, while everything was idle. So did a pool whose accelerators are taken and whose cores are not.

Now the cores count where there are no accelerators, and a pool whose work is less than half of its capacity is mostly idle in any case.

The test "tasks wait only briefly in an idle pool without accelerators" failed before.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -255,10 +255,11 @@
   /** Of the last candidate that looked for victims. */
   std::optional<VictimList> victims;
 
-  /** Fraction of the accelerators that is in use. */
+  /** Fraction of the accelerators in use, or of the cores if there are none. */
   double Utilization() const noexcept;
   /** Fraction of the cores in use; an accelerator counts as several cores. */
   double UsedWork() const noexcept;
+  /** Most of the pool is free, whatever the steps need that wait. */
   bool IsMostlyIdle() const noexcept;
 };
 
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -60,7 +60,7 @@
 {
   return this->accelerators > 0
            ? Fraction(this->usedAccelerators, this->accelerators)
-           : 1.0;
+           : Fraction(this->usedMilliCores, this->milliCores);
 }
 
 double
@@ -75,7 +75,8 @@
 bool
 Pool::IsMostlyIdle() const noexcept
 {
-  return this->Utilization() < kIdlePoolUtilization;
+  return this->Utilization() < kIdlePoolUtilization ||
+         this->UsedWork() < kHalfIdleWork;
 }
 
 UsableWorkers
--- a/libs/dispatch/tests/SchedulingTest.cpp
+++ b/libs/dispatch/tests/SchedulingTest.cpp
@@ -317,6 +317,38 @@
   CHECK(harness.Running("j").size() == 2);
 }
 
+// Guards against a pool without accelerators that counts as fully used.
+TEST_CASE("tasks wait only briefly in an idle pool without accelerators")
+{
+  DispatcherHarness harness(6);
+  for (auto& [name, agent] : harness.agents) {
+    agent.info.capacity.accelerators = 0;
+    if (agent.info.rack == base::RackId("r0")) {
+      agent.info.capacity.milliCores = 500;
+    }
+  }
+  harness.TakeOver();
+  auto job = DispatcherHarness::MakeJob("j", 1, 0);
+  job.maxAttempts = 10;
+  job.steps[0].estimate = 60s;
+  SUBCASE("for a rack")
+  {
+    job.steps[0].dataRack = base::RackId("r0");
+    harness.Submit(job);
+    CHECK(harness.starts.empty());
+  }
+  SUBCASE("for workers that are not suspect")
+  {
+    harness.Submit(job);
+    for (int i = 0; i < 6; ++i) {
+      harness.EndAll("j", EndKind::Failed);
+      harness.Run(500ms);
+    }
+  }
+  harness.Run(2500ms);
+  CHECK(harness.Running("j").size() == 1);
+}
+
 // Guards against every job missing its objective under overload because it
 // waits for jobs that are already late.
 TEST_CASE(
