Do not count on a task that does not stop in time

A guaranteed step that had ordered a task to stop counted on its room for as long as the task ran on, stopped no other one, and kept the rest of the worker from others. A task that ignores orders held up both for ever.

Now a run counts as ending only within the time to stop and two more orders; after that the step stops others, or reserves nothing.

The test "a task that does not stop in time is not waited for" failed before.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -44,6 +44,8 @@
   base::TimePoint phaseStartedAt{};
   /** When the current run was placed. */
   base::TimePoint startedAt{};
+  /** When the stop of the current run was first ordered. */
+  base::TimePoint stopRequestedAt{};
   /** When the latest failed run ended. */
   base::TimePoint failedAt{};
   /** Number of times it was preempted. */
@@ -104,6 +106,7 @@
 {
   OrderNumber order;
   base::TimePoint sentAt;
+  base::TimePoint firstSentAt;
 };
 
 struct Worker
@@ -174,6 +177,7 @@
   fleet::TaskResources need;
   /** Estimated time until the run has ended; empty if it may never end. */
   std::optional<base::Duration> remaining;
+  /** It was ordered to stop and is expected to do so in time. */
   bool isEnding = false;
 };
 
@@ -477,8 +481,12 @@
                              std::span<const fleet::TaskResources> aReleased,
                              Reservation aReservation);
   void CollectRuns(Pool& aPool);
-  PoolRun ToPoolRun(const job::TaskRun& aRun,
+  PoolRun ToPoolRun(const Worker& aWorker,
+                    const job::TaskRun& aRun,
                     const fleet::TaskResources& aNeed);
+  /** A run whose stop was ordered at the given time, if it ends in time. */
+  PoolRun ToEndingRun(const fleet::TaskResources& aNeed,
+                      base::TimePoint aStopRequestedAt) const;
   /** The runs on a worker of the pool. */
   std::span<const PoolRun> RunsOn(Pool& aPool, std::uint32_t aWorker);
 
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -31,6 +31,8 @@
 constexpr int kOverrunDivisor = 10;
 /** A run that exceeds this multiple of its estimate may never end. */
 constexpr int kMaxOverrunFactor = 2;
+/** A run that has not stopped after this many repeated orders may never do. */
+constexpr int kMaxStopRetries = 2;
 /** Maximum number of blocked steps of a pool with reserved resources. */
 constexpr std::size_t kMaxReservations = 2;
 
@@ -552,13 +554,20 @@
 }
 
 PoolRun
-Dispatcher::State::ToPoolRun(const job::TaskRun& aRun,
+Dispatcher::State::ToPoolRun(const Worker& aWorker,
+                             const job::TaskRun& aRun,
                              const fleet::TaskResources& aNeed)
 {
   const Task* task = this->FindRun(aRun);
-  if (task == nullptr || !task->IsOnWorker() ||
-      task->phase == Phase::Stopping) {
-    return { aNeed, this->options.stopTime, true };
+  if (task == nullptr || !task->IsOnWorker()) {
+    const auto stop = aWorker.orphanStops.find(aRun);
+    return this->ToEndingRun(aNeed,
+                             stop == aWorker.orphanStops.end()
+                               ? this->callTime.now
+                               : stop->second.firstSentAt);
+  }
+  if (task->phase == Phase::Stopping) {
+    return this->ToEndingRun(aNeed, task->stopRequestedAt);
   }
   const job::StepSpec& spec = *this->SpecOf(aRun.task.step);
   const base::Duration elapsed = this->callTime.now - task->startedAt;
@@ -573,6 +582,18 @@
            false };
 }
 
+PoolRun
+Dispatcher::State::ToEndingRun(const fleet::TaskResources& aNeed,
+                               base::TimePoint aStopRequestedAt) const
+{
+  if (this->callTime.now - aStopRequestedAt >
+      this->options.stopTime +
+        this->options.stopRetryInterval * kMaxStopRetries) {
+    return { aNeed, std::nullopt, false };
+  }
+  return { aNeed, this->options.stopTime, true };
+}
+
 void
 Dispatcher::State::CollectRuns(Pool& aPool)
 {
@@ -580,7 +601,7 @@
   for (PoolWorker& each : aPool.workers) {
     each.firstRun = runs.size();
     for (const auto& [run, need] : each.worker->allocations) {
-      runs.push_back(this->ToPoolRun(run, need));
+      runs.push_back(this->ToPoolRun(*each.worker, run, need));
     }
   }
 }
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -364,7 +364,11 @@
   if (!isNew && !this->MustRepeatStop(aWorker, stop.order, stop.sentAt)) {
     return;
   }
-  stop = { this->NextOrder(), this->callTime.now };
+  stop.order = this->NextOrder();
+  stop.sentAt = this->callTime.now;
+  if (isNew) {
+    stop.firstSentAt = stop.sentAt;
+  }
   this->observer.OnStopping(aRun, aWorker.agent, "orphaned run");
   this->effects.emplace_back(StopTask{
     aWorker.agent, aWorker.session, stop.order, aWorker.info->life, aRun });
@@ -655,6 +659,7 @@
     return;
   }
   task.phase = Phase::Stopping;
+  task.stopRequestedAt = this->callTime.now;
   this->observer.OnStopping(run, task.agent, aReason);
   this->SendStop(task, run);
 }
--- a/libs/dispatch/tests/SchedulingTest.cpp
+++ b/libs/dispatch/tests/SchedulingTest.cpp
@@ -349,6 +349,26 @@
   CHECK(harness.Running("j").size() == 1);
 }
 
+// Guards against a guarantee that waits for ever for a task that ignores the
+// order to stop.
+TEST_CASE("a task that does not stop in time is not waited for")
+{
+  DispatcherHarness harness(2);
+  harness.guarantees = { { base::AccountId("guaranteed"), 8 } };
+  harness.TakeOver();
+  harness.stopsImmediately = false;
+  harness.Submit(DispatcherHarness::MakeJob("a", 2, 8));
+  harness.Submit(MakeUrgent("u", 1, 8));
+  harness.Run(1s);
+  REQUIRE(harness.stops.size() == 1);
+  harness.stopsImmediately = true;
+  harness.agents.at(harness.AgentOf(harness.stopOrders.at(0).run))
+    .ignoresOrders = true;
+  harness.Run(5s);
+  CHECK(harness.stops.size() == 2);
+  CHECK(harness.Running("u").size() == 1);
+}
+
 // Guards against every job missing its objective under overload because it
 // waits for jobs that are already late.
 TEST_CASE(
