Move the reservation of a gang on when the run that it waits for is late

In the role entry a job could wait for ever behind the reservation of a gang, with the workers idle: the expected start of the gang was kept when it had passed, and no job that is not preempted for the gang ends before a time that has passed.

Now the reservation is planned anew once its start has passed. An overdue run is expected to take half of its time so far again, as in every plan, so that longer and longer jobs pass while it runs on.

The test "longer jobs pass a gang the longer the run that it waits for is late" failed before.

--- a/libs/scheduling/src/Reservation.cpp
+++ b/libs/scheduling/src/Reservation.cpp
@@ -73,7 +73,15 @@
 void
 CellScheduler::State::AdvanceReservation()
 {
-  if (this->reservation.job == kNoJob || !this->needsFullPass) {
+  if (this->reservation.job == kNoJob) {
+    return;
+  }
+  const bool isOverdue =
+    !this->reservation.isReclaiming && this->now >= this->reservation.start;
+  if (isOverdue) {
+    this->needsFullPass = true;
+  }
+  if (!this->needsFullPass) {
     return;
   }
   const JobIndex owner = this->reservation.job;
@@ -88,6 +96,14 @@
     this->ApplyReservation();
     return;
   }
+  if (isOverdue && this->MayPlan()) {
+    // A run takes longer than was expected, perhaps for ever.
+    this->nextPlan = this->now + kPlanInterval;
+    if (this->PlanReservation(owner)) {
+      this->ApplyReservation();
+    }
+    return;
+  }
   const bool isBroken = std::any_of(
     suspended.workers.begin(),
     suspended.workers.end(),
--- a/libs/scheduling/tests/ReservationTest.cpp
+++ b/libs/scheduling/tests/ReservationTest.cpp
@@ -41,6 +41,29 @@
   CHECK(cell.Started() == Names{ "gang" });
 }
 
+// Guards against workers that are withheld for ever because the run that the
+// gang waits for takes longer than was expected.
+TEST_CASE(
+  "longer jobs pass a gang the longer the run that it waits for is late")
+{
+  SchedulerFixture cell(3);
+  cell.Submit("first", MakeShape(1, 8), { .declared = minutes(60) });
+  cell.Submit("gang", MakeShape(3, 8), { .declared = minutes(60) });
+  cell.Submit(
+    "long", MakeShape(1, 8), { .account = "b", .declared = hours(2) });
+  cell.Wait(hours(11));
+  CHECK(cell.Started().empty());
+  const auto report =
+    cell.scheduler.ExplainWait(cell.clock.Now(), base::JobId("gang"));
+  CHECK(report.value().expectedStart == cell.clock.Now() + minutes(330));
+  // Ten times the declared run time of the other job is 20 hours.
+  cell.Wait(hours(31));
+  CHECK(cell.Started() == Names{ "long" });
+  cell.End("long");
+  cell.End("first");
+  CHECK(cell.Started() == Names{ "gang" });
+}
+
 // Guards against an urgent gang that waits although preempting less urgent
 // borrowers would free enough capacity.
 TEST_CASE("less urgent borrowers are stopped for a more urgent gang")
