Leave out checkpoints that are too long for messages and records

A checkpoint is a string of the worker of any length, and reports, orders and records hold those of many tasks. One of 1 MiB would have broken the connection of its daemon on each report, and then on each start that resumes from it, without end.

The daemon now passes on checkpoints of up to 4,096 bytes. A longer one is logged and left out, so that the task keeps its earlier one or starts anew. The listed ends are also looked up in a set, since the search of all ends for each run grew with the square of their number.

The test "a checkpoint that is too long is left out" failed before.

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -17,6 +17,11 @@
 constexpr Duration kExpiryMargin = 300ms;
 /** Interval of holds while ended tasks await their acknowledgement. */
 constexpr Duration kUnacknowledgedEndInterval = 150ms;
+/**
+ * Longer checkpoints are left out. Messages and records hold those of many
+ * tasks, and each has a limit.
+ */
+constexpr std::size_t kMaxCheckpointBytes = 4096;
 
 } // namespace
 
@@ -237,21 +242,32 @@
   bool hasChanges = !std::exchange(this->hasTaskList, true);
   this->listedTasks.clear();
   for (const auto& task : aAnswer.running) {
-    this->listedTasks[task.run] = task;
+    RunningTask& listed = this->listedTasks[task.run];
+    listed = task;
+    this->LimitCheckpoint(task.run, listed.checkpoint);
   }
   for (const auto& end : aAnswer.ended) {
-    if (end.number > this->lastAcknowledgedEnd &&
-        this->unacknowledgedEnds.emplace(end.number, end).second) {
+    const auto [added, isNew] =
+      end.number > this->lastAcknowledgedEnd
+        ? this->unacknowledgedEnds.emplace(end.number, end)
+        : std::pair(this->unacknowledgedEnds.end(), false);
+    if (isNew) {
       hasChanges = true;
+      this->LimitCheckpoint(end.run, added->second.checkpoint);
       this->logger.Info("task ended",
                         { { "task", ToLogText(end.run) },
                           { "number", end.number },
                           { "kind", static_cast<unsigned>(end.kind) } });
     }
   }
+  std::set<TaskRun> ended;
+  for (const auto& [number, end] : this->unacknowledgedEnds) {
+    ended.insert(end.run);
+  }
   for (auto position = this->runs.begin(); position != this->runs.end();) {
     const auto current = position++;
-    if (this->ResolveRun(current->first, current->second)) {
+    if (ended.contains(current->first) ||
+        this->ResolveRun(current->first, current->second)) {
       this->runs.erase(current);
       hasChanges = true;
     }
@@ -261,16 +277,21 @@
   }
 }
 
+void
+WorkerAgent::State::LimitCheckpoint(const TaskRun& aRun,
+                                    std::string& aCheckpoint)
+{
+  if (aCheckpoint.size() > kMaxCheckpointBytes) {
+    this->logger.Warning("checkpoint left out: too long",
+                         { { "task", ToLogText(aRun) },
+                           { "bytes", aCheckpoint.size() } });
+    aCheckpoint.clear();
+  }
+}
+
 bool
 WorkerAgent::State::ResolveRun(const TaskRun& aRun, const Run& aState)
 {
-  const bool isEnded =
-    std::any_of(this->unacknowledgedEnds.begin(),
-                this->unacknowledgedEnds.end(),
-                [&](const auto& aEnd) { return aEnd.second.run == aRun; });
-  if (isEnded) {
-    return true;
-  }
   const bool isAnswered =
     aState.phase == RunPhase::Started || aState.phase == RunPhase::Stopped;
   if (!isAnswered || this->taskListHoldNumber <= aState.lastHoldBeforeAccept ||
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -125,7 +125,12 @@
                     std::uint64_t aNumber,
                     void (*aContinuation)(State&, bool));
   void ApplyTaskList(const HoldReply& aAnswer, std::uint64_t aNumber);
-  /** Returns true if the task list settles the run, which then is discarded. */
+  /** Drops a checkpoint that is too long. */
+  void LimitCheckpoint(const TaskRun& aRun, std::string& aCheckpoint);
+  /**
+   * Returns true if the task list settles the run, which has no listed end and
+   * then is discarded.
+   */
   bool ResolveRun(const TaskRun& aRun, const Run& aState);
 
   // Commands (AgentCommands.cpp).
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -269,6 +269,29 @@
   CHECK(fixture.coordinator.lastReport.ended.empty());
 }
 
+// Guards against a connection that breaks again and again, because a checkpoint
+// does not fit a message.
+TEST_CASE("a checkpoint that is too long is left out")
+{
+  for (const std::size_t size : { 4096U, 4097U, 2'000'000U }) {
+    CAPTURE(size);
+    Fixture fixture;
+    fixture.Start();
+    fixture.worker.running.at(kRun).checkpoint = std::string(size, 'c');
+    fixture.Run(2s);
+    REQUIRE(fixture.coordinator.lastReport.running.size() == 1);
+    const std::size_t expected = size > 4096 ? 0 : size;
+    CHECK(fixture.coordinator.lastReport.running[0].checkpoint.size() ==
+          expected);
+    fixture.worker.EndRun(kRun, EndKind::Stopped);
+    fixture.worker.ended[1].checkpoint = std::string(size, 'c');
+    fixture.Run(2s);
+    REQUIRE(fixture.coordinator.lastReport.ended.size() == 1);
+    CHECK(fixture.coordinator.lastReport.ended[0].checkpoint.size() ==
+          expected);
+  }
+}
+
 // Guards against tasks whose lease expires although the coordinator renews the
 // grant.
 TEST_CASE("the lease is renewed within the grant and never beyond it")
