--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -282,9 +282,9 @@
                                     std::string& aCheckpoint)
 {
   if (aCheckpoint.size() > kMaxCheckpointBytes) {
-    this->logger.Warning("checkpoint left out: too long",
-                         { { "task", ToLogText(aRun) },
-                           { "bytes", aCheckpoint.size() } });
+    this->logger.Warning(
+      "checkpoint left out: too long",
+      { { "task", ToLogText(aRun) }, { "bytes", aCheckpoint.size() } });
     aCheckpoint.clear();
   }
 }
--- a/libs/coordinator/tests/AppendSizeTest.cpp
+++ b/libs/coordinator/tests/AppendSizeTest.cpp
@@ -70,6 +70,19 @@
   }
 }
 
+// Guards against a step that grows beyond what one record may hold while it
+// runs, because its tasks save checkpoints.
+TEST_CASE("a step completes although its checkpoints do not fit its record")
+{
+  SimulatedCell::Options options;
+  options.toldLimits = { 32UL * 1024, 64UL * 1024 };
+  options.maxAppendBytes = 64UL * 1024;
+  options.checkpointBytes = 1000;
+  const Backlog backlog(options);
+  CHECK(backlog.cell.Completed() == kWideJobs + 1);
+  CHECK(backlog.cell.LargestAppend() <= options.maxAppendBytes);
+}
+
 // Guards against a caller that is told to come back with a job that can never
 // be recorded.
 TEST_CASE("a job whose records the log would not take is refused at once")
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -333,8 +333,10 @@
       }
       const bool isNew =
         this->running
-          .try_emplace(aRequest.run,
-                       dispatch::RunningTask{ aRequest.run, {}, 0 })
+          .try_emplace(
+            aRequest.run,
+            dispatch::RunningTask{
+              aRequest.run, std::string(this->checkpointBytes, 'c'), 0 })
           .second;
       if (isNew) {
         this->highestRun = std::max(this->highestRun, aRequest.run.run);
@@ -630,6 +632,7 @@
             link,
             logger)
   {
+    this->worker.checkpointBytes = aCell.options.checkpointBytes;
     dispatch::WorkerInfo info;
     info.life = { base::TargetId("w-" + std::to_string(aNumber)), 1 };
     info.pool = base::PoolId("pool");
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -133,6 +133,8 @@
     std::function<void(base::Result<agent::HoldReply>)> aHandler) override;
 
   std::map<job::TaskRun, dispatch::RunningTask> running;
+  /** Size of the checkpoints of tasks that start from now on. */
+  std::size_t checkpointBytes = 0;
   int stopped = 0;
   int lapsed = 0;
   std::uint32_t highestRun = 0;
@@ -183,6 +185,7 @@
     bool appendsInTurn = false;
     /** Larger appends are refused. */
     std::size_t maxAppendBytes = SIZE_MAX;
+    std::size_t checkpointBytes = 0;
     /** The limits that the log tells. */
     journal::SizeLimits toldLimits;
     ProcessorCosts costs;
