Go on with the page that failed when the newest records are loaded

A scheduler that starts, or that reads after its history was dropped, loads the newest record of each key in pages of 500. If one page failed, it started from the beginning, so that with many jobs on a log that refuses some reads it would never be ready.

The test "a load goes on with the page that failed" failed before (no load in 60 s with each second page failing).

--- a/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
+++ b/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
@@ -29,6 +29,8 @@
   SizeLimits limits;
   /** Number of records per page of ReadNewest(). */
   std::size_t pageSize = 500;
+  /** If above 0, each page of this number fails, counted over all loads. */
+  int failingPages = 0;
   /** Maximum number of records that a read returns. */
   std::size_t maxBatch = SIZE_MAX;
   int appends = 0;
@@ -129,7 +131,9 @@
                   std::string_view aAfterKey,
                   NewestHandler aHandler) override
   {
-    if (this->isDown) {
+    const bool fails =
+      this->failingPages > 0 && ++this->pages % this->failingPages == 0;
+    if (this->isDown || fails) {
       aHandler(base::Fail(base::ErrorCode::LogUnavailable));
       return;
     }
@@ -217,6 +221,7 @@
     return offset;
   }
 
+  int pages = 0;
   std::map<std::pair<std::string, std::uint32_t>, Partition> partitions;
   std::vector<WaitingRead> waitingReads;
 };
--- a/libs/journal/src/KeyedFollower.cpp
+++ b/libs/journal/src/KeyedFollower.cpp
@@ -45,13 +45,14 @@
   {
     this->newestByKey.clear();
     this->firstPageEnd.reset();
-    this->LoadPage({});
+    this->loadedKey.clear();
+    this->LoadPage();
   }
 
-  void LoadPage(const std::string& aAfterKey)
+  void LoadPage()
   {
     this->log.ReadNewest(this->options.topic,
-                         aAfterKey,
+                         this->loadedKey,
                          this->OnExecutor<NewestPage>(
                            [](State& aSelf, const Result<NewestPage>& aPage) {
                              aSelf.OnPage(aPage);
@@ -61,21 +62,22 @@
   void OnPage(const Result<NewestPage>& aPage)
   {
     if (aPage.has_error()) {
-      this->RetryLater(aPage.error(), [](State& aSelf) { aSelf.Load(); });
+      // Starting anew might never reach the end of a long topic.
+      this->RetryLater(aPage.error(), [](State& aSelf) { aSelf.LoadPage(); });
       return;
     }
+    this->backoff.Reset();
     const NewestPage& page = aPage.value();
     // Records appended after the first page was read are read again later.
     if (!this->firstPageEnd) {
       this->firstPageEnd = page.end;
     }
-    std::string lastKey;
     for (const KeyedRecord& record : page.records) {
-      lastKey = std::max(lastKey, record.key);
+      this->loadedKey = std::max(this->loadedKey, record.key);
       this->newestByKey.insert_or_assign(record.key, record);
     }
     if (page.hasMore && !page.records.empty()) {
-      this->LoadPage(lastKey);
+      this->LoadPage();
       return;
     }
     std::vector<KeyedRecord> records;
@@ -191,6 +193,8 @@
   base::Backoff backoff;
   std::map<std::string, KeyedRecord> newestByKey;
   std::optional<LogOffset> firstPageEnd;
+  /** Last key of the pages that were loaded. */
+  std::string loadedKey;
   LogOffset next;
   bool isLoaded = false;
   bool isCurrent = false;
--- a/libs/journal/tests/KeyedFollowerTest.cpp
+++ b/libs/journal/tests/KeyedFollowerTest.cpp
@@ -80,6 +80,22 @@
   CHECK(fixture.observer.values == Values{ "b=1", "a=2", "c=3" });
 }
 
+// Guards against a load that starts from the beginning whenever one of its
+// pages fails, and so never ends once there are many.
+TEST_CASE("a load goes on with the page that failed")
+{
+  Fixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    fixture.Append("key-" + std::to_string(i), "v");
+  }
+  fixture.log.pageSize = 1;
+  fixture.log.failingPages = 2;
+  fixture.follower.Start();
+  fixture.executor.Advance(60s);
+  CHECK(fixture.observer.loads == 1);
+  CHECK(fixture.observer.values.size() == 22);
+}
+
 // Guards against a stale view after the log has dropped the records that the
 // follower would read next.
 TEST_CASE("a follower reloads when the log has dropped records")
