Test the limits of the log with real requests

The stand-in of the store refuses records and appends beyond the limits of the users' pages with 413, so that the end-to-end tests and the soak would show one.

--- a/libs/codec/tests/SettingsCodecTest.cpp
+++ b/libs/codec/tests/SettingsCodecTest.cpp
@@ -167,6 +167,7 @@
     R"({"id":"s","region":"r","zone":"","innerListen":"0.0.0.0:1",)"
     R"("adminListen":"127.0.0.1:1","clientListen":"127.0.0.1:2",)"
     R"("readyListen":"x","logService":"127.0.0.1:0","maxLeaseMs":10,)"
+    R"("logRecordBytes":100,"logAppendBytes":2147483648,)"
     R"("logFormat":"xml","unknown":1})");
   REQUIRE(scheduler.has_error());
   const std::string faults = DescribeAll(scheduler.error());
@@ -175,6 +176,8 @@
                             "readyListen",
                             "logService",
                             "maxLeaseMs",
+                            "logRecordBytes",
+                            "logAppendBytes",
                             "logFormat",
                             "unknown" }) {
     CAPTURE(path);
--- a/tests/standins/PlatformStore.cpp
+++ b/tests/standins/PlatformStore.cpp
@@ -208,9 +208,31 @@
   aPartition.records.emplace_back(std::move(aKey), std::move(aValue));
 }
 
+/** Whether the records of the body are within the limits of the pages. */
+static bool
+IsWithinLimits(std::string_view aBody)
+{
+  constexpr std::size_t kMaxRequestBytes = 2'097'152;
+  constexpr std::size_t kMaxRecordBytes = 262'144;
+  if (aBody.size() > kMaxRequestBytes) {
+    return false;
+  }
+  while (!aBody.empty()) {
+    const auto length = ConsumeNumber(aBody, 4);
+    if (length > kMaxRecordBytes) {
+      return false;
+    }
+    aBody.remove_prefix(std::min<std::size_t>(length, aBody.size()));
+  }
+  return true;
+}
+
 HttpResponse
 PlatformStore::Append(const HttpRequest& aRequest)
 {
+  if (!IsWithinLimits(aRequest.body)) {
+    return MakeResponse(413);
+  }
   const std::string name = PartitionName(aRequest);
   Partition& partition = this->partitions[name];
   const std::uint64_t end = partition.records.size();
