Wait for ends that are overdue, and for another worker in a busy pool

A run at twice its estimate was not counted on at all, so that a gang lost its reservation to each run on a slow worker; since the expected rest of an overdue run grows with it, the wait of others is bounded without that. And a task that had failed on a faulty worker went back to it after 1.5 s although the others were only busy, which costs an attempt: in a pool that is not mostly idle it now waits for up to 15 s.

A preferred rack is left after 1.5 s also in a pool whose accelerators are taken, if less than half of its work is in use and there is room twice over; suspect workers are not used for that alone.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -452,6 +452,9 @@
    */
   bool MayUseReserved(const Candidate& aCandidate,
                       const UsableWorkers& aAll) const;
+  /** Half of the pool is idle, and the candidate fits it twice over. */
+  bool HasPlentyOfRoom(const Candidate& aCandidate,
+                       const UsableWorkers& aUsable) const;
   /** Subtracts from the usable resources what others have reserved. */
   void WithholdReserved(const Candidate& aCandidate,
                         UsableWorkers& aUsable) const;
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -24,13 +24,13 @@
  * fits waits for longer than kIdlePoolMaxWait.
  */
 constexpr double kHalfIdleWork = 0.5;
+/** Maximum time that a failed task waits for another worker otherwise. */
+constexpr base::Duration kBusyPoolMaxWait = std::chrono::seconds(15);
 /** Maximum time that a guaranteed step waits for its preferred rack. */
 constexpr base::Duration kGuaranteedMaxRackWait =
   std::chrono::milliseconds(1200);
 /** A run is assumed to need at least its estimate / kOverrunDivisor more. */
 constexpr int kOverrunDivisor = 10;
-/** A run that exceeds this multiple of its estimate may never end. */
-constexpr int kMaxOverrunFactor = 2;
 /** A run that has not stopped after this many repeated orders may never do. */
 constexpr int kMaxStopRetries = 2;
 /** Maximum number of blocked steps of a pool with reserved resources. */
@@ -77,8 +77,7 @@
 bool
 Pool::IsMostlyIdle() const noexcept
 {
-  return this->Utilization() < kIdlePoolUtilization ||
-         this->UsedWork() < kHalfIdleWork;
+  return this->Utilization() < kIdlePoolUtilization;
 }
 
 UsableWorkers
@@ -318,16 +317,24 @@
   if (spec.isLongRunning) {
     return true; // Its users notice each moment without it.
   }
-  if (this->WaitedTime(aCandidate) <= kIdlePoolMaxWait ||
-      aCandidate.pool->UsedWork() >= kHalfIdleWork) {
+  return this->WaitedTime(aCandidate) > kIdlePoolMaxWait &&
+         this->HasPlentyOfRoom(aCandidate, aAll);
+}
+
+bool
+Dispatcher::State::HasPlentyOfRoom(const Candidate& aCandidate,
+                                   const UsableWorkers& aUsable) const
+{
+  if (aCandidate.pool->UsedWork() >= kHalfIdleWork) {
     return false;
   }
+  const job::StepSpec& spec = aCandidate.Spec();
   PackingRequest twice;
   twice.need = RequiredResources(spec);
   twice.count =
     2 *
     (spec.isGang ? static_cast<std::uint32_t>(aCandidate.idleTasks.size()) : 1);
-  return !this->packing->Pack(aAll.packing, twice).empty();
+  return !this->packing->Pack(aUsable.packing, twice).empty();
 }
 
 void
@@ -406,7 +413,8 @@
   base::Duration maxRackWait = spec.estimate * kRackWaitEstimates;
   if (aCandidate.isGuaranteed) {
     maxRackWait = kGuaranteedMaxRackWait;
-  } else if (pool.IsMostlyIdle()) {
+  } else if (pool.IsMostlyIdle() ||
+             this->HasPlentyOfRoom(aCandidate, aUsable)) {
     maxRackWait = std::min(maxRackWait, kIdlePoolMaxWait);
   }
   const bool mayWaitForRack = this->WaitedTime(aCandidate) < maxRackWait;
@@ -478,6 +486,8 @@
     return chosen.empty() ? std::optional<std::uint32_t>()
                           : aWorkers.indices[chosen.front()];
   };
+  const base::Duration maxOtherWait =
+    aCandidate.pool->IsMostlyIdle() ? kIdlePoolMaxWait : kBusyPoolMaxWait;
   std::size_t placed = 0;
   for (const std::uint32_t index : aCandidate.idleTasks) {
     const Task& task = aCandidate.step->tasks[index];
@@ -485,9 +495,8 @@
     if (!task.failedOn.IsEmpty()) {
       const UsableWorkers others =
         aUsable.Without(*aCandidate.pool, task.failedOn);
-      const bool mayWait =
-        !others.indices.empty() &&
-        this->callTime.now - task.failedAt <= kIdlePoolMaxWait;
+      const bool mayWait = !others.indices.empty() &&
+                           this->callTime.now - task.failedAt <= maxOtherWait;
       chosen = pack(others);
       if (!chosen && mayWait) {
         continue;
@@ -571,10 +580,11 @@
   }
   const job::StepSpec& spec = *this->SpecOf(aRun.task.step);
   const base::Duration elapsed = this->callTime.now - task->startedAt;
-  if (spec.isLongRunning || elapsed >= spec.estimate * kMaxOverrunFactor) {
+  if (spec.isLongRunning || spec.estimate == base::Duration::zero()) {
     return { aNeed, std::nullopt, false };
   }
-  // An overdue run is assumed to need as long again as it is overdue.
+  // An overdue run is assumed to need as long again as it is overdue, so that
+  // longer and longer jobs pass a step that waits for it.
   const base::Duration difference =
     spec.estimate > elapsed ? spec.estimate - elapsed : elapsed - spec.estimate;
   return { aNeed,
