Do not skip records when a read is answered after a reload

A follower's view could be confirmed as current although it lacked records, so that a coordinator could start dispatching without the end of a task and run it again. Confirm() reads beside the follower's own loop. If the log drops the records that the loop would read next, the topic is loaded again, and the load ends by going on from the offset of its first page. A confirmation that was answered during the load can have gone further; the next one, sent from there and answered after the load, then advanced the follower to its end. The records between the first page and the read were neither in the load nor read, and its view was confirmed all the same.

A batch is now ignored if its read began after the offset that the follower has reached. The confirmation fails and is tried again, and the loop reads the records in order.

Before the change the test failed: "CHECK( (confirmed == 2 || hasRecord()) ) is NOT correct!" and "CHECK( hasRecord() ) is NOT correct!".

--- a/libs/journal/src/KeyedFollower.cpp
+++ b/libs/journal/src/KeyedFollower.cpp
@@ -100,20 +100,24 @@
   void ReadNext()
   {
     const base::TimePoint sentAt = this->clock.Now();
+    const LogOffset from = this->next;
     // The first read after a load or an outage does not wait, to find out
     // whether the view is current.
     const base::Duration wait =
       this->isCurrent ? this->options.wait : base::Duration::zero();
-    this->log.Read(this->options.topic,
-                   this->next,
-                   wait,
-                   this->OnExecutor<KeyedBatch>(
-                     [sentAt](State& aSelf, const Result<KeyedBatch>& aBatch) {
-                       aSelf.OnRead(aBatch, sentAt);
-                     }));
+    this->log.Read(
+      this->options.topic,
+      from,
+      wait,
+      this->OnExecutor<KeyedBatch>(
+        [sentAt, from](State& aSelf, const Result<KeyedBatch>& aBatch) {
+          aSelf.OnRead(aBatch, from, sentAt);
+        }));
   }
 
-  void OnRead(const Result<KeyedBatch>& aBatch, base::TimePoint aSentAt)
+  void OnRead(const Result<KeyedBatch>& aBatch,
+              LogOffset aFrom,
+              base::TimePoint aSentAt)
   {
     if (aBatch.has_error()) {
       this->isCurrent = false;
@@ -126,16 +130,24 @@
     }
     this->backoff.Reset();
     this->hasReportedOutage = false;
-    this->isCurrent = this->DeliverNewRecords(aBatch.value());
+    this->isCurrent = this->DeliverNewRecords(aBatch.value(), aFrom);
     if (this->isCurrent) {
       this->observer.OnCurrent(aSentAt);
     }
     this->ReadNext();
   }
 
-  /** Delivers new records; returns true if the end of the topic was reached. */
-  bool DeliverNewRecords(const KeyedBatch& aBatch)
+  /**
+   * Delivers the new records of a read from the given offset on; returns true
+   * if the end of the topic was reached.
+   */
+  bool DeliverNewRecords(const KeyedBatch& aBatch, LogOffset aFrom)
   {
+    if (aFrom > this->next) {
+      // The topic was loaded again after the read was sent, as of an earlier
+      // offset. Going on after the batch would skip the records between them.
+      return false;
+    }
     std::size_t knownCount = 0;
     while (knownCount < aBatch.records.size() &&
            aBatch.records[knownCount].offset < this->next) {
@@ -170,19 +182,21 @@
       return;
     }
     const base::TimePoint sentAt = this->clock.Now();
-    this->log.Read(
-      this->options.topic,
-      this->next,
-      base::Duration::zero(),
-      this->OnExecutor<KeyedBatch>(
-        [sentAt, aHandler](State& aSelf, const Result<KeyedBatch>& aBatch) {
-          const bool isConfirmed =
-            aBatch.has_value() && aSelf.DeliverNewRecords(aBatch.value());
-          if (isConfirmed) {
-            aSelf.observer.OnCurrent(sentAt);
-          }
-          aHandler(isConfirmed);
-        }));
+    const LogOffset from = this->next;
+    this->log.Read(this->options.topic,
+                   from,
+                   base::Duration::zero(),
+                   this->OnExecutor<KeyedBatch>(
+                     [sentAt, from, aHandler](
+                       State& aSelf, const Result<KeyedBatch>& aBatch) {
+                       const bool isConfirmed =
+                         aBatch.has_value() &&
+                         aSelf.DeliverNewRecords(aBatch.value(), from);
+                       if (isConfirmed) {
+                         aSelf.observer.OnCurrent(sentAt);
+                       }
+                       aHandler(isConfirmed);
+                     }));
   }
 
   const FollowerOptions options;
--- a/libs/journal/tests/KeyedFollowerTest.cpp
+++ b/libs/journal/tests/KeyedFollowerTest.cpp
@@ -5,6 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <functional>
+
 using namespace amaranthwind;
 using namespace amaranthwind::journal;
 using namespace std::chrono_literals;
@@ -61,6 +64,70 @@
 
 using Values = std::vector<std::string>;
 
+/** Serves requests at once; answers reads and pages when the test says so. */
+class DelayingLog final : public KeyedLog
+{
+public:
+  explicit DelayingLog(KeyedLog& aLog)
+    : log(aLog)
+  {
+  }
+  SizeLimits Limits() const override { return this->log.Limits(); }
+  void Append(const KeyedTopic& aTopic,
+              std::span<const KeyedValue> aRecords,
+              const AppendConditions& aConditions,
+              KeyedAppendHandler aHandler) override
+  {
+    this->log.Append(aTopic, aRecords, aConditions, std::move(aHandler));
+  }
+  void Read(const KeyedTopic& aTopic,
+            base::LogOffset aFrom,
+            base::Duration aWait,
+            KeyedReadHandler aHandler) override
+  {
+    this->log.Read(
+      aTopic,
+      aFrom,
+      aWait,
+      [this, handler = std::move(aHandler)](base::Result<KeyedBatch> aBatch) {
+        this->Answer(this->delayedReads,
+                     [handler, aBatch] { handler(aBatch); });
+      });
+  }
+  void ReadNewest(const KeyedTopic& aTopic,
+                  std::string_view aAfterKey,
+                  NewestHandler aHandler) override
+  {
+    this->log.ReadNewest(
+      aTopic,
+      aAfterKey,
+      [this, handler = std::move(aHandler)](base::Result<NewestPage> aPage) {
+        this->Answer(this->delayedPages, [handler, aPage] { handler(aPage); });
+      });
+  }
+  base::TimePoint AnsweredAsOf() const override
+  {
+    return this->log.AnsweredAsOf();
+  }
+
+  using Answers = std::vector<std::function<void()>>;
+  bool isDelaying = false;
+  Answers delayedReads;
+  Answers delayedPages;
+
+private:
+  void Answer(Answers& aDelayed, std::function<void()> aAnswer)
+  {
+    if (this->isDelaying) {
+      aDelayed.push_back(std::move(aAnswer));
+    } else {
+      aAnswer();
+    }
+  }
+
+  KeyedLog& log;
+};
+
 } // namespace
 
 TEST_CASE("a follower loads the newest record of each key, then reads on")
@@ -166,3 +233,76 @@
   confirm();
   CHECK(refused == 1);
 }
+
+// Guards against a view that is confirmed as current although it lacks records,
+// so that a coordinator starts tasks again whose ends it has not read: a reload
+// goes back to an earlier offset than that of a read under way.
+TEST_CASE("a read that was sent before a reload leaves out no records")
+{
+  Fixture fixture;
+  DelayingLog log(fixture.log);
+  RecordingObserver observer;
+  KeyedFollower follower(
+    { .topic = kTopic }, fixture.clock, fixture.executor, log, observer);
+  follower.Start();
+  fixture.executor.RunDue();
+  REQUIRE(observer.loads == 1);
+  int confirmed = 0;
+  const auto confirm = [&] {
+    follower.Confirm([&](bool aIsConfirmed) { confirmed += aIsConfirmed; });
+    fixture.executor.RunDue();
+  };
+  const auto release = [&](DelayingLog::Answers& aAnswers) {
+    REQUIRE_FALSE(aAnswers.empty());
+    const auto answer = aAnswers.front();
+    aAnswers.erase(aAnswers.begin());
+    answer();
+    fixture.executor.RunDue();
+  };
+  // The waiting read expires, and the first page of the reload is read, while
+  // the answer of a confirmation is on its way.
+  fixture.log.isDown = true;
+  fixture.log.FailWaitingReads({ base::ErrorCode::LogUnavailable, {} });
+  fixture.executor.RunDue();
+  fixture.log.isDown = false;
+  log.isDelaying = true;
+  fixture.Append("b", "2");
+  confirm();
+  REQUIRE(log.delayedReads.size() == 1);
+  fixture.log.Compact(kTopic);
+  fixture.log.pageSize = 1;
+  fixture.executor.Advance(1s);
+  REQUIRE(log.delayedReads.size() == 2);
+  release(log.delayedReads);
+  CHECK(confirmed == 1);
+  release(log.delayedReads);
+  REQUIRE(log.delayedPages.size() == 1);
+  // A confirmation reads a record that the reload lacks; the next one is
+  // answered after the reload.
+  fixture.Append("a", "done");
+  confirm();
+  release(log.delayedReads);
+  CHECK(confirmed == 2);
+  fixture.Append("c", "1");
+  confirm();
+  REQUIRE(log.delayedReads.size() == 1);
+  while (!log.delayedPages.empty()) {
+    release(log.delayedPages);
+  }
+  REQUIRE(observer.loads == 2);
+  const auto hasRecord = [&] {
+    return std::find(observer.values.begin(),
+                     observer.values.end(),
+                     "a=done") != observer.values.end();
+  };
+  release(log.delayedReads);
+  CHECK((confirmed == 2 || hasRecord()));
+  log.isDelaying = false;
+  while (!log.delayedReads.empty()) {
+    release(log.delayedReads);
+  }
+  fixture.executor.Advance(1s);
+  CHECK(hasRecord());
+  confirm();
+  CHECK(confirmed >= 3);
+}
