Ignore late answers to an append that was divided or dropped

Records could be taken for durable although they are not in the log. When the log refuses an append as too large, its records are sent again in smaller appends, the first of which has the same sequence number; answers were assigned by that number. A late refusal of an earlier attempt of the whole append therefore counted for its first part: the optional records of the part were reported as refused although it might be appended, its number was used once more for the next part, and the log would answer that one with the result of the first and append nothing. An end could be acknowledged without its record that way.

Answers and repeats now belong to an append by a number that is never used again.

Before the change the test failed: "CHECK( refused == 0 ) is NOT correct! values: CHECK( 1 == 0 )", "CHECK( durable == 0 ) is NOT correct! values: CHECK( 1 == 0 )" and, for the sequence numbers, "CHECK( 2 == 3 )".

--- a/libs/journal/src/FencedWriter.cpp
+++ b/libs/journal/src/FencedWriter.cpp
@@ -49,7 +49,8 @@
 
   struct SentAttempt
   {
-    std::uint64_t sequence = 0;
+    /** As State::appendNumber. */
+    std::uint64_t append = 0;
     std::uint64_t attempt = 0;
     base::TimePoint at{};
   };
@@ -122,6 +123,7 @@
     this->refusals = 0;
     this->sendingSince = this->clock.Now();
     ++this->sequence;
+    ++this->appendNumber;
     this->Send();
   }
 
@@ -140,8 +142,8 @@
       this->inFlightRecords,
       conditions,
       [weak = this->weak_from_this(),
-       sent = SentAttempt{ this->sequence, this->attempt, this->clock.Now() }](
-        auto aResult) {
+       sent = SentAttempt{
+         this->appendNumber, this->attempt, this->clock.Now() }](auto aResult) {
         if (const auto self = weak.lock()) {
           self->executor.Post([weak, sent, result = std::move(aResult)] {
             if (const auto writer = weak.lock()) {
@@ -173,25 +175,26 @@
   template<typename Task>
   void RunLater(base::Duration aDelay, Task aTask)
   {
-    this->executor.RunAfter(aDelay,
-                            [weak = this->weak_from_this(),
-                             number = this->sequence,
-                             expected = this->attempt,
-                             task = std::move(aTask)] {
-                              const auto self = weak.lock();
-                              if (self != nullptr && self->isSending &&
-                                  !self->isFenced && self->sequence == number &&
-                                  self->attempt == expected) {
-                                task(*self);
-                              }
-                            });
+    this->executor.RunAfter(
+      aDelay,
+      [weak = this->weak_from_this(),
+       number = this->appendNumber,
+       expected = this->attempt,
+       task = std::move(aTask)] {
+        const auto self = weak.lock();
+        if (self != nullptr && self->isSending && !self->isFenced &&
+            self->appendNumber == number && self->attempt == expected) {
+          task(*self);
+        }
+      });
   }
 
   void OnAppendResult(const SentAttempt& aSent,
                       const Result<LogOffset>& aResult)
   {
-    if (!this->isSending || aSent.sequence != this->sequence) {
-      // Another attempt of the same append was answered before.
+    if (!this->isSending || aSent.append != this->appendNumber) {
+      // Another attempt of the same append was answered before, perhaps with a
+      // refusal after which its sequence number was used again.
       return;
     }
     if (aResult.has_value()) {
@@ -325,6 +328,8 @@
   bool isSending = false;
   bool isFenced = false;
   std::uint64_t sequence = 0;
+  /** Counts the appends; unlike the sequence number, it is never reused. */
+  std::uint64_t appendNumber = 0;
   std::size_t maxAppendBytes = 0;
   // Of the append under way.
   base::TimePoint sendingSince{};
--- a/libs/journal/tests/FencedWriterTest.cpp
+++ b/libs/journal/tests/FencedWriterTest.cpp
@@ -364,3 +364,37 @@
   CHECK(fixture.log.held[2].conditions.stamp->sequence ==
         fixture.log.held[0].conditions.stamp->sequence + 1);
 }
+
+// Guards against records that are taken for durable but are not in the log: a
+// late answer to a larger append is taken for one to its first part, whose
+// number is then used again.
+TEST_CASE("a late answer to an append that was divided is ignored")
+{
+  HeldFixture fixture;
+  fixture.Answer(0, base::LogOffset(0));
+  fixture.log.answeredAsOf = fixture.clock.Now();
+  int durable = 0;
+  int refused = 0;
+  std::vector<WriteRequest> requests(2);
+  requests[0] = { { { "optional", std::string(100, 'v') } },
+                  [] {},
+                  [&] { ++refused; } };
+  requests[1] = { { { "needed", std::string(100, 'v') } },
+                  [&] { ++durable; },
+                  {} };
+  fixture.writer.Write(std::move(requests));
+  fixture.executor.Advance(700ms);
+  REQUIRE(fixture.log.held.size() == 3);
+  fixture.Answer(2, base::Fail(base::ErrorCode::TooLarge));
+  REQUIRE(fixture.log.held.size() == 4);
+  fixture.Answer(1, base::Fail(base::ErrorCode::TooLarge));
+  CHECK(refused == 0);
+  CHECK(fixture.log.held.size() == 4);
+  fixture.Answer(3, base::LogOffset(1));
+  REQUIRE(fixture.log.held.size() == 5);
+  CHECK(durable == 0);
+  CHECK(fixture.log.held[4].conditions.stamp->sequence ==
+        fixture.log.held[3].conditions.stamp->sequence + 1);
+  fixture.Answer(4, base::LogOffset(2));
+  CHECK(durable == 1);
+}
