Log done ends that change nothing, and runs that complete after they were given up

A task that starts again after a run of it has ended as done leaves no trace of the cause: the coordinator acknowledged ends that it had not counted without a word, and a run that was released, for example with "worker left", and completed afterwards looked like any other end.

"task end ignored" names the reason for a done end that is acknowledged and changes nothing: the job or task is unknown, or the task is done already. "run completed after it was given up" (a warning) names the run and the latest run of its task; a higher latest run means that the task was started again. Each end is logged once in a worker's life, since it is listed until its acknowledgement has arrived, and the own ends of the members of a completed gang are not logged.

The new test "a done end that changes nothing is reported once with its reason" and the tests of late completions check the notifications.

--- a/libs/coordinator/src/DecisionLog.cpp
+++ b/libs/coordinator/src/DecisionLog.cpp
@@ -102,6 +102,36 @@
                       { "failures", aFailures } });
 }
 
+void
+DecisionLog::OnLateCompletion(const job::TaskRun& aRun,
+                              const base::AgentId& aAgent,
+                              std::uint32_t aLatest)
+{
+  this->logger.Warning("run completed after it was given up",
+                       { { "job", aRun.task.step.job },
+                         { "task", job::ToText(aRun.task) },
+                         { "run", aRun.run },
+                         { "latestRun", aLatest },
+                         { "agent", aAgent },
+                         { "inputAgeMs", ToMs(this->inputAge) } });
+}
+
+void
+DecisionLog::OnEndIgnored(const job::TaskRun& aRun,
+                          const base::AgentId& aAgent,
+                          dispatch::EndKind aKind,
+                          std::string_view aReason)
+{
+  this->logger.Info("task end ignored",
+                    { { "job", aRun.task.step.job },
+                      { "task", job::ToText(aRun.task) },
+                      { "run", aRun.run },
+                      { "agent", aAgent },
+                      { "kind", ToText(aKind) },
+                      { "reason", aReason },
+                      { "inputAgeMs", ToMs(this->inputAge) } });
+}
+
 void
 DecisionLog::OnStopping(const job::TaskRun& aRun,
                         const base::AgentId& aAgent,
--- a/libs/coordinator/src/DecisionLog.h
+++ b/libs/coordinator/src/DecisionLog.h
@@ -24,6 +24,13 @@
                const base::AgentId& aAgent,
                dispatch::EndKind aKind,
                std::uint32_t aFailures) override;
+  void OnLateCompletion(const job::TaskRun& aRun,
+                        const base::AgentId& aAgent,
+                        std::uint32_t aLatest) override;
+  void OnEndIgnored(const job::TaskRun& aRun,
+                    const base::AgentId& aAgent,
+                    dispatch::EndKind aKind,
+                    std::string_view aReason) override;
   void OnStopping(const job::TaskRun& aRun,
                   const base::AgentId& aAgent,
                   std::string_view aReason) override;
--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -156,6 +156,17 @@
   {
     ++this->result.stoppedRuns;
   }
+  void OnLateCompletion(const job::TaskRun&,
+                        const base::AgentId&,
+                        std::uint32_t) override
+  {
+  }
+  void OnEndIgnored(const job::TaskRun&,
+                    const base::AgentId&,
+                    EndKind,
+                    std::string_view) override
+  {
+  }
   void OnLost(const job::TaskRun&, std::string_view) override {}
   void OnWorkerChanged(const base::AgentId&, std::string_view) override {}
   void OnJobEnded(const base::JobId& aJob,
--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -52,6 +52,17 @@
                   std::string_view) override
   {
   }
+  void OnLateCompletion(const job::TaskRun&,
+                        const base::AgentId&,
+                        std::uint32_t) override
+  {
+  }
+  void OnEndIgnored(const job::TaskRun&,
+                    const base::AgentId&,
+                    EndKind,
+                    std::string_view) override
+  {
+  }
   void OnLost(const job::TaskRun&, std::string_view) override {}
   void OnWorkerChanged(const base::AgentId&, std::string_view) override {}
   void OnJobEnded(const base::JobId&, std::string_view, base::Duration) override
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -147,6 +147,15 @@
                        const base::AgentId& aAgent,
                        EndKind aKind,
                        std::uint32_t aFailures) = 0;
+  /** A run that was given up has completed; aLatest is the task's last run. */
+  virtual void OnLateCompletion(const job::TaskRun& aRun,
+                                const base::AgentId& aAgent,
+                                std::uint32_t aLatest) = 0;
+  /** The end is acknowledged although it changes nothing. */
+  virtual void OnEndIgnored(const job::TaskRun& aRun,
+                            const base::AgentId& aAgent,
+                            EndKind aKind,
+                            std::string_view aReason) = 0;
   virtual void OnStopping(const job::TaskRun& aRun,
                           const base::AgentId& aAgent,
                           std::string_view aReason) = 0;
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -135,6 +135,8 @@
   /** Size of the start orders whose outcome is not known yet. */
   std::map<job::TaskRun, std::size_t> awaitedStarts;
   std::size_t awaitedBytes = 0;
+  /** Number of the latest end that was handled. */
+  std::uint64_t lastEnd = 0;
 
   /** Whether another start may be ordered now. */
   bool HasRoomForStart() const noexcept;
@@ -357,6 +359,10 @@
    */
   void AdoptInheritedTasks(Worker& aWorker);
   void HandleEnd(Worker& aWorker, const EndedTask& aEnd);
+  /** Why a done end changed nothing; empty if that is usual. */
+  std::string_view ReasonIgnored(const Worker& aWorker,
+                                 const job::TaskRun& aRun,
+                                 bool aHeldResources);
   /**
    * Returns the idle task that the run on the worker completes, after stopping
    * any other run of it, or null if the completion changes nothing. A task that
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -122,6 +122,7 @@
     this->HandleEnd(worker, end);
     lastEnd = std::max(lastEnd, end.number);
   }
+  worker.lastEnd = std::max(worker.lastEnd, lastEnd);
   for (const auto& running : aReport.running) {
     this->HandleRunning(worker, running);
   }
@@ -152,6 +153,7 @@
   }
   this->observer.OnWorkerChanged(aWorker.agent, "joined");
   aWorker.info = aInfo;
+  aWorker.lastEnd = 0;
   aWorker.failureStreak = 0;
   aWorker.avoidUntil = {};
   this->AdoptInheritedTasks(aWorker);
@@ -198,6 +200,11 @@
 Dispatcher::State::HandleEnd(Worker& aWorker, const EndedTask& aEnd)
 {
   const bool heldResources = this->ReleaseResources(aWorker, aEnd.run);
+  // An end is listed again until the worker has received its acknowledgement.
+  const bool isNew = aEnd.number > aWorker.lastEnd;
+  const Task* known = this->FindRun(aEnd.run);
+  const bool isGivenUp = known == nullptr || !known->IsOnWorker() ||
+                         known->incarnation != aWorker.info->life;
   Task* task = aEnd.kind == EndKind::Done
                  ? this->TakeCompletedTask(aWorker, aEnd.run)
                  : this->FindRun(aEnd.run);
@@ -212,6 +219,13 @@
     task != nullptr && task->phase == Phase::Idle && aEnd.kind == EndKind::Done;
   if (!isCurrent && !isCompletion) {
     this->mustSchedule = this->mustSchedule || heldResources;
+    if (isNew && aEnd.kind == EndKind::Done) {
+      const std::string_view reason =
+        this->ReasonIgnored(aWorker, aEnd.run, heldResources);
+      if (!reason.empty()) {
+        this->observer.OnEndIgnored(aEnd.run, aWorker.agent, aEnd.kind, reason);
+      }
+    }
     return; // Already handled, or the end of an orphaned run.
   }
   this->mustSchedule = true;
@@ -253,9 +267,41 @@
   }
   this->observer.OnEnded(
     aEnd.run, aWorker.agent, aEnd.kind, step.tasks[index].failures);
+  if (isCompletion && isGivenUp) {
+    this->observer.OnLateCompletion(
+      aEnd.run, aWorker.agent, step.tasks[index].run);
+  }
   this->UpdateJobOutcome(job);
 }
 
+std::string_view
+Dispatcher::State::ReasonIgnored(const Worker& aWorker,
+                                 const job::TaskRun& aRun,
+                                 bool aHeldResources)
+{
+  const job::StepSpec* spec = this->SpecOf(aRun.task.step);
+  if (spec == nullptr) {
+    return "unknown job";
+  }
+  const Step* step = this->FindStep(aRun.task.step);
+  if (step == nullptr || aRun.task.index >= step->tasks.size()) {
+    return "unknown task";
+  }
+  const Task& task = step->tasks[aRun.task.index];
+  if (task.run != aRun.run) {
+    return task.phase == Phase::Done ? "completed by another run"
+                                     : "another run is known";
+  }
+  if (task.incarnation != aWorker.info->life) {
+    return "on another incarnation";
+  }
+  if (task.phase != Phase::Done) {
+    return "not on the worker";
+  }
+  // Each member of a gang lists an end of its own.
+  return spec->isGang && aHeldResources ? "" : "already done";
+}
+
 Task*
 Dispatcher::State::TakeCompletedTask(const Worker& aWorker,
                                      const job::TaskRun& aCompleted)
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -120,6 +120,19 @@
                std::uint32_t) override
   {
   }
+  void OnLateCompletion(const job::TaskRun& aRun,
+                        const base::AgentId&,
+                        std::uint32_t aLatest) override
+  {
+    this->lateCompletions.emplace_back(aRun.run, aLatest);
+  }
+  void OnEndIgnored(const job::TaskRun&,
+                    const base::AgentId&,
+                    EndKind,
+                    std::string_view aReason) override
+  {
+    this->ignoredEnds.emplace_back(aReason);
+  }
   void OnStopping(const job::TaskRun& aRun,
                   const base::AgentId&,
                   std::string_view aReason) override
@@ -162,6 +175,10 @@
   std::vector<StopTask> stopOrders;
   std::vector<std::string> stops;
   std::vector<ForgetJob> forgotten;
+  /** Runs that completed after they were given up, and the latest runs. */
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> lateCompletions;
+  /** Why done ends were ignored. */
+  std::vector<std::string> ignoredEnds;
   int lost = 0;
   /** Number of calls of Packing::Pack(). */
   std::uint64_t packCalls = 0;
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -5,11 +5,15 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace amaranthwind;
 using namespace amaranthwind::dispatch;
 using namespace std::chrono_literals;
 using ledger::JobPhase;
+using LateCompletions = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
 
 namespace {
 
@@ -933,6 +937,7 @@
   CHECK(harness.Phase("j") == JobPhase::Completed);
   CHECK(harness.Running("j").empty());
   CHECK(harness.starts.size() == expectedStarts);
+  CHECK(harness.lateCompletions == LateCompletions{ { 1, 2 } });
   // The resources of both runs are free again.
   harness.Submit(DispatcherHarness::MakeJob("k", 2, 8));
   harness.Run(1s);
@@ -1044,6 +1049,7 @@
   harness.Report(name);
   CHECK(agent.ended.empty());
   CHECK(harness.Phase("j") == JobPhase::Completed);
+  CHECK(harness.lateCompletions == LateCompletions{ { 1, 1 } });
   harness.EndAll("j", EndKind::Done);
   harness.Run(harness.options.inheritedGrantDuration + 1s);
   CHECK(harness.starts.size() == starts);
@@ -1119,6 +1125,38 @@
   harness.Run(1s);
   CHECK(agent.acknowledged == 2);
   CHECK(harness.starts.size() == 1);
+  CHECK(harness.ignoredEnds == std::vector<std::string>{ "unknown job" });
+}
+
+// Guards against acknowledged ends of which the log does not tell why they were
+// not counted, and against a line for each report or member of a gang.
+TEST_CASE("a done end that changes nothing is reported once with its reason")
+{
+  DispatcherHarness harness;
+  harness.Submit(MakeGang("g", 3, 8));
+  const auto runs = harness.Running("g");
+  REQUIRE(runs.size() == 3);
+  harness.EndAll("g", EndKind::Done);
+  CHECK(harness.ignoredEnds.empty());
+  CHECK(harness.lateCompletions.empty());
+  harness.persistsImmediately = false;
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  DispatcherHarness::Agent& agent = harness.agents.at("vm-0");
+  agent.running[runs[0]] = { runs[0], {}, 0 };
+  std::string reason = "already done";
+  SUBCASE("of the run that completed the task") {}
+  SUBCASE("of another run")
+  {
+    agent.running.clear();
+    job::TaskRun other = runs[0];
+    ++other.run;
+    agent.running[other] = { other, {}, 0 };
+    reason = "completed by another run";
+  }
+  harness.End(agent.running.begin()->first, EndKind::Done);
+  harness.Report("vm-0");
+  harness.Report("vm-0");
+  CHECK(harness.ignoredEnds == std::vector<std::string>{ reason });
 }
 
 // Guards against hundreds of starts per second on a worker that answers none.
