Test that a member of a gang whose worker was lost completes it

A gang that lost a member is stopped and started again, while the lost member may have completed; its end can arrive before, between and after the ends of the others, and at the next coordinator. No test covered these orders.

--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -1106,6 +1106,77 @@
   CHECK(harness.starts.size() == starts);
 }
 
+// Guards against a gang that starts again although a member has completed: the
+// end is listed by a worker that was lost meanwhile, at any time of the gang's
+// stop and restart, also to the next coordinator.
+TEST_CASE("a gang is completed by a member whose worker was lost")
+{
+  enum class Moment
+  {
+    BeforeStops,
+    BetweenStops,
+    AfterRestart,
+  };
+  Moment moment = Moment::BeforeStops;
+  bool isTakenOver = false;
+  SUBCASE("before the others have ended") {}
+  SUBCASE("before the others have ended, after a takeover")
+  {
+    isTakenOver = true;
+  }
+  SUBCASE("when one of the others has ended")
+  {
+    moment = Moment::BetweenStops;
+  }
+  SUBCASE("when one of the others has ended, after a takeover")
+  {
+    moment = Moment::BetweenStops;
+    isTakenOver = true;
+  }
+  SUBCASE("when the gang has started again")
+  {
+    moment = Moment::AfterRestart;
+  }
+  SUBCASE("when the gang has started again, after a takeover")
+  {
+    moment = Moment::AfterRestart;
+    isTakenOver = true;
+  }
+  DispatcherHarness harness(4);
+  harness.stopsImmediately = false;
+  harness.Submit(MakeGang("g", 3, 8));
+  const auto runs = harness.Running("g");
+  REQUIRE(runs.size() == 3);
+  const std::string lost = harness.AgentOf(runs[0]);
+  DispatcherHarness::Agent& agent = harness.agents.at(lost);
+  agent.isReporting = false;
+  harness.Run(harness.options.maxGrantDuration + 500ms);
+  REQUIRE(harness.lost == 1);
+  REQUIRE(harness.stopOrders.size() == 2);
+  if (moment != Moment::BeforeStops) {
+    harness.End(runs[1], EndKind::Stopped);
+  }
+  if (moment == Moment::AfterRestart) {
+    harness.End(runs[2], EndKind::Broken);
+  }
+  harness.Run(1s);
+  const std::size_t starts = harness.starts.size();
+  REQUIRE(starts == (moment == Moment::AfterRestart ? 6 : 3));
+  if (isTakenOver) {
+    harness.TakeOver();
+  }
+  harness.End(runs[0], EndKind::Done);
+  agent.isReporting = true;
+  harness.Report(lost);
+  CHECK(agent.ended.empty());
+  CHECK(harness.Phase("g") == JobPhase::Completed);
+  harness.stopsImmediately = true;
+  harness.Run(harness.options.inheritedGrantDuration + 1s);
+  CHECK(harness.Phase("g") == JobPhase::Completed);
+  CHECK(harness.Running("g").empty());
+  CHECK(harness.starts.size() == starts);
+}
+
 // A run whose job is unknown belongs to a job that was deleted: nothing of it
 // can start again, and without the acknowledgement the worker would list the
 // end, and all later ones, for good.
