--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -122,6 +122,7 @@
     this->HandleEnd(worker, end);
     lastEnd = std::max(lastEnd, end.number);
   }
+  worker.lastEnd = std::max(worker.lastEnd, lastEnd);
   for (const auto& running : aReport.running) {
     this->HandleRunning(worker, running);
   }
@@ -152,6 +153,7 @@
   }
   this->observer.OnWorkerChanged(aWorker.agent, "joined");
   aWorker.info = aInfo;
+  aWorker.lastEnd = 0;
   aWorker.failureStreak = 0;
   aWorker.avoidUntil = {};
   this->AdoptInheritedTasks(aWorker);
@@ -198,19 +200,32 @@
 Dispatcher::State::HandleEnd(Worker& aWorker, const EndedTask& aEnd)
 {
   const bool heldResources = this->ReleaseResources(aWorker, aEnd.run);
-  Task* task = aEnd.kind == EndKind::Done ? this->WithdrawLaterRun(aEnd.run)
-                                          : this->FindRun(aEnd.run);
+  // An end is listed again until the worker has received its acknowledgement.
+  const bool isNew = aEnd.number > aWorker.lastEnd;
+  const Task* known = this->FindRun(aEnd.run);
+  const bool isGivenUp = known == nullptr || !known->IsOnWorker() ||
+                         known->incarnation != aWorker.info->life;
+  Task* task = aEnd.kind == EndKind::Done
+                 ? this->TakeCompletedTask(aWorker, aEnd.run)
+                 : this->FindRun(aEnd.run);
   const bool isCurrent = heldResources && task != nullptr &&
                          task->IsOnWorker() &&
                          task->incarnation == aWorker.info->life;
-  // The run was considered lost because its worker was silent or restarted, but
-  // it completed. This is safe to accept: a run number is used by one start
-  // only. It has to be accepted also after the task was placed again, because
-  // nothing may start once the end is acknowledged.
-  const bool isLateCompletion =
+  // A completed run completes its task whatever was assumed about the run: that
+  // it was lost, that another run follows, or that it is on another worker.
+  // This is safe to accept, because a run number is used by one start only. It
+  // has to be accepted, because nothing may start once the end is acknowledged.
+  const bool isCompletion =
     task != nullptr && task->phase == Phase::Idle && aEnd.kind == EndKind::Done;
-  if (!isCurrent && !isLateCompletion) {
+  if (!isCurrent && !isCompletion) {
     this->mustSchedule = this->mustSchedule || heldResources;
+    if (isNew && aEnd.kind == EndKind::Done) {
+      const std::string_view reason =
+        this->ReasonIgnored(aWorker, aEnd.run, heldResources);
+      if (!reason.empty()) {
+        this->observer.OnEndIgnored(aEnd.run, aWorker.agent, aEnd.kind, reason);
+      }
+    }
     return; // Already handled, or the end of an orphaned run.
   }
   this->mustSchedule = true;
@@ -252,30 +267,76 @@
   }
   this->observer.OnEnded(
     aEnd.run, aWorker.agent, aEnd.kind, step.tasks[index].failures);
+  if (isCompletion && isGivenUp) {
+    this->observer.OnLateCompletion(
+      aEnd.run, aWorker.agent, step.tasks[index].run);
+  }
   this->UpdateJobOutcome(job);
 }
 
-Task*
-Dispatcher::State::WithdrawLaterRun(const job::TaskRun& aCompleted)
+std::string_view
+Dispatcher::State::ReasonIgnored(const Worker& aWorker,
+                                 const job::TaskRun& aRun,
+                                 bool aHeldResources)
 {
-  Step* step = this->FindStep(aCompleted.task.step);
-  if (step == nullptr || aCompleted.task.index >= step->tasks.size()) {
+  const job::StepSpec* spec = this->SpecOf(aRun.task.step);
+  if (spec == nullptr) {
+    return "unknown job";
+  }
+  const Step* step = this->FindStep(aRun.task.step);
+  if (step == nullptr || aRun.task.index >= step->tasks.size()) {
+    return "unknown task";
+  }
+  const Task& task = step->tasks[aRun.task.index];
+  if (task.run != aRun.run) {
+    return task.phase == Phase::Done ? "completed by another run"
+                                     : "another run is known";
+  }
+  if (task.incarnation != aWorker.info->life) {
+    return "on another incarnation";
+  }
+  if (task.phase != Phase::Done) {
+    return "not on the worker";
+  }
+  // Each member of a gang lists an end of its own.
+  return spec->isGang && aHeldResources ? "" : "already done";
+}
+
+Task*
+Dispatcher::State::TakeCompletedTask(const Worker& aWorker,
+                                     const job::TaskRun& aCompleted)
+{
+  const job::StepId& id = aCompleted.task.step;
+  Job* job = this->FindJob(id.job);
+  if (job == nullptr || id.step >= job->spec->steps.size() ||
+      id.occurrence >= job->spec->Occurrences() ||
+      aCompleted.task.index >= job->spec->steps[id.step].count) {
     return nullptr;
   }
-  Task& task = step->tasks[aCompleted.task.index];
-  if (task.run == aCompleted.run) {
-    return &task;
+  const job::StepSpec& spec = job->spec->steps[id.step];
+  Step& step = this->EnsureStep(*job, id.occurrence, id.step);
+  Task& task = step.tasks[aCompleted.task.index];
+  if (spec.isLongRunning) {
+    return task.run == aCompleted.run ? &task : nullptr;
   }
-  const job::StepSpec& spec = *this->SpecOf(step->id);
-  if (task.run < aCompleted.run || task.phase == Phase::Done ||
-      spec.isLongRunning) {
+  if (task.phase == Phase::Done) {
     return nullptr;
   }
-  constexpr std::string_view kReason = "an earlier run completed";
-  if (spec.isGang) {
-    this->StopGangMembers(*step, task.run, kReason);
-  } else {
-    this->RequestStop(*step, aCompleted.task.index, kReason);
+  if (task.run != aCompleted.run || task.incarnation != aWorker.info->life) {
+    constexpr std::string_view kReason = "completed by another run";
+    if (spec.isGang && task.run != aCompleted.run) {
+      this->StopGangMembers(step, task.run, kReason);
+    } else {
+      this->RequestStop(step, aCompleted.task.index, kReason);
+    }
+    if (task.run < aCompleted.run) {
+      // A record without the run would let a successor number another run so.
+      for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        if (spec.isGang || i == aCompleted.task.index) {
+          step.tasks[i].run = aCompleted.run;
+        }
+      }
+    }
   }
   task.phase = Phase::Idle;
   return &task;
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -5,11 +5,15 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace amaranthwind;
 using namespace amaranthwind::dispatch;
 using namespace std::chrono_literals;
 using ledger::JobPhase;
+using LateCompletions = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
 
 namespace {
 
@@ -933,6 +937,7 @@
   CHECK(harness.Phase("j") == JobPhase::Completed);
   CHECK(harness.Running("j").empty());
   CHECK(harness.starts.size() == expectedStarts);
+  CHECK(harness.lateCompletions == LateCompletions{ { 1, 2 } });
   // The resources of both runs are free again.
   harness.Submit(DispatcherHarness::MakeJob("k", 2, 8));
   harness.Run(1s);
@@ -1002,6 +1007,229 @@
   CHECK(harness.starts.size() == 1);
 }
 
+// Guards against starting a task again after its completion was acknowledged: a
+// late order of the previous coordinator took effect on the next incarnation of
+// the worker, while the task still counts as running on the earlier one.
+TEST_CASE("a new coordinator counts a run completed by another incarnation")
+{
+  bool isGang = false;
+  bool isListedBefore = false;
+  SUBCASE("of an independent task") {}
+  SUBCASE("of an independent task that was listed before")
+  {
+    isListedBefore = true;
+  }
+  SUBCASE("of a gang")
+  {
+    isGang = true;
+  }
+  SUBCASE("of a gang that was listed before")
+  {
+    isGang = true;
+    isListedBefore = true;
+  }
+  DispatcherHarness harness;
+  harness.stopsImmediately = false;
+  harness.Submit(isGang ? MakeGang("j", 3, 8)
+                        : DispatcherHarness::MakeJob("j", 1, 8));
+  const std::size_t starts = harness.starts.size();
+  REQUIRE(starts == (isGang ? 3 : 1));
+  const auto run = harness.Running("j").at(0);
+  const std::string name = harness.AgentOf(run);
+  DispatcherHarness::Agent& agent = harness.agents.at(name);
+  harness.Restart(name);
+  agent.isReporting = false;
+  harness.TakeOver();
+  agent.isReporting = true;
+  agent.running[run] = { run, {}, 0 };
+  if (isListedBefore) {
+    harness.Report(name);
+  }
+  harness.End(run, EndKind::Done);
+  harness.Report(name);
+  CHECK(agent.ended.empty());
+  CHECK(harness.Phase("j") == JobPhase::Completed);
+  CHECK(harness.lateCompletions == LateCompletions{ { 1, 1 } });
+  harness.EndAll("j", EndKind::Done);
+  harness.Run(harness.options.inheritedGrantDuration + 1s);
+  CHECK(harness.starts.size() == starts);
+}
+
+// Guards against starting a task again after its completion was acknowledged:
+// the records that the coordinator has read lack the placement of the run.
+TEST_CASE("a completed run completes its task although it was not known")
+{
+  bool isGang = false;
+  bool isEarlierRunKnown = false;
+  SUBCASE("of an independent task that is not known") {}
+  SUBCASE("of an independent task of which an earlier run is known")
+  {
+    isEarlierRunKnown = true;
+  }
+  SUBCASE("of a gang that is not known")
+  {
+    isGang = true;
+  }
+  SUBCASE("of a gang of which an earlier run is known")
+  {
+    isGang = true;
+    isEarlierRunKnown = true;
+  }
+  DispatcherHarness harness;
+  harness.Submit(isGang ? MakeGang("j", 3, 8)
+                        : DispatcherHarness::MakeJob("j", 1, 8));
+  auto known = harness.durable;
+  if (isEarlierRunKnown) {
+    harness.EndAll("j", EndKind::Failed);
+    harness.Run(5s);
+  } else {
+    known.clear();
+  }
+  const auto runs = harness.Running("j");
+  REQUIRE(runs.size() == (isGang ? 3 : 1));
+  REQUIRE(runs[0].run == (isEarlierRunKnown ? 2 : 1));
+  const std::size_t starts = harness.starts.size();
+  DispatcherHarness::Agent& agent = harness.agents.at(harness.AgentOf(runs[0]));
+  const std::uint64_t acknowledged = agent.acknowledged;
+  for (const auto& run : runs) {
+    harness.End(run, EndKind::Done);
+  }
+  harness.durable = known;
+  harness.persistsImmediately = false;
+  harness.TakeOver();
+  CHECK(agent.acknowledged == acknowledged);
+  harness.persistsImmediately = true;
+  harness.Run(harness.options.inheritedGrantDuration + 1s);
+  CHECK(agent.acknowledged == acknowledged + 1);
+  CHECK(harness.Phase("j") == JobPhase::Completed);
+  CHECK(harness.Running("j").empty());
+  CHECK(harness.starts.size() == starts);
+}
+
+// Guards against a gang that starts again although a member has completed: the
+// end is listed by a worker that was lost meanwhile, at any time of the gang's
+// stop and restart, also to the next coordinator.
+TEST_CASE("a gang is completed by a member whose worker was lost")
+{
+  enum class Moment
+  {
+    BeforeStops,
+    BetweenStops,
+    AfterRestart,
+  };
+  Moment moment = Moment::BeforeStops;
+  bool isTakenOver = false;
+  SUBCASE("before the others have ended") {}
+  SUBCASE("before the others have ended, after a takeover")
+  {
+    isTakenOver = true;
+  }
+  SUBCASE("when one of the others has ended")
+  {
+    moment = Moment::BetweenStops;
+  }
+  SUBCASE("when one of the others has ended, after a takeover")
+  {
+    moment = Moment::BetweenStops;
+    isTakenOver = true;
+  }
+  SUBCASE("when the gang has started again")
+  {
+    moment = Moment::AfterRestart;
+  }
+  SUBCASE("when the gang has started again, after a takeover")
+  {
+    moment = Moment::AfterRestart;
+    isTakenOver = true;
+  }
+  DispatcherHarness harness(4);
+  harness.stopsImmediately = false;
+  harness.Submit(MakeGang("g", 3, 8));
+  const auto runs = harness.Running("g");
+  REQUIRE(runs.size() == 3);
+  const std::string lost = harness.AgentOf(runs[0]);
+  DispatcherHarness::Agent& agent = harness.agents.at(lost);
+  agent.isReporting = false;
+  harness.Run(harness.options.maxGrantDuration + 500ms);
+  REQUIRE(harness.lost == 1);
+  REQUIRE(harness.stopOrders.size() == 2);
+  if (moment != Moment::BeforeStops) {
+    harness.End(runs[1], EndKind::Stopped);
+  }
+  if (moment == Moment::AfterRestart) {
+    harness.End(runs[2], EndKind::Broken);
+  }
+  harness.Run(1s);
+  const std::size_t starts = harness.starts.size();
+  REQUIRE(starts == (moment == Moment::AfterRestart ? 6 : 3));
+  if (isTakenOver) {
+    harness.TakeOver();
+  }
+  harness.End(runs[0], EndKind::Done);
+  agent.isReporting = true;
+  harness.Report(lost);
+  CHECK(agent.ended.empty());
+  CHECK(harness.Phase("g") == JobPhase::Completed);
+  harness.stopsImmediately = true;
+  harness.Run(harness.options.inheritedGrantDuration + 1s);
+  CHECK(harness.Phase("g") == JobPhase::Completed);
+  CHECK(harness.Running("g").empty());
+  CHECK(harness.starts.size() == starts);
+}
+
+// A run whose job is unknown belongs to a job that was deleted: nothing of it
+// can start again, and without the acknowledgement the worker would list the
+// end, and all later ones, for good.
+TEST_CASE("the completion of a run of a deleted job is acknowledged")
+{
+  DispatcherHarness harness(1);
+  harness.options.retention = 5s;
+  harness.TakeOver();
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 8));
+  const auto run = harness.Running("j").at(0);
+  harness.EndAll("j", EndKind::Done);
+  harness.Run(harness.options.retention + 1s);
+  REQUIRE(harness.forgotten.size() == 1);
+  DispatcherHarness::Agent& agent = harness.agents.at("vm-0");
+  agent.running[run] = { run, {}, 0 };
+  harness.End(run, EndKind::Done);
+  harness.Run(1s);
+  CHECK(agent.acknowledged == 2);
+  CHECK(harness.starts.size() == 1);
+  CHECK(harness.ignoredEnds == std::vector<std::string>{ "unknown job" });
+}
+
+// Guards against acknowledged ends of which the log does not tell why they were
+// not counted, and against a line for each report or member of a gang.
+TEST_CASE("a done end that changes nothing is reported once with its reason")
+{
+  DispatcherHarness harness;
+  harness.Submit(MakeGang("g", 3, 8));
+  const auto runs = harness.Running("g");
+  REQUIRE(runs.size() == 3);
+  harness.EndAll("g", EndKind::Done);
+  CHECK(harness.ignoredEnds.empty());
+  CHECK(harness.lateCompletions.empty());
+  harness.persistsImmediately = false;
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  DispatcherHarness::Agent& agent = harness.agents.at("vm-0");
+  agent.running[runs[0]] = { runs[0], {}, 0 };
+  std::string reason = "already done";
+  SUBCASE("of the run that completed the task") {}
+  SUBCASE("of another run")
+  {
+    agent.running.clear();
+    job::TaskRun other = runs[0];
+    ++other.run;
+    agent.running[other] = { other, {}, 0 };
+    reason = "completed by another run";
+  }
+  harness.End(agent.running.begin()->first, EndKind::Done);
+  harness.Report("vm-0");
+  harness.Report("vm-0");
+  CHECK(harness.ignoredEnds == std::vector<std::string>{ reason });
+}
+
 // Guards against hundreds of starts per second on a worker that answers none.
 TEST_CASE("a worker that did not confirm a start is avoided for a short time")
 {
