Cancel each unanswered start on the worker's next life, whatever became of it

Users saw a task start again after a run of it had ended as done.

A request without an answer may be carried out seconds later, and a worker that restarts under its id knows no run that was stopped or ended before. The agent cancelled only those starts on the next life whose runs were unresolved when the life before was over. It forgot an unanswered attempt once another attempt was accepted and the run had ended, once a stop had settled it, and if an earlier process of the agent had sent it and this one has sent a stop only. A fenced cancellation counted as done.

The agent now remembers each start with an unanswered attempt, and each stop of a run that it has not started itself, for 30 s and with the life that it was sent to. It stops them on the next life under the same id before it reports that life, and repeats a fenced stop until it has the token. What is cancelled and how it was ruled out is logged. Starts of an earlier process that no coordinator has ordered to stop remain unknown.

--- a/libs/agent/src/AgentCommands.cpp
+++ b/libs/agent/src/AgentCommands.cpp
@@ -108,6 +108,10 @@
     return false;
   }
   ++run.startAttempts;
+  LateStart& late = this->lateStarts[aRun];
+  late.life = this->workerInfo->life;
+  late.sentAt = this->clock.Now();
+  ++late.unanswered;
   this->ExtendLeaseBound();
   StartRequest request{ this->workerInfo->life.id,
                         aRun,
@@ -119,12 +123,30 @@
                      this->BindToIncarnation<WorkerRequestReply>(
                        [aRun](State& aSelf, const WorkerRequestReply& aAnswer) {
                          --aSelf.requestsInFlight;
+                         aSelf.SettleLateStart(aRun, aAnswer.result);
                          aSelf.OnStartAnswer(aRun, aAnswer);
                          aSelf.TakeTurns();
                        }));
   return true;
 }
 
+void
+WorkerAgent::State::SettleLateStart(const TaskRun& aRun,
+                                    WorkerRequestResult aResult)
+{
+  const auto found = this->lateStarts.find(aRun);
+  if (found == this->lateStarts.end() ||
+      aResult == WorkerRequestResult::NoReply) {
+    return;
+  }
+  LateStart& start = found->second;
+  start.isAccepted =
+    start.isAccepted || aResult == WorkerRequestResult::Accepted;
+  if (--start.unanswered == 0) {
+    this->lateStarts.erase(found);
+  }
+}
+
 void
 WorkerAgent::State::OnStartAnswer(const TaskRun& aRun,
                                   const WorkerRequestReply& aAnswer)
@@ -212,9 +234,11 @@
     run.phase = RunPhase::Stopped;
     run.lastHoldBeforeAccept = this->lastHoldNumber;
     this->HoldNow();
-  } else if (aAnswer.result == WorkerRequestResult::Fenced ||
+  } else if ((aAnswer.result == WorkerRequestResult::Fenced &&
+              !run.isCancellationOnly) ||
              aAnswer.result == WorkerRequestResult::WorkerReplaced) {
-    // The run is up to a newer coordinator or a newer incarnation.
+    // The run is up to a newer coordinator or a newer incarnation. A newer
+    // coordinator does not know of a start to an earlier incarnation.
     this->runs.erase(found);
   } else {
     run.mayTakeEffectLate = true;
--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -22,6 +22,8 @@
  * tasks, and each has a limit.
  */
 constexpr std::size_t kMaxCheckpointBytes = 4096;
+/** Well above the seconds that an unanswered request may take to arrive. */
+constexpr Duration kMaxRequestDelay = 30s;
 
 } // namespace
 
@@ -41,9 +43,7 @@
 void
 WorkerAgent::State::BeginIncarnation(const dispatch::WorkerInfo& aInfo)
 {
-  const bool isSameId = this->lastWorkerId == aInfo.life.id;
   this->EndIncarnation("replaced");
-  const auto previous = std::exchange(this->staleRuns, {});
   this->workerInfo = aInfo;
   this->incarnationStart = this->clock.Now();
   this->lastWorkerId = aInfo.life.id;
@@ -53,19 +53,7 @@
                       { "draining", aInfo.isDraining ? "yes" : "no" } });
   // A life that had been taken for over goes on.
   this->unacknowledgedEnds = this->pastEnds.Take(aInfo.life);
-  for (const auto& run : previous) {
-    if (isSameId) {
-      // A delayed start for the previous incarnation would take effect on the
-      // new one, unless a stop arrives first.
-      this->logger.Info(
-        "cancelling request to the previous incarnation of the worker",
-        { { "task", ToLogText(run) } });
-      Run& cancelled = this->runs[run];
-      cancelled.phase = RunPhase::Stopping;
-      cancelled.isCancellationOnly = true;
-      this->SendStop(run);
-    }
-  }
+  this->CancelLateStarts();
   this->ContinueHoldLoop();
 }
 
@@ -86,10 +74,14 @@
     this->LimitPastEnds();
   }
   ++this->incarnationNumber;
+  const auto life =
+    this->workerInfo ? this->workerInfo->life : ledger::WorkerIncarnation{};
   this->workerInfo.reset();
   for (const auto& [run, state] : this->runs) {
     if (state.mayTakeEffectLate || !this->listedTasks.contains(run)) {
-      this->staleRuns.insert(run);
+      // Also a stop whose start was sent by an earlier process.
+      this->lateStarts.try_emplace(
+        run, LateStart{ life, this->clock.Now(), 1, false });
     }
   }
   this->runs.clear();
@@ -106,6 +98,38 @@
   this->holdBackoff.Reset();
 }
 
+void
+WorkerAgent::State::ForgetLateStarts()
+{
+  std::erase_if(
+    this->lateStarts,
+    [oldest = this->clock.Now() - kMaxRequestDelay](const auto& aStart) {
+      return aStart.second.sentAt < oldest;
+    });
+}
+
+void
+WorkerAgent::State::CancelLateStarts()
+{
+  this->ForgetLateStarts();
+  const auto& life = this->workerInfo->life;
+  for (const auto& [run, start] : this->lateStarts) {
+    if (start.life.id != life.id ||
+        (start.life.born == life.born && start.isAccepted)) {
+      continue;
+    }
+    this->logger.Info(
+      "cancelling an unanswered start to an earlier life of the worker",
+      { { "task", ToLogText(run) },
+        { "sentTo", start.life.born },
+        { "born", life.born } });
+    Run& cancelled = this->runs[run];
+    cancelled.phase = RunPhase::Stopping;
+    cancelled.isCancellationOnly = true;
+    this->SendStop(run);
+  }
+}
+
 void
 WorkerAgent::State::LimitPastEnds()
 {
@@ -122,7 +146,12 @@
 WorkerAgent::State::HasUncancelledRequests() const
 {
   if (!this->workerInfo) {
-    return !this->staleRuns.empty() && this->clock.Now() < this->staleRunsUntil;
+    return this->clock.Now() < this->lateStartsUntil &&
+           std::any_of(this->lateStarts.begin(),
+                       this->lateStarts.end(),
+                       [this](const auto& aStart) {
+                         return aStart.second.life.id == this->lastWorkerId;
+                       });
   }
   return std::any_of(
     this->runs.begin(), this->runs.end(), [](const auto& aRun) {
@@ -241,7 +270,7 @@
     // The worker has restarted and has not registered yet. A start that was
     // delivered to the new incarnation lasts no longer than a lease.
     this->EndIncarnation("restarted");
-    this->staleRunsUntil =
+    this->lateStartsUntil =
       this->clock.Now() + this->options.maxLease + kExpiryMargin;
     this->ReportChange();
     return;
@@ -293,6 +322,12 @@
     const auto current = position++;
     if (ended.contains(current->first) ||
         this->ResolveRun(current->first, current->second)) {
+      if (current->second.isCancellationOnly) {
+        this->logger.Info(
+          "unanswered start to an earlier life of the worker ruled out",
+          { { "task", ToLogText(current->first) },
+            { "wasStopped", ended.contains(current->first) ? "yes" : "no" } });
+      }
       this->runs.erase(current);
       hasChanges = true;
     }
--- a/libs/agent/src/AgentReports.cpp
+++ b/libs/agent/src/AgentReports.cpp
@@ -55,6 +55,7 @@
   this->isReportScheduled = false;
   this->hasUnreportedChange = false;
   this->LimitPastEnds();
+  this->ForgetLateStarts();
   if (!this->hasRegistered || (this->workerInfo && !this->hasTaskList) ||
       this->HasUncancelledRequests()) {
     // Without a report, the coordinator keeps its current state; a task that is
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -54,6 +54,22 @@
                            std::chrono::milliseconds(500) } };
 };
 
+/**
+ * A start that the worker may still carry out, because an attempt to send it
+ * was not answered. It may arrive seconds later, after the run has ended, and
+ * at the next life of the worker under the same id.
+ */
+struct LateStart
+{
+  /** The life that the start was sent to. */
+  ledger::WorkerIncarnation life;
+  TimePoint sentAt{};
+  std::uint32_t unanswered = 0;
+  /** Another attempt was accepted, so that the run is not to be cancelled on
+   * the life that it was sent to. */
+  bool isAccepted = false;
+};
+
 /** Formats a run as "job.occurrence.step.index#run". */
 std::string
 ToLogText(const TaskRun& aRun);
@@ -105,6 +121,10 @@
   void EndIncarnation(std::string_view aReason);
   /** Logs the ends that are given up for lack of an acknowledgement. */
   void LimitPastEnds();
+  /** Discards those that are too old to arrive. */
+  void ForgetLateStarts();
+  /** Rules the late starts to earlier lives out on the new one. */
+  void CancelLateStarts();
   /**
    * Whether requests to a previous incarnation may still take effect, because
    * their cancellation is in progress or waits for the new incarnation to
@@ -153,6 +173,8 @@
   bool SendStartNow(const TaskRun& aRun);
   /** Retries after a backoff, unless the phase of the run has changed. */
   void RetryLater(const TaskRun& aRun, void (State::*aSend)(const TaskRun&));
+  /** Counts the answer to an attempt to start the run. */
+  void SettleLateStart(const TaskRun& aRun, WorkerRequestResult aResult);
   void OnStartAnswer(const TaskRun& aRun, const WorkerRequestReply& aAnswer);
   /**
    * Why the run must not be started, or null. Checked before each attempt,
@@ -236,10 +258,13 @@
   std::uint64_t lastAnsweredReport = 0;
   bool isReportScheduled = false;
   bool hasUnreportedChange = false;
-  /** Runs of previous incarnations whose requests may reach the next one. */
-  std::set<TaskRun> staleRuns;
-  /** Reports are withheld until then while staleRuns is not empty. */
-  TimePoint staleRunsUntil{};
+  /** Of all lives of the worker. */
+  std::map<TaskRun, LateStart> lateStarts;
+  /**
+   * Without a worker, reports are withheld until then while a late start may
+   * reach the next life under the id of the last worker.
+   */
+  TimePoint lateStartsUntil{};
   /** Send times of the newest answered report and of all later ones. */
   std::map<std::uint64_t, TimePoint> reportTimes;
 };
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -222,10 +222,16 @@
     }
     return;
   }
-  Run& run = self.runs[aRun];
+  const auto [found, isUnknown] = self.runs.try_emplace(aRun);
+  Run& run = found->second;
   if (run.phase == RunPhase::Stopping) {
     return;
   }
+  if (isUnknown) {
+    // An earlier process may have sent the start and got no answer.
+    self.lateStarts.try_emplace(
+      aRun, LateStart{ aIncarnation, self.clock.Now(), 1, true });
+  }
   if (run.phase == RunPhase::Starting && run.startAttempts > 0) {
     run.mayTakeEffectLate = true;
   }
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -71,6 +71,10 @@
       this->TimeOut(aHandler);
       return;
     }
+    if (aRequest.token < this->fence) {
+      aHandler({ WorkerRequestResult::Fenced, "fence" });
+      return;
+    }
     this->stoppedRuns[aRequest.run] = true;
     if (this->running.erase(aRequest.run) > 0) {
       this->EndRun(aRequest.run, EndKind::Stopped);
@@ -131,6 +135,8 @@
   /** Number of ends that are listed at a time. */
   std::size_t maxListedEnds = SIZE_MAX;
   std::string refusal;
+  /** Stops with a lower token are refused. */
+  base::FencingToken fence;
   std::uint64_t born = kIncarnation.born;
   int starts = 0;
   int stops = 0;
@@ -863,6 +869,94 @@
   CHECK(fixture.worker.stoppedRuns.contains(kRun));
 }
 
+// Guards against a second run: a start whose answer was lost may be carried out
+// seconds later, and the next life under the same id knows of no run that
+// ended.
+TEST_CASE("an unanswered start is cancelled on the next life in any case")
+{
+  Fixture fixture;
+  bool isCancelled = true;
+  ledger::WorkerIncarnation next{ kIncarnation.id, 200 };
+  base::Duration pause{};
+  SUBCASE("its run has ended")
+  {
+    fixture.worker.dropsStartResponses = true;
+    fixture.Start();
+    fixture.Run(400ms);
+    fixture.worker.dropsStartResponses = false;
+    fixture.Run(600ms);
+    REQUIRE(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Started });
+    fixture.worker.EndRun(kRun, EndKind::Done);
+    fixture.Run(2s);
+    fixture.agent.OnEndAcknowledged(kIncarnation, 1);
+    fixture.Run(1s);
+    REQUIRE(fixture.worker.ended.empty());
+    SUBCASE("on the life before") {}
+    SUBCASE("on a worker with another id")
+    {
+      next.id = base::TargetId("w2");
+      isCancelled = false;
+    }
+    SUBCASE("a minute ago")
+    {
+      pause = 1min;
+      isCancelled = false;
+    }
+  }
+  SUBCASE("it was settled by a stop")
+  {
+    fixture.worker.isUnresponsive = true;
+    fixture.Start();
+    fixture.Run(2s);
+    fixture.worker.isUnresponsive = false;
+    fixture.Run(2s);
+    REQUIRE(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Absent });
+  }
+  SUBCASE("an earlier process of the agent sent it")
+  {
+    fixture.agent.OnStop({ kToken, {} }, kIncarnation, kRun);
+    fixture.Run(2s);
+    REQUIRE(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Absent });
+  }
+  SUBCASE("it was answered")
+  {
+    fixture.Start();
+    fixture.Run(1s);
+    fixture.worker.EndRun(kRun, EndKind::Done);
+    fixture.Run(2s);
+    isCancelled = false;
+  }
+  fixture.Run(pause);
+  fixture.worker.stoppedRuns.clear();
+  fixture.worker.running.clear();
+  fixture.worker.born = next.born;
+  fixture.agent.OnRegistration(MakeWorker(next), 1);
+  fixture.Run(1s);
+  REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+  CHECK(fixture.coordinator.lastReport.worker->life == next);
+  CHECK(fixture.worker.stoppedRuns.contains(kRun) == isCancelled);
+}
+
+// Guards against a late start that is not ruled out, because the worker knows a
+// newer token than the agent when the agent cancels it.
+TEST_CASE("a fenced cancellation is repeated before anything is reported")
+{
+  Fixture fixture;
+  fixture.worker.isUnresponsive = true;
+  fixture.Start();
+  fixture.Run(600ms);
+  fixture.worker.isUnresponsive = false;
+  fixture.worker.fence = base::FencingToken(4);
+  fixture.worker.born = 200;
+  fixture.agent.OnRegistration(MakeWorker({ kIncarnation.id, 200 }), 1);
+  fixture.Run(1s);
+  CHECK(fixture.coordinator.lastReport.worker->life == kIncarnation);
+  fixture.agent.OnCoordinatorToken(base::FencingToken(4));
+  fixture.executor.Advance(1s);
+  CHECK(fixture.worker.stoppedRuns.contains(kRun));
+  CHECK(fixture.coordinator.lastReport.worker->life.born == 200);
+}
+
 // Guards against a task that is released while the new incarnation executes a
 // request that was meant for the previous one.
 TEST_CASE(
