Keep a deregistered worker until it has ended, and never take it back

Users saw a task run again although a run of it had ended as done.

The agent reported a worker as gone 300 ms after its deregistration, whereupon the coordinator places its tasks again at once. PROTOCOL.md: a worker that gets no ack for its deregistration "ends anyway, some seconds later"; until then, and while its lease holds, its runs go on. A registration that arrived late began the same life again, as one that takes tasks. The deregistration of an earlier life under the same id ended the next one, because its `born` was not read.

A deregistered worker is now reported as draining, with its runs and ends, until its address refuses connections or its lease has expired while it is silent. The agent remembers the last 16 lives that have deregistered and ignores their registrations, with a log line. A deregistration applies to the life that it tells; if it tells none, to the one that is known. The client for HTTP now tells a refused connection (ConnectFailed) from a connect timeout (TimedOut) and other errors (ConnectionClosed), since only a refusal shows that nothing listens.

The test "a deregistered worker is removed after a delay" is replaced: its worker still answered when it had to be reported as gone, which is the fault. Its successor, "a deregistered worker is removed when it has ended", asks for the removal within the same second, of a worker that has ended.

--- a/libs/agent/include/amaranthwind/agent/WorkerAgent.h
+++ b/libs/agent/include/amaranthwind/agent/WorkerAgent.h
@@ -73,8 +73,13 @@
   /** The worker has registered. Messages that arrive late are ignored. */
   void OnRegistration(const dispatch::WorkerInfo& aWorker,
                       std::uint64_t aSequence);
-  /** The worker is shutting down. */
-  void OnDeregistration(const base::TargetId& aWorker);
+  /**
+   * The worker is shutting down and will not register again. `born` is 0 if the
+   * worker did not tell it. The worker may run on for seconds, so that it is
+   * reported until it has ended or its lease, which is not extended any more,
+   * has expired.
+   */
+  void OnDeregistration(const ledger::WorkerIncarnation& aWorker);
 
   /** A coordinator holds this token; messages with lower ones are rejected. */
   void OnCoordinatorToken(base::FencingToken aToken);
--- a/libs/agent/include/amaranthwind/agent/WorkerPort.h
+++ b/libs/agent/include/amaranthwind/agent/WorkerPort.h
@@ -86,7 +86,8 @@
   virtual void Stop(const StopRequest& aRequest,
                     std::function<void(WorkerRequestReply)> aHandler) = 0;
   /**
-   * Errors: TimedOut, ConnectFailed, ConnectionClosed, Malformed, StaleToken,
+   * Errors: TimedOut, ConnectFailed (nothing listens at the address),
+   * ConnectionClosed, Malformed, StaleToken,
    * UnknownPath (the address belongs to another worker), TargetFailed.
    */
   virtual void Hold(const HoldRequest& aRequest,
--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kExpiryMargin = 300ms;
 /** Interval of holds while ended tasks await their acknowledgement. */
 constexpr Duration kUnacknowledgedEndInterval = 150ms;
+/** Interval of holds that find out whether a deregistered worker has ended. */
+constexpr Duration kDeregisteredPollInterval = 300ms;
 /**
  * Longer checkpoints are left out. Messages and records hold those of many
  * tasks, and each has a limit.
@@ -98,6 +100,26 @@
   this->holdBackoff.Reset();
 }
 
+bool
+WorkerAgent::State::IsDeregistered(const ledger::WorkerIncarnation& aLife) const
+{
+  return std::find(this->deregisteredLives.begin(),
+                   this->deregisteredLives.end(),
+                   aLife) != this->deregisteredLives.end();
+}
+
+void
+WorkerAgent::State::AwaitWorkerEnd()
+{
+  this->RunAfterDelay(kDeregisteredPollInterval,
+                      [number = this->incarnationNumber](State& aSelf) {
+                        if (aSelf.incarnationNumber == number) {
+                          aSelf.HoldNow();
+                          aSelf.AwaitWorkerEnd();
+                        }
+                      });
+}
+
 void
 WorkerAgent::State::ForgetLateStarts()
 {
@@ -169,7 +191,8 @@
 WorkerAgent::State::LeaseDeadline() const
 {
   const TimePoint now = this->clock.Now();
-  if (!this->workerClock || now >= this->grantUntil) {
+  if (!this->workerClock || now >= this->grantUntil ||
+      (this->workerInfo && this->IsDeregistered(this->workerInfo->life))) {
     return std::nullopt;
   }
   const Duration sinceReading = now - this->workerClock->second;
@@ -253,6 +276,12 @@
                          { { "worker", this->workerInfo->life.id },
                            { "error", base::Describe(aAnswer.error()) } });
     ++this->consecutiveHoldFailures;
+    if (aAnswer.error().code == base::ErrorCode::ConnectFailed &&
+        this->IsDeregistered(this->workerInfo->life)) {
+      this->EndIncarnation("deregistered, and its address is closed");
+      this->ReportChange();
+      return;
+    }
     // A previous daemon may have granted the worker a lease of maximum length.
     const TimePoint bound = std::max(
       this->leaseBound, this->incarnationStart + this->options.maxLease);
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -119,6 +119,10 @@
   // Incarnations of the worker (AgentIncarnation.cpp).
   void BeginIncarnation(const dispatch::WorkerInfo& aInfo);
   void EndIncarnation(std::string_view aReason);
+  /** Whether this life of the worker has deregistered. */
+  bool IsDeregistered(const ledger::WorkerIncarnation& aLife) const;
+  /** Polls a deregistered worker until it has ended. */
+  void AwaitWorkerEnd();
   /** Logs the ends that are given up for lack of an acknowledgement. */
   void LimitPastEnds();
   /** Discards those that are too old to arrive. */
@@ -136,7 +140,8 @@
   bool IsGranted() const;
   /**
    * The end of the grant on the worker's clock, capped at the maximum lease and
-   * scaled for a slow clock so that it is never later in real time.
+   * scaled for a slow clock so that it is never later in real time. Empty if
+   * the lease is not to be extended.
    */
   std::optional<WorkerClockTime> LeaseDeadline() const;
   void ExtendLeaseBound();
@@ -217,6 +222,8 @@
   base::TargetId lastWorkerId;
   std::uint64_t registrationSequence = 0;
   TimePoint incarnationStart{};
+  /** The newest ones; they do not register again. */
+  std::deque<ledger::WorkerIncarnation> deregisteredLives;
   /** Whether a worker has registered since this process started. */
   bool hasRegistered = false;
 
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/** Time after which a deregistered worker is removed. */
-constexpr Duration kDeregistrationDelay = 300ms;
+/** More than those whose registrations can arrive late. */
+constexpr std::size_t kMaxDeregisteredLives = 16;
 /** A start is refused if less than this remains of the grant. */
 constexpr Duration kMinRemainingGrant = 500ms;
 /** After this many consecutive failed holds, starts are refused. */
@@ -73,26 +73,40 @@
   if (self.workerInfo && aWorker.life.born < self.workerInfo->life.born) {
     return; // Delayed message of an earlier incarnation.
   }
+  if (self.IsDeregistered(aWorker.life)) {
+    self.logger.Info(
+      "registration ignored: the worker has deregistered",
+      { { "worker", aWorker.life.id }, { "born", aWorker.life.born } });
+    return;
+  }
   self.registrationSequence = aSequence;
   self.hasRegistered = true;
   self.BeginIncarnation(aWorker);
 }
 
 void
-WorkerAgent::OnDeregistration(const base::TargetId& aWorker)
+WorkerAgent::OnDeregistration(const ledger::WorkerIncarnation& aWorker)
 {
   State& self = *this->state;
-  if (!self.workerInfo || self.workerInfo->life.id != aWorker) {
+  ledger::WorkerIncarnation life = aWorker;
+  if (life.born == 0 && self.workerInfo &&
+      self.workerInfo->life.id == life.id) {
+    life = self.workerInfo->life;
+  }
+  if (self.IsDeregistered(life)) {
     return;
   }
-  self.workerInfo->isDraining = true;
-  self.RunAfterDelay(kDeregistrationDelay,
-                     [number = self.incarnationNumber](State& aSelf) {
-                       if (aSelf.incarnationNumber == number) {
-                         aSelf.EndIncarnation("deregistered");
-                         aSelf.ReportChange();
-                       }
-                     });
+  self.logger.Info("worker deregistered",
+                   { { "worker", life.id }, { "born", life.born } });
+  if (self.deregisteredLives.size() == kMaxDeregisteredLives) {
+    self.deregisteredLives.pop_front();
+  }
+  self.deregisteredLives.push_back(life);
+  if (self.workerInfo && self.workerInfo->life == life) {
+    self.workerInfo->isDraining = true;
+    self.AwaitWorkerEnd();
+    self.ReportChange();
+  }
 }
 
 void
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -86,6 +86,12 @@
             std::function<void(base::Result<HoldReply>)> aHandler) override
   {
     ++this->holds;
+    if (this->hasEnded) {
+      this->executor.RunAfter(1ms, [aHandler] {
+        aHandler(base::Fail(base::ErrorCode::ConnectFailed));
+      });
+      return;
+    }
     if (this->isUnresponsive) {
       this->executor.RunAfter(aRequest.wait + 700ms, [aHandler] {
         aHandler(base::Fail(base::ErrorCode::TimedOut));
@@ -127,6 +133,8 @@
   }
 
   bool isUnresponsive = false;
+  /** Nothing listens at the address any more. */
+  bool hasEnded = false;
   bool refusesConnections = false;
   bool dropsStartResponses = false;
   /** Starts are not answered yet. */
@@ -318,7 +326,7 @@
   SUBCASE("it left")
   {
     fixture.worker.isUnresponsive = true;
-    fixture.agent.OnDeregistration(kIncarnation.id);
+    fixture.agent.OnDeregistration(kIncarnation);
     fixture.Run(20s);
   }
   SUBCASE("it fell silent")
@@ -993,17 +1001,99 @@
   CHECK(fixture.worker.starts == 3);
 }
 
-TEST_CASE("a deregistered worker is removed after a delay")
+TEST_CASE("a deregistered worker is removed when it has ended")
 {
   Fixture fixture;
-  fixture.agent.OnDeregistration(kIncarnation.id);
+  fixture.agent.OnDeregistration(kIncarnation);
   fixture.Run(100ms);
   CHECK(fixture.agent.Status().hasWorker);
+  CHECK(fixture.coordinator.lastReport.worker->isDraining);
+  fixture.worker.hasEnded = true;
   fixture.Run(1s);
   CHECK_FALSE(fixture.agent.Status().hasWorker);
   CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
 }
 
+// Guards against a second run of a task while the first one goes on: a worker
+// that gets no answer to its deregistration ends only seconds later.
+TEST_CASE("a deregistered worker keeps its runs while it may run them")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(1s);
+  fixture.agent.OnDeregistration(kIncarnation);
+  const auto lease = fixture.worker.lease;
+  SUBCASE("because it answers")
+  {
+    fixture.Run(4s);
+    REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+    CHECK(fixture.coordinator.lastReport.running.size() == 1);
+    // A late registration does not revoke the deregistration.
+    fixture.agent.OnRegistration(MakeWorker(), 9);
+    fixture.Run(500ms);
+    CHECK(fixture.coordinator.lastReport.worker->isDraining);
+    fixture.worker.EndRun(kRun, EndKind::Done);
+    fixture.Run(500ms);
+    CHECK(fixture.coordinator.lastReport.ended.size() == 1);
+  }
+  SUBCASE("because it does not answer and its lease has not expired")
+  {
+    fixture.worker.isUnresponsive = true;
+    while (fixture.coordinator.lastReport.worker.has_value()) {
+      REQUIRE(fixture.worker.LeaseLeft() > -5s);
+      fixture.Run(50ms);
+    }
+    CHECK(fixture.worker.LeaseLeft() <= 0ms);
+  }
+  CHECK(fixture.worker.lease == lease);
+}
+
+// Guards against tasks that are placed on a worker that has left, because a
+// registration of it arrives late.
+TEST_CASE("a deregistered life of the worker does not begin again")
+{
+  Fixture fixture;
+  SUBCASE("that the agent knew")
+  {
+    fixture.agent.OnDeregistration(kIncarnation);
+    fixture.worker.hasEnded = true;
+    fixture.Run(2s);
+    REQUIRE_FALSE(fixture.agent.Status().hasWorker);
+    fixture.agent.OnRegistration(MakeWorker(), 99);
+    CHECK_FALSE(fixture.agent.Status().hasWorker);
+    fixture.worker.hasEnded = false;
+  }
+  SUBCASE("that the agent did not know yet")
+  {
+    fixture.agent.OnDeregistration({ base::TargetId("w2"), 150 });
+    CHECK_FALSE(fixture.coordinator.lastReport.worker->isDraining);
+    fixture.agent.OnRegistration(MakeWorker({ base::TargetId("w2"), 150 }), 1);
+    fixture.Run(500ms);
+    CHECK(fixture.coordinator.lastReport.worker->life == kIncarnation);
+  }
+  fixture.worker.born = 200;
+  fixture.agent.OnRegistration(MakeWorker({ kIncarnation.id, 200 }), 1);
+  fixture.Run(1s);
+  REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+  CHECK(fixture.coordinator.lastReport.worker->life.born == 200);
+}
+
+// Guards against removing a worker because of the late deregistration of an
+// earlier life under its id.
+TEST_CASE("a deregistration applies to one life of the worker")
+{
+  Fixture fixture;
+  fixture.agent.OnDeregistration({ kIncarnation.id, kIncarnation.born - 1 });
+  fixture.worker.hasEnded = true;
+  fixture.Run(2s);
+  REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+  CHECK_FALSE(fixture.coordinator.lastReport.worker->isDraining);
+  // Without the life, it applies to the one that is known.
+  fixture.agent.OnDeregistration({ kIncarnation.id, 0 });
+  fixture.Run(2s);
+  CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
+}
+
 // Guards against an idle daemon that consumes CPU time.
 TEST_CASE("an idle agent wakes up at most a few times a second")
 {
--- a/libs/frontend/include/amaranthwind/frontend/HttpClient.h
+++ b/libs/frontend/include/amaranthwind/frontend/HttpClient.h
@@ -67,7 +67,8 @@
 /**
  * HTTP/1.1 client for one server with a pool of keep-alive connections.
  * Thread-safe. Errors:
- * ConnectFailed, ConnectionClosed, TimedOut, QueueFull, Malformed (address).
+ * ConnectFailed (refused), ConnectionClosed, TimedOut, QueueFull, Malformed
+ * (address).
  */
 class HttpClient
 {
--- a/libs/frontend/src/HttpClient.cpp
+++ b/libs/frontend/src/HttpClient.cpp
@@ -178,9 +178,12 @@
       endpoint.value(),
       [self = this->shared_from_this()](beast::error_code aError) {
         if (aError) {
-          self->Finish(
-            MakeFailure(ErrorCode::ConnectFailed, aError.message(), false),
-            false);
+          // Only a refusal tells that nothing listens at the address.
+          const ErrorCode code =
+            aError == asio::error::connection_refused ? ErrorCode::ConnectFailed
+            : aError == beast::error::timeout         ? ErrorCode::TimedOut
+                                              : ErrorCode::ConnectionClosed;
+          self->Finish(MakeFailure(code, aError.message(), false), false);
           return;
         }
         self->isConnected = true;
