Lease a worker only by grants that answer a report of it

Users saw a task run again although a run of it had ended as done.

A grant that answered a report without a worker, or of another life, extended the lease of whichever worker was registered when it arrived. If a worker registered again with the same birth after it had been reported as gone, the coordinator had placed its tasks again, while the new lease kept their earlier runs going.

A grant now counts only if the report that it answers was made during the current incarnation, and the time granted ends with the incarnation. Any other grant is logged, with its token.

Before the change the test "a grant extends the lease of the worker that was reported only" failed in both cases: CHECK( 3618704ms == 3605488ms ) for the lease before and after the grant.

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -95,6 +95,8 @@
   this->requestsInFlight = 0;
   this->isHoldInFlight = false;
   this->consecutiveHoldFailures = 0;
+  // The coordinator may give the runs of this incarnation up from now on.
+  this->grantUntil = {};
   this->leaseBound = {};
   this->workerClock.reset();
   this->holdBackoff.Reset();
--- a/libs/agent/src/AgentReports.cpp
+++ b/libs/agent/src/AgentReports.cpp
@@ -14,8 +14,8 @@
 constexpr Duration kReportDelay = 3ms;
 /** Added for each run, since the coordinator has to look at all of them. */
 constexpr Duration kReportDelayPerRun = 50us;
-/** Limit of reports whose send times are kept. */
-constexpr std::size_t kMaxReportTimes = 32;
+/** Limit of reports that are kept. */
+constexpr std::size_t kMaxSentReports = 32;
 
 } // namespace
 
@@ -79,10 +79,11 @@
   report.pastEnds = this->pastEnds.List();
   report.mayHaveMoreEnds = this->mayHaveMoreEnds;
   report.receivedOrder = this->receivedOrder;
-  if (this->reportTimes.size() >= kMaxReportTimes) {
-    this->reportTimes.erase(this->reportTimes.begin());
+  if (this->sentReports.size() >= kMaxSentReports) {
+    this->sentReports.erase(this->sentReports.begin());
   }
-  this->reportTimes[++this->lastReport] = this->clock.Now();
+  this->sentReports[++this->lastReport] = { this->clock.Now(),
+                                            this->incarnationNumber };
   this->coordinator.SendReport(this->lastReport, this->token, report);
 }
 
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -70,6 +70,14 @@
   bool isAccepted = false;
 };
 
+/** A report that the coordinator may still answer. */
+struct SentReport
+{
+  TimePoint sentAt{};
+  /** Of the worker that it reports; see State. */
+  std::uint64_t incarnationNumber = 0;
+};
+
 /** Formats a run as "job.occurrence.step.index#run". */
 std::string
 ToLogText(const TaskRun& aRun);
@@ -258,6 +266,7 @@
   base::FencingToken token;
   /** Highest number of an order received under the token. */
   dispatch::OrderNumber receivedOrder;
+  /** For the current incarnation of the worker. */
   TimePoint grantUntil{};
   /** Upper bound of the end of the worker's lease. */
   TimePoint leaseBound{};
@@ -272,8 +281,8 @@
    * reach the next life under the id of the last worker.
    */
   TimePoint lateStartsUntil{};
-  /** Send times of the newest answered report and of all later ones. */
-  std::map<std::uint64_t, TimePoint> reportTimes;
+  /** The newest answered report and all later ones. */
+  std::map<std::uint64_t, SentReport> sentReports;
 };
 
 } // namespace amaranthwind::agent
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -127,16 +127,23 @@
                      base::Duration aDuration)
 {
   State& self = *this->state;
-  const auto sent = self.reportTimes.find(aSequence);
-  if (sent == self.reportTimes.end() || aToken < self.token) {
+  const auto sent = self.sentReports.find(aSequence);
+  if (sent == self.sentReports.end() || aToken < self.token) {
     return;
   }
   const TimePoint now = self.clock.Now();
   const TimePoint previous = self.grantUntil;
   self.AdvanceToken(aToken);
-  self.grantUntil = std::max(self.grantUntil, sent->second + aDuration);
+  if (sent->second.incarnationNumber == self.incarnationNumber) {
+    self.grantUntil =
+      std::max(self.grantUntil, sent->second.sentAt + aDuration);
+  } else {
+    // When the coordinator granted it, it knew no runs of this incarnation.
+    self.logger.Info("grant does not apply to the worker",
+                     { { "report", aSequence }, { "token", aToken } });
+  }
   self.lastAnsweredReport = std::max(self.lastAnsweredReport, aSequence);
-  self.reportTimes.erase(self.reportTimes.begin(), sent);
+  self.sentReports.erase(self.sentReports.begin(), sent);
   if (self.hasUnreportedChange) {
     self.ReportChange();
   }
@@ -193,15 +200,15 @@
   Run run;
   run.payload = aPayload;
   run.checkpoint = aCheckpoint;
-  const auto report = self.reportTimes.find(aValidity.reportSequence);
-  if (report != self.reportTimes.end()) {
-    run.startBefore = report->second + aValidity.duration;
+  const auto report = self.sentReports.find(aValidity.reportSequence);
+  if (report != self.sentReports.end()) {
+    run.startBefore = report->second.sentAt + aValidity.duration;
   }
   const char* refusal = nullptr;
   if (!self.workerInfo || self.workerInfo->life != aIncarnation) {
     refusal = "worker was replaced";
   } else if (aValidity.reportSequence != 0 &&
-             report == self.reportTimes.end()) {
+             report == self.sentReports.end()) {
     refusal = "order follows no known report";
   } else if (const char* reason = self.RefusalOf(run)) {
     refusal = reason;
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -1048,6 +1048,40 @@
   CHECK(fixture.worker.lease == lease);
 }
 
+// Guards against runs that go on although the coordinator has given them up: it
+// did not know of the worker, or took it for gone, when it granted the lease.
+TEST_CASE("a grant extends the lease of the worker that was reported only")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(1s);
+  fixture.worker.isUnresponsive = true;
+  fixture.Run(12s);
+  REQUIRE_FALSE(fixture.coordinator.lastReport.worker.has_value());
+  const auto sequence = fixture.coordinator.lastSequence;
+  fixture.agent.OnGrant(sequence, kToken, 5s);
+  fixture.worker.isUnresponsive = false;
+  const auto lease = fixture.worker.lease;
+  ledger::WorkerIncarnation next = kIncarnation;
+  SUBCASE("not of the same life that registers again") {}
+  SUBCASE("not of the next life")
+  {
+    next.born = 200;
+  }
+  fixture.worker.born = next.born;
+  fixture.agent.OnRegistration(MakeWorker(next), 20);
+  fixture.executor.Advance(300ms);
+  fixture.agent.OnGrant(sequence, kToken, 5s);
+  fixture.executor.Advance(300ms);
+  CHECK(fixture.worker.lease == lease);
+  CHECK_FALSE(fixture.agent.Status().isGranted);
+  // The grant that answers a report of the worker extends it.
+  REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+  fixture.agent.OnGrant(fixture.coordinator.lastSequence, kToken, 5s);
+  fixture.executor.Advance(3s);
+  CHECK(fixture.worker.lease > lease);
+}
+
 // Guards against tasks that are placed on a worker that has left, because a
 // registration of it arrives late.
 TEST_CASE("a deregistered life of the worker does not begin again")
