Name acknowledged ends in holds only until one of these is answered

Users saw a task start again after a run of it had ended as done.

A hold without an answer may be carried out seconds later, also by the next life of the worker under the same id, whose ends are numbered anew. Each hold named the last acknowledged end, so that a late one discarded ends of the new life that nobody had seen. Their tasks were then missing from its list and ran again.

PROTOCOL.md: "Ends up to `last-seen` are forgotten", which need not be repeated. Once a hold that names the number is answered, holds name none until the next acknowledgement. A hold that is unanswered when the life ends may still do it; that window is now one hold long and no longer the whole life.

Before the change the test "a hold names acknowledged ends only until one is answered" failed: CHECK( 1 == 0 ) and CHECK( 2 == 0 ) for the number in the last hold.

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -89,6 +89,7 @@
   this->runs.clear();
   this->listedTasks.clear();
   this->lastAcknowledgedEnd = 0;
+  this->lastDiscardedEnd = 0;
   this->hasTaskList = false;
   this->mayHaveMoreEnds = false;
   this->waitingRequests.clear();
@@ -255,7 +256,11 @@
   if (this->consecutiveHoldFailures == 0) {
     request.deadline = this->LeaseDeadline();
   }
-  request.lastSeen = this->lastAcknowledgedEnd;
+  // A hold that arrives late at the next life under this id would discard ends
+  // that nobody has seen.
+  if (this->lastAcknowledgedEnd > this->lastDiscardedEnd) {
+    request.lastSeen = this->lastAcknowledgedEnd;
+  }
   request.wait = aWait;
   if (request.deadline) {
     this->ExtendLeaseBound();
@@ -263,14 +268,17 @@
   this->worker.Hold(request,
                     this->BindToIncarnation<base::Result<HoldReply>>(
                       [number = ++this->lastHoldNumber,
+                       lastSeen = request.lastSeen,
                        aContinuation](State& aSelf, const auto& aAnswer) {
-                        aSelf.OnHoldAnswer(aAnswer, number, aContinuation);
+                        aSelf.OnHoldAnswer(
+                          aAnswer, number, lastSeen, aContinuation);
                       }));
 }
 
 void
 WorkerAgent::State::OnHoldAnswer(const base::Result<HoldReply>& aAnswer,
                                  std::uint64_t aNumber,
+                                 std::uint64_t aLastSeen,
                                  void (*aContinuation)(State&, bool))
 {
   if (aAnswer.has_error()) {
@@ -308,6 +316,7 @@
   }
   this->holdBackoff.Reset();
   this->consecutiveHoldFailures = 0;
+  this->lastDiscardedEnd = std::max(this->lastDiscardedEnd, aLastSeen);
   const TimePoint now = this->clock.Now();
   if (!this->workerClock || answer.clock > this->workerClock->first) {
     this->workerClock = { answer.clock, now };
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -161,6 +161,7 @@
             void (*aContinuation)(State&, bool));
   void OnHoldAnswer(const base::Result<HoldReply>& aAnswer,
                     std::uint64_t aNumber,
+                    std::uint64_t aLastSeen,
                     void (*aContinuation)(State&, bool));
   void ApplyTaskList(const HoldReply& aAnswer, std::uint64_t aNumber);
   /** Drops a checkpoint that is too long. */
@@ -256,6 +257,8 @@
   /** Newest reading of the worker's clock and when it was received. */
   std::optional<std::pair<WorkerClockTime, TimePoint>> workerClock;
   std::uint64_t lastAcknowledgedEnd = 0;
+  /** The worker has discarded the ends up to this number. */
+  std::uint64_t lastDiscardedEnd = 0;
 
   std::map<TaskRun, Run> runs;
   /** Starts and stops that wait; each returns whether it has sent a request. */
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -86,6 +86,7 @@
             std::function<void(base::Result<HoldReply>)> aHandler) override
   {
     ++this->holds;
+    this->lastHold = aRequest;
     if (this->hasEnded) {
       this->executor.RunAfter(1ms, [aHandler] {
         aHandler(base::Fail(base::ErrorCode::ConnectFailed));
@@ -150,6 +151,7 @@
   int stops = 0;
   int holds = 0;
   std::uint64_t lastSeen = 0;
+  HoldRequest lastHold;
   WorkerClockTime lease{};
   std::map<job::TaskRun, dispatch::RunningTask> running;
   std::map<job::TaskRun, bool> stoppedRuns;
@@ -965,6 +967,32 @@
   CHECK(fixture.coordinator.lastReport.worker->life.born == 200);
 }
 
+// Guards against a hold that is carried out late, by the next life under the
+// same id: it discards ends that nobody has seen, so that done tasks run again.
+TEST_CASE("a hold names acknowledged ends only until one is answered")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.worker.EndRun(kRun, EndKind::Done);
+  fixture.Run(2s);
+  fixture.worker.isUnresponsive = true;
+  fixture.agent.OnEndAcknowledged(kIncarnation, 1);
+  fixture.Run(1s);
+  CHECK(fixture.worker.lastHold.lastSeen == 1);
+  fixture.worker.isUnresponsive = false;
+  fixture.Run(5s);
+  CHECK(fixture.worker.lastSeen == 1);
+  CHECK(fixture.worker.ended.empty());
+  CHECK(fixture.worker.lastHold.lastSeen == 0);
+  // The next end is acknowledged in the same way.
+  fixture.worker.EndRun({ kRun.task, 2 }, EndKind::Done);
+  fixture.Run(3s);
+  fixture.agent.OnEndAcknowledged(kIncarnation, 2);
+  fixture.Run(3s);
+  CHECK(fixture.worker.lastSeen == 2);
+  CHECK(fixture.worker.lastHold.lastSeen == 0);
+}
+
 // Guards against a task that is released while the new incarnation executes a
 // request that was meant for the previous one.
 TEST_CASE(
