--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -17,11 +17,15 @@
 constexpr Duration kExpiryMargin = 300ms;
 /** Interval of holds while ended tasks await their acknowledgement. */
 constexpr Duration kUnacknowledgedEndInterval = 150ms;
+/** Interval of holds that find out whether a deregistered worker has ended. */
+constexpr Duration kDeregisteredPollInterval = 300ms;
 /**
  * Longer checkpoints are left out. Messages and records hold those of many
  * tasks, and each has a limit.
  */
 constexpr std::size_t kMaxCheckpointBytes = 4096;
+/** Well above the seconds that an unanswered request may take to arrive. */
+constexpr Duration kMaxRequestDelay = 30s;
 
 } // namespace
 
@@ -41,9 +45,7 @@
 void
 WorkerAgent::State::BeginIncarnation(const dispatch::WorkerInfo& aInfo)
 {
-  const bool isSameId = this->lastWorkerId == aInfo.life.id;
   this->EndIncarnation("replaced");
-  const auto previous = std::exchange(this->staleRuns, {});
   this->workerInfo = aInfo;
   this->incarnationStart = this->clock.Now();
   this->lastWorkerId = aInfo.life.id;
@@ -51,19 +53,9 @@
                     { { "worker", aInfo.life.id },
                       { "born", aInfo.life.born },
                       { "draining", aInfo.isDraining ? "yes" : "no" } });
-  for (const auto& run : previous) {
-    if (isSameId) {
-      // A delayed start for the previous incarnation would take effect on the
-      // new one, unless a stop arrives first.
-      this->logger.Info(
-        "cancelling request to the previous incarnation of the worker",
-        { { "task", ToLogText(run) } });
-      Run& cancelled = this->runs[run];
-      cancelled.phase = RunPhase::Stopping;
-      cancelled.isCancellationOnly = true;
-      this->SendStop(run);
-    }
-  }
+  // A life that had been taken for over goes on.
+  this->unacknowledgedEnds = this->pastEnds.Take(aInfo.life);
+  this->CancelLateStarts();
   this->ContinueHoldLoop();
 }
 
@@ -73,35 +65,118 @@
   if (this->workerInfo) {
     this->logger.Info(
       "worker removed",
-      { { "worker", this->workerInfo->life.id }, { "reason", aReason } });
+      { { "worker", this->workerInfo->life.id },
+        { "born", this->workerInfo->life.born },
+        { "reason", aReason },
+        { "running", this->listedTasks.size() },
+        { "unacknowledgedEnds", this->unacknowledgedEnds.size() } });
+    this->pastEnds.Add(this->workerInfo->life,
+                       std::exchange(this->unacknowledgedEnds, {}),
+                       this->clock.Now());
+    this->LimitPastEnds();
   }
   ++this->incarnationNumber;
+  const auto life =
+    this->workerInfo ? this->workerInfo->life : ledger::WorkerIncarnation{};
   this->workerInfo.reset();
   for (const auto& [run, state] : this->runs) {
     if (state.mayTakeEffectLate || !this->listedTasks.contains(run)) {
-      this->staleRuns.insert(run);
+      // Also a stop whose start was sent by an earlier process.
+      this->lateStarts.try_emplace(
+        run, LateStart{ life, this->clock.Now(), 1, false });
     }
   }
   this->runs.clear();
   this->listedTasks.clear();
-  this->unacknowledgedEnds.clear();
   this->lastAcknowledgedEnd = 0;
+  this->lastDiscardedEnd = 0;
   this->hasTaskList = false;
   this->mayHaveMoreEnds = false;
   this->waitingRequests.clear();
   this->requestsInFlight = 0;
   this->isHoldInFlight = false;
   this->consecutiveHoldFailures = 0;
+  // The coordinator may give the runs of this incarnation up from now on.
+  this->grantUntil = {};
   this->leaseBound = {};
   this->workerClock.reset();
   this->holdBackoff.Reset();
 }
 
+bool
+WorkerAgent::State::IsDeregistered(const ledger::WorkerIncarnation& aLife) const
+{
+  return std::find(this->deregisteredLives.begin(),
+                   this->deregisteredLives.end(),
+                   aLife) != this->deregisteredLives.end();
+}
+
+void
+WorkerAgent::State::AwaitWorkerEnd()
+{
+  this->RunAfterDelay(kDeregisteredPollInterval,
+                      [number = this->incarnationNumber](State& aSelf) {
+                        if (aSelf.incarnationNumber == number) {
+                          aSelf.HoldNow();
+                          aSelf.AwaitWorkerEnd();
+                        }
+                      });
+}
+
+void
+WorkerAgent::State::ForgetLateStarts()
+{
+  std::erase_if(
+    this->lateStarts,
+    [oldest = this->clock.Now() - kMaxRequestDelay](const auto& aStart) {
+      return aStart.second.sentAt < oldest;
+    });
+}
+
+void
+WorkerAgent::State::CancelLateStarts()
+{
+  this->ForgetLateStarts();
+  const auto& life = this->workerInfo->life;
+  for (const auto& [run, start] : this->lateStarts) {
+    if (start.life.id != life.id ||
+        (start.life.born == life.born && start.isAccepted)) {
+      continue;
+    }
+    this->logger.Info(
+      "cancelling an unanswered start to an earlier life of the worker",
+      { { "task", ToLogText(run) },
+        { "sentTo", start.life.born },
+        { "born", life.born } });
+    Run& cancelled = this->runs[run];
+    cancelled.phase = RunPhase::Stopping;
+    cancelled.isCancellationOnly = true;
+    this->SendStop(run);
+  }
+}
+
+void
+WorkerAgent::State::LimitPastEnds()
+{
+  for (const auto& each : this->pastEnds.Limit(this->clock.Now())) {
+    this->logger.Warning("ends of an earlier life of the worker discarded",
+                         { { "worker", each.life.id },
+                           { "born", each.life.born },
+                           { "count", each.count },
+                           { "reason", each.reason } });
+  }
+}
+
 bool
 WorkerAgent::State::HasUncancelledRequests() const
 {
   if (!this->workerInfo) {
-    return !this->staleRuns.empty() && this->clock.Now() < this->staleRunsUntil;
+    return this->clock.Now() < this->lateStartsUntil &&
+           std::any_of(this->lateStarts.begin(),
+                       this->lateStarts.end(),
+                       [this](const auto& aStart) {
+                         return aStart.second.life.id == this->lastWorkerId;
+                       });
   }
   return std::any_of(
     this->runs.begin(), this->runs.end(), [](const auto& aRun) {
@@ -119,7 +194,8 @@
 WorkerAgent::State::LeaseDeadline() const
 {
   const TimePoint now = this->clock.Now();
-  if (!this->workerClock || now >= this->grantUntil) {
+  if (!this->workerClock || now >= this->grantUntil ||
+      (this->workerInfo && this->IsDeregistered(this->workerInfo->life))) {
     return std::nullopt;
   }
   const Duration sinceReading = now - this->workerClock->second;
@@ -180,7 +256,11 @@
   if (this->consecutiveHoldFailures == 0) {
     request.deadline = this->LeaseDeadline();
   }
-  request.lastSeen = this->lastAcknowledgedEnd;
+  // A hold that arrives late at the next life under this id would discard ends
+  // that nobody has seen.
+  if (this->lastAcknowledgedEnd > this->lastDiscardedEnd) {
+    request.lastSeen = this->lastAcknowledgedEnd;
+  }
   request.wait = aWait;
   if (request.deadline) {
     this->ExtendLeaseBound();
@@ -188,14 +268,17 @@
   this->worker.Hold(request,
                     this->BindToIncarnation<base::Result<HoldReply>>(
                       [number = ++this->lastHoldNumber,
+                       lastSeen = request.lastSeen,
                        aContinuation](State& aSelf, const auto& aAnswer) {
-                        aSelf.OnHoldAnswer(aAnswer, number, aContinuation);
+                        aSelf.OnHoldAnswer(
+                          aAnswer, number, lastSeen, aContinuation);
                       }));
 }
 
 void
 WorkerAgent::State::OnHoldAnswer(const base::Result<HoldReply>& aAnswer,
                                  std::uint64_t aNumber,
+                                 std::uint64_t aLastSeen,
                                  void (*aContinuation)(State&, bool))
 {
   if (aAnswer.has_error()) {
@@ -203,6 +286,12 @@
                          { { "worker", this->workerInfo->life.id },
                            { "error", base::Describe(aAnswer.error()) } });
     ++this->consecutiveHoldFailures;
+    if (aAnswer.error().code == base::ErrorCode::ConnectFailed &&
+        this->IsDeregistered(this->workerInfo->life)) {
+      this->EndIncarnation("deregistered, and its address is closed");
+      this->ReportChange();
+      return;
+    }
     // A previous daemon may have granted the worker a lease of maximum length.
     const TimePoint bound = std::max(
       this->leaseBound, this->incarnationStart + this->options.maxLease);
@@ -220,13 +309,14 @@
     // The worker has restarted and has not registered yet. A start that was
     // delivered to the new incarnation lasts no longer than a lease.
     this->EndIncarnation("restarted");
-    this->staleRunsUntil =
+    this->lateStartsUntil =
       this->clock.Now() + this->options.maxLease + kExpiryMargin;
     this->ReportChange();
     return;
   }
   this->holdBackoff.Reset();
   this->consecutiveHoldFailures = 0;
+  this->lastDiscardedEnd = std::max(this->lastDiscardedEnd, aLastSeen);
   const TimePoint now = this->clock.Now();
   if (!this->workerClock || answer.clock > this->workerClock->first) {
     this->workerClock = { answer.clock, now };
@@ -272,6 +362,12 @@
     const auto current = position++;
     if (ended.contains(current->first) ||
         this->ResolveRun(current->first, current->second)) {
+      if (current->second.isCancellationOnly) {
+        this->logger.Info(
+          "unanswered start to an earlier life of the worker ruled out",
+          { { "task", ToLogText(current->first) },
+            { "wasStopped", ended.contains(current->first) ? "yes" : "no" } });
+      }
       this->runs.erase(current);
       hasChanges = true;
     }
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "PastEnds.h"
+
 #include "amaranthwind/agent/WorkerAgent.h"
 #include "amaranthwind/base/Backoff.h"
 
@@ -52,6 +54,30 @@
                            std::chrono::milliseconds(500) } };
 };
 
+/**
+ * A start that the worker may still carry out, because an attempt to send it
+ * was not answered. It may arrive seconds later, after the run has ended, and
+ * at the next life of the worker under the same id.
+ */
+struct LateStart
+{
+  /** The life that the start was sent to. */
+  ledger::WorkerIncarnation life;
+  TimePoint sentAt{};
+  std::uint32_t unanswered = 0;
+  /** Another attempt was accepted, so that the run is not to be cancelled on
+   * the life that it was sent to. */
+  bool isAccepted = false;
+};
+
+/** A report that the coordinator may still answer. */
+struct SentReport
+{
+  TimePoint sentAt{};
+  /** Of the worker that it reports; see State. */
+  std::uint64_t incarnationNumber = 0;
+};
+
 /** Formats a run as "job.occurrence.step.index#run". */
 std::string
 ToLogText(const TaskRun& aRun);
@@ -101,6 +127,16 @@
   // Incarnations of the worker (AgentIncarnation.cpp).
   void BeginIncarnation(const dispatch::WorkerInfo& aInfo);
   void EndIncarnation(std::string_view aReason);
+  /** Whether this life of the worker has deregistered. */
+  bool IsDeregistered(const ledger::WorkerIncarnation& aLife) const;
+  /** Polls a deregistered worker until it has ended. */
+  void AwaitWorkerEnd();
+  /** Logs the ends that are given up for lack of an acknowledgement. */
+  void LimitPastEnds();
+  /** Discards those that are too old to arrive. */
+  void ForgetLateStarts();
+  /** Rules the late starts to earlier lives out on the new one. */
+  void CancelLateStarts();
   /**
    * Whether requests to a previous incarnation may still take effect, because
    * their cancellation is in progress or waits for the new incarnation to
@@ -112,7 +148,8 @@
   bool IsGranted() const;
   /**
    * The end of the grant on the worker's clock, capped at the maximum lease and
-   * scaled for a slow clock so that it is never later in real time.
+   * scaled for a slow clock so that it is never later in real time. Empty if
+   * the lease is not to be extended.
    */
   std::optional<WorkerClockTime> LeaseDeadline() const;
   void ExtendLeaseBound();
@@ -124,6 +161,7 @@
             void (*aContinuation)(State&, bool));
   void OnHoldAnswer(const base::Result<HoldReply>& aAnswer,
                     std::uint64_t aNumber,
+                    std::uint64_t aLastSeen,
                     void (*aContinuation)(State&, bool));
   void ApplyTaskList(const HoldReply& aAnswer, std::uint64_t aNumber);
   /** Drops a checkpoint that is too long. */
@@ -149,6 +187,8 @@
   bool SendStartNow(const TaskRun& aRun);
   /** Retries after a backoff, unless the phase of the run has changed. */
   void RetryLater(const TaskRun& aRun, void (State::*aSend)(const TaskRun&));
+  /** Counts the answer to an attempt to start the run. */
+  void SettleLateStart(const TaskRun& aRun, WorkerRequestResult aResult);
   void OnStartAnswer(const TaskRun& aRun, const WorkerRequestReply& aAnswer);
   /**
    * Why the run must not be started, or null. Checked before each attempt,
@@ -191,13 +231,16 @@
   base::TargetId lastWorkerId;
   std::uint64_t registrationSequence = 0;
   TimePoint incarnationStart{};
+  /** The newest ones; they do not register again. */
+  std::deque<ledger::WorkerIncarnation> deregisteredLives;
   /** Whether a worker has registered since this process started. */
   bool hasRegistered = false;
 
   /** Running tasks in the newest task list. */
   std::map<TaskRun, RunningTask> listedTasks;
   /** Ended tasks that the coordinator has not acknowledged, by number. */
-  std::map<std::uint64_t, EndedTask> unacknowledgedEnds;
+  EndsByNumber unacknowledgedEnds;
+  PastEnds pastEnds;
   /** Whether the current incarnation has listed its tasks. */
   bool hasTaskList = false;
   /** Whether the newest task list may lack some ended tasks. */
@@ -214,6 +257,8 @@
   /** Newest reading of the worker's clock and when it was received. */
   std::optional<std::pair<WorkerClockTime, TimePoint>> workerClock;
   std::uint64_t lastAcknowledgedEnd = 0;
+  /** The worker has discarded the ends up to this number. */
+  std::uint64_t lastDiscardedEnd = 0;
 
   std::map<TaskRun, Run> runs;
   /** Starts and stops that wait; each returns whether it has sent a request. */
@@ -224,6 +269,7 @@
   base::FencingToken token;
   /** Highest number of an order received under the token. */
   dispatch::OrderNumber receivedOrder;
+  /** For the current incarnation of the worker. */
   TimePoint grantUntil{};
   /** Upper bound of the end of the worker's lease. */
   TimePoint leaseBound{};
@@ -231,12 +277,15 @@
   std::uint64_t lastAnsweredReport = 0;
   bool isReportScheduled = false;
   bool hasUnreportedChange = false;
-  /** Runs of previous incarnations whose requests may reach the next one. */
-  std::set<TaskRun> staleRuns;
-  /** Reports are withheld until then while staleRuns is not empty. */
-  TimePoint staleRunsUntil{};
-  /** Send times of the newest answered report and of all later ones. */
-  std::map<std::uint64_t, TimePoint> reportTimes;
+  /** Of all lives of the worker. */
+  std::map<TaskRun, LateStart> lateStarts;
+  /**
+   * Without a worker, reports are withheld until then while a late start may
+   * reach the next life under the id of the last worker.
+   */
+  TimePoint lateStartsUntil{};
+  /** The newest answered report and all later ones. */
+  std::map<std::uint64_t, SentReport> sentReports;
 };
 
 } // namespace amaranthwind::agent
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/** Time after which a deregistered worker is removed. */
-constexpr Duration kDeregistrationDelay = 300ms;
+/** More than those whose registrations can arrive late. */
+constexpr std::size_t kMaxDeregisteredLives = 16;
 /** A start is refused if less than this remains of the grant. */
 constexpr Duration kMinRemainingGrant = 500ms;
 /** After this many consecutive failed holds, starts are refused. */
@@ -73,26 +73,40 @@
   if (self.workerInfo && aWorker.life.born < self.workerInfo->life.born) {
     return; // Delayed message of an earlier incarnation.
   }
+  if (self.IsDeregistered(aWorker.life)) {
+    self.logger.Info(
+      "registration ignored: the worker has deregistered",
+      { { "worker", aWorker.life.id }, { "born", aWorker.life.born } });
+    return;
+  }
   self.registrationSequence = aSequence;
   self.hasRegistered = true;
   self.BeginIncarnation(aWorker);
 }
 
 void
-WorkerAgent::OnDeregistration(const base::TargetId& aWorker)
+WorkerAgent::OnDeregistration(const ledger::WorkerIncarnation& aWorker)
 {
   State& self = *this->state;
-  if (!self.workerInfo || self.workerInfo->life.id != aWorker) {
+  ledger::WorkerIncarnation life = aWorker;
+  if (life.born == 0 && self.workerInfo &&
+      self.workerInfo->life.id == life.id) {
+    life = self.workerInfo->life;
+  }
+  if (self.IsDeregistered(life)) {
     return;
   }
-  self.workerInfo->isDraining = true;
-  self.RunAfterDelay(kDeregistrationDelay,
-                     [number = self.incarnationNumber](State& aSelf) {
-                       if (aSelf.incarnationNumber == number) {
-                         aSelf.EndIncarnation("deregistered");
-                         aSelf.ReportChange();
-                       }
-                     });
+  self.logger.Info("worker deregistered",
+                   { { "worker", life.id }, { "born", life.born } });
+  if (self.deregisteredLives.size() == kMaxDeregisteredLives) {
+    self.deregisteredLives.pop_front();
+  }
+  self.deregisteredLives.push_back(life);
+  if (self.workerInfo && self.workerInfo->life == life) {
+    self.workerInfo->isDraining = true;
+    self.AwaitWorkerEnd();
+    self.ReportChange();
+  }
 }
 
 void
@@ -113,16 +127,23 @@
                      base::Duration aDuration)
 {
   State& self = *this->state;
-  const auto sent = self.reportTimes.find(aSequence);
-  if (sent == self.reportTimes.end() || aToken < self.token) {
+  const auto sent = self.sentReports.find(aSequence);
+  if (sent == self.sentReports.end() || aToken < self.token) {
     return;
   }
   const TimePoint now = self.clock.Now();
   const TimePoint previous = self.grantUntil;
   self.AdvanceToken(aToken);
-  self.grantUntil = std::max(self.grantUntil, sent->second + aDuration);
+  if (sent->second.incarnationNumber == self.incarnationNumber) {
+    self.grantUntil =
+      std::max(self.grantUntil, sent->second.sentAt + aDuration);
+  } else {
+    // When the coordinator granted it, it knew no runs of this incarnation.
+    self.logger.Info("grant does not apply to the worker",
+                     { { "report", aSequence }, { "token", aToken } });
+  }
   self.lastAnsweredReport = std::max(self.lastAnsweredReport, aSequence);
-  self.reportTimes.erase(self.reportTimes.begin(), sent);
+  self.sentReports.erase(self.sentReports.begin(), sent);
   if (self.hasUnreportedChange) {
     self.ReportChange();
   }
@@ -139,10 +160,25 @@
                                std::uint64_t aNumber)
 {
   State& self = *this->state;
-  if (!self.workerInfo || self.workerInfo->life != aIncarnation ||
-      aNumber <= self.lastAcknowledgedEnd) {
+  if (!self.workerInfo || self.workerInfo->life != aIncarnation) {
+    const std::size_t count = self.pastEnds.Acknowledge(aIncarnation, aNumber);
+    if (count > 0) {
+      self.logger.Info("ends of an earlier life of the worker acknowledged",
+                       { { "worker", aIncarnation.id },
+                         { "born", aIncarnation.born },
+                         { "number", aNumber },
+                         { "count", count },
+                         { "token", self.token } });
+    }
     return;
   }
+  if (aNumber <= self.lastAcknowledgedEnd) {
+    return;
+  }
+  self.logger.Info("ends acknowledged",
+                   { { "worker", aIncarnation.id },
+                     { "number", aNumber },
+                     { "token", self.token } });
   self.lastAcknowledgedEnd = aNumber;
   self.unacknowledgedEnds.erase(self.unacknowledgedEnds.begin(),
                                 self.unacknowledgedEnds.upper_bound(aNumber));
@@ -164,15 +200,15 @@
   Run run;
   run.payload = aPayload;
   run.checkpoint = aCheckpoint;
-  const auto report = self.reportTimes.find(aValidity.reportSequence);
-  if (report != self.reportTimes.end()) {
-    run.startBefore = report->second + aValidity.duration;
+  const auto report = self.sentReports.find(aValidity.reportSequence);
+  if (report != self.sentReports.end()) {
+    run.startBefore = report->second.sentAt + aValidity.duration;
   }
   const char* refusal = nullptr;
   if (!self.workerInfo || self.workerInfo->life != aIncarnation) {
     refusal = "worker was replaced";
   } else if (aValidity.reportSequence != 0 &&
-             report == self.reportTimes.end()) {
+             report == self.sentReports.end()) {
     refusal = "order follows no known report";
   } else if (const char* reason = self.RefusalOf(run)) {
     refusal = reason;
@@ -207,10 +243,16 @@
     }
     return;
   }
-  Run& run = self.runs[aRun];
+  const auto [found, isUnknown] = self.runs.try_emplace(aRun);
+  Run& run = found->second;
   if (run.phase == RunPhase::Stopping) {
     return;
   }
+  if (isUnknown) {
+    // An earlier process may have sent the start and got no answer.
+    self.lateStarts.try_emplace(
+      aRun, LateStart{ aIncarnation, self.clock.Now(), 1, true });
+  }
   if (run.phase == RunPhase::Starting && run.startAttempts > 0) {
     run.mayTakeEffectLate = true;
   }
@@ -222,11 +264,9 @@
 WorkerAgent::Status() const
 {
   const State& self = *this->state;
-  return { self.workerInfo.has_value(),
-           self.IsGranted(),
-           self.listedTasks.size(),
-           self.unacknowledgedEnds.size(),
-           self.token };
+  return { self.workerInfo.has_value(), self.IsGranted(),
+           self.listedTasks.size(),     self.unacknowledgedEnds.size(),
+           self.pastEnds.Size(),        self.token };
 }
 
 } // namespace amaranthwind::agent
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -71,6 +71,10 @@
       this->TimeOut(aHandler);
       return;
     }
+    if (aRequest.token < this->fence) {
+      aHandler({ WorkerRequestResult::Fenced, "fence" });
+      return;
+    }
     this->stoppedRuns[aRequest.run] = true;
     if (this->running.erase(aRequest.run) > 0) {
       this->EndRun(aRequest.run, EndKind::Stopped);
@@ -82,6 +86,13 @@
             std::function<void(base::Result<HoldReply>)> aHandler) override
   {
     ++this->holds;
+    this->lastHold = aRequest;
+    if (this->hasEnded) {
+      this->executor.RunAfter(1ms, [aHandler] {
+        aHandler(base::Fail(base::ErrorCode::ConnectFailed));
+      });
+      return;
+    }
     if (this->isUnresponsive) {
       this->executor.RunAfter(aRequest.wait + 700ms, [aHandler] {
         aHandler(base::Fail(base::ErrorCode::TimedOut));
@@ -123,6 +134,8 @@
   }
 
   bool isUnresponsive = false;
+  /** Nothing listens at the address any more. */
+  bool hasEnded = false;
   bool refusesConnections = false;
   bool dropsStartResponses = false;
   /** Starts are not answered yet. */
@@ -131,11 +144,14 @@
   /** Number of ends that are listed at a time. */
   std::size_t maxListedEnds = SIZE_MAX;
   std::string refusal;
+  /** Stops with a lower token are refused. */
+  base::FencingToken fence;
   std::uint64_t born = kIncarnation.born;
   int starts = 0;
   int stops = 0;
   int holds = 0;
   std::uint64_t lastSeen = 0;
+  HoldRequest lastHold;
   WorkerClockTime lease{};
   std::map<job::TaskRun, dispatch::RunningTask> running;
   std::map<job::TaskRun, bool> stoppedRuns;
@@ -282,6 +298,119 @@
   CHECK(fixture.coordinator.lastReport.ended.empty());
 }
 
+// Guards against running a task again that is done: its end was listed, but the
+// worker's life was over before a coordinator had acknowledged it.
+TEST_CASE("the ends of a life that is over are reported until acknowledged")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(1s);
+  fixture.worker.EndRun(kRun, EndKind::Done);
+  // The coordinator is away while the worker lists the end.
+  fixture.coordinator.isReachable = false;
+  fixture.Run(2s);
+  fixture.worker.ended.clear();
+  fixture.worker.lastEnd = 0;
+  SUBCASE("it restarted under the same id")
+  {
+    fixture.worker.born = 200;
+    fixture.agent.OnRegistration(MakeWorker({ kIncarnation.id, 200 }), 1);
+  }
+  SUBCASE("it restarted and has not registered yet")
+  {
+    fixture.worker.born = 200;
+  }
+  SUBCASE("it was replaced by a worker with another id")
+  {
+    fixture.worker.born = 200;
+    fixture.agent.OnRegistration(MakeWorker({ base::TargetId("w2"), 200 }), 1);
+  }
+  SUBCASE("it left")
+  {
+    fixture.worker.isUnresponsive = true;
+    fixture.agent.OnDeregistration(kIncarnation);
+    fixture.Run(20s);
+  }
+  SUBCASE("it fell silent")
+  {
+    fixture.worker.isUnresponsive = true;
+    fixture.Run(20s);
+  }
+  fixture.Run(2s);
+  fixture.coordinator.isReachable = true;
+  fixture.Run(1s);
+  CHECK(fixture.coordinator.lastReport.ended.empty());
+  const std::vector<dispatch::PastEnd> expected{
+    { kIncarnation, { 1, kRun, EndKind::Done, "saved" } }
+  };
+  CHECK(fixture.coordinator.lastReport.pastEnds == expected);
+  CHECK(fixture.agent.Status().pastEnds == 1);
+  // The numbers of another life say nothing of this one.
+  fixture.agent.OnEndAcknowledged({ kIncarnation.id, 200 }, 1);
+  fixture.agent.OnEndAcknowledged(kIncarnation, 0);
+  fixture.Run(1s);
+  CHECK(fixture.coordinator.lastReport.pastEnds == expected);
+  fixture.agent.OnEndAcknowledged(kIncarnation, 1);
+  fixture.Run(1s);
+  CHECK(fixture.coordinator.lastReport.pastEnds.empty());
+}
+
+// Guards against an end that the worker keeps for ever, because only its agent
+// counts the life as over.
+TEST_CASE("the ends of a life that goes on are those of the worker again")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.worker.EndRun(kRun, EndKind::Done);
+  fixture.Run(2s);
+  fixture.worker.isUnresponsive = true;
+  fixture.Run(10s);
+  REQUIRE(fixture.coordinator.lastReport.pastEnds.size() == 1);
+  fixture.worker.isUnresponsive = false;
+  fixture.agent.OnRegistration(MakeWorker(), 2);
+  fixture.Run(1s);
+  CHECK(fixture.coordinator.lastReport.pastEnds.empty());
+  CHECK(fixture.coordinator.lastReport.ended.size() == 1);
+  fixture.agent.OnEndAcknowledged(kIncarnation, 1);
+  fixture.Run(1s);
+  CHECK(fixture.worker.lastSeen == 1);
+}
+
+// Guards against reports that grow without limit when no coordinator
+// acknowledges ends of earlier lives, as those of earlier versions do.
+TEST_CASE("the ends of lives that are over are discarded in the end")
+{
+  Fixture fixture;
+  std::uint64_t born = kIncarnation.born;
+  const auto restart = [&](std::uint32_t aEnds) {
+    for (std::uint32_t i = 1; i <= aEnds; ++i) {
+      fixture.worker.EndRun({ kRun.task, i }, EndKind::Done);
+    }
+    fixture.Run(2s);
+    fixture.worker.ended.clear();
+    fixture.worker.lastEnd = 0;
+    fixture.worker.born = ++born;
+    fixture.agent.OnRegistration(MakeWorker({ kIncarnation.id, born }), 1);
+    fixture.Run(1s);
+  };
+  SUBCASE("those of the oldest lives when there are many")
+  {
+    restart(1000);
+    restart(1000);
+    REQUIRE(fixture.coordinator.lastReport.pastEnds.size() == 1024);
+    CHECK(fixture.coordinator.lastReport.pastEnds[0].end.number == 977);
+    CHECK(fixture.coordinator.lastReport.pastEnds[0].life == kIncarnation);
+  }
+  SUBCASE("after some minutes")
+  {
+    restart(1);
+    fixture.Run(4min);
+    CHECK(fixture.coordinator.lastReport.pastEnds.size() == 1);
+    fixture.Run(2min);
+    CHECK(fixture.coordinator.lastReport.pastEnds.empty());
+  }
+}
+
 // Guards against running tasks again that are done: the worker lists only some
 // of its ends at a time, and the others are neither running nor ended.
 TEST_CASE("a run is not settled while the worker may have more ends to list")
@@ -750,6 +879,120 @@
   CHECK(fixture.worker.stoppedRuns.contains(kRun));
 }
 
+// Guards against a second run: a start whose answer was lost may be carried out
+// seconds later, and the next life under the same id knows of no run that
+// ended.
+TEST_CASE("an unanswered start is cancelled on the next life in any case")
+{
+  Fixture fixture;
+  bool isCancelled = true;
+  ledger::WorkerIncarnation next{ kIncarnation.id, 200 };
+  base::Duration pause{};
+  SUBCASE("its run has ended")
+  {
+    fixture.worker.dropsStartResponses = true;
+    fixture.Start();
+    fixture.Run(400ms);
+    fixture.worker.dropsStartResponses = false;
+    fixture.Run(600ms);
+    REQUIRE(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Started });
+    fixture.worker.EndRun(kRun, EndKind::Done);
+    fixture.Run(2s);
+    fixture.agent.OnEndAcknowledged(kIncarnation, 1);
+    fixture.Run(1s);
+    REQUIRE(fixture.worker.ended.empty());
+    SUBCASE("on the life before") {}
+    SUBCASE("on a worker with another id")
+    {
+      next.id = base::TargetId("w2");
+      isCancelled = false;
+    }
+    SUBCASE("a minute ago")
+    {
+      pause = 1min;
+      isCancelled = false;
+    }
+  }
+  SUBCASE("it was settled by a stop")
+  {
+    fixture.worker.isUnresponsive = true;
+    fixture.Start();
+    fixture.Run(2s);
+    fixture.worker.isUnresponsive = false;
+    fixture.Run(2s);
+    REQUIRE(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Absent });
+  }
+  SUBCASE("an earlier process of the agent sent it")
+  {
+    fixture.agent.OnStop({ kToken, {} }, kIncarnation, kRun);
+    fixture.Run(2s);
+    REQUIRE(fixture.coordinator.outcomes == Outcomes{ OrderOutcome::Absent });
+  }
+  SUBCASE("it was answered")
+  {
+    fixture.Start();
+    fixture.Run(1s);
+    fixture.worker.EndRun(kRun, EndKind::Done);
+    fixture.Run(2s);
+    isCancelled = false;
+  }
+  fixture.Run(pause);
+  fixture.worker.stoppedRuns.clear();
+  fixture.worker.running.clear();
+  fixture.worker.born = next.born;
+  fixture.agent.OnRegistration(MakeWorker(next), 1);
+  fixture.Run(1s);
+  REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+  CHECK(fixture.coordinator.lastReport.worker->life == next);
+  CHECK(fixture.worker.stoppedRuns.contains(kRun) == isCancelled);
+}
+
+// Guards against a late start that is not ruled out, because the worker knows a
+// newer token than the agent when the agent cancels it.
+TEST_CASE("a fenced cancellation is repeated before anything is reported")
+{
+  Fixture fixture;
+  fixture.worker.isUnresponsive = true;
+  fixture.Start();
+  fixture.Run(600ms);
+  fixture.worker.isUnresponsive = false;
+  fixture.worker.fence = base::FencingToken(4);
+  fixture.worker.born = 200;
+  fixture.agent.OnRegistration(MakeWorker({ kIncarnation.id, 200 }), 1);
+  fixture.Run(1s);
+  CHECK(fixture.coordinator.lastReport.worker->life == kIncarnation);
+  fixture.agent.OnCoordinatorToken(base::FencingToken(4));
+  fixture.executor.Advance(1s);
+  CHECK(fixture.worker.stoppedRuns.contains(kRun));
+  CHECK(fixture.coordinator.lastReport.worker->life.born == 200);
+}
+
+// Guards against a hold that is carried out late, by the next life under the
+// same id: it discards ends that nobody has seen, so that done tasks run again.
+TEST_CASE("a hold names acknowledged ends only until one is answered")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.worker.EndRun(kRun, EndKind::Done);
+  fixture.Run(2s);
+  fixture.worker.isUnresponsive = true;
+  fixture.agent.OnEndAcknowledged(kIncarnation, 1);
+  fixture.Run(1s);
+  CHECK(fixture.worker.lastHold.lastSeen == 1);
+  fixture.worker.isUnresponsive = false;
+  fixture.Run(5s);
+  CHECK(fixture.worker.lastSeen == 1);
+  CHECK(fixture.worker.ended.empty());
+  CHECK(fixture.worker.lastHold.lastSeen == 0);
+  // The next end is acknowledged in the same way.
+  fixture.worker.EndRun({ kRun.task, 2 }, EndKind::Done);
+  fixture.Run(3s);
+  fixture.agent.OnEndAcknowledged(kIncarnation, 2);
+  fixture.Run(3s);
+  CHECK(fixture.worker.lastSeen == 2);
+  CHECK(fixture.worker.lastHold.lastSeen == 0);
+}
+
 // Guards against a task that is released while the new incarnation executes a
 // request that was meant for the previous one.
 TEST_CASE(
@@ -786,17 +1029,133 @@
   CHECK(fixture.worker.starts == 3);
 }
 
-TEST_CASE("a deregistered worker is removed after a delay")
+TEST_CASE("a deregistered worker is removed when it has ended")
 {
   Fixture fixture;
-  fixture.agent.OnDeregistration(kIncarnation.id);
+  fixture.agent.OnDeregistration(kIncarnation);
   fixture.Run(100ms);
   CHECK(fixture.agent.Status().hasWorker);
+  CHECK(fixture.coordinator.lastReport.worker->isDraining);
+  fixture.worker.hasEnded = true;
   fixture.Run(1s);
   CHECK_FALSE(fixture.agent.Status().hasWorker);
   CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
 }
 
+// Guards against a second run of a task while the first one goes on: a worker
+// that gets no answer to its deregistration ends only seconds later.
+TEST_CASE("a deregistered worker keeps its runs while it may run them")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(1s);
+  fixture.agent.OnDeregistration(kIncarnation);
+  const auto lease = fixture.worker.lease;
+  SUBCASE("because it answers")
+  {
+    fixture.Run(4s);
+    REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+    CHECK(fixture.coordinator.lastReport.running.size() == 1);
+    // A late registration does not revoke the deregistration.
+    fixture.agent.OnRegistration(MakeWorker(), 9);
+    fixture.Run(500ms);
+    CHECK(fixture.coordinator.lastReport.worker->isDraining);
+    fixture.worker.EndRun(kRun, EndKind::Done);
+    fixture.Run(500ms);
+    CHECK(fixture.coordinator.lastReport.ended.size() == 1);
+  }
+  SUBCASE("because it does not answer and its lease has not expired")
+  {
+    fixture.worker.isUnresponsive = true;
+    while (fixture.coordinator.lastReport.worker.has_value()) {
+      REQUIRE(fixture.worker.LeaseLeft() > -5s);
+      fixture.Run(50ms);
+    }
+    CHECK(fixture.worker.LeaseLeft() <= 0ms);
+  }
+  CHECK(fixture.worker.lease == lease);
+}
+
+// Guards against runs that go on although the coordinator has given them up: it
+// did not know of the worker, or took it for gone, when it granted the lease.
+TEST_CASE("a grant extends the lease of the worker that was reported only")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(1s);
+  fixture.worker.isUnresponsive = true;
+  fixture.Run(12s);
+  REQUIRE_FALSE(fixture.coordinator.lastReport.worker.has_value());
+  const auto sequence = fixture.coordinator.lastSequence;
+  fixture.agent.OnGrant(sequence, kToken, 5s);
+  fixture.worker.isUnresponsive = false;
+  const auto lease = fixture.worker.lease;
+  ledger::WorkerIncarnation next = kIncarnation;
+  SUBCASE("not of the same life that registers again") {}
+  SUBCASE("not of the next life")
+  {
+    next.born = 200;
+  }
+  fixture.worker.born = next.born;
+  fixture.agent.OnRegistration(MakeWorker(next), 20);
+  fixture.executor.Advance(300ms);
+  fixture.agent.OnGrant(sequence, kToken, 5s);
+  fixture.executor.Advance(300ms);
+  CHECK(fixture.worker.lease == lease);
+  CHECK_FALSE(fixture.agent.Status().isGranted);
+  // The grant that answers a report of the worker extends it.
+  REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+  fixture.agent.OnGrant(fixture.coordinator.lastSequence, kToken, 5s);
+  fixture.executor.Advance(3s);
+  CHECK(fixture.worker.lease > lease);
+}
+
+// Guards against tasks that are placed on a worker that has left, because a
+// registration of it arrives late.
+TEST_CASE("a deregistered life of the worker does not begin again")
+{
+  Fixture fixture;
+  SUBCASE("that the agent knew")
+  {
+    fixture.agent.OnDeregistration(kIncarnation);
+    fixture.worker.hasEnded = true;
+    fixture.Run(2s);
+    REQUIRE_FALSE(fixture.agent.Status().hasWorker);
+    fixture.agent.OnRegistration(MakeWorker(), 99);
+    CHECK_FALSE(fixture.agent.Status().hasWorker);
+    fixture.worker.hasEnded = false;
+  }
+  SUBCASE("that the agent did not know yet")
+  {
+    fixture.agent.OnDeregistration({ base::TargetId("w2"), 150 });
+    CHECK_FALSE(fixture.coordinator.lastReport.worker->isDraining);
+    fixture.agent.OnRegistration(MakeWorker({ base::TargetId("w2"), 150 }), 1);
+    fixture.Run(500ms);
+    CHECK(fixture.coordinator.lastReport.worker->life == kIncarnation);
+  }
+  fixture.worker.born = 200;
+  fixture.agent.OnRegistration(MakeWorker({ kIncarnation.id, 200 }), 1);
+  fixture.Run(1s);
+  REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+  CHECK(fixture.coordinator.lastReport.worker->life.born == 200);
+}
+
+// Guards against removing a worker because of the late deregistration of an
+// earlier life under its id.
+TEST_CASE("a deregistration applies to one life of the worker")
+{
+  Fixture fixture;
+  fixture.agent.OnDeregistration({ kIncarnation.id, kIncarnation.born - 1 });
+  fixture.worker.hasEnded = true;
+  fixture.Run(2s);
+  REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+  CHECK_FALSE(fixture.coordinator.lastReport.worker->isDraining);
+  // Without the life, it applies to the one that is known.
+  fixture.agent.OnDeregistration({ kIncarnation.id, 0 });
+  fixture.Run(2s);
+  CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
+}
+
 // Guards against an idle daemon that consumes CPU time.
 TEST_CASE("an idle agent wakes up at most a few times a second")
 {
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -179,6 +179,7 @@
   std::vector<std::pair<std::uint32_t, std::uint32_t>> lateCompletions;
   /** Why done ends were ignored. */
   std::vector<std::string> ignoredEnds;
+  std::vector<AcknowledgeEnds> acknowledgements;
   int lost = 0;
   /** Number of calls of Packing::Pack(). */
   std::uint64_t packCalls = 0;
