--- a/libs/journal/tests/KeyedFollowerTest.cpp
+++ b/libs/journal/tests/KeyedFollowerTest.cpp
@@ -85,25 +85,26 @@
             base::Duration aWait,
             KeyedReadHandler aHandler) override
   {
-    this->log.Read(
-      aTopic,
-      aFrom,
-      aWait,
-      [this, handler = std::move(aHandler)](base::Result<KeyedBatch> aBatch) {
-        this->Answer(this->delayedReads,
-                     [handler, aBatch] { handler(aBatch); });
-      });
+    this->log.Read(aTopic,
+                   aFrom,
+                   aWait,
+                   [this, handler = std::move(aHandler)](
+                     const base::Result<KeyedBatch>& aBatch) {
+                     this->Answer(this->delayedReads,
+                                  [handler, aBatch] { handler(aBatch); });
+                   });
   }
   void ReadNewest(const KeyedTopic& aTopic,
                   std::string_view aAfterKey,
                   NewestHandler aHandler) override
   {
-    this->log.ReadNewest(
-      aTopic,
-      aAfterKey,
-      [this, handler = std::move(aHandler)](base::Result<NewestPage> aPage) {
-        this->Answer(this->delayedPages, [handler, aPage] { handler(aPage); });
-      });
+    this->log.ReadNewest(aTopic,
+                         aAfterKey,
+                         [this, handler = std::move(aHandler)](
+                           const base::Result<NewestPage>& aPage) {
+                           this->Answer(this->delayedPages,
+                                        [handler, aPage] { handler(aPage); });
+                         });
   }
   base::TimePoint AnsweredAsOf() const override
   {
