Keep a fenced worker whose tasks the agent has not seen yet

After 6.3 s the agent took the worker for silent, although it had answered all the time, and reported it as gone, with the ends that it had not listed yet.

That no lease can be left by then is right: a refused hold extends none, and one of the earlier process ends after 6 s. But the tasks are placed again before the ends are known, and a worker that answers is not silent. The agent now keeps a worker that fences it until the first list of its tasks. It reports nothing of it, so that the coordinator gives the worker up by its own clock.

Before the change the test "a fenced worker that has not listed its tasks is not gone" failed: Status().hasWorker: CHECK( false ), reports: CHECK( 24 == 0 ), lastReport.worker.has_value(): REQUIRE( false ).

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -295,7 +295,11 @@
     // A previous daemon may have granted the worker a lease of maximum length.
     const TimePoint bound = std::max(
       this->leaseBound, this->incarnationStart + this->options.maxLease);
-    if (this->clock.Now() > bound + kExpiryMargin) {
+    // A fenced worker answers, and lists its ends once the agent knows the
+    // newest token. Until its first list nothing is reported of it.
+    const bool isAwaitingToken =
+      aAnswer.error().code == base::ErrorCode::StaleToken && !this->hasTaskList;
+    if (!isAwaitingToken && this->clock.Now() > bound + kExpiryMargin) {
       // The lease has expired, so the worker can no longer run anything.
       this->EndIncarnation("silent");
       this->ReportChange();
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -99,6 +99,11 @@
       });
       return;
     }
+    if (aRequest.token < this->fence) {
+      this->executor.RunAfter(
+        1ms, [aHandler] { aHandler(base::Fail(base::ErrorCode::StaleToken)); });
+      return;
+    }
     this->ended.erase(this->ended.begin(),
                       this->ended.upper_bound(aRequest.lastSeen));
     this->lastSeen = std::max(this->lastSeen, aRequest.lastSeen);
@@ -144,7 +149,7 @@
   /** Number of ends that are listed at a time. */
   std::size_t maxListedEnds = SIZE_MAX;
   std::string refusal;
-  /** Stops with a lower token are refused. */
+  /** Stops and holds with a lower token are refused. */
   base::FencingToken fence;
   std::uint64_t born = kIncarnation.born;
   int starts = 0;
@@ -828,6 +833,35 @@
   CHECK(coordinator.lastReport.running.size() == 1);
 }
 
+// Guards against giving up a worker that answers, with the runs and ends that
+// it has not listed: it knows a newer token than an agent that has just
+// started.
+TEST_CASE("a fenced worker that has not listed its tasks is not gone")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(1s);
+  fixture.worker.EndRun(kRun, EndKind::Done);
+  fixture.worker.fence = base::FencingToken(4);
+  FakeCoordinator coordinator;
+  WorkerAgent restarted({ .id = base::AgentId("vm") },
+                        fixture.clock,
+                        fixture.executor,
+                        fixture.worker,
+                        coordinator,
+                        fixture.logger);
+  fixture.agent.Stop();
+  restarted.Start();
+  restarted.OnRegistration(MakeWorker(), 2);
+  fixture.executor.Advance(20s);
+  CHECK(restarted.Status().hasWorker);
+  CHECK(coordinator.reports == 0);
+  restarted.OnCoordinatorToken(base::FencingToken(4));
+  fixture.executor.Advance(1s);
+  REQUIRE(coordinator.lastReport.worker.has_value());
+  CHECK(coordinator.lastReport.ended.size() == 1);
+}
+
 // Guards against tasks that stay assigned to a dead worker forever.
 TEST_CASE("a worker that is unresponsive beyond its lease is reported as gone")
 {
