Make the seeds of a simulation repeatable

Backoffs took their seeds from the operating system, so that a run of the simulated cell could differ from the next one with the same seed: a set of faults that had been shortened until it failed did not fail when it was played again. ScopedSeeds replaces the source of seeds on one thread.

--- a/libs/base/src/Random.cpp
+++ b/libs/base/src/Random.cpp
@@ -12,16 +12,32 @@
 constexpr unsigned kBitsPerDigit = 4;
 constexpr std::uint64_t kDigitMask = 0xF;
 
+thread_local RandomEngine* scopedSeeds = nullptr;
+
 } // namespace
 
 std::uint64_t
 MakeSeed()
 {
+  if (scopedSeeds != nullptr) {
+    return (*scopedSeeds)();
+  }
   std::random_device device;
   const std::uint64_t high = device();
   return (high << 32U) | device();
 }
 
+ScopedSeeds::ScopedSeeds(std::uint64_t aSeed)
+  : random(aSeed)
+{
+  scopedSeeds = &this->random;
+}
+
+ScopedSeeds::~ScopedSeeds()
+{
+  scopedSeeds = nullptr;
+}
+
 RecordId
 MakeRecordId(RandomEngine& aRandom)
 {
