Refuse appends out of sequence in the fake log

A repeat of an earlier append with the same producer and epoch was appended again after newer ones, and a gap in the sequence was accepted. The store does neither: it answers repeats without effect and refuses gaps.

--- a/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
+++ b/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
@@ -192,9 +192,13 @@
       if (aConditions.stamp->epoch < known.epoch) {
         return base::Fail(base::ErrorCode::StaleToken);
       }
-      if (aConditions.stamp->epoch == known.epoch &&
-          aConditions.stamp->sequence == known.sequence) {
-        return offset; // Repeated append; already done.
+      if (aConditions.stamp->epoch == known.epoch) {
+        if (aConditions.stamp->sequence <= known.sequence) {
+          return offset; // Repeated append; already done.
+        }
+        if (aConditions.stamp->sequence > known.sequence + 1) {
+          return base::Fail(base::ErrorCode::OutOfRange);
+        }
       }
       known = *aConditions.stamp;
     }
