Simulate losses of power, freezes, cuts and late calls in the cell

No test lost agents, workers and entries together, and the simulated workers had one life each. The cell can now end and restart any of its processes, freeze them, cut them from the log, from each other or from their worker, and lose, delay or repeat calls to workers. It checks from what the workers saw that no task runs twice at a time or again after an acknowledged completion, that an acknowledged completion is in the log, and that accepted jobs complete.

--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -3,6 +3,7 @@
 #include "amaranthwind/agent/CoordinatorLink.h"
 #include "amaranthwind/agent/WorkerAgent.h"
 #include "amaranthwind/base/Executor.h"
+#include "amaranthwind/base/Random.h"
 #include "amaranthwind/codec/LedgerCodec.h"
 #include "amaranthwind/coordinator/Coordinator.h"
 #include "amaranthwind/journal/testing/FakeKeyedLog.h"
@@ -12,6 +13,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -44,6 +47,8 @@
     Process(SimulatedTime& aTime, base::Duration aCostPerTask);
     void Post(std::function<void()> aTask) override;
     void RunAfter(base::Duration aDelay, std::function<void()> aTask) override;
+    /** Drops all tasks, now and later. Must be called outside of processes. */
+    void Kill();
 
     /** No task starts before this time. */
     base::TimePoint busyUntil{};
@@ -53,6 +58,7 @@
     SimulatedTime& time;
     const base::Duration costPerTask;
     std::multimap<base::TimePoint, std::function<void()>> tasks;
+    bool isKilled = false;
   };
 
   /**
@@ -95,49 +101,183 @@
   std::deque<Process> processes;
 };
 
-/** Connections in memory with a fixed latency. */
+/** A process as the network and the log see it, from its start to its end. */
+struct SimulatedNode
+{
+  /** Stays the same when the process is started again. */
+  std::string name;
+  bool isUp = true;
+  /** What arrives before this time is handled then. */
+  base::TimePoint frozenUntil{};
+};
+
+/**
+ * Connections in memory with a fixed latency. What is sent over a cut link
+ * arrives when the link is restored, unless either side has closed the
+ * connection; a side closes it after a silence.
+ */
 class SimulatedNetwork
 {
 public:
   SimulatedNetwork(SimulatedTime& aTime, base::Duration aCostPerMessage);
-  protocol::MessagePortFactory MakePorts();
+  protocol::MessagePortFactory MakePorts(
+    const std::shared_ptr<SimulatedNode>& aNode);
   /** Closes all connections; messages that have not arrived are lost. */
   void CloseAll();
+  /** Each cut of a link lasts until it is restored as often. */
+  void Cut(const std::string& aNode, const std::string& aOther);
+  void Restore(const std::string& aNode, const std::string& aOther);
+  bool IsCut(const std::string& aNode, const std::string& aOther) const;
+  /** Peers of a frozen node close their connections after a silence. */
+  void Freeze(SimulatedNode& aNode, base::Duration aTime);
+  /**
+   * Ends the connections of a node. Its peers notice at once that the process
+   * has ended, and after a silence that the machine has lost power.
+   */
+  void Remove(SimulatedNode& aNode, bool aHasLostPower);
 
 private:
   class Port;
   struct Peer
   {
+    Port* self = nullptr;
     Port* port = nullptr;
     protocol::ConnectionId connection;
+    /** Messages to the peer that a cut holds up. */
+    std::deque<protocol::Message> held;
   };
 
+  void Deliver(protocol::ConnectionId aConnection,
+               const protocol::Message& aMessage);
+  /** Runs the action as soon as the process of the port is not frozen. */
+  void Notify(Port& aPort, std::function<void()> aAction);
+  void CloseEnd(protocol::ConnectionId aConnection);
+  void CloseAfterSilence(protocol::ConnectionId aConnection,
+                         std::function<bool(const Peer&)> aIsSilent);
+  void CloseHalfOpen();
+
   SimulatedTime& time;
   const base::Duration costPerMessage;
   std::uint64_t lastConnection = 0;
   std::map<std::string, Port*> listeners;
-  std::map<std::pair<Port*, protocol::ConnectionId>, Peer> peers;
+  std::map<protocol::ConnectionId, Peer> peers;
+  std::multiset<std::pair<std::string, std::string>> cuts;
+};
+
+class SimulatedWorker;
+
+/** Checks the runs that the workers see against the rules. */
+class RunMonitor
+{
+public:
+  explicit RunMonitor(const SimulatedTime& aTime)
+    : time(aTime)
+  {
+  }
+  /** @param aWorker Name of the worker's life. */
+  void OnStarted(const std::string& aWorker, const job::TaskRun& aRun);
+  void OnEnded(const std::string& aWorker,
+               const job::TaskRun& aRun,
+               dispatch::EndKind aKind);
+  /** The life of a worker has ended, and its runs with it. */
+  void OnWorkerGone(const std::string& aWorker);
+  /** The end of a completed run has been acknowledged. */
+  void OnDoneAcknowledged(const job::TaskRun& aRun, base::TimePoint aEndedAt);
+
+  /** Whether the log says that the task is done. */
+  std::function<bool(const job::TaskId&)> isDoneInLog;
+  /** Called for each event, with a description. */
+  std::function<void(const std::string&)> onEvent;
+  std::vector<std::string> violations;
+
+private:
+  struct TaskState
+  {
+    std::map<std::pair<std::string, std::uint32_t>, base::TimePoint> running;
+    std::vector<std::pair<std::uint32_t, base::TimePoint>> starts;
+    std::optional<std::pair<std::uint32_t, base::TimePoint>> acknowledgedDone;
+  };
+
+  void Violation(const job::TaskRun& aRun, const std::string& aText);
+  void Event(const std::string& aText) const;
+
+  const SimulatedTime& time;
+  std::map<job::TaskId, TaskState> tasks;
+};
+
+/** Gang runs, whose members are on several workers. */
+class SimulatedGangs
+{
+public:
+  SimulatedGangs(SimulatedTime& aTime, base::Duration aTaskTime)
+    : time(aTime)
+    , taskTime(aTaskTime)
+  {
+  }
+  /** Members of each gang step; other tasks are independent. */
+  std::map<job::StepId, std::uint32_t> sizes;
+  bool IsGang(const job::TaskRun& aRun) const
+  {
+    return this->sizes.contains(aRun.task.step);
+  }
+  void OnStarted(SimulatedWorker& aWorker, const job::TaskRun& aRun);
+  /** The run has ended without being done. */
+  void OnEnded(const job::TaskRun& aRun);
+
+private:
+  using GangRun = std::pair<job::StepId, std::uint32_t>;
+  struct Gang
+  {
+    std::map<job::TaskRun, std::pair<SimulatedWorker*, std::uint64_t>> members;
+    bool isBroken = false;
+  };
+
+  void EndAll(const GangRun& aGang, dispatch::EndKind aKind);
+
+  SimulatedTime& time;
+  const base::Duration taskTime;
+  std::map<GangRun, Gang> gangs;
 };
 
-/** A healthy worker whose tasks run for a fixed time. */
-class SimulatedWorker final : public agent::WorkerPort
+/**
+ * A worker whose tasks run for a fixed time. It can crash and start again; what
+ * it knows and runs is lost with each life.
+ */
+class SimulatedWorker
 {
 public:
-  SimulatedWorker(SimulatedTime& aTime, base::Duration aTaskTime);
+  SimulatedWorker(SimulatedTime& aTime,
+                  RunMonitor& aMonitor,
+                  SimulatedGangs& aGangs,
+                  base::Duration aTaskTime);
+  /** Starts a life. The rate is that of the steady clock to real time. */
+  void Begin(const ledger::WorkerIncarnation& aLife, double aClockRate);
+  void Crash();
+
+  // Requests, carried out at once. The handler is not called if the worker is
+  // down.
   void Start(const agent::StartRequest& aRequest,
-             std::function<void(agent::WorkerRequestReply)> aHandler) override;
+             const std::function<void(agent::WorkerRequestReply)>& aHandler);
   void Stop(const agent::StopRequest& aRequest,
-            std::function<void(agent::WorkerRequestReply)> aHandler) override;
+            const std::function<void(agent::WorkerRequestReply)>& aHandler);
   void Hold(
     const agent::HoldRequest& aRequest,
-    std::function<void(base::Result<agent::HoldReply>)> aHandler) override;
+    const std::function<void(base::Result<agent::HoldReply>)>& aHandler);
+
+  void End(const job::TaskRun& aRun, dispatch::EndKind aKind);
 
+  std::optional<ledger::WorkerIncarnation> life;
+  /** Counts the lives. */
+  std::uint64_t lifeNumber = 0;
   std::map<job::TaskRun, dispatch::RunningTask> running;
   /** Size of the checkpoints of tasks that start from now on. */
   std::size_t checkpointBytes = 0;
+  /** Time from a stop request to the end of the run. */
+  base::Duration stopTime{};
   int stopped = 0;
   int lapsed = 0;
   std::uint32_t highestRun = 0;
+  std::function<void()> onStarted;
 
 private:
   struct ParkedHold
@@ -145,25 +285,91 @@
     std::uint64_t number = 0;
     std::function<void(base::Result<agent::HoldReply>)> handler;
   };
+  struct KnownEnd
+  {
+    dispatch::EndedTask end;
+    base::TimePoint endedAt{};
+  };
 
+  /** Runs the action after the delay unless the life has ended. */
+  void Schedule(base::Duration aDelay, std::function<void()> aAction);
+  std::string Name() const;
   agent::WorkerClockTime ClockTime() const;
   agent::HoldReply MakeReply() const;
-  void End(const job::TaskRun& aRun, dispatch::EndKind aKind);
+  /** Returns false if the request is fenced. */
+  bool CheckToken(base::FencingToken aToken);
+  void ExtendLease(agent::WorkerClockTime aDeadline);
+  void ForgetEnds(std::uint64_t aLastSeen);
   void CheckLease();
 
   SimulatedTime& time;
+  RunMonitor& monitor;
+  SimulatedGangs& gangs;
   const base::Duration taskTime;
+  double clockRate = 1;
+  base::TimePoint bornAt{};
+  base::FencingToken token;
   agent::WorkerClockTime lease{};
-  std::set<job::TaskRun> barredRuns;
-  std::map<std::uint64_t, dispatch::EndedTask> ended;
+  /** When the lease was last found to have expired. */
+  base::TimePoint lapseSeenAt{};
+  std::map<job::TaskId, std::uint32_t> barredRuns;
+  std::map<std::uint64_t, KnownEnd> ended;
   std::uint64_t lastEnd = 0;
   std::uint64_t lastHold = 0;
   std::vector<ParkedHold> parked;
 };
 
+enum class FaultKind : std::uint8_t
+{
+  KillEntries,
+  KillAgents,
+  /** Agents and workers; the workers come back with other ids. */
+  PowerLossOfVms,
+  PowerLossOfAll,
+  KillAllProcesses,
+  CrashWorkers,
+  /** The workers come back with the same ids. */
+  CrashWorkersSameId,
+  LeavingWorkers,
+  FreezeEntries,
+  FreezeAgents,
+  CutEntriesFromLog,
+  CutAgentsFromLog,
+  CutAgentsFromEntries,
+  CutEntriesFromEntries,
+  CutAgentsFromWorkers,
+  /** Requests to workers are lost, unanswered, late or repeated. */
+  DisturbWorkerCalls,
+  /** As LeavingWorkers, but the answer to the deregistration is lost. */
+  UnansweredLeavingWorkers,
+};
+/** Kinds that are drawn at random; the last one is not. */
+inline constexpr std::uint8_t kFaultKinds = 16;
+
+enum class FaultTrigger : std::uint8_t
+{
+  Time,
+  StartAccepted,
+  JobAccepted,
+};
+inline constexpr std::uint8_t kFaultTriggers = 3;
+
+struct Fault
+{
+  FaultKind kind = FaultKind::KillEntries;
+  FaultTrigger trigger = FaultTrigger::Time;
+  /** When it begins, or when it begins to wait for its trigger. */
+  base::Duration at{};
+  /** Until everything is back. */
+  base::Duration length{};
+  /** Bit mask of entries or VMs. */
+  std::uint32_t targets = 0;
+  std::uint64_t seed = 0;
+};
+
 /**
- * A cell of entries and workers on one log, without any fault; only the
- * processor time of the entries is limited.
+ * A cell of entries and workers on one log. The processor time of the entries
+ * is limited, and faults can be injected.
  */
 class SimulatedCell
 {
@@ -189,6 +395,14 @@
     /** The limits that the log tells. */
     journal::SizeLimits toldLimits;
     ProcessorCosts costs;
+    /** Time from a stop request to the end of a run, on each worker. */
+    base::Duration stopTime{};
+    /** Workers register again and again, as needed after a fault. */
+    bool repeatsRegistrations = false;
+    /** Every other worker has a clock that is 2% slow. */
+    bool hasSlowClocks = false;
+    /** Receives the log lines of all processes and the events of workers. */
+    std::function<void(const std::string&)> trace;
   };
 
   /** What became of the submitted jobs and of the appends of the entries. */
@@ -205,6 +419,12 @@
   ~SimulatedCell();
 
   void Submit(const job::WorkflowSpec& aSpec, std::size_t aEntry = 0);
+  /** Submits again, at any entry, until the job is accepted. */
+  void SubmitUntilAccepted(const job::WorkflowSpec& aSpec);
+  void Inject(const Fault& aFault);
+  const std::vector<std::string>& Violations() const;
+  /** Accepted jobs that an entry does not show as completed. */
+  std::vector<std::string> Unfinished();
   /** Changes the time of the appends from now on. */
   void SetAppendTime(base::Duration aTime);
   const LogUse& Use() const noexcept { return this->use; }
@@ -229,12 +449,33 @@
 
 private:
   class DelayedLog;
+  class GatedLog;
+  class WorkerLink;
+  class TraceSink;
   struct Entry;
   struct Agent;
+  struct Vm;
+  struct CallDisturbance;
 
   std::size_t CountJobs(std::span<const ledger::JobPhase> aPhases) const;
+  /** Whether the newest record of its step says that the task is done. */
+  bool IsDoneInLog(const job::TaskId& aTask);
+  /** Tells the agent that the worker ends; without an answer it ends later. */
+  void Deregister(Vm& aVm, bool aLosesAnswer);
+  void Trace(const std::string& aSource, const std::string& aText);
+  void Begin(const Fault& aFault);
+  void OnTrigger(FaultTrigger aTrigger);
+  void KillEntry(std::size_t aEntry, bool aHasLostPower);
+  void StartEntry(std::size_t aEntry);
+  void KillAgent(Vm& aVm, bool aHasLostPower);
+  void StartAgent(Vm& aVm);
+  void StartWorker(Vm& aVm, bool aKeepsId);
+  void RegistrationLoop(Vm& aVm);
+  void Register(Vm& aVm, bool aIsDraining);
+  void TrySubmit(const job::WorkflowSpec& aSpec, std::uint32_t aAttempt);
 
   const Options options;
+  base::ScopedSeeds seeds{ 1 };
   LogUse use;
   SimulatedTime time;
   /** When the log answers the reads that wait. */
@@ -242,9 +483,18 @@
   SimulatedNetwork network;
   journal::testing::FakeKeyedLog log;
   std::unique_ptr<DelayedLog> delayedLog;
+  RunMonitor monitor;
+  SimulatedGangs gangs;
   std::vector<std::unique_ptr<Entry>> entries;
-  std::vector<std::unique_ptr<Agent>> agents;
+  std::vector<std::uint64_t> entryIncarnations;
+  /** Ended processes; callbacks to them may still be scheduled. */
+  std::vector<std::unique_ptr<Entry>> endedEntries;
+  std::vector<std::unique_ptr<Agent>> endedAgents;
+  std::vector<std::unique_ptr<Vm>> vms;
   std::vector<base::JobId> jobs;
+  std::set<base::JobId> acceptedJobs;
+  std::vector<Fault> waitingFaults;
+  std::mt19937_64 random{ 1 };
 };
 
 } // namespace amaranthwind::coordinator
