--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -1647,12 +1647,12 @@
   }
   aVm.agent->process.Post([this,
                            agent = aVm.agent.get(),
-                           id = aVm.worker.life->id,
+                           life = *aVm.worker.life,
                            sentAt = this->time.Now(),
                            isCut,
                            end,
                            fate] {
-    agent->agent.OnDeregistration(id);
+    agent->agent.OnDeregistration(life);
     if (fate == 0 && !isCut() && this->time.Now() - sentAt < kAnswerTimeout) {
       this->time.Schedule(kWorkerLatency, end);
     }
