Soak: losses of many processes, late requests, departures and gangs

The fault soak killed one process at a time, and each request to a worker was carried out at once or not at all.

New faults: any set of schedulers and agents is killed at one moment, with or without a loss of power of their workers, at random or directly after an accepted job, an accepted start or a listed end. A worker deregisters, gets no ack and runs on.

The history tells ends apart by id, since a late start repeats the number of a run. It writes an event log for each worker after a violation.

A "stop" of a process that was killed meanwhile no longer starts it twice.

--- a/tests/harness/PlatformDeployment.cpp
+++ b/tests/harness/PlatformDeployment.cpp
@@ -62,12 +62,14 @@
                             { "noticePeriodMs", 100 },
                             { "logFormat", "json" } }));
   }
+  const auto group = std::make_shared<standins::WorkerGroup>();
   for (std::size_t i = 0; i < aWorkers; ++i) {
     Worker& worker = this->workers.emplace_back();
     const std::string name = "agent-" + std::to_string(i);
     const std::string control = AllocateAddress();
     worker.worker =
       std::make_unique<standins::PlatformWorker>(this->pool,
+                                                 group,
                                                  "w-" + std::to_string(i),
                                                  "r" + std::to_string(i / 3),
                                                  aRoute(control));
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -15,17 +15,27 @@
 constexpr unsigned kMeanFaultIntervalMs = 500;
 /** How long to wait for a terminated process to exit before replacing it. */
 constexpr auto kExitTimeout = 6s;
+/** How long a loss of many processes waits for the event that triggers it. */
+constexpr auto kTriggerTimeout = 2s;
+/** Limits of the share of delayed requests, in percent. */
+constexpr unsigned kMinLateShare = 10;
+constexpr unsigned kMaxLateShare = 70;
 
 } // namespace
 
 FaultInjector::FaultInjector(
   harness::PlatformDeployment& aDeployment,
   std::vector<std::unique_ptr<LoopbackProxy>>& aProxies,
+  EventCount aAcceptedJobs,
   std::uint64_t aSeed)
   : deployment(aDeployment)
   , proxies(aProxies)
   , random(aSeed)
+  , acceptedJobs(std::move(aAcceptedJobs))
 {
+  const auto now = std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+  this->LogFault("Unix time " + std::to_string(now.count()) + " ms");
 }
 
 std::uint64_t
@@ -59,6 +69,13 @@
 FaultInjector::Update()
 {
   this->RunRecoveriesUntil(Clock::now());
+  if (this->triggeredLoss &&
+      (this->triggeredLoss->count() > this->triggeredLoss->countBefore ||
+       Clock::now() >= this->triggeredLoss->latest)) {
+    this->triggeredLoss.reset();
+    this->ScheduleRecovery(this->RandomDuration(0, 30),
+                           [this] { this->InjectGroupLoss(); });
+  }
   if (Clock::now() >= this->nextFault) {
     this->InjectRandomFault();
     this->nextFault =
@@ -70,6 +87,7 @@
 FaultInjector::EndAllFaults()
 {
   this->isEnding = true;
+  this->triggeredLoss.reset();
   this->RunRecoveriesUntil(Clock::time_point::max());
 }
 
@@ -86,7 +104,7 @@
 void
 FaultInjector::InjectRandomFault()
 {
-  const std::uint64_t kind = this->RandomBelow(11);
+  const std::uint64_t kind = this->RandomBelow(17);
   if (kind < 3) {
     auto& scheduler =
       this->deployment
@@ -108,8 +126,14 @@
     this->InjectStoreFault();
   } else if (kind < 10) {
     this->InjectWorkerFault();
-  } else {
+  } else if (kind < 11) {
     this->ThrottleAllSchedulers();
+  } else if (kind < 13) {
+    this->InjectOrArmGroupLoss();
+  } else if (kind < 16) {
+    this->InjectLateRequests();
+  } else {
+    this->InjectDeparture();
   }
 }
 
@@ -131,14 +155,18 @@
       this->LogFault("stop " + aName);
       aProcess->Signal(SIGTERM);
       aProcess->Signal(SIGTERM);
-      this->ScheduleRecovery(this->RandomDuration(500, 3000),
-                             [&aProcess, start = std::move(aStart)] {
-                               if (aProcess != nullptr) {
-                                 aProcess->Signal(SIGCONT);
-                                 aProcess->WaitFor(kExitTimeout);
-                               }
-                               start();
-                             });
+      this->ScheduleRecovery(
+        this->RandomDuration(500, 3000),
+        [&aProcess, stopped = aProcess->Pid(), start = std::move(aStart)] {
+          // Otherwise, the process was killed meanwhile,
+          // and that fault starts it again.
+          if (aProcess != nullptr && aProcess->Pid() == stopped) {
+            aProcess->Signal(SIGCONT);
+            aProcess->WaitFor(kExitTimeout);
+            aProcess.reset();
+            start();
+          }
+        });
       break;
     case 2:
       this->LogFault("slow " + aName);
@@ -270,4 +298,149 @@
                          [&worker] { worker.DropStartReplies(false); });
 }
 
+std::size_t
+FaultInjector::SumOverWorkers(std::size_t (standins::PlatformWorker::*aCount)()
+                                const noexcept) const
+{
+  std::size_t sum = 0;
+  for (const auto& worker : this->deployment.workers) {
+    sum += (*worker.worker.*aCount)();
+  }
+  return sum;
+}
+
+void
+FaultInjector::InjectOrArmGroupLoss()
+{
+  TriggeredLoss loss;
+  loss.latest = Clock::now() + kTriggerTimeout;
+  switch (this->RandomBelow(4)) {
+    case 0:
+      this->InjectGroupLoss();
+      return;
+    case 1:
+      this->LogFault("loss after the next accepted job");
+      loss.count = this->acceptedJobs;
+      break;
+    case 2:
+      this->LogFault("loss after the next accepted start");
+      loss.count = [this] {
+        return this->SumOverWorkers(&standins::PlatformWorker::AcceptedStarts);
+      };
+      break;
+    default:
+      this->LogFault("loss after the next listed end");
+      loss.count = [this] {
+        return this->SumOverWorkers(&standins::PlatformWorker::ListedEnds);
+      };
+  }
+  loss.countBefore = loss.count();
+  this->triggeredLoss = std::move(loss);
+}
+
+void
+FaultInjector::InjectGroupLoss()
+{
+  if (this->isEnding) {
+    return;
+  }
+  const bool includesAll = this->RandomBelow(2) == 0;
+  const bool includesWorkers = this->RandomBelow(2) == 0;
+  const auto downTime = this->RandomDuration(50, 4000);
+  std::string names;
+  std::vector<std::unique_ptr<harness::Process>*> lost;
+  const auto add = [&](std::unique_ptr<harness::Process>& aProcess,
+                       const std::string& aName,
+                       std::function<void()> aStart) {
+    if (aProcess == nullptr) {
+      return; // The fault that took it down starts it again.
+    }
+    names += " " + aName;
+    lost.push_back(&aProcess);
+    this->ScheduleRecovery(downTime + this->RandomDuration(0, 1000),
+                           std::move(aStart));
+  };
+  for (auto& scheduler : this->deployment.schedulers) {
+    if (includesAll || this->RandomBelow(2) == 0) {
+      add(scheduler.process, scheduler.name, [this, &scheduler] {
+        this->deployment.StartScheduler(scheduler);
+      });
+    }
+  }
+  std::vector<standins::PlatformWorker*> lostWorkers;
+  for (std::size_t i = 0; i < this->deployment.workers.size(); ++i) {
+    auto& worker = this->deployment.workers[i];
+    if (!includesAll && this->RandomBelow(2) == 0) {
+      continue;
+    }
+    add(worker.agent, "agent-" + std::to_string(i), [this, &worker] {
+      this->deployment.StartAgent(worker);
+    });
+    if (includesWorkers) {
+      names += " worker-" + std::to_string(i);
+      lostWorkers.push_back(worker.worker.get());
+      this->ScheduleRecovery(downTime + this->RandomDuration(0, 1000),
+                             [&worker] { worker.worker->PowerOn(); });
+    }
+  }
+  this->LogFault("lose" + names);
+  for (auto* process : lost) {
+    (*process)->Signal(SIGKILL);
+  }
+  for (auto* worker : lostWorkers) {
+    worker->PowerOff();
+  }
+  for (auto* process : lost) {
+    process->reset();
+  }
+}
+
+void
+FaultInjector::InjectLateRequests()
+{
+  const auto index = this->RandomBelow(this->deployment.workers.size());
+  auto& worker = *this->deployment.workers[index].worker;
+  const std::uint64_t kinds = 1 + this->RandomBelow(7);
+  const auto share = [&](unsigned aKind) {
+    const auto percent = static_cast<unsigned>(
+      kMinLateShare + this->RandomBelow(kMaxLateShare - kMinLateShare));
+    return (kinds >> aKind) % 2 == 0 ? 0U : percent;
+  };
+  const standins::PlatformWorker::LateShares shares{ share(0),
+                                                     share(1),
+                                                     share(2) };
+  std::string fault = "late requests worker-" + std::to_string(index) +
+                      " starts " + std::to_string(shares.starts) + "% stops " +
+                      std::to_string(shares.stops) + "% holds " +
+                      std::to_string(shares.holds) + "%";
+  worker.DelayRequests(shares);
+  this->ScheduleRecovery(this->RandomDuration(500, 4000),
+                         [&worker] { worker.DelayRequests({}); });
+  if (this->RandomBelow(2) == 0) {
+    // The next incarnation has the same id, so that the requests reach it.
+    fault += ", crash follows";
+    this->ScheduleRecovery(this->RandomDuration(200, 8000),
+                           [&worker] { worker.Crash(); });
+  }
+  this->LogFault(fault);
+}
+
+void
+FaultInjector::InjectDeparture()
+{
+  const auto index = this->RandomBelow(this->deployment.workers.size());
+  auto& worker = *this->deployment.workers[index].worker;
+  const auto drain = this->RandomDuration(200, 1500);
+  const auto runOn = this->RandomDuration(500, 5000);
+  const bool ignoresAck = this->RandomBelow(2) == 0;
+  this->LogFault("leave worker-" + std::to_string(index) +
+                 (ignoresAck ? ", ack lost" : ""));
+  worker.Leave(drain, runOn, ignoresAck);
+  this->ScheduleRecovery(drain + runOn + this->RandomDuration(50, 2000),
+                         [&worker] {
+                           worker.PowerOff();
+                           worker.PowerOn();
+                         });
+}
+
 } // namespace amaranthwind::soak
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <string>
 #include <vector>
@@ -20,9 +21,13 @@
 {
 public:
   using Clock = std::chrono::steady_clock;
+  /** Number of events so far; never decreases. */
+  using EventCount = std::function<std::size_t()>;
 
+  /** @param aAcceptedJobs Counts the jobs that schedulers have accepted. */
   FaultInjector(harness::PlatformDeployment& aDeployment,
                 std::vector<std::unique_ptr<LoopbackProxy>>& aProxies,
+                EventCount aAcceptedJobs,
                 std::uint64_t aSeed);
 
   /** Starts and ends the faults that are due; call every few milliseconds. */
@@ -56,6 +61,15 @@
     Clock::time_point end;
   };
 
+  /** A loss of many processes that waits for the next event of a kind. */
+  struct TriggeredLoss
+  {
+    EventCount count;
+    std::size_t countBefore = 0;
+    /** The loss happens at this time if there is no event until then. */
+    Clock::time_point latest;
+  };
+
   /** Ends the faults whose end is due by aTime. */
   void RunRecoveriesUntil(Clock::time_point aTime);
   void InjectRandomFault();
@@ -73,6 +87,17 @@
   void InjectLinkFault();
   void InjectStoreFault();
   void InjectWorkerFault();
+  /** Injects a loss now, or directly after the next event of a random kind. */
+  void InjectOrArmGroupLoss();
+  /**
+   * Kills a random set of processes, or all of them, at the same moment, with
+   * or without their workers.
+   */
+  void InjectGroupLoss();
+  void InjectLateRequests();
+  void InjectDeparture();
+  std::size_t SumOverWorkers(std::size_t (standins::PlatformWorker::*aCount)()
+                               const noexcept) const;
   std::uint64_t RandomBelow(std::uint64_t aBelow);
   std::chrono::milliseconds RandomDuration(unsigned aFrom, unsigned aTo);
   void ScheduleRecovery(std::chrono::milliseconds aDelay,
@@ -85,6 +110,8 @@
   const Clock::time_point start = Clock::now();
   Clock::time_point nextFault = Clock::now();
   std::priority_queue<Recovery> recoveries;
+  EventCount acceptedJobs;
+  std::optional<TriggeredLoss> triggeredLoss;
   std::vector<std::string> log;
   /** No fault may be prolonged while all of them are being ended. */
   bool isEnding = false;
--- a/tests/soak/History.cpp
+++ b/tests/soak/History.cpp
@@ -61,11 +61,11 @@
 {
   std::vector<std::string> violations;
   const auto events = MergeByTime(aWorkers);
-  /** Runs whose successful end was acknowledged, at any time. */
-  std::set<std::pair<std::string, std::uint64_t>> acknowledgedRuns;
+  /** Successful ends that were acknowledged, at any time, as worker and id. */
+  std::set<std::pair<std::size_t, std::uint64_t>> acknowledgedEnds;
   for (const auto& event : events) {
     if (event.entry.runEvent == RunEvent::DoneAcknowledged) {
-      acknowledgedRuns.insert({ event.entry.task, event.entry.run });
+      acknowledgedEnds.insert({ event.worker, event.entry.endId });
     }
   }
   std::map<std::string, std::size_t> activeRuns;
@@ -106,7 +106,7 @@
         if (finishedTasks.insert(entry.task).second) {
           ++finishedTasksOfJob[GetJobId(entry.task)];
         }
-        if (acknowledgedRuns.contains({ entry.task, entry.run })) {
+        if (acknowledgedEnds.contains({ event.worker, entry.endId })) {
           acknowledgedTasks.insert(entry.task);
         }
       }
--- a/tests/soak/History.h
+++ b/tests/soak/History.h
@@ -38,6 +38,15 @@
     std::lock_guard lock(this->mutex);
     aChange(this->jobs[aJob]);
   }
+  std::size_t AcceptedJobs() const
+  {
+    std::lock_guard lock(this->mutex);
+    std::size_t accepted = 0;
+    for (const auto& [id, job] : this->jobs) {
+      accepted += job.isAccepted ? 1 : 0;
+    }
+    return accepted;
+  }
   std::map<std::string, JobRecord> Jobs() const
   {
     std::lock_guard lock(this->mutex);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -4,8 +4,10 @@
 #include "soak/FaultInjector.h"
 #include "soak/History.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <fstream>
 #include <thread>
 
 namespace amaranthwind::soak {
@@ -17,6 +19,14 @@
 
 constexpr std::size_t kCallers = 3;
 constexpr auto kPollInterval = 10ms;
+/** Short, because some faults follow an event directly. */
+constexpr auto kFaultPollInterval = 2ms;
+/** Longer than the time after which a delayed request takes effect. */
+constexpr auto kDelayedRequestTimeout = 15s;
+/** Every this many jobs, the tasks run for seconds. */
+constexpr std::uint64_t kLongJobInterval = 4;
+/** Every this many jobs with several tasks, they form a gang. */
+constexpr std::uint64_t kGangInterval = 3;
 /** All accepted jobs must end within this time after the last fault. */
 constexpr auto kJobEndTimeout = 60s;
 /** A withdrawn key must be refused this long after the new configuration. */
@@ -139,11 +149,18 @@
     constexpr std::array kAccelerators{ 1U, 2U, 4U, 8U };
     const auto accelerators =
       kAccelerators[this->random() % kAccelerators.size()];
+    const std::uint64_t runTime = this->random() % kLongJobInterval == 0
+                                    ? 1500 + this->random() % 3500
+                                    : 50 + this->random() % 1500;
+    const bool isGang = count > 1 && this->random() % kGangInterval == 0;
+    const std::string spec =
+      std::to_string(runTime) +
+      (isGang ? " gang=" + std::to_string(count) : std::string());
     const std::string body =
-      R"({"spec":")" + std::to_string(50 + this->random() % 1500) +
-      R"(","steps":[{"count":)" + std::to_string(count) +
-      R"(,"cpu":1000,"mem-mb":64,"gpu":)" + std::to_string(accelerators) +
-      R"(,"estimate-ms":500}]})";
+      R"({"spec":")" + spec + R"(","steps":[{"count":)" +
+      std::to_string(count) + R"(,"cpu":1000,"mem-mb":64,"gpu":)" +
+      std::to_string(accelerators) + R"(,"estimate-ms":500)" +
+      (isGang ? R"(,"gang":true)" : "") + "}]}";
     this->history.Update(id, [&](auto& aJob) {
       aJob.tasks = count;
       aJob.accelerators = accelerators;
@@ -227,6 +244,34 @@
   }
 }
 
+/** A delayed start may still violate an invariant after all jobs have ended. */
+void
+WaitForDelayedRequests(const harness::PlatformDeployment& aDeployment)
+{
+  const auto end = Clock::now() + kDelayedRequestTimeout;
+  const auto isPending = [](const auto& aWorker) {
+    return aWorker.worker->DelayedRequests() > 0;
+  };
+  while (Clock::now() < end && std::any_of(aDeployment.workers.begin(),
+                                           aDeployment.workers.end(),
+                                           isPending)) {
+    std::this_thread::sleep_for(kPollInterval);
+  }
+}
+
+/** Writes the events of each worker next to the logs of the processes. */
+void
+WriteWorkerLogs(const harness::PlatformDeployment& aDeployment)
+{
+  for (std::size_t i = 0; i < aDeployment.workers.size(); ++i) {
+    std::ofstream file(aDeployment.Folder() + "/worker-" + std::to_string(i) +
+                       ".log");
+    for (const auto& line : aDeployment.workers[i].worker->EventLog()) {
+      file << line << '\n';
+    }
+  }
+}
+
 } // namespace
 
 SoakReport
@@ -263,7 +308,11 @@
     threads.emplace_back(
       [&] { ProbeRevokedKeys(deployment, keys, isStopped, keyViolations); });
 
-    FaultInjector faults(deployment, proxies, aOptions.seed);
+    FaultInjector faults(
+      deployment,
+      proxies,
+      [&history] { return history.AcceptedJobs(); },
+      aOptions.seed);
     const auto end = Clock::now() + aOptions.duration;
     auto nextKeyRotation = Clock::now() + kFirstKeyRotation;
     for (auto now = Clock::now(); now < end; now = Clock::now()) {
@@ -272,7 +321,7 @@
         keys.Rotate(deployment);
         nextKeyRotation = now + kKeyRotationInterval;
       }
-      std::this_thread::sleep_for(kPollInterval);
+      std::this_thread::sleep_for(kFaultPollInterval);
     }
     faults.EndAllFaults();
     isStopped.store(true);
@@ -281,6 +330,7 @@
     }
     Caller poller(deployment, keys, history, aOptions.seed);
     WaitForJobsToEnd(history, poller);
+    WaitForDelayedRequests(deployment);
 
     std::vector<std::vector<standins::PlatformWorker::HistoryEntry>> histories;
     for (const auto& worker : deployment.workers) {
@@ -298,6 +348,7 @@
     report.taskStarts = deployment.Starts().size();
     if (!report.violations.empty()) {
       deployment.KeepLogs();
+      WriteWorkerLogs(deployment);
       report.logFolder = deployment.Folder();
     }
   }
