Take a deregistered worker that closes its connections for ended

Tasks of a worker that had left waited up to 6 s for its lease. A worker that has deregistered is kept until its address refuses connections or its lease has expired.

Three holds in a row whose connections were closed, or an answer of another worker, now show the end as well, if the worker answered holds until it deregistered. One closed connection may be a fault of the network, and a worker that closed its connections before may go on.

The test "a deregistered worker that closes its connections is removed" failed before in its first case: hasWorker was true after 0.9 s.

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -17,6 +17,16 @@
 constexpr Duration kExpiryMargin = 300ms;
 /** Interval of holds while ended tasks await their acknowledgement. */
 constexpr Duration kUnacknowledgedEndInterval = 150ms;
+/**
+ * A deregistered worker that closes so many connections in a row has ended. One
+ * closed connection may be a fault of the network.
+ */
+constexpr std::uint32_t kMinClosedHolds = 3;
+/**
+ * Ends are acknowledged only so long after an answered hold. A worker that has
+ * been silent for longer may have restarted under its id.
+ */
+constexpr Duration kMaxAnswerAge = 500ms;
 /** Interval of holds that find out whether a deregistered worker has ended. */
 constexpr Duration kDeregisteredPollInterval = 300ms;
 /**
@@ -90,6 +100,7 @@
   this->listedTasks.clear();
   this->lastAcknowledgedEnd = 0;
   this->lastDiscardedEnd = 0;
+  this->lastHoldAnswerAt = {};
   this->hasTaskList = false;
   this->mayHaveMoreEnds = false;
   this->waitingRequests.clear();
@@ -111,6 +122,28 @@
                    aLife) != this->deregisteredLives.end();
 }
 
+const char*
+WorkerAgent::State::EndOfDeregisteredWorker(base::ErrorCode aFailure)
+{
+  if (!this->IsDeregistered(this->workerInfo->life)) {
+    return nullptr;
+  }
+  if (aFailure == base::ErrorCode::ConnectFailed) {
+    return "deregistered, and its address is closed";
+  }
+  if (aFailure == base::ErrorCode::UnknownPath) {
+    return "deregistered, and its address belongs to another worker";
+  }
+  if (aFailure != base::ErrorCode::ConnectionClosed) {
+    return nullptr;
+  }
+  ++this->closedHolds;
+  return this->wasAnsweringUntilDeregistration &&
+             this->closedHolds >= kMinClosedHolds
+           ? "deregistered, and it closes its connections"
+           : nullptr;
+}
+
 void
 WorkerAgent::State::AwaitWorkerEnd()
 {
@@ -256,9 +289,10 @@
   if (this->consecutiveHoldFailures == 0) {
     request.deadline = this->LeaseDeadline();
   }
-  // A hold that arrives late at the next life under this id would discard ends
-  // that nobody has seen.
-  if (this->lastAcknowledgedEnd > this->lastDiscardedEnd) {
+  // A hold that arrives at the next life under this id would discard ends that
+  // nobody has seen.
+  if (this->lastAcknowledgedEnd > this->lastDiscardedEnd &&
+      this->clock.Now() - this->lastHoldAnswerAt <= kMaxAnswerAge) {
     request.lastSeen = this->lastAcknowledgedEnd;
   }
   request.wait = aWait;
@@ -286,9 +320,9 @@
                          { { "worker", this->workerInfo->life.id },
                            { "error", base::Describe(aAnswer.error()) } });
     ++this->consecutiveHoldFailures;
-    if (aAnswer.error().code == base::ErrorCode::ConnectFailed &&
-        this->IsDeregistered(this->workerInfo->life)) {
-      this->EndIncarnation("deregistered, and its address is closed");
+    if (const char* reason =
+          this->EndOfDeregisteredWorker(aAnswer.error().code)) {
+      this->EndIncarnation(reason);
       this->ReportChange();
       return;
     }
@@ -321,7 +355,9 @@
   this->holdBackoff.Reset();
   this->consecutiveHoldFailures = 0;
   this->lastDiscardedEnd = std::max(this->lastDiscardedEnd, aLastSeen);
+  this->closedHolds = 0;
   const TimePoint now = this->clock.Now();
+  this->lastHoldAnswerAt = now;
   if (!this->workerClock || answer.clock > this->workerClock->first) {
     this->workerClock = { answer.clock, now };
   }
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -129,6 +129,11 @@
   void EndIncarnation(std::string_view aReason);
   /** Whether this life of the worker has deregistered. */
   bool IsDeregistered(const ledger::WorkerIncarnation& aLife) const;
+  /**
+   * Whether a failed hold shows that the worker, which has deregistered, has
+   * ended. Returns the reason, or null.
+   */
+  const char* EndOfDeregisteredWorker(base::ErrorCode aFailure);
   /** Polls a deregistered worker until it has ended. */
   void AwaitWorkerEnd();
   /** Logs the ends that are given up for lack of an acknowledgement. */
@@ -233,6 +238,10 @@
   TimePoint incarnationStart{};
   /** The newest ones; they do not register again. */
   std::deque<ledger::WorkerIncarnation> deregisteredLives;
+  /** Whether the worker answered holds until it deregistered. */
+  bool wasAnsweringUntilDeregistration = false;
+  /** Holds in a row whose connections a deregistered worker has closed. */
+  std::uint32_t closedHolds = 0;
   /** Whether a worker has registered since this process started. */
   bool hasRegistered = false;
 
@@ -259,6 +268,7 @@
   std::uint64_t lastAcknowledgedEnd = 0;
   /** The worker has discarded the ends up to this number. */
   std::uint64_t lastDiscardedEnd = 0;
+  TimePoint lastHoldAnswerAt{};
 
   std::map<TaskRun, Run> runs;
   /** Starts and stops that wait; each returns whether it has sent a request. */
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -104,6 +104,9 @@
   self.deregisteredLives.push_back(life);
   if (self.workerInfo && self.workerInfo->life == life) {
     self.workerInfo->isDraining = true;
+    self.wasAnsweringUntilDeregistration =
+      self.hasTaskList && self.consecutiveHoldFailures == 0;
+    self.closedHolds = 0;
     self.AwaitWorkerEnd();
     self.ReportChange();
   }
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -93,6 +93,12 @@
       });
       return;
     }
+    if (this->closesConnections) {
+      this->executor.RunAfter(1ms, [aHandler] {
+        aHandler(base::Fail(base::ErrorCode::ConnectionClosed));
+      });
+      return;
+    }
     if (this->isUnresponsive) {
       this->executor.RunAfter(aRequest.wait + 700ms, [aHandler] {
         aHandler(base::Fail(base::ErrorCode::TimedOut));
@@ -139,6 +145,7 @@
   }
 
   bool isUnresponsive = false;
+  bool closesConnections = false;
   /** Nothing listens at the address any more. */
   bool hasEnded = false;
   bool refusesConnections = false;
@@ -1076,6 +1083,29 @@
   CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
 }
 
+// Guards against tasks that wait for the lease of a worker that has left: its VM
+// may be taken away before its address refuses connections.
+TEST_CASE("a deregistered worker that closes its connections is removed")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(1s);
+  bool isClosingBefore = false;
+  SUBCASE("if it answered before") {}
+  SUBCASE("but not if it closed them before")
+  {
+    isClosingBefore = true;
+    fixture.worker.closesConnections = true;
+    fixture.Run(2s);
+  }
+  fixture.agent.OnDeregistration(kIncarnation);
+  fixture.worker.closesConnections = true;
+  fixture.Run(900ms);
+  CHECK(fixture.agent.Status().hasWorker == isClosingBefore);
+  fixture.Run(6s);
+  CHECK_FALSE(fixture.agent.Status().hasWorker);
+}
+
 // Guards against a second run of a task while the first one goes on: a worker
 // that gets no answer to its deregistration ends only seconds later.
 TEST_CASE("a deregistered worker keeps its runs while it may run them")
