Stop a withdrawn run again if its start is unanswered

Callers saw a worker given more than its capacity (LIMIT), and a task start on it after an earlier run of the task had completed and that end had been acknowledged.

Cause: when an earlier run of a task completes, the later run is withdrawn: its stop is ordered and the task is done. If the agent was restarted before the stop took effect, its next report does not name the run, and Reconcile() took that for a run that never ran. It released the resources and repeated no stop, although the worker could still carry out the start that the former agent process had sent.

Why it works: a start whose outcome is not known is in awaitedStarts. While it is, a run that is missing from a report and belongs to no task on the worker is stopped as an orphan and keeps its resources until the agent reports that the worker has accepted the stop, after which the worker refuses the start.

--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -391,6 +391,11 @@
     if (task != nullptr && task->IsOnWorker() &&
         task->incarnation == aWorker.info->life) {
       this->HandleMissingRun(aWorker, run, *task);
+    } else if (aWorker.awaitedStarts.contains(run) && task != nullptr &&
+               !this->MayStillStart(aWorker, *task)) {
+      // The worker may still carry out the start, also after the agent that
+      // sent it was restarted, until a stop rules that out.
+      this->StopOrphanedRun(aWorker, run);
     } else if (task == nullptr || !this->MayStillStart(aWorker, *task)) {
       // Its end was already acknowledged, or it never ran.
       this->ReleaseResources(aWorker, run);
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -1110,3 +1110,31 @@
   REQUIRE(harness.forgotten.size() == 1);
   CHECK(harness.forgotten[0].steps.size() == 1);
 }
+
+// Guards against starting a task after its completion was acknowledged: the
+// agent that had sent the start of a later run to its worker was restarted
+// before the run's stop took effect.
+TEST_CASE("the stop of a withdrawn run is repeated after its agent restarted")
+{
+  DispatcherHarness harness(2);
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 8));
+  const auto first = harness.Running("j").front();
+  const std::string agent = harness.AgentOf(first);
+  const std::string other = agent == "vm-0" ? "vm-1" : "vm-0";
+  harness.agents.at(agent).isReporting = false;
+  harness.agents.at(other).delaysOrders = true;
+  harness.Run(6s);
+  REQUIRE(harness.starts.size() == 2);
+  harness.agents.at(agent).isReporting = true;
+  harness.End(first, EndKind::Done);
+  harness.Report(agent);
+  REQUIRE(harness.Phase("j") == JobPhase::Completed);
+  const std::size_t stopOrders = harness.stopOrders.size();
+  REQUIRE(stopOrders == 1);
+  harness.RestartAgent(other);
+  harness.Report(other);
+  // The worker may still carry out the start.
+  CHECK(harness.stopOrders.size() > stopOrders);
+  harness.Submit(DispatcherHarness::MakeJob("k", 2, 8));
+  CHECK(harness.starts.size() == 3);
+}
