Do not report the present life as gone after a late registration

A registration of an earlier life that arrives late begins that life at an agent that has just started, or at any agent if the clock was set back between the births. The first hold is answered by the present life, the agent took its own worker for restarted and reported none, and the coordinator released the tasks of the present life at once ("worker left"), while its lease held and its runs went on. Their done ends were listed after its next registration.

A life that has never listed its tasks is not evidence of what the coordinator knows. The agent now reports nothing after such an answer until a worker registers; if none does, the coordinator gives the worker up by its own clock.

Before the change the test "a late registration does not report the present life as gone" failed in both cases: CHECK( 4 == 0 ) and CHECK( 8 == 4 ) for the number of reports. agent_tests pass.

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -312,6 +312,12 @@
   if (answer.born != 0 && answer.born != this->workerInfo->life.born) {
     // The worker has restarted and has not registered yet. A start that was
     // delivered to the new incarnation lasts no longer than a lease.
+    if (!this->hasTaskList) {
+      // The registration may have been late, and the coordinator may know the
+      // life that answers. A report without a worker would release its tasks
+      // while they run.
+      this->hasRegistered = false;
+    }
     this->EndIncarnation("restarted");
     this->lateStartsUntil =
       this->clock.Now() + this->options.maxLease + kExpiryMargin;
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -233,7 +233,10 @@
   TimePoint incarnationStart{};
   /** The newest ones; they do not register again. */
   std::deque<ledger::WorkerIncarnation> deregisteredLives;
-  /** Whether a worker has registered since this process started. */
+  /**
+   * Whether a worker has registered since this process started, and since a
+   * registration turned out to be of another life than the one that answers.
+   */
   bool hasRegistered = false;
 
   /** Running tasks in the newest task list. */
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -1190,6 +1190,51 @@
   CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
 }
 
+// Guards against a second run of a task while the first one goes on: a late
+// registration of an earlier life is not known to be late until the worker
+// answers, and a report without a worker releases the tasks of its present
+// life.
+TEST_CASE("a late registration does not report the present life as gone")
+{
+  Fixture fixture;
+  fixture.worker.running[kRun] = { kRun, {}, 0 };
+  ledger::WorkerIncarnation late = kIncarnation;
+  SUBCASE("at an agent that has just started")
+  {
+    late.born = kIncarnation.born - 1;
+    FakeCoordinator coordinator;
+    WorkerAgent restarted({ .id = base::AgentId("vm") },
+                          fixture.clock,
+                          fixture.executor,
+                          fixture.worker,
+                          coordinator,
+                          fixture.logger);
+    restarted.Start();
+    restarted.OnRegistration(MakeWorker(late), 7);
+    fixture.executor.Advance(2s);
+    CHECK(coordinator.reports == 0);
+    restarted.OnRegistration(MakeWorker(), 2);
+    fixture.executor.Advance(1s);
+    REQUIRE(coordinator.lastReport.worker.has_value());
+    CHECK(coordinator.lastReport.worker->life == kIncarnation);
+    CHECK(coordinator.lastReport.running.size() == 1);
+  }
+  SUBCASE("of a life that was born before the clock was set back")
+  {
+    late.born = kIncarnation.born + 1;
+    fixture.Run(1s);
+    const int reports = fixture.coordinator.reports;
+    fixture.agent.OnRegistration(MakeWorker(late), 7);
+    fixture.executor.Advance(2s);
+    CHECK(fixture.coordinator.reports == reports);
+    fixture.agent.OnRegistration(MakeWorker(), 9);
+    fixture.executor.Advance(1s);
+    REQUIRE(fixture.coordinator.lastReport.worker.has_value());
+    CHECK(fixture.coordinator.lastReport.worker->life == kIncarnation);
+    CHECK(fixture.coordinator.lastReport.running.size() == 1);
+  }
+}
+
 // Guards against an idle daemon that consumes CPU time.
 TEST_CASE("an idle agent wakes up at most a few times a second")
 {
