Count an inherited failure on a life that is over, without a present worker

A new coordinator that learned from the past ends of an agent that an inherited run had failed acknowledged the end without counting it. The task ran once more than its attempts allow.

A past end was also compared with the life of the present worker, which need not be known: the first report to a new coordinator can list past ends and no worker. That read an empty std::optional. The life that an end belongs to is now passed along, and the end of an earlier life no longer releases resources of the present one.

Before the change "a failure of an inherited run on an earlier life counts" failed: CHECK( 1 == 3 ) for the phase of the job. "a completion on an earlier life counts without a present worker" passed by chance; with WorkerState.cpp of compiled with _GLIBCXX_ASSERTIONS it aborted: "Assertion 'this->_M_is_engaged()' failed". dispatch_tests pass.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -363,9 +363,12 @@
    * its next life, or of none, releases the tasks of the life that was known.
    */
   void HandlePastEnds(Worker& aWorker, const WorkerReport& aReport);
-  void HandleEnd(Worker& aWorker, const EndedTask& aEnd);
+  /** aLife is that of the run, which may be over; aWorker may have none. */
+  void HandleEnd(Worker& aWorker,
+                 const ledger::WorkerIncarnation& aLife,
+                 const EndedTask& aEnd);
   /** Why a done end changed nothing; empty if that is usual. */
-  std::string_view ReasonIgnored(const Worker& aWorker,
+  std::string_view ReasonIgnored(const ledger::WorkerIncarnation& aLife,
                                  const job::TaskRun& aRun,
                                  bool aHeldResources);
   /**
@@ -373,7 +376,7 @@
    * any other run of it, or null if the completion changes nothing. A task that
    * runs for long stays as it is.
    */
-  Task* TakeCompletedTask(const Worker& aWorker,
+  Task* TakeCompletedTask(const ledger::WorkerIncarnation& aLife,
                           const job::TaskRun& aCompleted);
   void HandleRunning(Worker& aWorker, const RunningTask& aRunning);
   void Reconcile(Worker& aWorker, const WorkerReport& aReport);
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -120,7 +120,7 @@
   this->SetWorker(worker, *aReport.worker);
   std::uint64_t lastEnd = 0;
   for (const auto& end : aReport.ended) {
-    this->HandleEnd(worker, end);
+    this->HandleEnd(worker, worker.info->life, end);
     lastEnd = std::max(lastEnd, end.number);
   }
   worker.lastEnd = std::max(worker.lastEnd, lastEnd);
@@ -204,19 +204,13 @@
   for (const auto& [life, end] : aReport.pastEnds) {
     std::uint64_t& lastEnd = lastEnds[life];
     lastEnd = std::max(lastEnd, end.number);
-    if (aWorker.info && aWorker.info->life == life) {
-      this->HandleEnd(aWorker, end);
-      continue;
-    }
-    if (end.kind != EndKind::Done) {
-      continue; // The run is lost however it has ended.
-    }
-    Task* task = this->FindRun(end.run);
-    if (task != nullptr && task->IsOnWorker() && task->incarnation == life) {
-      // Inherited, and its worker has not reported to this coordinator.
-      task->phase = Phase::Idle;
+    const Task* task = this->FindRun(end.run);
+    const bool isOnThisLife =
+      task != nullptr && task->IsOnWorker() && task->incarnation == life;
+    // Any other run is lost however it has ended.
+    if (isOnThisLife || end.kind == EndKind::Done) {
+      this->HandleEnd(aWorker, life, end);
     }
-    this->HandleEnd(aWorker, end);
   }
   for (const auto& [life, lastEnd] : lastEnds) {
     this->unwrittenAcks.push_back({ aWorker.agent, life, lastEnd });
@@ -224,20 +218,24 @@
 }
 
 void
-Dispatcher::State::HandleEnd(Worker& aWorker, const EndedTask& aEnd)
+Dispatcher::State::HandleEnd(Worker& aWorker,
+                             const ledger::WorkerIncarnation& aLife,
+                             const EndedTask& aEnd)
 {
-  const bool heldResources = this->ReleaseResources(aWorker, aEnd.run);
+  const bool heldResources = aWorker.info && aWorker.info->life == aLife &&
+                             this->ReleaseResources(aWorker, aEnd.run);
   // An end is listed again until the worker has received its acknowledgement.
   const bool isNew = aEnd.number > aWorker.lastEnd;
   const Task* known = this->FindRun(aEnd.run);
-  const bool isGivenUp = known == nullptr || !known->IsOnWorker() ||
-                         known->incarnation != aWorker.info->life;
+  const bool isGivenUp =
+    known == nullptr || !known->IsOnWorker() || known->incarnation != aLife;
   Task* task = aEnd.kind == EndKind::Done
-                 ? this->TakeCompletedTask(aWorker, aEnd.run)
+                 ? this->TakeCompletedTask(aLife, aEnd.run)
                  : this->FindRun(aEnd.run);
-  const bool isCurrent = heldResources && task != nullptr &&
-                         task->IsOnWorker() &&
-                         task->incarnation == aWorker.info->life;
+  // An inherited run has no resources until its worker has reported.
+  const bool isCurrent = task != nullptr && task->IsOnWorker() &&
+                         task->incarnation == aLife &&
+                         (heldResources || task->agent.IsEmpty());
   // A completed run completes its task whatever was assumed about the run: that
   // it was lost, that another run follows, or that it is on another worker.
   // This is safe to accept, because a run number is used by one start only. It
@@ -248,7 +246,7 @@
     this->mustSchedule = this->mustSchedule || heldResources;
     if (isNew && aEnd.kind == EndKind::Done) {
       const std::string_view reason =
-        this->ReasonIgnored(aWorker, aEnd.run, heldResources);
+        this->ReasonIgnored(aLife, aEnd.run, heldResources);
       if (!reason.empty()) {
         this->observer.OnEndIgnored(aEnd.run, aWorker.agent, aEnd.kind, reason);
       }
@@ -302,7 +300,7 @@
 }
 
 std::string_view
-Dispatcher::State::ReasonIgnored(const Worker& aWorker,
+Dispatcher::State::ReasonIgnored(const ledger::WorkerIncarnation& aLife,
                                  const job::TaskRun& aRun,
                                  bool aHeldResources)
 {
@@ -319,7 +317,7 @@
     return task.phase == Phase::Done ? "completed by another run"
                                      : "another run is known";
   }
-  if (task.incarnation != aWorker.info->life) {
+  if (task.incarnation != aLife) {
     return "on another incarnation";
   }
   if (task.phase != Phase::Done) {
@@ -330,7 +328,7 @@
 }
 
 Task*
-Dispatcher::State::TakeCompletedTask(const Worker& aWorker,
+Dispatcher::State::TakeCompletedTask(const ledger::WorkerIncarnation& aLife,
                                      const job::TaskRun& aCompleted)
 {
   const job::StepId& id = aCompleted.task.step;
@@ -349,7 +347,7 @@
   if (task.phase == Phase::Done) {
     return nullptr;
   }
-  if (task.run != aCompleted.run || task.incarnation != aWorker.info->life) {
+  if (task.run != aCompleted.run || task.incarnation != aLife) {
     constexpr std::string_view kReason = "completed by another run";
     if (spec.isGang && task.run != aCompleted.run) {
       this->StopGangMembers(step, task.run, kReason);
--- a/libs/dispatch/tests/PastEndsTest.cpp
+++ b/libs/dispatch/tests/PastEndsTest.cpp
@@ -110,6 +110,41 @@
   CHECK(harness.Phase("j") == JobPhase::Failed);
 }
 
+// Guards against a task with more failed runs than attempts: the coordinator
+// that placed it is gone, and its successor learns of the failure only from the
+// worker's next life.
+TEST_CASE("a failure of an inherited run on an earlier life counts")
+{
+  DispatcherHarness harness(3);
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 8));
+  const RestartedWorker worker(
+    harness, harness.Running("j")[0], EndKind::Failed);
+  harness.TakeOver();
+  worker.Report(harness);
+  CHECK(worker.IsAcknowledged(harness));
+  harness.Run(20s);
+  REQUIRE(harness.starts.size() == 2);
+  harness.End(harness.Running("j").at(0), EndKind::Failed);
+  harness.Run(2s);
+  CHECK(harness.Phase("j") == JobPhase::Failed);
+}
+
+// Guards against reading the life of a worker that is not known: the first
+// report to a new coordinator lists past ends and no worker.
+TEST_CASE("a completion on an earlier life counts without a present worker")
+{
+  DispatcherHarness harness(2);
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 8));
+  const RestartedWorker worker(harness, harness.Running("j")[0], EndKind::Done);
+  harness.TakeOver();
+  auto report = harness.MakeReport(worker.agent);
+  report.worker.reset();
+  report.pastEnds = { worker.pastEnd };
+  harness.Handle(report, harness.agents.at(worker.agent).session);
+  CHECK(worker.IsAcknowledged(harness));
+  CHECK(harness.Phase("j") == JobPhase::Completed);
+}
+
 // Guards against releasing a run that is on the new life of the worker.
 TEST_CASE("an end of an earlier life does not end a later run of the task")
 {
