Await the next life of a deregistered worker with an unanswered start

Once the address of a deregistered worker refuses connections, the agent reported it as gone even if a start to it was unanswered. The next life under its id can carry that start out before it registers, while the coordinator has placed the task again. After a restart the agent already withholds its reports for the length of a lease, or until the next life has registered and the start is cancelled; it now does so here too. Without an unanswered start nothing changes.

Before the change the test "a deregistered worker with an unanswered start is not gone at once" failed: CHECK( false ) for lastReport.worker.has_value(). agent_tests pass.

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -103,6 +103,13 @@
   this->holdBackoff.Reset();
 }
 
+void
+WorkerAgent::State::AwaitNextIncarnation()
+{
+  this->lateStartsUntil =
+    this->clock.Now() + this->options.maxLease + kExpiryMargin;
+}
+
 bool
 WorkerAgent::State::IsDeregistered(const ledger::WorkerIncarnation& aLife) const
 {
@@ -289,6 +296,7 @@
     if (aAnswer.error().code == base::ErrorCode::ConnectFailed &&
         this->IsDeregistered(this->workerInfo->life)) {
       this->EndIncarnation("deregistered, and its address is closed");
+      this->AwaitNextIncarnation();
       this->ReportChange();
       return;
     }
@@ -310,8 +318,7 @@
   }
   const HoldReply& answer = aAnswer.value();
   if (answer.born != 0 && answer.born != this->workerInfo->life.born) {
-    // The worker has restarted and has not registered yet. A start that was
-    // delivered to the new incarnation lasts no longer than a lease.
+    // The worker has restarted and has not registered yet.
     if (!this->hasTaskList) {
       // The registration may have been late, and the coordinator may know the
       // life that answers. A report without a worker would release its tasks
@@ -319,8 +326,7 @@
       this->hasRegistered = false;
     }
     this->EndIncarnation("restarted");
-    this->lateStartsUntil =
-      this->clock.Now() + this->options.maxLease + kExpiryMargin;
+    this->AwaitNextIncarnation();
     this->ReportChange();
     return;
   }
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -127,6 +127,11 @@
   // Incarnations of the worker (AgentIncarnation.cpp).
   void BeginIncarnation(const dispatch::WorkerInfo& aInfo);
   void EndIncarnation(std::string_view aReason);
+  /**
+   * Withholds reports while a late start may be under way on the next
+   * incarnation, which has not registered. It lasts no longer than a lease.
+   */
+  void AwaitNextIncarnation();
   /** Whether this life of the worker has deregistered. */
   bool IsDeregistered(const ledger::WorkerIncarnation& aLife) const;
   /** Polls a deregistered worker until it has ended. */
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -1235,6 +1235,37 @@
   }
 }
 
+// Guards against a second run of a task: the next life at the address of a
+// deregistered worker carries out a late start before it registers.
+TEST_CASE("a deregistered worker with an unanswered start is not gone at once")
+{
+  Fixture fixture;
+  fixture.worker.isUnresponsive = true;
+  fixture.Start();
+  fixture.Run(600ms);
+  fixture.agent.OnDeregistration(kIncarnation);
+  fixture.worker.hasEnded = true;
+  fixture.Run(1s);
+  REQUIRE_FALSE(fixture.agent.Status().hasWorker);
+  CHECK(fixture.coordinator.lastReport.worker.has_value());
+  SUBCASE("until its next life has cancelled the start")
+  {
+    fixture.worker.isUnresponsive = false;
+    fixture.worker.hasEnded = false;
+    fixture.worker.running[kRun] = { kRun, {}, 0 };
+    fixture.worker.born = 200;
+    fixture.agent.OnRegistration(MakeWorker({ kIncarnation.id, 200 }), 1);
+    fixture.Run(1s);
+    CHECK(fixture.worker.stoppedRuns.contains(kRun));
+    CHECK(fixture.coordinator.lastReport.worker->life.born == 200);
+  }
+  SUBCASE("until the lease of the start has expired")
+  {
+    fixture.Run(7s);
+    CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
+  }
+}
+
 // Guards against an idle daemon that consumes CPU time.
 TEST_CASE("an idle agent wakes up at most a few times a second")
 {
