--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -127,6 +127,11 @@
   // Incarnations of the worker (AgentIncarnation.cpp).
   void BeginIncarnation(const dispatch::WorkerInfo& aInfo);
   void EndIncarnation(std::string_view aReason);
+  /**
+   * Withholds reports while a late start may be under way on the next
+   * incarnation, which has not registered. It lasts no longer than a lease.
+   */
+  void AwaitNextIncarnation();
   /** Whether this life of the worker has deregistered. */
   bool IsDeregistered(const ledger::WorkerIncarnation& aLife) const;
   /**
@@ -242,7 +247,10 @@
   bool wasAnsweringUntilDeregistration = false;
   /** Holds in a row whose connections a deregistered worker has closed. */
   std::uint32_t closedHolds = 0;
-  /** Whether a worker has registered since this process started. */
+  /**
+   * Whether a worker has registered since this process started, and since a
+   * registration turned out to be of another life than the one that answers.
+   */
   bool hasRegistered = false;
 
   /** Running tasks in the newest task list. */
