--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -1083,8 +1083,8 @@
   CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
 }
 
-// Guards against tasks that wait for the lease of a worker that has left: its VM
-// may be taken away before its address refuses connections.
+// Guards against tasks that wait for the lease of a worker that has left: its
+// VM may be taken away before its address refuses connections.
 TEST_CASE("a deregistered worker that closes its connections is removed")
 {
   Fixture fixture;
