--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -310,8 +310,7 @@
   CHECK(fixture.coordinator.lastReport.ended.empty());
 }
 
-// Guards against running a task again that is done: its end was listed, but the
-// worker's life was over before a coordinator had acknowledged it.
+// Guards against running a done task again after its worker's life was over.
 TEST_CASE("the ends of a life that is over are reported until acknowledged")
 {
   Fixture fixture;
@@ -367,8 +366,7 @@
   CHECK(fixture.coordinator.lastReport.pastEnds.empty());
 }
 
-// Guards against an end that the worker keeps for ever, because only its agent
-// counts the life as over.
+// Guards against an end that the worker keeps for ever.
 TEST_CASE("the ends of a life that goes on are those of the worker again")
 {
   Fixture fixture;
@@ -388,8 +386,7 @@
   CHECK(fixture.worker.lastSeen == 1);
 }
 
-// Guards against reports that grow without limit when no coordinator
-// acknowledges ends of earlier lives, as those of earlier versions do.
+// Guards against reports that grow without limit.
 TEST_CASE("the ends of lives that are over are discarded in the end")
 {
   Fixture fixture;
@@ -840,9 +837,7 @@
   CHECK(coordinator.lastReport.running.size() == 1);
 }
 
-// Guards against giving up a worker that answers, with the runs and ends that
-// it has not listed: it knows a newer token than an agent that has just
-// started.
+// Guards against giving up a worker that knows a newer token than its agent.
 TEST_CASE("a fenced worker that has not listed its tasks is not gone")
 {
   Fixture fixture;
@@ -920,9 +915,7 @@
   CHECK(fixture.worker.stoppedRuns.contains(kRun));
 }
 
-// Guards against a second run: a start whose answer was lost may be carried out
-// seconds later, and the next life under the same id knows of no run that
-// ended.
+// Guards against a second run by a start that is carried out late.
 TEST_CASE("an unanswered start is cancelled on the next life in any case")
 {
   Fixture fixture;
@@ -988,8 +981,7 @@
   CHECK(fixture.worker.stoppedRuns.contains(kRun) == isCancelled);
 }
 
-// Guards against a late start that is not ruled out, because the worker knows a
-// newer token than the agent when the agent cancels it.
+// Guards against a late start that is not ruled out.
 TEST_CASE("a fenced cancellation is repeated before anything is reported")
 {
   Fixture fixture;
@@ -1008,8 +1000,7 @@
   CHECK(fixture.coordinator.lastReport.worker->life.born == 200);
 }
 
-// Guards against a hold that is carried out late, by the next life under the
-// same id: it discards ends that nobody has seen, so that done tasks run again.
+// Guards against a late hold that discards ends of the next life.
 TEST_CASE("a hold names acknowledged ends only until one is answered")
 {
   Fixture fixture;
@@ -1083,8 +1074,7 @@
   CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
 }
 
-// Guards against tasks that wait for the lease of a worker that has left: its
-// VM may be taken away before its address refuses connections.
+// Guards against tasks that wait for the lease of a worker that has left.
 TEST_CASE("a deregistered worker that closes its connections is removed")
 {
   Fixture fixture;
@@ -1106,8 +1096,7 @@
   CHECK_FALSE(fixture.agent.Status().hasWorker);
 }
 
-// Guards against a second run of a task while the first one goes on: a worker
-// that gets no answer to its deregistration ends only seconds later.
+// Guards against a second run of a task while the first one goes on.
 TEST_CASE("a deregistered worker keeps its runs while it may run them")
 {
   Fixture fixture;
@@ -1140,8 +1129,7 @@
   CHECK(fixture.worker.lease == lease);
 }
 
-// Guards against runs that go on although the coordinator has given them up: it
-// did not know of the worker, or took it for gone, when it granted the lease.
+// Guards against runs that go on although the coordinator has given them up.
 TEST_CASE("a grant extends the lease of the worker that was reported only")
 {
   Fixture fixture;
@@ -1174,8 +1162,7 @@
   CHECK(fixture.worker.lease > lease);
 }
 
-// Guards against tasks that are placed on a worker that has left, because a
-// registration of it arrives late.
+// Guards against tasks that are placed on a worker that has left.
 TEST_CASE("a deregistered life of the worker does not begin again")
 {
   Fixture fixture;
@@ -1204,8 +1191,7 @@
   CHECK(fixture.coordinator.lastReport.worker->life.born == 200);
 }
 
-// Guards against removing a worker because of the late deregistration of an
-// earlier life under its id.
+// Guards against removing a worker for the deregistration of an earlier life.
 TEST_CASE("a deregistration applies to one life of the worker")
 {
   Fixture fixture;
@@ -1220,10 +1206,7 @@
   CHECK_FALSE(fixture.coordinator.lastReport.worker.has_value());
 }
 
-// Guards against a second run of a task while the first one goes on: a late
-// registration of an earlier life is not known to be late until the worker
-// answers, and a report without a worker releases the tasks of its present
-// life.
+// Guards against a second run of a task while the first one goes on.
 TEST_CASE("a late registration does not report the present life as gone")
 {
   Fixture fixture;
@@ -1265,8 +1248,7 @@
   }
 }
 
-// Guards against a second run of a task: the next life at the address of a
-// deregistered worker carries out a late start before it registers.
+// Guards against a late start that the next life carries out unregistered.
 TEST_CASE("a deregistered worker with an unanswered start is not gone at once")
 {
   Fixture fixture;
--- a/libs/coordinator/tests/LossTest.cpp
+++ b/libs/coordinator/tests/LossTest.cpp
@@ -191,8 +191,7 @@
 
 } // namespace
 
-// Guards against tasks that run twice, or again after they were done, and
-// against accepted jobs that are lost, when several faults act together.
+// Guards against faults that are harmless alone and harmful together.
 TEST_CASE("no task runs twice and no job is lost with one fault")
 {
   CheckSeeds(1);
@@ -208,9 +207,7 @@
   CheckSeeds(10);
 }
 
-// Guards against runs that are given up 300 ms after their worker has
-// deregistered. A worker that gets no answer runs on for seconds, and its runs
-// may even be listed as done.
+// Guards against giving up the runs of a worker that runs on.
 TEST_CASE("runs on a worker whose deregistration is not answered run once")
 {
   for (auto at = 5000ms; at < 9000ms; at += 200ms) {
@@ -225,8 +222,7 @@
   }
 }
 
-// Guards against a late start that the next life of the worker carries out: the
-// agent cancels only starts of runs that it still tracks.
+// Guards against forgetting an unanswered start when its run has ended.
 TEST_CASE("a start of a completed run has no effect on the worker's next life")
 {
   CheckFaults(29,
@@ -244,8 +240,7 @@
                   9460069731998180220U } });
 }
 
-// Guards against a late hold whose last-seen number makes the next life of the
-// worker forget the end of a completed run that nobody has seen.
+// Guards against discarding the end of a run that nobody has seen.
 TEST_CASE("a hold of an earlier life acknowledges no end of the next one")
 {
   CheckFaults(200'780,
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -1007,9 +1007,7 @@
   CHECK(harness.starts.size() == 1);
 }
 
-// Guards against starting a task again after its completion was acknowledged: a
-// late order of the previous coordinator took effect on the next incarnation of
-// the worker, while the task still counts as running on the earlier one.
+// Guards against starting a task again after its completion was acknowledged.
 TEST_CASE("a new coordinator counts a run completed by another incarnation")
 {
   bool isGang = false;
@@ -1055,8 +1053,7 @@
   CHECK(harness.starts.size() == starts);
 }
 
-// Guards against starting a task again after its completion was acknowledged:
-// the records that the coordinator has read lack the placement of the run.
+// Guards against starting a task again after its completion was acknowledged.
 TEST_CASE("a completed run completes its task although it was not known")
 {
   bool isGang = false;
@@ -1106,9 +1103,7 @@
   CHECK(harness.starts.size() == starts);
 }
 
-// Guards against a gang that starts again although a member has completed: the
-// end is listed by a worker that was lost meanwhile, at any time of the gang's
-// stop and restart, also to the next coordinator.
+// Guards against a gang that starts again although a member has completed.
 TEST_CASE("a gang is completed by a member whose worker was lost")
 {
   enum class Moment
@@ -1177,9 +1172,7 @@
   CHECK(harness.starts.size() == starts);
 }
 
-// A run whose job is unknown belongs to a job that was deleted: nothing of it
-// can start again, and without the acknowledgement the worker would list the
-// end, and all later ones, for good.
+// Guards against a worker that lists the ends of deleted jobs for good.
 TEST_CASE("the completion of a run of a deleted job is acknowledged")
 {
   DispatcherHarness harness(1);
@@ -1199,8 +1192,7 @@
   CHECK(harness.ignoredEnds == std::vector<std::string>{ "unknown job" });
 }
 
-// Guards against acknowledged ends of which the log does not tell why they were
-// not counted, and against a line for each report or member of a gang.
+// Guards against acknowledged ends that the log does not explain.
 TEST_CASE("a done end that changes nothing is reported once with its reason")
 {
   DispatcherHarness harness;
@@ -1339,9 +1331,7 @@
   CHECK(harness.forgotten[0].steps.size() == 1);
 }
 
-// Guards against starting a task after its completion was acknowledged: the
-// agent that had sent the start of a later run to its worker was restarted
-// before the run's stop took effect.
+// Guards against starting a task after its completion was acknowledged.
 TEST_CASE("the stop of a withdrawn run is repeated after its agent restarted")
 {
   DispatcherHarness harness(2);
--- a/libs/dispatch/tests/PastEndsTest.cpp
+++ b/libs/dispatch/tests/PastEndsTest.cpp
@@ -43,8 +43,7 @@
 
 } // namespace
 
-// Guards against running a task again that is done: its worker restarted after
-// it had listed the end and before a coordinator had acknowledged it.
+// Guards against running a done task again after its worker has restarted.
 TEST_CASE("a completion on an earlier life of the worker counts")
 {
   DispatcherHarness harness(2);
@@ -110,9 +109,7 @@
   CHECK(harness.Phase("j") == JobPhase::Failed);
 }
 
-// Guards against a task with more failed runs than attempts: the coordinator
-// that placed it is gone, and its successor learns of the failure only from the
-// worker's next life.
+// Guards against a task with more failed runs than attempts.
 TEST_CASE("a failure of an inherited run on an earlier life counts")
 {
   DispatcherHarness harness(3);
@@ -129,8 +126,7 @@
   CHECK(harness.Phase("j") == JobPhase::Failed);
 }
 
-// Guards against reading the life of a worker that is not known: the first
-// report to a new coordinator lists past ends and no worker.
+// Guards against reading the life of a worker that is not known.
 TEST_CASE("a completion on an earlier life counts without a present worker")
 {
   DispatcherHarness harness(2);
--- a/libs/journal/tests/FencedWriterTest.cpp
+++ b/libs/journal/tests/FencedWriterTest.cpp
@@ -365,9 +365,7 @@
         fixture.log.held[0].conditions.stamp->sequence + 1);
 }
 
-// Guards against records that are taken for durable but are not in the log: a
-// late answer to a larger append is taken for one to its first part, whose
-// number is then used again.
+// Guards against records that are taken for durable but are not in the log.
 TEST_CASE("a late answer to an append that was divided is ignored")
 {
   HeldFixture fixture;
--- a/libs/journal/tests/KeyedFollowerTest.cpp
+++ b/libs/journal/tests/KeyedFollowerTest.cpp
@@ -235,9 +235,7 @@
   CHECK(refused == 1);
 }
 
-// Guards against a view that is confirmed as current although it lacks records,
-// so that a coordinator starts tasks again whose ends it has not read: a reload
-// goes back to an earlier offset than that of a read under way.
+// Guards against a view that is confirmed although it lacks records.
 TEST_CASE("a read that was sent before a reload leaves out no records")
 {
   Fixture fixture;
