--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -1249,7 +1249,7 @@
 };
 
 /** How requests to a worker, and its registrations, go wrong for some time. */
-struct SimulatedCell::CallDisturbance
+struct SimulatedCell::CallFaults
 {
   base::TimePoint until{};
   std::mt19937_64 random;
@@ -1354,7 +1354,7 @@
   std::uint32_t workerIds = 0;
   std::uint64_t registrations = 0;
   bool isLeaving = false;
-  CallDisturbance disturbance;
+  CallFaults callFaults;
   SimulatedWorker worker;
   std::unique_ptr<Agent> agent;
 };
@@ -1387,15 +1387,15 @@
         answer(aReply);
       }
     };
-  CallDisturbance& disturbance = this->vm.disturbance;
-  const bool isDisturbed = this->cell.time.Now() < disturbance.until;
+  CallFaults& callFaults = this->vm.callFaults;
+  const bool isDisturbed = this->cell.time.Now() < callFaults.until;
   const bool isCut =
     this->cell.network.IsCut(this->vm.name, this->vm.name + "-worker");
   if (!isDisturbed && !isCut) {
     carryOut(kWorkerLatency, answerUnlessCut);
     return;
   }
-  auto& random = disturbance.random;
+  auto& random = callFaults.random;
   const auto lateBy = [&random] {
     return 2000ms + std::chrono::milliseconds(random() % 10'000);
   };
@@ -1580,16 +1580,16 @@
       });
     }
   };
-  if (this->time.Now() >= aVm.disturbance.until) {
+  if (this->time.Now() >= aVm.callFaults.until) {
     deliver();
     return;
   }
-  const auto fate = aVm.disturbance.random() % 4;
+  const auto fate = aVm.callFaults.random() % 4;
   if (fate < 2) {
     deliver();
   } else if (fate == 2) {
     this->time.Schedule(
-      std::chrono::milliseconds(aVm.disturbance.random() % 8000), deliver);
+      std::chrono::milliseconds(aVm.callFaults.random() % 8000), deliver);
   }
 }
 
@@ -1635,9 +1635,9 @@
   };
   this->time.Schedule(kUnansweredTime, end);
   // 0: answered, 1: the request is lost, 2: the answer is lost.
-  const bool isDisturbed = this->time.Now() < aVm.disturbance.until;
+  const bool isDisturbed = this->time.Now() < aVm.callFaults.until;
   const auto fate = aLosesAnswer  ? 2
-                    : isDisturbed ? aVm.disturbance.random() % 3
+                    : isDisturbed ? aVm.callFaults.random() % 3
                                   : 0;
   const auto isCut = [this, &aVm] {
     return this->network.IsCut(aVm.name, aVm.name + "-worker");
@@ -1827,15 +1827,15 @@
       break;
     case FaultKind::CutAgentsFromWorkers:
       for (Vm* const vm : hitVms) {
-        vm->disturbance.random.seed(draw());
+        vm->callFaults.random.seed(draw());
         cut(vm->name, vm->name + "-worker");
       }
       break;
     case FaultKind::DisturbWorkerCalls:
       for (Vm* const vm : hitVms) {
-        vm->disturbance.random.seed(draw());
-        vm->disturbance.until =
-          std::max(vm->disturbance.until, this->time.Now() + aFault.length);
+        vm->callFaults.random.seed(draw());
+        vm->callFaults.until =
+          std::max(vm->callFaults.until, this->time.Now() + aFault.length);
       }
       break;
   }
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -455,7 +455,7 @@
   struct Entry;
   struct Agent;
   struct Vm;
-  struct CallDisturbance;
+  struct CallFaults;
 
   std::size_t CountJobs(std::span<const ledger::JobPhase> aPhases) const;
   /** Whether the newest record of its step says that the task is done. */
