Count a worker as answering although its last hold fails with its end

A worker ends as soon as its deregistration is answered, so that the hold under way is closed at the same moment; the agent had handled that first and took the worker for one that had not answered before either.

One failed hold before the deregistration no longer counts against it. The test "a deregistered worker that closes its connections is removed" failed before in its new case: hasWorker was true after 0.9 s.

--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -104,8 +104,9 @@
   self.deregisteredLives.push_back(life);
   if (self.workerInfo && self.workerInfo->life == life) {
     self.workerInfo->isDraining = true;
+    // The hold under way may fail with the end of the worker.
     self.wasAnsweringUntilDeregistration =
-      self.hasTaskList && self.consecutiveHoldFailures == 0;
+      self.hasTaskList && self.consecutiveHoldFailures <= 1;
     self.closedHolds = 0;
     self.AwaitWorkerEnd();
     self.ReportChange();
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -1082,6 +1082,15 @@
   fixture.Run(1s);
   bool isClosingBefore = false;
   SUBCASE("if it answered before") {}
+  SUBCASE("if it closed the last one just before")
+  {
+    fixture.worker.closesConnections = true;
+    for (const int holds = fixture.worker.holds;
+         fixture.worker.holds == holds;) {
+      fixture.executor.Advance(1ms);
+    }
+    fixture.executor.Advance(2ms);
+  }
   SUBCASE("but not if it closed them before")
   {
     isClosingBefore = true;
