Review: keep the requests of a restarted executor open in the stand-in

Executor::Restart() in review/rig-2 destroyed the responders of waiting holds on the caller's thread, while their connections belong to the I/O threads. They are kept now.

--- a/review/rig-2/Executor.cc
+++ b/review/rig-2/Executor.cc
@@ -323,6 +323,9 @@
     }
     this->ended.clear();
     this->highestEnded.clear();
+    for (auto& hold : this->holds) {
+      this->silent.push_back(std::move(hold.respond));
+    }
     this->holds.clear();
     this->sequence = 0;
     this->epoch = 0;
--- a/review/rig-2/Executor.h
+++ b/review/rig-2/Executor.h
@@ -131,7 +131,7 @@
   std::vector<End> ended;
   std::vector<WaitingHold> holds;
   std::vector<Run> history;
-  /** Requests without power; their connections stay silent. */
+  /** Requests that get no answer; their connections stay open. */
   std::vector<frontend::HttpResponder> silent;
 };
 
