--- a/review/10/scenario.cc
+++ b/review/10/scenario.cc
@@ -30,17 +30,16 @@
     aRecord.Line("the deployment did not start");
     return kNotRun;
   }
-  const auto submit = [&](std::uint64_t aNumber,
-                          unsigned aGpus,
-                          std::string_view aQueue) {
-    return rig
-             .Send(rig.schedulers[0],
-                   "POST",
-                   JobId(aNumber),
-                   JobBody(1, aGpus, kLongRun, R"(,"estimate-ms":90000)"),
-                   aQueue)
-             .status == 200;
-  };
+  const auto submit =
+    [&](std::uint64_t aNumber, unsigned aGpus, std::string_view aQueue) {
+      return rig
+               .Send(rig.schedulers[0],
+                     "POST",
+                     JobId(aNumber),
+                     JobBody(1, aGpus, kLongRun, R"(,"estimate-ms":90000)"),
+                     aQueue)
+               .status == 200;
+    };
   // Urgent jobs fill all workers but one.
   for (std::size_t i = 0; i + 1 < kWorkers; ++i) {
     if (!submit(0x1000 + i, 8, kUrgentQueue)) {
@@ -94,9 +93,9 @@
     if (waiting < 0) {
       return kNotRun;
     }
-    aRecord.Line(each.name + ": waiting " + std::to_string(waiting) +
-                "; accepted over 5 s ago and not begun: " +
-                std::to_string(notBegun));
+    aRecord.Line(
+      each.name + ": waiting " + std::to_string(waiting) +
+      "; accepted over 5 s ago and not begun: " + std::to_string(notBegun));
     isBroken = isBroken || 2 * waiting < static_cast<std::int64_t>(notBegun);
   }
   return isBroken ? kBroken : kHeld;
--- a/review/rig-2/Executor.cc
+++ b/review/rig-2/Executor.cc
@@ -226,10 +226,10 @@
   }
   this->epoch = NumberOf(body, "fencing-token");
   if (body.contains("deadline-ms")) {
-    this->leaseMs =
-      std::max(this->leaseMs,
-               std::min(static_cast<std::int64_t>(NumberOf(body, "deadline-ms")),
-                        this->ClockMs() + kMaxHoldMs));
+    this->leaseMs = std::max(
+      this->leaseMs,
+      std::min(static_cast<std::int64_t>(NumberOf(body, "deadline-ms")),
+               this->ClockMs() + kMaxHoldMs));
   }
   if (aRequest.path == "/api/run-start") {
     aRespond(this->Start(aRequest.body));
--- a/review/rig-2/Rig.cc
+++ b/review/rig-2/Rig.cc
@@ -7,8 +7,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <filesystem>
 #include <exception>
+#include <filesystem>
 #include <stdexcept>
 #include <thread>
 
@@ -82,25 +82,24 @@
     each.client = AllocateAddress();
     each.ready = AllocateAddress();
     each.admin = AllocateAddress();
-    each.settings =
-      this->WriteSettings(each.name,
-                          json::serialize(json::object{
-                            { "id", each.name },
-                            { "region", "r" },
-                            { "zone", "z" },
-                            { "innerListen", AllocateAddress() },
-                            { "adminListen", each.admin },
-                            { "clientListen", each.client },
-                            { "readyListen", each.ready },
-                            { "logService", this->storeAddress },
-                            { "logRecordBytes", 262144 },
-                            { "logAppendBytes", 2097152 },
-                            { "maxLeaseMs", 6000 },
-                            { "stopTimeMs", 900 },
-                            { "revokeLimitMs", 5000 },
-                            { "configurationLimitMs", 2000 },
-                            { "cancelLimitMs", 3000 },
-                            { "logFormat", "json" } }));
+    each.settings = this->WriteSettings(
+      each.name,
+      json::serialize(json::object{ { "id", each.name },
+                                    { "region", "r" },
+                                    { "zone", "z" },
+                                    { "innerListen", AllocateAddress() },
+                                    { "adminListen", each.admin },
+                                    { "clientListen", each.client },
+                                    { "readyListen", each.ready },
+                                    { "logService", this->storeAddress },
+                                    { "logRecordBytes", 262144 },
+                                    { "logAppendBytes", 2097152 },
+                                    { "maxLeaseMs", 6000 },
+                                    { "stopTimeMs", 900 },
+                                    { "revokeLimitMs", 5000 },
+                                    { "configurationLimitMs", 2000 },
+                                    { "cancelLimitMs", 3000 },
+                                    { "logFormat", "json" } }));
   }
   for (std::size_t i = 0; i < aOptions.workers; ++i) {
     Worker& each = this->workers.emplace_back();
@@ -281,7 +280,8 @@
     answer = { result.response.value().status, result.response.value().body };
   }
   this->record.Line("client: " + std::string(aMethod) + " " +
-                    std::string(aPrefix) + std::string(aId) + " at " + aScheduler.name + ", sent at " +
+                    std::string(aPrefix) + std::string(aId) + " at " +
+                    aScheduler.name + ", sent at " +
                     std::to_string(this->record.Since(sentAt)) + " ms -> " +
                     (answer.status == 0 ? std::string("no answer")
                                         : std::to_string(answer.status)) +
--- a/review/rig-2/Rig.h
+++ b/review/rig-2/Rig.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "Executor.h"
+#include "Record.h"
 #include "amaranthwind/frontend/HttpClient.h"
 #include "amaranthwind/frontend/HttpServer.h"
 #include "amaranthwind/net/IoPool.h"
-#include "Executor.h"
-#include "Record.h"
 #include "harness/Process.h"
 #include "standins/PlatformStore.h"
 
@@ -70,7 +70,8 @@
 
 /**
  * A small deployment: schedulers and agents as processes of the deploy file's
- * build, with stand-ins for the store and the executors in this process. The settings have the bounds of the site bancos-andinos.
+ * build, with stand-ins for the store and the executors in this process. The
+ * settings have the bounds of the site bancos-andinos.
  */
 class Rig
 {
@@ -135,9 +136,7 @@
   std::string WriteSettings(const std::string& aName,
                             const std::string& aText) const;
 
-  frontend::HttpServer storeServer{ pool,
-                                    { .maxConnections = 4096 },
-                                    store };
+  frontend::HttpServer storeServer{ pool, { .maxConnections = 4096 }, store };
   void WriteDesiredState();
 
   std::string storeAddress;
