Review: stop the build of the cases when a part does not compile

review/build-2.sh waited for its compilers without their exit codes, so that the object of an earlier build could be linked after a failure.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -16,12 +16,16 @@
   tests/standins/PlatformStore.cpp
 )
 objects=()
+pids=()
 for source in "${common[@]}"; do
   object="$out/$(basename "${source%.*}").o"
   objects+=("$object")
   g++ "${flags[@]}" -c "$source" -o "$object" &
+  pids+=($!)
+done
+for pid in "${pids[@]}"; do
+  wait "$pid"
 done
-wait
 mapfile -t libraries < <(find target/libs -name '*.a' | sort)
 for source in review/*/scenario.cc; do
   name="$(basename "$(dirname "$source")")"
