--- a/review/10/scenario.cc
+++ b/review/10/scenario.cc
@@ -64,7 +64,7 @@
         return false;
       }
       aRecord.Line(idle->name + ": 503, nothing done: " + aRequest.body);
-      aRespond({ 503, "application/json", {}, "{}" });
+      aRespond({ 503, "application/json", {}, "" });
       return true;
     });
   }
