--- a/tests/harness/PlatformDeployment.cpp
+++ b/tests/harness/PlatformDeployment.cpp
@@ -67,6 +67,7 @@
     Worker& worker = this->workers.emplace_back();
     const std::string name = "agent-" + std::to_string(i);
     const std::string control = AllocateAddress();
+    worker.registration = control;
     worker.worker =
       std::make_unique<standins::PlatformWorker>(this->pool,
                                                  group,
--- a/tests/harness/PlatformDeployment.h
+++ b/tests/harness/PlatformDeployment.h
@@ -30,6 +30,8 @@
   };
   struct Worker
   {
+    /** Where the worker registers with its agent. */
+    std::string registration;
     std::string settings;
     std::unique_ptr<standins::PlatformWorker> worker;
     std::unique_ptr<frontend::HttpServer> server;
