Bound what clients can hold of a process

Cause: the parser keeps the line of a chunk and all trailers in the read buffer until their end, and the buffer had no limit; incomplete bodies were limited for each connection only, and idle connections kept new ones out. Change: bounded read buffers in the HTTP server and client, a limit of the incomplete requests of all connections, of the bytes and the time of a request, and of the time that a response takes; at a limit the connection that has been longest without a complete request is closed. Limits are settings with defaults, rejections are logged and counted by reason.

--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -25,6 +25,9 @@
 constexpr std::uint32_t kMinHeaderBytes = 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 1024 * 1024;
 constexpr std::uint32_t kMaxConnections = 1'000'000;
+/** Holds the largest request of one connection. */
+constexpr std::uint32_t kMinBufferedBytes = 1024 * 1024;
+constexpr std::uint32_t kMaxBufferedBytes = 1U << 30U;
 constexpr std::uint32_t kMaxSlots = 65'536;
 constexpr std::uint64_t kMinIdleTimeoutMs = 100;
 constexpr std::uint64_t kMaxNoticeMs = 600'000;
@@ -173,6 +176,34 @@
   object.Finish();
 }
 
+static void
+Read(const ValueReader& aReader, settings::ListenerLimits& aOut)
+{
+  ObjectReader object(aReader);
+  object.Optional(
+    "maxBodyBytes",
+    Bounded<std::uint32_t>{ aOut.maxBodyBytes, kMinBodyBytes, kMaxBodyBytes });
+  object.Optional("maxHeaderBytes",
+                  Bounded<std::uint32_t>{
+                    aOut.maxHeaderBytes, kMinHeaderBytes, kMaxHeaderBytes });
+  object.Optional(
+    "maxConnections",
+    Bounded<std::uint32_t>{ aOut.maxConnections, 1, kMaxConnections });
+  object.Optional("maxBufferedBytes",
+                  Bounded<std::uint32_t>{ aOut.maxBufferedBytes,
+                                          kMinBufferedBytes,
+                                          kMaxBufferedBytes });
+  object.Optional("idleTimeoutMs",
+                  Millis{ aOut.idleTimeout, kMinIdleTimeoutMs });
+  object.Optional("headerTimeoutMs",
+                  Millis{ aOut.headerTimeout, kMinIdleTimeoutMs });
+  object.Optional("requestTimeoutMs",
+                  Millis{ aOut.requestTimeout, kMinIdleTimeoutMs });
+  object.Optional("responseTimeoutMs",
+                  Millis{ aOut.responseTimeout, kMinIdleTimeoutMs });
+  object.Finish();
+}
+
 namespace {
 
 void
@@ -267,6 +298,7 @@
                    Millis{ aOut.maxLease, kMinLeaseMs, kMaxLeaseMs });
   aObject.Optional("logLevel",
                    Enum<LogLevel>{ aOut.log.level, kLogLevelNames });
+  aObject.Optional("limits", aOut.limits);
   aObject.Optional(
     "logFormat", Enum<settings::LogFormat>{ aOut.log.format, kLogFormatNames });
 }
--- a/libs/frontend/src/HttpClient.cpp
+++ b/libs/frontend/src/HttpClient.cpp
@@ -32,6 +32,9 @@
  */
 constexpr base::Duration kMinStepTime = std::chrono::milliseconds(200);
 
+/** Limit of what is kept of a response that is not parsed yet. */
+constexpr std::size_t kMaxBufferBytes = std::size_t{ 128 } * 1024;
+
 struct PendingRequest
 {
   HttpRequest request;
@@ -278,7 +281,8 @@
   asio::steady_timer overdueTimer;
   const HttpClientOptions options;
   bool isConnected = false;
-  beast::flat_buffer buffer;
+  /** Bounded, since it holds a chunk header or trailers until their end. */
+  beast::flat_buffer buffer{ kMaxBufferBytes };
   PendingRequest pending;
   ReleaseHandler onRelease;
   BeastRequest request;
--- a/libs/frontend/src/HttpServer.cpp
+++ b/libs/frontend/src/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "amaranthwind/frontend/HttpServer.h"
 
 #include "BeastConversion.h"
+#include "ConnectionUse.h"
 #include "amaranthwind/net/IoPool.h"
 #include "amaranthwind/net/TcpAcceptor.h"
 
@@ -10,7 +11,7 @@
 #include <atomic>
 #include <mutex>
 #include <optional>
-#include <unordered_map>
+#include <vector>
 
 namespace amaranthwind::frontend {
 
@@ -22,6 +23,20 @@
 
 namespace {
 
+using std::chrono::steady_clock;
+
+/** Room for chunk headers and trailers beside a part of the body. */
+constexpr std::size_t kReadBytes = std::size_t{ 64 } * 1024;
+/**
+ * Limit of the bytes of a request by those of its largest body: chunks of one
+ * byte without extensions take six bytes each.
+ */
+constexpr std::size_t kMaxOverheadFactor = 8;
+/** Beyond the limit of connections by this part, new ones are refused. */
+constexpr std::size_t kExcessDivisor = 8;
+
+class ServerSession;
+
 /** State shared by all sessions of a server. */
 struct ServerState
 {
@@ -31,6 +46,20 @@
   std::atomic<std::size_t> activeRequests{ 0 };
   std::atomic<std::size_t> connections{ 0 };
   std::atomic<std::uint64_t> refusedConnections{ 0 };
+  /** Of the incomplete requests of all sessions. */
+  std::atomic<std::size_t> bufferedBytes{ 0 };
+  std::atomic<std::uint64_t> lastActivity{ 0 };
+  std::mutex mutex;
+  std::vector<std::weak_ptr<ServerSession>> sessions;
+
+  void OnRejected(RejectionReason aReason) const
+  {
+    if (this->options.observer != nullptr) {
+      this->options.observer->OnRejected(aReason);
+    }
+  }
+  /** Closes one connection; returns false if there is none to close. */
+  bool CloseOne(Shortage aShortage);
 };
 
 /** A client connection; all state is confined to its socket's thread. */
@@ -40,10 +69,16 @@
   ServerSession(tcp::socket aSocket, std::shared_ptr<ServerState> aState)
     : stream(std::move(aSocket))
     , state(std::move(aState))
+    , buffer(this->state->options.maxHeaderBytes + kReadBytes)
   {
     this->state->connections.fetch_add(1);
+    this->NoteActivity();
+  }
+  ~ServerSession()
+  {
+    this->SetBufferedBytes(0);
+    this->state->connections.fetch_sub(1);
   }
-  ~ServerSession() { this->state->connections.fetch_sub(1); }
   ServerSession(const ServerSession&) = delete;
   ServerSession& operator=(const ServerSession&) = delete;
 
@@ -59,29 +94,112 @@
                [self = this->shared_from_this()] { self->stream.close(); });
   }
 
+  /** Closes the connection unless it has begun to handle a request. */
+  void CloseUnlessHandling(RejectionReason aReason)
+  {
+    this->isClosing.store(true);
+    asio::post(this->stream.get_executor(),
+               [self = this->shared_from_this(), aReason] {
+                 if (!self->isHandling.load()) {
+                   self->state->OnRejected(aReason);
+                   self->stream.close();
+                 }
+                 self->isClosing.store(false);
+               });
+  }
+
+  /** Empty if the connection is about to be closed. Thread-safe. */
+  std::optional<ConnectionUse> Use() const
+  {
+    if (this->isClosing.load()) {
+      return std::nullopt;
+    }
+    return ConnectionUse{ this->activity.load(),
+                          this->bufferedBytes.load(),
+                          this->isHandling.load() };
+  }
+
 private:
+  void NoteActivity()
+  {
+    this->activity.store(this->state->lastActivity.fetch_add(1));
+  }
+
+  void SetBufferedBytes(std::size_t aBytes)
+  {
+    const std::size_t former = this->bufferedBytes.exchange(aBytes);
+    this->state->bufferedBytes.fetch_add(aBytes - former);
+  }
+
   void Read()
   {
     this->parser.emplace();
     this->parser->body_limit(this->state->options.maxBodyBytes);
     this->parser->header_limit(
       static_cast<std::uint32_t>(this->state->options.maxHeaderBytes));
-    this->stream.expires_after(this->state->options.idleTimeout);
-    http::async_read(
-      this->stream,
-      this->buffer,
-      *this->parser,
-      [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
-        self->OnRead(aError);
-      });
+    this->parser->eager(true);
+    this->requestBytes = 0;
+    this->requestStart.reset();
+    this->ReadSome();
+  }
+
+  /** An idle connection has another limit than one with a part of a request. */
+  steady_clock::time_point ReadDeadline() const
+  {
+    const HttpServerOptions& options = this->state->options;
+    if (!this->requestStart) {
+      return steady_clock::now() + options.idleTimeout;
+    }
+    return *this->requestStart + (this->parser->is_header_done()
+                                    ? options.requestTimeout
+                                    : options.headerTimeout);
+  }
+
+  void ReadSome()
+  {
+    this->stream.expires_at(this->ReadDeadline());
+    http::async_read_some(this->stream,
+                          this->buffer,
+                          *this->parser,
+                          [self = this->shared_from_this()](
+                            beast::error_code aError, std::size_t aBytes) {
+                            self->OnReadSome(aError, aBytes);
+                          });
   }
 
-  void OnRead(beast::error_code aError)
+  void OnReadSome(beast::error_code aError, std::size_t aBytes)
   {
     if (aError) {
       this->OnReadError(aError);
       return;
     }
+    if (this->parser->is_done()) {
+      this->OnRead();
+      return;
+    }
+    if (!this->requestStart) {
+      this->requestStart = steady_clock::now();
+    }
+    const HttpServerOptions& options = this->state->options;
+    this->requestBytes += aBytes;
+    if (this->requestBytes >
+        options.maxHeaderBytes + kMaxOverheadFactor * options.maxBodyBytes) {
+      this->Reject(413, RejectionReason::BodyTooLarge, "body");
+      return;
+    }
+    this->SetBufferedBytes(this->buffer.size() +
+                           this->parser->get().body().size());
+    while (this->state->bufferedBytes.load() > options.maxBufferedBytes &&
+           this->state->CloseOne(Shortage::BufferedBytes)) {
+    }
+    this->ReadSome();
+  }
+
+  void OnRead()
+  {
+    this->isHandling.store(true);
+    this->NoteActivity();
+    this->SetBufferedBytes(0);
     this->stream.expires_never();
     this->state->activeRequests.fetch_add(1);
     BeastRequest request = this->parser->release();
@@ -99,24 +217,38 @@
   void OnReadError(beast::error_code aError)
   {
     if (aError == http::error::body_limit) {
-      this->Reject(413, ErrorCode::TooLarge, "body");
-    } else if (aError == http::error::header_limit) {
-      this->Reject(431, ErrorCode::TooLarge, "header");
+      this->Reject(413, RejectionReason::BodyTooLarge, "body");
+    } else if (aError == http::error::header_limit ||
+               aError == http::error::buffer_overflow) {
+      this->Reject(431, RejectionReason::HeaderTooLarge, "header");
     } else if (aError.category() ==
                  make_error_code(http::error::bad_method).category() &&
                aError != http::error::end_of_stream &&
                aError != http::error::partial_message) {
-      this->Reject(400, ErrorCode::Malformed, "HTTP request");
+      this->Reject(400, RejectionReason::Malformed, "HTTP request");
     } else {
+      if (aError == beast::error::timeout && this->requestStart) {
+        this->state->OnRejected(RejectionReason::TooSlow);
+      }
+      this->SetBufferedBytes(0);
       this->stream.close();
     }
   }
 
-  void Reject(std::uint16_t aStatus, ErrorCode aCode, std::string_view aSubject)
+  /** Responds without calling the handler; the request has not run. */
+  void Reject(std::uint16_t aStatus,
+              RejectionReason aReason,
+              std::string_view aSubject)
   {
+    this->state->OnRejected(aReason);
+    this->isHandling.store(true);
+    this->SetBufferedBytes(0);
+    const ErrorCode code = aReason == RejectionReason::Malformed
+                             ? ErrorCode::Malformed
+                             : ErrorCode::TooLarge;
     HttpResponse response;
     response.status = aStatus;
-    response.body = R"({"error":")" + std::string(base::ToString(aCode)) +
+    response.body = R"({"error":")" + std::string(base::ToString(code)) +
                     R"(","subject":")" + std::string(aSubject) +
                     R"(","notRun":true})";
     this->keepAlive = false;
@@ -136,7 +268,7 @@
                                !this->state->isDraining.load());
     this->response->body() = std::move(aResponse.body);
     this->response->prepare_payload();
-    this->stream.expires_after(this->state->options.idleTimeout);
+    this->stream.expires_after(this->state->options.responseTimeout);
     http::async_write(this->stream,
                       *this->response,
                       [self = this->shared_from_this(),
@@ -151,6 +283,9 @@
   void OnWritten(beast::error_code aError)
   {
     if (aError) {
+      if (aError == beast::error::timeout) {
+        this->state->OnRejected(RejectionReason::TooSlow);
+      }
       this->stream.close();
       return;
     }
@@ -159,6 +294,7 @@
       this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
       return;
     }
+    this->isHandling.store(false);
     this->Read();
   }
 
@@ -177,14 +313,66 @@
 
   beast::tcp_stream stream;
   std::shared_ptr<ServerState> state;
+  /** Bounded, since it holds a chunk header or trailers until their end. */
   beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
+  /** When the first bytes of the request were read; empty without any. */
+  std::optional<steady_clock::time_point> requestStart;
+  /** Bytes of the request that were parsed. */
+  std::size_t requestBytes = 0;
+  std::atomic<std::uint64_t> activity{ 0 };
+  std::atomic<std::size_t> bufferedBytes{ 0 };
+  std::atomic<bool> isHandling{ false };
+  std::atomic<bool> isClosing{ false };
   std::optional<BeastResponse> response;
   bool keepAlive = false;
 };
 
+bool
+ServerState::CloseOne(Shortage aShortage)
+{
+  const std::lock_guard lock(this->mutex);
+  std::vector<std::shared_ptr<ServerSession>> open;
+  std::vector<ConnectionUse> uses;
+  for (const auto& each : this->sessions) {
+    const auto session = each.lock();
+    if (const auto use = session == nullptr ? std::nullopt : session->Use()) {
+      open.push_back(session);
+      uses.push_back(*use);
+    }
+  }
+  const auto chosen = ChooseToClose(uses, aShortage);
+  if (!chosen) {
+    return false;
+  }
+  open[*chosen]->CloseUnlessHandling(aShortage == Shortage::Connections
+                                       ? RejectionReason::TooManyConnections
+                                       : RejectionReason::BufferBudget);
+  return true;
+}
+
 } // namespace
 
+std::string_view
+ToString(RejectionReason aReason) noexcept
+{
+  switch (aReason) {
+    case RejectionReason::Malformed:
+      return "malformed";
+    case RejectionReason::HeaderTooLarge:
+      return "header-too-large";
+    case RejectionReason::BodyTooLarge:
+      return "body-too-large";
+    case RejectionReason::TooSlow:
+      return "too-slow";
+    case RejectionReason::BufferBudget:
+      return "buffer-budget";
+    case RejectionReason::TooManyConnections:
+      break;
+  }
+  return "too-many-connections";
+}
+
 struct HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
 {
   explicit Impl(net::IoPool& aPool)
@@ -203,17 +391,27 @@
             !self->acceptor->is_open()) {
           return;
         }
-        const bool isFull = self->state->connections.load() >=
-                            self->state->options.maxConnections;
-        if (!aError && isFull) {
-          self->state->refusedConnections.fetch_add(1);
-        } else if (!aError) {
+        if (!aError && self->MakeRoom()) {
           self->AddSession(std::move(aSocket));
         }
         self->Accept();
       });
   }
 
+  /** Returns whether another connection may be accepted. */
+  bool MakeRoom()
+  {
+    const std::size_t limit = this->state->options.maxConnections;
+    const std::size_t open = this->state->connections.load();
+    if (open < limit) {
+      return true;
+    }
+    this->state->refusedConnections.fetch_add(1);
+    // The chosen connection is closed by its own thread a little later.
+    return this->state->CloseOne(Shortage::Connections) &&
+           open < limit + limit / kExcessDivisor;
+  }
+
   void AddSession(tcp::socket aSocket)
   {
     beast::error_code ignored;
@@ -221,10 +419,10 @@
     auto session =
       std::make_shared<ServerSession>(std::move(aSocket), this->state);
     {
-      std::lock_guard lock(this->mutex);
-      std::erase_if(this->sessions,
-                    [](const auto& aEntry) { return aEntry.second.expired(); });
-      this->sessions.emplace(++this->lastSession, session);
+      const std::lock_guard lock(this->state->mutex);
+      std::erase_if(this->state->sessions,
+                    [](const auto& aEntry) { return aEntry.expired(); });
+      this->state->sessions.push_back(session);
     }
     session->Start();
   }
@@ -232,9 +430,6 @@
   net::IoPool& pool;
   std::shared_ptr<ServerState> state = std::make_shared<ServerState>();
   std::unique_ptr<tcp::acceptor> acceptor;
-  std::mutex mutex;
-  std::uint64_t lastSession = 0;
-  std::unordered_map<std::uint64_t, std::weak_ptr<ServerSession>> sessions;
 };
 
 HttpServer::HttpServer(net::IoPool& aPool,
@@ -301,8 +496,8 @@
 HttpServer::Stop()
 {
   this->StopAccepting();
-  std::lock_guard lock(this->impl->mutex);
-  for (const auto& [id, weak] : this->impl->sessions) {
+  const std::lock_guard lock(this->impl->state->mutex);
+  for (const auto& weak : this->impl->state->sessions) {
     if (const auto session = weak.lock()) {
       session->Close();
     }
--- a/libs/frontend/tests/HttpTest.cpp
+++ b/libs/frontend/tests/HttpTest.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -422,3 +423,80 @@
   REQUIRE(refused.has_error());
   CHECK(refused.error().code == ErrorCode::LogUnavailable);
 }
+
+// Guards against a process that keeps the trailers or chunk extensions of a
+// response until their end, which never comes.
+TEST_CASE("a response without end is given up")
+{
+  std::string rest;
+  SUBCASE("with trailers")
+  {
+    rest = "0\r\n";
+  }
+  SUBCASE("with chunk extensions")
+  {
+    rest = "5;a=";
+  }
+  SUBCASE("with headers")
+  {
+    rest.clear();
+  }
+  const std::string head =
+    rest.empty() ? "HTTP/1.1 200 OK\r\n"
+                 : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  constexpr std::size_t kSentBytes = std::size_t{ 8 } * 1024 * 1024;
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  asio::io_context context;
+  tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+  std::atomic<std::size_t> sent{ 0 };
+  std::thread server([&] {
+    tcp::socket socket(context);
+    acceptor.accept(socket);
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(head + rest), error);
+    const std::string line = "X-Field: value\r\n";
+    while (!error && sent.load() < kSentBytes) {
+      sent += asio::write(socket, asio::buffer(line), error);
+    }
+  });
+  net::IoPool pool(1);
+  {
+    HttpClient client(
+      pool,
+      { .address =
+          "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) });
+    const auto result = client.SendAndWait(MakePost("/", ""), kTestTimeout);
+    CHECK(result.response.has_error());
+    CHECK(result.mayHaveBeenSent);
+    CHECK(sent.load() < kSentBytes);
+  }
+  server.join();
+  pool.Stop();
+}
+
+// Guards against a wrong refusal of a request that is inside the limits, only
+// divided in an unusual way.
+TEST_CASE("a body in chunks of one byte with trailers is served")
+{
+  Fixture fixture({ .maxBodyBytes = 4096 });
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  std::string text = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 4096; ++i) {
+    text += "1\r\nx\r\n";
+  }
+  text += "0\r\nX-Trailer: value\r\n\r\n";
+  asio::io_context context;
+  tcp::socket socket(context);
+  const auto port = static_cast<std::uint16_t>(
+    std::stoi(fixture.address.substr(fixture.address.rfind(':') + 1)));
+  socket.connect({ asio::ip::make_address("127.0.0.1"), port });
+  asio::write(socket, asio::buffer(text));
+  std::string response;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(response), error);
+  CHECK(response.starts_with("HTTP/1.1 200"));
+  CHECK(response.ends_with(std::string(4096, 'x')));
+}
--- a/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
+++ b/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
@@ -10,6 +10,30 @@
 
 namespace amaranthwind::settings {
 
+/**
+ * Limits of what clients can occupy at a listener of a scheduler or an agent.
+ * No client that keeps to the published limits (headers of 16 KiB, bodies of
+ * 256 KiB, 3 s for the headers) reaches one of the defaults.
+ */
+struct ListenerLimits
+{
+  std::uint32_t maxBodyBytes = 256 * 1024;
+  /** Of the request line and headers, and of the trailers. */
+  std::uint32_t maxHeaderBytes = 16 * 1024;
+  std::uint32_t maxConnections = 1024;
+  /** Of the incomplete requests of all connections together. */
+  std::uint32_t maxBufferedBytes = 16 * 1024 * 1024;
+  base::Duration idleTimeout = std::chrono::seconds(30);
+  /** From the first byte of a request to the end of its headers. */
+  base::Duration headerTimeout = std::chrono::seconds(10);
+  /** From the first byte of a request to its end. */
+  base::Duration requestTimeout = std::chrono::seconds(20);
+  /** Time in which a client takes a response. */
+  base::Duration responseTimeout = std::chrono::seconds(10);
+
+  bool operator==(const ListenerLimits&) const = default;
+};
+
 /** Settings that the roles scheduler and agent of `amaranthwindd` share. */
 struct NodeSettings
 {
@@ -24,6 +48,8 @@
   /** Longest time that a worker keeps tasks without a lease renewal. */
   base::Duration maxLease = std::chrono::seconds(6);
   LogSettings log;
+  /** Of each listener of the process that others connect to over HTTP. */
+  ListenerLimits limits;
 
   bool operator==(const NodeSettings&) const = default;
 };
