Place no tasks in evacuated availability zones

Cause: no code knew of the operator's requests to evacuate a zone, so that tasks were started there seconds after the request was acknowledged.

--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -37,6 +37,8 @@
 constexpr std::uint64_t kMaxLeaseMs = 60'000;
 constexpr std::uint64_t kMinRevokeMs = 1500;
 constexpr std::uint64_t kMinCancelMs = 2500;
+/** A shorter one would leave no time to read the requests and to start. */
+constexpr std::uint64_t kMinEvacuationMs = 2500;
 constexpr std::uint64_t kMinConfigurationMs = 1500;
 constexpr std::uint64_t kMaxStopMs = 60'000;
 /** Holds the record of a job with the longest payload. */
@@ -296,6 +298,8 @@
   object.Optional("configurationLimitMs",
                   Millis{ aOut.configurationLimit, kMinConfigurationMs });
   object.Optional("cancelLimitMs", Millis{ aOut.cancelLimit, kMinCancelMs });
+  object.Optional("evacuationLimitMs",
+                  Millis{ aOut.evacuationLimit, kMinEvacuationMs });
   object.Optional("noticePeriodMs",
                   Millis{ aOut.noticePeriod, 0, kMaxNoticeMs });
   object.Optional("jobRetentionS", Seconds{ aOut.jobRetention, 1 });
--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,11 @@
   base::Duration grantMargin = std::chrono::milliseconds(400);
   /** No task is started later than this after its job was cancelled. */
   base::Duration cancelLimit = std::chrono::milliseconds(3000);
+  /**
+   * No task is started in an availability zone later than this after its
+   * evacuation was requested. Empty: zones are not evacuated.
+   */
+  std::optional<base::Duration> evacuationLimit;
   /** Maximum time that a worker needs to stop a task. */
   base::Duration stopTime = std::chrono::milliseconds(900);
   /** How long the records of an ended job are kept. */
@@ -107,6 +113,15 @@
   void Stop();
 
   void SetGuarantees(std::vector<dispatch::AccountGuarantee> aGuarantees);
+  /**
+   * While it leads, it places no tasks in these availability zones, and none
+   * anywhere unless this was called for a recent moment. Needed only with
+   * CoordinatorOptions::evacuationLimit.
+   * @param aZones All evacuated zones.
+   * @param aAsOf All requests acknowledged before this time are included.
+   */
+  void SetEvacuations(std::vector<base::ZoneId> aZones,
+                      base::TimePoint aAsOf);
 
   void Submit(job::WorkflowSpec aSpec,
               base::Duration aTimeout,
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -228,6 +228,7 @@
     this->logger.Info("started coordinating",
                       { { "token", aToken }, { "jobs", this->table.Size() } });
     this->runner->StartDispatching(this->table, this->guarantees);
+    this->runner->OnEvacuations(this->evacuatedZones, this->evacuationsAsOf);
     this->runner->OnJobsConfirmed(
       TimePoint(TimePoint::duration(this->currentAsOf.load())));
   }
@@ -504,6 +505,9 @@
   // Accessed only on the executor.
   ledger::JobTable table;
   std::vector<dispatch::AccountGuarantee> guarantees;
+  std::vector<base::ZoneId> evacuatedZones;
+  /** All evacuations acknowledged before this time are known. */
+  TimePoint evacuationsAsOf{};
   std::unique_ptr<DispatchRunner> runner;
   Submissions submissions;
   AgentSessions sessions;
@@ -597,6 +601,20 @@
     });
 }
 
+void
+Coordinator::SetEvacuations(std::vector<base::ZoneId> aZones,
+                            base::TimePoint aAsOf)
+{
+  this->impl->executor.Post(
+    [self = this->impl, zones = std::move(aZones), aAsOf]() mutable {
+      self->evacuatedZones = std::move(zones);
+      self->evacuationsAsOf = aAsOf;
+      if (self->runner != nullptr) {
+        self->runner->OnEvacuations(self->evacuatedZones, aAsOf);
+      }
+    });
+}
+
 void
 Coordinator::Submit(job::WorkflowSpec aSpec,
                     base::Duration aTimeout,
--- a/libs/coordinator/src/DecisionLog.cpp
+++ b/libs/coordinator/src/DecisionLog.cpp
@@ -44,6 +44,9 @@
   : logger(aLogger)
   , placed(aMetrics.MakeCounter(
       { "tasks_placed_total", "Tasks that were given to a worker." }))
+  , withdrawn(aMetrics.MakeCounter(
+      { "placements_withdrawn_total",
+        "Placements given up before their start was ordered." }))
   , ended(aMetrics.MakeCounter(
       { "tasks_ended_total", "Ends of tasks that workers reported." }))
   , stopped(aMetrics.MakeCounter(
@@ -74,6 +77,20 @@
                       { "waitedMs", ToMs(aWaited) } });
 }
 
+void
+DecisionLog::OnPlacementWithdrawn(const job::TaskRun& aRun,
+                                  const base::AgentId& aAgent,
+                                  std::string_view aReason)
+{
+  this->withdrawn.Increment();
+  this->logger.Info("placement withdrawn",
+                    { { "job", aRun.task.step.job },
+                      { "task", job::ToText(aRun.task) },
+                      { "run", aRun.run },
+                      { "agent", aAgent },
+                      { "reason", aReason } });
+}
+
 void
 DecisionLog::OnStartRepeated(const job::TaskRun& aRun,
                              const base::AgentId& aAgent)
--- a/libs/coordinator/src/DecisionLog.h
+++ b/libs/coordinator/src/DecisionLog.h
@@ -18,6 +18,9 @@
   void OnPlaced(const job::TaskRun& aRun,
                 const base::AgentId& aAgent,
                 base::Duration aWaited) override;
+  void OnPlacementWithdrawn(const job::TaskRun& aRun,
+                            const base::AgentId& aAgent,
+                            std::string_view aReason) override;
   void OnStartRepeated(const job::TaskRun& aRun,
                        const base::AgentId& aAgent) override;
   void OnEnded(const job::TaskRun& aRun,
@@ -44,6 +47,7 @@
 private:
   telemetry::Logger& logger;
   telemetry::Counter placed;
+  telemetry::Counter withdrawn;
   telemetry::Counter ended;
   telemetry::Counter stopped;
   telemetry::Counter lost;
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -91,6 +91,10 @@
   dispatchOptions.inheritedGrantDuration =
     this->options.InheritedGrantDuration();
   dispatchOptions.maxStartAge = this->options.cancelLimit - kStartMargin;
+  if (this->options.evacuationLimit) {
+    dispatchOptions.maxEvacuationAge =
+      *this->options.evacuationLimit - kStartMargin;
+  }
   dispatchOptions.stopTime = this->options.stopTime;
   dispatchOptions.retention = this->options.retention;
   this->dispatcher =
@@ -142,6 +146,17 @@
   }
 }
 
+void
+DispatchRunner::OnEvacuations(std::span<const base::ZoneId> aZones,
+                              base::TimePoint aAsOf)
+{
+  if (this->dispatcher != nullptr && this->options.evacuationLimit) {
+    this->ExecuteEffects(
+      this->dispatcher->OnEvacuations(aZones, aAsOf, this->Now()));
+    this->FinishBatch();
+  }
+}
+
 void
 DispatchRunner::OnReport(protocol::ConnectionId aConnection,
                          const protocol::AgentReport& aReport,
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -54,6 +54,9 @@
   /** OnJob() was called for all records acknowledged before this time. */
   void OnJobsConfirmed(base::TimePoint aAsOf);
   void OnGuarantees(std::span<const dispatch::AccountGuarantee> aGuarantees);
+  /** All evacuations acknowledged before aAsOf are among aZones. */
+  void OnEvacuations(std::span<const base::ZoneId> aZones,
+                     base::TimePoint aAsOf);
   void OnReport(protocol::ConnectionId aConnection,
                 const protocol::AgentReport& aReport,
                 base::TimePoint aReceivedAt);
--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -143,6 +143,11 @@
                 base::Duration) override
   {
   }
+  void OnPlacementWithdrawn(const job::TaskRun&,
+                            const base::AgentId&,
+                            std::string_view) override
+  {
+  }
   void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnEnded(const job::TaskRun&,
                const base::AgentId&,
--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -35,6 +35,11 @@
 class NullObserver final : public DispatchObserver
 {
 public:
+  void OnPlacementWithdrawn(const job::TaskRun&,
+                            const base::AgentId&,
+                            std::string_view) override
+  {
+  }
   void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnPlaced(const job::TaskRun&,
                 const base::AgentId&,
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -35,6 +36,13 @@
    * jobs were known, so that no run starts long after its job was cancelled.
    */
   base::Duration maxStartAge = std::chrono::milliseconds(2600);
+  /**
+   * A start is carried out at most this long after the moment for which the
+   * evacuations of availability zones were known, so that none happens long
+   * after the evacuation of its zone was requested. Empty: zones are not
+   * evacuated.
+   */
+  std::optional<base::Duration> maxEvacuationAge;
   /**
    * A start order to an agent that does not count its orders is revoked after
    * this time without an outcome.
@@ -140,6 +148,10 @@
   virtual void OnPlaced(const job::TaskRun& aRun,
                         const base::AgentId& aAgent,
                         base::Duration aWaited) = 0;
+  /** The start was not ordered yet and will not be. */
+  virtual void OnPlacementWithdrawn(const job::TaskRun& aRun,
+                                    const base::AgentId& aAgent,
+                                    std::string_view aReason) = 0;
   /** The start order was lost and is sent again. */
   virtual void OnStartRepeated(const job::TaskRun& aRun,
                                const base::AgentId& aAgent) = 0;
@@ -186,8 +198,9 @@
  * sent the report, however late the report is handled. An order that was lost
  * with its session is sent again in the next one.
  *
- * Tasks are placed, and start orders sent, only while the jobs are known as of
- * a recent moment; see OnJobsConfirmed().
+ * Tasks are placed, and start orders sent, only while the jobs, and the
+ * evacuations where zones can be evacuated, are known as of a recent moment;
+ * see OnJobsConfirmed() and OnEvacuations().
  *
  * Owns no thread and reads no clock. Not thread-safe.
  */
@@ -234,12 +247,21 @@
                                 const ClockReading& aNow);
   /** OnJob() was called for all records acknowledged before this time. */
   Effects OnJobsConfirmed(base::TimePoint aAsOf, const ClockReading& aNow);
+  /**
+   * These availability zones are to get no further tasks. What runs there runs
+   * on. Ignored without DispatcherOptions::maxEvacuationAge.
+   * @param aZones All evacuated zones.
+   * @param aAsOf All requests acknowledged before this time are included.
+   */
+  Effects OnEvacuations(std::span<const base::ZoneId> aZones,
+                        base::TimePoint aAsOf,
+                        const ClockReading& aNow);
   /** Must be called about every half second. */
   Effects OnTick(const ClockReading& aNow);
 
   /**
    * Whether a scheduling pass could place tasks since the last one. False while
-   * the jobs are not known as of a recent moment.
+   * the jobs or the evacuations are not known as of a recent moment.
    */
   bool NeedsSchedule(const ClockReading& aNow);
   /** Runs a scheduling pass, which places and preempts tasks. */
@@ -257,6 +279,7 @@
     std::size_t waitingOrders = 0;
     std::uint32_t freeAccelerators = 0;
     std::uint32_t accelerators = 0;
+    std::size_t evacuatedZones = 0;
   };
   Counts Count() const;
 
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -422,8 +422,24 @@
                        std::uint32_t aRun,
                        std::string_view aReason);
   void RecordTaskFailure(Worker& aWorker, Step& aStep, std::uint32_t aIndex);
-  /** Whether the jobs are known as of a moment that is recent enough. */
-  bool AreJobsRecent() const;
+
+  // Evacuation of availability zones (Evacuation.cpp).
+  void Evacuate(std::span<const base::ZoneId> aZones, base::TimePoint aAsOf);
+  bool IsEvacuated(const Worker& aWorker) const;
+  /** Withdraws the placements in evacuated zones that are not ordered yet. */
+  void WithdrawEvacuatedPlacements();
+  /**
+   * Whether the jobs and the evacuations are known as of a moment that is
+   * recent enough to place tasks.
+   */
+  bool AreInputsRecent() const;
+  /**
+   * Time that is left to start a task, by the age of what is known of the jobs
+   * and the evacuations. May be negative.
+   */
+  base::Duration RemainingStartTime() const;
+
+  // Orders to agents (WorkerState.cpp).
   /** Whether the agent can receive and execute a start order in time. */
   bool CanStartInTime(const Task& aTask) const;
   /**
@@ -538,6 +554,9 @@
   std::uint64_t persistedVersion = 0;
   /** All records acknowledged before this time are reflected in the jobs. */
   base::TimePoint jobsAsOf{};
+  std::set<base::ZoneId> evacuatedZones;
+  /** All evacuations acknowledged before this time are known. */
+  base::TimePoint evacuationsAsOf{};
   /** Placements whose record was not written yet, in the order of decision. */
   std::vector<job::TaskRun> unwrittenPlacements;
   /** Placements that are not ordered yet, with the version of their record. */
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -129,6 +129,19 @@
   return call.Finish();
 }
 
+Effects
+Dispatcher::OnEvacuations(std::span<const base::ZoneId> aZones,
+                          base::TimePoint aAsOf,
+                          const ClockReading& aNow)
+{
+  CallScope call(this->state->callTime, this->state->effects, aNow);
+  if (this->state->options.maxEvacuationAge) {
+    this->state->Evacuate(aZones, aAsOf);
+    this->state->SendReadyOrders();
+  }
+  return call.Finish();
+}
+
 Effects
 Dispatcher::OnTick(const ClockReading& aNow)
 {
@@ -145,7 +158,7 @@
 Dispatcher::NeedsSchedule(const ClockReading& aNow)
 {
   this->state->callTime = aNow;
-  return this->state->mustSchedule && this->state->AreJobsRecent();
+  return this->state->mustSchedule && this->state->AreInputsRecent();
 }
 
 Effects
@@ -171,6 +184,7 @@
 Dispatcher::Count() const
 {
   Counts counts;
+  counts.evacuatedZones = this->state->evacuatedZones.size();
   counts.waitingOrders = this->state->unwrittenPlacements.size() +
                          this->state->pendingPlacements.size();
   for (const auto& gang : this->state->readyGangs) {
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -138,7 +138,8 @@
   this->pools.clear();
   std::map<base::PoolId, std::map<base::RackId, std::uint32_t>> racks;
   for (auto& [agent, worker] : this->workers) {
-    if (!worker.info || worker.info->isDraining) {
+    if (!worker.info || worker.info->isDraining ||
+        this->IsEvacuated(worker)) {
       continue;
     }
     Pool& pool = this->pools[worker.info->pool];
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -503,6 +503,9 @@
     // The agent rejects orders of the previous coordinator, but one may still
     // be on its way to the worker until a stop rules that out.
     isMissing = aTask.isInherited || fate == OrderFate::Received;
+    if (fate == OrderFate::Lost && this->IsEvacuated(aWorker)) {
+      isMissing = true; // It is not ordered again, so that it can move.
+    }
     if (!isMissing && fate == OrderFate::Lost && this->CanStartInTime(aTask)) {
       aTask.isStartRepeated = true;
       this->observer.OnStartRepeated(aRun, aWorker.agent);
@@ -790,7 +793,7 @@
     aRun,
     payload,
     aTask.checkpoint,
-    this->options.maxStartAge - (this->callTime.now - this->jobsAsOf) });
+    this->RemainingStartTime() });
 }
 
 void
@@ -815,22 +818,14 @@
                                        aRun });
 }
 
-bool
-Dispatcher::State::AreJobsRecent() const
-{
-  // Half of the time is left for the age of the agent's report.
-  return this->callTime.now - this->jobsAsOf <= this->options.maxStartAge / 2;
-}
-
 bool
 Dispatcher::State::CanStartInTime(const Task& aTask) const
 {
   const auto worker = this->workers.find(aTask.agent);
-  return worker != this->workers.end() && this->AreJobsRecent() &&
-         (this->callTime.now - this->jobsAsOf) +
-             (this->callTime.now - worker->second.reportedAt) +
-             kStartOrderTime <=
-           this->options.maxStartAge;
+  return worker != this->workers.end() && this->AreInputsRecent() &&
+         !this->IsEvacuated(worker->second) &&
+         (this->callTime.now - worker->second.reportedAt) + kStartOrderTime <=
+           this->RemainingStartTime();
 }
 
 bool
--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -76,6 +76,13 @@
     this->dispatcher->OnJob(this->EntryOf(aSpec.id.Text()), this->now));
 }
 
+void
+DispatcherHarness::Evacuate(const std::vector<base::ZoneId>& aZones)
+{
+  this->evacuated = aZones;
+  this->Finish({});
+}
+
 void
 DispatcherHarness::TakeOver()
 {
@@ -232,6 +239,10 @@
     this->ExecuteEffects(
       this->dispatcher->OnJobsConfirmed(this->now.now, this->now));
   }
+  if (this->areEvacuationsConfirmed) {
+    this->ExecuteEffects(this->dispatcher->OnEvacuations(
+      this->evacuated, this->now.now, this->now));
+  }
   if (this->dispatcher->NeedsSchedule(this->now)) {
     this->ExecuteEffects(this->dispatcher->Schedule(this->now));
   }
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -61,7 +61,7 @@
  * Test harness: a dispatcher with simulated workers of 8 accelerators, three
  * per rack, whose agents execute every order immediately.
  */
-class DispatcherHarness final : public DispatchObserver
+class DispatcherHarness : public DispatchObserver
 {
 public:
   explicit DispatcherHarness(std::uint32_t aWorkers = 3);
@@ -72,6 +72,8 @@
                                    std::uint32_t aAccelerators);
   void Submit(const job::WorkflowSpec& aSpec);
   void Cancel(const job::WorkflowSpec& aSpec);
+  /** The given zones are evacuated, as is known now. */
+  void Evacuate(const std::vector<base::ZoneId>& aZones);
   /**
    * Makes pending writes durable, all or the first ones, and executes the
    * resulting effects.
@@ -113,6 +115,12 @@
                 base::Duration) override
   {
   }
+  void OnPlacementWithdrawn(const job::TaskRun& aRun,
+                            const base::AgentId&,
+                            std::string_view) override
+  {
+    this->withdrawn.push_back(aRun);
+  }
   void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnEnded(const job::TaskRun&,
                const base::AgentId&,
@@ -174,6 +182,8 @@
   std::vector<StartTask> starts;
   std::vector<StopTask> stopOrders;
   std::vector<std::string> stops;
+  /** Placements that were withdrawn before their start was ordered. */
+  std::vector<job::TaskRun> withdrawn;
   std::vector<ForgetJob> forgotten;
   /** Runs that completed after they were given up, and the latest runs. */
   std::vector<std::pair<std::uint32_t, std::uint32_t>> lateCompletions;
@@ -189,6 +199,8 @@
   bool persistsImmediately = true;
   /** The log was read to its end before each event. */
   bool areJobsConfirmed = true;
+  /** The evacuations were read to their end before each event. */
+  bool areEvacuationsConfirmed = true;
   ClockReading now{ base::TimePoint{ std::chrono::hours(1) },
                     base::WallTime{ std::chrono::hours(1000) } };
   DispatcherOptions options;
@@ -208,6 +220,7 @@
   FakeRecordCodec codec;
   std::map<std::string, job::WorkflowSpec> jobs;
   std::map<std::string, bool> cancelled;
+  std::vector<base::ZoneId> evacuated;
   std::vector<PersistStep> writes;
   std::unique_ptr<Dispatcher> dispatcher;
 };
--- a/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
+++ b/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
@@ -49,6 +49,11 @@
   base::Duration configurationLimit = std::chrono::milliseconds(3000);
   /** Time after a job's cancellation by which none of its tasks may start. */
   base::Duration cancelLimit = std::chrono::milliseconds(3000);
+  /**
+   * Time after the request for the evacuation of a zone by which no task may
+   * start there. Zero: requests for evacuations are ignored.
+   */
+  base::Duration evacuationLimit{};
   /** On a planned stop: how long it serves after it reports not ready. */
   base::Duration noticePeriod = std::chrono::milliseconds(2500);
   /** Retention time of the state of an ended job. */
