Use learned run times to order and place work

Cause: order, backfill and preemption rested on callers' estimates, and gangs had members on workers that take twice as long. Change: the dispatcher reports runs and progress to a learner and uses its predictions for objectives, the order of urgent jobs by slack, the end of running work and the choice of workers by speed.

--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -300,6 +300,7 @@
   object.Optional("cancelLimitMs", Millis{ aOut.cancelLimit, kMinCancelMs });
   object.Optional("evacuationLimitMs",
                   Millis{ aOut.evacuationLimit, kMinEvacuationMs });
+  object.Optional("learnRunTimes", aOut.learnsRunTimes);
   object.Optional("noticePeriodMs",
                   Millis{ aOut.noticePeriod, 0, kMaxNoticeMs });
   object.Optional("jobRetentionS", Seconds{ aOut.jobRetention, 1 });
--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -51,6 +51,9 @@
     return std::make_unique<dispatch::BestFitPacking>();
   };
 
+  /** Makes the learner of a term; null: run times are not learned. */
+  std::function<std::unique_ptr<estimation::RunTimeLearner>()> makeLearner;
+
   /** Time from a report to the latest end of the grant that answers it. */
   base::Duration MaxGrantDuration() const
   {
--- a/libs/coordinator/src/DecisionLog.cpp
+++ b/libs/coordinator/src/DecisionLog.cpp
@@ -1,5 +1,6 @@
 #include "DecisionLog.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 
@@ -10,6 +11,30 @@
 constexpr std::array<double, 12> kTimeBounds{ 0.01, 0.03, 0.1, 0.3, 1,   2,
                                               4,    8,    15,  30,  100, 1000 };
 
+constexpr std::array<double, 9> kErrorBounds{ 1.1, 1.2, 1.35, 1.5, 1.75,
+                                              2,   2.5, 3,    5 };
+
+/** Histogram of the error of what was expected by the given source. */
+telemetry::Histogram
+MakeErrorRatio(telemetry::Metrics& aMetrics, std::string_view aSource)
+{
+  const std::array labels{ telemetry::MetricLabel{ "expected", aSource } };
+  return aMetrics.MakeHistogram(
+    { "run_time_error_ratio",
+      "Run time against what was expected, the larger to the smaller." },
+    kErrorBounds,
+    labels);
+}
+
+/** 1 for equal times, 2 if one is twice as long as the other. */
+double
+ErrorRatio(base::Duration aRunTime, base::Duration aExpected)
+{
+  const auto [shorter, longer] = std::minmax(aRunTime, aExpected);
+  return std::chrono::duration<double>(longer) /
+         std::chrono::duration<double>(shorter);
+}
+
 std::int64_t
 ToMs(base::Duration aDuration)
 {
@@ -59,6 +84,8 @@
   , jobTime(aMetrics.MakeHistogram(
       { "job_seconds", "From acceptance to the end of a job." },
       kTimeBounds))
+  , estimateError(MakeErrorRatio(aMetrics, "estimate"))
+  , predictionError(MakeErrorRatio(aMetrics, "prediction"))
 {
 }
 
@@ -91,6 +118,26 @@
                       { "reason", aReason } });
 }
 
+void
+DecisionLog::OnRunTimeLearned(const dispatch::RunTimeOutcome& aOutcome)
+{
+  if (aOutcome.runTime <= base::Duration::zero()) {
+    return;
+  }
+  if (aOutcome.estimate > base::Duration::zero()) {
+    this->estimateError.Observe(
+      ErrorRatio(aOutcome.runTime, aOutcome.estimate));
+  }
+  if (aOutcome.prediction > base::Duration::zero()) {
+    this->predictionError.Observe(
+      ErrorRatio(aOutcome.runTime, aOutcome.prediction));
+  }
+  this->logger.Debug("run time learned",
+                     { { "runMs", ToMs(aOutcome.runTime) },
+                       { "estimateMs", ToMs(aOutcome.estimate) },
+                       { "predictedMs", ToMs(aOutcome.prediction) } });
+}
+
 void
 DecisionLog::OnStartRepeated(const job::TaskRun& aRun,
                              const base::AgentId& aAgent)
--- a/libs/coordinator/src/DecisionLog.h
+++ b/libs/coordinator/src/DecisionLog.h
@@ -21,6 +21,7 @@
   void OnPlacementWithdrawn(const job::TaskRun& aRun,
                             const base::AgentId& aAgent,
                             std::string_view aReason) override;
+  void OnRunTimeLearned(const dispatch::RunTimeOutcome& aOutcome) override;
   void OnStartRepeated(const job::TaskRun& aRun,
                        const base::AgentId& aAgent) override;
   void OnEnded(const job::TaskRun& aRun,
@@ -53,6 +54,9 @@
   telemetry::Counter lost;
   telemetry::Histogram waitTime;
   telemetry::Histogram jobTime;
+  /** Ratio of the run time to what was expected, the larger to the smaller. */
+  telemetry::Histogram estimateError;
+  telemetry::Histogram predictionError;
   base::Duration inputAge{};
 };
 
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -102,7 +102,10 @@
                                            aJobs,
                                            this->options.makePacking(),
                                            this->decisions,
-                                           this->Now());
+                                           this->Now(),
+                                           this->options.makeLearner
+                                             ? this->options.makeLearner()
+                                             : nullptr);
   if (this->hasPredecessorSteppedDown) {
     this->OnPredecessorSteppedDown();
   }
--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -148,6 +148,7 @@
                             std::string_view) override
   {
   }
+  void OnRunTimeLearned(const RunTimeOutcome&) override {}
   void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnEnded(const job::TaskRun&,
                const base::AgentId&,
--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -40,6 +40,7 @@
                             std::string_view) override
   {
   }
+  void OnRunTimeLearned(const RunTimeOutcome&) override {}
   void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnPlaced(const job::TaskRun&,
                 const base::AgentId&,
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -4,6 +4,7 @@
 #include "amaranthwind/base/Ids.h"
 #include "amaranthwind/dispatch/Packing.h"
 #include "amaranthwind/dispatch/WorkerReport.h"
+#include "amaranthwind/estimation/RunTimeLearner.h"
 #include "amaranthwind/ledger/JobTable.h"
 
 #include <chrono>
@@ -140,6 +141,16 @@
   std::variant<PersistStep, StartTask, StopTask, AcknowledgeEnds, ForgetJob>;
 using Effects = std::vector<Effect>;
 
+/** The run time of a completed run and what was expected before it started. */
+struct RunTimeOutcome
+{
+  /** On a worker of normal speed, near its data. */
+  base::Duration runTime{};
+  /** The caller's estimate; zero if there is none. */
+  base::Duration estimate{};
+  base::Duration prediction{};
+};
+
 /** Notified of each decision and its inputs, for logs and metrics. */
 class DispatchObserver
 {
@@ -174,6 +185,9 @@
   virtual void OnLost(const job::TaskRun& aRun, std::string_view aReason) = 0;
   virtual void OnWorkerChanged(const base::AgentId& aAgent,
                                std::string_view aChange) = 0;
+  /** Called for each completed run, once for a gang, while run times are
+   * learned. */
+  virtual void OnRunTimeLearned(const RunTimeOutcome& aOutcome) = 0;
   virtual void OnJobEnded(const base::JobId& aJob,
                           std::string_view aOutcome,
                           base::Duration aAge) = 0;
@@ -210,12 +224,15 @@
   /**
    * @param aJobs Read only during construction.
    * @param aObserver Must outlive the dispatcher.
+   * @param aRunTimes Learns from the runs and is asked for predictions; null:
+   * the callers' estimates are taken and all workers for equally fast.
    */
   Dispatcher(const DispatcherOptions& aOptions,
              const ledger::JobTable& aJobs,
              std::unique_ptr<Packing> aPacking,
              DispatchObserver& aObserver,
-             const ClockReading& aNow);
+             const ClockReading& aNow,
+             std::unique_ptr<estimation::RunTimeLearner> aRunTimes = nullptr);
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -25,6 +25,13 @@
   Done,
 };
 
+/** Progress of a run, in percent, at a time. */
+struct ProgressMark
+{
+  base::TimePoint at{};
+  std::uint32_t percent = 0;
+};
+
 struct Task
 {
   Phase phase = Phase::Idle;
@@ -39,7 +46,16 @@
   /** Agent named in the placement record. */
   base::AgentId placedOn;
   std::string checkpoint;
-  std::uint32_t percent = 0;
+  /**
+   * Where the progress of the current run is measured from: its start, or its
+   * first report if it resumes from a checkpoint or was inherited.
+   */
+  std::optional<ProgressMark> firstProgress;
+  std::optional<ProgressMark> lastProgress;
+  /** The learner was told of the progress of the current run. */
+  bool isProgressLearned = false;
+  /** The current run resumes from a checkpoint. */
+  bool isResumed = false;
   /** When the current phase began. */
   base::TimePoint phaseStartedAt{};
   /** When the current run was placed. */
@@ -89,7 +105,7 @@
   base::TimePoint endedAt{};
   /** Keyed by occurrence and step. */
   std::map<std::pair<std::uint32_t, std::uint32_t>, Step> steps;
-  /** Longest chain of dependent steps, by estimated run time. */
+  /** Longest chain of dependent steps, by the caller's estimates. */
   base::Duration criticalPath{};
 };
 
@@ -281,6 +297,11 @@
   bool isExpired = false;
   /** Expected to meet its objective even if a task must be stopped first. */
   bool canMeetObjective = false;
+  /**
+   * How much later the job could start and still be expected to meet its
+   * objective on workers of normal speed.
+   */
+  base::Duration slack{};
 
   const job::StepSpec& Spec() const
   {
@@ -296,6 +317,8 @@
   std::vector<PackingWorker> packing;
   /** What others have reserved of all resources; empty if nothing is. */
   std::vector<fleet::TaskResources> reserved;
+  /** Run time relative to a normal worker; empty if they are alike. */
+  std::vector<double> slowness;
 
   /** What is left of the given resources of the worker at this position. */
   fleet::TaskResources Unreserved(std::size_t aPosition,
@@ -321,10 +344,12 @@
 {
   State(const DispatcherOptions& aOptions,
         std::unique_ptr<Packing> aPacking,
-        DispatchObserver& aObserver)
+        DispatchObserver& aObserver,
+        std::unique_ptr<estimation::RunTimeLearner> aRunTimes)
     : options(aOptions)
     , packing(std::move(aPacking))
     , observer(aObserver)
+    , runTimes(std::move(aRunTimes))
   {
   }
 
@@ -423,6 +448,42 @@
                        std::string_view aReason);
   void RecordTaskFailure(Worker& aWorker, Step& aStep, std::uint32_t aIndex);
 
+  // Run times and speeds that are learned (RunTimes.cpp).
+  void OnProgress(const Worker& aWorker,
+                  Step& aStep,
+                  std::uint32_t aIndex,
+                  std::uint32_t aPercent);
+  /** What is known of the task's current run but for its time. */
+  estimation::RunObservation Observe(const Worker& aWorker,
+                                     const Step& aStep,
+                                     std::uint32_t aIndex) const;
+  /** The current run of the task has started. */
+  void BeginProgress(Task& aTask) const;
+  /** The current run has ended by itself or was stopped. */
+  void LearnFrom(const Worker& aWorker,
+                 const Step& aStep,
+                 std::uint32_t aIndex,
+                 EndKind aKind);
+  /** By what a run is slower than on a normal worker near its data. */
+  double SlowdownOf(const Step& aStep,
+                    const Task& aTask,
+                    const Worker& aWorker) const;
+  /** Slowness of the slowest worker of the gang's current run. */
+  double SlownessOfGang(const Step& aStep) const;
+  double SlownessOf(const Worker& aWorker) const;
+  /** Expected run time of one task of the step; zero if it is not known. */
+  base::Duration ExpectedRunTime(const job::WorkflowSpec& aSpec,
+                                 std::uint32_t aStep) const;
+  /** Expected time of the longest chain of dependent steps. */
+  base::Duration ExpectedPath(const Job& aJob) const;
+  /** Expected time until the run has ended; empty if nothing is known. */
+  std::optional<base::Duration> ExpectedRemaining(
+    const Worker& aWorker,
+    const Step& aStep,
+    const Task& aTask) const;
+  /** Whether workers are chosen by their speed. */
+  bool UsesSpeeds() const;
+
   // Evacuation of availability zones (Evacuation.cpp).
   void Evacuate(std::span<const base::ZoneId> aZones, base::TimePoint aAsOf);
   bool IsEvacuated(const Worker& aWorker) const;
@@ -468,6 +529,14 @@
   bool MayPreempt(const Candidate& aCandidate) const;
   bool IsReady(Job& aJob, const Step& aStep);
   bool PlaceGang(const Candidate& aCandidate, const UsableWorkers& aUsable);
+  /** Chooses workers for a gang, the fastest that have room for all of it. */
+  std::vector<std::uint32_t> PackGang(const Candidate& aCandidate,
+                                      const UsableWorkers& aUsable,
+                                      const RackedRequest& aRequest) const;
+  /** Chooses a worker for one of many independent tasks. */
+  std::vector<std::uint32_t> PackTask(const Candidate& aCandidate,
+                                      const UsableWorkers& aUsable,
+                                      const RackedRequest& aRequest) const;
   /**
    * Places as many idle tasks as fit and returns their number. aUsable is
    * outdated afterwards unless nothing was placed.
@@ -494,8 +563,8 @@
   base::TimePoint ExpectedEnd(const Candidate& aCandidate) const;
   base::Duration WaitedTime(const Candidate& aCandidate) const;
   /** Describes the workers of the pool with the given indices. */
-  static UsableWorkers ToUsableWorkers(const Candidate& aCandidate,
-                                       std::vector<std::uint32_t> aIndices);
+  UsableWorkers ToUsableWorkers(const Candidate& aCandidate,
+                                std::vector<std::uint32_t> aIndices) const;
   RackedRequest MakeRequest(const Candidate& aCandidate,
                             const UsableWorkers& aUsable,
                             std::uint32_t aCount) const;
@@ -536,6 +605,8 @@
   const DispatcherOptions options;
   std::unique_ptr<Packing> packing;
   DispatchObserver& observer;
+  /** Null if run times are not learned. */
+  std::unique_ptr<estimation::RunTimeLearner> runTimes;
 
   std::map<base::JobId, Job> jobs;
   std::map<base::AgentId, Worker> workers;
@@ -581,6 +652,14 @@
 /** Cores that one accelerator is equivalent to when work is weighed. */
 inline constexpr double kCoresPerAccelerator = 8.0;
 
+/** Slowdown of a task outside the rack of its data or its gang. */
+inline constexpr int kRemoteSlowdown = 3;
+
+/** Length of the longest chain of dependent steps. */
+base::Duration
+LongestChain(const job::WorkflowSpec& aSpec,
+             std::span<const base::Duration> aRunTimes);
+
 /** Resources that a task of the step uses on a worker. */
 fleet::TaskResources
 RequiredResources(const job::StepSpec& aSpec) noexcept;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -11,8 +11,12 @@
                        const ledger::JobTable& aJobs,
                        std::unique_ptr<Packing> aPacking,
                        DispatchObserver& aObserver,
-                       const ClockReading& aNow)
-  : state(std::make_unique<State>(aOptions, std::move(aPacking), aObserver))
+                       const ClockReading& aNow,
+                       std::unique_ptr<estimation::RunTimeLearner> aRunTimes)
+  : state(std::make_unique<State>(aOptions,
+                                  std::move(aPacking),
+                                  aObserver,
+                                  std::move(aRunTimes)))
 {
   this->state->callTime = aNow;
   this->state->inheritedGrantsExpireAt =
@@ -149,6 +153,9 @@
   this->state->ExpireSilentWorkers();
   this->state->ExpireInheritedTasks();
   this->state->ForgetOldJobs();
+  if (this->state->runTimes != nullptr) {
+    this->state->runTimes->OnTick(aNow.now);
+  }
   // Waiting times, objectives and due times change without an event.
   this->state->mustSchedule = true;
   return call.Finish();
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -25,9 +25,9 @@
     });
 }
 
-/** Length of the longest chain of dependent steps, by their estimates. */
-static base::Duration
-CriticalPath(const job::WorkflowSpec& aSpec)
+base::Duration
+LongestChain(const job::WorkflowSpec& aSpec,
+             std::span<const base::Duration> aRunTimes)
 {
   std::vector<base::Duration> ends(aSpec.steps.size());
   base::Duration longest{};
@@ -38,12 +38,22 @@
         start = std::max(start, ends[before]);
       }
     }
-    ends[i] = start + aSpec.steps[i].estimate;
+    ends[i] = start + aRunTimes[i];
     longest = std::max(longest, ends[i]);
   }
   return longest;
 }
 
+static base::Duration
+CriticalPath(const job::WorkflowSpec& aSpec)
+{
+  std::vector<base::Duration> estimates;
+  for (const auto& step : aSpec.steps) {
+    estimates.push_back(step.estimate);
+  }
+  return LongestChain(aSpec, estimates);
+}
+
 void
 Dispatcher::State::Restore(const ledger::JobEntry& aEntry)
 {
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -233,7 +233,10 @@
   const double wasteLimit =
     aCandidate.isGuaranteed
       ? std::numeric_limits<double>::infinity()
-      : kWasteLimit * WorkOf(aCandidate.Spec(), aCandidate.Spec().estimate) *
+      : kWasteLimit *
+          WorkOf(aCandidate.Spec(),
+                 this->ExpectedRunTime(*aCandidate.job->spec,
+                                       aCandidate.step->id.step)) *
           aCount;
   const VictimList& list = this->FindVictims(aCandidate, aUsable);
   const double minWaste = std::max(
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -11,8 +11,6 @@
 
 /** A job older than this multiple of its objective has no value left. */
 constexpr int kExpiryFactor = 3;
-/** Slowdown of a task outside the rack of its data or its gang. */
-constexpr int kRemoteSlowdown = 3;
 /** A step waits this multiple of its estimate for its preferred rack. */
 constexpr int kRackWaitEstimates = kRemoteSlowdown - 1;
 /** Maximum wait while the pool is mostly idle, so that capacity is used. */
@@ -91,6 +89,9 @@
       if (!this->reserved.empty()) {
         others.reserved.push_back(this->reserved[i]);
       }
+      if (!this->slowness.empty()) {
+        others.slowness.push_back(this->slowness[i]);
+      }
     }
   }
   return others;
@@ -216,9 +217,10 @@
     if (job.hasEnded) {
       continue;
     }
+    const base::Duration path = this->ExpectedPath(job);
     const auto objective =
       std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(job.criticalPath) * job.spec->stretch) +
+        std::chrono::duration<double>(path) * job.spec->stretch) +
       job.spec->slack;
     for (std::uint32_t k = 0; k < job.spec->Occurrences(); ++k) {
       const auto age = this->callTime.wall - job.spec->DueAt(k);
@@ -236,23 +238,31 @@
         if (!step.readyAt) {
           step.readyAt = this->callTime.now;
         }
-        const auto expectedAge =
-          age + job.criticalPath + this->options.stopTime / 2;
+        const auto expectedAge = age + path + this->options.stopTime / 2;
         candidates.push_back({ &job,
                                &step,
                                &this->pools[job.spec->pool],
                                std::move(idle),
                                this->guaranteedJobs.contains(id),
                                age > objective * kExpiryFactor,
-                               expectedAge <= objective });
+                               expectedAge <= objective,
+                               std::chrono::duration_cast<base::Duration>(
+                                 objective - expectedAge) });
       }
     }
   }
-  const auto rank = [](const Candidate& aCandidate) {
+  // Load: a burst of urgent jobs, not all of which can be in time. By the order
+  // of acceptance, long jobs that could wait make short ones late.
+  const bool isBySlack = this->runTimes != nullptr;
+  const auto rank = [isBySlack](const Candidate& aCandidate) {
+    const bool isUrgent = aCandidate.job->spec->urgency == 0;
     return std::tuple(!aCandidate.isGuaranteed,
                       aCandidate.isExpired,
                       aCandidate.job->spec->urgency,
                       !aCandidate.canMeetObjective,
+                      isBySlack && isUrgent && aCandidate.canMeetObjective
+                        ? aCandidate.slack
+                        : base::Duration::zero(),
                       aCandidate.job->acceptedOffset,
                       aCandidate.step->id);
   };
@@ -274,10 +284,11 @@
 base::TimePoint
 Dispatcher::State::ExpectedEnd(const Candidate& aCandidate) const
 {
-  const job::StepSpec& spec = aCandidate.Spec();
+  const base::Duration runTime = this->ExpectedRunTime(
+    *aCandidate.job->spec, aCandidate.step->id.step);
   const bool isKnown =
-    !spec.isLongRunning && spec.estimate > base::Duration::zero();
-  return isKnown ? this->callTime.now + spec.estimate : base::TimePoint::max();
+    !aCandidate.Spec().isLongRunning && runTime > base::Duration::zero();
+  return isKnown ? this->callTime.now + runTime : base::TimePoint::max();
 }
 
 UsableWorkers
@@ -365,7 +376,7 @@
 
 UsableWorkers
 Dispatcher::State::ToUsableWorkers(const Candidate& aCandidate,
-                                   std::vector<std::uint32_t> aIndices)
+                                   std::vector<std::uint32_t> aIndices) const
 {
   const Pool& pool = *aCandidate.pool;
   const std::uint32_t maxPerWorker = aCandidate.Spec().maxPerWorker;
@@ -396,6 +407,9 @@
         std::min(maxPerWorker, found == tasksOn.end() ? 0 : found->second);
     }
     usable.packing.push_back(packing);
+    if (this->UsesSpeeds()) {
+      usable.slowness.push_back(this->SlownessOf(*each.worker));
+    }
   }
   usable.indices = std::move(aIndices);
   return usable;
@@ -458,10 +472,11 @@
                              const UsableWorkers& aUsable)
 {
   const auto& idle = aCandidate.idleTasks;
-  const auto chosen =
-    this->Pack(aUsable.packing,
-               this->MakeRequest(
-                 aCandidate, aUsable, static_cast<std::uint32_t>(idle.size())));
+  const auto chosen = this->PackGang(
+    aCandidate,
+    aUsable,
+    this->MakeRequest(
+      aCandidate, aUsable, static_cast<std::uint32_t>(idle.size())));
   if (chosen.empty()) {
     return false;
   }
@@ -482,8 +497,8 @@
   const auto& workers = aCandidate.pool->workers;
   const fleet::TaskResources need = RequiredResources(aCandidate.Spec());
   const auto pack = [&](const UsableWorkers& aWorkers) {
-    const auto chosen =
-      this->Pack(aWorkers.packing, this->MakeRequest(aCandidate, aWorkers, 1));
+    const auto chosen = this->PackTask(
+      aCandidate, aWorkers, this->MakeRequest(aCandidate, aWorkers, 1));
     return chosen.empty() ? std::optional<std::uint32_t>()
                           : aWorkers.indices[chosen.front()];
   };
@@ -544,7 +559,10 @@
     task.incarnation = worker.info->life;
     task.agent = worker.agent;
     task.placedOn = worker.agent;
-    task.percent = 0;
+    task.firstProgress.reset();
+    task.lastProgress.reset();
+    task.isProgressLearned = false;
+    task.isResumed = !task.checkpoint.empty();
     task.phaseStartedAt = this->callTime.now;
     task.startedAt = this->callTime.now;
     task.isInherited = false;
@@ -581,6 +599,12 @@
   }
   const job::StepSpec& spec = *this->SpecOf(aRun.task.step);
   const base::Duration elapsed = this->callTime.now - task->startedAt;
+  if (this->runTimes != nullptr && !spec.isLongRunning) {
+    return { aNeed,
+             this->ExpectedRemaining(
+               aWorker, *this->FindStep(aRun.task.step), *task),
+             false };
+  }
   if (spec.isLongRunning || spec.estimate == base::Duration::zero()) {
     return { aNeed, std::nullopt, false };
   }
--- /dev/null
+++ b/libs/dispatch/src/SpeedPlacement.cpp
@@ -0,0 +1,96 @@
+// Choice of workers by their speed.
+//
+// Load: a pool whose workers differ in speed by a factor of two. Best fit alone
+// puts a member of most gangs on a slow worker, and the gang runs at its pace.
+
+#include "DispatchState.h"
+
+#include <algorithm>
+#include <array>
+
+namespace amaranthwind::dispatch {
+
+namespace {
+
+/**
+ * Upper bounds of the slowness of workers that count as alike. A gang uses the
+ * first class that has room for all of it.
+ */
+constexpr std::array kSlownessClasses{ 1.15, 1.5 };
+/**
+ * Part of the time that a gang would lose on slower workers for which it waits
+ * for room on faster ones.
+ */
+constexpr double kMaxWaitPart = 0.5;
+
+/** The workers without room for those that are slower or faster. */
+std::vector<PackingWorker>
+LimitSlowness(const UsableWorkers& aUsable, double aMin, double aMax)
+{
+  std::vector<PackingWorker> limited = aUsable.packing;
+  for (std::size_t i = 0; i < limited.size(); ++i) {
+    if (aUsable.slowness[i] < aMin || aUsable.slowness[i] > aMax) {
+      limited[i].remainingTaskLimit = 0;
+    }
+  }
+  return limited;
+}
+
+} // namespace
+
+std::vector<std::uint32_t>
+Dispatcher::State::PackGang(const Candidate& aCandidate,
+                            const UsableWorkers& aUsable,
+                            const RackedRequest& aRequest) const
+{
+  if (aUsable.slowness.empty()) {
+    return this->Pack(aUsable.packing, aRequest);
+  }
+  for (const double maxSlowness : kSlownessClasses) {
+    auto chosen =
+      this->Pack(LimitSlowness(aUsable, 0, maxSlowness), aRequest);
+    if (!chosen.empty()) {
+      return chosen;
+    }
+  }
+  auto chosen = this->Pack(aUsable.packing, aRequest);
+  double slowest = 0;
+  for (const std::uint32_t position : chosen) {
+    slowest = std::max(slowest, aUsable.slowness[position]);
+  }
+  const auto lost = std::chrono::duration<double>(this->ExpectedRunTime(
+                      *aCandidate.job->spec, aCandidate.step->id.step)) *
+                    (slowest - 1);
+  if (this->WaitedTime(aCandidate) < lost * kMaxWaitPart) {
+    return {};
+  }
+  return chosen;
+}
+
+std::vector<std::uint32_t>
+Dispatcher::State::PackTask(const Candidate& aCandidate,
+                            const UsableWorkers& aUsable,
+                            const RackedRequest& aRequest) const
+{
+  if (aUsable.slowness.empty()) {
+    return this->Pack(aUsable.packing, aRequest);
+  }
+  // Slow workers are left to tasks that are in time there, so that the fast
+  // ones stay free for gangs.
+  const auto runTime = std::chrono::duration<double>(this->ExpectedRunTime(
+    *aCandidate.job->spec, aCandidate.step->id.step));
+  for (auto bound = kSlownessClasses.rbegin(); bound != kSlownessClasses.rend();
+       ++bound) {
+    const double affordable =
+      1 + std::chrono::duration<double>(aCandidate.slack) /
+            std::max(runTime, std::chrono::duration<double>(0.001));
+    auto chosen =
+      this->Pack(LimitSlowness(aUsable, *bound, affordable), aRequest);
+    if (!chosen.empty()) {
+      return chosen;
+    }
+  }
+  return this->Pack(aUsable.packing, aRequest);
+}
+
+} // namespace amaranthwind::dispatch
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -263,6 +263,9 @@
   const std::uint32_t index = aEnd.run.task.index;
   Job& job = *this->FindJob(step.id.job);
   const job::StepSpec& spec = job.spec->steps[step.id.step];
+  if (isCurrent) {
+    this->LearnFrom(aWorker, step, index, aEnd.kind);
+  }
   if (!aEnd.checkpoint.empty()) {
     task->checkpoint = aEnd.checkpoint;
   }
@@ -418,7 +421,6 @@
     return;
   }
   Step& step = *this->FindStep(aRunning.run.task.step);
-  task->percent = aRunning.percent;
   if (!aRunning.checkpoint.empty() && aRunning.checkpoint != task->checkpoint) {
     task->checkpoint = aRunning.checkpoint;
     if (spec->isGang) {
@@ -436,6 +438,7 @@
     task->phase = Phase::Running;
     task->phaseStartedAt = this->callTime.now;
   }
+  this->OnProgress(aWorker, step, aRunning.run.task.index, aRunning.percent);
   if (this->FindJob(step.id.job)->hasEnded && task->phase == Phase::Running) {
     this->RequestStop(step, aRunning.run.task.index, "job has ended");
   } else if (task->phase == Phase::Stopping &&
@@ -644,6 +647,7 @@
     if (isCurrent && task->phase == Phase::Ordered) {
       task->phase = Phase::Running;
       task->phaseStartedAt = this->callTime.now;
+      this->BeginProgress(*task);
     }
     return;
   }
--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -113,7 +113,8 @@
     table,
     std::make_unique<CountingPacking>(this->packCalls),
     *this,
-    this->now);
+    this->now,
+    this->makeLearner ? this->makeLearner() : nullptr);
   this->Finish(this->dispatcher->OnGuarantees(this->guarantees, this->now));
   for (auto& [name, agent] : this->agents) {
     this->Reconnect(name);
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -3,6 +3,7 @@
 #include "amaranthwind/dispatch/Dispatcher.h"
 #include "amaranthwind/ledger/JobTable.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -121,6 +122,10 @@
   {
     this->withdrawn.push_back(aRun);
   }
+  void OnRunTimeLearned(const RunTimeOutcome& aOutcome) override
+  {
+    this->runTimes.push_back(aOutcome);
+  }
   void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnEnded(const job::TaskRun&,
                const base::AgentId&,
@@ -190,6 +195,9 @@
   /** Why done ends were ignored. */
   std::vector<std::string> ignoredEnds;
   std::vector<AcknowledgeEnds> acknowledgements;
+  std::vector<RunTimeOutcome> runTimes;
+  /** Makes the learner of the next dispatcher; empty: none. */
+  std::function<std::unique_ptr<estimation::RunTimeLearner>()> makeLearner;
   int lost = 0;
   /** Number of calls of Packing::Pack(). */
   std::uint64_t packCalls = 0;
--- a/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
+++ b/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
@@ -54,6 +54,8 @@
    * start there. Zero: requests for evacuations are ignored.
    */
   base::Duration evacuationLimit{};
+  /** Learn run times from finished runs and use them to order and place. */
+  bool learnsRunTimes = false;
   /** On a planned stop: how long it serves after it reports not ready. */
   base::Duration noticePeriod = std::chrono::milliseconds(2500);
   /** Retention time of the state of an ended job. */
