Log the work that a stop loses

Cause: stops were logged by reason, but not what they cost, so that the dearest ones could not be found. Change: field lostCoreSeconds of "stopping task", and a counter.

--- a/libs/coordinator/src/DecisionLog.cpp
+++ b/libs/coordinator/src/DecisionLog.cpp
@@ -76,6 +76,9 @@
       { "tasks_ended_total", "Ends of tasks that workers reported." }))
   , stopped(aMetrics.MakeCounter(
       { "tasks_stopped_total", "Stops that were ordered." }))
+  , lostWork(aMetrics.MakeCounter(
+      { "stopped_core_seconds_total",
+        "Work that stops are estimated to have lost, in core-seconds." }))
   , lost(aMetrics.MakeCounter(
       { "tasks_lost_total", "Tasks that were on a worker that was lost." }))
   , waitTime(
@@ -199,15 +202,19 @@
 void
 DecisionLog::OnStopping(const job::TaskRun& aRun,
                         const base::AgentId& aAgent,
-                        std::string_view aReason)
+                        std::string_view aReason,
+                  double aLostWork)
 {
   this->stopped.Increment();
+  this->lostWork.Increment(aLostWork);
   this->logger.Info("stopping task",
                     { { "job", aRun.task.step.job },
                       { "task", job::ToText(aRun.task) },
                       { "run", aRun.run },
                       { "agent", aAgent },
                       { "reason", aReason },
+                      { "lostCoreSeconds",
+                        static_cast<std::int64_t>(aLostWork) },
                       { "inputAgeMs", ToMs(this->inputAge) } });
 }
 
--- a/libs/coordinator/src/DecisionLog.h
+++ b/libs/coordinator/src/DecisionLog.h
@@ -37,7 +37,8 @@
                     std::string_view aReason) override;
   void OnStopping(const job::TaskRun& aRun,
                   const base::AgentId& aAgent,
-                  std::string_view aReason) override;
+                  std::string_view aReason,
+                  double aLostWork) override;
   void OnLost(const job::TaskRun& aRun, std::string_view aReason) override;
   void OnWorkerChanged(const base::AgentId& aAgent,
                        std::string_view aChange) override;
@@ -51,6 +52,7 @@
   telemetry::Counter withdrawn;
   telemetry::Counter ended;
   telemetry::Counter stopped;
+  telemetry::Counter lostWork;
   telemetry::Counter lost;
   telemetry::Histogram waitTime;
   telemetry::Histogram jobTime;
--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -158,7 +158,8 @@
   }
   void OnStopping(const job::TaskRun&,
                   const base::AgentId&,
-                  std::string_view) override
+                  std::string_view,
+                  double) override
   {
     ++this->result.stoppedRuns;
   }
--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -55,7 +55,8 @@
   }
   void OnStopping(const job::TaskRun&,
                   const base::AgentId&,
-                  std::string_view) override
+                  std::string_view,
+                  double) override
   {
   }
   void OnLateCompletion(const job::TaskRun&,
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -179,9 +179,12 @@
                             const base::AgentId& aAgent,
                             EndKind aKind,
                             std::string_view aReason) = 0;
+  /** @param aLostWork Core-seconds of work that the stop is estimated to lose.
+   */
   virtual void OnStopping(const job::TaskRun& aRun,
                           const base::AgentId& aAgent,
-                          std::string_view aReason) = 0;
+                          std::string_view aReason,
+                          double aLostWork) = 0;
   virtual void OnLost(const job::TaskRun& aRun, std::string_view aReason) = 0;
   virtual void OnWorkerChanged(const base::AgentId& aAgent,
                                std::string_view aChange) = 0;
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -660,6 +660,14 @@
 LongestChain(const job::WorkflowSpec& aSpec,
              std::span<const base::Duration> aRunTimes);
 
+/** Core-seconds of work that one task does in the given time. */
+double
+WorkOf(const job::StepSpec& aSpec, base::Duration aTime);
+
+/** Core-seconds of work that are lost if the task is stopped. */
+double
+WorkLostByStop(const job::StepSpec& aSpec, base::Duration aElapsed);
+
 /** Resources that a task of the step uses on a worker. */
 fleet::TaskResources
 RequiredResources(const job::StepSpec& aSpec) noexcept;
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -16,6 +16,24 @@
   return need;
 }
 
+double
+WorkOf(const job::StepSpec& aSpec, base::Duration aTime)
+{
+  const double cores = aSpec.need.milliCores / 1000.0 +
+                       kCoresPerAccelerator * aSpec.need.accelerators;
+  return cores * std::chrono::duration<double>(aTime).count();
+}
+
+double
+WorkLostByStop(const job::StepSpec& aSpec, base::Duration aElapsed)
+{
+  /** Run time that a checkpointing task loses when it is stopped. */
+  constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
+  return WorkOf(aSpec,
+                aSpec.isCheckpointing ? std::min(aElapsed, kCheckpointLoss)
+                                      : aElapsed);
+}
+
 bool
 Step::IsDone() const noexcept
 {
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -17,26 +17,6 @@
 constexpr double kWasteLimit = 0.5;
 /** Tolerance for the order in which costs are added up. */
 constexpr double kRoundingTolerance = 1e-9;
-/** Run time that a checkpointing task loses when it is stopped. */
-constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
-
-/** Core-seconds of work that one task does in the given time. */
-double
-WorkOf(const job::StepSpec& aSpec, base::Duration aTime)
-{
-  const double cores = aSpec.need.milliCores / 1000.0 +
-                       kCoresPerAccelerator * aSpec.need.accelerators;
-  return cores * std::chrono::duration<double>(aTime).count();
-}
-
-/** Core-seconds of work that is lost if the task is stopped. */
-double
-CostOf(const job::StepSpec& aSpec, base::Duration aElapsed)
-{
-  return WorkOf(aSpec,
-                aSpec.isCheckpointing ? std::min(aElapsed, kCheckpointLoss)
-                                      : aElapsed);
-}
 
 using Amount = std::uint64_t (*)(const fleet::TaskResources&);
 
@@ -148,7 +128,8 @@
               i,
               static_cast<std::uint32_t>(found - aPool.workers.begin()),
               RequiredResources(spec),
-              CostOf(spec, this->callTime.now - task.startedAt) });
+              WorkLostByStop(
+                spec, this->callTime.now - task.startedAt) });
         }
       }
     }
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -460,7 +460,7 @@
   if (isNew) {
     stop.firstSentAt = stop.sentAt;
   }
-  this->observer.OnStopping(aRun, aWorker.agent, "orphaned run");
+  this->observer.OnStopping(aRun, aWorker.agent, "orphaned run", 0);
   this->effects.emplace_back(StopTask{
     aWorker.agent, aWorker.session, stop.order, aWorker.info->life, aRun });
 }
@@ -760,7 +760,12 @@
   }
   task.phase = Phase::Stopping;
   task.stopRequestedAt = this->callTime.now;
-  this->observer.OnStopping(run, task.agent, aReason);
+  this->observer.OnStopping(
+    run,
+    task.agent,
+    aReason,
+    WorkLostByStop(*this->SpecOf(aStep.id),
+                   this->callTime.now - task.startedAt));
   this->SendStop(task, run);
 }
 
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -148,7 +148,8 @@
   }
   void OnStopping(const job::TaskRun& aRun,
                   const base::AgentId&,
-                  std::string_view aReason) override
+                  std::string_view aReason,
+                  double) override
   {
     this->stops.emplace_back(job::ToText(aRun.task) + ": " +
                              std::string(aReason));
