Avoid workers for longer that refuse start after start

Cause: a gang loses all of its starts to one worker that refuses; after 0.5 s best fit chose the same worker again (one urgent gang started 8 times). Change: while run times are learned, the backoff doubles with each failed start in a row, up to 2 s.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -144,6 +144,8 @@
   /** Failed runs since the last completed one. */
   std::uint32_t failureStreak = 0;
   base::TimePoint avoidUntil{};
+  /** Failed starts since the last one that was confirmed, up to a limit. */
+  std::uint32_t startFailures = 0;
   /** Latest stop order for each orphaned run. */
   std::map<job::TaskRun, OrphanStop> orphanStops;
   /** Durable placements of independent tasks whose start waits for its turn. */
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -21,8 +21,13 @@
  * is sent: the order's way to the agent, and two attempts to start the run.
  */
 constexpr base::Duration kStartOrderTime = std::chrono::milliseconds(500);
-/** How long a worker is avoided after a failed start. */
+/**
+ * How long a worker is avoided after a failed start; doubled for each further
+ * one in a row. A gang loses all of its starts to one worker that refuses, and
+ * best fit would choose the same worker again.
+ */
 constexpr base::Duration kStartFailureBackoff = std::chrono::milliseconds(500);
+constexpr std::uint32_t kMaxStartFailureDoublings = 2;
 /**
  * Limits of the start orders to a worker whose outcome is not known yet. More
  * would exceed the queues on their way, which refuse them or break the
@@ -157,6 +162,7 @@
   aWorker.lastEnd = 0;
   aWorker.failureStreak = 0;
   aWorker.avoidUntil = {};
+  aWorker.startFailures = 0;
   this->AdoptInheritedTasks(aWorker);
   this->mustSchedule = true;
 }
@@ -644,6 +650,7 @@
                          task->incarnation == aWorker.info->life;
   SettleStart(aWorker, aRun);
   if (aOutcome == OrderOutcome::Started) {
+    aWorker.startFailures = 0;
     if (isCurrent && task->phase == Phase::Ordered) {
       task->phase = Phase::Running;
       task->phaseStartedAt = this->callTime.now;
@@ -681,8 +688,15 @@
 void
 Dispatcher::State::DeferPlacement(Worker& aWorker) const
 {
+  const bool isRepeated = this->callTime.now < aWorker.avoidUntil;
+  if (this->runTimes != nullptr && !isRepeated) {
+    aWorker.startFailures =
+      std::min(aWorker.startFailures + 1, kMaxStartFailureDoublings + 1);
+  }
+  const std::uint32_t doublings = std::max(aWorker.startFailures, 1U) - 1;
   aWorker.avoidUntil =
-    std::max(aWorker.avoidUntil, this->callTime.now + kStartFailureBackoff);
+    std::max(aWorker.avoidUntil,
+             this->callTime.now + kStartFailureBackoff * (1U << doublings));
 }
 
 void
