--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -123,8 +123,7 @@
    * @param aZones All evacuated zones.
    * @param aAsOf All requests acknowledged before this time are included.
    */
-  void SetEvacuations(std::vector<base::ZoneId> aZones,
-                      base::TimePoint aAsOf);
+  void SetEvacuations(std::vector<base::ZoneId> aZones, base::TimePoint aAsOf);
 
   void Submit(job::WorkflowSpec aSpec,
               base::Duration aTimeout,
--- a/libs/coordinator/src/DecisionLog.cpp
+++ b/libs/coordinator/src/DecisionLog.cpp
@@ -203,19 +203,19 @@
 DecisionLog::OnStopping(const job::TaskRun& aRun,
                         const base::AgentId& aAgent,
                         std::string_view aReason,
-                  double aLostWork)
+                        double aLostWork)
 {
   this->stopped.Increment();
   this->lostWork.Increment(aLostWork);
-  this->logger.Info("stopping task",
-                    { { "job", aRun.task.step.job },
-                      { "task", job::ToText(aRun.task) },
-                      { "run", aRun.run },
-                      { "agent", aAgent },
-                      { "reason", aReason },
-                      { "lostCoreSeconds",
-                        static_cast<std::int64_t>(aLostWork) },
-                      { "inputAgeMs", ToMs(this->inputAge) } });
+  this->logger.Info(
+    "stopping task",
+    { { "job", aRun.task.step.job },
+      { "task", job::ToText(aRun.task) },
+      { "run", aRun.run },
+      { "agent", aAgent },
+      { "reason", aReason },
+      { "lostCoreSeconds", static_cast<std::int64_t>(aLostWork) },
+      { "inputAgeMs", ToMs(this->inputAge) } });
 }
 
 void
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -97,15 +97,13 @@
   }
   dispatchOptions.stopTime = this->options.stopTime;
   dispatchOptions.retention = this->options.retention;
-  this->dispatcher =
-    std::make_unique<dispatch::Dispatcher>(dispatchOptions,
-                                           aJobs,
-                                           this->options.makePacking(),
-                                           this->decisions,
-                                           this->Now(),
-                                           this->options.makeLearner
-                                             ? this->options.makeLearner()
-                                             : nullptr);
+  this->dispatcher = std::make_unique<dispatch::Dispatcher>(
+    dispatchOptions,
+    aJobs,
+    this->options.makePacking(),
+    this->decisions,
+    this->Now(),
+    this->options.makeLearner ? this->options.makeLearner() : nullptr);
   if (this->hasPredecessorSteppedDown) {
     this->OnPredecessorSteppedDown();
   }
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -479,10 +479,9 @@
   /** Expected time of the longest chain of dependent steps. */
   base::Duration ExpectedPath(const Job& aJob) const;
   /** Expected time until the run has ended; empty if nothing is known. */
-  std::optional<base::Duration> ExpectedRemaining(
-    const Worker& aWorker,
-    const Step& aStep,
-    const Task& aTask) const;
+  std::optional<base::Duration> ExpectedRemaining(const Worker& aWorker,
+                                                  const Step& aStep,
+                                                  const Task& aTask) const;
   /** Whether workers are chosen by their speed. */
   bool UsesSpeeds() const;
 
--- a/libs/dispatch/src/Evacuation.cpp
+++ b/libs/dispatch/src/Evacuation.cpp
@@ -61,10 +61,8 @@
 {
   // Half of the time is left for the age of the agent's report.
   const auto& limit = this->options.maxEvacuationAge;
-  return this->callTime.now - this->jobsAsOf <=
-           this->options.maxStartAge / 2 &&
-         (!limit ||
-          this->callTime.now - this->evacuationsAsOf <= *limit / 2);
+  return this->callTime.now - this->jobsAsOf <= this->options.maxStartAge / 2 &&
+         (!limit || this->callTime.now - this->evacuationsAsOf <= *limit / 2);
 }
 
 base::Duration
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -128,8 +128,7 @@
               i,
               static_cast<std::uint32_t>(found - aPool.workers.begin()),
               RequiredResources(spec),
-              WorkLostByStop(
-                spec, this->callTime.now - task.startedAt) });
+              WorkLostByStop(spec, this->callTime.now - task.startedAt) });
         }
       }
     }
--- a/libs/dispatch/src/RunTimes.cpp
+++ b/libs/dispatch/src/RunTimes.cpp
@@ -110,10 +110,9 @@
   double slowest = 0;
   for (const Task& task : aStep.tasks) {
     const auto worker = this->workers.find(task.agent);
-    slowest = std::max(slowest,
-                       worker == this->workers.end()
-                         ? 1.0
-                         : this->SlownessOf(worker->second));
+    slowest = std::max(
+      slowest,
+      worker == this->workers.end() ? 1.0 : this->SlownessOf(worker->second));
   }
   return slowest > 0 ? slowest : 1.0;
 }
@@ -135,10 +134,9 @@
   const bool isAwayFromData = !spec.dataRack.IsEmpty() && rack != spec.dataRack;
   const bool isSpread =
     spec.isGang && spec.prefersOneRack &&
-    std::any_of(
-      aStep.tasks.begin(), aStep.tasks.end(), [&](const Task& aOther) {
-        return rackOf(aOther) != rack;
-      });
+    std::any_of(aStep.tasks.begin(),
+                aStep.tasks.end(),
+                [&](const Task& aOther) { return rackOf(aOther) != rack; });
   const double speed =
     spec.isGang ? this->SlownessOfGang(aStep) : this->SlownessOf(aWorker);
   return speed * (isAwayFromData || isSpread ? kRemoteSlowdown : 1.0);
@@ -212,8 +210,8 @@
     const double percentPerSecond =
       static_cast<double>(last->percent - first->percent) /
       std::chrono::duration<double>(last->at - first->at).count();
-    const auto left = std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double>(
+    const auto left =
+      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(
         static_cast<double>(kAllPercent - last->percent) / percentPerSecond));
     return std::max(left - (now - last->at), left / kMinRemainingDivisor);
   }
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -139,8 +139,7 @@
   this->pools.clear();
   std::map<base::PoolId, std::map<base::RackId, std::uint32_t>> racks;
   for (auto& [agent, worker] : this->workers) {
-    if (!worker.info || worker.info->isDraining ||
-        this->IsEvacuated(worker)) {
+    if (!worker.info || worker.info->isDraining || this->IsEvacuated(worker)) {
       continue;
     }
     Pool& pool = this->pools[worker.info->pool];
@@ -284,8 +283,8 @@
 base::TimePoint
 Dispatcher::State::ExpectedEnd(const Candidate& aCandidate) const
 {
-  const base::Duration runTime = this->ExpectedRunTime(
-    *aCandidate.job->spec, aCandidate.step->id.step);
+  const base::Duration runTime =
+    this->ExpectedRunTime(*aCandidate.job->spec, aCandidate.step->id.step);
   const bool isKnown =
     !aCandidate.Spec().isLongRunning && runTime > base::Duration::zero();
   return isKnown ? this->callTime.now + runTime : base::TimePoint::max();
--- a/libs/dispatch/src/SpeedPlacement.cpp
+++ b/libs/dispatch/src/SpeedPlacement.cpp
@@ -47,8 +47,7 @@
     return this->Pack(aUsable.packing, aRequest);
   }
   for (const double maxSlowness : kSlownessClasses) {
-    auto chosen =
-      this->Pack(LimitSlowness(aUsable, 0, maxSlowness), aRequest);
+    auto chosen = this->Pack(LimitSlowness(aUsable, 0, maxSlowness), aRequest);
     if (!chosen.empty()) {
       return chosen;
     }
@@ -77,8 +76,8 @@
   }
   // Slow workers are left to tasks that are in time there, so that the fast
   // ones stay free for gangs.
-  const auto runTime = std::chrono::duration<double>(this->ExpectedRunTime(
-    *aCandidate.job->spec, aCandidate.step->id.step));
+  const auto runTime = std::chrono::duration<double>(
+    this->ExpectedRunTime(*aCandidate.job->spec, aCandidate.step->id.step));
   for (auto bound = kSlownessClasses.rbegin(); bound != kSlownessClasses.rend();
        ++bound) {
     const double affordable =
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -808,15 +808,14 @@
   if (worker.awaitedStarts.emplace(aRun, bytes).second) {
     worker.awaitedBytes += bytes;
   }
-  this->effects.emplace_back(StartTask{
-    aTask.agent,
-    worker.session,
-    aTask.order,
-    aTask.incarnation,
-    aRun,
-    payload,
-    aTask.checkpoint,
-    this->RemainingStartTime() });
+  this->effects.emplace_back(StartTask{ aTask.agent,
+                                        worker.session,
+                                        aTask.order,
+                                        aTask.incarnation,
+                                        aRun,
+                                        payload,
+                                        aTask.checkpoint,
+                                        this->RemainingStartTime() });
 }
 
 void
--- a/libs/dispatch/tests/EvacuationTest.cpp
+++ b/libs/dispatch/tests/EvacuationTest.cpp
@@ -105,8 +105,7 @@
   for (const StartTask& start : harness.starts) {
     CHECK(harness.agents.at(start.agent.Text()).info.zone == ZoneOf(1));
   }
-  const bool isWaitingGang =
-    job.steps[0].isGang && job.steps[0].count == 3;
+  const bool isWaitingGang = job.steps[0].isGang && job.steps[0].count == 3;
   CHECK(harness.Running("j").size() == (isWaitingGang ? 0 : 2));
 }
 
--- a/libs/estimation/src/LearnedRunTimes.cpp
+++ b/libs/estimation/src/LearnedRunTimes.cpp
@@ -39,9 +39,8 @@
   const double z = (aBound - aMean) / aSpread;
   const double tail = boost::math::cdf(boost::math::complement(normal, z));
   constexpr double kMinTail = 1e-9;
-  return tail < kMinTail
-           ? aBound
-           : aMean + aSpread * boost::math::pdf(normal, z) / tail;
+  return tail < kMinTail ? aBound
+                         : aMean + aSpread * boost::math::pdf(normal, z) / tail;
 }
 
 double
@@ -185,13 +184,12 @@
 {
   if (!aProjected.isGangMember && aProjected.stepTasks > 1 &&
       aProjected.elapsed > base::Duration::zero()) {
-    this->impl->speeds.Add(
-      aProjected.step,
-      aProjected.worker,
-      std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(aProjected.elapsed) /
-        aProjected.slowdown),
-      aNow);
+    this->impl->speeds.Add(aProjected.step,
+                           aProjected.worker,
+                           std::chrono::duration_cast<base::Duration>(
+                             std::chrono::duration<double>(aProjected.elapsed) /
+                             aProjected.slowdown),
+                           aNow);
   }
 }
 
--- a/libs/estimation/src/RunTimeRegression.cpp
+++ b/libs/estimation/src/RunTimeRegression.cpp
@@ -53,16 +53,15 @@
     (this->weight * this->meanY + kPriorWeight * aPrior.At(this->meanX)) /
     total;
   const double slopeWeight = kPriorWeight * kPriorVarianceX;
-  line.slope =
-    std::clamp((this->sumXY + slopeWeight * aPrior.slope) /
-                 (this->sumXX + slopeWeight),
-               0.0,
-               1.5);
+  line.slope = std::clamp((this->sumXY + slopeWeight * aPrior.slope) /
+                            (this->sumXX + slopeWeight),
+                          0.0,
+                          1.5);
   const double bias = this->meanY - line.level;
-  const double residuals = std::max(
-    0.0,
-    this->sumYY - 2 * line.slope * this->sumXY +
-      line.slope * line.slope * this->sumXX + this->weight * bias * bias);
+  const double residuals = std::max(0.0,
+                                    this->sumYY - 2 * line.slope * this->sumXY +
+                                      line.slope * line.slope * this->sumXX +
+                                      this->weight * bias * bias);
   line.spread = std::sqrt(
     (residuals + kPriorWeight * aPrior.spread * aPrior.spread) / total);
   return line;
--- a/libs/estimation/src/WorkerSpeeds.cpp
+++ b/libs/estimation/src/WorkerSpeeds.cpp
@@ -52,11 +52,10 @@
   if (step.size() >= kMaxSamplesPerStep) {
     step.erase(step.begin());
   }
-  step.push_back(
-    { aWorker,
-      std::log(std::chrono::duration<double>(aRunTime).count()),
-      aRunTime,
-      aNow });
+  step.push_back({ aWorker,
+                   std::log(std::chrono::duration<double>(aRunTime).count()),
+                   aRunTime,
+                   aNow });
   if (this->steps.size() > kMaxSteps) {
     this->samples.erase(this->steps.front());
     this->steps.pop_front();
@@ -92,9 +91,9 @@
   values.reserve(aSamples.size());
   for (const Sample& sample : aSamples) {
     const auto worker = this->workers.find(sample.worker);
-    values.push_back(
-      sample.logRunTime -
-      (worker == this->workers.end() ? 0 : worker->second.logSlowness));
+    values.push_back(sample.logRunTime - (worker == this->workers.end()
+                                            ? 0
+                                            : worker->second.logSlowness));
   }
   return MedianOf(std::move(values));
 }
--- a/libs/estimation/tests/LearnedRunTimesTest.cpp
+++ b/libs/estimation/tests/LearnedRunTimesTest.cpp
@@ -53,8 +53,8 @@
     run.step = { base::JobId("j" + std::to_string(++this->jobs)), 0, 0 };
     run.worker = VmOf(0);
     run.elapsed = FromSeconds(aMeanS * std::exp(0.3 * deviation));
-    run.estimate = FromSeconds(Seconds(run.elapsed) *
-                               std::exp(aErrorLog * error));
+    run.estimate =
+      FromSeconds(Seconds(run.elapsed) * std::exp(aErrorLog * error));
     this->now += run.elapsed;
     this->learned.OnCompleted(run, this->now);
   }
@@ -290,12 +290,11 @@
   }
   load.learned.OnTick(load.now);
   // The first ones are kept, later ones are predicted from their estimates.
-  CHECK(load.learned.Predict({ base::AccountId("a0"), base::WorkKindId("k0") },
-                             1s)
-          ->Median() > 1s);
+  CHECK(
+    load.learned.Predict({ base::AccountId("a0"), base::WorkKindId("k0") }, 1s)
+      ->Median() > 1s);
   CHECK(Seconds(load.learned
-                  .Predict({ base::AccountId("a2999"),
-                             base::WorkKindId("k2999") },
-                           1s)
+                  .Predict(
+                    { base::AccountId("a2999"), base::WorkKindId("k2999") }, 1s)
                   ->Median()) == doctest::Approx(1));
 }
