--- a/libs/coordinator/src/DecisionLog.cpp
+++ b/libs/coordinator/src/DecisionLog.cpp
@@ -1,5 +1,6 @@
 #include "DecisionLog.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 
@@ -10,6 +11,30 @@
 constexpr std::array<double, 12> kTimeBounds{ 0.01, 0.03, 0.1, 0.3, 1,   2,
                                               4,    8,    15,  30,  100, 1000 };
 
+constexpr std::array<double, 9> kErrorBounds{ 1.1, 1.2, 1.35, 1.5, 1.75,
+                                              2,   2.5, 3,    5 };
+
+/** Histogram of the error of what was expected by the given source. */
+telemetry::Histogram
+MakeErrorRatio(telemetry::Metrics& aMetrics, std::string_view aSource)
+{
+  const std::array labels{ telemetry::MetricLabel{ "expected", aSource } };
+  return aMetrics.MakeHistogram(
+    { "run_time_error_ratio",
+      "Run time against what was expected, the larger to the smaller." },
+    kErrorBounds,
+    labels);
+}
+
+/** 1 for equal times, 2 if one is twice as long as the other. */
+double
+ErrorRatio(base::Duration aRunTime, base::Duration aExpected)
+{
+  const auto [shorter, longer] = std::minmax(aRunTime, aExpected);
+  return std::chrono::duration<double>(longer) /
+         std::chrono::duration<double>(shorter);
+}
+
 std::int64_t
 ToMs(base::Duration aDuration)
 {
@@ -44,10 +69,16 @@
   : logger(aLogger)
   , placed(aMetrics.MakeCounter(
       { "tasks_placed_total", "Tasks that were given to a worker." }))
+  , withdrawn(aMetrics.MakeCounter(
+      { "placements_withdrawn_total",
+        "Placements given up before their start was ordered." }))
   , ended(aMetrics.MakeCounter(
       { "tasks_ended_total", "Ends of tasks that workers reported." }))
   , stopped(aMetrics.MakeCounter(
       { "tasks_stopped_total", "Stops that were ordered." }))
+  , lostWork(aMetrics.MakeCounter(
+      { "stopped_core_seconds_total",
+        "Work that stops are estimated to have lost, in core-seconds." }))
   , lost(aMetrics.MakeCounter(
       { "tasks_lost_total", "Tasks that were on a worker that was lost." }))
   , waitTime(
@@ -56,6 +87,8 @@
   , jobTime(aMetrics.MakeHistogram(
       { "job_seconds", "From acceptance to the end of a job." },
       kTimeBounds))
+  , estimateError(MakeErrorRatio(aMetrics, "estimate"))
+  , predictionError(MakeErrorRatio(aMetrics, "prediction"))
 {
 }
 
@@ -74,6 +107,40 @@
                       { "waitedMs", ToMs(aWaited) } });
 }
 
+void
+DecisionLog::OnPlacementWithdrawn(const job::TaskRun& aRun,
+                                  const base::AgentId& aAgent,
+                                  std::string_view aReason)
+{
+  this->withdrawn.Increment();
+  this->logger.Info("placement withdrawn",
+                    { { "job", aRun.task.step.job },
+                      { "task", job::ToText(aRun.task) },
+                      { "run", aRun.run },
+                      { "agent", aAgent },
+                      { "reason", aReason } });
+}
+
+void
+DecisionLog::OnRunTimeLearned(const dispatch::RunTimeOutcome& aOutcome)
+{
+  if (aOutcome.runTime <= base::Duration::zero()) {
+    return;
+  }
+  if (aOutcome.estimate > base::Duration::zero()) {
+    this->estimateError.Observe(
+      ErrorRatio(aOutcome.runTime, aOutcome.estimate));
+  }
+  if (aOutcome.prediction > base::Duration::zero()) {
+    this->predictionError.Observe(
+      ErrorRatio(aOutcome.runTime, aOutcome.prediction));
+  }
+  this->logger.Debug("run time learned",
+                     { { "runMs", ToMs(aOutcome.runTime) },
+                       { "estimateMs", ToMs(aOutcome.estimate) },
+                       { "predictedMs", ToMs(aOutcome.prediction) } });
+}
+
 void
 DecisionLog::OnStartRepeated(const job::TaskRun& aRun,
                              const base::AgentId& aAgent)
@@ -135,16 +202,20 @@
 void
 DecisionLog::OnStopping(const job::TaskRun& aRun,
                         const base::AgentId& aAgent,
-                        std::string_view aReason)
+                        std::string_view aReason,
+                        double aLostWork)
 {
   this->stopped.Increment();
-  this->logger.Info("stopping task",
-                    { { "job", aRun.task.step.job },
-                      { "task", job::ToText(aRun.task) },
-                      { "run", aRun.run },
-                      { "agent", aAgent },
-                      { "reason", aReason },
-                      { "inputAgeMs", ToMs(this->inputAge) } });
+  this->lostWork.Increment(aLostWork);
+  this->logger.Info(
+    "stopping task",
+    { { "job", aRun.task.step.job },
+      { "task", job::ToText(aRun.task) },
+      { "run", aRun.run },
+      { "agent", aAgent },
+      { "reason", aReason },
+      { "lostCoreSeconds", static_cast<std::int64_t>(aLostWork) },
+      { "inputAgeMs", ToMs(this->inputAge) } });
 }
 
 void
--- a/libs/coordinator/src/DecisionLog.h
+++ b/libs/coordinator/src/DecisionLog.h
@@ -18,6 +18,10 @@
   void OnPlaced(const job::TaskRun& aRun,
                 const base::AgentId& aAgent,
                 base::Duration aWaited) override;
+  void OnPlacementWithdrawn(const job::TaskRun& aRun,
+                            const base::AgentId& aAgent,
+                            std::string_view aReason) override;
+  void OnRunTimeLearned(const dispatch::RunTimeOutcome& aOutcome) override;
   void OnStartRepeated(const job::TaskRun& aRun,
                        const base::AgentId& aAgent) override;
   void OnEnded(const job::TaskRun& aRun,
@@ -33,7 +37,8 @@
                     std::string_view aReason) override;
   void OnStopping(const job::TaskRun& aRun,
                   const base::AgentId& aAgent,
-                  std::string_view aReason) override;
+                  std::string_view aReason,
+                  double aLostWork) override;
   void OnLost(const job::TaskRun& aRun, std::string_view aReason) override;
   void OnWorkerChanged(const base::AgentId& aAgent,
                        std::string_view aChange) override;
@@ -44,11 +49,16 @@
 private:
   telemetry::Logger& logger;
   telemetry::Counter placed;
+  telemetry::Counter withdrawn;
   telemetry::Counter ended;
   telemetry::Counter stopped;
+  telemetry::Counter lostWork;
   telemetry::Counter lost;
   telemetry::Histogram waitTime;
   telemetry::Histogram jobTime;
+  /** Ratio of the run time to what was expected, the larger to the smaller. */
+  telemetry::Histogram estimateError;
+  telemetry::Histogram predictionError;
   base::Duration inputAge{};
 };
 
--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -143,6 +143,12 @@
                 base::Duration) override
   {
   }
+  void OnPlacementWithdrawn(const job::TaskRun&,
+                            const base::AgentId&,
+                            std::string_view) override
+  {
+  }
+  void OnRunTimeLearned(const RunTimeOutcome&) override {}
   void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnEnded(const job::TaskRun&,
                const base::AgentId&,
@@ -152,7 +158,8 @@
   }
   void OnStopping(const job::TaskRun&,
                   const base::AgentId&,
-                  std::string_view) override
+                  std::string_view,
+                  double) override
   {
     ++this->result.stoppedRuns;
   }
--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -35,6 +35,12 @@
 class NullObserver final : public DispatchObserver
 {
 public:
+  void OnPlacementWithdrawn(const job::TaskRun&,
+                            const base::AgentId&,
+                            std::string_view) override
+  {
+  }
+  void OnRunTimeLearned(const RunTimeOutcome&) override {}
   void OnStartRepeated(const job::TaskRun&, const base::AgentId&) override {}
   void OnPlaced(const job::TaskRun&,
                 const base::AgentId&,
@@ -49,7 +55,8 @@
   }
   void OnStopping(const job::TaskRun&,
                   const base::AgentId&,
-                  std::string_view) override
+                  std::string_view,
+                  double) override
   {
   }
   void OnLateCompletion(const job::TaskRun&,
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -4,11 +4,13 @@
 #include "amaranthwind/base/Ids.h"
 #include "amaranthwind/dispatch/Packing.h"
 #include "amaranthwind/dispatch/WorkerReport.h"
+#include "amaranthwind/estimation/RunTimeLearner.h"
 #include "amaranthwind/ledger/JobTable.h"
 
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -35,6 +37,13 @@
    * jobs were known, so that no run starts long after its job was cancelled.
    */
   base::Duration maxStartAge = std::chrono::milliseconds(2600);
+  /**
+   * A start is carried out at most this long after the moment for which the
+   * evacuations of availability zones were known, so that none happens long
+   * after the evacuation of its zone was requested. Empty: zones are not
+   * evacuated.
+   */
+  std::optional<base::Duration> maxEvacuationAge;
   /**
    * A start order to an agent that does not count its orders is revoked after
    * this time without an outcome.
@@ -132,6 +141,16 @@
   std::variant<PersistStep, StartTask, StopTask, AcknowledgeEnds, ForgetJob>;
 using Effects = std::vector<Effect>;
 
+/** The run time of a completed run and what was expected before it started. */
+struct RunTimeOutcome
+{
+  /** On a worker of normal speed, near its data. */
+  base::Duration runTime{};
+  /** The caller's estimate; zero if there is none. */
+  base::Duration estimate{};
+  base::Duration prediction{};
+};
+
 /** Notified of each decision and its inputs, for logs and metrics. */
 class DispatchObserver
 {
@@ -140,6 +159,10 @@
   virtual void OnPlaced(const job::TaskRun& aRun,
                         const base::AgentId& aAgent,
                         base::Duration aWaited) = 0;
+  /** The start was not ordered yet and will not be. */
+  virtual void OnPlacementWithdrawn(const job::TaskRun& aRun,
+                                    const base::AgentId& aAgent,
+                                    std::string_view aReason) = 0;
   /** The start order was lost and is sent again. */
   virtual void OnStartRepeated(const job::TaskRun& aRun,
                                const base::AgentId& aAgent) = 0;
@@ -156,12 +179,18 @@
                             const base::AgentId& aAgent,
                             EndKind aKind,
                             std::string_view aReason) = 0;
+  /** @param aLostWork Core-seconds of work that the stop is estimated to lose.
+   */
   virtual void OnStopping(const job::TaskRun& aRun,
                           const base::AgentId& aAgent,
-                          std::string_view aReason) = 0;
+                          std::string_view aReason,
+                          double aLostWork) = 0;
   virtual void OnLost(const job::TaskRun& aRun, std::string_view aReason) = 0;
   virtual void OnWorkerChanged(const base::AgentId& aAgent,
                                std::string_view aChange) = 0;
+  /** Called for each completed run, once for a gang, while run times are
+   * learned. */
+  virtual void OnRunTimeLearned(const RunTimeOutcome& aOutcome) = 0;
   virtual void OnJobEnded(const base::JobId& aJob,
                           std::string_view aOutcome,
                           base::Duration aAge) = 0;
@@ -186,8 +215,9 @@
  * sent the report, however late the report is handled. An order that was lost
  * with its session is sent again in the next one.
  *
- * Tasks are placed, and start orders sent, only while the jobs are known as of
- * a recent moment; see OnJobsConfirmed().
+ * Tasks are placed, and start orders sent, only while the jobs, and the
+ * evacuations where zones can be evacuated, are known as of a recent moment;
+ * see OnJobsConfirmed() and OnEvacuations().
  *
  * Owns no thread and reads no clock. Not thread-safe.
  */
@@ -197,12 +227,15 @@
   /**
    * @param aJobs Read only during construction.
    * @param aObserver Must outlive the dispatcher.
+   * @param aRunTimes Learns from the runs and is asked for predictions; null:
+   * the callers' estimates are taken and all workers for equally fast.
    */
   Dispatcher(const DispatcherOptions& aOptions,
              const ledger::JobTable& aJobs,
              std::unique_ptr<Packing> aPacking,
              DispatchObserver& aObserver,
-             const ClockReading& aNow);
+             const ClockReading& aNow,
+             std::unique_ptr<estimation::RunTimeLearner> aRunTimes = nullptr);
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
@@ -234,12 +267,21 @@
                                 const ClockReading& aNow);
   /** OnJob() was called for all records acknowledged before this time. */
   Effects OnJobsConfirmed(base::TimePoint aAsOf, const ClockReading& aNow);
+  /**
+   * These availability zones are to get no further tasks. What runs there runs
+   * on. Ignored without DispatcherOptions::maxEvacuationAge.
+   * @param aZones All evacuated zones.
+   * @param aAsOf All requests acknowledged before this time are included.
+   */
+  Effects OnEvacuations(std::span<const base::ZoneId> aZones,
+                        base::TimePoint aAsOf,
+                        const ClockReading& aNow);
   /** Must be called about every half second. */
   Effects OnTick(const ClockReading& aNow);
 
   /**
    * Whether a scheduling pass could place tasks since the last one. False while
-   * the jobs are not known as of a recent moment.
+   * the jobs or the evacuations are not known as of a recent moment.
    */
   bool NeedsSchedule(const ClockReading& aNow);
   /** Runs a scheduling pass, which places and preempts tasks. */
@@ -257,6 +299,7 @@
     std::size_t waitingOrders = 0;
     std::uint32_t freeAccelerators = 0;
     std::uint32_t accelerators = 0;
+    std::size_t evacuatedZones = 0;
   };
   Counts Count() const;
 
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -25,6 +25,13 @@
   Done,
 };
 
+/** Progress of a run, in percent, at a time. */
+struct ProgressMark
+{
+  base::TimePoint at{};
+  std::uint32_t percent = 0;
+};
+
 struct Task
 {
   Phase phase = Phase::Idle;
@@ -39,7 +46,16 @@
   /** Agent named in the placement record. */
   base::AgentId placedOn;
   std::string checkpoint;
-  std::uint32_t percent = 0;
+  /**
+   * Where the progress of the current run is measured from: its start, or its
+   * first report if it resumes from a checkpoint or was inherited.
+   */
+  std::optional<ProgressMark> firstProgress;
+  std::optional<ProgressMark> lastProgress;
+  /** The learner was told of the progress of the current run. */
+  bool isProgressLearned = false;
+  /** The current run resumes from a checkpoint. */
+  bool isResumed = false;
   /** When the current phase began. */
   base::TimePoint phaseStartedAt{};
   /** When the current run was placed. */
@@ -89,7 +105,7 @@
   base::TimePoint endedAt{};
   /** Keyed by occurrence and step. */
   std::map<std::pair<std::uint32_t, std::uint32_t>, Step> steps;
-  /** Longest chain of dependent steps, by estimated run time. */
+  /** Longest chain of dependent steps, by the caller's estimates. */
   base::Duration criticalPath{};
 };
 
@@ -128,6 +144,8 @@
   /** Failed runs since the last completed one. */
   std::uint32_t failureStreak = 0;
   base::TimePoint avoidUntil{};
+  /** Failed starts since the last one that was confirmed, up to a limit. */
+  std::uint32_t startFailures = 0;
   /** Latest stop order for each orphaned run. */
   std::map<job::TaskRun, OrphanStop> orphanStops;
   /** Durable placements of independent tasks whose start waits for its turn. */
@@ -181,6 +199,8 @@
   std::optional<base::Duration> remaining;
   /** It was ordered to stop and is expected to do so in time. */
   bool isEnding = false;
+  /** The remaining time follows from the progress of the run. */
+  bool isMeasured = false;
 };
 
 /** A task that a less important step runs on a worker of the pool. */
@@ -281,6 +301,11 @@
   bool isExpired = false;
   /** Expected to meet its objective even if a task must be stopped first. */
   bool canMeetObjective = false;
+  /**
+   * How much later the job could start and still be expected to meet its
+   * objective on workers of normal speed.
+   */
+  base::Duration slack{};
 
   const job::StepSpec& Spec() const
   {
@@ -296,6 +321,8 @@
   std::vector<PackingWorker> packing;
   /** What others have reserved of all resources; empty if nothing is. */
   std::vector<fleet::TaskResources> reserved;
+  /** Run time relative to a normal worker; empty if they are alike. */
+  std::vector<double> slowness;
 
   /** What is left of the given resources of the worker at this position. */
   fleet::TaskResources Unreserved(std::size_t aPosition,
@@ -321,10 +348,12 @@
 {
   State(const DispatcherOptions& aOptions,
         std::unique_ptr<Packing> aPacking,
-        DispatchObserver& aObserver)
+        DispatchObserver& aObserver,
+        std::unique_ptr<estimation::RunTimeLearner> aRunTimes)
     : options(aOptions)
     , packing(std::move(aPacking))
     , observer(aObserver)
+    , runTimes(std::move(aRunTimes))
   {
   }
 
@@ -422,8 +451,62 @@
                        std::uint32_t aRun,
                        std::string_view aReason);
   void RecordTaskFailure(Worker& aWorker, Step& aStep, std::uint32_t aIndex);
-  /** Whether the jobs are known as of a moment that is recent enough. */
-  bool AreJobsRecent() const;
+
+  // Run times and speeds that are learned (RunTimes.cpp).
+  void OnProgress(const Worker& aWorker,
+                  Step& aStep,
+                  std::uint32_t aIndex,
+                  std::uint32_t aPercent);
+  /** What is known of the task's current run but for its time. */
+  estimation::RunObservation Observe(const Worker& aWorker,
+                                     const Step& aStep,
+                                     std::uint32_t aIndex) const;
+  /** The current run of the task has started. */
+  void BeginProgress(Task& aTask) const;
+  /** The current run has ended by itself or was stopped. */
+  void LearnFrom(const Worker& aWorker,
+                 const Step& aStep,
+                 std::uint32_t aIndex,
+                 EndKind aKind);
+  /** By what a run is slower than on a normal worker near its data. */
+  double SlowdownOf(const Step& aStep,
+                    const Task& aTask,
+                    const Worker& aWorker) const;
+  /** Slowness of the slowest worker of the gang's current run. */
+  double SlownessOfGang(const Step& aStep) const;
+  double SlownessOf(const Worker& aWorker) const;
+  /** Expected run time of one task of the step; zero if it is not known. */
+  base::Duration ExpectedRunTime(const job::WorkflowSpec& aSpec,
+                                 std::uint32_t aStep) const;
+  /** Expected time of the longest chain of dependent steps. */
+  base::Duration ExpectedPath(const Job& aJob) const;
+  /** Time until the run has ended by its progress; empty if that is too little.
+   */
+  std::optional<base::Duration> MeasuredRemaining(const Task& aTask) const;
+  /** Expected time until the run has ended; empty if nothing is known. */
+  std::optional<base::Duration> ExpectedRemaining(const Worker& aWorker,
+                                                  const Step& aStep,
+                                                  const Task& aTask) const;
+  /** Whether workers are chosen by their speed. */
+  bool UsesSpeeds() const;
+
+  // Evacuation of availability zones (Evacuation.cpp).
+  void Evacuate(std::span<const base::ZoneId> aZones, base::TimePoint aAsOf);
+  bool IsEvacuated(const Worker& aWorker) const;
+  /** Withdraws the placements in evacuated zones that are not ordered yet. */
+  void WithdrawEvacuatedPlacements();
+  /**
+   * Whether the jobs and the evacuations are known as of a moment that is
+   * recent enough to place tasks.
+   */
+  bool AreInputsRecent() const;
+  /**
+   * Time that is left to start a task, by the age of what is known of the jobs
+   * and the evacuations. May be negative.
+   */
+  base::Duration RemainingStartTime() const;
+
+  // Orders to agents (WorkerState.cpp).
   /** Whether the agent can receive and execute a start order in time. */
   bool CanStartInTime(const Task& aTask) const;
   /**
@@ -452,6 +535,14 @@
   bool MayPreempt(const Candidate& aCandidate) const;
   bool IsReady(Job& aJob, const Step& aStep);
   bool PlaceGang(const Candidate& aCandidate, const UsableWorkers& aUsable);
+  /** Chooses workers for a gang, the fastest that have room for all of it. */
+  std::vector<std::uint32_t> PackGang(const Candidate& aCandidate,
+                                      const UsableWorkers& aUsable,
+                                      const RackedRequest& aRequest) const;
+  /** Chooses a worker for one of many independent tasks. */
+  std::vector<std::uint32_t> PackTask(const Candidate& aCandidate,
+                                      const UsableWorkers& aUsable,
+                                      const RackedRequest& aRequest) const;
   /**
    * Places as many idle tasks as fit and returns their number. aUsable is
    * outdated afterwards unless nothing was placed.
@@ -478,8 +569,8 @@
   base::TimePoint ExpectedEnd(const Candidate& aCandidate) const;
   base::Duration WaitedTime(const Candidate& aCandidate) const;
   /** Describes the workers of the pool with the given indices. */
-  static UsableWorkers ToUsableWorkers(const Candidate& aCandidate,
-                                       std::vector<std::uint32_t> aIndices);
+  UsableWorkers ToUsableWorkers(const Candidate& aCandidate,
+                                std::vector<std::uint32_t> aIndices) const;
   RackedRequest MakeRequest(const Candidate& aCandidate,
                             const UsableWorkers& aUsable,
                             std::uint32_t aCount) const;
@@ -514,12 +605,18 @@
                const UsableWorkers& aUsable,
                std::uint32_t aCount);
   void CollectPreemptibleTasks(Pool& aPool);
+  /** Whether enough runs end soon for the candidate to start in time. */
+  bool FitsInTime(const Candidate& aCandidate,
+                  const UsableWorkers& aUsable,
+                  const RackedRequest& aRequest);
   const VictimList& FindVictims(const Candidate& aCandidate,
                                 const UsableWorkers& aUsable);
 
   const DispatcherOptions options;
   std::unique_ptr<Packing> packing;
   DispatchObserver& observer;
+  /** Null if run times are not learned. */
+  std::unique_ptr<estimation::RunTimeLearner> runTimes;
 
   std::map<base::JobId, Job> jobs;
   std::map<base::AgentId, Worker> workers;
@@ -538,6 +635,9 @@
   std::uint64_t persistedVersion = 0;
   /** All records acknowledged before this time are reflected in the jobs. */
   base::TimePoint jobsAsOf{};
+  std::set<base::ZoneId> evacuatedZones;
+  /** All evacuations acknowledged before this time are known. */
+  base::TimePoint evacuationsAsOf{};
   /** Placements whose record was not written yet, in the order of decision. */
   std::vector<job::TaskRun> unwrittenPlacements;
   /** Placements that are not ordered yet, with the version of their record. */
@@ -562,6 +662,22 @@
 /** Cores that one accelerator is equivalent to when work is weighed. */
 inline constexpr double kCoresPerAccelerator = 8.0;
 
+/** Slowdown of a task outside the rack of its data or its gang. */
+inline constexpr int kRemoteSlowdown = 3;
+
+/** Length of the longest chain of dependent steps. */
+base::Duration
+LongestChain(const job::WorkflowSpec& aSpec,
+             std::span<const base::Duration> aRunTimes);
+
+/** Core-seconds of work that one task does in the given time. */
+double
+WorkOf(const job::StepSpec& aSpec, base::Duration aTime);
+
+/** Core-seconds of work that are lost if the task is stopped. */
+double
+WorkLostByStop(const job::StepSpec& aSpec, base::Duration aElapsed);
+
 /** Resources that a task of the step uses on a worker. */
 fleet::TaskResources
 RequiredResources(const job::StepSpec& aSpec) noexcept;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -11,8 +11,12 @@
                        const ledger::JobTable& aJobs,
                        std::unique_ptr<Packing> aPacking,
                        DispatchObserver& aObserver,
-                       const ClockReading& aNow)
-  : state(std::make_unique<State>(aOptions, std::move(aPacking), aObserver))
+                       const ClockReading& aNow,
+                       std::unique_ptr<estimation::RunTimeLearner> aRunTimes)
+  : state(std::make_unique<State>(aOptions,
+                                  std::move(aPacking),
+                                  aObserver,
+                                  std::move(aRunTimes)))
 {
   this->state->callTime = aNow;
   this->state->inheritedGrantsExpireAt =
@@ -129,6 +133,19 @@
   return call.Finish();
 }
 
+Effects
+Dispatcher::OnEvacuations(std::span<const base::ZoneId> aZones,
+                          base::TimePoint aAsOf,
+                          const ClockReading& aNow)
+{
+  CallScope call(this->state->callTime, this->state->effects, aNow);
+  if (this->state->options.maxEvacuationAge) {
+    this->state->Evacuate(aZones, aAsOf);
+    this->state->SendReadyOrders();
+  }
+  return call.Finish();
+}
+
 Effects
 Dispatcher::OnTick(const ClockReading& aNow)
 {
@@ -136,6 +153,9 @@
   this->state->ExpireSilentWorkers();
   this->state->ExpireInheritedTasks();
   this->state->ForgetOldJobs();
+  if (this->state->runTimes != nullptr) {
+    this->state->runTimes->OnTick(aNow.now);
+  }
   // Waiting times, objectives and due times change without an event.
   this->state->mustSchedule = true;
   return call.Finish();
@@ -145,7 +165,7 @@
 Dispatcher::NeedsSchedule(const ClockReading& aNow)
 {
   this->state->callTime = aNow;
-  return this->state->mustSchedule && this->state->AreJobsRecent();
+  return this->state->mustSchedule && this->state->AreInputsRecent();
 }
 
 Effects
@@ -171,6 +191,7 @@
 Dispatcher::Count() const
 {
   Counts counts;
+  counts.evacuatedZones = this->state->evacuatedZones.size();
   counts.waitingOrders = this->state->unwrittenPlacements.size() +
                          this->state->pendingPlacements.size();
   for (const auto& gang : this->state->readyGangs) {
--- a/libs/dispatch/src/Preemption.cpp
+++ b/libs/dispatch/src/Preemption.cpp
@@ -15,28 +15,10 @@
  * because it gains only the difference between finishing on time and late.
  */
 constexpr double kWasteLimit = 0.5;
+/** From the end of a run to the start of another one in its place. */
+constexpr base::Duration kStartMargin = std::chrono::milliseconds(300);
 /** Tolerance for the order in which costs are added up. */
 constexpr double kRoundingTolerance = 1e-9;
-/** Run time that a checkpointing task loses when it is stopped. */
-constexpr base::Duration kCheckpointLoss = std::chrono::milliseconds(500);
-
-/** Core-seconds of work that one task does in the given time. */
-double
-WorkOf(const job::StepSpec& aSpec, base::Duration aTime)
-{
-  const double cores = aSpec.need.milliCores / 1000.0 +
-                       kCoresPerAccelerator * aSpec.need.accelerators;
-  return cores * std::chrono::duration<double>(aTime).count();
-}
-
-/** Core-seconds of work that is lost if the task is stopped. */
-double
-CostOf(const job::StepSpec& aSpec, base::Duration aElapsed)
-{
-  return WorkOf(aSpec,
-                aSpec.isCheckpointing ? std::min(aElapsed, kCheckpointLoss)
-                                      : aElapsed);
-}
 
 using Amount = std::uint64_t (*)(const fleet::TaskResources&);
 
@@ -148,7 +130,7 @@
               i,
               static_cast<std::uint32_t>(found - aPool.workers.begin()),
               RequiredResources(spec),
-              CostOf(spec, this->callTime.now - task.startedAt) });
+              WorkLostByStop(spec, this->callTime.now - task.startedAt) });
         }
       }
     }
@@ -204,6 +186,23 @@
   return list;
 }
 
+bool
+Dispatcher::State::FitsInTime(const Candidate& aCandidate,
+                              const UsableWorkers& aUsable,
+                              const RackedRequest& aRequest)
+{
+  std::vector<PackingWorker> available = aUsable.packing;
+  for (std::size_t i = 0; i < available.size(); ++i) {
+    for (const PoolRun& run :
+         this->RunsOn(*aCandidate.pool, aUsable.indices[i])) {
+      if (run.isMeasured && *run.remaining + kStartMargin <= aCandidate.slack) {
+        available[i].free += run.need;
+      }
+    }
+  }
+  return !this->Pack(available, aRequest).empty();
+}
+
 bool
 Dispatcher::State::Preempt(const Candidate& aCandidate,
                            const UsableWorkers& aUsable,
@@ -230,10 +229,19 @@
     return this->Pack(aWorkers, aRequest);
   };
   const RackedRequest request = this->MakeRequest(aCandidate, aUsable, aCount);
+  // Load: urgent gangs arrive while the pool is full of less urgent work, some
+  // of which is nearly done.
+  if (this->runTimes != nullptr && !aCandidate.isGuaranteed &&
+      this->FitsInTime(aCandidate, aUsable, request)) {
+    return false;
+  }
   const double wasteLimit =
     aCandidate.isGuaranteed
       ? std::numeric_limits<double>::infinity()
-      : kWasteLimit * WorkOf(aCandidate.Spec(), aCandidate.Spec().estimate) *
+      : kWasteLimit *
+          WorkOf(aCandidate.Spec(),
+                 this->ExpectedRunTime(*aCandidate.job->spec,
+                                       aCandidate.step->id.step)) *
           aCount;
   const VictimList& list = this->FindVictims(aCandidate, aUsable);
   const double minWaste = std::max(
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -21,8 +21,13 @@
  * is sent: the order's way to the agent, and two attempts to start the run.
  */
 constexpr base::Duration kStartOrderTime = std::chrono::milliseconds(500);
-/** How long a worker is avoided after a failed start. */
+/**
+ * How long a worker is avoided after a failed start; doubled for each further
+ * one in a row. A gang loses all of its starts to one worker that refuses, and
+ * best fit would choose the same worker again.
+ */
 constexpr base::Duration kStartFailureBackoff = std::chrono::milliseconds(500);
+constexpr std::uint32_t kMaxStartFailureDoublings = 2;
 /**
  * Limits of the start orders to a worker whose outcome is not known yet. More
  * would exceed the queues on their way, which refuse them or break the
@@ -157,6 +162,7 @@
   aWorker.lastEnd = 0;
   aWorker.failureStreak = 0;
   aWorker.avoidUntil = {};
+  aWorker.startFailures = 0;
   this->AdoptInheritedTasks(aWorker);
   this->mustSchedule = true;
 }
@@ -263,6 +269,9 @@
   const std::uint32_t index = aEnd.run.task.index;
   Job& job = *this->FindJob(step.id.job);
   const job::StepSpec& spec = job.spec->steps[step.id.step];
+  if (isCurrent) {
+    this->LearnFrom(aWorker, step, index, aEnd.kind);
+  }
   if (!aEnd.checkpoint.empty()) {
     task->checkpoint = aEnd.checkpoint;
   }
@@ -418,7 +427,6 @@
     return;
   }
   Step& step = *this->FindStep(aRunning.run.task.step);
-  task->percent = aRunning.percent;
   if (!aRunning.checkpoint.empty() && aRunning.checkpoint != task->checkpoint) {
     task->checkpoint = aRunning.checkpoint;
     if (spec->isGang) {
@@ -436,6 +444,7 @@
     task->phase = Phase::Running;
     task->phaseStartedAt = this->callTime.now;
   }
+  this->OnProgress(aWorker, step, aRunning.run.task.index, aRunning.percent);
   if (this->FindJob(step.id.job)->hasEnded && task->phase == Phase::Running) {
     this->RequestStop(step, aRunning.run.task.index, "job has ended");
   } else if (task->phase == Phase::Stopping &&
@@ -457,7 +466,7 @@
   if (isNew) {
     stop.firstSentAt = stop.sentAt;
   }
-  this->observer.OnStopping(aRun, aWorker.agent, "orphaned run");
+  this->observer.OnStopping(aRun, aWorker.agent, "orphaned run", 0);
   this->effects.emplace_back(StopTask{
     aWorker.agent, aWorker.session, stop.order, aWorker.info->life, aRun });
 }
@@ -503,6 +512,9 @@
     // The agent rejects orders of the previous coordinator, but one may still
     // be on its way to the worker until a stop rules that out.
     isMissing = aTask.isInherited || fate == OrderFate::Received;
+    if (fate == OrderFate::Lost && this->IsEvacuated(aWorker)) {
+      isMissing = true; // It is not ordered again, so that it can move.
+    }
     if (!isMissing && fate == OrderFate::Lost && this->CanStartInTime(aTask)) {
       aTask.isStartRepeated = true;
       this->observer.OnStartRepeated(aRun, aWorker.agent);
@@ -638,9 +650,11 @@
                          task->incarnation == aWorker.info->life;
   SettleStart(aWorker, aRun);
   if (aOutcome == OrderOutcome::Started) {
+    aWorker.startFailures = 0;
     if (isCurrent && task->phase == Phase::Ordered) {
       task->phase = Phase::Running;
       task->phaseStartedAt = this->callTime.now;
+      this->BeginProgress(*task);
     }
     return;
   }
@@ -674,8 +688,15 @@
 void
 Dispatcher::State::DeferPlacement(Worker& aWorker) const
 {
+  const bool isRepeated = this->callTime.now < aWorker.avoidUntil;
+  if (this->runTimes != nullptr && !isRepeated) {
+    aWorker.startFailures =
+      std::min(aWorker.startFailures + 1, kMaxStartFailureDoublings + 1);
+  }
+  const std::uint32_t doublings = std::max(aWorker.startFailures, 1U) - 1;
   aWorker.avoidUntil =
-    std::max(aWorker.avoidUntil, this->callTime.now + kStartFailureBackoff);
+    std::max(aWorker.avoidUntil,
+             this->callTime.now + kStartFailureBackoff * (1U << doublings));
 }
 
 void
@@ -753,7 +774,12 @@
   }
   task.phase = Phase::Stopping;
   task.stopRequestedAt = this->callTime.now;
-  this->observer.OnStopping(run, task.agent, aReason);
+  this->observer.OnStopping(
+    run,
+    task.agent,
+    aReason,
+    WorkLostByStop(*this->SpecOf(aStep.id),
+                   this->callTime.now - task.startedAt));
   this->SendStop(task, run);
 }
 
@@ -782,15 +808,14 @@
   if (worker.awaitedStarts.emplace(aRun, bytes).second) {
     worker.awaitedBytes += bytes;
   }
-  this->effects.emplace_back(StartTask{
-    aTask.agent,
-    worker.session,
-    aTask.order,
-    aTask.incarnation,
-    aRun,
-    payload,
-    aTask.checkpoint,
-    this->options.maxStartAge - (this->callTime.now - this->jobsAsOf) });
+  this->effects.emplace_back(StartTask{ aTask.agent,
+                                        worker.session,
+                                        aTask.order,
+                                        aTask.incarnation,
+                                        aRun,
+                                        payload,
+                                        aTask.checkpoint,
+                                        this->RemainingStartTime() });
 }
 
 void
@@ -815,22 +840,14 @@
                                        aRun });
 }
 
-bool
-Dispatcher::State::AreJobsRecent() const
-{
-  // Half of the time is left for the age of the agent's report.
-  return this->callTime.now - this->jobsAsOf <= this->options.maxStartAge / 2;
-}
-
 bool
 Dispatcher::State::CanStartInTime(const Task& aTask) const
 {
   const auto worker = this->workers.find(aTask.agent);
-  return worker != this->workers.end() && this->AreJobsRecent() &&
-         (this->callTime.now - this->jobsAsOf) +
-             (this->callTime.now - worker->second.reportedAt) +
-             kStartOrderTime <=
-           this->options.maxStartAge;
+  return worker != this->workers.end() && this->AreInputsRecent() &&
+         !this->IsEvacuated(worker->second) &&
+         (this->callTime.now - worker->second.reportedAt) + kStartOrderTime <=
+           this->RemainingStartTime();
 }
 
 bool
