Use the result of connect() in the test of untrusted clients

Cause: the linter wants each result of a POSIX call to be used. Change: a refused connection shows as a warning of the test. Measured: the linter passes on the file.

--- a/tests/endtoend/UntrustedClientsTest.cpp
+++ b/tests/endtoend/UntrustedClientsTest.cpp
@@ -57,10 +57,12 @@
       const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       REQUIRE(socket >= 0);
       this->sockets.push_back(socket);
-      // Connections beyond the backlog may be refused.
-      connect(socket,
-              reinterpret_cast<const sockaddr*>(&address), // NOLINT
-              sizeof(address));
+      // One that is refused sends nothing.
+      const int isConnected =
+        connect(socket,
+                reinterpret_cast<const sockaddr*>(&address), // NOLINT
+                sizeof(address));
+      WARN(isConnected == 0);
     }
   }
   ~Crowd()
