Pass what was learned on to the next coordinator

The coordinator writes a summary of the learned run times and speeds under the key "learned" in the topic of the jobs, at most every 10 s and only with an append of other records, so that it delays none. A record that cannot be read is ignored with a log line. Without learnRunTimes it is neither written nor read.

Completed runs were never learned: the end of a completed run takes its task off the worker before it was checked whether the run is current. A run whose first report arrives before the outcome of its order is now learned, too.

--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -6,6 +6,7 @@
 #include "LeaderLog.h"
 #include "LoadMonitor.h"
 #include "Submissions.h"
+#include "amaranthwind/codec/LearnedCodec.h"
 #include "amaranthwind/membership/InheritedGrants.h"
 #include "amaranthwind/protocol/Node.h"
 
@@ -121,6 +122,8 @@
 
   void OnLoaded(std::span<const journal::KeyedRecord> aNewest) override
   {
+    this->learned.clear();
+    this->KeepLearned(aNewest);
     this->OnChanges(this->table.Load(aNewest));
     this->logger.Info(
       "jobs loaded",
@@ -130,9 +133,35 @@
 
   void OnRecords(std::span<const journal::KeyedRecord> aRecords) override
   {
+    this->KeepLearned(aRecords);
     this->OnChanges(this->table.Apply(aRecords));
   }
 
+  void KeepLearned(std::span<const journal::KeyedRecord> aRecords)
+  {
+    for (const auto& record : aRecords) {
+      if (this->options.makeLearner && record.key == kLearnedKey) {
+        // One byte too many is enough to refuse a record that is too large.
+        this->learned = record.value.substr(0, codec::kMaxLearnedBytes + 1);
+      }
+    }
+  }
+
+  /** What earlier coordinators learned; empty if nothing usable is known. */
+  estimation::LearnedSummary ReadLearned() const
+  {
+    if (this->learned.empty()) {
+      return {};
+    }
+    auto summary = codec::DecodeLearned(this->learned);
+    if (summary.has_error()) {
+      this->logger.Warning("learned run times ignored",
+                           { { "error", base::Describe(summary.error()) } });
+      return {};
+    }
+    return std::move(summary.value());
+  }
+
   void OnChanges(const ledger::TableChanges& aChanges)
   {
     for (const auto& undecodable : aChanges.undecodable) {
@@ -227,7 +256,8 @@
     }
     this->logger.Info("started coordinating",
                       { { "token", aToken }, { "jobs", this->table.Size() } });
-    this->runner->StartDispatching(this->table, this->guarantees);
+    this->runner->StartDispatching(
+      this->table, this->guarantees, this->ReadLearned());
     this->runner->OnEvacuations(this->evacuatedZones, this->evacuationsAsOf);
     this->runner->OnJobsConfirmed(
       TimePoint(TimePoint::duration(this->currentAsOf.load())));
@@ -505,6 +535,8 @@
   // Accessed only on the executor.
   ledger::JobTable table;
   std::vector<dispatch::AccountGuarantee> guarantees;
+  /** Newest record of what was learned, which only a new term decodes. */
+  std::string learned;
   std::vector<base::ZoneId> evacuatedZones;
   /** All evacuations acknowledged before this time are known. */
   TimePoint evacuationsAsOf{};
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -1,5 +1,7 @@
 #include "DispatchRunner.h"
 
+#include "amaranthwind/codec/LearnedCodec.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -15,6 +17,8 @@
 constexpr base::Duration kStartMargin = std::chrono::milliseconds(400);
 /** Limit of the submitted records that wait for one append. */
 constexpr std::size_t kMaxSubmittedBytes = 128UL * 1024;
+/** Shortest time between two records of what was learned. */
+constexpr base::Duration kLearnedInterval = std::chrono::seconds(10);
 /** Key of a term's first record, which fences off writers of earlier terms. */
 constexpr std::string_view kTermKey = "term";
 
@@ -84,8 +88,15 @@
 void
 DispatchRunner::StartDispatching(
   const ledger::JobTable& aJobs,
-  std::span<const dispatch::AccountGuarantee> aGuarantees)
+  std::span<const dispatch::AccountGuarantee> aGuarantees,
+  const estimation::LearnedSummary& aLearned)
 {
+  std::unique_ptr<estimation::RunTimeLearner> learner;
+  if (this->options.makeLearner) {
+    learner = this->options.makeLearner();
+    learner->Restore(aLearned, this->clock.Now());
+  }
+  this->nextLearnedAt = this->clock.Now() + kLearnedInterval;
   dispatch::DispatcherOptions dispatchOptions;
   dispatchOptions.maxGrantDuration = this->options.MaxGrantDuration();
   dispatchOptions.inheritedGrantDuration =
@@ -97,13 +108,13 @@
   }
   dispatchOptions.stopTime = this->options.stopTime;
   dispatchOptions.retention = this->options.retention;
-  this->dispatcher = std::make_unique<dispatch::Dispatcher>(
-    dispatchOptions,
-    aJobs,
-    this->options.makePacking(),
-    this->decisions,
-    this->Now(),
-    this->options.makeLearner ? this->options.makeLearner() : nullptr);
+  this->dispatcher =
+    std::make_unique<dispatch::Dispatcher>(dispatchOptions,
+                                           aJobs,
+                                           this->options.makePacking(),
+                                           this->decisions,
+                                           this->Now(),
+                                           std::move(learner));
   if (this->hasPredecessorSteppedDown) {
     this->OnPredecessorSteppedDown();
   }
@@ -439,10 +450,44 @@
         }
       };
   }
+  std::optional<journal::WriteRequest> learned;
+  if (!own.records.empty() && bytes <= this->writer->MaxAppendBytes()) {
+    learned = this->TakeLearned(this->writer->MaxAppendBytes() - bytes);
+  }
   requests.push_back(std::move(own));
+  if (learned) {
+    requests.push_back(std::move(*learned));
+  }
   this->writer->Write(std::move(requests));
 }
 
+std::optional<journal::WriteRequest>
+DispatchRunner::TakeLearned(std::size_t aMaxBytes)
+{
+  const base::TimePoint now = this->clock.Now();
+  if (!this->options.makeLearner || now < this->nextLearnedAt) {
+    return std::nullopt;
+  }
+  this->nextLearnedAt = now + kLearnedInterval;
+  const auto summary = this->dispatcher->Learned();
+  if (!summary || summary->IsEmpty()) {
+    return std::nullopt;
+  }
+  KeyedValue record{ std::string(kLearnedKey), codec::EncodeLearned(*summary) };
+  if (record.value == this->writtenLearned ||
+      journal::SizeOf(record) > std::min(aMaxBytes, this->maxRecordBytes)) {
+    return std::nullopt;
+  }
+  this->writtenLearned = record.value;
+  return journal::WriteRequest{ { std::move(record) },
+                                nullptr,
+                                [this, alive = this->isAlive] {
+                                  if (*alive) {
+                                    this->writtenLearned.clear();
+                                  }
+                                } };
+}
+
 std::vector<journal::WriteRequest>
 DispatchRunner::TakeSubmissions()
 {
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -11,11 +11,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace amaranthwind::coordinator {
 
 /** Log topic of the job records. */
 inline constexpr std::string_view kJobTopic = "jobs";
+/** Key of the summary of learned run times and speeds in that topic. */
+inline constexpr std::string_view kLearnedKey = "learned";
 
 /**
  * Runs the dispatcher for one term of leadership: persists its decisions and
@@ -44,10 +48,13 @@
 
   /** Fences off previous coordinators, then calls aDone. */
   void FencePredecessors(std::function<void()> aDone);
-  /** Starts dispatching from the jobs in the table. */
-  void StartDispatching(
-    const ledger::JobTable& aJobs,
-    std::span<const dispatch::AccountGuarantee> aGuarantees);
+  /**
+   * Starts dispatching from the jobs in the table.
+   * @param aLearned What a predecessor has learned.
+   */
+  void StartDispatching(const ledger::JobTable& aJobs,
+                        std::span<const dispatch::AccountGuarantee> aGuarantees,
+                        const estimation::LearnedSummary& aLearned);
   bool IsDispatching() const noexcept { return this->dispatcher != nullptr; }
 
   void OnJob(const ledger::JobEntry& aJob);
@@ -115,6 +122,11 @@
    */
   void WriteNext();
   std::vector<journal::WriteRequest> TakeSubmissions();
+  /**
+   * The record of what was learned, if it is due, has changed and fits; it goes
+   * with an append of other records only, and is dropped if that is refused.
+   */
+  std::optional<journal::WriteRequest> TakeLearned(std::size_t aMaxBytes);
   /** Removes submissions that have their result. */
   void ForgetFinished();
   /** The dispatcher's records up to aVersion are durable; 0 if none is new. */
@@ -146,6 +158,9 @@
   std::map<base::AgentId, std::uint64_t> reportSequences;
   base::TimePoint jobsAsOf{};
   bool hasPredecessorSteppedDown = false;
+  base::TimePoint nextLearnedAt{};
+  /** The record of what was learned that was last given to the writer. */
+  std::string writtenLearned;
   /** Earliest time of the next scheduling pass. */
   base::TimePoint nextPassAt{};
   bool isPassPending = false;
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -1232,6 +1232,7 @@
       return std::make_unique<ChargedPacking>(
         aCell.time, aCell.options.costs.perPackedWorker);
     };
+    options.makeLearner = aCell.options.makeLearner;
     return options;
   }
 
@@ -2021,6 +2022,28 @@
     }));
 }
 
+std::vector<std::string>
+SimulatedCell::RecordsOf(std::string_view aKey)
+{
+  std::vector<std::string> values;
+  for (const auto& record :
+       this->log.PartitionOf({ std::string("jobs"), 0 }).records) {
+    if (record.key == aKey) {
+      values.push_back(record.value);
+    }
+  }
+  return values;
+}
+
+void
+SimulatedCell::WriteRecord(const journal::KeyedValue& aRecord)
+{
+  this->log.Append({ std::string("jobs"), 0 },
+                   std::span(&aRecord, 1),
+                   {},
+                   [](const base::Result<base::LogOffset>&) {});
+}
+
 std::size_t
 SimulatedCell::Elections()
 {
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -401,6 +401,8 @@
     bool repeatsRegistrations = false;
     /** Every other worker has a clock that is 2% slow. */
     bool hasSlowClocks = false;
+    /** As CoordinatorOptions::makeLearner. */
+    std::function<std::unique_ptr<estimation::RunTimeLearner>()> makeLearner;
     /** Receives the log lines of all processes and the events of workers. */
     std::function<void(const std::string&)> trace;
   };
@@ -440,6 +442,10 @@
   int Interrupted() const;
   /** Size of the largest append that was tried. */
   std::size_t LargestAppend() const noexcept { return this->log.largestAppend; }
+  /** Values of the records of a key in the topic of the jobs. */
+  std::vector<std::string> RecordsOf(std::string_view aKey);
+  /** Writes a record into the topic of the jobs, past the entries. */
+  void WriteRecord(const journal::KeyedValue& aRecord);
   /** Records of steps that were written. */
   std::size_t StepRecords();
   /** Highest run number of a task that has started. */
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -302,6 +302,8 @@
     std::size_t evacuatedZones = 0;
   };
   Counts Count() const;
+  /** What was learned, for a successor; empty without a learner. */
+  std::optional<estimation::LearnedSummary> Learned() const;
 
 private:
   struct State;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -187,6 +187,14 @@
   return call.Finish();
 }
 
+std::optional<estimation::LearnedSummary>
+Dispatcher::Learned() const
+{
+  return this->state->runTimes == nullptr
+           ? std::nullopt
+           : std::optional(this->state->runTimes->Summarize());
+}
+
 Dispatcher::Counts
 Dispatcher::Count() const
 {
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -269,7 +269,8 @@
   const std::uint32_t index = aEnd.run.task.index;
   Job& job = *this->FindJob(step.id.job);
   const job::StepSpec& spec = job.spec->steps[step.id.step];
-  if (isCurrent) {
+  // A task whose current run has completed is already off its worker.
+  if (isCurrent || (isCompletion && !isGivenUp)) {
     this->LearnFrom(aWorker, step, index, aEnd.kind);
   }
   if (!aEnd.checkpoint.empty()) {
@@ -443,6 +444,10 @@
   if (task->phase == Phase::Ordered) {
     task->phase = Phase::Running;
     task->phaseStartedAt = this->callTime.now;
+    if (aRunning.percent == 0) {
+      // A report may arrive before the outcome of the order.
+      this->BeginProgress(*task);
+    }
   }
   this->OnProgress(aWorker, step, aRunning.run.task.index, aRunning.percent);
   if (this->FindJob(step.id.job)->hasEnded && task->phase == Phase::Running) {
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -197,6 +197,10 @@
   std::vector<std::string> ignoredEnds;
   std::vector<AcknowledgeEnds> acknowledgements;
   std::vector<RunTimeOutcome> runTimes;
+  std::optional<estimation::LearnedSummary> Learned() const
+  {
+    return this->dispatcher->Learned();
+  }
   /** Makes the learner of the next dispatcher; empty: none. */
   std::function<std::unique_ptr<estimation::RunTimeLearner>()> makeLearner;
   int lost = 0;
--- a/libs/dispatch/tests/RunTimesTest.cpp
+++ b/libs/dispatch/tests/RunTimesTest.cpp
@@ -255,3 +255,31 @@
   CHECK(play(true) == 0);
   CHECK(play(false) > 0);
 }
+
+// Guards against a learner that is never told of completed runs, or once for
+// each member of a gang, which makes one gang outweigh many single runs.
+TEST_CASE("each completed run is learned once")
+{
+  LoadHarness harness(8, true);
+  auto batch = DispatcherHarness::MakeJob("batch", 8, 4);
+  batch.steps[0].estimate = 2s;
+  harness.SubmitWork(batch, 4s);
+  harness.Play(8s);
+  auto learned = harness.Learned();
+  REQUIRE(learned.has_value());
+  REQUIRE(learned->workloads.size() == 2); // The kind and the workload.
+  // All tasks of the step count as four runs.
+  CHECK(learned->workloads[0].weight == doctest::Approx(4).epsilon(0.1));
+  CHECK(learned->workloads[0].runTime > 3s);
+  CHECK(learned->workloads[0].runTime < 5s);
+  auto gang = MakeUrgentGang("gang", 8, 4, 2s);
+  gang.kind = base::WorkKindId("gangs");
+  harness.SubmitWork(gang, 2s);
+  harness.Play(8s);
+  learned = harness.Learned();
+  double weight = 0;
+  for (const auto& each : learned->workloads) {
+    weight += each.workload.kind == gang.kind ? each.weight / 2 : 0;
+  }
+  CHECK(weight == doctest::Approx(1));
+}
--- a/libs/estimation/include/amaranthwind/estimation/LearnedRunTimes.h
+++ b/libs/estimation/include/amaranthwind/estimation/LearnedRunTimes.h
@@ -43,6 +43,8 @@
   void OnProgress(const RunObservation& aProjected,
                   base::TimePoint aNow) override;
   void OnTick(base::TimePoint aNow) override;
+  LearnedSummary Summarize() const override;
+  void Restore(const LearnedSummary& aSummary, base::TimePoint aNow) override;
 
 private:
   struct Impl;
--- a/libs/estimation/include/amaranthwind/estimation/RunTimeLearner.h
+++ b/libs/estimation/include/amaranthwind/estimation/RunTimeLearner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "amaranthwind/estimation/LearnedSummary.h"
 #include "amaranthwind/estimation/RunTimePredictor.h"
 #include "amaranthwind/job/TaskId.h"
 
@@ -49,6 +50,12 @@
                           base::TimePoint aNow) = 0;
   /** Adopts recent observations. Should be called about once a second. */
   virtual void OnTick(base::TimePoint aNow) = 0;
+
+  /** What a successor must know at once. */
+  virtual LearnedSummary Summarize() const = 0;
+  /** Starts from what a predecessor learned. Called before other functions. */
+  virtual void Restore(const LearnedSummary& aSummary,
+                       base::TimePoint aNow) = 0;
 };
 
 } // namespace amaranthwind::estimation
--- a/libs/estimation/src/LearnedRunTimes.cpp
+++ b/libs/estimation/src/LearnedRunTimes.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <tuple>
 
 namespace amaranthwind::estimation {
 
@@ -199,4 +200,50 @@
   this->impl->speeds.Refit(aNow);
 }
 
+LearnedSummary
+LearnedRunTimes::Summarize() const
+{
+  LearnedSummary summary;
+  summary.hasUnevenWorkers = this->impl->speeds.AreUneven();
+  summary.workers = this->impl->speeds.Summarize();
+  auto& list = summary.workloads;
+  for (const auto& [kind, regression] : this->impl->kinds) {
+    list.push_back(regression.Summarize({ base::AccountId(), kind }));
+  }
+  for (const auto& [workload, regression] : this->impl->workloads) {
+    // A workload without an account says the same as its kind.
+    if (!workload.account.IsEmpty()) {
+      list.push_back(regression.Summarize(workload));
+    }
+  }
+  std::stable_sort(
+    list.begin(),
+    list.end(),
+    [](const WorkloadSummary& aLeft, const WorkloadSummary& aRight) {
+      const auto rank = [](const WorkloadSummary& aEach) {
+        return std::tuple(!aEach.workload.account.IsEmpty(), -aEach.weight);
+      };
+      return rank(aLeft) < rank(aRight);
+    });
+  if (list.size() > kMaxSummaryWorkloads) {
+    list.resize(kMaxSummaryWorkloads);
+  }
+  return summary;
+}
+
+void
+LearnedRunTimes::Restore(const LearnedSummary& aSummary, base::TimePoint aNow)
+{
+  for (const WorkloadSummary& each : aSummary.workloads) {
+    if (!each.workload.account.IsEmpty()) {
+      if (this->impl->workloads.size() < kMaxWorkloads) {
+        this->impl->workloads[each.workload].Restore(each);
+      }
+    } else if (this->impl->kinds.size() < kMaxKinds) {
+      this->impl->kinds[each.workload.kind].Restore(each);
+    }
+  }
+  this->impl->speeds.Restore(aSummary.workers, aSummary.hasUnevenWorkers, aNow);
+}
+
 } // namespace amaranthwind::estimation
--- a/libs/estimation/src/RunTimeRegression.cpp
+++ b/libs/estimation/src/RunTimeRegression.cpp
@@ -16,6 +16,26 @@
  * one kind of work usually differ by a factor of about 1.4.
  */
 constexpr double kPriorVarianceX = 0.12;
+/** Limits of restored moments, far beyond those of real evidence. */
+constexpr double kMaxSeconds = 1e8;
+constexpr double kMinSeconds = 1e-3;
+constexpr double kMaxVariance = 100;
+
+base::Duration
+ToDuration(double aLogSeconds)
+{
+  return std::chrono::duration_cast<base::Duration>(
+    std::chrono::duration<double>(
+      std::clamp(std::exp(aLogSeconds), kMinSeconds, kMaxSeconds)));
+}
+
+double
+ToLogSeconds(base::Duration aDuration)
+{
+  return std::log(std::clamp(std::chrono::duration<double>(aDuration).count(),
+                             kMinSeconds,
+                             kMaxSeconds));
+}
 
 } // namespace
 
@@ -67,4 +87,37 @@
   return line;
 }
 
+WorkloadSummary
+RunTimeRegression::Summarize(const WorkloadKey& aWorkload) const
+{
+  WorkloadSummary summary;
+  summary.workload = aWorkload;
+  summary.weight = this->weight;
+  summary.estimate = ToDuration(this->meanX);
+  summary.runTime = ToDuration(this->meanY);
+  if (this->weight > 0) {
+    summary.estimateVariance = this->sumXX / this->weight;
+    summary.runTimeVariance = this->sumYY / this->weight;
+  }
+  const double scale = std::sqrt(this->sumXX * this->sumYY);
+  if (scale > 0) {
+    summary.correlation = std::clamp(this->sumXY / scale, -1.0, 1.0);
+  }
+  return summary;
+}
+
+void
+RunTimeRegression::Restore(const WorkloadSummary& aSummary)
+{
+  this->weight = std::clamp(aSummary.weight, 0.0, kMemory);
+  this->meanX = ToLogSeconds(aSummary.estimate);
+  this->meanY = ToLogSeconds(aSummary.runTime);
+  this->sumXX =
+    this->weight * std::clamp(aSummary.estimateVariance, 0.0, kMaxVariance);
+  this->sumYY =
+    this->weight * std::clamp(aSummary.runTimeVariance, 0.0, kMaxVariance);
+  this->sumXY = std::clamp(aSummary.correlation, -1.0, 1.0) *
+                std::sqrt(this->sumXX * this->sumYY);
+}
+
 } // namespace amaranthwind::estimation
--- a/libs/estimation/src/RunTimeRegression.h
+++ b/libs/estimation/src/RunTimeRegression.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "amaranthwind/estimation/LearnedSummary.h"
+
 namespace amaranthwind::estimation {
 
 /** A line with the standard deviation of what is around it. */
@@ -33,6 +35,9 @@
   double Weight() const noexcept { return this->weight; }
   /** Mean of x over the evidence; needs a weight above 0. */
   double MeanX() const noexcept { return this->meanX; }
+  /** The moments; x and y are logarithms of seconds. */
+  WorkloadSummary Summarize(const WorkloadKey& aWorkload) const;
+  void Restore(const WorkloadSummary& aSummary);
 
 private:
   double weight = 0;
--- a/libs/estimation/src/WorkerSpeeds.cpp
+++ b/libs/estimation/src/WorkerSpeeds.cpp
@@ -29,6 +29,21 @@
 constexpr std::size_t kMinWorkers = 4;
 /** Weight of evidence from which a worker's speed counts as known. */
 constexpr double kKnownWeight = 1.5;
+/**
+ * Evidence decays also while there are no new samples, but so late that the
+ * speeds outlast a series of gangs, which give none.
+ */
+constexpr base::Duration kMaxFitAge = std::chrono::minutes(2);
+constexpr base::Duration kMaxInheritedFitAge = std::chrono::seconds(5);
+/** Weight of what a predecessor knew of a worker, and how fast it decays. */
+constexpr double kInheritedWeight = 4;
+constexpr double kInheritedHalfLifeSeconds = 30;
+/** Below this weight it is dropped. */
+constexpr double kMinInheritedWeight = 0.1;
+/** A successor need not know workers that are as fast as others up to this. */
+constexpr double kNormalRatio = 1.1;
+/** Limit of a restored slowness in either direction. */
+constexpr double kMaxRatio = 100;
 
 double
 MedianOf(std::vector<double> aValues)
@@ -66,14 +81,25 @@
 void
 WorkerSpeeds::Refit(base::TimePoint aNow)
 {
-  if (!std::exchange(this->hasNewSamples, false)) {
+  const base::Duration maxAge =
+    this->inherited.empty() ? kMaxFitAge : kMaxInheritedFitAge;
+  const bool isDue = !this->workers.empty() && aNow - this->fittedAt >= maxAge;
+  if (!std::exchange(this->hasNewSamples, false) && !isDue) {
     return;
   }
+  this->fittedAt = aNow;
+  const double inheritedWeight = this->InheritedWeight(aNow);
+  if (inheritedWeight < kMinInheritedWeight) {
+    this->inherited.clear();
+  }
   for (int round = 0; round < kPolishRounds; ++round) {
-    this->FitWorkers(this->CollectResiduals(aNow));
-    this->Centre();
+    this->FitWorkers(this->CollectResiduals(aNow), inheritedWeight);
+    // What is inherited is centred, but it names only unusual workers.
+    if (this->inherited.empty()) {
+      this->Centre();
+    }
   }
-  this->UpdateUnevenness();
+  this->UpdateUnevenness(inheritedWeight);
 }
 
 double
@@ -123,9 +149,13 @@
 }
 
 void
-WorkerSpeeds::FitWorkers(Residuals aResiduals)
+WorkerSpeeds::FitWorkers(Residuals aResiduals, double aInheritedWeight)
 {
   this->workers.clear();
+  for (const auto& [agent, logSlowness] : this->inherited) {
+    this->workers[agent] = { logSlowness * aInheritedWeight / kInheritedWeight,
+                             aInheritedWeight };
+  }
   for (auto& [agent, list] : aResiduals) {
     const std::size_t count = std::min(list.size(), kMaxSamplesPerWorker);
     std::partial_sort(list.begin(),
@@ -141,8 +171,18 @@
       values.push_back(residual.value);
       worker.weight += residual.weight;
     }
-    worker.logSlowness = MedianOf(std::move(values)) * worker.weight /
-                         (worker.weight + kPriorWeight);
+    const auto known = this->inherited.find(agent);
+    if (known == this->inherited.end()) {
+      worker.logSlowness = MedianOf(std::move(values)) * worker.weight /
+                           (worker.weight + kPriorWeight);
+      continue;
+    }
+    // What is inherited takes the place of the prior as long as it counts.
+    const double own = worker.weight - aInheritedWeight;
+    worker.logSlowness =
+      (MedianOf(std::move(values)) * own + known->second * aInheritedWeight) /
+      (worker.weight +
+       kPriorWeight * (1 - aInheritedWeight / kInheritedWeight));
   }
 }
 
@@ -163,8 +203,9 @@
 }
 
 void
-WorkerSpeeds::UpdateUnevenness()
+WorkerSpeeds::UpdateUnevenness(double aInheritedWeight)
 {
+  const bool wasUneven = this->wereUneven && aInheritedWeight >= kKnownWeight;
   std::vector<double> known;
   for (const auto& [agent, worker] : this->workers) {
     if (worker.weight >= kKnownWeight) {
@@ -172,14 +213,63 @@
     }
   }
   if (known.size() < kMinWorkers) {
-    this->areUneven = false;
+    this->areUneven = wasUneven;
     return;
   }
   std::sort(known.begin(), known.end());
   const auto skipped =
     static_cast<std::size_t>(kTail * static_cast<double>(known.size()));
   const double ratio = known[known.size() - 1 - skipped] - known[skipped];
-  this->areUneven = ratio >= std::log(kUnevenRatio);
+  this->areUneven = wasUneven || ratio >= std::log(kUnevenRatio);
+}
+
+double
+WorkerSpeeds::InheritedWeight(base::TimePoint aNow) const
+{
+  const std::chrono::duration<double> age = aNow - this->inheritedAt;
+  return this->inherited.empty()
+           ? 0
+           : kInheritedWeight *
+               std::exp2(-age.count() / kInheritedHalfLifeSeconds);
+}
+
+std::vector<WorkerSummary>
+WorkerSpeeds::Summarize() const
+{
+  std::vector<WorkerSummary> unusual;
+  for (const auto& [agent, worker] : this->workers) {
+    if (worker.weight >= kKnownWeight &&
+        std::abs(worker.logSlowness) >= std::log(kNormalRatio)) {
+      unusual.push_back({ agent, std::exp(worker.logSlowness) });
+    }
+  }
+  std::stable_sort(unusual.begin(),
+                   unusual.end(),
+                   [](const WorkerSummary& aLeft, const WorkerSummary& aRight) {
+                     return std::abs(std::log(aLeft.slowness)) >
+                            std::abs(std::log(aRight.slowness));
+                   });
+  if (unusual.size() > kMaxSummaryWorkers) {
+    unusual.resize(kMaxSummaryWorkers);
+  }
+  return unusual;
+}
+
+void
+WorkerSpeeds::Restore(std::span<const WorkerSummary> aWorkers,
+                      bool aAreUneven,
+                      base::TimePoint aNow)
+{
+  for (const WorkerSummary& each :
+       aWorkers.first(std::min(aWorkers.size(), kMaxSummaryWorkers))) {
+    this->inherited[each.worker] =
+      std::log(std::clamp(each.slowness, 1 / kMaxRatio, kMaxRatio));
+  }
+  this->inheritedAt = aNow;
+  this->fittedAt = aNow;
+  this->wereUneven = aAreUneven && !this->inherited.empty();
+  this->FitWorkers({}, kInheritedWeight);
+  this->areUneven = this->wereUneven;
 }
 
 } // namespace amaranthwind::estimation
--- a/libs/estimation/src/WorkerSpeeds.h
+++ b/libs/estimation/src/WorkerSpeeds.h
@@ -2,6 +2,7 @@
 
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/Ids.h"
+#include "amaranthwind/estimation/LearnedSummary.h"
 #include "amaranthwind/job/TaskId.h"
 
 #include <cstddef>
@@ -31,6 +32,13 @@
   double SlownessOf(const base::AgentId& aWorker) const;
   bool AreUneven() const noexcept { return this->areUneven; }
 
+  /** Workers of other than normal speed, the most unusual first. */
+  std::vector<WorkerSummary> Summarize() const;
+  /** Starts from the speeds that a predecessor knew at aNow. */
+  void Restore(std::span<const WorkerSummary> aWorkers,
+               bool aAreUneven,
+               base::TimePoint aNow);
+
 private:
   struct Sample
   {
@@ -57,14 +65,20 @@
   /** Logarithm of the run time of the step on a worker of normal speed. */
   double LevelOf(std::span<const Sample> aSamples) const;
   Residuals CollectResiduals(base::TimePoint aNow) const;
-  void FitWorkers(Residuals aResiduals);
+  void FitWorkers(Residuals aResiduals, double aInheritedWeight);
+  double InheritedWeight(base::TimePoint aNow) const;
   void Centre();
-  void UpdateUnevenness();
+  void UpdateUnevenness(double aInheritedWeight);
 
   std::map<job::StepId, std::vector<Sample>> samples;
   /** The keys of `samples`, oldest first. */
   std::deque<job::StepId> steps;
   std::map<base::AgentId, Worker> workers;
+  /** Logarithm of the slowness that a predecessor knew. */
+  std::map<base::AgentId, double> inherited;
+  base::TimePoint inheritedAt{};
+  bool wereUneven = false;
+  base::TimePoint fittedAt{};
   bool hasNewSamples = false;
   bool areUneven = false;
 };
--- a/libs/estimation/tests/LearnedRunTimesTest.cpp
+++ b/libs/estimation/tests/LearnedRunTimesTest.cpp
@@ -298,3 +298,128 @@
                     { base::AccountId("a2999"), base::WorkKindId("k2999") }, 1s)
                   ->Median()) == doctest::Approx(1));
 }
+
+// Guards against a successor that has to learn again which workers are slow and
+// what the callers' estimates are worth.
+TEST_CASE("a successor knows the speeds and the run times at once")
+{
+  Load load(11);
+  for (int i = 0; i < 12; ++i) {
+    load.RunStep(UnevenWorkers(), 2.0);
+  }
+  const WorkloadKey other{ base::AccountId("moths"),
+                           base::WorkKindId("scoring") };
+  for (int i = 0; i < 60; ++i) {
+    load.RunSingle(other, 8.0, 0.05);
+  }
+  REQUIRE(load.learned.HasUnevenWorkers());
+  const LearnedSummary summary = load.learned.Summarize();
+  // Those that are normal, but for the noise of their runs, are left out.
+  CHECK(summary.workers.size() <= 6);
+  for (std::size_t i = 0; i < 4; ++i) {
+    CHECK(summary.workers[i].slowness > 1.7);
+  }
+  LearnedRunTimes successor;
+  successor.Restore(summary, load.now);
+  CHECK(successor.HasUnevenWorkers());
+  for (std::size_t i = 0; i < 16; ++i) {
+    CAPTURE(i);
+    CHECK(std::abs(successor.SlownessOf(VmOf(i)) -
+                   load.learned.SlownessOf(VmOf(i))) < 0.1);
+  }
+  for (const auto& key : { kQuotes, other }) {
+    for (const auto estimate : { 1s, 2s, 8s }) {
+      const auto expected = load.learned.Predict(key, estimate);
+      const auto known = successor.Predict(key, estimate);
+      REQUIRE(known.has_value());
+      CHECK(Seconds(known->Median()) ==
+            doctest::Approx(Seconds(expected->Median())).epsilon(0.01));
+      CHECK(known->Spread() ==
+            doctest::Approx(expected->Spread()).epsilon(0.01));
+    }
+  }
+}
+
+// Guards against a summary that outweighs what the successor sees itself.
+TEST_CASE("inherited speeds give way to evidence and to time")
+{
+  LearnedSummary summary;
+  summary.hasUnevenWorkers = true;
+  for (std::size_t i = 0; i < 4; ++i) {
+    summary.workers.push_back({ VmOf(i), 2.2 });
+  }
+  SUBCASE("evidence")
+  {
+    Load load(12);
+    load.learned.Restore(summary, load.now);
+    for (int i = 0; i < 60; ++i) {
+      load.RunStep(std::vector<double>(16, 1.0), 2.0);
+    }
+    CHECK(load.learned.SlownessOf(VmOf(0)) < 1.2);
+    CHECK_FALSE(load.learned.HasUnevenWorkers());
+  }
+  SUBCASE("time")
+  {
+    LearnedRunTimes learned;
+    const base::TimePoint start(1h);
+    learned.Restore(summary, start);
+    for (int i = 1; i <= 600; ++i) {
+      learned.OnTick(start + i * 500ms);
+    }
+    CHECK(learned.SlownessOf(VmOf(0)) == 1.0);
+    CHECK_FALSE(learned.HasUnevenWorkers());
+  }
+}
+
+// Guards against a summary that grows with the fleet or the number of accounts.
+TEST_CASE("the summary is bounded and lists the most evident first")
+{
+  Load load(13);
+  std::vector<double> slowness(1600, 1.0);
+  for (std::size_t i = 0; i < slowness.size(); i += 2) {
+    slowness[i] = 3.0;
+  }
+  for (int round = 0; round < 3; ++round) {
+    for (std::size_t first = 0; first < slowness.size(); first += 64) {
+      std::vector<double> part(slowness.size(), 0.0);
+      std::copy_n(slowness.begin() + static_cast<std::ptrdiff_t>(first),
+                  64,
+                  part.begin() + static_cast<std::ptrdiff_t>(first));
+      load.RunStep(part, 30.0);
+    }
+  }
+  for (int i = 0; i < 700; ++i) {
+    const WorkloadKey key{ base::AccountId("a" + std::to_string(i)),
+                           base::WorkKindId("k" + std::to_string(i % 40)) };
+    load.RunSingle(key, 2.0, 0.2);
+  }
+  const LearnedSummary summary = load.learned.Summarize();
+  CHECK(summary.workers.size() <= kMaxSummaryWorkers);
+  CHECK(summary.workloads.size() == kMaxSummaryWorkloads);
+  for (std::size_t i = 1; i < summary.workloads.size(); ++i) {
+    const auto& before = summary.workloads[i - 1];
+    const auto& after = summary.workloads[i];
+    if (before.workload.account.IsEmpty() == after.workload.account.IsEmpty()) {
+      CHECK(before.weight >= after.weight);
+    } else {
+      CHECK(before.workload.account.IsEmpty());
+    }
+  }
+}
+
+// Guards against a worker that counts as slow for ever because nothing runs any
+// more that could show otherwise.
+TEST_CASE("speeds fade without new evidence")
+{
+  Load load(14);
+  for (int i = 0; i < 12; ++i) {
+    load.RunStep(UnevenWorkers(), 2.0);
+  }
+  REQUIRE(load.learned.HasUnevenWorkers());
+  for (int i = 0; i < 1200; ++i) {
+    load.now += 500ms;
+    load.learned.OnTick(load.now);
+  }
+  CHECK_FALSE(load.learned.HasUnevenWorkers());
+  CHECK(std::abs(load.learned.SlownessOf(VmOf(0)) - 1.0) < 0.05);
+}
