Mend faults of the learned run times found in review

Guaranteed and lasting gangs do not wait. - A run that had stopped making progress counted as nearly done. - A run without a measurable time made all speeds not a number. - The members of a stopped gang counted as many runs. - An inherited run without progress was learned from the takeover on.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -539,6 +539,14 @@
   std::vector<std::uint32_t> PackGang(const Candidate& aCandidate,
                                       const UsableWorkers& aUsable,
                                       const RackedRequest& aRequest) const;
+  /**
+   * Whether workers that are faster than the given slowness would hold the gang
+   * if they were empty.
+   */
+  bool FitsFasterWorkers(const Candidate& aCandidate,
+                         const UsableWorkers& aUsable,
+                         const RackedRequest& aRequest,
+                         double aSlowness) const;
   /** Chooses a worker for one of many independent tasks. */
   std::vector<std::uint32_t> PackTask(const Candidate& aCandidate,
                                       const UsableWorkers& aUsable,
--- a/libs/dispatch/src/RunTimes.cpp
+++ b/libs/dispatch/src/RunTimes.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t kLearnedProgressPercent = 40;
 /** A run is assumed to need at least this part of its run time more. */
 constexpr int kMinRemainingDivisor = 20;
+/** Longer than workers take to report progress, some half a second. */
+constexpr base::Duration kMaxProgressAge = std::chrono::milliseconds(1500);
 
 base::Duration
 Scaled(base::Duration aDuration, double aFactor)
@@ -168,6 +170,8 @@
         this->ExpectedRunTime(spec, aStep.id.step) });
     this->runTimes->OnCompleted(run, this->callTime.now);
   } else if (aKind != EndKind::Failed) {
+    // Each member of a gang reports an end of its own.
+    run.stepTasks = spec.steps[aStep.id.step].count;
     this->runTimes->OnInterrupted(run, this->callTime.now);
   }
 }
@@ -209,8 +213,12 @@
   const base::Duration left = (last->at - first->at) *
                               (kAllPercent - last->percent) /
                               (last->percent - first->percent);
-  return std::max(left - (this->callTime.now - last->at),
-                  left / kMinRemainingDivisor);
+  const base::Duration since = this->callTime.now - last->at;
+  if (since > std::max(2 * left, kMaxProgressAge)) {
+    // The run has stopped making progress; its end is not near.
+    return std::nullopt;
+  }
+  return std::max(left - since, left / kMinRemainingDivisor);
 }
 
 std::optional<base::Duration>
--- a/libs/dispatch/src/SpeedPlacement.cpp
+++ b/libs/dispatch/src/SpeedPlacement.cpp
@@ -22,6 +22,8 @@
  * for room on faster ones.
  */
 constexpr double kMaxWaitPart = 0.5;
+/** Longest such wait, however long the gang runs. */
+constexpr std::chrono::duration<double> kMaxSpeedWait = std::chrono::seconds(5);
 
 /** The workers without room for those that are slower or faster. */
 std::vector<PackingWorker>
@@ -60,10 +62,30 @@
   const auto lost = std::chrono::duration<double>(this->ExpectedRunTime(
                       *aCandidate.job->spec, aCandidate.step->id.step)) *
                     (slowest - 1);
-  if (this->WaitedTime(aCandidate) < lost * kMaxWaitPart) {
-    return {};
+  // A guaranteed gang is owed its room now, and a lasting one never makes up
+  // for its wait.
+  const bool mayWait =
+    !aCandidate.isGuaranteed && !aCandidate.Spec().isLongRunning &&
+    this->WaitedTime(aCandidate) < std::min<std::chrono::duration<double>>(
+                                     lost * kMaxWaitPart, kMaxSpeedWait) &&
+    this->FitsFasterWorkers(aCandidate, aUsable, aRequest, slowest);
+  return mayWait ? std::vector<std::uint32_t>() : chosen;
+}
+
+bool
+Dispatcher::State::FitsFasterWorkers(const Candidate& aCandidate,
+                                     const UsableWorkers& aUsable,
+                                     const RackedRequest& aRequest,
+                                     double aSlowness) const
+{
+  std::vector<PackingWorker> faster =
+    LimitSlowness(aUsable, 0, kSlownessClasses.back());
+  for (std::size_t i = 0; i < faster.size(); ++i) {
+    faster[i].free =
+      aCandidate.pool->workers[aUsable.indices[i]].worker->info->capacity;
   }
-  return chosen;
+  return aSlowness > kSlownessClasses.back() &&
+         !this->Pack(faster, aRequest).empty();
 }
 
 std::vector<std::uint32_t>
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -436,7 +436,7 @@
       }
     }
   }
-  task->isInherited = false;
+  const bool wasInherited = std::exchange(task->isInherited, false);
   if (task->order <= aWorker.lastOrderBeforeSession) {
     // Its outcome was lost with its session.
     SettleStart(aWorker, aRunning.run);
@@ -444,7 +444,7 @@
   if (task->phase == Phase::Ordered) {
     task->phase = Phase::Running;
     task->phaseStartedAt = this->callTime.now;
-    if (aRunning.percent == 0) {
+    if (aRunning.percent == 0 && !wasInherited) {
       // A report may arrive before the outcome of the order.
       this->BeginProgress(*task);
     }
--- a/libs/dispatch/tests/RunTimesTest.cpp
+++ b/libs/dispatch/tests/RunTimesTest.cpp
@@ -283,3 +283,126 @@
   }
   CHECK(weight == doctest::Approx(1));
 }
+
+// Guards against a run time that is counted from the takeover although the run
+// began long before.
+TEST_CASE("a run that was inherited without progress is not learned")
+{
+  LoadHarness harness(2, true);
+  auto batch = DispatcherHarness::MakeJob("batch", 1, 4);
+  batch.steps[0].estimate = 60s;
+  harness.SubmitWork(batch, 60s);
+  harness.Play(400ms);
+  harness.TakeOver();
+  harness.Play(62s);
+  CHECK(harness.CompletionTime("batch") < 62s);
+  CHECK(harness.runTimes.empty());
+}
+
+// Guards against an objective that moves with the prediction: stopping work for
+// a job that will miss what its caller was promised.
+TEST_CASE("the objective follows from the caller's estimate")
+{
+  LoadHarness harness(2, true);
+  for (int i = 0; i < 8; ++i) {
+    harness.SubmitWork(MakeUrgentGang("known" + std::to_string(i), 2, 8, 2s),
+                       8s);
+    harness.Play(9s);
+  }
+  for (const char* name : { "batch1", "batch2" }) {
+    auto batch = DispatcherHarness::MakeJob(name, 1, 8);
+    batch.steps[0].estimate = 30s;
+    harness.SubmitWork(batch, 30s);
+  }
+  harness.Play(500ms);
+  const std::size_t stops = harness.stops.size();
+  harness.SubmitWork(MakeUrgentGang("hopeless", 2, 8, 2s), 8s);
+  harness.Play(2s);
+  CHECK(harness.stops.size() == stops);
+}
+
+// Guards against a gang that waits for minutes for room on faster workers.
+TEST_CASE("a long gang does not wait long for faster workers")
+{
+  LoadHarness harness(4, false);
+  harness.makeLearner = [] {
+    estimation::LearnedSummary summary;
+    summary.hasUnevenWorkers = true;
+    for (const char* name : { "vm-0", "vm-1" }) {
+      summary.workers.push_back({ base::AgentId(name), 2.2 });
+    }
+    auto learner = std::make_unique<estimation::LearnedRunTimes>();
+    learner->Restore(summary, base::TimePoint(1h));
+    return learner;
+  };
+  harness.TakeOver();
+  auto gang = MakeUrgentGang("gang", 2, 8, 900s);
+  bool mustWait = true;
+  SUBCASE("that are busy")
+  {
+    for (const char* name : { "batch1", "batch2" }) {
+      auto batch = DispatcherHarness::MakeJob(name, 1, 8);
+      batch.urgency = 0;
+      batch.steps[0].estimate = 900s;
+      batch.steps[0].requiredLabel = "fast";
+      harness.SubmitWork(batch, 900s);
+    }
+  }
+  SUBCASE("that could never hold it")
+  {
+    gang.steps[0].count = 3;
+    mustWait = false;
+  }
+  for (const char* name : { "vm-2", "vm-3" }) {
+    harness.agents.at(name).info.labels = { "fast" };
+    harness.Report(name);
+  }
+  harness.Play(1s);
+  harness.SubmitWork(gang, 900s);
+  harness.Play(mustWait ? 8s : 1s);
+  CHECK_FALSE(harness.agents.at("vm-0").running.empty());
+  CHECK_FALSE(harness.agents.at("vm-1").running.empty());
+}
+
+// Guards against an urgent gang that waits for runs that make no progress any
+// more.
+TEST_CASE("a run that is stuck does not count as nearly done")
+{
+  LoadHarness harness(2, true);
+  for (const char* name : { "batch1", "batch2" }) {
+    auto batch = DispatcherHarness::MakeJob(name, 8, 1);
+    batch.steps[0].estimate = 1500ms;
+    harness.SubmitWork(batch, 1500ms);
+  }
+  harness.Play(900ms);
+  harness.slowness = { { "vm-0", 1e9 }, { "vm-1", 1e9 } };
+  harness.Play(3s);
+  CHECK(harness.stops.empty());
+  harness.SubmitWork(MakeUrgentGang("urgent", 2, 8, 14s), 14s);
+  harness.Play(500ms);
+  CHECK_FALSE(harness.stops.empty());
+}
+
+// Guards against one stopped gang that outweighs many runs.
+TEST_CASE("the members of a stopped gang are learned as one run")
+{
+  LoadHarness harness(8, true);
+  harness.SubmitWork(MakeUrgentGang("gang", 64, 1, 1s), 1000s);
+  harness.Play(20s);
+  std::vector<job::TaskRun> runs;
+  for (const auto& [name, agent] : harness.agents) {
+    for (const auto& [run, task] : agent.running) {
+      runs.push_back(run);
+    }
+  }
+  REQUIRE(runs.size() == 64);
+  for (const auto& run : runs) {
+    harness.End(run, EndKind::Stopped);
+  }
+  for (const char* name :
+       { "vm-0", "vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7" }) {
+    harness.Report(name);
+  }
+  REQUIRE_FALSE(harness.Learned()->workloads.empty());
+  CHECK(harness.Learned()->workloads.front().weight <= 2.5);
+}
--- a/libs/estimation/src/LearnedRunTimes.cpp
+++ b/libs/estimation/src/LearnedRunTimes.cpp
@@ -133,8 +133,11 @@
   if (!line) {
     return std::nullopt;
   }
-  const double median =
-    std::exp(hasEstimate ? line->At(LogSeconds(aEstimate)) : line->level);
+  // A longer time would not fit base::Duration; the prediction has a limit.
+  constexpr double kMaxSeconds = 1e9;
+  const double median = std::min(
+    kMaxSeconds,
+    std::exp(hasEstimate ? line->At(LogSeconds(aEstimate)) : line->level));
   return RunTimePrediction(std::chrono::duration_cast<base::Duration>(
                              std::chrono::duration<double>(median)),
                            line->spread);
--- a/libs/estimation/src/WorkerSpeeds.cpp
+++ b/libs/estimation/src/WorkerSpeeds.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kMaxSteps = 96;
+/** The logarithm of 0 would spread to the speeds of all workers. */
+constexpr base::Duration kMinRunTime = std::chrono::milliseconds(1);
 constexpr std::size_t kMaxSamplesPerStep = 64;
 /** With fewer workers, the step's own work cannot be told from their speed. */
 constexpr std::size_t kMinWorkersPerStep = 3;
@@ -59,6 +61,7 @@
                   base::Duration aRunTime,
                   base::TimePoint aNow)
 {
+  const base::Duration runTime = std::max(aRunTime, kMinRunTime);
   const auto [found, isNew] = this->samples.try_emplace(aStep);
   if (isNew) {
     this->steps.push_back(aStep);
@@ -68,8 +71,8 @@
     step.erase(step.begin());
   }
   step.push_back({ aWorker,
-                   std::log(std::chrono::duration<double>(aRunTime).count()),
-                   aRunTime,
+                   std::log(std::chrono::duration<double>(runTime).count()),
+                   runTime,
                    aNow });
   if (this->steps.size() > kMaxSteps) {
     this->samples.erase(this->steps.front());
--- a/libs/estimation/tests/LearnedRunTimesTest.cpp
+++ b/libs/estimation/tests/LearnedRunTimesTest.cpp
@@ -423,3 +423,53 @@
   CHECK_FALSE(load.learned.HasUnevenWorkers());
   CHECK(std::abs(load.learned.SlownessOf(VmOf(0)) - 1.0) < 0.05);
 }
+
+// Guards against conversions that overflow, and against a run without a
+// measurable time whose logarithm spreads to the speeds of all workers.
+TEST_CASE("extreme run times and estimates give finite predictions")
+{
+  constexpr base::Duration kHuge = std::chrono::hours(24 * 365 * 100);
+  Load load(15);
+  RunObservation run;
+  run.workload = kQuotes;
+  run.stepTasks = 8;
+  for (std::uint32_t job = 0; job < 12; ++job) {
+    run.step = { base::JobId("odd" + std::to_string(job)), 0, 0 };
+    for (std::size_t i = 0; i < 8; ++i) {
+      run.worker = VmOf(i);
+      run.elapsed = i % 2 == 0 ? base::Duration(1) : kHuge;
+      run.estimate = job % 2 == 0 ? kHuge : base::Duration(1);
+      run.slowdown = i % 3 == 0 ? 3.0 : 1.0;
+      load.learned.OnCompleted(run, load.now);
+      load.learned.OnInterrupted(run, load.now);
+    }
+    load.now += 1s;
+    load.learned.OnTick(load.now);
+  }
+  for (const base::Duration estimate :
+       { base::Duration::zero(), base::Duration(1), kHuge }) {
+    const auto prediction = load.learned.Predict(kQuotes, estimate);
+    REQUIRE(prediction.has_value());
+    CHECK(prediction->Median() >= 1ms);
+    CHECK(prediction->Median() <= 366 * 24h);
+    CHECK(prediction->High() >= prediction->Median());
+    CHECK(prediction->MedianAfter(kHuge) >= kHuge);
+    CHECK(std::isfinite(prediction->Spread()));
+  }
+  for (std::size_t i = 0; i < 8; ++i) {
+    CHECK(std::isfinite(load.learned.SlownessOf(VmOf(i))));
+    CHECK(load.learned.SlownessOf(VmOf(i)) > 0);
+  }
+}
+
+// Guards against a spread of 0 that makes each overdue run infinitely late.
+TEST_CASE("one run, or equal runs, leave a spread")
+{
+  Load load(16);
+  load.RunSingle(kQuotes, 2.0, 0.0);
+  CHECK(load.learned.Predict(kQuotes, 2s)->Spread() > 0.1);
+  const RunTimePrediction exact(2s, 0.0);
+  CHECK(exact.Spread() > 0);
+  CHECK(exact.MedianAfter(10s) >= 10s);
+  CHECK(exact.MedianAfter(10s) < 20s);
+}
