Bound the memory and time of the learner of speeds

Samples refer to workers by number and are sorted once for each fit. Quantiles are computed in double, since long double is emulated on arm64, which cost most of a pass with predictions.

--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -1,4 +1,5 @@
 #include "amaranthwind/dispatch/Dispatcher.h"
+#include "amaranthwind/estimation/LearnedRunTimes.h"
 
 #include <algorithm>
 #include <array>
@@ -13,7 +14,9 @@
 
 // Measures one scheduling pass on a full pool, in which no step can be placed,
 // one that places a wide step on an idle pool, and the handling of one report.
-// Usage: dispatch_pass_benchmark [rounds [kind | placement | report]]
+// Usage: dispatch_pass_benchmark [rounds [kind | placement | report | all
+// [learned]]]. With `learned`, run times are predicted and a quarter of the
+// workers is slow.
 
 namespace amaranthwind::dispatch {
 
@@ -130,6 +133,30 @@
   bool prefersOneRack = false;
 };
 
+/** Returns null unless run times are to be predicted. */
+std::unique_ptr<estimation::RunTimeLearner>
+MakeLearner(bool aIsLearned, std::uint32_t aWorkers, base::TimePoint aNow)
+{
+  if (!aIsLearned) {
+    return nullptr;
+  }
+  estimation::LearnedSummary summary;
+  summary.hasUnevenWorkers = true;
+  for (std::uint32_t i = 0; i < aWorkers; i += 4) {
+    summary.workers.push_back({ base::AgentId("vm-" + std::to_string(i)), 2 });
+  }
+  summary.workloads = {
+    { { {}, {} }, 60, 4s, 5s, 0.1, 0.2, 0.5 },
+    { { base::AccountId("account"), {} }, 60, 4s, 5s, 0.1, 0.2, 0.5 }
+  };
+  auto learner = std::make_unique<estimation::LearnedRunTimes>();
+  learner->Restore(summary, aNow);
+  return learner;
+}
+
+/** Set once, by the arguments of the program. */
+bool isLearned = false;
+
 /** A pool whose workers are full at first, and some ended jobs. */
 class FilledPool
 {
@@ -141,7 +168,8 @@
                  ledger::JobTable(this->codec),
                  std::make_unique<CountingPacking>(this->packCalls),
                  this->observer,
-                 this->now)
+                 this->now,
+                 MakeLearner(isLearned, aWorkers, this->now.now))
   {
     for (std::uint32_t i = 0; i < aWorkers; ++i) {
       WorkerReport report;
@@ -361,10 +389,12 @@
   const int rounds = aCount > 1 ? std::atoi(aArguments[1]) : 5;
   if (rounds <= 0) {
     std::cerr << "usage: dispatch_pass_benchmark [rounds [kind | placement | "
-                 "report]]\n";
+                 "report | all [learned]]]\n";
     return EXIT_FAILURE;
   }
-  const std::string_view selected = aCount > 2 ? aArguments[2] : "";
+  std::string_view selected = aCount > 2 ? aArguments[2] : "";
+  selected = selected == "all" ? "" : selected;
+  isLearned = aCount > 3 && std::string_view(aArguments[3]) == "learned";
   std::cout << std::fixed << std::setprecision(3);
   if (selected != "report" && selected != "placement") {
     std::cout << " workers running   steps   width  kind        pack calls"
--- a/libs/estimation/src/LearnedRunTimes.cpp
+++ b/libs/estimation/src/LearnedRunTimes.cpp
@@ -1,10 +1,9 @@
 #include "amaranthwind/estimation/LearnedRunTimes.h"
 
+#include "NormalDistribution.h"
 #include "RunTimeRegression.h"
 #include "WorkerSpeeds.h"
 
-#include <boost/math/distributions/normal.hpp>
-
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -17,8 +16,8 @@
 /** Spread of run times around the callers' estimates before any run ended. */
 constexpr double kPriorSpread = 0.5;
 /** Limits of what is kept by kind of work, and by kind and account. */
-constexpr std::size_t kMaxKinds = 128;
-constexpr std::size_t kMaxWorkloads = 512;
+constexpr std::size_t kMaxKinds = 64;
+constexpr std::size_t kMaxWorkloads = 256;
 /** All tasks of a step together count as at most this many observations. */
 constexpr double kMaxStepWeight = 4;
 /** Weight of an interrupted run: the time that it lacked is not known. */
@@ -36,7 +35,7 @@
 double
 ExpectedAbove(double aBound, double aMean, double aSpread)
 {
-  const boost::math::normal normal;
+  const Normal normal;
   const double z = (aBound - aMean) / aSpread;
   const double tail = boost::math::cdf(boost::math::complement(normal, z));
   constexpr double kMinTail = 1e-9;
--- a/libs/estimation/src/RunTimePrediction.cpp
+++ b/libs/estimation/src/RunTimePrediction.cpp
@@ -1,6 +1,6 @@
 #include "amaranthwind/estimation/RunTimePrediction.h"
 
-#include <boost/math/distributions/normal.hpp>
+#include "NormalDistribution.h"
 
 #include <algorithm>
 #include <cmath>
@@ -45,7 +45,7 @@
 base::Duration
 RunTimePrediction::High() const
 {
-  const double z = boost::math::quantile(boost::math::normal(), kHighQuantile);
+  const double z = boost::math::quantile(Normal(), kHighQuantile);
   return ToDuration(ToSeconds(this->median) * std::exp(z * this->spread));
 }
 
@@ -55,7 +55,7 @@
   if (aElapsed <= base::Duration::zero()) {
     return this->median;
   }
-  const boost::math::normal normal;
+  const Normal normal;
   const double z =
     std::log(ToSeconds(aElapsed) / ToSeconds(this->median)) / this->spread;
   const double tail = std::max(
--- a/libs/estimation/src/WorkerSpeeds.cpp
+++ b/libs/estimation/src/WorkerSpeeds.cpp
@@ -4,19 +4,24 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
+#include <tuple>
 #include <utility>
 
 namespace amaranthwind::estimation {
 
 namespace {
 
-constexpr std::size_t kMaxSteps = 96;
+/**
+ * With these limits the learner keeps below 256 KB, see learned_benchmark: four
+ * samples of each of 775 workers.
+ */
+constexpr std::size_t kMaxSteps = 48;
 /** The logarithm of 0 would spread to the speeds of all workers. */
 constexpr base::Duration kMinRunTime = std::chrono::milliseconds(1);
 constexpr std::size_t kMaxSamplesPerStep = 64;
+constexpr std::size_t kMaxWorkers = 1024;
 /** With fewer workers, the step's own work cannot be told from their speed. */
-constexpr std::size_t kMinWorkersPerStep = 3;
+constexpr std::ptrdiff_t kMinWorkersPerStep = 3;
 /** Newest samples of a worker that count, so that it can change its speed. */
 constexpr std::size_t kMaxSamplesPerWorker = 9;
 /** The weight of a sample halves in this multiple of its run time. */
@@ -61,44 +66,101 @@
                   base::Duration aRunTime,
                   base::TimePoint aNow)
 {
-  const base::Duration runTime = std::max(aRunTime, kMinRunTime);
+  const auto worker = this->FindOrAdd(aWorker);
+  if (!worker) {
+    return;
+  }
   const auto [found, isNew] = this->samples.try_emplace(aStep);
   if (isNew) {
     this->steps.push_back(aStep);
   }
+  const std::chrono::duration<double> runTime = std::max(aRunTime, kMinRunTime);
+  ++this->workers[*worker].samples;
   auto& step = found->second;
   if (step.size() >= kMaxSamplesPerStep) {
+    this->RemoveSamples(std::span(step).first(1));
     step.erase(step.begin());
   }
-  step.push_back({ aWorker,
-                   std::log(std::chrono::duration<double>(runTime).count()),
-                   runTime,
-                   aNow });
+  step.push_back(
+    { *worker, static_cast<float>(std::log(runTime.count())), aNow });
   if (this->steps.size() > kMaxSteps) {
-    this->samples.erase(this->steps.front());
+    const auto oldest = this->samples.find(this->steps.front());
+    this->RemoveSamples(oldest->second);
+    this->samples.erase(oldest);
     this->steps.pop_front();
   }
   this->hasNewSamples = true;
 }
 
+std::optional<std::uint32_t>
+WorkerSpeeds::FindOrAdd(const base::AgentId& aWorker)
+{
+  const auto found = this->indexOf.find(aWorker);
+  if (found != this->indexOf.end()) {
+    return found->second;
+  }
+  if (this->indexOf.size() >= kMaxWorkers) {
+    return std::nullopt;
+  }
+  if (this->unused.empty()) {
+    this->unused.push_back(static_cast<std::uint32_t>(this->workers.size()));
+    this->workers.emplace_back();
+  }
+  const std::uint32_t index = this->unused.back();
+  this->unused.pop_back();
+  this->workers[index] = {};
+  this->workers[index].entry = this->indexOf.emplace(aWorker, index).first;
+  return index;
+}
+
+void
+WorkerSpeeds::RemoveSamples(std::span<const Sample> aSamples)
+{
+  for (const Sample& sample : aSamples) {
+    Worker& worker = this->workers[sample.worker];
+    if (--worker.samples == 0 && !worker.inherited) {
+      this->indexOf.erase(worker.entry);
+      this->unused.push_back(sample.worker);
+    }
+  }
+}
+
+void
+WorkerSpeeds::ForgetInherited()
+{
+  for (auto entry = this->indexOf.begin(); entry != this->indexOf.end();) {
+    Worker& worker = this->workers[entry->second];
+    worker.inherited.reset();
+    if (worker.samples == 0) {
+      this->unused.push_back(entry->second);
+      entry = this->indexOf.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  this->inheritedWorkers = 0;
+}
+
 void
 WorkerSpeeds::Refit(base::TimePoint aNow)
 {
   const base::Duration maxAge =
-    this->inherited.empty() ? kMaxFitAge : kMaxInheritedFitAge;
-  const bool isDue = !this->workers.empty() && aNow - this->fittedAt >= maxAge;
+    this->inheritedWorkers == 0 ? kMaxFitAge : kMaxInheritedFitAge;
+  const bool isDue = !this->indexOf.empty() && aNow - this->fittedAt >= maxAge;
   if (!std::exchange(this->hasNewSamples, false) && !isDue) {
     return;
   }
   this->fittedAt = aNow;
   const double inheritedWeight = this->InheritedWeight(aNow);
-  if (inheritedWeight < kMinInheritedWeight) {
-    this->inherited.clear();
+  if (this->inheritedWorkers > 0 && inheritedWeight < kMinInheritedWeight) {
+    this->ForgetInherited();
   }
+  const Steps usable = this->CollectSteps();
+  const std::vector<Pick> picks = this->PickSamples(usable, aNow);
   for (int round = 0; round < kPolishRounds; ++round) {
-    this->FitWorkers(this->CollectResiduals(aNow), inheritedWeight);
+    this->FitWorkers(usable, picks, inheritedWeight);
     // What is inherited is centred, but it names only unusual workers.
-    if (this->inherited.empty()) {
+    if (this->inheritedWorkers == 0) {
       this->Centre();
     }
   }
@@ -108,9 +170,11 @@
 double
 WorkerSpeeds::SlownessOf(const base::AgentId& aWorker) const
 {
-  const auto found = this->workers.find(aWorker);
-  return found == this->workers.end() ? 1.0
-                                      : std::exp(found->second.logSlowness);
+  const auto found = this->indexOf.find(aWorker);
+  return found == this->indexOf.end()
+           ? 1.0
+           : std::exp(
+               static_cast<double>(this->workers[found->second].logSlowness));
 }
 
 double
@@ -119,89 +183,129 @@
   std::vector<double> values;
   values.reserve(aSamples.size());
   for (const Sample& sample : aSamples) {
-    const auto worker = this->workers.find(sample.worker);
-    values.push_back(sample.logRunTime - (worker == this->workers.end()
-                                            ? 0
-                                            : worker->second.logSlowness));
+    values.push_back(sample.logRunTime -
+                     this->workers[sample.worker].logSlowness);
   }
   return MedianOf(std::move(values));
 }
 
-WorkerSpeeds::Residuals
-WorkerSpeeds::CollectResiduals(base::TimePoint aNow) const
+WorkerSpeeds::Steps
+WorkerSpeeds::CollectSteps() const
 {
-  Residuals residuals;
+  Steps usable;
+  std::vector<std::uint32_t> distinct;
   for (const auto& [step, list] : this->samples) {
-    std::set<base::AgentId> distinct;
+    distinct.clear();
     for (const Sample& sample : list) {
-      distinct.insert(sample.worker);
+      distinct.push_back(sample.worker);
     }
-    if (distinct.size() < kMinWorkersPerStep) {
-      continue;
+    std::sort(distinct.begin(), distinct.end());
+    const auto end = std::unique(distinct.begin(), distinct.end());
+    if (end - distinct.begin() >= kMinWorkersPerStep) {
+      usable.emplace_back(list);
     }
-    const double level = this->LevelOf(list);
-    for (const Sample& sample : list) {
-      const double age = std::chrono::duration<double>(aNow - sample.at) /
-                         std::chrono::duration<double>(sample.runTime);
-      residuals[sample.worker].push_back({ sample.logRunTime - level,
-                                           std::exp2(-age / kHalfLifeRunTimes),
-                                           sample.at });
+  }
+  return usable;
+}
+
+std::vector<WorkerSpeeds::Pick>
+WorkerSpeeds::PickSamples(const Steps& aSteps, base::TimePoint aNow) const
+{
+  std::vector<Pick> picks;
+  std::size_t count = 0;
+  for (const auto& list : aSteps) {
+    count += list.size();
+  }
+  picks.reserve(count);
+  for (std::uint32_t i = 0; i < aSteps.size(); ++i) {
+    for (const Sample& sample : aSteps[i]) {
+      const std::chrono::duration<double> age = aNow - sample.at;
+      const double runTimes =
+        age.count() / std::exp(static_cast<double>(sample.logRunTime));
+      picks.push_back(
+        { &sample,
+          i,
+          static_cast<float>(std::exp2(-runTimes / kHalfLifeRunTimes)) });
     }
   }
-  return residuals;
+  std::sort(
+    picks.begin(), picks.end(), [](const Pick& aLeft, const Pick& aRight) {
+      return std::tuple(aLeft.sample->worker, aRight.sample->at, aLeft.step) <
+             std::tuple(aRight.sample->worker, aLeft.sample->at, aRight.step);
+    });
+  return picks;
 }
 
 void
-WorkerSpeeds::FitWorkers(Residuals aResiduals, double aInheritedWeight)
+WorkerSpeeds::FitWorkers(const Steps& aSteps,
+                         std::span<const Pick> aPicks,
+                         double aInheritedWeight)
 {
-  this->workers.clear();
-  for (const auto& [agent, logSlowness] : this->inherited) {
-    this->workers[agent] = { logSlowness * aInheritedWeight / kInheritedWeight,
-                             aInheritedWeight };
+  std::vector<double> levels;
+  levels.reserve(aSteps.size());
+  for (const auto& list : aSteps) {
+    levels.push_back(this->LevelOf(list));
   }
-  for (auto& [agent, list] : aResiduals) {
-    const std::size_t count = std::min(list.size(), kMaxSamplesPerWorker);
-    std::partial_sort(list.begin(),
-                      list.begin() + static_cast<std::ptrdiff_t>(count),
-                      list.end(),
-                      [](const Residual& aLeft, const Residual& aRight) {
-                        return aLeft.at > aRight.at;
-                      });
-    list.resize(count);
-    std::vector<double> values;
-    Worker& worker = this->workers[agent];
-    for (const Residual& residual : list) {
-      values.push_back(residual.value);
-      worker.weight += residual.weight;
-    }
-    const auto known = this->inherited.find(agent);
-    if (known == this->inherited.end()) {
-      worker.logSlowness = MedianOf(std::move(values)) * worker.weight /
-                           (worker.weight + kPriorWeight);
-      continue;
+  for (const auto& [agent, index] : this->indexOf) {
+    this->FitWorker(this->workers[index], {}, levels, aInheritedWeight);
+  }
+  for (std::size_t first = 0; first < aPicks.size();) {
+    const std::uint32_t worker = aPicks[first].sample->worker;
+    std::size_t end = first;
+    while (end < aPicks.size() && aPicks[end].sample->worker == worker) {
+      ++end;
     }
-    // What is inherited takes the place of the prior as long as it counts.
-    const double own = worker.weight - aInheritedWeight;
-    worker.logSlowness =
-      (MedianOf(std::move(values)) * own + known->second * aInheritedWeight) /
-      (worker.weight +
-       kPriorWeight * (1 - aInheritedWeight / kInheritedWeight));
+    const std::size_t count = std::min(end - first, kMaxSamplesPerWorker);
+    this->FitWorker(this->workers[worker],
+                    aPicks.subspan(first, count),
+                    levels,
+                    aInheritedWeight);
+    first = end;
   }
 }
 
 void
-WorkerSpeeds::Centre()
+WorkerSpeeds::FitWorker(Worker& aWorker,
+                        std::span<const Pick> aPicks,
+                        std::span<const double> aLevels,
+                        double aInheritedWeight) const
 {
-  if (this->workers.empty()) {
-    return;
+  std::vector<double> values;
+  values.reserve(aPicks.size());
+  double own = 0;
+  for (const Pick& pick : aPicks) {
+    values.push_back(pick.sample->logRunTime - aLevels[pick.step]);
+    own += pick.weight;
   }
+  const double inheritedWeight = aWorker.inherited ? aInheritedWeight : 0;
+  // What is inherited takes the place of the prior as long as it counts.
+  const double total = own + inheritedWeight +
+                       kPriorWeight * (1 - inheritedWeight / kInheritedWeight);
+  const double sum =
+    (values.empty() ? 0 : MedianOf(std::move(values)) * own) +
+    static_cast<double>(aWorker.inherited.value_or(0)) * inheritedWeight;
+  aWorker.logSlowness = static_cast<float>(sum / total);
+  aWorker.weight = static_cast<float>(own + inheritedWeight);
+}
+
+void
+WorkerSpeeds::Centre()
+{
   std::vector<double> values;
-  for (const auto& [agent, worker] : this->workers) {
-    values.push_back(worker.logSlowness);
+  for (const auto& [agent, index] : this->indexOf) {
+    // Workers without samples that count are neither normal nor unusual.
+    if (this->workers[index].weight > 0) {
+      values.push_back(this->workers[index].logSlowness);
+    }
   }
-  const double centre = MedianOf(std::move(values));
-  for (auto& [agent, worker] : this->workers) {
-    worker.logSlowness -= centre;
+  if (values.empty()) {
+    return;
+  }
+  const auto centre = static_cast<float>(MedianOf(std::move(values)));
+  for (const auto& [agent, index] : this->indexOf) {
+    if (this->workers[index].weight > 0) {
+      this->workers[index].logSlowness -= centre;
+    }
   }
 }
 
@@ -209,10 +313,10 @@
 WorkerSpeeds::UpdateUnevenness(double aInheritedWeight)
 {
   const bool wasUneven = this->wereUneven && aInheritedWeight >= kKnownWeight;
-  std::vector<double> known;
-  for (const auto& [agent, worker] : this->workers) {
-    if (worker.weight >= kKnownWeight) {
-      known.push_back(worker.logSlowness);
+  std::vector<float> known;
+  for (const auto& [agent, index] : this->indexOf) {
+    if (this->workers[index].weight >= kKnownWeight) {
+      known.push_back(this->workers[index].logSlowness);
     }
   }
   if (known.size() < kMinWorkers) {
@@ -222,7 +326,7 @@
   std::sort(known.begin(), known.end());
   const auto skipped =
     static_cast<std::size_t>(kTail * static_cast<double>(known.size()));
-  const double ratio = known[known.size() - 1 - skipped] - known[skipped];
+  const float ratio = known[known.size() - 1 - skipped] - known[skipped];
   this->areUneven = wasUneven || ratio >= std::log(kUnevenRatio);
 }
 
@@ -230,7 +334,7 @@
 WorkerSpeeds::InheritedWeight(base::TimePoint aNow) const
 {
   const std::chrono::duration<double> age = aNow - this->inheritedAt;
-  return this->inherited.empty()
+  return this->inheritedWorkers == 0
            ? 0
            : kInheritedWeight *
                std::exp2(-age.count() / kInheritedHalfLifeSeconds);
@@ -240,10 +344,12 @@
 WorkerSpeeds::Summarize() const
 {
   std::vector<WorkerSummary> unusual;
-  for (const auto& [agent, worker] : this->workers) {
+  for (const auto& [agent, index] : this->indexOf) {
+    const Worker& worker = this->workers[index];
+    const double logSlowness = worker.logSlowness;
     if (worker.weight >= kKnownWeight &&
-        std::abs(worker.logSlowness) >= std::log(kNormalRatio)) {
-      unusual.push_back({ agent, std::exp(worker.logSlowness) });
+        std::abs(logSlowness) >= std::log(kNormalRatio)) {
+      unusual.push_back({ agent, std::exp(logSlowness) });
     }
   }
   std::stable_sort(unusual.begin(),
@@ -265,13 +371,16 @@
 {
   for (const WorkerSummary& each :
        aWorkers.first(std::min(aWorkers.size(), kMaxSummaryWorkers))) {
-    this->inherited[each.worker] =
-      std::log(std::clamp(each.slowness, 1 / kMaxRatio, kMaxRatio));
+    if (const auto index = this->FindOrAdd(each.worker)) {
+      this->workers[*index].inherited = static_cast<float>(
+        std::log(std::clamp(each.slowness, 1 / kMaxRatio, kMaxRatio)));
+    }
   }
+  this->inheritedWorkers = this->indexOf.size();
   this->inheritedAt = aNow;
   this->fittedAt = aNow;
-  this->wereUneven = aAreUneven && !this->inherited.empty();
-  this->FitWorkers({}, kInheritedWeight);
+  this->wereUneven = aAreUneven && this->inheritedWorkers > 0;
+  this->FitWorkers({}, {}, kInheritedWeight);
   this->areUneven = this->wereUneven;
 }
 
--- a/libs/estimation/src/WorkerSpeeds.h
+++ b/libs/estimation/src/WorkerSpeeds.h
@@ -6,8 +6,10 @@
 #include "amaranthwind/job/TaskId.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -42,30 +44,51 @@
 private:
   struct Sample
   {
-    base::AgentId worker;
-    double logRunTime = 0;
-    base::Duration runTime{};
+    /** Index in `workers`. */
+    std::uint32_t worker = 0;
+    float logRunTime = 0;
     base::TimePoint at;
   };
+  using Index = std::map<base::AgentId, std::uint32_t>;
   struct Worker
   {
-    double logSlowness = 0;
+    Index::iterator entry;
+    /** Number of samples; a worker with none is forgotten. */
+    std::uint32_t samples = 0;
+    float logSlowness = 0;
     /** Weight of the evidence; 1 is one recent sample. */
-    double weight = 0;
+    float weight = 0;
+    /** Logarithm of the slowness that a predecessor knew. */
+    std::optional<float> inherited;
   };
-  /** Difference between a sample and what is usual for its step. */
-  struct Residual
+  /** A sample that counts for its worker. */
+  struct Pick
   {
-    double value = 0;
-    double weight = 0;
-    base::TimePoint at;
+    const Sample* sample = nullptr;
+    /** Number of its step among those that are fitted. */
+    std::uint32_t step = 0;
+    float weight = 0;
   };
-  using Residuals = std::map<base::AgentId, std::vector<Residual>>;
+  /** The samples of the steps that are fitted. */
+  using Steps = std::vector<std::span<const Sample>>;
 
+  /** Returns nothing if too many workers are known. */
+  std::optional<std::uint32_t> FindOrAdd(const base::AgentId& aWorker);
+  void RemoveSamples(std::span<const Sample> aSamples);
+  void ForgetInherited();
+  Steps CollectSteps() const;
+  /** The samples that count, by worker. */
+  std::vector<Pick> PickSamples(const Steps& aSteps,
+                                base::TimePoint aNow) const;
   /** Logarithm of the run time of the step on a worker of normal speed. */
   double LevelOf(std::span<const Sample> aSamples) const;
-  Residuals CollectResiduals(base::TimePoint aNow) const;
-  void FitWorkers(Residuals aResiduals, double aInheritedWeight);
+  void FitWorkers(const Steps& aSteps,
+                  std::span<const Pick> aPicks,
+                  double aInheritedWeight);
+  void FitWorker(Worker& aWorker,
+                 std::span<const Pick> aPicks,
+                 std::span<const double> aLevels,
+                 double aInheritedWeight) const;
   double InheritedWeight(base::TimePoint aNow) const;
   void Centre();
   void UpdateUnevenness(double aInheritedWeight);
@@ -73,9 +96,11 @@
   std::map<job::StepId, std::vector<Sample>> samples;
   /** The keys of `samples`, oldest first. */
   std::deque<job::StepId> steps;
-  std::map<base::AgentId, Worker> workers;
-  /** Logarithm of the slowness that a predecessor knew. */
-  std::map<base::AgentId, double> inherited;
+  Index indexOf;
+  /** Those that `indexOf` does not refer to can be used again. */
+  std::vector<Worker> workers;
+  std::vector<std::uint32_t> unused;
+  std::size_t inheritedWorkers = 0;
   base::TimePoint inheritedAt{};
   bool wereUneven = false;
   base::TimePoint fittedAt{};
