--- a/libs/codec/benchmark/LearnedBenchmark.cpp
+++ b/libs/codec/benchmark/LearnedBenchmark.cpp
@@ -38,7 +38,7 @@
 estimation::RunObservation
 MakeRun(std::uint32_t aStep, std::uint32_t aTask)
 {
-  const std::uint32_t worker = (aStep * 53 + aTask * 12) % kWorkers;
+  const std::uint32_t worker = (aStep * 53 + aTask * 37) % kWorkers;
   const double slowness = worker % 4 == 0 ? 2.2 : 1.0 + worker % 10 * 0.01;
   estimation::RunObservation run;
   run.workload = {
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -92,6 +92,14 @@
   /** Latest gang run whose failure was counted. */
   std::uint32_t failedRun = 0;
   std::optional<base::TimePoint> readyAt;
+  /**
+   * Prediction for its tasks at predictedAt. All runs of a pool ask for it in
+   * one pass.
+   */
+  mutable std::optional<estimation::RunTimePrediction> prediction;
+  mutable base::TimePoint predictedAt{};
+  /** By what its gang was slower at that time; 0 if it is none. */
+  mutable double gangSlowdown = 0;
 
   bool IsDone() const noexcept;
 };
--- a/libs/dispatch/src/RunTimes.cpp
+++ b/libs/dispatch/src/RunTimes.cpp
@@ -132,6 +132,9 @@
              ? base::RackId()
              : found->second.info->rack;
   };
+  if (!spec.isGang && spec.dataRack.IsEmpty()) {
+    return this->SlownessOf(aWorker);
+  }
   const base::RackId rack = rackOf(aTask);
   const bool isAwayFromData = !spec.dataRack.IsEmpty() && rack != spec.dataRack;
   const bool isSpread =
@@ -226,13 +229,22 @@
                                      const Step& aStep,
                                      const Task& aTask) const
 {
-  const job::WorkflowSpec& spec = *this->jobs.at(aStep.id.job).spec;
-  const auto prediction = this->runTimes->Predict(
-    WorkloadOf(spec), spec.steps[aStep.id.step].estimate);
+  if (aStep.predictedAt != this->callTime.now) {
+    const job::WorkflowSpec& spec = *this->jobs.at(aStep.id.job).spec;
+    aStep.prediction = this->runTimes->Predict(
+      WorkloadOf(spec), spec.steps[aStep.id.step].estimate);
+    aStep.gangSlowdown = spec.steps[aStep.id.step].isGang
+                           ? this->SlowdownOf(aStep, aTask, aWorker)
+                           : 0.0;
+    aStep.predictedAt = this->callTime.now;
+  }
+  const auto& prediction = aStep.prediction;
   if (!prediction) {
     return std::nullopt;
   }
-  const double slowdown = this->SlowdownOf(aStep, aTask, aWorker);
+  const double slowdown = aStep.gangSlowdown > 0
+                            ? aStep.gangSlowdown
+                            : this->SlowdownOf(aStep, aTask, aWorker);
   const base::Duration elapsed = this->callTime.now - aTask.startedAt;
   const base::Duration total =
     Scaled(prediction->MedianAfter(Scaled(elapsed, 1 / slowdown)), slowdown);
