--- a/libs/estimation/src/WorkerSpeeds.cpp
+++ b/libs/estimation/src/WorkerSpeeds.cpp
@@ -12,14 +12,14 @@
 namespace {
 
 /**
- * With these limits the learner keeps below 256 KB, see learned_benchmark: four
- * samples of each of 775 workers.
+ * With these limits the learner keeps below 256 KB, see learned_benchmark:
+ * three samples of each of 775 workers.
  */
-constexpr std::size_t kMaxSteps = 48;
+constexpr std::size_t kMaxSteps = 40;
 /** The logarithm of 0 would spread to the speeds of all workers. */
 constexpr base::Duration kMinRunTime = std::chrono::milliseconds(1);
 constexpr std::size_t kMaxSamplesPerStep = 64;
-constexpr std::size_t kMaxWorkers = 1024;
+constexpr std::size_t kMaxWorkers = 800;
 /** With fewer workers, the step's own work cannot be told from their speed. */
 constexpr std::ptrdiff_t kMinWorkersPerStep = 3;
 /** Newest samples of a worker that count, so that it can change its speed. */
@@ -217,21 +217,26 @@
     count += list.size();
   }
   picks.reserve(count);
-  for (std::uint32_t i = 0; i < aSteps.size(); ++i) {
-    for (const Sample& sample : aSteps[i]) {
+  for (std::size_t i = 0; i < aSteps.size(); ++i) {
+    for (std::size_t k = 0; k < aSteps[i].size(); ++k) {
+      const Sample& sample = aSteps[i][k];
       const std::chrono::duration<double> age = aNow - sample.at;
       const double runTimes =
         age.count() / std::exp(static_cast<double>(sample.logRunTime));
       picks.push_back(
-        { &sample,
-          i,
+        { static_cast<std::uint16_t>(i),
+          static_cast<std::uint16_t>(k),
           static_cast<float>(std::exp2(-runTimes / kHalfLifeRunTimes)) });
     }
   }
+  const auto rank = [&](const Pick& aPick) {
+    const Sample& sample = aSteps[aPick.step][aPick.position];
+    return std::tuple(
+      sample.worker, -sample.at.time_since_epoch(), aPick.step, aPick.position);
+  };
   std::sort(
-    picks.begin(), picks.end(), [](const Pick& aLeft, const Pick& aRight) {
-      return std::tuple(aLeft.sample->worker, aRight.sample->at, aLeft.step) <
-             std::tuple(aRight.sample->worker, aLeft.sample->at, aRight.step);
+    picks.begin(), picks.end(), [&](const Pick& aLeft, const Pick& aRight) {
+      return rank(aLeft) < rank(aRight);
     });
   return picks;
 }
@@ -247,16 +252,20 @@
     levels.push_back(this->LevelOf(list));
   }
   for (const auto& [agent, index] : this->indexOf) {
-    this->FitWorker(this->workers[index], {}, levels, aInheritedWeight);
+    this->FitWorker(this->workers[index], aSteps, {}, levels, aInheritedWeight);
   }
+  const auto workerOf = [&](const Pick& aPick) {
+    return aSteps[aPick.step][aPick.position].worker;
+  };
   for (std::size_t first = 0; first < aPicks.size();) {
-    const std::uint32_t worker = aPicks[first].sample->worker;
+    const std::uint32_t worker = workerOf(aPicks[first]);
     std::size_t end = first;
-    while (end < aPicks.size() && aPicks[end].sample->worker == worker) {
+    while (end < aPicks.size() && workerOf(aPicks[end]) == worker) {
       ++end;
     }
     const std::size_t count = std::min(end - first, kMaxSamplesPerWorker);
     this->FitWorker(this->workers[worker],
+                    aSteps,
                     aPicks.subspan(first, count),
                     levels,
                     aInheritedWeight);
@@ -266,6 +275,7 @@
 
 void
 WorkerSpeeds::FitWorker(Worker& aWorker,
+                        const Steps& aSteps,
                         std::span<const Pick> aPicks,
                         std::span<const double> aLevels,
                         double aInheritedWeight) const
@@ -274,7 +284,8 @@
   values.reserve(aPicks.size());
   double own = 0;
   for (const Pick& pick : aPicks) {
-    values.push_back(pick.sample->logRunTime - aLevels[pick.step]);
+    values.push_back(aSteps[pick.step][pick.position].logRunTime -
+                     aLevels[pick.step]);
     own += pick.weight;
   }
   const double inheritedWeight = aWorker.inherited ? aInheritedWeight : 0;
--- a/libs/estimation/src/WorkerSpeeds.h
+++ b/libs/estimation/src/WorkerSpeeds.h
@@ -64,9 +64,10 @@
   /** A sample that counts for its worker. */
   struct Pick
   {
-    const Sample* sample = nullptr;
     /** Number of its step among those that are fitted. */
-    std::uint32_t step = 0;
+    std::uint16_t step = 0;
+    /** Position among the samples of the step. */
+    std::uint16_t position = 0;
     float weight = 0;
   };
   /** The samples of the steps that are fitted. */
@@ -86,6 +87,7 @@
                   std::span<const Pick> aPicks,
                   double aInheritedWeight);
   void FitWorker(Worker& aWorker,
+                 const Steps& aSteps,
                  std::span<const Pick> aPicks,
                  std::span<const double> aLevels,
                  double aInheritedWeight) const;
