Expect a run that is long overdue to take as long again

With predictions, such a run was expected to end within a twentieth of its time so far, so that the reservation of a step that waits for it held back others for minutes; without predictions it is not.

--- a/libs/dispatch/src/RunTimes.cpp
+++ b/libs/dispatch/src/RunTimes.cpp
@@ -248,7 +248,12 @@
   const base::Duration elapsed = this->callTime.now - aTask.startedAt;
   const base::Duration total =
     Scaled(prediction->MedianAfter(Scaled(elapsed, 1 / slowdown)), slowdown);
-  return std::max(total - elapsed, total / kMinRemainingDivisor);
+  // A run that is long overdue is expected to take as long again as it is
+  // overdue, as without predictions: longer and longer jobs pass a step that
+  // waits for a run that may never end.
+  return std::max({ total - elapsed,
+                    total / kMinRemainingDivisor,
+                    elapsed - Scaled(prediction->High(), slowdown) });
 }
 
 } // namespace amaranthwind::dispatch
--- a/libs/dispatch/tests/RunTimesTest.cpp
+++ b/libs/dispatch/tests/RunTimesTest.cpp
@@ -406,3 +406,30 @@
   REQUIRE_FALSE(harness.Learned()->workloads.empty());
   CHECK(harness.Learned()->workloads.front().weight <= 2.5);
 }
+
+// Guards against a step that is held back for minutes by the reservation of a
+// gang that waits for a run that does not end.
+TEST_CASE("a run that is long overdue does not hold up others for long")
+{
+  LoadHarness harness(3, true);
+  harness.slowness = { { "vm-0", 1e9 }, { "vm-1", 1e9 }, { "vm-2", 1e9 } };
+  auto stuck = DispatcherHarness::MakeJob("batch1", 2, 8);
+  stuck.steps[0].estimate = 2s;
+  harness.SubmitWork(stuck, 2s);
+  harness.Play(1s);
+  auto gang = DispatcherHarness::MakeJob("a-gang", 3, 8);
+  gang.steps[0].isGang = true;
+  gang.steps[0].estimate = 2s;
+  gang.slack = 600s; // It stays in time, and so before the other step.
+  harness.SubmitWork(gang, 2s);
+  harness.Play(200ms);
+  auto next = DispatcherHarness::MakeJob("batch2", 1, 8);
+  next.steps[0].estimate = 10s;
+  harness.SubmitWork(next, 10s);
+  harness.Play(25s);
+  std::size_t running = 0;
+  for (const auto& [name, agent] : harness.agents) {
+    running += agent.running.size();
+  }
+  CHECK(running == 3);
+}
