--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -92,6 +92,14 @@
   /** Latest gang run whose failure was counted. */
   std::uint32_t failedRun = 0;
   std::optional<base::TimePoint> readyAt;
+  /**
+   * Prediction for its tasks at predictedAt. All runs of a pool ask for it in
+   * one pass.
+   */
+  mutable std::optional<estimation::RunTimePrediction> prediction;
+  mutable base::TimePoint predictedAt{};
+  /** By what its gang was slower at that time; 0 if it is none. */
+  mutable double gangSlowdown = 0;
 
   bool IsDone() const noexcept;
 };
@@ -539,6 +547,14 @@
   std::vector<std::uint32_t> PackGang(const Candidate& aCandidate,
                                       const UsableWorkers& aUsable,
                                       const RackedRequest& aRequest) const;
+  /**
+   * Whether workers that are faster than the given slowness would hold the gang
+   * if they were empty.
+   */
+  bool FitsFasterWorkers(const Candidate& aCandidate,
+                         const UsableWorkers& aUsable,
+                         const RackedRequest& aRequest,
+                         double aSlowness) const;
   /** Chooses a worker for one of many independent tasks. */
   std::vector<std::uint32_t> PackTask(const Candidate& aCandidate,
                                       const UsableWorkers& aUsable,
--- a/libs/dispatch/src/RunTimes.cpp
+++ b/libs/dispatch/src/RunTimes.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t kLearnedProgressPercent = 40;
 /** A run is assumed to need at least this part of its run time more. */
 constexpr int kMinRemainingDivisor = 20;
+/** Longer than workers take to report progress, some half a second. */
+constexpr base::Duration kMaxProgressAge = std::chrono::milliseconds(1500);
 
 base::Duration
 Scaled(base::Duration aDuration, double aFactor)
@@ -130,6 +132,9 @@
              ? base::RackId()
              : found->second.info->rack;
   };
+  if (!spec.isGang && spec.dataRack.IsEmpty()) {
+    return this->SlownessOf(aWorker);
+  }
   const base::RackId rack = rackOf(aTask);
   const bool isAwayFromData = !spec.dataRack.IsEmpty() && rack != spec.dataRack;
   const bool isSpread =
@@ -168,6 +173,8 @@
         this->ExpectedRunTime(spec, aStep.id.step) });
     this->runTimes->OnCompleted(run, this->callTime.now);
   } else if (aKind != EndKind::Failed) {
+    // Each member of a gang reports an end of its own.
+    run.stepTasks = spec.steps[aStep.id.step].count;
     this->runTimes->OnInterrupted(run, this->callTime.now);
   }
 }
@@ -209,8 +216,12 @@
   const base::Duration left = (last->at - first->at) *
                               (kAllPercent - last->percent) /
                               (last->percent - first->percent);
-  return std::max(left - (this->callTime.now - last->at),
-                  left / kMinRemainingDivisor);
+  const base::Duration since = this->callTime.now - last->at;
+  if (since > std::max(2 * left, kMaxProgressAge)) {
+    // The run has stopped making progress; its end is not near.
+    return std::nullopt;
+  }
+  return std::max(left - since, left / kMinRemainingDivisor);
 }
 
 std::optional<base::Duration>
@@ -218,17 +229,31 @@
                                      const Step& aStep,
                                      const Task& aTask) const
 {
-  const job::WorkflowSpec& spec = *this->jobs.at(aStep.id.job).spec;
-  const auto prediction = this->runTimes->Predict(
-    WorkloadOf(spec), spec.steps[aStep.id.step].estimate);
+  if (aStep.predictedAt != this->callTime.now) {
+    const job::WorkflowSpec& spec = *this->jobs.at(aStep.id.job).spec;
+    aStep.prediction = this->runTimes->Predict(
+      WorkloadOf(spec), spec.steps[aStep.id.step].estimate);
+    aStep.gangSlowdown = spec.steps[aStep.id.step].isGang
+                           ? this->SlowdownOf(aStep, aTask, aWorker)
+                           : 0.0;
+    aStep.predictedAt = this->callTime.now;
+  }
+  const auto& prediction = aStep.prediction;
   if (!prediction) {
     return std::nullopt;
   }
-  const double slowdown = this->SlowdownOf(aStep, aTask, aWorker);
+  const double slowdown = aStep.gangSlowdown > 0
+                            ? aStep.gangSlowdown
+                            : this->SlowdownOf(aStep, aTask, aWorker);
   const base::Duration elapsed = this->callTime.now - aTask.startedAt;
   const base::Duration total =
     Scaled(prediction->MedianAfter(Scaled(elapsed, 1 / slowdown)), slowdown);
-  return std::max(total - elapsed, total / kMinRemainingDivisor);
+  // A run that is long overdue is expected to take as long again as it is
+  // overdue, as without predictions: longer and longer jobs pass a step that
+  // waits for a run that may never end.
+  return std::max({ total - elapsed,
+                    total / kMinRemainingDivisor,
+                    elapsed - Scaled(prediction->High(), slowdown) });
 }
 
 } // namespace amaranthwind::dispatch
--- a/libs/dispatch/tests/RunTimesTest.cpp
+++ b/libs/dispatch/tests/RunTimesTest.cpp
@@ -255,3 +255,181 @@
   CHECK(play(true) == 0);
   CHECK(play(false) > 0);
 }
+
+// Guards against a learner that is never told of completed runs, or once for
+// each member of a gang, which makes one gang outweigh many single runs.
+TEST_CASE("each completed run is learned once")
+{
+  LoadHarness harness(8, true);
+  auto batch = DispatcherHarness::MakeJob("batch", 8, 4);
+  batch.steps[0].estimate = 2s;
+  harness.SubmitWork(batch, 4s);
+  harness.Play(8s);
+  auto learned = harness.Learned();
+  REQUIRE(learned.has_value());
+  REQUIRE(learned->workloads.size() == 2); // The kind and the workload.
+  // All tasks of the step count as four runs.
+  CHECK(learned->workloads[0].weight == doctest::Approx(4).epsilon(0.1));
+  CHECK(learned->workloads[0].runTime > 3s);
+  CHECK(learned->workloads[0].runTime < 5s);
+  auto gang = MakeUrgentGang("gang", 8, 4, 2s);
+  gang.kind = base::WorkKindId("gangs");
+  harness.SubmitWork(gang, 2s);
+  harness.Play(8s);
+  learned = harness.Learned();
+  double weight = 0;
+  for (const auto& each : learned->workloads) {
+    weight += each.workload.kind == gang.kind ? each.weight / 2 : 0;
+  }
+  CHECK(weight == doctest::Approx(1));
+}
+
+// Guards against a run time that is counted from the takeover although the run
+// began long before.
+TEST_CASE("a run that was inherited without progress is not learned")
+{
+  LoadHarness harness(2, true);
+  auto batch = DispatcherHarness::MakeJob("batch", 1, 4);
+  batch.steps[0].estimate = 60s;
+  harness.SubmitWork(batch, 60s);
+  harness.Play(400ms);
+  harness.TakeOver();
+  harness.Play(62s);
+  CHECK(harness.CompletionTime("batch") < 62s);
+  CHECK(harness.runTimes.empty());
+}
+
+// Guards against an objective that moves with the prediction: stopping work for
+// a job that will miss what its caller was promised.
+TEST_CASE("the objective follows from the caller's estimate")
+{
+  LoadHarness harness(2, true);
+  for (int i = 0; i < 8; ++i) {
+    harness.SubmitWork(MakeUrgentGang("known" + std::to_string(i), 2, 8, 2s),
+                       8s);
+    harness.Play(9s);
+  }
+  for (const char* name : { "batch1", "batch2" }) {
+    auto batch = DispatcherHarness::MakeJob(name, 1, 8);
+    batch.steps[0].estimate = 30s;
+    harness.SubmitWork(batch, 30s);
+  }
+  harness.Play(500ms);
+  const std::size_t stops = harness.stops.size();
+  harness.SubmitWork(MakeUrgentGang("hopeless", 2, 8, 2s), 8s);
+  harness.Play(2s);
+  CHECK(harness.stops.size() == stops);
+}
+
+// Guards against a gang that waits for minutes for room on faster workers.
+TEST_CASE("a long gang does not wait long for faster workers")
+{
+  LoadHarness harness(4, false);
+  harness.makeLearner = [] {
+    estimation::LearnedSummary summary;
+    summary.hasUnevenWorkers = true;
+    for (const char* name : { "vm-0", "vm-1" }) {
+      summary.workers.push_back({ base::AgentId(name), 2.2 });
+    }
+    auto learner = std::make_unique<estimation::LearnedRunTimes>();
+    learner->Restore(summary, base::TimePoint(1h));
+    return learner;
+  };
+  harness.TakeOver();
+  auto gang = MakeUrgentGang("gang", 2, 8, 900s);
+  bool mustWait = true;
+  SUBCASE("that are busy")
+  {
+    for (const char* name : { "batch1", "batch2" }) {
+      auto batch = DispatcherHarness::MakeJob(name, 1, 8);
+      batch.urgency = 0;
+      batch.steps[0].estimate = 900s;
+      batch.steps[0].requiredLabel = "fast";
+      harness.SubmitWork(batch, 900s);
+    }
+  }
+  SUBCASE("that could never hold it")
+  {
+    gang.steps[0].count = 3;
+    mustWait = false;
+  }
+  for (const char* name : { "vm-2", "vm-3" }) {
+    harness.agents.at(name).info.labels = { "fast" };
+    harness.Report(name);
+  }
+  harness.Play(1s);
+  harness.SubmitWork(gang, 900s);
+  harness.Play(mustWait ? 8s : 1s);
+  CHECK_FALSE(harness.agents.at("vm-0").running.empty());
+  CHECK_FALSE(harness.agents.at("vm-1").running.empty());
+}
+
+// Guards against an urgent gang that waits for runs that make no progress any
+// more.
+TEST_CASE("a run that is stuck does not count as nearly done")
+{
+  LoadHarness harness(2, true);
+  for (const char* name : { "batch1", "batch2" }) {
+    auto batch = DispatcherHarness::MakeJob(name, 8, 1);
+    batch.steps[0].estimate = 1500ms;
+    harness.SubmitWork(batch, 1500ms);
+  }
+  harness.Play(900ms);
+  harness.slowness = { { "vm-0", 1e9 }, { "vm-1", 1e9 } };
+  harness.Play(3s);
+  CHECK(harness.stops.empty());
+  harness.SubmitWork(MakeUrgentGang("urgent", 2, 8, 14s), 14s);
+  harness.Play(500ms);
+  CHECK_FALSE(harness.stops.empty());
+}
+
+// Guards against one stopped gang that outweighs many runs.
+TEST_CASE("the members of a stopped gang are learned as one run")
+{
+  LoadHarness harness(8, true);
+  harness.SubmitWork(MakeUrgentGang("gang", 64, 1, 1s), 1000s);
+  harness.Play(20s);
+  std::vector<job::TaskRun> runs;
+  for (const auto& [name, agent] : harness.agents) {
+    for (const auto& [run, task] : agent.running) {
+      runs.push_back(run);
+    }
+  }
+  REQUIRE(runs.size() == 64);
+  for (const auto& run : runs) {
+    harness.End(run, EndKind::Stopped);
+  }
+  for (const char* name :
+       { "vm-0", "vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7" }) {
+    harness.Report(name);
+  }
+  REQUIRE_FALSE(harness.Learned()->workloads.empty());
+  CHECK(harness.Learned()->workloads.front().weight <= 2.5);
+}
+
+// Guards against a step that is held back for minutes by the reservation of a
+// gang that waits for a run that does not end.
+TEST_CASE("a run that is long overdue does not hold up others for long")
+{
+  LoadHarness harness(3, true);
+  harness.slowness = { { "vm-0", 1e9 }, { "vm-1", 1e9 }, { "vm-2", 1e9 } };
+  auto stuck = DispatcherHarness::MakeJob("batch1", 2, 8);
+  stuck.steps[0].estimate = 2s;
+  harness.SubmitWork(stuck, 2s);
+  harness.Play(1s);
+  auto gang = DispatcherHarness::MakeJob("a-gang", 3, 8);
+  gang.steps[0].isGang = true;
+  gang.steps[0].estimate = 2s;
+  gang.slack = 600s; // It stays in time, and so before the other step.
+  harness.SubmitWork(gang, 2s);
+  harness.Play(200ms);
+  auto next = DispatcherHarness::MakeJob("batch2", 1, 8);
+  next.steps[0].estimate = 10s;
+  harness.SubmitWork(next, 10s);
+  harness.Play(25s);
+  std::size_t running = 0;
+  for (const auto& [name, agent] : harness.agents) {
+    running += agent.running.size();
+  }
+  CHECK(running == 3);
+}
--- a/libs/estimation/src/LearnedRunTimes.cpp
+++ b/libs/estimation/src/LearnedRunTimes.cpp
@@ -1,13 +1,13 @@
 #include "amaranthwind/estimation/LearnedRunTimes.h"
 
+#include "NormalDistribution.h"
 #include "RunTimeRegression.h"
 #include "WorkerSpeeds.h"
 
-#include <boost/math/distributions/normal.hpp>
-
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <tuple>
 
 namespace amaranthwind::estimation {
 
@@ -16,8 +16,8 @@
 /** Spread of run times around the callers' estimates before any run ended. */
 constexpr double kPriorSpread = 0.5;
 /** Limits of what is kept by kind of work, and by kind and account. */
-constexpr std::size_t kMaxKinds = 128;
-constexpr std::size_t kMaxWorkloads = 512;
+constexpr std::size_t kMaxKinds = 64;
+constexpr std::size_t kMaxWorkloads = 256;
 /** All tasks of a step together count as at most this many observations. */
 constexpr double kMaxStepWeight = 4;
 /** Weight of an interrupted run: the time that it lacked is not known. */
@@ -35,7 +35,7 @@
 double
 ExpectedAbove(double aBound, double aMean, double aSpread)
 {
-  const boost::math::normal normal;
+  const Normal normal;
   const double z = (aBound - aMean) / aSpread;
   const double tail = boost::math::cdf(boost::math::complement(normal, z));
   constexpr double kMinTail = 1e-9;
@@ -132,8 +132,11 @@
   if (!line) {
     return std::nullopt;
   }
-  const double median =
-    std::exp(hasEstimate ? line->At(LogSeconds(aEstimate)) : line->level);
+  // A longer time would not fit base::Duration; the prediction has a limit.
+  constexpr double kMaxSeconds = 1e9;
+  const double median = std::min(
+    kMaxSeconds,
+    std::exp(hasEstimate ? line->At(LogSeconds(aEstimate)) : line->level));
   return RunTimePrediction(std::chrono::duration_cast<base::Duration>(
                              std::chrono::duration<double>(median)),
                            line->spread);
@@ -199,4 +202,50 @@
   this->impl->speeds.Refit(aNow);
 }
 
+LearnedSummary
+LearnedRunTimes::Summarize() const
+{
+  LearnedSummary summary;
+  summary.hasUnevenWorkers = this->impl->speeds.AreUneven();
+  summary.workers = this->impl->speeds.Summarize();
+  auto& list = summary.workloads;
+  for (const auto& [kind, regression] : this->impl->kinds) {
+    list.push_back(regression.Summarize({ base::AccountId(), kind }));
+  }
+  for (const auto& [workload, regression] : this->impl->workloads) {
+    // A workload without an account says the same as its kind.
+    if (!workload.account.IsEmpty()) {
+      list.push_back(regression.Summarize(workload));
+    }
+  }
+  std::stable_sort(
+    list.begin(),
+    list.end(),
+    [](const WorkloadSummary& aLeft, const WorkloadSummary& aRight) {
+      const auto rank = [](const WorkloadSummary& aEach) {
+        return std::tuple(!aEach.workload.account.IsEmpty(), -aEach.weight);
+      };
+      return rank(aLeft) < rank(aRight);
+    });
+  if (list.size() > kMaxSummaryWorkloads) {
+    list.resize(kMaxSummaryWorkloads);
+  }
+  return summary;
+}
+
+void
+LearnedRunTimes::Restore(const LearnedSummary& aSummary, base::TimePoint aNow)
+{
+  for (const WorkloadSummary& each : aSummary.workloads) {
+    if (!each.workload.account.IsEmpty()) {
+      if (this->impl->workloads.size() < kMaxWorkloads) {
+        this->impl->workloads[each.workload].Restore(each);
+      }
+    } else if (this->impl->kinds.size() < kMaxKinds) {
+      this->impl->kinds[each.workload.kind].Restore(each);
+    }
+  }
+  this->impl->speeds.Restore(aSummary.workers, aSummary.hasUnevenWorkers, aNow);
+}
+
 } // namespace amaranthwind::estimation
--- a/libs/estimation/src/WorkerSpeeds.h
+++ b/libs/estimation/src/WorkerSpeeds.h
@@ -2,11 +2,14 @@
 
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/Ids.h"
+#include "amaranthwind/estimation/LearnedSummary.h"
 #include "amaranthwind/job/TaskId.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -31,40 +34,78 @@
   double SlownessOf(const base::AgentId& aWorker) const;
   bool AreUneven() const noexcept { return this->areUneven; }
 
+  /** Workers of other than normal speed, the most unusual first. */
+  std::vector<WorkerSummary> Summarize() const;
+  /** Starts from the speeds that a predecessor knew at aNow. */
+  void Restore(std::span<const WorkerSummary> aWorkers,
+               bool aAreUneven,
+               base::TimePoint aNow);
+
 private:
   struct Sample
   {
-    base::AgentId worker;
-    double logRunTime = 0;
-    base::Duration runTime{};
+    /** Index in `workers`. */
+    std::uint32_t worker = 0;
+    float logRunTime = 0;
     base::TimePoint at;
   };
+  using Index = std::map<base::AgentId, std::uint32_t>;
   struct Worker
   {
-    double logSlowness = 0;
+    Index::iterator entry;
+    /** Number of samples; a worker with none is forgotten. */
+    std::uint32_t samples = 0;
+    float logSlowness = 0;
     /** Weight of the evidence; 1 is one recent sample. */
-    double weight = 0;
+    float weight = 0;
+    /** Logarithm of the slowness that a predecessor knew. */
+    std::optional<float> inherited;
   };
-  /** Difference between a sample and what is usual for its step. */
-  struct Residual
+  /** A sample that counts for its worker. */
+  struct Pick
   {
-    double value = 0;
-    double weight = 0;
-    base::TimePoint at;
+    /** Number of its step among those that are fitted. */
+    std::uint16_t step = 0;
+    /** Position among the samples of the step. */
+    std::uint16_t position = 0;
+    float weight = 0;
   };
-  using Residuals = std::map<base::AgentId, std::vector<Residual>>;
+  /** The samples of the steps that are fitted. */
+  using Steps = std::vector<std::span<const Sample>>;
 
+  /** Returns nothing if too many workers are known. */
+  std::optional<std::uint32_t> FindOrAdd(const base::AgentId& aWorker);
+  void RemoveSamples(std::span<const Sample> aSamples);
+  void ForgetInherited();
+  Steps CollectSteps() const;
+  /** The samples that count, by worker. */
+  std::vector<Pick> PickSamples(const Steps& aSteps,
+                                base::TimePoint aNow) const;
   /** Logarithm of the run time of the step on a worker of normal speed. */
   double LevelOf(std::span<const Sample> aSamples) const;
-  Residuals CollectResiduals(base::TimePoint aNow) const;
-  void FitWorkers(Residuals aResiduals);
+  void FitWorkers(const Steps& aSteps,
+                  std::span<const Pick> aPicks,
+                  double aInheritedWeight);
+  void FitWorker(Worker& aWorker,
+                 const Steps& aSteps,
+                 std::span<const Pick> aPicks,
+                 std::span<const double> aLevels,
+                 double aInheritedWeight) const;
+  double InheritedWeight(base::TimePoint aNow) const;
   void Centre();
-  void UpdateUnevenness();
+  void UpdateUnevenness(double aInheritedWeight);
 
   std::map<job::StepId, std::vector<Sample>> samples;
   /** The keys of `samples`, oldest first. */
   std::deque<job::StepId> steps;
-  std::map<base::AgentId, Worker> workers;
+  Index indexOf;
+  /** Those that `indexOf` does not refer to can be used again. */
+  std::vector<Worker> workers;
+  std::vector<std::uint32_t> unused;
+  std::size_t inheritedWorkers = 0;
+  base::TimePoint inheritedAt{};
+  bool wereUneven = false;
+  base::TimePoint fittedAt{};
   bool hasNewSamples = false;
   bool areUneven = false;
 };
