Withdraw placements of a worker that moves to an evacuated zone

A worker may state another zone in a later registration of the same life. Its placements that were not ordered yet then waited, neither ordered nor withdrawn, until the evacuated zones changed.

--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -151,7 +151,12 @@
                                      aInfo.isDraining ? "draining" : "ready");
       this->mustSchedule = true;
     }
+    const bool isMoved = aWorker.info->zone != aInfo.zone;
     aWorker.info = aInfo;
+    if (isMoved) {
+      this->mustSchedule = true;
+      this->WithdrawEvacuatedPlacements();
+    }
     return;
   }
   if (aWorker.info) {
--- a/libs/dispatch/tests/EvacuationTest.cpp
+++ b/libs/dispatch/tests/EvacuationTest.cpp
@@ -212,3 +212,29 @@
   harness.Submit(DispatcherHarness::MakeJob("j", 4, 8));
   CHECK(harness.Running("j").size() == 4);
 }
+
+// Guards against a placement that waits forever, neither ordered nor withdrawn,
+// since only a change of the evacuated zones withdrew placements.
+TEST_CASE("placements are withdrawn when their worker states an evacuated zone")
+{
+  ZonedHarness harness;
+  harness.Evacuate({ ZoneOf(0) });
+  harness.persistsImmediately = false;
+  auto job = DispatcherHarness::MakeJob("j", 1, 8);
+  job.steps[0].isGang = true;
+  harness.Submit(job);
+  REQUIRE(harness.PendingWrites() == 1);
+  harness.agents.at("vm-2").info.zone = ZoneOf(0);
+  harness.agents.at("vm-3").info.zone = ZoneOf(0);
+  harness.Report("vm-2");
+  harness.Report("vm-3");
+  harness.agents.at("vm-0").info.zone = ZoneOf(1);
+  harness.Report("vm-0");
+  harness.persistsImmediately = true;
+  harness.Persist();
+  harness.Run(2s);
+  // From vm-2 to vm-3, which moves next, and then to vm-0.
+  CHECK(harness.withdrawn.size() == 2);
+  REQUIRE(harness.Running("j").size() == 1);
+  CHECK(harness.AgentOf(harness.Running("j")[0]) == "vm-0");
+}
