Prefer other workers while a worker is cold

A worker states in its registration how much longer it is cold, for example after its zone was evacuated and taken back. The inner protocol carries the time in a field that older agents do not send.

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -57,7 +57,8 @@
 {
   this->EndIncarnation("replaced");
   this->workerInfo = aInfo;
-  this->incarnationStart = this->clock.Now();
+  this->registeredAt = this->clock.Now();
+  this->incarnationStart = this->registeredAt;
   this->lastWorkerId = aInfo.life.id;
   this->logger.Info("worker registered",
                     { { "worker", aInfo.life.id },
--- a/libs/agent/src/AgentReports.cpp
+++ b/libs/agent/src/AgentReports.cpp
@@ -65,6 +65,13 @@
   dispatch::WorkerReport report;
   report.agent = this->options.id;
   report.worker = this->workerInfo;
+  if (report.worker) {
+    // Without this, a worker would stay cold while its registrations fail.
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->clock.Now() - this->registeredAt);
+    auto& coldFor = report.worker->coldFor;
+    coldFor = std::max(coldFor - age, std::chrono::milliseconds::zero());
+  }
   for (const auto& [run, task] : this->listedTasks) {
     report.running.push_back(task);
   }
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -238,6 +238,8 @@
   /** Counts incarnations; responses to requests of earlier ones are dropped. */
   std::uint64_t incarnationNumber = 0;
   std::optional<dispatch::WorkerInfo> workerInfo;
+  /** When the worker sent the registration that workerInfo is from. */
+  TimePoint registeredAt{};
   base::TargetId lastWorkerId;
   std::uint64_t registrationSequence = 0;
   TimePoint incarnationStart{};
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -64,6 +64,7 @@
     const bool hasChanged = isDraining != self.workerInfo->isDraining;
     self.workerInfo = aWorker;
     self.workerInfo->isDraining = isDraining;
+    self.registeredAt = self.clock.Now();
     if (hasChanged) {
       self.logger.Info("worker draining", { { "worker", aWorker.life.id } });
       self.ReportChange();
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -310,6 +310,22 @@
   CHECK(fixture.coordinator.lastReport.ended.empty());
 }
 
+// Guards against a worker that stays cold for as long as its next registration
+// does not arrive.
+TEST_CASE("reports tell how much longer the worker is cold")
+{
+  Fixture fixture;
+  auto worker = MakeWorker();
+  worker.coldFor = 3s;
+  fixture.agent.OnRegistration(worker, 2);
+  fixture.Run(1s);
+  const auto reported = fixture.coordinator.lastReport.worker->coldFor;
+  CHECK(reported < 3s);
+  CHECK(reported >= 2s);
+  fixture.Run(4s);
+  CHECK(fixture.coordinator.lastReport.worker->coldFor == 0s);
+}
+
 // Guards against running a done task again after its worker's life was over.
 TEST_CASE("the ends of a life that is over are reported until acknowledged")
 {
--- a/libs/dispatch/include/amaranthwind/dispatch/WorkerReport.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/WorkerReport.h
@@ -88,6 +88,8 @@
   fleet::TaskResources capacity;
   /** Will shut down soon and accepts no new tasks. */
   bool isDraining = false;
+  /** How much longer its tasks take longer to start; zero if it is warm. */
+  std::chrono::milliseconds coldFor{};
 
   bool operator==(const WorkerInfo&) const = default;
 };
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -138,6 +138,12 @@
   base::TimePoint grantExpiresAt{};
   /** When the latest report was received. */
   base::TimePoint reportedAt{};
+  /** Until then it is cold, by its latest report. */
+  base::TimePoint coldUntil{};
+  /** Placements on it since it became cold. */
+  std::uint32_t coldStarts = 0;
+  /** State::warmStarts of its pool when it became cold. */
+  double warmStartsBefore = 0;
   fleet::TaskResources used;
   /** Runs that may be using resources of the worker. */
   std::map<job::TaskRun, fleet::TaskResources> allocations;
@@ -272,6 +278,9 @@
   std::uint64_t accelerators = 0;
   std::uint64_t usedMilliCores = 0;
   std::uint64_t milliCores = 0;
+  /** Number of workers by whether they are cold, also of those not in use. */
+  std::uint32_t coldWorkers = 0;
+  std::uint32_t warmWorkers = 0;
   /** Number of blocked steps with reservations. */
   std::size_t reservations = 0;
   /** By worker; nullopt if it has to be collected. */
@@ -323,6 +332,8 @@
   std::vector<fleet::TaskResources> reserved;
   /** Run time relative to a normal worker; empty if they are alike. */
   std::vector<double> slowness;
+  /** Whether the worker is cold; empty if none of the pool is. */
+  std::vector<bool> isCold;
 
   /** What is left of the given resources of the worker at this position. */
   fleet::TaskResources Unreserved(std::size_t aPosition,
@@ -334,6 +345,8 @@
     return aResources;
   }
   UsableWorkers Without(const Pool& aPool, const base::AgentId& aAgent) const;
+  /** Leaves no room on cold workers. */
+  UsableWorkers WithoutCold() const;
 };
 
 /** Request to place a number of a candidate's tasks. */
@@ -506,6 +519,25 @@
    */
   base::Duration RemainingStartTime() const;
 
+  // Workers that are cold (ColdWorkers.cpp).
+  bool IsCold(const Worker& aWorker) const;
+  /** Notes from the latest report whether the worker is cold. */
+  void UpdateColdness(Worker& aWorker);
+  /** How many more tasks the worker may get while it is cold. */
+  std::uint32_t RemainingColdStarts(const Pool& aPool,
+                                    const Worker& aWorker) const;
+  void CountPlacement(const Pool& aPool, Worker& aWorker);
+  /** As PackGang(), on cold workers only if it does not fit elsewhere. */
+  std::vector<std::uint32_t> PackGangWarmFirst(
+    const Candidate& aCandidate,
+    const UsableWorkers& aUsable,
+    const RackedRequest& aRequest) const;
+  /** As PackTask(), on a cold worker only if it does not fit elsewhere. */
+  std::vector<std::uint32_t> PackTaskWarmFirst(
+    const Candidate& aCandidate,
+    const UsableWorkers& aUsable,
+    const RackedRequest& aRequest) const;
+
   // Orders to agents (WorkerState.cpp).
   /** Whether the agent can receive and execute a start order in time. */
   bool CanStartInTime(const Task& aTask) const;
@@ -638,6 +670,11 @@
   std::set<base::ZoneId> evacuatedZones;
   /** All evacuations acknowledged before this time are known. */
   base::TimePoint evacuationsAsOf{};
+  /**
+   * Sum over all placements on warm workers of the pool of 1 divided by the
+   * number of these workers: how many starts the average one was sent.
+   */
+  std::map<base::PoolId, double> warmStarts;
   /** Placements whose record was not written yet, in the order of decision. */
   std::vector<job::TaskRun> unwrittenPlacements;
   /** Placements that are not ordered yet, with the version of their record. */
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -92,6 +92,9 @@
       if (!this->slowness.empty()) {
         others.slowness.push_back(this->slowness[i]);
       }
+      if (!this->isCold.empty()) {
+        others.isCold.push_back(this->isCold[i]);
+      }
     }
   }
   return others;
@@ -139,10 +142,14 @@
   this->pools.clear();
   std::map<base::PoolId, std::map<base::RackId, std::uint32_t>> racks;
   for (auto& [agent, worker] : this->workers) {
-    if (!worker.info || worker.info->isDraining || this->IsEvacuated(worker)) {
+    if (!worker.info) {
       continue;
     }
     Pool& pool = this->pools[worker.info->pool];
+    ++(this->IsCold(worker) ? pool.coldWorkers : pool.warmWorkers);
+    if (worker.info->isDraining || this->IsEvacuated(worker)) {
+      continue;
+    }
     const auto [rack, isNew] =
       racks[worker.info->pool].try_emplace(worker.info->rack, pool.racks);
     pool.racks += isNew ? 1 : 0;
@@ -405,6 +412,15 @@
         maxPerWorker -
         std::min(maxPerWorker, found == tasksOn.end() ? 0 : found->second);
     }
+    if (pool.coldWorkers > 0) {
+      const bool isCold = this->IsCold(*each.worker);
+      usable.isCold.push_back(isCold);
+      if (isCold) {
+        packing.remainingTaskLimit =
+          std::min(packing.remainingTaskLimit,
+                   this->RemainingColdStarts(pool, *each.worker));
+      }
+    }
     usable.packing.push_back(packing);
     if (this->UsesSpeeds()) {
       usable.slowness.push_back(this->SlownessOf(*each.worker));
@@ -471,7 +487,7 @@
                              const UsableWorkers& aUsable)
 {
   const auto& idle = aCandidate.idleTasks;
-  const auto chosen = this->PackGang(
+  const auto chosen = this->PackGangWarmFirst(
     aCandidate,
     aUsable,
     this->MakeRequest(
@@ -496,7 +512,7 @@
   const auto& workers = aCandidate.pool->workers;
   const fleet::TaskResources need = RequiredResources(aCandidate.Spec());
   const auto pack = [&](const UsableWorkers& aWorkers) {
-    const auto chosen = this->PackTask(
+    const auto chosen = this->PackTaskWarmFirst(
       aCandidate, aWorkers, this->MakeRequest(aCandidate, aWorkers, 1));
     return chosen.empty() ? std::optional<std::uint32_t>()
                           : aWorkers.indices[chosen.front()];
@@ -532,7 +548,7 @@
         aUsable.indices.begin(), aUsable.indices.end(), *chosen) -
       aUsable.indices.begin())];
     packing.free -= need;
-    if (aCandidate.Spec().maxPerWorker > 0) {
+    if (packing.remainingTaskLimit != UINT32_MAX) {
       --packing.remainingTaskLimit;
     }
   }
@@ -572,6 +588,7 @@
       worker.used.accelerators - usedBefore.accelerators;
     aCandidate.pool->usedMilliCores +=
       worker.used.milliCores - usedBefore.milliCores;
+    this->CountPlacement(*aCandidate.pool, worker);
     this->unwrittenPlacements.push_back(run);
     this->observer.OnPlaced(
       run, worker.agent, this->callTime.now - *step.readyAt);
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -123,6 +123,7 @@
     return;
   }
   this->SetWorker(worker, *aReport.worker);
+  this->UpdateColdness(worker);
   std::uint64_t lastEnd = 0;
   for (const auto& end : aReport.ended) {
     this->HandleEnd(worker, worker.info->life, end);
@@ -168,6 +169,7 @@
   aWorker.failureStreak = 0;
   aWorker.avoidUntil = {};
   aWorker.startFailures = 0;
+  aWorker.coldUntil = {};
   this->AdoptInheritedTasks(aWorker);
   this->mustSchedule = true;
 }
--- a/libs/protocol/src/AgentDecoder.cpp
+++ b/libs/protocol/src/AgentDecoder.cpp
@@ -56,6 +56,7 @@
                       aWorker.memory_mib(),
                       aWorker.accelerators() };
   worker.isDraining = aWorker.is_draining();
+  worker.coldFor = std::chrono::milliseconds(aWorker.cold_for_ms());
   return worker;
 }
 
--- a/libs/protocol/src/AgentEncoder.cpp
+++ b/libs/protocol/src/AgentEncoder.cpp
@@ -42,6 +42,7 @@
   worker->memory_mib = aWorker.capacity.memoryMiB;
   worker->accelerators = aWorker.capacity.accelerators;
   worker->is_draining = aWorker.isDraining;
+  worker->cold_for_ms = static_cast<std::uint32_t>(aWorker.coldFor.count());
   return worker;
 }
 
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -47,6 +47,7 @@
   worker.labels = { "a", "k" };
   worker.capacity = { 64000, 131072, 8 };
   worker.isDraining = true;
+  worker.coldFor = std::chrono::milliseconds(2500);
   return { base::AgentId("vm-1"),
            worker,
            { { kRun, "saved", 41 } },
