--- a/tests/endtoend/PlatformTest.cpp
+++ b/tests/endtoend/PlatformTest.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <future>
 #include <set>
+#include <thread>
 
 using namespace amaranthwind;
 using harness::PlatformDeployment;
@@ -240,3 +241,42 @@
   CHECK(after.repeated == before.repeated);
   CheckEachTaskStartedOnce(deployment, jobs.size());
 }
+
+// Guards against starts in a zone whose evacuation was requested longer ago
+// than the limit, against stopping what runs there, and against a zone that
+// stays unused after the request was withdrawn.
+TEST_CASE("platform: no task starts in an evacuated zone")
+{
+  const auto makeBody = [](unsigned aTaskMs) {
+    return R"({"spec":")" + std::to_string(aTaskMs) +
+           R"(","steps":[{"count":2,"cpu":1000,"mem-mb":64,"gpu":8,)"
+           R"("estimate-ms":500}]})";
+  };
+  const auto limit = PlatformDeployment::kEvacuationLimit;
+  PlatformDeployment deployment(2, 2);
+  deployment.workers[0].worker->SetZone("z0");
+  deployment.workers[1].worker->SetZone("z1");
+  const auto& evacuated = *deployment.workers[0].worker;
+  REQUIRE(deployment.Start());
+  auto& scheduler = deployment.schedulers[0];
+  const auto before = static_cast<unsigned>(limit.count()) + 2000;
+  REQUIRE(deployment.Send(scheduler, "POST", kFirstJobId, makeBody(before)) ==
+          200);
+  REQUIRE(
+    PlatformDeployment::WaitUntil([&] { return deployment.Running() == 2; }));
+  deployment.Evacuate("z0");
+  std::this_thread::sleep_for(limit);
+  // Each task needs a whole worker and runs for longer than the ends of the
+  // first job are apart, so that one of them would start in the zone.
+  REQUIRE(deployment.Send(scheduler, "POST", kSecondJobId, makeBody(1000)) ==
+          200);
+  CHECK(IsCompleted(deployment, kSecondJobId));
+  CHECK(IsCompleted(deployment, kFirstJobId));
+  CHECK(evacuated.Starts().size() == 1);
+  CheckEachTaskStartedOnce(deployment, 4);
+  deployment.WithdrawEvacuation("z0");
+  REQUIRE(deployment.Send(
+            scheduler, "POST", "00000000000000aa", makeBody(60'000)) == 200);
+  CHECK(PlatformDeployment::WaitUntil(
+    [&] { return evacuated.Starts().size() == 2; }));
+}
--- a/tests/harness/PlatformDeployment.cpp
+++ b/tests/harness/PlatformDeployment.cpp
@@ -60,6 +60,7 @@
                             { "readyListen", scheduler.ready },
                             { "logService", aRoute(this->storeAddress) },
                             { "noticePeriodMs", 100 },
+                            { "evacuationLimitMs", kEvacuationLimit.count() },
                             { "logFormat", "json" } }));
   }
   const auto group = std::make_shared<standins::WorkerGroup>();
@@ -140,6 +141,18 @@
   this->store.Put("keyed.op", "config", json::serialize(configuration));
 }
 
+void
+PlatformDeployment::Evacuate(std::string_view aZone)
+{
+  this->store.Put("keyed.op", "evacuate/" + std::string(aZone), "{}");
+}
+
+void
+PlatformDeployment::WithdrawEvacuation(std::string_view aZone)
+{
+  this->store.Put("keyed.op", "evacuate/" + std::string(aZone), "");
+}
+
 void
 PlatformDeployment::StartScheduler(Scheduler& aScheduler)
 {
--- a/tests/harness/PlatformDeployment.h
+++ b/tests/harness/PlatformDeployment.h
@@ -5,6 +5,7 @@
 #include "standins/PlatformStore.h"
 #include "standins/PlatformWorker.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -55,6 +56,9 @@
   void Configure(std::uint64_t aVersion, std::string_view aKey);
   void StartScheduler(Scheduler& aScheduler);
   void StartAgent(Worker& aWorker);
+  /** Requests that the zone is evacuated. */
+  void Evacuate(std::string_view aZone);
+  void WithdrawEvacuation(std::string_view aZone);
   /** Starts all processes and waits until every scheduler is ready. */
   bool Start();
 
@@ -80,6 +84,8 @@
   const std::string& Folder() const noexcept { return this->folder; }
 
   static constexpr std::string_view kKey = "key-1";
+  /** Time after which no task may start in an evacuated zone. */
+  static constexpr std::chrono::milliseconds kEvacuationLimit{ 5000 };
 
   std::vector<Scheduler> schedulers;
   std::vector<Worker> workers;
--- a/tests/standins/PlatformWorker.cpp
+++ b/tests/standins/PlatformWorker.cpp
@@ -102,6 +102,13 @@
     .count();
 }
 
+void
+PlatformWorker::SetZone(std::string aZone)
+{
+  std::lock_guard lock(this->mutex);
+  this->zone = std::move(aZone);
+}
+
 void
 PlatformWorker::Register()
 {
@@ -123,7 +130,7 @@
     request.path = "/api/Instances.Heartbeat/" + this->id;
     request.body = json::serialize(json::object{
       { "service", "planner" },
-      { "zone", "z" },
+      { "zone", this->zone },
       { "state", this->isDraining ? "draining" : "ready" },
       { "sequence", ++this->sequence },
       { "born", this->bornMs },
--- a/tests/standins/PlatformWorker.h
+++ b/tests/standins/PlatformWorker.h
@@ -46,6 +46,8 @@
                  const std::string& aControlAddress);
   ~PlatformWorker() override;
 
+  /** Registers in this availability zone; to be called before Register(). */
+  void SetZone(std::string aZone);
   /** Starts sending heartbeats. */
   void Register();
   void Handle(frontend::HttpRequest aRequest,
@@ -193,6 +195,7 @@
   net::IoPool& pool;
   const std::string name;
   const std::string rack;
+  std::string zone = "z";
   frontend::HttpClient control;
   const std::shared_ptr<WorkerGroup> group;
   /** That of the group. */
