--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -97,6 +97,9 @@
     , submitTime(aMetrics.MakeHistogram(
         { "submit_seconds", "From a job's request to its acceptance." },
         std::array{ 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0 }))
+    , evacuatedZoneCount(aMetrics.MakeGauge(
+        { "evacuated_zones",
+          "Availability zones whose workers get no further tasks." }))
     , table(aCodec)
     , submissions(aClock, aExecutor, aHeartbeatExecutor, aLog, *this, aMetrics)
     , sessions(aMakePort, aClock, aExecutor, aLogger, this->load, *this)
@@ -498,6 +501,7 @@
   DecisionLog decisions;
   LoadMonitor load;
   telemetry::Histogram submitTime;
+  telemetry::Gauge evacuatedZoneCount;
   JobDirectory directory;
   std::atomic<bool> isLoaded{ false };
   std::atomic<TimePoint::rep> currentAsOf{ 0 };
@@ -607,7 +611,18 @@
 {
   this->impl->executor.Post(
     [self = this->impl, zones = std::move(aZones), aAsOf]() mutable {
+      if (zones != self->evacuatedZones) {
+        self->logger.Info(
+          "evacuations changed",
+          { { "zones", zones.size() },
+            { "ageMs",
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                self->clock.Now() - aAsOf)
+                .count() } });
+      }
       self->evacuatedZones = std::move(zones);
+      self->evacuatedZoneCount.Set(
+        static_cast<double>(self->evacuatedZones.size()));
       self->evacuationsAsOf = aAsOf;
       if (self->runner != nullptr) {
         self->runner->OnEvacuations(self->evacuatedZones, aAsOf);
--- a/libs/coordinator/tests/LossTest.cpp
+++ b/libs/coordinator/tests/LossTest.cpp
@@ -77,10 +77,8 @@
   return faults;
 }
 
-std::vector<std::string>
-Play(std::uint64_t aSeed,
-     const std::vector<Fault>& aFaults,
-     const std::function<void(const std::string&)>& aTrace = {})
+SimulatedCell::Options
+MakeOptions()
 {
   SimulatedCell::Options options;
   options.entries = kEntries;
@@ -91,26 +89,75 @@
   options.stopTime = 200ms;
   options.repeatsRegistrations = true;
   options.hasSlowClocks = true;
-  options.trace = aTrace;
-  SimulatedCell cell(options);
-  for (const Fault& fault : aFaults) {
-    cell.Inject(fault);
-  }
-  cell.Run(4s);
+  return options;
+}
+
+/** Submits the jobs of the seed and returns what went wrong with them. */
+std::vector<std::string>
+PlayJobs(SimulatedCell& aCell, std::uint64_t aSeed)
+{
+  aCell.Run(4s);
   std::mt19937_64 random(aSeed + 1);
   constexpr std::uint32_t kJobs = 10;
   for (std::uint32_t i = 0; i < kJobs; ++i) {
-    cell.SubmitUntilAccepted(MakeJob(i, random() % 3));
-    cell.Run(std::chrono::milliseconds(1000 + random() % 2000));
+    aCell.SubmitUntilAccepted(MakeJob(i, random() % 3));
+    aCell.Run(std::chrono::milliseconds(1000 + random() % 2000));
   }
-  cell.Run(kFaultTime + kQuietTime);
-  std::vector<std::string> problems = cell.Violations();
-  for (const auto& job : cell.Unfinished()) {
+  aCell.Run(kFaultTime + kQuietTime);
+  std::vector<std::string> problems = aCell.Violations();
+  for (const auto& job : aCell.Unfinished()) {
     problems.push_back("unfinished " + job);
   }
   return problems;
 }
 
+std::vector<std::string>
+Play(std::uint64_t aSeed,
+     const std::vector<Fault>& aFaults,
+     const std::function<void(const std::string&)>& aTrace = {})
+{
+  SimulatedCell::Options options = MakeOptions();
+  options.trace = aTrace;
+  SimulatedCell cell(options);
+  for (const Fault& fault : aFaults) {
+    cell.Inject(fault);
+  }
+  return PlayJobs(cell, aSeed);
+}
+
+/**
+ * As Play(), with evacuations of both zones. Requests to workers are not
+ * delayed: whatever the agents do, a late one would start tasks after the
+ * limit.
+ */
+std::vector<std::string>
+PlayEvacuations(std::uint64_t aSeed,
+                const std::vector<Fault>& aFaults,
+                const std::function<void(const std::string&)>& aTrace)
+{
+  SimulatedCell::Options options = MakeOptions();
+  options.evacuationLimit = 5s;
+  options.trace = aTrace;
+  SimulatedCell cell(options);
+  for (const Fault& fault : aFaults) {
+    if (fault.kind != FaultKind::CutAgentsFromWorkers &&
+        fault.kind != FaultKind::DisturbWorkerCalls) {
+      cell.Inject(fault);
+    }
+  }
+  constexpr int kEvacuations = 4;
+  std::mt19937_64 random(aSeed + 2);
+  for (int i = 0; i < kEvacuations; ++i) {
+    const auto zone = static_cast<std::uint32_t>(random() % 2);
+    const auto at = 4s + std::chrono::milliseconds(random() % 18'000);
+    const bool isShort = random() % 4 == 0;
+    const auto length = std::chrono::milliseconds(
+      isShort ? random() % 1000 : 5000 + random() % 10'000);
+    cell.Evacuate(SimulatedCell::ZoneOf(zone), at, length);
+  }
+  return PlayJobs(cell, aSeed);
+}
+
 /** Leaves out faults as long as the run still fails in the same way. */
 std::vector<Fault>
 Shorten(std::uint64_t aSeed, std::vector<Fault> aFaults)
@@ -207,6 +254,28 @@
   CheckSeeds(10);
 }
 
+// Guards against starts in an evacuated zone after the limit, by orders that
+// were under way, repeated, or sent by a coordinator that was paused, cut off
+// or new; and against placements that are lost when they are withdrawn.
+TEST_CASE("no task starts late in an evacuated zone and no job is lost")
+{
+  const std::uint64_t first = ReadVariable("AMARANTHWIND_LOSS_SEED", 1);
+  const std::uint64_t count = ReadVariable("AMARANTHWIND_LOSS_SEEDS", 10);
+  const auto trace = [](const std::string& aLine) {
+    if (ReadVariable("AMARANTHWIND_LOSS_TRACE", 0) != 0) {
+      std::cout << aLine << '\n';
+    }
+  };
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    for (const std::size_t faults : { 0U, 2U, 6U }) {
+      for (const auto& problem :
+           PlayEvacuations(seed, MakeFaults(seed, faults), trace)) {
+        FAIL_CHECK("seed " << seed << ", " << faults << " faults: " << problem);
+      }
+    }
+  }
+}
+
 // Guards against giving up the runs of a worker that runs on.
 TEST_CASE("runs on a worker whose deregistration is not answered run once")
 {
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -25,6 +25,7 @@
 constexpr base::Duration kRequestTimeout = 500ms;
 constexpr base::Duration kHoldMargin = 700ms;
 constexpr base::Duration kRegistrationInterval = 400ms;
+constexpr std::string_view kEvacuationTopic = "evacuations";
 /** Limit of the lease of a worker. */
 constexpr auto kMaxLease = 6000ms;
 constexpr base::Duration kGangTimeout = 4000ms;
@@ -1193,6 +1194,52 @@
   const std::string name;
 };
 
+/** Tells a coordinator the evacuated zones, as of when they were read. */
+class SimulatedCell::EvacuationFollower final : public journal::FollowerObserver
+{
+public:
+  EvacuationFollower(const base::Clock& aClock,
+                     base::Executor& aExecutor,
+                     journal::KeyedLog& aLog,
+                     Coordinator& aCoordinator)
+    : coordinator(aCoordinator)
+    , follower({ .topic = { std::string(kEvacuationTopic), 0 } },
+               aClock,
+               aExecutor,
+               aLog,
+               *this)
+  {
+  }
+  void Start() { this->follower.Start(); }
+
+  void OnLoaded(std::span<const journal::KeyedRecord> aNewest) override
+  {
+    this->zones.clear();
+    this->OnRecords(aNewest);
+  }
+  void OnRecords(std::span<const journal::KeyedRecord> aRecords) override
+  {
+    for (const auto& record : aRecords) {
+      if (record.value.empty()) {
+        this->zones.erase(base::ZoneId(record.key));
+      } else {
+        this->zones.insert(base::ZoneId(record.key));
+      }
+    }
+  }
+  void OnCurrent(base::TimePoint aAsOf) override
+  {
+    this->coordinator.SetEvacuations({ this->zones.begin(), this->zones.end() },
+                                     aAsOf);
+  }
+  void OnUnavailable(const base::Error&) override {}
+
+private:
+  Coordinator& coordinator;
+  std::set<base::ZoneId> zones;
+  journal::KeyedFollower follower;
+};
+
 struct SimulatedCell::Entry
 {
   Entry(SimulatedCell& aCell, std::uint32_t aNumber, std::uint64_t aIncarnation)
@@ -1217,6 +1264,7 @@
                   codec,
                   logger,
                   metrics)
+    , evacuations(aCell.time, heartbeats, log, coordinator)
   {
   }
 
@@ -1228,6 +1276,7 @@
     options.self = base::EntryId(aName);
     options.incarnation = base::Incarnation(aIncarnation);
     options.innerListen = aName + ":1";
+    options.evacuationLimit = aCell.options.evacuationLimit;
     options.makePacking = [&aCell] {
       return std::make_unique<ChargedPacking>(
         aCell.time, aCell.options.costs.perPackedWorker);
@@ -1246,6 +1295,7 @@
   telemetry::Logger logger;
   telemetry::Metrics metrics;
   Coordinator coordinator;
+  EvacuationFollower evacuations;
 };
 
 /** How requests to a worker, and its registrations, go wrong for some time. */
@@ -1344,7 +1394,8 @@
   {
     this->worker.checkpointBytes = aCell.options.checkpointBytes;
     this->worker.stopTime = aCell.options.stopTime;
-    this->worker.onStarted = [&aCell] {
+    this->worker.onStarted = [this, &aCell] {
+      aCell.CheckEvacuation(*this);
       aCell.OnTrigger(FaultTrigger::StartAccepted);
     };
   }
@@ -1520,6 +1571,9 @@
                               static_cast<std::uint32_t>(aEntry),
                               ++this->entryIncarnations[aEntry]);
     (void)this->entries[aEntry]->coordinator.Start();
+    if (this->options.evacuationLimit) {
+      this->entries[aEntry]->evacuations.Start();
+    }
   }
 }
 
@@ -1569,6 +1623,7 @@
   dispatch::WorkerInfo info;
   info.life = *aVm.worker.life;
   info.pool = base::PoolId("pool");
+  info.zone = ZoneOf(aVm.number);
   info.rack = base::RackId("r" + std::to_string(aVm.number / 8));
   info.capacity = { 64'000, 262'144, 8 };
   info.isDraining = aIsDraining;
@@ -1671,6 +1726,50 @@
   });
 }
 
+base::ZoneId
+SimulatedCell::ZoneOf(std::uint32_t aVm)
+{
+  return base::ZoneId("z" + std::to_string(aVm % 2));
+}
+
+void
+SimulatedCell::Evacuate(const base::ZoneId& aZone,
+                        base::Duration aAt,
+                        base::Duration aLength)
+{
+  this->time.Schedule(aAt, [this, aZone] { this->SetEvacuated(aZone, true); });
+  this->time.Schedule(aAt + aLength,
+                      [this, aZone] { this->SetEvacuated(aZone, false); });
+}
+
+void
+SimulatedCell::SetEvacuated(const base::ZoneId& aZone, bool aIsEvacuated)
+{
+  this->Trace("operator",
+              (aIsEvacuated ? "evacuate " : "take back ") + aZone.Text());
+  const journal::KeyedValue record{ aZone.Text(), aIsEvacuated ? "{}" : "" };
+  this->log.Append({ std::string(kEvacuationTopic), 0 },
+                   { &record, 1 },
+                   {},
+                   [](const auto&) {});
+  if (aIsEvacuated) {
+    this->evacuatedSince.try_emplace(aZone, this->time.Now());
+  } else {
+    this->evacuatedSince.erase(aZone);
+  }
+}
+
+void
+SimulatedCell::CheckEvacuation(const Vm& aVm)
+{
+  const auto found = this->evacuatedSince.find(ZoneOf(aVm.number));
+  if (this->options.evacuationLimit && found != this->evacuatedSince.end() &&
+      this->time.Now() - found->second > *this->options.evacuationLimit) {
+    this->monitor.violations.push_back("start on " + aVm.name +
+                                       " in an evacuated zone");
+  }
+}
+
 void
 SimulatedCell::OnTrigger(FaultTrigger aTrigger)
 {
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/base/Random.h"
 #include "amaranthwind/codec/LedgerCodec.h"
 #include "amaranthwind/coordinator/Coordinator.h"
+#include "amaranthwind/journal/KeyedFollower.h"
 #include "amaranthwind/journal/testing/FakeKeyedLog.h"
 #include "amaranthwind/protocol/MessagePort.h"
 
@@ -401,6 +402,11 @@
     bool repeatsRegistrations = false;
     /** Every other worker has a clock that is 2% slow. */
     bool hasSlowClocks = false;
+    /**
+     * A start in a zone that was evacuated for longer is a violation. Empty:
+     * zones are not evacuated.
+     */
+    std::optional<base::Duration> evacuationLimit;
     /** Receives the log lines of all processes and the events of workers. */
     std::function<void(const std::string&)> trace;
   };
@@ -422,6 +428,12 @@
   /** Submits again, at any entry, until the job is accepted. */
   void SubmitUntilAccepted(const job::WorkflowSpec& aSpec);
   void Inject(const Fault& aFault);
+  /** Evacuates a zone at a time from now, for a time. */
+  void Evacuate(const base::ZoneId& aZone,
+                base::Duration aAt,
+                base::Duration aLength);
+  /** The VMs take turns in two zones. */
+  static base::ZoneId ZoneOf(std::uint32_t aVm);
   const std::vector<std::string>& Violations() const;
   /** Accepted jobs that an entry does not show as completed. */
   std::vector<std::string> Unfinished();
@@ -452,6 +464,7 @@
   class GatedLog;
   class WorkerLink;
   class TraceSink;
+  class EvacuationFollower;
   struct Entry;
   struct Agent;
   struct Vm;
@@ -472,6 +485,10 @@
   void StartWorker(Vm& aVm, bool aKeepsId);
   void RegistrationLoop(Vm& aVm);
   void Register(Vm& aVm, bool aIsDraining);
+  /** Writes the operator's record of the zone. */
+  void SetEvacuated(const base::ZoneId& aZone, bool aIsEvacuated);
+  /** A task has started on the worker of the VM. */
+  void CheckEvacuation(const Vm& aVm);
   void TrySubmit(const job::WorkflowSpec& aSpec, std::uint32_t aAttempt);
 
   const Options options;
@@ -494,6 +511,8 @@
   std::vector<base::JobId> jobs;
   std::set<base::JobId> acceptedJobs;
   std::vector<Fault> waitingFaults;
+  /** Since when each zone is evacuated. */
+  std::map<base::ZoneId, base::TimePoint> evacuatedSince;
   std::mt19937_64 random{ 1 };
 };
 
