--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -104,7 +104,7 @@
 void
 FaultInjector::InjectRandomFault()
 {
-  const std::uint64_t kind = this->RandomBelow(17);
+  const std::uint64_t kind = this->RandomBelow(18);
   if (kind < 3) {
     auto& scheduler =
       this->deployment
@@ -132,8 +132,10 @@
     this->InjectOrArmGroupLoss();
   } else if (kind < 16) {
     this->InjectLateRequests();
-  } else {
+  } else if (kind < 17) {
     this->InjectDeparture();
+  } else {
+    this->InjectEvacuation();
   }
 }
 
@@ -298,6 +300,20 @@
                          [&worker] { worker.DropStartReplies(false); });
 }
 
+void
+FaultInjector::InjectEvacuation()
+{
+  const std::size_t index = this->RandomBelow(kZones.size());
+  const bool isShort = this->RandomBelow(3) == 0;
+  const auto time =
+    isShort ? this->RandomDuration(20, 1000) : this->RandomDuration(1000, 8000);
+  const std::string zone(kZones[index]);
+  this->LogFault("evacuate " + zone);
+  this->deployment.Evacuate(zone);
+  this->ScheduleRecovery(
+    time, [this, zone] { this->deployment.WithdrawEvacuation(zone); });
+}
+
 std::size_t
 FaultInjector::SumOverWorkers(std::size_t (standins::PlatformWorker::*aCount)()
                                 const noexcept) const
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -4,15 +4,20 @@
 #include "harness/PlatformDeployment.h"
 #include "soak/LoopbackProxy.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <queue>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace amaranthwind::soak {
 
+/** Availability zones of the workers, which take turns. */
+inline constexpr std::array<std::string_view, 2> kZones{ "z0", "z1" };
+
 /**
  * Injects random faults and ends each of them after a random time; several
  * faults may be active at once. Not thread-safe.
@@ -96,6 +101,8 @@
   void InjectGroupLoss();
   void InjectLateRequests();
   void InjectDeparture();
+  /** Evacuates a zone; another evacuation of it may end it earlier. */
+  void InjectEvacuation();
   std::size_t SumOverWorkers(std::size_t (standins::PlatformWorker::*aCount)()
                                const noexcept) const;
   std::uint64_t RandomBelow(std::uint64_t aBelow);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -288,6 +288,10 @@
           std::make_unique<LoopbackProxy>(pool, address, aTarget));
         return address;
       });
+    for (std::size_t i = 0; i < deployment.workers.size(); ++i) {
+      deployment.workers[i].worker->SetZone(
+        std::string(kZones[i % kZones.size()]));
+    }
     if (!deployment.Start()) {
       report.violations.emplace_back("the deployment did not become ready");
       return report;
