Notice the return of a silent store within a repeat interval

Change: a read fails when the repeat after its last attempt would be due, unless a response is arriving, and the follower sends a new one. The decision is in RepeatedRequest, without a connection. The answer time no longer includes the attempts before the answered one, so that a silence does not lengthen the repeat interval.

--- a/libs/frontend/include/amaranthwind/frontend/HttpClient.h
+++ b/libs/frontend/include/amaranthwind/frontend/HttpClient.h
@@ -40,6 +40,8 @@
   base::Result<HttpResponse> response;
   /** False if the request is known not to have been sent. */
   bool mayHaveBeenSent = true;
+  /** Set by SendRepeatedly(): how long the attempt with this result took. */
+  base::Duration elapsed{};
 };
 
 using HttpResultHandler = std::function<void(HttpResult)>;
@@ -61,6 +63,12 @@
   base::Duration timeout{};
   /** Without a response for this long, the request is sent again. */
   base::Duration repeatAfter{};
+  /**
+   * The request fails when the response to the last attempt is overdue, too,
+   * and none is arriving. Attempts in flight end by their own timeout, so that
+   * a caller that then sends the request anew never has more than
+   * timeout / repeatAfter + 1 of them in flight, rounded up.
+   */
   std::uint32_t maxAttempts = 4;
 };
 
@@ -87,7 +95,8 @@
   /**
    * Sends the request again on a new connection each time that a response is
    * overdue, and returns the first response, or the error of the latest
-   * attempt. The server may handle the request several times.
+   * attempt; TimedOut if the last attempt is overdue as well. The server may
+   * handle the request several times.
    */
   void SendRepeatedly(HttpRequest aRequest,
                       const RepeatOptions& aOptions,
--- a/libs/frontend/src/HttpClient.cpp
+++ b/libs/frontend/src/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "amaranthwind/frontend/HttpClient.h"
 
 #include "BeastConversion.h"
+#include "RepeatedRequest.h"
 #include "amaranthwind/net/IoPool.h"
 #include "amaranthwind/net/TcpAcceptor.h"
 
@@ -40,50 +41,8 @@
   /** Called if there is no result by this time; may be empty. */
   std::function<void()> onOverdue;
   base::TimePoint overdueAt{};
-};
-
-/** A request that is sent again when its response is overdue. */
-struct RepeatedRequest
-{
-  RepeatedRequest(HttpRequest aRequest,
-                  const RepeatOptions& aOptions,
-                  HttpResultHandler aHandler)
-    : request(std::move(aRequest))
-    , options(aOptions)
-    , handler(std::move(aHandler))
-  {
-  }
-
-  /** Returns the number of the next attempt; 0 if there is none. */
-  std::uint32_t NextAttempt()
-  {
-    const std::lock_guard lock(this->mutex);
-    return this->handler && this->attempts < this->options.maxAttempts
-             ? ++this->attempts
-             : 0;
-  }
-
-  void OnResult(std::uint32_t aAttempt, HttpResult aResult)
-  {
-    HttpResultHandler first;
-    {
-      const std::lock_guard lock(this->mutex);
-      // A later attempt may still get a response.
-      if (aResult.response.has_value() || aAttempt == this->attempts) {
-        first = std::exchange(this->handler, nullptr);
-      }
-    }
-    if (first) {
-      first(std::move(aResult));
-    }
-  }
-
-  const HttpRequest request;
-  const RepeatOptions options;
-  std::mutex mutex;
-  /** Empty once it was called. */
-  HttpResultHandler handler;
-  std::uint32_t attempts = 0;
+  /** Called when a part of the response has arrived; may be empty. */
+  std::function<void()> onArriving;
 };
 
 HttpResult
@@ -228,6 +187,9 @@
           self->OnRead(aError);
           return;
         }
+        if (self->pending.onArriving) {
+          self->pending.onArriving();
+        }
         if (self->options.stallTimeout.count() > 0) {
           self->stream.expires_at(
             std::max(self->pending.deadline,
@@ -401,9 +363,11 @@
       this->DropIdle();
     }
     const auto now = steady_clock::now();
-    this->Send({ aRequest->request,
-                 now + aRequest->options.timeout,
-                 [aRequest, attempt](HttpResult aResult) {
+    const RepeatOptions& options = aRequest->Options();
+    this->Send({ aRequest->Request(),
+                 now + options.timeout,
+                 [aRequest, attempt, now](HttpResult aResult) {
+                   aResult.elapsed = steady_clock::now() - now;
                    aRequest->OnResult(attempt, std::move(aResult));
                  },
                  [weak = this->weak_from_this(), aRequest] {
@@ -411,7 +375,8 @@
                      self->SendAttempt(aRequest);
                    }
                  },
-                 now + aRequest->options.repeatAfter });
+                 now + options.repeatAfter,
+                 [aRequest, attempt] { aRequest->OnArriving(attempt); } });
   }
 
   net::IoPool& pool;
--- a/libs/frontend/tests/HttpTest.cpp
+++ b/libs/frontend/tests/HttpTest.cpp
@@ -319,6 +319,45 @@
   CHECK(promise.get_future().get().response.has_error());
 }
 
+// Guards against dropping a response that passes a slow link because all
+// attempts are overdue.
+TEST_CASE("a repeated request waits for a response that is arriving")
+{
+  namespace asio = boost::asio;
+  constexpr auto kRepeatAfter = 700ms;
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   { asio::ip::make_address("127.0.0.1"), 0 });
+  // Sends the second half of the response when the last attempt is overdue.
+  std::thread server([&] {
+    auto socket = acceptor.accept();
+    std::array<char, 1024> request{};
+    socket.read_some(asio::buffer(request));
+    asio::write(socket,
+                asio::buffer(std::string_view(
+                  "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nfir")));
+    std::this_thread::sleep_for(kRepeatAfter * 2);
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(std::string_view("sts")), ignored);
+  });
+  net::IoPool pool(1);
+  HttpClient client(
+    pool,
+    { .address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) });
+  std::promise<HttpResult> promise;
+  client.SendRepeatedly(
+    MakePost("/", ""),
+    { .timeout = kTestTimeout, .repeatAfter = kRepeatAfter, .maxAttempts = 1 },
+    [&](HttpResult aResult) { promise.set_value(std::move(aResult)); });
+  const auto result = promise.get_future().get();
+  server.join();
+  REQUIRE(result.response.has_value());
+  CHECK(result.response.value().body == "firsts");
+  CHECK(result.elapsed >= kRepeatAfter);
+  pool.Stop();
+}
+
 // Guards against a planned stop that interrupts a request in flight.
 TEST_CASE("a draining server finishes its requests and closes the connection")
 {
--- a/libs/journal/include/amaranthwind/journal/KeyedFollower.h
+++ b/libs/journal/include/amaranthwind/journal/KeyedFollower.h
@@ -28,6 +28,10 @@
    * per outage.
    */
   virtual void OnUnavailable(const base::Error& aError) = 0;
+  /**
+   * The log answers again after OnUnavailable(); records may still be missing.
+   */
+  virtual void OnAvailable() {}
 };
 
 struct FollowerOptions
--- a/libs/journal/src/KeyedFollower.cpp
+++ b/libs/journal/src/KeyedFollower.cpp
@@ -66,7 +66,7 @@
       this->RetryLater(aPage.error(), [](State& aSelf) { aSelf.LoadPage(); });
       return;
     }
-    this->backoff.Reset();
+    this->OnAnswer();
     const NewestPage& page = aPage.value();
     // Records appended after the first page was read are read again later.
     if (!this->firstPageEnd) {
@@ -122,14 +122,14 @@
     if (aBatch.has_error()) {
       this->isCurrent = false;
       if (aBatch.error().code == ErrorCode::OffsetExpired) {
+        this->OnAnswer();
         this->Load();
         return;
       }
       this->RetryLater(aBatch.error(), [](State& aSelf) { aSelf.ReadNext(); });
       return;
     }
-    this->backoff.Reset();
-    this->hasReportedOutage = false;
+    this->OnAnswer();
     this->isCurrent = this->DeliverNewRecords(aBatch.value(), aFrom);
     if (this->isCurrent) {
       this->observer.OnCurrent(aSentAt);
@@ -161,6 +161,14 @@
     return this->next >= aBatch.end;
   }
 
+  void OnAnswer()
+  {
+    this->backoff.Reset();
+    if (std::exchange(this->hasReportedOutage, false)) {
+      this->observer.OnAvailable();
+    }
+  }
+
   void RetryLater(const base::Error& aError, void (*aRetry)(State&))
   {
     if (!std::exchange(this->hasReportedOutage, true)) {
--- a/libs/journal/tests/KeyedFollowerTest.cpp
+++ b/libs/journal/tests/KeyedFollowerTest.cpp
@@ -32,9 +32,11 @@
   }
   void OnCurrent(base::TimePoint aAsOf) override { this->asOf = aAsOf; }
   void OnUnavailable(const base::Error&) override { ++this->outages; }
+  void OnAvailable() override { ++this->returns; }
 
   int loads = 0;
   int outages = 0;
+  int returns = 0;
   std::vector<std::string> values;
   base::TimePoint asOf{};
 };
@@ -235,6 +237,41 @@
   CHECK(refused == 1);
 }
 
+// Guards against an outage that counts as going on while the topic is loaded
+// again: the log answers each page, but there is no confirmed view yet.
+TEST_CASE("the first answer after an outage is reported, also during a load")
+{
+  Fixture fixture;
+  DelayingLog log(fixture.log);
+  RecordingObserver observer;
+  KeyedFollower follower(
+    { .topic = kTopic }, fixture.clock, fixture.executor, log, observer);
+  follower.Start();
+  fixture.executor.RunDue();
+  CHECK(observer.returns == 0);
+  fixture.log.isDown = true;
+  fixture.log.FailWaitingReads({ base::ErrorCode::LogUnavailable, {} });
+  fixture.executor.Advance(5s);
+  REQUIRE(observer.outages == 1);
+  fixture.log.isDown = false;
+  fixture.Append("b", "2");
+  fixture.log.Compact(kTopic);
+  log.isDelaying = true;
+  fixture.executor.Advance(1s);
+  // The answer that refuses the offset arrives; the page after it does not.
+  REQUIRE(log.delayedReads.size() == 1);
+  log.delayedReads.front()();
+  fixture.executor.Advance(1s);
+  REQUIRE(log.delayedPages.size() == 1);
+  CHECK(observer.returns == 1);
+  CHECK(observer.loads == 1);
+  log.isDelaying = false;
+  log.delayedPages.front()();
+  fixture.executor.RunDue();
+  CHECK(observer.loads == 2);
+  CHECK(observer.returns == 1);
+}
+
 // Guards against a view that is confirmed although it lacks records.
 TEST_CASE("a read that was sent before a reload leaves out no records")
 {
