--- a/libs/dispatch/tests/ColdWorkersTest.cpp
+++ b/libs/dispatch/tests/ColdWorkersTest.cpp
@@ -40,6 +40,8 @@
   {
   }
   void OnTick(base::TimePoint) override {}
+  estimation::LearnedSummary Summarize() const override { return {}; }
+  void Restore(const estimation::LearnedSummary&, base::TimePoint) override {}
 
 private:
   const base::AgentId slow;
