--- a/libs/dispatch/src/ColdWorkers.cpp
+++ b/libs/dispatch/src/ColdWorkers.cpp
@@ -90,8 +90,10 @@
                                      const RackedRequest& aRequest) const
 {
   if (!aUsable.isCold.empty()) {
-    auto chosen = this->PackGang(aCandidate, aUsable.WithoutCold(), aRequest);
-    if (!chosen.empty()) {
+    const UsableWorkers warm = aUsable.WithoutCold();
+    auto chosen = this->PackGang(aCandidate, warm, aRequest);
+    // It may fit on warm workers and yet wait for faster ones.
+    if (!chosen.empty() || !this->Pack(warm.packing, aRequest).empty()) {
       return chosen;
     }
   }
--- a/libs/dispatch/tests/ColdWorkersTest.cpp
+++ b/libs/dispatch/tests/ColdWorkersTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace amaranthwind;
 using namespace amaranthwind::dispatch;
@@ -10,12 +11,12 @@
 
 namespace {
 
-/** Takes one worker for slow and the callers' estimates for true. */
-class OneSlowWorker final : public estimation::RunTimeLearner
+/** Takes some workers for slow and the callers' estimates for true. */
+class SlowWorkers final : public estimation::RunTimeLearner
 {
 public:
-  explicit OneSlowWorker(std::string_view aAgent)
-    : slow(aAgent)
+  explicit SlowWorkers(std::set<base::AgentId> aSlow)
+    : slow(std::move(aSlow))
   {
   }
   std::optional<estimation::RunTimePrediction> Predict(
@@ -26,7 +27,7 @@
   }
   double SlownessOf(const base::AgentId& aWorker) const override
   {
-    return aWorker == this->slow ? 2.0 : 1.0;
+    return this->slow.contains(aWorker) ? 2.0 : 1.0;
   }
   bool HasUnevenWorkers() const override { return true; }
   void OnCompleted(const estimation::RunObservation&, base::TimePoint) override
@@ -44,7 +45,7 @@
   void Restore(const estimation::LearnedSummary&, base::TimePoint) override {}
 
 private:
-  const base::AgentId slow;
+  const std::set<base::AgentId> slow;
 };
 
 /** Four workers; vm-0, which best fit would choose first, is cold. */
@@ -107,7 +108,9 @@
 TEST_CASE("a cold worker is not preferred as a slow one")
 {
   ColdHarness harness;
-  harness.makeLearner = [] { return std::make_unique<OneSlowWorker>("vm-0"); };
+  harness.makeLearner = [] {
+    return std::make_unique<SlowWorkers>(std::set{ base::AgentId("vm-0") });
+  };
   auto job = DispatcherHarness::MakeJob("j", 2, 1);
   job.slack = 60s;
   std::ptrdiff_t expected = 0;
@@ -123,6 +126,25 @@
   CHECK(harness.CountOn("vm-0", "j") == expected);
 }
 
+// Guards against a gang that takes the cold worker, which is fast when warm,
+// while it waits for faster ones than the slow workers that it fits on.
+TEST_CASE("a gang that waits for fast workers does not take a cold one")
+{
+  ColdHarness harness;
+  harness.makeLearner = [] {
+    return std::make_unique<SlowWorkers>(std::set{
+      base::AgentId("vm-1"), base::AgentId("vm-2"), base::AgentId("vm-3") });
+  };
+  harness.TakeOver();
+  auto job = DispatcherHarness::MakeJob("j", 1, 8);
+  job.steps[0].isGang = true;
+  harness.Submit(job);
+  CHECK(harness.Running("j").empty());
+  harness.Run(5s);
+  CHECK(harness.Running("j").size() == 1);
+  CHECK(harness.CountOn("vm-0", "j") == 0);
+}
+
 // Guards against more starts on a cold worker than the platform allows: 1.5
 // times those of the average warm worker, and 5.
 TEST_CASE("the starts on a cold worker are limited while it is cold")
