Let the objective of a job follow from its predicted work

Cause: the objective is a multiple of the longest chain of work. Computed from an estimate that is too low, it made urgent jobs look hopeless, and these were put behind others and stopped nothing. Change: with a learner the objective, too, follows from the prediction.

--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -224,10 +224,11 @@
       continue;
     }
     const base::Duration path = this->ExpectedPath(job);
-    // What the caller was promised does not change with what is learned.
+    // The objective rests on the work of the job, of which the caller's
+    // estimate is one indication.
     const auto objective =
       std::chrono::duration_cast<base::Duration>(
-        std::chrono::duration<double>(job.criticalPath) * job.spec->stretch) +
+        std::chrono::duration<double>(path) * job.spec->stretch) +
       job.spec->slack;
     for (std::uint32_t k = 0; k < job.spec->Occurrences(); ++k) {
       const auto age = this->callTime.wall - job.spec->DueAt(k);
