Read the limits that all roles have in one place

Cause: the read-through found the four common limits read twice, a name of the platform outside of platform/, and a value computed in a loop. Change: a shared reader, names of our own, the value before the loop. Measured: the cases of dispatch and codec and the linter pass.

--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -160,21 +160,29 @@
   Read(aReader, BoundedId<base::ZoneTag>{ aOut.id });
 }
 
+/** Reads the limits that all roles have. */
+template<typename Limits>
 static void
-Read(const ValueReader& aReader, settings::HttpLimits& aOut)
+ReadBasicLimits(ObjectReader& aObject, Limits& aOut)
 {
-  ObjectReader object(aReader);
-  object.Optional(
+  aObject.Optional(
     "maxBodyBytes",
     Bounded<std::uint32_t>{ aOut.maxBodyBytes, kMinBodyBytes, kMaxBodyBytes });
-  object.Optional("maxHeaderBytes",
-                  Bounded<std::uint32_t>{
-                    aOut.maxHeaderBytes, kMinHeaderBytes, kMaxHeaderBytes });
-  object.Optional(
+  aObject.Optional("maxHeaderBytes",
+                   Bounded<std::uint32_t>{
+                     aOut.maxHeaderBytes, kMinHeaderBytes, kMaxHeaderBytes });
+  aObject.Optional(
     "maxConnections",
     Bounded<std::uint32_t>{ aOut.maxConnections, 1, kMaxConnections });
-  object.Optional("idleTimeoutMs",
-                  Millis{ aOut.idleTimeout, kMinIdleTimeoutMs });
+  aObject.Optional("idleTimeoutMs",
+                   Millis{ aOut.idleTimeout, kMinIdleTimeoutMs });
+}
+
+static void
+Read(const ValueReader& aReader, settings::HttpLimits& aOut)
+{
+  ObjectReader object(aReader);
+  ReadBasicLimits(object, aOut);
   object.Finish();
 }
 
@@ -182,21 +190,11 @@
 Read(const ValueReader& aReader, settings::ListenerLimits& aOut)
 {
   ObjectReader object(aReader);
-  object.Optional(
-    "maxBodyBytes",
-    Bounded<std::uint32_t>{ aOut.maxBodyBytes, kMinBodyBytes, kMaxBodyBytes });
-  object.Optional("maxHeaderBytes",
-                  Bounded<std::uint32_t>{
-                    aOut.maxHeaderBytes, kMinHeaderBytes, kMaxHeaderBytes });
-  object.Optional(
-    "maxConnections",
-    Bounded<std::uint32_t>{ aOut.maxConnections, 1, kMaxConnections });
+  ReadBasicLimits(object, aOut);
   object.Optional("maxBufferedBytes",
                   Bounded<std::uint32_t>{ aOut.maxBufferedBytes,
                                           kMinBufferedBytes,
                                           kMaxBufferedBytes });
-  object.Optional("idleTimeoutMs",
-                  Millis{ aOut.idleTimeout, kMinIdleTimeoutMs });
   object.Optional("headerTimeoutMs",
                   Millis{ aOut.headerTimeout, kMinIdleTimeoutMs });
   object.Optional("requestTimeoutMs",
--- a/libs/dispatch/src/ColdWorkers.cpp
+++ b/libs/dispatch/src/ColdWorkers.cpp
@@ -11,11 +11,10 @@
 
 /**
  * A cold worker gets at most so many times the starts of the average warm
- * worker of its pool, and so many more. The platform's names of these bounds
- * are cold-overshoot and cold-slack.
+ * worker of its pool, and so many more, so that load returns to it gradually.
  */
-constexpr double kColdOvershoot = 1.5;
-constexpr std::uint32_t kColdSlack = 5;
+constexpr double kColdStartFactor = 1.5;
+constexpr std::uint32_t kExtraColdStarts = 5;
 /**
  * A worker whose reports differ by less than this in when it is warm again has
  * not become cold anew, which would allow it further starts.
@@ -69,8 +68,8 @@
                            ? 0.0
                            : warm->second - aWorker.warmStartsBefore;
   const auto limit =
-    static_cast<std::uint32_t>(std::max(average, 0.0) * kColdOvershoot) +
-    kColdSlack;
+    static_cast<std::uint32_t>(std::max(average, 0.0) * kColdStartFactor) +
+    kExtraColdStarts;
   return limit - std::min(limit, aWorker.coldStarts);
 }
 
--- a/libs/dispatch/src/SpeedPlacement.cpp
+++ b/libs/dispatch/src/SpeedPlacement.cpp
@@ -24,6 +24,8 @@
 constexpr double kMaxWaitPart = 0.5;
 /** Longest such wait, however long the gang runs. */
 constexpr std::chrono::duration<double> kMaxSpeedWait = std::chrono::seconds(5);
+/** For tasks whose run time is not known, as a divisor. */
+constexpr base::Duration kMinRunTime = std::chrono::milliseconds(1);
 
 /** The workers without room for those that are slower or faster. */
 std::vector<PackingWorker>
@@ -98,13 +100,14 @@
   }
   // Slow workers are left to tasks that are in time there, so that the fast
   // ones stay free for gangs.
-  const auto runTime = std::chrono::duration<double>(
-    this->ExpectedRunTime(*aCandidate.job->spec, aCandidate.step->id.step));
+  const base::Duration runTime = std::max<base::Duration>(
+    this->ExpectedRunTime(*aCandidate.job->spec, aCandidate.step->id.step),
+    kMinRunTime);
+  const double affordable =
+    1 + std::chrono::duration<double>(aCandidate.slack) /
+          std::chrono::duration<double>(runTime);
   for (auto bound = kSlownessClasses.rbegin(); bound != kSlownessClasses.rend();
        ++bound) {
-    const double affordable =
-      1 + std::chrono::duration<double>(aCandidate.slack) /
-            std::max(runTime, std::chrono::duration<double>(0.001));
     auto chosen =
       this->Pack(LimitSlowness(aUsable, *bound, affordable), aRequest);
     if (!chosen.empty()) {
