--- a/tests/harness/PlatformDeployment.cpp
+++ b/tests/harness/PlatformDeployment.cpp
@@ -48,14 +48,16 @@
     scheduler.name = "scheduler-" + std::to_string(i);
     scheduler.client = AllocateAddress();
     scheduler.ready = AllocateAddress();
+    scheduler.inner = AllocateAddress();
+    scheduler.admin = AllocateAddress();
     scheduler.settings =
       this->WriteSettings(scheduler.name,
                           json::serialize(json::object{
                             { "id", scheduler.name },
                             { "region", "r" },
                             { "zone", "z" },
-                            { "innerListen", AllocateAddress() },
-                            { "adminListen", AllocateAddress() },
+                            { "innerListen", scheduler.inner },
+                            { "adminListen", scheduler.admin },
                             { "clientListen", scheduler.client },
                             { "readyListen", scheduler.ready },
                             { "logService", aRoute(this->storeAddress) },
@@ -69,6 +71,7 @@
     const std::string name = "agent-" + std::to_string(i);
     const std::string control = AllocateAddress();
     worker.registration = control;
+    worker.admin = AllocateAddress();
     worker.worker =
       std::make_unique<standins::PlatformWorker>(this->pool,
                                                  group,
@@ -85,7 +88,7 @@
                             { "id", name },
                             { "region", "r" },
                             { "zone", "z" },
-                            { "adminListen", AllocateAddress() },
+                            { "adminListen", worker.admin },
                             { "registrationListen", control },
                             { "workerAddress", aRoute(address) },
                             { "logService", aRoute(this->storeAddress) },
@@ -137,7 +140,10 @@
           { "slo-ms", 1000 },
           { "timeout-ms", 3000 } } } },
     { "tenants",
-      { { { "name", "club" }, { "api-keys", { std::string(aKey) } } } } },
+      { { { "name", "club" }, { "api-keys", { std::string(aKey) } } },
+        { { "name", "guild" }, { "api-keys", { std::string(kSecondKey) } } },
+        { { "name", "school" },
+          { "api-keys", { std::string(kThirdKey) } } } } },
   };
   this->store.Put("keyed.op", "config", json::serialize(configuration));
 }
@@ -236,10 +242,16 @@
 
 unsigned
 PlatformDeployment::ReadyStatus(const Scheduler& aScheduler)
+{
+  return this->Get(aScheduler.ready, "/api/ready");
+}
+
+unsigned
+PlatformDeployment::Get(const std::string& aAddress, std::string_view aPath)
 {
   frontend::HttpRequest request;
-  request.path = "/api/ready";
-  const auto result = this->Request(aScheduler.ready, std::move(request));
+  request.path = aPath;
+  const auto result = this->Request(aAddress, std::move(request));
   return result.response.has_value() ? result.response.value().status : 0;
 }
 
--- a/tests/harness/PlatformDeployment.h
+++ b/tests/harness/PlatformDeployment.h
@@ -26,6 +26,9 @@
     std::string name;
     std::string client;
     std::string ready;
+    /** Where agents and other schedulers connect. */
+    std::string inner;
+    std::string admin;
     std::string settings;
     std::unique_ptr<Process> process;
   };
@@ -33,6 +36,7 @@
   {
     /** Where the worker registers with its agent. */
     std::string registration;
+    std::string admin;
     std::string settings;
     std::unique_ptr<standins::PlatformWorker> worker;
     std::unique_ptr<frontend::HttpServer> server;
@@ -54,7 +58,10 @@
   PlatformDeployment(const PlatformDeployment&) = delete;
   PlatformDeployment& operator=(const PlatformDeployment&) = delete;
 
-  /** Publishes a configuration with one queue and one key. */
+  /**
+   * Publishes a configuration with one queue and one key, and further client
+   * accounts with the keys kSecondKey and kThirdKey.
+   */
   void Configure(std::uint64_t aVersion, std::string_view aKey);
   void StartScheduler(Scheduler& aScheduler);
   void StartAgent(Worker& aWorker);
@@ -75,6 +82,8 @@
                     std::string_view aId,
                     std::string_view aKey = kKey);
   unsigned ReadyStatus(const Scheduler& aScheduler);
+  /** HTTP status of a GET request; 0 if there is no response. */
+  unsigned Get(const std::string& aAddress, std::string_view aPath);
 
   /** Starts of all workers, as "task#run". */
   std::vector<std::string> Starts() const;
@@ -86,6 +95,8 @@
   const std::string& Folder() const noexcept { return this->folder; }
 
   static constexpr std::string_view kKey = "key-1";
+  static constexpr std::string_view kSecondKey = "second-key";
+  static constexpr std::string_view kThirdKey = "third-key";
   /** Time after which no task may start in an evacuated zone. */
   static constexpr std::chrono::milliseconds kEvacuationLimit{ 5000 };
 
