Bound what the listeners of a process keep together

What callers saw: with 1,100 connections to each of the four addresses of a scheduler it opened 3,315 descriptors, of 2,875 on the smallest VM. Incomplete requests at all of them took 150,284 KiB of 61,440. 1,000 connections that each had sent one complete request with a chunk extension of 70 KiB took 91,792 KiB. With 128 descriptors and 200 idle connections an accept loop used 2,990 to 3,010 ms of processor time in 3 s. Two threads that saw the same excess each closed a connection ("no more connections are closed than the budget asks for" failed in 4 of 5 runs).

Cause: limits held for each listener. The read buffer of a connection kept its size after the request. An accept that failed for want of a descriptor was tried again at once, since the connection stays in the queue of the system.

Change: net::ConnectionBudget limits connections, incomplete requests and the bodies that are being handled for all listeners of a process; the listener that uses most yields. The connections also keep to the descriptors that the process may open, less those for its own use. net::AcceptLoop pauses after a failed attempt, and the budget closes a connection. The buffer is freed after a request; a body counts with the size that the client announced, because that is what is reserved for it. ExceedsBudget() and its test are replaced by the budget, which counts a connection as closed once it is chosen, under one lock; the same is now tested with connections.

--- a/libs/admin/include/amaranthwind/admin/AdminServer.h
+++ b/libs/admin/include/amaranthwind/admin/AdminServer.h
@@ -9,6 +9,10 @@
 #include <string>
 #include <string_view>
 
+namespace amaranthwind::net {
+class ConnectionBudget;
+}
+
 namespace amaranthwind::admin {
 
 /** Updates metrics whose values are kept outside the metrics registry. */
@@ -31,8 +35,11 @@
   /**
    * @param aProcess Name of the process as shown in the state dump.
    * @param aReadiness Must outlive the server.
+   * @param aBudget Shared with other listeners of the process; may be null.
    */
-  AdminServer(std::string_view aProcess, const Readiness& aReadiness);
+  AdminServer(std::string_view aProcess,
+              const Readiness& aReadiness,
+              std::shared_ptr<net::ConnectionBudget> aBudget = nullptr);
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
--- a/libs/admin/src/AdminServer.cpp
+++ b/libs/admin/src/AdminServer.cpp
@@ -2,6 +2,7 @@
 
 #include "amaranthwind/codec/ErrorCodec.h"
 #include "amaranthwind/frontend/HttpServer.h"
+#include "amaranthwind/net/ConnectionBudget.h"
 #include "amaranthwind/net/IoPool.h"
 #include "amaranthwind/telemetry/StateDump.h"
 
@@ -46,14 +47,17 @@
 
 struct AdminServer::Impl : public frontend::HttpHandler
 {
-  Impl(std::string_view aProcess, const Readiness& aReadiness)
+  Impl(std::string_view aProcess,
+       const Readiness& aReadiness,
+       std::shared_ptr<net::ConnectionBudget> aBudget)
     : readiness(aReadiness)
     , dump(aProcess)
     , pool(kThreads)
-    , server(
-        this->pool,
-        { .maxBodyBytes = kMaxBodyBytes, .maxConnections = kMaxConnections },
-        *this)
+    , server(this->pool,
+             { .maxBodyBytes = kMaxBodyBytes,
+               .maxConnections = kMaxConnections,
+               .budget = std::move(aBudget) },
+             *this)
   {
   }
 
@@ -106,8 +110,10 @@
   frontend::HttpServer server;
 };
 
-AdminServer::AdminServer(std::string_view aProcess, const Readiness& aReadiness)
-  : impl(std::make_unique<Impl>(aProcess, aReadiness))
+AdminServer::AdminServer(std::string_view aProcess,
+                         const Readiness& aReadiness,
+                         std::shared_ptr<net::ConnectionBudget> aBudget)
+  : impl(std::make_unique<Impl>(aProcess, aReadiness, std::move(aBudget)))
 {
 }
 
--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -195,6 +195,17 @@
                   Bounded<std::uint32_t>{ aOut.maxBufferedBytes,
                                           kMinBufferedBytes,
                                           kMaxBufferedBytes });
+  object.Optional(
+    "maxTotalConnections",
+    Bounded<std::uint32_t>{ aOut.maxTotalConnections, 1, kMaxConnections });
+  object.Optional("maxTotalBufferedBytes",
+                  Bounded<std::uint32_t>{ aOut.maxTotalBufferedBytes,
+                                          kMinBufferedBytes,
+                                          kMaxBufferedBytes });
+  object.Optional("maxHandledBytes",
+                  Bounded<std::uint32_t>{ aOut.maxHandledBytes,
+                                          kMinBufferedBytes,
+                                          kMaxBufferedBytes });
   object.Optional("headerTimeoutMs",
                   Millis{ aOut.headerTimeout, kMinIdleTimeoutMs });
   object.Optional("requestTimeoutMs",
--- a/libs/frontend/include/amaranthwind/frontend/HttpServer.h
+++ b/libs/frontend/include/amaranthwind/frontend/HttpServer.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 namespace amaranthwind::net {
+class ConnectionBudget;
 class IoPool;
 }
 
@@ -34,8 +35,8 @@
   Malformed,
   HeaderTooLarge, // Also chunk extensions and trailers.
   BodyTooLarge,
-  TooSlow,      // To send a request, or to read its response.
-  BufferBudget, // The incomplete requests of all connections are too large.
+  TooSlow,            // To send a request, or to read its response.
+  BufferBudget,       // The requests of all connections are too large together.
   TooManyConnections, // It was the longest without a complete request.
 };
 
@@ -68,6 +69,8 @@
   std::chrono::milliseconds responseTimeout{ 10'000 };
   /** Must outlive the server if it is not null. */
   HttpServerObserver* observer = nullptr;
+  /** Shared with other listeners of the process; null: limits of its own. */
+  std::shared_ptr<net::ConnectionBudget> budget = nullptr;
 };
 
 /**
@@ -76,9 +79,11 @@
  * (header too large).
  *
  * Clients need not be trusted: what is kept of requests that are not complete
- * is bounded for each connection and for all of them, and so is the number of
- * connections. If one of these limits is reached, the connection that has been
- * longest without a complete request is closed, so that others are served.
+ * is bounded for each connection, for all of them and for all listeners that
+ * share a budget, and so is the number of connections. If one of these limits
+ * is reached, the connection that has been longest without a complete request
+ * is closed, so that others are served. Requests beyond the budget's limit of
+ * what is being handled are answered with 503.
  */
 class HttpServer
 {
--- a/libs/frontend/src/HttpServer.cpp
+++ b/libs/frontend/src/HttpServer.cpp
@@ -1,7 +1,8 @@
 #include "amaranthwind/frontend/HttpServer.h"
 
 #include "BeastConversion.h"
-#include "ConnectionUse.h"
+#include "amaranthwind/net/AcceptLoop.h"
+#include "amaranthwind/net/ConnectionBudget.h"
 #include "amaranthwind/net/IoPool.h"
 #include "amaranthwind/net/TcpAcceptor.h"
 
@@ -9,8 +10,10 @@
 #include <boost/beast/core.hpp>
 
 #include <atomic>
+#include <cstdint>
 #include <mutex>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace amaranthwind::frontend {
@@ -20,6 +23,8 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using base::ErrorCode;
+using net::ConnectionUse;
+using net::Shortage;
 
 namespace {
 
@@ -34,20 +39,24 @@
 constexpr std::size_t kMaxOverheadFactor = 8;
 /** Beyond the limit of connections by this part, new ones are refused. */
 constexpr std::size_t kExcessDivisor = 8;
+/** A connection without a request keeps no larger buffer. */
+constexpr std::size_t kIdleBufferBytes = std::size_t{ 4 } * 1024;
+constexpr std::string_view kRetryAfterSeconds = "1";
 
 class ServerSession;
 
 /** State shared by all sessions of a server. */
-struct ServerState
+struct ServerState : public net::BudgetedListener
 {
   HttpServerOptions options;
+  /** Never null. */
+  std::shared_ptr<net::ConnectionBudget> budget;
+  net::ListenerId listener;
   HttpHandler* handler = nullptr;
   std::atomic<bool> isDraining{ false };
   std::atomic<std::size_t> activeRequests{ 0 };
   std::atomic<std::size_t> connections{ 0 };
   std::atomic<std::uint64_t> refusedConnections{ 0 };
-  /** Of the incomplete requests of all sessions. */
-  std::atomic<std::size_t> bufferedBytes{ 0 };
   std::atomic<std::uint64_t> lastActivity{ 0 };
   std::mutex mutex;
   std::vector<std::weak_ptr<ServerSession>> sessions;
@@ -59,7 +68,7 @@
     }
   }
   /** Closes one connection; returns false if there is none to close. */
-  bool CloseOne(Shortage aShortage);
+  bool CloseOne(Shortage aShortage) override;
 };
 
 /** A client connection; all state is confined to its socket's thread. */
@@ -72,12 +81,15 @@
     , buffer(this->state->options.maxHeaderBytes + kReadBytes)
   {
     this->state->connections.fetch_add(1);
+    this->state->budget->AddConnections(this->state->listener, 1);
     this->NoteActivity();
   }
   ~ServerSession()
   {
     this->SetBufferedBytes(0);
+    this->ReleaseHandledBytes();
     this->state->connections.fetch_sub(1);
+    this->state->budget->AddConnections(this->state->listener, -1);
   }
   ServerSession(const ServerSession&) = delete;
   ServerSession& operator=(const ServerSession&) = delete;
@@ -98,13 +110,16 @@
   void CloseUnlessHandling(RejectionReason aReason)
   {
     this->isClosing.store(true);
+    // Another thread frees it, but no further connection has to be closed.
+    this->SetBufferedBytes(0);
     asio::post(this->stream.get_executor(),
                [self = this->shared_from_this(), aReason] {
-                 if (!self->isHandling.load()) {
+                 if (self->isHandling.load()) {
+                   self->isClosing.store(false);
+                 } else {
                    self->state->OnRejected(aReason);
                    self->stream.close();
                  }
-                 self->isClosing.store(false);
                });
   }
 
@@ -125,10 +140,20 @@
     this->activity.store(this->state->lastActivity.fetch_add(1));
   }
 
+  /** May close connections, this one among them, if the bytes increase. */
   void SetBufferedBytes(std::size_t aBytes)
   {
     const std::size_t former = this->bufferedBytes.exchange(aBytes);
-    this->state->bufferedBytes.fetch_add(aBytes - former);
+    this->state->budget->AddBufferedBytes(
+      this->state->listener,
+      static_cast<std::ptrdiff_t>(aBytes) -
+        static_cast<std::ptrdiff_t>(former));
+  }
+
+  void ReleaseHandledBytes()
+  {
+    this->state->budget->RemoveHandledBytes(
+      std::exchange(this->handledBytes, 0));
   }
 
   void Read()
@@ -187,10 +212,10 @@
       this->Reject(413, RejectionReason::BodyTooLarge, "body");
       return;
     }
-    this->SetBufferedBytes(this->buffer.size() +
-                           this->parser->get().body().size());
-    while (this->state->bufferedBytes.load() > options.maxBufferedBytes &&
-           this->state->CloseOne(Shortage::BufferedBytes)) {
+    if (!this->isClosing.load()) {
+      // The body's capacity is what the client has announced.
+      this->SetBufferedBytes(this->buffer.capacity() +
+                             this->parser->get().body().capacity());
     }
     this->ReadSome();
   }
@@ -200,6 +225,15 @@
     this->isHandling.store(true);
     this->NoteActivity();
     this->SetBufferedBytes(0);
+    if (this->buffer.capacity() > kIdleBufferBytes) {
+      this->buffer.shrink_to_fit();
+    }
+    const std::size_t bodyBytes = this->parser->get().body().size();
+    if (!this->state->budget->TryAddHandledBytes(bodyBytes)) {
+      this->Reject(503, RejectionReason::BufferBudget, "request bodies");
+      return;
+    }
+    this->handledBytes = bodyBytes;
     this->stream.expires_never();
     this->state->activeRequests.fetch_add(1);
     BeastRequest request = this->parser->release();
@@ -209,6 +243,7 @@
       [self = this->shared_from_this()](HttpResponse aResponse) {
         asio::post(self->stream.get_executor(),
                    [self, response = std::move(aResponse)]() mutable {
+                     self->ReleaseHandledBytes();
                      self->Write(std::move(response), true);
                    });
       });
@@ -243,11 +278,16 @@
     this->state->OnRejected(aReason);
     this->isHandling.store(true);
     this->SetBufferedBytes(0);
-    const ErrorCode code = aReason == RejectionReason::Malformed
-                             ? ErrorCode::Malformed
-                             : ErrorCode::TooLarge;
+    const ErrorCode code =
+      aReason == RejectionReason::Malformed      ? ErrorCode::Malformed
+      : aReason == RejectionReason::BufferBudget ? ErrorCode::QueueFull
+                                                 : ErrorCode::TooLarge;
     HttpResponse response;
     response.status = aStatus;
+    if (aReason == RejectionReason::BufferBudget) {
+      response.headers.push_back(
+        { "Retry-After", std::string(kRetryAfterSeconds) });
+    }
     response.body = R"({"error":")" + std::string(base::ToString(code)) +
                     R"(","subject":")" + std::string(aSubject) +
                     R"(","notRun":true})";
@@ -289,7 +329,9 @@
       this->stream.close();
       return;
     }
-    if (!this->response->keep_alive()) {
+    const bool isLast = !this->response->keep_alive();
+    this->response.reset();
+    if (isLast) {
       beast::error_code ignored;
       this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
       return;
@@ -322,6 +364,8 @@
   std::size_t requestBytes = 0;
   std::atomic<std::uint64_t> activity{ 0 };
   std::atomic<std::size_t> bufferedBytes{ 0 };
+  /** Counted for the request that is being handled. */
+  std::size_t handledBytes = 0;
   std::atomic<bool> isHandling{ false };
   std::atomic<bool> isClosing{ false };
   std::optional<BeastResponse> response;
@@ -341,12 +385,7 @@
       uses.push_back(*use);
     }
   }
-  // What connections hold that are being closed is freed a little later.
-  if (aShortage == Shortage::BufferedBytes &&
-      !ExceedsBudget(uses, this->options.maxBufferedBytes)) {
-    return false;
-  }
-  const auto chosen = ChooseToClose(uses, aShortage);
+  const auto chosen = net::ChooseToClose(uses, aShortage);
   if (!chosen) {
     return false;
   }
@@ -378,38 +417,23 @@
   return "too-many-connections";
 }
 
-struct HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
+struct HttpServer::Impl
+  : public net::AcceptObserver
+  , public std::enable_shared_from_this<HttpServer::Impl>
 {
   explicit Impl(net::IoPool& aPool)
     : pool(aPool)
   {
   }
 
-  void Accept()
-  {
-    asio::io_context& context = this->pool.Next();
-    this->acceptor->async_accept(
-      context,
-      [self = this->shared_from_this()](const beast::error_code& aError,
-                                        tcp::socket aSocket) {
-        if (aError == asio::error::operation_aborted ||
-            !self->acceptor->is_open()) {
-          return;
-        }
-        if (!aError && self->MakeRoom()) {
-          self->AddSession(std::move(aSocket));
-        }
-        self->Accept();
-      });
-  }
-
-  /** Returns whether another connection may be accepted. */
-  bool MakeRoom()
+  bool MakeRoom() override
   {
     const std::size_t limit = this->state->options.maxConnections;
     const std::size_t open = this->state->connections.load();
     if (open < limit) {
-      return true;
+      const bool hasRoom = this->state->budget->MakeRoom();
+      this->state->refusedConnections.fetch_add(hasRoom ? 0 : 1);
+      return hasRoom;
     }
     this->state->refusedConnections.fetch_add(1);
     // The chosen connection is closed by its own thread a little later.
@@ -417,6 +441,16 @@
            open < limit + limit / kExcessDivisor;
   }
 
+  void OnAccepted(asio::io_context&, tcp::socket aSocket) override
+  {
+    this->AddSession(std::move(aSocket));
+  }
+
+  void OnOutOfDescriptors() override
+  {
+    this->state->budget->OnOutOfDescriptors();
+  }
+
   void AddSession(tcp::socket aSocket)
   {
     beast::error_code ignored;
@@ -434,7 +468,7 @@
 
   net::IoPool& pool;
   std::shared_ptr<ServerState> state = std::make_shared<ServerState>();
-  std::unique_ptr<tcp::acceptor> acceptor;
+  std::shared_ptr<net::AcceptLoop> acceptLoop;
 };
 
 HttpServer::HttpServer(net::IoPool& aPool,
@@ -442,8 +476,19 @@
                        HttpHandler& aHandler)
   : impl(std::make_shared<Impl>(aPool))
 {
-  this->impl->state->options = aOptions;
-  this->impl->state->handler = &aHandler;
+  ServerState& state = *this->impl->state;
+  state.options = aOptions;
+  state.handler = &aHandler;
+  state.budget = aOptions.budget;
+  if (state.budget == nullptr) {
+    state.budget =
+      std::make_shared<net::ConnectionBudget>(net::ConnectionBudgetOptions{
+        .maxConnections = 2 * aOptions.maxConnections,
+        .maxBufferedBytes = SIZE_MAX / 2,
+        .maxHandledBytes = SIZE_MAX / 2 });
+  }
+  state.listener =
+    state.budget->Add(this->impl->state, aOptions.maxBufferedBytes);
 }
 
 HttpServer::~HttpServer()
@@ -456,8 +501,9 @@
 {
   BOOST_OUTCOME_TRY(auto listening,
                     net::ListenOn(this->impl->pool.At(0), aAddress));
-  this->impl->acceptor = std::move(listening.acceptor);
-  this->impl->Accept();
+  this->impl->acceptLoop = std::make_shared<net::AcceptLoop>(
+    this->impl->pool, std::move(listening.acceptor), this->impl);
+  this->impl->acceptLoop->Start();
   return std::move(listening.address);
 }
 
@@ -488,13 +534,9 @@
 void
 HttpServer::StopAccepting()
 {
-  if (this->impl->acceptor == nullptr) {
-    return;
+  if (this->impl->acceptLoop != nullptr) {
+    this->impl->acceptLoop->Stop();
   }
-  asio::post(this->impl->pool.At(0), [self = this->impl] {
-    beast::error_code ignored;
-    self->acceptor->close(ignored);
-  });
 }
 
 void
--- a/libs/frontend/tests/HttpTest.cpp
+++ b/libs/frontend/tests/HttpTest.cpp
@@ -2,6 +2,7 @@
 #include "amaranthwind/frontend/HttpLogClient.h"
 #include "amaranthwind/frontend/HttpServer.h"
 
+#include "amaranthwind/net/ConnectionBudget.h"
 #include "amaranthwind/net/IoPool.h"
 
 #include <doctest/doctest.h>
@@ -11,12 +12,17 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <functional>
 #include <future>
+#include <iterator>
+#include <list>
+#include <memory>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -70,6 +76,55 @@
   HttpClient client;
 };
 
+/** A connection to a server that sends what the test says. */
+struct RawClient
+{
+  explicit RawClient(std::string_view aAddress)
+  {
+    const auto colon = aAddress.rfind(':');
+    const auto port = static_cast<std::uint16_t>(
+      std::stoi(std::string(aAddress.substr(colon + 1))));
+    this->socket.connect(
+      { boost::asio::ip::make_address(aAddress.substr(0, colon)), port });
+  }
+  void Send(std::string_view aText)
+  {
+    boost::system::error_code ignored;
+    boost::asio::write(this->socket, boost::asio::buffer(aText), ignored);
+  }
+  /** Nothing more is sent. */
+  void Finish()
+  {
+    boost::system::error_code ignored;
+    this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+  /** What the server sends until it closes the connection. */
+  std::string ReadAll()
+  {
+    std::string text;
+    boost::system::error_code ignored;
+    boost::asio::read(this->socket, boost::asio::dynamic_buffer(text), ignored);
+    return text;
+  }
+
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket{ context };
+};
+
+class RejectionCounter : public HttpServerObserver
+{
+public:
+  void OnRejected(RejectionReason) override { ++this->count; }
+  std::atomic<int> count{ 0 };
+};
+
+std::string
+MakeHead(std::size_t aBodyBytes)
+{
+  return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(aBodyBytes) + "\r\n\r\n";
+}
+
 HttpRequest
 MakePost(std::string_view aPath, std::string_view aBody)
 {
@@ -539,3 +594,92 @@
   CHECK(response.starts_with("HTTP/1.1 200"));
   CHECK(response.ends_with(std::string(4096, 'x')));
 }
+
+// Guards against closing all incomplete requests because the bytes of the first
+// one that is closed are still counted.
+TEST_CASE("no more connections are closed than the budget asks for")
+{
+  constexpr std::size_t kBodyBytes = 110'000;
+  constexpr std::size_t kSentBytes = 100'000;
+  RejectionCounter rejections;
+  Fixture fixture({ .maxBufferedBytes = 450'000, .observer = &rejections });
+  std::list<RawClient> clients;
+  for (int i = 0; i < 5; ++i) {
+    clients.emplace_back(fixture.address);
+    clients.back().Send(MakeHead(kBodyBytes) + std::string(kSentBytes, 'x'));
+  }
+  // The one that is longest without a complete request.
+  CHECK(clients.front().ReadAll().empty());
+  // The others complete theirs.
+  for (auto client = std::next(clients.begin()); client != clients.end();
+       ++client) {
+    client->Send(std::string(kBodyBytes - kSentBytes, 'x'));
+    client->Finish();
+    CHECK(client->ReadAll().starts_with("HTTP/1.1 200"));
+  }
+  CHECK(rejections.count.load() == 1);
+}
+
+// Guards against complete requests that exceed the memory together while their
+// answers wait, and against a wrong claim about the one that is refused.
+TEST_CASE("requests beyond what may be handled at once are refused")
+{
+  Fixture fixture(
+    { .budget = std::make_shared<net::ConnectionBudget>(
+        net::ConnectionBudgetOptions{ .maxHandledBytes = 5000 }) });
+  std::mutex mutex;
+  std::vector<HttpResponder> waiting;
+  fixture.handler.serve = [&](const HttpRequest&,
+                              const HttpResponder& aRespond) {
+    const std::lock_guard lock(mutex);
+    waiting.push_back(aRespond);
+  };
+  const std::string body(2000, 'x');
+  std::array<std::promise<HttpResult>, 3> results;
+  for (auto& each : results) {
+    fixture.client.Send(
+      MakePost("/", body), kTestTimeout, [&](const HttpResult& aResult) {
+        each.set_value(aResult);
+      });
+  }
+  // One of them is refused at once, the others are answered later.
+  int refused = 0;
+  int served = 0;
+  std::array<std::future<HttpResult>, 3> futures;
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    futures[i] = results[i].get_future();
+  }
+  const auto count = [&] {
+    const std::lock_guard lock(mutex);
+    return waiting.size();
+  };
+  while (count() < 2) {
+    std::this_thread::sleep_for(1ms);
+  }
+  while (std::none_of(futures.begin(), futures.end(), [](auto& aFuture) {
+    return aFuture.wait_for(0s) == std::future_status::ready;
+  })) {
+    std::this_thread::sleep_for(1ms);
+  }
+  for (const auto& respond : waiting) {
+    respond({});
+  }
+  for (auto& future : futures) {
+    const HttpResult result = future.get();
+    REQUIRE(result.response.has_value());
+    const HttpResponse& response = result.response.value();
+    served += response.status == 200 ? 1 : 0;
+    if (response.status == 503) {
+      ++refused;
+      CHECK(std::any_of(response.headers.begin(),
+                        response.headers.end(),
+                        [](const HttpHeader& aHeader) {
+                          return aHeader.name == "Retry-After" &&
+                                 aHeader.value == "1";
+                        }));
+      CHECK(response.body.find(R"("notRun":true)") != std::string::npos);
+    }
+  }
+  CHECK(served == 2);
+  CHECK(refused == 1);
+}
--- a/libs/frontend/src/ConnectionUse.h
+++ b/libs/net/include/amaranthwind/net/ConnectionUse.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <span>
 
-namespace amaranthwind::frontend {
+namespace amaranthwind::net {
 
 /** What one connection of a listener uses. */
 struct ConnectionUse
@@ -28,11 +28,6 @@
   BufferedBytes,
 };
 
-/** Whether the connections, without those being closed, hold too much. */
-bool
-ExceedsBudget(std::span<const ConnectionUse> aConnections,
-              std::size_t aMaxBufferedBytes);
-
 /**
  * Chooses the connection to close, as an index; empty if none helps. A
  * connection whose request is being handled is never chosen.
@@ -44,4 +39,4 @@
 std::optional<std::size_t>
 ChooseToClose(std::span<const ConnectionUse> aConnections, Shortage aShortage);
 
-} // namespace amaranthwind::frontend
+} // namespace amaranthwind::net
--- a/libs/frontend/src/ConnectionUse.cpp
+++ b/libs/net/src/ConnectionUse.cpp
@@ -1,17 +1,6 @@
-#include "ConnectionUse.h"
+#include "amaranthwind/net/ConnectionUse.h"
 
-namespace amaranthwind::frontend {
-
-bool
-ExceedsBudget(std::span<const ConnectionUse> aConnections,
-              std::size_t aMaxBufferedBytes)
-{
-  std::size_t sum = 0;
-  for (const ConnectionUse& each : aConnections) {
-    sum += each.bufferedBytes;
-  }
-  return sum > aMaxBufferedBytes;
-}
+namespace amaranthwind::net {
 
 std::optional<std::size_t>
 ChooseToClose(std::span<const ConnectionUse> aConnections, Shortage aShortage)
@@ -30,4 +19,4 @@
   return chosen;
 }
 
-} // namespace amaranthwind::frontend
+} // namespace amaranthwind::net
--- a/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
+++ b/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
@@ -23,6 +23,15 @@
   std::uint32_t maxConnections = 1024;
   /** Of the incomplete requests of all connections together. */
   std::uint32_t maxBufferedBytes = 16 * 1024 * 1024;
+  /**
+   * Of all listeners of the process together, that of the inner protocol among
+   * them; the number of descriptors also limits the connections.
+   */
+  std::uint32_t maxTotalConnections = 2048;
+  /** Of the incomplete requests and frames at all listeners together. */
+  std::uint32_t maxTotalBufferedBytes = 16 * 1024 * 1024;
+  /** Of the bodies of the requests that are being handled. */
+  std::uint32_t maxHandledBytes = 8 * 1024 * 1024;
   base::Duration idleTimeout = std::chrono::seconds(30);
   /** From the first byte of a request to the end of its headers. */
   base::Duration headerTimeout = std::chrono::seconds(10);
@@ -48,7 +57,7 @@
   /** Longest time that a worker keeps tasks without a lease renewal. */
   base::Duration maxLease = std::chrono::seconds(6);
   LogSettings log;
-  /** Of each listener of the process that others connect to over HTTP. */
+  /** Of the listeners of the process. */
   ListenerLimits limits;
 
   bool operator==(const NodeSettings&) const = default;
