Let a refusal reach a client that still sends

What callers saw: a request that was refused with 413 or 431 while its body was still arriving ended with a reset connection instead of the response.

Cause: the connection was closed with unread bytes, which resets it, and the client's system discards what it has not read yet.

Change: after a refusal, up to 1 MiB is read and discarded for up to 2 s before the connection is closed. Such a connection counts as one without a request and is closed first if there are too many.

--- a/libs/frontend/src/HttpServer.cpp
+++ b/libs/frontend/src/HttpServer.cpp
@@ -39,6 +39,14 @@
 constexpr std::size_t kMaxOverheadFactor = 8;
 /** Beyond the limit of connections by this part, new ones are refused. */
 constexpr std::size_t kExcessDivisor = 8;
+/**
+ * After a refusal, what the client still sends is read and discarded up to
+ * these limits: closing at once would reset the connection, and the client
+ * might never read the response.
+ */
+constexpr std::size_t kLingerBytes = std::size_t{ 1024 } * 1024;
+constexpr std::chrono::seconds kLingerTime{ 2 };
+constexpr std::size_t kLingerBufferBytes = std::size_t{ 4 } * 1024;
 /** A connection without a request keeps no larger buffer. */
 constexpr std::size_t kIdleBufferBytes = std::size_t{ 4 } * 1024;
 constexpr std::string_view kRetryAfterSeconds = "1";
@@ -292,6 +300,7 @@
                     R"(","subject":")" + std::string(aSubject) +
                     R"(","notRun":true})";
     this->keepAlive = false;
+    this->isRefused = true;
     this->Write(std::move(response), false);
   }
 
@@ -334,12 +343,36 @@
     if (isLast) {
       beast::error_code ignored;
       this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+      if (!this->isRefused) {
+        return;
+      }
+      this->isHandling.store(false);
+      this->parser.reset();
+      this->lingerBuffer.resize(kLingerBufferBytes);
+      this->lingerBytes = 0;
+      this->stream.expires_after(kLingerTime);
+      this->Linger();
       return;
     }
     this->isHandling.store(false);
     this->Read();
   }
 
+  void Linger()
+  {
+    this->stream.async_read_some(
+      asio::buffer(this->lingerBuffer),
+      [self = this->shared_from_this()](beast::error_code aError,
+                                        std::size_t aBytes) {
+        self->lingerBytes += aBytes;
+        if (aError || self->lingerBytes > kLingerBytes) {
+          self->stream.close();
+        } else {
+          self->Linger();
+        }
+      });
+  }
+
   static HttpRequest Convert(BeastRequest& aRequest)
   {
     HttpRequest request;
@@ -370,6 +403,9 @@
   std::atomic<bool> isClosing{ false };
   std::optional<BeastResponse> response;
   bool keepAlive = false;
+  bool isRefused = false;
+  std::vector<char> lingerBuffer;
+  std::size_t lingerBytes = 0;
 };
 
 bool
--- a/libs/frontend/tests/HttpTest.cpp
+++ b/libs/frontend/tests/HttpTest.cpp
@@ -620,6 +620,21 @@
   CHECK(rejections.count.load() == 1);
 }
 
+// Guards against a connection that is reset while its client still sends, so
+// that the client never reads why it was refused.
+TEST_CASE("a refusal reaches a client that still sends")
+{
+  Fixture fixture({ .maxBodyBytes = 4096 });
+  constexpr std::size_t kBodyBytes = std::size_t{ 600 } * 1024;
+  constexpr int kRequests = 20;
+  for (int i = 0; i < kRequests; ++i) {
+    RawClient client(fixture.address);
+    client.Send(MakeHead(kBodyBytes) + std::string(kBodyBytes, 'x'));
+    client.Finish();
+    CHECK(client.ReadAll().starts_with("HTTP/1.1 413"));
+  }
+}
+
 // Guards against complete requests that exceed the memory together while their
 // answers wait, and against a wrong claim about the one that is refused.
 TEST_CASE("requests beyond what may be handled at once are refused")
