Bound what strangers make the inner protocol keep

What callers saw: 400 connections to innerListen that announce a frame of 1 MiB, or send half of it, take a scheduler to 420,836 and 420,840 KiB of 61,440; 8 connections that send 16 MiB of requests and read no reply take it to 304,620; 3,500 idle connections open 3,192 descriptors of 2,875.

Cause: the receive buffer took the size of a frame when its length was read, and kept it, as did the copy that is decoded. Send queues were limited to 8 MiB for each connection, without the overhead of small frames and without what waits for the connection's thread. New connections beyond 4,096 were refused, so that idle ones would have kept agents out.

Change: the buffer is doubled as bytes arrive and freed after the frame; what incomplete frames take, and the connections, count against the budget of all listeners. All send queues together have 16 MiB, with 128 bytes more a frame, counted when a frame is sent; the longest queue is closed. Of the connections, the one that is longest without a complete frame is closed.

--- a/libs/agent/src/CoordinatorLink.cpp
+++ b/libs/agent/src/CoordinatorLink.cpp
@@ -22,9 +22,9 @@
  * The coordinator answers every report, so several answers arrive within the
  * silence timeout.
  */
-constexpr protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
-                                              .silenceTimeout = 1800ms,
-                                              .connectTimeout = 800ms };
+const protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
+                                          .silenceTimeout = 1800ms,
+                                          .connectTimeout = 800ms };
 /**
  * Limit of the silence timeout after connections on which the coordinator sent
  * nothing. It must stay below the silence after which the worker counts as
--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -11,6 +11,7 @@
 #include "amaranthwind/telemetry/Metrics.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -18,6 +19,7 @@
 #include <vector>
 
 namespace amaranthwind::net {
+class ConnectionBudget;
 class IoPool;
 }
 
@@ -105,8 +107,13 @@
               telemetry::Metrics& aMetrics);
   ~Coordinator() override;
 
-  /** Port factory for connections to agents and other entries. */
-  static protocol::MessagePortFactory MakePorts(net::IoPool& aPool);
+  /**
+   * Port factory for connections to agents and other entries.
+   * @param aBudget Shared with other listeners of the process.
+   */
+  static protocol::MessagePortFactory MakePorts(
+    net::IoPool& aPool,
+    std::shared_ptr<net::ConnectionBudget> aBudget = nullptr);
 
   /** Errors: those of listening. */
   base::Result<void> Start();
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -26,9 +26,10 @@
 namespace {
 
 /** Short intervals, so that the loss of an agent is noticed quickly. */
-constexpr protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
-                                              .silenceTimeout = 2500ms,
-                                              .connectTimeout = 800ms };
+const protocol::NodeOptions kNodeOptions{ .pingInterval = 1000ms,
+                                          .silenceTimeout = 2500ms,
+                                          .connectTimeout = 800ms,
+                                          .maxConnections = 1024 };
 constexpr base::Duration kTickInterval = 500ms;
 /** Interval between attempts to reach the previous coordinator. */
 constexpr base::Duration kPredecessorRetryInterval = 500ms;
@@ -585,9 +586,12 @@
 Coordinator::~Coordinator() = default;
 
 protocol::MessagePortFactory
-Coordinator::MakePorts(net::IoPool& aPool)
+Coordinator::MakePorts(net::IoPool& aPool,
+                       std::shared_ptr<net::ConnectionBudget> aBudget)
 {
-  return protocol::MakeNodeFactory(aPool, kNodeOptions);
+  protocol::NodeOptions options = kNodeOptions;
+  options.budget = std::move(aBudget);
+  return protocol::MakeNodeFactory(aPool, options);
 }
 
 base::Result<void>
--- a/libs/protocol/include/amaranthwind/protocol/Node.h
+++ b/libs/protocol/include/amaranthwind/protocol/Node.h
@@ -15,6 +15,7 @@
 #include <string_view>
 
 namespace amaranthwind::net {
+class ConnectionBudget;
 class IoPool;
 }
 
@@ -29,7 +30,21 @@
   std::chrono::milliseconds connectTimeout{ 2000 };
   /** Send queue limit; beyond it, the peer is too slow and is disconnected. */
   std::size_t maxQueuedBytes = std::size_t{ 8 } * 1024 * 1024;
+  /**
+   * Limit of the send queues of all connections together; beyond it, the one
+   * with the longest queue is closed.
+   */
+  std::size_t maxTotalQueuedBytes = std::size_t{ 16 } * 1024 * 1024;
+  /**
+   * Beyond it, the inbound connection that has been longest without a complete
+   * frame is closed.
+   */
   std::size_t maxConnections = 4096;
+  /**
+   * Limits the inbound connections, and what is kept of incomplete frames,
+   * together with other listeners of the process. Null: limits of its own.
+   */
+  std::shared_ptr<net::ConnectionBudget> budget = nullptr;
 };
 
 /** Cumulative counters, except connections, which is the current number. */
@@ -45,6 +60,8 @@
   std::uint64_t unmatchedReplies = 0;
   /** Connections closed by silenceTimeout. */
   std::uint64_t silentConnections = 0;
+  /** Connections closed for a limit of all connections together. */
+  std::uint64_t crowdedConnections = 0;
   std::uint64_t connections = 0;
 };
 
--- a/libs/protocol/src/Connection.cpp
+++ b/libs/protocol/src/Connection.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <span>
 #include <utility>
 
 namespace amaranthwind::protocol {
@@ -23,6 +25,17 @@
 // Initial size. Holds most frames, so that one read returns one or more
 // whole frames; kept small because an entry has hundreds of connections.
 constexpr std::size_t kReceiveBufferBytes = 2048;
+// Larger buffers are freed after the frame that needed them.
+constexpr std::size_t kMaxIdleBufferBytes = std::size_t{ 4 } * 1024;
+
+// A queued frame takes this much beside its bytes.
+constexpr std::size_t kQueuedFrameBytes = 128;
+
+std::size_t
+QueueSizeOf(std::span<const std::byte> aFrame)
+{
+  return aFrame.size() + kQueuedFrameBytes;
+}
 
 std::string
 ToText(const Connection::Endpoint& aEndpoint)
@@ -56,6 +69,8 @@
 Connection::StartInbound(Socket aSocket)
 {
   this->socket = std::move(aSocket);
+  this->isInbound.store(true);
+  this->activity.store(this->counters->lastActivity.fetch_add(1));
   asio::post(this->context,
              [self = this->shared_from_this()] { self->Open(true); });
 }
@@ -84,6 +99,10 @@
 void
 Connection::Send(std::vector<std::byte> aFrame)
 {
+  if (this->isClosing.load()) {
+    return;
+  }
+  this->AddQueuedBytes(QueueSizeOf(aFrame));
   asio::post(
     this->context,
     [self = this->shared_from_this(), frame = std::move(aFrame)]() mutable {
@@ -113,7 +132,7 @@
       self->deadlines.emplace(deadline, correlation);
       self->ArmCallTimer();
       envelope.correlation = CorrelationId(correlation);
-      self->Enqueue(EncodeFrame(envelope));
+      self->EnqueueNow(EncodeFrame(envelope));
     });
 }
 
@@ -139,6 +158,78 @@
   });
 }
 
+void
+Connection::CloseForLimit(std::string_view aLimit)
+{
+  this->isClosing.store(true);
+  // Another thread frees it, but no further connection has to be closed.
+  this->SetBufferedBytes(0);
+  this->RemoveQueuedBytes(SIZE_MAX);
+  this->counters->crowdedConnections.fetch_add(1, kRelaxed);
+  this->Close({ ErrorCode::TooLarge, std::string(aLimit) });
+}
+
+std::optional<net::ConnectionUse>
+Connection::Use() const
+{
+  if (!this->isInbound.load() || this->isClosing.load()) {
+    return std::nullopt;
+  }
+  return net::ConnectionUse{ this->activity.load(),
+                             this->bufferedBytes.load(),
+                             false };
+}
+
+std::size_t
+Connection::QueuedBytes() const noexcept
+{
+  return this->isClosing.load() ? 0 : this->queuedBytes.load();
+}
+
+void
+Connection::SetBufferedBytes(std::size_t aBytes)
+{
+  if (aBytes > 0 && this->isClosing.load()) {
+    return;
+  }
+  const std::size_t former = this->bufferedBytes.exchange(aBytes);
+  const auto change =
+    static_cast<std::ptrdiff_t>(aBytes) - static_cast<std::ptrdiff_t>(former);
+  if (change == 0 || !this->isInbound.load()) {
+    return;
+  }
+  if (auto receiver = this->owner.lock()) {
+    receiver->OnBufferedBytes(change);
+  }
+}
+
+void
+Connection::AddQueuedBytes(std::size_t aBytes)
+{
+  if (this->isClosing.load()) {
+    return;
+  }
+  this->queuedBytes.fetch_add(aBytes);
+  const std::size_t total =
+    this->counters->queuedBytes.fetch_add(aBytes) + aBytes;
+  if (total > this->options.maxTotalQueuedBytes) {
+    if (auto receiver = this->owner.lock()) {
+      receiver->OnQueuesFull();
+    }
+  }
+}
+
+void
+Connection::RemoveQueuedBytes(std::size_t aBytes)
+{
+  std::size_t former = this->queuedBytes.load();
+  std::size_t removed = 0;
+  do {
+    removed = std::min(former, aBytes);
+  } while (!this->queuedBytes.compare_exchange_weak(former, former - removed));
+  this->counters->queuedBytes.fetch_sub(removed);
+}
+
 void
 Connection::Open(bool aIsInbound)
 {
@@ -167,10 +258,10 @@
 Connection::Enqueue(std::vector<std::byte> aFrame)
 {
   if (this->state.Phase() == ConnectionPhase::Closed) {
+    this->RemoveQueuedBytes(QueueSizeOf(aFrame));
     return;
   }
-  this->queuedBytes += aFrame.size();
-  if (this->queuedBytes > this->options.maxQueuedBytes) {
+  if (this->queuedBytes.load() > this->options.maxQueuedBytes) {
     this->CloseNow({ ErrorCode::TooLarge, "send queue" });
     return;
   }
@@ -178,6 +269,13 @@
   this->WriteQueued();
 }
 
+void
+Connection::EnqueueNow(std::vector<std::byte> aFrame)
+{
+  this->AddQueuedBytes(QueueSizeOf(aFrame));
+  this->Enqueue(std::move(aFrame));
+}
+
 void
 Connection::WriteQueued()
 {
@@ -211,8 +309,11 @@
     this->CloseNow({ ErrorCode::ConnectionClosed, aError.message() });
     return;
   }
+  if (this->state.Phase() != ConnectionPhase::Open) {
+    return;
+  }
   for (const auto& sent : this->framesInWrite) {
-    this->queuedBytes -= sent.size();
+    this->RemoveQueuedBytes(QueueSizeOf(sent));
     this->counters->bytesSent.fetch_add(sent.size(), kRelaxed);
   }
   this->counters->framesSent.fetch_add(this->framesInWrite.size(), kRelaxed);
@@ -243,6 +344,7 @@
 {
   this->lastReceived = steady_clock::now();
   std::size_t consumed = 0;
+  std::size_t missingFrameBytes = kReceiveBufferBytes;
   while (this->state.Phase() == ConnectionPhase::Open) {
     const std::span<const std::byte> unparsed(
       this->receiveBuffer.data() + consumed, this->receivedBytes - consumed);
@@ -257,7 +359,7 @@
     }
     const std::size_t frameBytes = kFrameHeaderBytes + length.value();
     if (unparsed.size() < frameBytes) {
-      this->GrowReceiveBuffer(frameBytes);
+      missingFrameBytes = frameBytes;
       break;
     }
     // Copied because the decoder needs an aligned buffer.
@@ -265,6 +367,7 @@
                        unparsed.begin() +
                          static_cast<std::ptrdiff_t>(frameBytes));
     consumed += frameBytes;
+    this->activity.store(this->counters->lastActivity.fetch_add(1));
     this->OnFrame();
   }
   if (this->state.Phase() != ConnectionPhase::Open) {
@@ -275,14 +378,32 @@
               static_cast<std::ptrdiff_t>(this->receivedBytes),
             this->receiveBuffer.begin());
   this->receivedBytes -= consumed;
+  this->GrowReceiveBuffer(missingFrameBytes);
+  this->ShrinkBuffers();
+  this->SetBufferedBytes(this->receivedBytes == 0 ? 0
+                                                  : this->receiveBuffer.size());
   this->Read();
 }
 
 void
 Connection::GrowReceiveBuffer(std::size_t aBytes)
 {
-  if (this->receiveBuffer.size() < aBytes) {
-    this->receiveBuffer.resize(aBytes);
+  // Doubled as the bytes arrive, since a peer may announce more than it sends.
+  const std::size_t size = this->receiveBuffer.size();
+  if (this->receivedBytes == size && size < aBytes) {
+    this->receiveBuffer.resize(std::min(aBytes, 2 * size));
+  }
+}
+
+void
+Connection::ShrinkBuffers()
+{
+  if (this->receivedBytes == 0 &&
+      this->receiveBuffer.size() > kMaxIdleBufferBytes) {
+    std::vector<std::byte>(kReceiveBufferBytes).swap(this->receiveBuffer);
+  }
+  if (this->frame.capacity() > kMaxIdleBufferBytes) {
+    std::vector<std::byte>().swap(this->frame);
   }
 }
 
@@ -403,7 +524,7 @@
   }
   this->isConfirmingSilence = isSilent;
   if (now - this->lastSent >= this->pingInterval) {
-    this->Enqueue(EncodeFrame({ CorrelationId(0), false, Ping{} }));
+    this->EnqueueNow(EncodeFrame({ CorrelationId(0), false, Ping{} }));
   }
   this->ArmLivenessTimer();
 }
@@ -420,6 +541,10 @@
   this->livenessTimer.cancel();
   this->connectTimer.cancel();
   this->FailCalls(aReason);
+  this->isClosing.store(true);
+  this->sendQueue.clear();
+  this->RemoveQueuedBytes(SIZE_MAX);
+  this->SetBufferedBytes(0);
   if (auto receiver = this->owner.lock()) {
     receiver->OnConnectionClosed(this->id, aReason);
   }
--- a/libs/protocol/src/Connection.h
+++ b/libs/protocol/src/Connection.h
@@ -2,6 +2,7 @@
 
 #include "ConnectionState.h"
 #include "amaranthwind/base/Error.h"
+#include "amaranthwind/net/ConnectionUse.h"
 #include "amaranthwind/protocol/FrameCodec.h"
 #include "amaranthwind/protocol/Node.h"
 
@@ -13,8 +14,10 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -32,6 +35,11 @@
   std::atomic<std::uint64_t> lateReplies{ 0 };
   std::atomic<std::uint64_t> unmatchedReplies{ 0 };
   std::atomic<std::uint64_t> silentConnections{ 0 };
+  std::atomic<std::uint64_t> crowdedConnections{ 0 };
+  /** Bytes in the send queues of all connections. */
+  std::atomic<std::size_t> queuedBytes{ 0 };
+  /** Rises with each complete frame and each new connection. */
+  std::atomic<std::uint64_t> lastActivity{ 0 };
 };
 
 /** Receives the events of a Connection; implemented by Node. */
@@ -46,6 +54,10 @@
                                    const Envelope& aEnvelope) = 0;
   virtual void OnConnectionClosed(ConnectionId aId,
                                   const base::Error& aReason) = 0;
+  /** What an inbound connection keeps of incomplete frames has changed. */
+  virtual void OnBufferedBytes(std::ptrdiff_t aChange) = 0;
+  /** The send queues have come to exceed their limit together. */
+  virtual void OnQueuesFull() = 0;
 };
 
 /**
@@ -73,6 +85,16 @@
   void SetLiveness(std::chrono::milliseconds aPingInterval,
                    std::chrono::milliseconds aSilenceTimeout);
   void Close(const base::Error& aReason);
+  /** As Close(), for a limit of all connections together. */
+  void CloseForLimit(std::string_view aLimit);
+
+  /**
+   * What an inbound connection uses; empty if it is outbound or about to be
+   * closed. Thread-safe.
+   */
+  std::optional<net::ConnectionUse> Use() const;
+  /** Size of the send queue; 0 if it is about to be closed. Thread-safe. */
+  std::size_t QueuedBytes() const noexcept;
 
 private:
   using Deadline = std::pair<base::TimePoint, std::uint64_t>;
@@ -83,12 +105,21 @@
   };
 
   void Open(bool aIsInbound);
+  /** Requires that the frame was counted with AddQueuedBytes(). */
   void Enqueue(std::vector<std::byte> aFrame);
+  /** Counts the frame and enqueues it, on the connection's thread. */
+  void EnqueueNow(std::vector<std::byte> aFrame);
   void WriteQueued();
   void OnWritten(const boost::system::error_code& aError);
   void Read();
   void ParseFrames();
   void GrowReceiveBuffer(std::size_t aBytes);
+  void ShrinkBuffers();
+  void SetBufferedBytes(std::size_t aBytes);
+  /** Counts a frame for the send queue. Thread-safe. */
+  void AddQueuedBytes(std::size_t aBytes);
+  /** Removes at most what is counted. Thread-safe. */
+  void RemoveQueuedBytes(std::size_t aBytes);
   void OnFrame();
   void CompleteCall(const Envelope& aEnvelope);
   void ArmCallTimer();
@@ -115,7 +146,13 @@
   std::vector<std::byte> frame;
   std::deque<std::vector<std::byte>> sendQueue;
   std::vector<std::vector<std::byte>> framesInWrite;
-  std::size_t queuedBytes = 0;
+  /** Also of frames that another thread has passed on to this one. */
+  std::atomic<std::size_t> queuedBytes{ 0 };
+  /** Size of the receive buffer while it holds an incomplete frame. */
+  std::atomic<std::size_t> bufferedBytes{ 0 };
+  std::atomic<std::uint64_t> activity{ 0 };
+  std::atomic<bool> isInbound{ false };
+  std::atomic<bool> isClosing{ false };
 
   std::uint64_t nextCorrelation = 1;
   std::unordered_map<std::uint64_t, PendingCall> calls;
--- a/libs/protocol/src/Node.cpp
+++ b/libs/protocol/src/Node.cpp
@@ -2,14 +2,17 @@
 
 #include "Connection.h"
 #include "amaranthwind/base/RcuCell.h"
+#include "amaranthwind/net/AcceptLoop.h"
+#include "amaranthwind/net/ConnectionBudget.h"
 #include "amaranthwind/net/IoPool.h"
 #include "amaranthwind/net/TcpAcceptor.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 
 #include <mutex>
 #include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 namespace amaranthwind::protocol {
 
@@ -20,6 +23,9 @@
 
 namespace {
 
+/** Beyond the limit of connections by this part, new ones are refused. */
+constexpr std::size_t kExcessDivisor = 8;
+
 using ConnectionTable =
   std::unordered_map<ConnectionId, std::shared_ptr<Connection>>;
 
@@ -33,6 +39,8 @@
 
 struct Node::Impl
   : public ConnectionOwner
+  , public net::AcceptObserver
+  , public net::BudgetedListener
   , public std::enable_shared_from_this<Node::Impl>
 {
   Impl(net::IoPool& aPool,
@@ -41,7 +49,13 @@
     : pool(aPool)
     , options(aOptions)
     , handler(aHandler)
+    , budget(aOptions.budget)
   {
+    if (this->budget == nullptr) {
+      this->budget =
+        std::make_shared<net::ConnectionBudget>(net::ConnectionBudgetOptions{
+          .maxConnections = 2 * aOptions.maxConnections });
+    }
   }
 
   void OnConnectionOpened(ConnectionId aId,
@@ -62,6 +76,26 @@
     this->Remove(aId);
   }
 
+  void OnBufferedBytes(std::ptrdiff_t aChange) override
+  {
+    this->budget->AddBufferedBytes(this->listener, aChange);
+  }
+
+  void OnQueuesFull() override
+  {
+    const auto guard = this->table.Read();
+    std::shared_ptr<Connection> longest;
+    for (const auto& [id, connection] : *guard) {
+      if (longest == nullptr ||
+          connection->QueuedBytes() > longest->QueuedBytes()) {
+        longest = connection;
+      }
+    }
+    if (longest != nullptr && longest->QueuedBytes() > 0) {
+      longest->CloseForLimit("send queues");
+    }
+  }
+
   std::shared_ptr<Connection> Find(ConnectionId aId) const
   {
     const auto guard = this->table.Read();
@@ -69,7 +103,7 @@
     return found == guard->end() ? nullptr : found->second;
   }
 
-  NewConnection Add(asio::io_context& aContext)
+  NewConnection Add(asio::io_context& aContext, bool aIsInbound)
   {
     std::lock_guard lock(this->tableMutex);
     const ConnectionId id(++this->lastId);
@@ -78,6 +112,10 @@
     auto next = std::make_unique<ConnectionTable>(*this->table.Read());
     next->emplace(id, connection);
     this->table.Publish(std::move(next));
+    if (aIsInbound) {
+      this->inbound.insert(id);
+      this->budget->AddConnections(this->listener, 1);
+    }
     return { id, std::move(connection) };
   }
 
@@ -87,38 +125,65 @@
     auto next = std::make_unique<ConnectionTable>(*this->table.Read());
     next->erase(aId);
     this->table.Publish(std::move(next));
+    if (this->inbound.erase(aId) > 0) {
+      this->budget->AddConnections(this->listener, -1);
+    }
   }
 
-  void Accept()
+  bool CloseOne(net::Shortage aShortage) override
   {
-    // The socket is created on the io_context of the thread that will serve it.
-    asio::io_context& context = this->pool.Next();
-    this->acceptor->async_accept(
-      context,
-      [self = this->shared_from_this(),
-       &context](const boost::system::error_code& aError, tcp::socket aSocket) {
-        if (aError == asio::error::operation_aborted ||
-            !self->acceptor->is_open()) {
-          return;
-        }
-        if (!aError &&
-            self->table.Read()->size() < self->options.maxConnections) {
-          self->Add(context).connection->StartInbound(std::move(aSocket));
+    std::vector<std::shared_ptr<Connection>> open;
+    std::vector<net::ConnectionUse> uses;
+    {
+      const auto guard = this->table.Read();
+      for (const auto& [id, connection] : *guard) {
+        if (const auto use = connection->Use()) {
+          open.push_back(connection);
+          uses.push_back(*use);
         }
-        self->Accept();
-      });
+      }
+    }
+    const auto chosen = net::ChooseToClose(uses, aShortage);
+    if (!chosen) {
+      return false;
+    }
+    open[*chosen]->CloseForLimit(aShortage == net::Shortage::Connections
+                                   ? "connections"
+                                   : "incomplete frames");
+    return true;
   }
 
+  bool MakeRoom() override
+  {
+    const std::size_t limit = this->options.maxConnections;
+    const std::size_t open = this->table.Read()->size();
+    if (open < limit) {
+      return this->budget->MakeRoom();
+    }
+    return this->CloseOne(net::Shortage::Connections) &&
+           open < limit + limit / kExcessDivisor;
+  }
+
+  void OnAccepted(asio::io_context& aContext, tcp::socket aSocket) override
+  {
+    this->Add(aContext, true).connection->StartInbound(std::move(aSocket));
+  }
+
+  void OnOutOfDescriptors() override { this->budget->OnOutOfDescriptors(); }
+
   net::IoPool& pool;
   const NodeOptions options;
   MessageHandler& handler;
   std::shared_ptr<SharedCounters> counters = std::make_shared<SharedCounters>();
+  std::shared_ptr<net::ConnectionBudget> budget;
+  net::ListenerId listener;
   std::mutex tableMutex;
   std::uint64_t lastId = 0;
+  std::unordered_set<ConnectionId> inbound;
   base::RcuCell<ConnectionTable> table{
     std::make_unique<const ConnectionTable>()
   };
-  std::unique_ptr<tcp::acceptor> acceptor;
+  std::shared_ptr<net::AcceptLoop> acceptLoop;
 };
 
 Node::Node(net::IoPool& aPool,
@@ -126,6 +191,7 @@
            MessageHandler& aHandler)
   : impl(std::make_shared<Impl>(aPool, aOptions, aHandler))
 {
+  this->impl->listener = this->impl->budget->Add(this->impl);
 }
 
 Node::~Node()
@@ -138,15 +204,16 @@
 {
   BOOST_OUTCOME_TRY(auto listening,
                     net::ListenOn(this->impl->pool.At(0), aAddress));
-  this->impl->acceptor = std::move(listening.acceptor);
-  this->impl->Accept();
+  this->impl->acceptLoop = std::make_shared<net::AcceptLoop>(
+    this->impl->pool, std::move(listening.acceptor), this->impl);
+  this->impl->acceptLoop->Start();
   return std::move(listening.address);
 }
 
 ConnectionId
 Node::Connect(std::string_view aAddress)
 {
-  auto added = this->impl->Add(this->impl->pool.Next());
+  auto added = this->impl->Add(this->impl->pool.Next(), false);
   const auto endpoint = net::ToEndpoint(aAddress);
   if (endpoint.has_error()) {
     added.connection->Close(
@@ -214,21 +281,18 @@
 Node::Counters() const
 {
   const auto& shared = *this->impl->counters;
-  return { shared.framesSent.load(),        shared.framesReceived.load(),
-           shared.bytesSent.load(),         shared.bytesReceived.load(),
-           shared.badFrames.load(),         shared.lateReplies.load(),
-           shared.unmatchedReplies.load(),  shared.silentConnections.load(),
-           this->impl->table.Read()->size() };
+  return { shared.framesSent.load(),         shared.framesReceived.load(),
+           shared.bytesSent.load(),          shared.bytesReceived.load(),
+           shared.badFrames.load(),          shared.lateReplies.load(),
+           shared.unmatchedReplies.load(),   shared.silentConnections.load(),
+           shared.crowdedConnections.load(), this->impl->table.Read()->size() };
 }
 
 void
 Node::Stop()
 {
-  if (this->impl->acceptor) {
-    asio::post(this->impl->pool.At(0), [self = this->impl] {
-      boost::system::error_code ignored;
-      self->acceptor->close(ignored);
-    });
+  if (this->impl->acceptLoop != nullptr) {
+    this->impl->acceptLoop->Stop();
   }
   std::vector<std::shared_ptr<Connection>> open;
   {
--- /dev/null
+++ b/tests/endtoend/UntrustedPeersTest.cpp
@@ -0,0 +1,78 @@
+// Strangers on the port of the inner protocol: the scheduler stays alive and
+// within its memory and descriptors whatever they send.
+
+#include "UntrustedFixture.h"
+#include "amaranthwind/protocol/FrameCodec.h"
+#include "harness/Crowd.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <string_view>
+
+using namespace amaranthwind;
+using endtoend::Listener;
+using endtoend::UntrustedFixture;
+using harness::Crowd;
+
+namespace {
+
+constexpr std::size_t kManyConnections = 400;
+/** Announces a frame of the largest size. */
+constexpr std::string_view kFrameHeader("\0\0\x10\0", 4);
+
+std::string
+ToText(std::span<const std::byte> aBytes)
+{
+  std::string text;
+  for (const std::byte byte : aBytes) {
+    text += static_cast<char>(byte);
+  }
+  return text;
+}
+
+std::string
+MakeFrame(protocol::Message aMessage)
+{
+  return ToText(protocol::EncodeFrame(
+    { protocol::CorrelationId(0), false, std::move(aMessage) }));
+}
+
+} // namespace
+
+// Guards against memory that is taken when a frame is announced.
+TEST_CASE("untrusted peers: frames that are announced and not sent")
+{
+  UntrustedFixture fixture;
+  Crowd crowd(fixture.At(Listener::Peers).address, kManyConnections);
+  crowd.Send(kFrameHeader, "", kFrameHeader.size());
+  fixture.CheckHolds(Listener::Peers);
+}
+
+// Guards against frames that are each allowed but exceed the memory together.
+TEST_CASE("untrusted peers: frames that are begun and not completed")
+{
+  UntrustedFixture fixture;
+  constexpr std::size_t kSentBytes = std::size_t{ 512 } * 1024;
+  Crowd crowd(fixture.At(Listener::Peers).address, kManyConnections);
+  crowd.Send(kFrameHeader, "0123456789abcdef", kSentBytes);
+  fixture.CheckHolds(Listener::Peers);
+}
+
+// Guards against replies that queue up because nobody reads them.
+TEST_CASE("untrusted peers: requests whose replies are not read")
+{
+  UntrustedFixture fixture;
+  const std::string frame =
+    MakeFrame(protocol::AppendRecord{ 1, "key", "value" });
+  fixture.CheckFlood(Listener::Peers, frame, frame);
+}
+
+// Guards against more connections than the VM has descriptors.
+TEST_CASE("untrusted peers: more connections than descriptors")
+{
+  UntrustedFixture fixture;
+  constexpr std::size_t kConnections = 3500;
+  Crowd crowd(fixture.At(Listener::Peers).address, kConnections);
+  fixture.CheckHolds(Listener::Peers);
+}
