Refuse frames that list one part many times

What callers saw: one frame of some 800 KB ends a scheduler, or makes it answer nothing for minutes: its report lists one run, with a checkpoint of 400 KiB, 100,000 times.

Cause: a list in a frame holds offsets, and nothing says that they differ. Decoding copies the texts for each element, 40 GB in this case. The verifier checks that each offset is valid.

Change: before a frame is decoded, the sizes of its lists' elements are added up. An encoder writes each element, so that the sum never exceeds a frame that one made; such a frame is refused, and the connection closed.

The unit test with 1,000 times 64 KiB is refused.

--- a/libs/protocol/include/amaranthwind/protocol/FrameCodec.h
+++ b/libs/protocol/include/amaranthwind/protocol/FrameCodec.h
@@ -28,8 +28,8 @@
 
 /**
  * Decodes a frame that excludes its header. Errors: Malformed (buffer fails
- * verification), UnknownMessage, MissingField and OutOfRange (subject: message
- * and field).
+ * verification), TooLarge (parts of it are listed many times), UnknownMessage,
+ * MissingField and OutOfRange (subject: message and field).
  */
 base::Result<Envelope>
 DecodeFrame(std::span<const std::byte> aFrame);
--- a/libs/protocol/src/FrameCodec.cpp
+++ b/libs/protocol/src/FrameCodec.cpp
@@ -1,5 +1,6 @@
 #include "amaranthwind/protocol/FrameCodec.h"
 
+#include "DecodedSize.h"
 #include "WireDecoder.h"
 #include "WireEncoder.h"
 
@@ -89,6 +90,9 @@
     return base::Fail(base::ErrorCode::Malformed, "frame");
   }
   const auto& envelope = *wire::GetEnvelope(aFrame.data());
+  if (EncodedListBytes(envelope) > aFrame.size()) {
+    return base::Fail(base::ErrorCode::TooLarge, "lists");
+  }
   BOOST_OUTCOME_TRY(auto message, DecodeBody(envelope));
   return Envelope{ CorrelationId(envelope.correlation()),
                    envelope.is_reply(),
--- a/libs/protocol/tests/FrameCodecTest.cpp
+++ b/libs/protocol/tests/FrameCodecTest.cpp
@@ -4,10 +4,13 @@
 
 #include <boost/pfr.hpp>
 
+#include <envelope_generated.h>
+
 #include <concepts>
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 using namespace amaranthwind;
 using namespace amaranthwind::protocol;
@@ -343,3 +346,30 @@
   }
   CHECK(refused > 0);
 }
+
+// Guards against a frame that takes thousands of times its size when it is
+// decoded: its runs are one and the same.
+TEST_CASE("a frame that lists one part many times is refused")
+{
+  constexpr std::size_t kCheckpointBytes = std::size_t{ 64 } * 1024;
+  constexpr std::size_t kRuns = 1000;
+  flatbuffers::FlatBufferBuilder builder;
+  const auto task = builder.CreateString("5c0e7a21d94b36f8.0.0.0");
+  const auto checkpoint =
+    builder.CreateString(std::string(kCheckpointBytes, 'x'));
+  const auto agent = builder.CreateString("agent");
+  const auto run = wire::CreateRun(builder, task, 1);
+  const auto running = wire::CreateRunningTask(builder, run, checkpoint, 1);
+  const auto list = builder.CreateVector(std::vector(kRuns, running));
+  wire::AgentReportBuilder report(builder);
+  report.add_agent(agent);
+  report.add_running(list);
+  const auto body = report.Finish();
+  builder.Finish(wire::CreateEnvelope(
+    builder, 0, false, wire::Body::AgentReport, body.Union()));
+  const auto* first = reinterpret_cast<const std::byte*>( // NOLINT
+    builder.GetBufferPointer());
+  const auto decoded = DecodeFrame({ first, builder.GetSize() });
+  REQUIRE(decoded.has_error());
+  CHECK(decoded.error().code == ErrorCode::TooLarge);
+}
--- a/tests/endtoend/UntrustedPeersTest.cpp
+++ b/tests/endtoend/UntrustedPeersTest.cpp
@@ -7,6 +7,8 @@
 
 #include <doctest/doctest.h>
 
+#include <envelope_generated.h>
+
 #include <string>
 #include <string_view>
 
@@ -38,6 +40,35 @@
     { protocol::CorrelationId(0), false, std::move(aMessage) }));
 }
 
+/** A report whose runs all refer to the same text. */
+std::string
+MakeSharedTextFrame()
+{
+  namespace wire = protocol::wire;
+  constexpr std::size_t kTextBytes = std::size_t{ 400 } * 1024;
+  constexpr std::size_t kRuns = 100'000;
+  flatbuffers::FlatBufferBuilder builder;
+  const auto task = builder.CreateString("5c0e7a21d94b36f8.0.0.0");
+  const auto checkpoint = builder.CreateString(std::string(kTextBytes, 'x'));
+  const auto agent = builder.CreateString("agent");
+  const auto run = wire::CreateRun(builder, task, 1);
+  const auto running = wire::CreateRunningTask(builder, run, checkpoint, 1);
+  const auto list = builder.CreateVector(std::vector(kRuns, running));
+  wire::AgentReportBuilder report(builder);
+  report.add_agent(agent);
+  report.add_running(list);
+  const auto body = report.Finish();
+  builder.Finish(wire::CreateEnvelope(
+    builder, 0, false, wire::Body::AgentReport, body.Union()));
+  std::string frame(protocol::kFrameHeaderBytes, '\0');
+  constexpr unsigned kBitsPerByte = 8;
+  for (std::size_t i = 0; i < frame.size(); ++i) {
+    frame[i] = static_cast<char>(builder.GetSize() >> (i * kBitsPerByte));
+  }
+  return frame.append(builder.GetBufferPointer(),
+                      builder.GetBufferPointer() + builder.GetSize());
+}
+
 } // namespace
 
 // Guards against memory that is taken when a frame is announced.
@@ -59,6 +90,16 @@
   fixture.CheckHolds(Listener::Peers);
 }
 
+// Guards against a frame that takes thousands of times its size when its texts
+// are copied.
+TEST_CASE("untrusted peers: a frame whose parts share one text")
+{
+  UntrustedFixture fixture;
+  Crowd crowd(fixture.At(Listener::Peers).address, 1);
+  crowd.SendInTurn(MakeSharedTextFrame());
+  fixture.CheckHolds(Listener::Peers);
+}
+
 // Guards against replies that queue up because nobody reads them.
 TEST_CASE("untrusted peers: requests whose replies are not read")
 {
