Bound the messages and reports that wait at a scheduler

What callers saw: parts of a report that never ends take a scheduler to 359,924 KiB of 61,440, and reports of 200,000 agents on one connection to 253,212.

Cause: the parts of a report were joined without a limit; each name of an agent was kept, also after its connection had closed; messages that the decision thread had not handled yet had no limit.

Change: a report has at most 65,536 runs, and so have all parts that wait together. A connection is that of one agent; one that reports as another is closed. Messages that wait take at most 4 MiB by their frames and 512 bytes each: beyond it, reports that newer ones supersede are dropped, then the peer that sent most is disconnected, which its own end treats as a lost connection.

--- a/libs/coordinator/src/AgentSessions.cpp
+++ b/libs/coordinator/src/AgentSessions.cpp
@@ -1,5 +1,7 @@
 #include "AgentSessions.h"
 
+#include <algorithm>
+
 namespace amaranthwind::coordinator {
 
 using protocol::ConnectionId;
@@ -13,6 +15,12 @@
  */
 constexpr auto kEntryPingInterval = 10'000ms;
 constexpr auto kEntrySilenceTimeout = 30'000ms;
+/** Limit of the messages that wait to be handled, by their frames. */
+constexpr std::size_t kMaxReceivedBytes = std::size_t{ 4 } * 1024 * 1024;
+/** A message that waits takes this much beside its frame's bytes. */
+constexpr std::size_t kMessageBytes = 512;
+/** Runs in the parts of all reports that are not complete. */
+constexpr std::size_t kMaxJoinedRuns = protocol::kMaxReportRuns;
 
 } // namespace
 
@@ -98,7 +106,10 @@
                          const protocol::Envelope& aEnvelope)
 {
   this->load.OnQueued();
-  this->Enqueue({ aConnection, aEnvelope.message, this->clock.Now() });
+  this->Enqueue({ aConnection,
+                  aEnvelope.message,
+                  this->clock.Now(),
+                  aEnvelope.frameBytes + kMessageBytes });
 }
 
 void
@@ -115,13 +126,67 @@
   {
     const std::lock_guard lock(this->receivedMutex);
     isFirst = this->received.empty();
+    this->receivedBytes += aReceived.bytes;
     this->received.push_back(std::move(aReceived));
+    this->LimitReceived();
   }
   if (isFirst) {
     this->executor.Post([this] { this->HandleReceived(); });
   }
 }
 
+void
+AgentSessions::DropSuperseded()
+{
+  const auto superseded = FindSuperseded(this->received);
+  std::vector<Received> kept;
+  for (std::size_t i = 0; i < this->received.size(); ++i) {
+    if (superseded.contains(i)) {
+      this->load.OnHandled(this->received[i].at);
+      this->receivedBytes -= this->received[i].bytes;
+    } else {
+      kept.push_back(std::move(this->received[i]));
+    }
+  }
+  this->received = std::move(kept);
+}
+
+void
+AgentSessions::LimitReceived()
+{
+  if (this->receivedBytes <= kMaxReceivedBytes) {
+    return;
+  }
+  // After a pause of the process, several reports of each agent may wait.
+  this->DropSuperseded();
+  while (this->receivedBytes > kMaxReceivedBytes) {
+    std::map<ConnectionId, std::size_t> bytesOf;
+    for (const Received& each : this->received) {
+      bytesOf[each.connection] += each.bytes;
+    }
+    const auto most =
+      std::max_element(bytesOf.begin(),
+                       bytesOf.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft.second < aRight.second;
+                       });
+    std::erase_if(this->received, [&](const Received& aEach) {
+      const bool isDropped =
+        aEach.connection == most->first &&
+        std::holds_alternative<protocol::Message>(aEach.event);
+      if (isDropped) {
+        this->load.OnHandled(aEach.at);
+      }
+      return isDropped;
+    });
+    this->receivedBytes -= most->second;
+    this->port->Close(most->first);
+    this->logger.Warning(
+      "peer disconnected",
+      { { "reason", "too many messages wait" }, { "bytes", most->second } });
+  }
+}
+
 void
 AgentSessions::HandleReceived()
 {
@@ -129,6 +194,7 @@
   {
     const std::lock_guard lock(this->receivedMutex);
     batch.swap(this->received);
+    this->receivedBytes = 0;
   }
   if (batch.empty()) {
     return;
@@ -165,7 +231,7 @@
     }
     if (const auto* part = std::get_if<protocol::AgentReportPart>(message)) {
       this->load.OnHandled(aEach.at);
-      this->joiners[aEach.connection].Add(*part);
+      this->AddPart(aEach, *part);
       return true;
     }
     auto* report = std::get_if<protocol::AgentReport>(message);
@@ -185,6 +251,26 @@
   });
 }
 
+void
+AgentSessions::AddPart(const Received& aReceived,
+                       const protocol::AgentReportPart& aPart)
+{
+  std::size_t runs = 0;
+  for (const auto& [connection, joiner] : this->joiners) {
+    runs += joiner.Runs();
+  }
+  const std::size_t added =
+    aPart.running.size() + aPart.ended.size() + aPart.pastEnds.size();
+  if (runs + added <= kMaxJoinedRuns &&
+      this->joiners[aReceived.connection].Add(aPart)) {
+    return;
+  }
+  this->logger.Warning("peer disconnected",
+                       { { "reason", "report too large" }, { "runs", runs } });
+  this->joiners.erase(aReceived.connection);
+  this->port->Close(aReceived.connection);
+}
+
 std::set<std::size_t>
 AgentSessions::FindSuperseded(std::span<const Received> aReceived)
 {
@@ -231,6 +317,14 @@
 bool
 AgentSessions::Identify(ConnectionId aConnection, const base::AgentId& aAgent)
 {
+  const auto known = this->connections.find(aConnection);
+  if (known != this->connections.end() && known->second != aAgent) {
+    this->logger.Warning(
+      "peer disconnected",
+      { { "reason", "several agents" }, { "agent", known->second } });
+    this->port->Close(aConnection);
+    return false;
+  }
   // Connections are numbered as they are accepted, but read by several threads.
   ConnectionId& current = this->agents[aAgent];
   if (aConnection < current) {
@@ -283,6 +377,9 @@
       { { "agent", found->second }, { "error", base::Describe(aReason) } });
     this->agents.erase(found->second);
     this->connections.erase(found);
+  } else if (aReason.code == base::ErrorCode::TooLarge) {
+    this->logger.Warning("peer disconnected",
+                         { { "reason", aReason.subject } });
   }
   this->observer.OnClosed(aConnection);
 }
--- a/libs/coordinator/src/AgentSessions.h
+++ b/libs/coordinator/src/AgentSessions.h
@@ -45,7 +45,8 @@
  *
  * Received messages wait until the executor is free and are then handled
  * together. A report that a newer one of the same agent supersedes is dropped,
- * so that the work of a batch is bounded by the number of agents.
+ * so that the work of a batch is bounded by the number of agents. What waits is
+ * bounded in bytes: a peer that sends too much is disconnected.
  */
 class AgentSessions final : public protocol::MessageHandler
 {
@@ -89,9 +90,20 @@
     protocol::ConnectionId connection;
     std::variant<protocol::Message, base::Error> event;
     base::TimePoint at;
+    /** What the message takes while it waits. */
+    std::size_t bytes = 0;
   };
 
   void Enqueue(Received aReceived);
+  /** Drops the reports that later ones supersede. Requires receivedMutex. */
+  void DropSuperseded();
+  /**
+   * Closes the connections that sent most of what waits, and drops what they
+   * sent, until the rest keeps to the limit. Requires receivedMutex.
+   */
+  void LimitReceived();
+  void AddPart(const Received& aReceived,
+               const protocol::AgentReportPart& aPart);
   /** Joins the parts of reports; those with missing parts are dropped. */
   void JoinReports(std::vector<Received>& aReceived);
   /**
@@ -102,7 +114,8 @@
     std::span<const Received> aReceived);
   /**
    * Messages to the agent go to this connection from now on. Returns false if
-   * the agent has opened a newer connection.
+   * the agent has opened a newer connection, or if the connection is that of
+   * another agent and is therefore closed.
    */
   bool Identify(protocol::ConnectionId aConnection,
                 const base::AgentId& aAgent);
@@ -120,6 +133,7 @@
   std::unique_ptr<protocol::MessagePort> port;
   std::mutex receivedMutex;
   std::vector<Received> received;
+  std::size_t receivedBytes = 0;
   std::map<base::AgentId, protocol::ConnectionId> agents;
   std::map<protocol::ConnectionId, base::AgentId> connections;
   /** Of connections that have sent a part of a report last. */
--- a/libs/coordinator/tests/AgentSessionsTest.cpp
+++ b/libs/coordinator/tests/AgentSessionsTest.cpp
@@ -4,18 +4,24 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+#include <string_view>
+#include <vector>
+
 using namespace amaranthwind;
 using namespace amaranthwind::coordinator;
 using protocol::ConnectionId;
 
 namespace {
 
-/** Records the connections to which messages are sent. */
+/** Records the connections to which messages are sent, and that are closed. */
 class RecordingPort final : public protocol::MessagePort
 {
 public:
-  explicit RecordingPort(std::vector<ConnectionId>& aSent)
+  RecordingPort(std::vector<ConnectionId>& aSent,
+                std::vector<ConnectionId>& aClosed)
     : sent(aSent)
+    , closed(aClosed)
   {
   }
   base::Result<std::string> Listen(std::string_view aAddress) override
@@ -27,7 +33,10 @@
   {
     this->sent.push_back(aConnection);
   }
-  void Close(ConnectionId) override {}
+  void Close(ConnectionId aConnection) override
+  {
+    this->closed.push_back(aConnection);
+  }
   void SetLiveness(ConnectionId,
                    std::chrono::milliseconds,
                    std::chrono::milliseconds) override
@@ -37,6 +46,7 @@
 
 private:
   std::vector<ConnectionId>& sent;
+  std::vector<ConnectionId>& closed;
 };
 
 struct Sessions final : SessionObserver
@@ -91,8 +101,20 @@
     this->executor.RunDue();
   }
 
+  /** A report arrives while the executor is busy. */
+  void QueueReport(ConnectionId aConnection,
+                   std::string_view aAgent,
+                   std::size_t aBytes)
+  {
+    protocol::AgentReport report;
+    report.report.agent = base::AgentId(aAgent);
+    report.report.worker.emplace();
+    this->sessions.OnMessage(aConnection, { {}, false, report, aBytes });
+  }
+
   const base::AgentId agent{ "vm" };
   std::vector<ConnectionId> sent;
+  std::vector<ConnectionId> closed;
   std::vector<ConnectionId> reported;
   /** Number of running tasks in the last report. */
   std::size_t listed = 0;
@@ -103,7 +125,8 @@
   telemetry::Metrics metrics;
   LoadMonitor load{ clock, logger, metrics };
   AgentSessions sessions{ [this](protocol::MessageHandler&) {
-                           return std::make_unique<RecordingPort>(this->sent);
+                           return std::make_unique<RecordingPort>(this->sent,
+                                                                  this->closed);
                          },
                           clock,
                           executor,
@@ -166,3 +189,57 @@
   CHECK(sessions.reported.size() > 0);
   CHECK(sessions.listed == 0);
 }
+
+// Guards against parts that are kept without limit because the report that ends
+// them never comes.
+TEST_CASE("a report of more runs than a worker can have ends its connection")
+{
+  Sessions sessions;
+  const ConnectionId connection(1);
+  for (std::size_t i = 0; i <= protocol::kMaxReportRuns; ++i) {
+    sessions.ReportPart(connection);
+  }
+  CHECK(sessions.closed == Connections{ connection });
+  sessions.ReportPart(ConnectionId(2));
+  sessions.ReportRest(ConnectionId(2), 1);
+  CHECK(sessions.reported == Connections{ ConnectionId(2) });
+}
+
+// Guards against messages that wait without limit, and against disconnecting
+// agents whose outdated reports fill the queue after a pause.
+TEST_CASE("the peer that sends most is disconnected if too much waits")
+{
+  Sessions sessions;
+  constexpr std::size_t kReportBytes = std::size_t{ 512 } * 1024;
+  constexpr int kReports = 20;
+  for (int i = 0; i < kReports; ++i) {
+    sessions.QueueReport(ConnectionId(1), "vm-1", kReportBytes);
+    sessions.QueueReport(ConnectionId(2), "vm-2", kReportBytes);
+  }
+  CHECK(sessions.closed.empty());
+  protocol::AppendRecord record{ 1, "key", "value" };
+  for (int i = 0; i < kReports; ++i) {
+    sessions.sessions.OnMessage(ConnectionId(3),
+                                { {}, false, record, kReportBytes });
+  }
+  REQUIRE_FALSE(sessions.closed.empty());
+  CHECK(std::set(sessions.closed.begin(), sessions.closed.end()) ==
+        std::set{ ConnectionId(3) });
+  sessions.executor.RunDue();
+  CHECK(std::set(sessions.reported.begin(), sessions.reported.end()) ==
+        std::set{ ConnectionId(1), ConnectionId(2) });
+}
+
+// Guards against names of agents that are kept although their connection, which
+// sent any number of them, has closed.
+TEST_CASE("a connection is that of one agent")
+{
+  Sessions sessions;
+  sessions.QueueReport(ConnectionId(1), "vm-1", 0);
+  sessions.executor.RunDue();
+  sessions.QueueReport(ConnectionId(1), "vm-2", 0);
+  sessions.executor.RunDue();
+  CHECK(sessions.closed == Connections{ ConnectionId(1) });
+  CHECK(sessions.reported.size() == 1);
+  CHECK(sessions.sessions.Size() == 1);
+}
--- a/libs/protocol/include/amaranthwind/protocol/Messages.h
+++ b/libs/protocol/include/amaranthwind/protocol/Messages.h
@@ -370,6 +370,8 @@
   CorrelationId correlation;
   bool isReply = false;
   Message message;
+  /** Size of the frame that it was decoded from; 0 if there was none. */
+  std::size_t frameBytes = 0;
 };
 
 } // namespace amaranthwind::protocol
--- a/libs/protocol/include/amaranthwind/protocol/ReportParts.h
+++ b/libs/protocol/include/amaranthwind/protocol/ReportParts.h
@@ -18,11 +18,17 @@
 std::vector<Message>
 DivideReport(AgentReport aReport, std::size_t aMaxBytes = kMaxReportBytes);
 
+/** Runs that all parts of a report may name; more than a worker ever has. */
+inline constexpr std::size_t kMaxReportRuns = 65'536;
+
 /** Joins the parts of the reports on one connection. */
 class ReportJoiner
 {
 public:
-  void Add(const AgentReportPart& aPart);
+  /** Returns false if the report names more than kMaxReportRuns. */
+  bool Add(const AgentReportPart& aPart);
+  /** Number of the runs that the parts have named so far. */
+  std::size_t Runs() const noexcept;
   /**
    * Adds the parts that preceded the report to it. Returns false if one is
    * missing; the report is then incomplete and must be ignored.
--- a/libs/protocol/src/FrameCodec.cpp
+++ b/libs/protocol/src/FrameCodec.cpp
@@ -96,7 +96,8 @@
   BOOST_OUTCOME_TRY(auto message, DecodeBody(envelope));
   return Envelope{ CorrelationId(envelope.correlation()),
                    envelope.is_reply(),
-                   std::move(message) };
+                   std::move(message),
+                   aFrame.size() };
 }
 
 } // namespace amaranthwind::protocol
--- a/libs/protocol/src/ReportParts.cpp
+++ b/libs/protocol/src/ReportParts.cpp
@@ -65,19 +65,31 @@
   return messages;
 }
 
-void
+std::size_t
+ReportJoiner::Runs() const noexcept
+{
+  return this->running.size() + this->ended.size() + this->pastEnds.size();
+}
+
+bool
 ReportJoiner::Add(const AgentReportPart& aPart)
 {
   if (aPart.sequence != this->sequence) {
     *this = {};
     this->sequence = aPart.sequence;
   }
+  if (this->Runs() + aPart.running.size() + aPart.ended.size() +
+        aPart.pastEnds.size() >
+      kMaxReportRuns) {
+    return false;
+  }
   ++this->parts;
   this->running.insert(
     this->running.end(), aPart.running.begin(), aPart.running.end());
   this->ended.insert(this->ended.end(), aPart.ended.begin(), aPart.ended.end());
   this->pastEnds.insert(
     this->pastEnds.end(), aPart.pastEnds.begin(), aPart.pastEnds.end());
+  return true;
 }
 
 bool
--- a/tests/endtoend/UntrustedPeersTest.cpp
+++ b/tests/endtoend/UntrustedPeersTest.cpp
@@ -100,6 +100,34 @@
   fixture.CheckHolds(Listener::Peers);
 }
 
+// Guards against keeping the parts of a report whose end never comes.
+TEST_CASE("untrusted peers: parts of a report without end")
+{
+  UntrustedFixture fixture;
+  protocol::AgentReportPart part;
+  part.sequence = 1;
+  constexpr std::size_t kRuns = 1000;
+  part.running.resize(
+    kRuns, { { { { base::JobId("5c0e7a21d94b36f8"), 0, 0 }, 0 }, 1 }, "", 1 });
+  const std::string frame = MakeFrame(std::move(part));
+  fixture.CheckFlood(Listener::Peers, frame, frame);
+}
+
+// Guards against messages that queue up because they arrive faster than they
+// are handled.
+TEST_CASE("untrusted peers: reports without end")
+{
+  UntrustedFixture fixture;
+  protocol::AgentReport report;
+  report.sequence = 1;
+  report.report.agent = base::AgentId("stranger");
+  constexpr std::size_t kRuns = 10'000;
+  report.report.running.resize(
+    kRuns, { { { { base::JobId("5c0e7a21d94b36f8"), 0, 0 }, 0 }, 1 }, "", 1 });
+  const std::string frame = MakeFrame(std::move(report));
+  fixture.CheckFlood(Listener::Peers, frame, frame);
+}
+
 // Guards against replies that queue up because nobody reads them.
 TEST_CASE("untrusted peers: requests whose replies are not read")
 {
@@ -109,6 +137,25 @@
   fixture.CheckFlood(Listener::Peers, frame, frame);
 }
 
+// Guards against a name of an agent that is kept for each report.
+TEST_CASE("untrusted peers: reports of agents that do not exist")
+{
+  UntrustedFixture fixture;
+  constexpr std::size_t kAgents = 200'000;
+  constexpr std::size_t kNameBytes = 200;
+  Crowd crowd(fixture.At(Listener::Peers).address, 1);
+  std::string frames;
+  for (std::size_t i = 0; i < kAgents; ++i) {
+    protocol::AgentReport report;
+    report.sequence = 1;
+    report.report.agent =
+      base::AgentId(std::to_string(i) + std::string(kNameBytes, 'x'));
+    frames += MakeFrame(std::move(report));
+  }
+  crowd.SendInTurn(frames);
+  fixture.CheckHolds(Listener::Peers);
+}
+
 // Guards against more connections than the VM has descriptors.
 TEST_CASE("untrusted peers: more connections than descriptors")
 {
