Limit the memory of all accepted jobs together

What callers saw: 200 jobs of 256 steps of 255 tasks, all answered with 200, take a scheduler to 2,341,296 KiB and the next process, which reads the log, to 228,140; of 117,187 on the smallest VM. With tasks that need no resources 6,812,240, and some requests are answered with neither 200 nor a refusal.

Cause: only one job was limited, to 65,536 tasks. A worker held any number of tasks that need nothing.

Change: WorkBudget counts what each job may take until its records are deleted, from the job alone, so that a successor counts the same. What a scheduler has accepted and not read back is limited, the coordinator counts what all entries forward, and an entry that appends alone checks again. A worker holds at most 1,024 runs.

--- a/libs/codec/src/SettingsCodec.cpp
+++ b/libs/codec/src/SettingsCodec.cpp
@@ -345,6 +345,10 @@
   object.Optional("noticePeriodMs",
                   Millis{ aOut.noticePeriod, 0, kMaxNoticeMs });
   object.Optional("jobRetentionS", Seconds{ aOut.jobRetention, 1 });
+  object.Optional("maxAcceptedBytes",
+                  Bounded<std::uint32_t>{ aOut.maxAcceptedBytes,
+                                          kMinBufferedBytes,
+                                          kMaxBufferedBytes });
   object.Finish();
 }
 
--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -48,6 +48,11 @@
   base::Duration stopTime = std::chrono::milliseconds(900);
   /** How long the records of an ended job are kept. */
   base::Duration retention = std::chrono::seconds(180);
+  /**
+   * Limit of the memory that all accepted jobs may take together, in bytes. A
+   * job that would exceed it is refused.
+   */
+  std::size_t maxAcceptedBytes = std::size_t{ 56 } * 1024 * 1024;
   /** Makes the placement strategy of a term of leadership. */
   std::function<std::unique_ptr<dispatch::Packing>()> makePacking = [] {
     return std::make_unique<dispatch::BestFitPacking>();
--- a/libs/coordinator/include/amaranthwind/coordinator/JobService.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/JobService.h
@@ -27,7 +27,8 @@
   /**
    * Accepts the job durably; submitting a known id again has no effect.
    * Errors: LogUnavailable (this call has not accepted the job and never will),
-   * AppendUnconfirmed (the job may have been accepted), TooLarge.
+   * AppendUnconfirmed (the job may have been accepted), TooLarge, QueueFull
+   * (too much work is accepted already; this job is not and never will be).
    */
   virtual void Submit(job::WorkflowSpec aSpec,
                       base::Duration aTimeout,
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -6,6 +6,7 @@
 #include "LeaderLog.h"
 #include "LoadMonitor.h"
 #include "Submissions.h"
+#include "WorkBudget.h"
 #include "amaranthwind/codec/LearnedCodec.h"
 #include "amaranthwind/membership/InheritedGrants.h"
 #include "amaranthwind/protocol/Node.h"
@@ -102,6 +103,10 @@
     , evacuatedZoneCount(aMetrics.MakeGauge(
         { "evacuated_zones",
           "Availability zones whose workers get no further tasks." }))
+    , acceptedBytes(aMetrics.MakeGauge(
+        { "accepted_bytes",
+          "Memory that the accepted jobs may take, by their sizes." }))
+    , budget(aClock, aOptions.maxAcceptedBytes)
     , table(aCodec)
     , submissions(aClock, aExecutor, aHeartbeatExecutor, aLog, *this, aMetrics)
     , sessions(aMakePort, aClock, aExecutor, aLogger, this->load, *this)
@@ -177,15 +182,18 @@
     for (const auto& id : aChanges.jobs) {
       const ledger::JobEntry* entry = this->table.Find(id);
       if (entry == nullptr) {
+        this->budget.OnForgotten(id);
         this->directory.Publish(id, std::nullopt);
         continue;
       }
+      this->budget.OnJob(id, *entry->spec);
       this->directory.Publish(id,
                               JobStatus{ entry->Phase(), entry->spec->kind });
       if (this->runner != nullptr) {
         this->runner->OnJob(*entry);
       }
     }
+    this->acceptedBytes.Set(static_cast<double>(this->budget.Used()));
     if (this->runner != nullptr) {
       this->runner->FinishBatch();
     }
@@ -428,6 +436,14 @@
                        });
   }
 
+  base::Result<void> CheckAlone(const journal::KeyedValue& aRecord) override
+  {
+    const auto key = ledger::ParseKey(aRecord.key);
+    return key.kind == ledger::RecordKind::Accepted
+             ? this->budget.Check(key.step.job)
+             : base::success();
+  }
+
   void AppendShared(journal::KeyedValue aRecord,
                     base::Duration aTimeout,
                     AppendHandler aHandler) override
@@ -465,14 +481,36 @@
       this->sessions.SendTo(aConnection,
                             protocol::AppendRecordReply{ number, aState });
     };
-    const auto kind = ledger::ParseKey(aAppend.key).kind;
-    const bool isOfCaller = kind == ledger::RecordKind::Accepted ||
-                            kind == ledger::RecordKind::Cancelled;
-    if (this->runner == nullptr || !isOfCaller) {
+    const auto key = ledger::ParseKey(aAppend.key);
+    const bool isAccepted = key.kind == ledger::RecordKind::Accepted;
+    const bool isOfCaller =
+      isAccepted || key.kind == ledger::RecordKind::Cancelled;
+    if (this->runner == nullptr || !isOfCaller ||
+        (isAccepted && !this->ReserveForPeer(key.step.job, aAppend.value))) {
       reply(protocol::AppendState::NotAppended);
       return;
     }
-    this->runner->Append({ aAppend.key, aAppend.value }, reply);
+    this->runner->Append(
+      { aAppend.key, aAppend.value },
+      [this, isAccepted, job = key.step.job, reply](
+        protocol::AppendState aState) {
+        if (isAccepted && aState != protocol::AppendState::Queued) {
+          this->budget.OnSubmitted(
+            job, aState != protocol::AppendState::NotAppended);
+        }
+        reply(aState);
+      });
+  }
+
+  /** Whether there is room for a job that another entry accepts. */
+  bool ReserveForPeer(const base::JobId& aJob, std::string_view aValue)
+  {
+    auto spec = this->codec.DecodeWorkflow(aValue);
+    if (spec.has_error()) {
+      return false;
+    }
+    spec.value().id = aJob;
+    return this->budget.Reserve(spec.value()).has_value();
   }
 
   void OnAppendReply(ConnectionId aConnection,
@@ -533,6 +571,8 @@
   LoadMonitor load;
   telemetry::Histogram submitTime;
   telemetry::Gauge evacuatedZoneCount;
+  telemetry::Gauge acceptedBytes;
+  WorkBudget budget;
   JobDirectory directory;
   std::atomic<bool> isLoaded{ false };
   std::atomic<TimePoint::rep> currentAsOf{ 0 };
@@ -686,6 +726,17 @@
     aHandler(base::Fail(ErrorCode::TooLarge, "steps"));
     return;
   }
+  const auto reserved = this->impl->budget.Reserve(aSpec);
+  if (reserved.has_error()) {
+    this->impl->logger.Info("job submission failed",
+                            { { "job", aSpec.id },
+                              { "account", aSpec.account },
+                              { "tasks", tasks },
+                              { "acceptedBytes", this->impl->budget.Used() },
+                              { "result", base::Describe(reserved.error()) } });
+    aHandler(reserved);
+    return;
+  }
   this->impl->submissions.Append(
     std::move(record),
     aTimeout,
@@ -698,6 +749,10 @@
      urgency = aSpec.urgency,
      handler = std::move(aHandler)](const base::Result<void>& aResult) {
       self->submitTime.Observe(self->clock.Now() - start);
+      self->budget.OnSubmitted(id,
+                               aResult.has_value() ||
+                                 aResult.error().code ==
+                                   ErrorCode::AppendUnconfirmed);
       self->logger.Info(
         aResult.has_value() ? "job accepted" : "job submission failed",
         { { "job", id },
--- a/libs/coordinator/src/Submissions.cpp
+++ b/libs/coordinator/src/Submissions.cpp
@@ -105,6 +105,13 @@
       base::Fail(ErrorCode::AppendUnconfirmed, aAttempt->record.key));
     return;
   }
+  if (!aAttempt->mayBeAppended) {
+    const auto allowed = this->shared.CheckAlone(aAttempt->record);
+    if (allowed.has_error()) {
+      aAttempt->Finish(allowed);
+      return;
+    }
+  }
   this->ownRecords.Increment();
   this->AppendOnce(aAttempt);
 }
--- a/libs/coordinator/src/Submissions.h
+++ b/libs/coordinator/src/Submissions.h
@@ -22,6 +22,11 @@
   virtual void AppendShared(journal::KeyedValue aRecord,
                             base::Duration aTimeout,
                             AppendHandler aHandler) = 0;
+  /**
+   * Whether the entry may still append the record itself. Thread-safe. Errors:
+   * QueueFull.
+   */
+  virtual base::Result<void> CheckAlone(const journal::KeyedValue& aRecord) = 0;
 };
 
 /**
@@ -44,7 +49,7 @@
 
   /**
    * Errors: LogUnavailable (not appended), AppendUnconfirmed (may have been
-   * appended), TooLarge.
+   * appended), TooLarge, those of SharedAppender::CheckAlone().
    */
   void Append(journal::KeyedValue aRecord,
               base::Duration aTimeout,
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -88,6 +88,10 @@
   {
     aHandler(protocol::AppendState::NotAppended);
   }
+  base::Result<void> CheckAlone(const journal::KeyedValue&) override
+  {
+    return base::success();
+  }
 };
 
 } // namespace
--- a/libs/coordinator/tests/ForwardingTest.cpp
+++ b/libs/coordinator/tests/ForwardingTest.cpp
@@ -2,7 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <optional>
+#include <string_view>
+#include <vector>
 
 using namespace amaranthwind;
 using namespace amaranthwind::coordinator;
@@ -155,3 +158,39 @@
   REQUIRE(forwarding.result.has_value());
   CHECK(forwarding.result->error().code == ErrorCode::LogUnavailable);
 }
+
+// Guards against entries that accept jobs at the same time which are too large
+// together.
+TEST_CASE("of large jobs at several entries the coordinator accepts what fits")
+{
+  Forwarding forwarding;
+  EntryProcess& other = forwarding.fleet.Start("c");
+  forwarding.fleet.Run(3s);
+  std::vector<bool> results;
+  const auto submit = [&](EntryProcess& aEntry, std::string_view aJob) {
+    job::WorkflowSpec spec;
+    spec.id = base::JobId(aJob);
+    spec.kind = base::WorkKindId("kind");
+    spec.pool = base::PoolId("pool");
+    constexpr std::size_t kSteps = 120;
+    constexpr std::uint32_t kTasks = 500;
+    spec.steps.resize(kSteps);
+    for (auto& step : spec.steps) {
+      step.count = kTasks;
+    }
+    aEntry.coordinator->Submit(
+      std::move(spec), kCallerTimeout, [&](const auto& aResult) {
+        results.push_back(aResult.has_value());
+        const bool isRefused =
+          aResult.has_value() || aResult.error().code == ErrorCode::QueueFull;
+        CHECK(isRefused);
+      });
+  };
+  submit(*forwarding.entry, "j1");
+  submit(other, "j2");
+  submit(forwarding.leader, "j3");
+  forwarding.fleet.Run(1s);
+  REQUIRE(results.size() == 3);
+  CHECK(std::count(results.begin(), results.end(), true) == 1);
+  CHECK(forwarding.AcceptedRecords() == 1);
+}
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -31,6 +31,11 @@
 constexpr int kOverrunDivisor = 10;
 /** A run that has not stopped after this many repeated orders may never do. */
 constexpr int kMaxStopRetries = 2;
+/**
+ * Maximum number of runs on one worker, which bounds its reports if tasks need
+ * few resources or none.
+ */
+constexpr std::uint32_t kMaxRunsOnWorker = 1024;
 /** Maximum number of blocked steps of a pool with reserved resources. */
 constexpr std::size_t kMaxReservations = 2;
 
@@ -407,12 +412,18 @@
     if (rack == kUnnumbered) {
       rack = lastRack++;
     }
-    PackingWorker packing{ each.worker->Free(), rack };
+    const auto runs =
+      static_cast<std::uint32_t>(each.worker->allocations.size());
+    PackingWorker packing{ each.worker->Free(),
+                           rack,
+                           kMaxRunsOnWorker -
+                             std::min(kMaxRunsOnWorker, runs) };
     if (maxPerWorker > 0) {
       const auto found = tasksOn.find(each.worker->agent);
-      packing.remainingTaskLimit =
+      packing.remainingTaskLimit = std::min(
+        packing.remainingTaskLimit,
         maxPerWorker -
-        std::min(maxPerWorker, found == tasksOn.end() ? 0 : found->second);
+          std::min(maxPerWorker, found == tasksOn.end() ? 0 : found->second));
     }
     if (pool.coldWorkers > 0) {
       const bool isCold = this->IsCold(*each.worker);
--- a/libs/dispatch/tests/SchedulingTest.cpp
+++ b/libs/dispatch/tests/SchedulingTest.cpp
@@ -494,3 +494,29 @@
   harness.Run(5s);
   CHECK(harness.starts.size() == 3);
 }
+
+// Guards against reports, records and orders without limit for tasks that need
+// no resources, of which a worker holds any number.
+TEST_CASE("a worker holds a limited number of runs whatever they need")
+{
+  DispatcherHarness harness(1);
+  constexpr std::size_t kMaxRuns = 1024;
+  constexpr std::uint32_t kTasks = 800;
+  auto job = DispatcherHarness::MakeJob("a", kTasks, 0);
+  job.steps[0].need = {};
+  auto second = job;
+  second.id = base::JobId("b");
+  harness.Submit(job);
+  harness.Submit(second);
+  std::size_t mostRuns = 0;
+  constexpr int kRounds = 10;
+  for (int i = 0; i < kRounds; ++i) {
+    harness.Run(5s);
+    mostRuns = std::max(
+      mostRuns, harness.Running("a").size() + harness.Running("b").size());
+    harness.EndAll("a", EndKind::Done);
+    harness.EndAll("b", EndKind::Done);
+  }
+  CHECK(mostRuns <= kMaxRuns);
+  CHECK(mostRuns > kMaxRuns / 2);
+}
--- a/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
+++ b/libs/settings/include/amaranthwind/settings/SchedulerSettings.h
@@ -95,6 +95,8 @@
   base::Duration noticePeriod = std::chrono::milliseconds(2500);
   /** Retention time of the state of an ended job. */
   base::Duration jobRetention = std::chrono::seconds(180);
+  /** Limit of the memory that all accepted jobs may take together. */
+  std::uint32_t maxAcceptedBytes = 56 * 1024 * 1024;
 
   bool operator==(const SchedulerSettings&) const = default;
 };
