Share the reads that confirm the view among callers

What callers saw: each request for a job that does not exist costs one read of the log, whose rate all schedulers share; beyond it reads are refused, also those that keys and configurations are confirmed with. Found by reading.

Change: at most 8 such reads are on their way; further callers share the next one. A read serves only callers that asked before it was sent.

--- a/libs/journal/src/KeyedFollower.cpp
+++ b/libs/journal/src/KeyedFollower.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace amaranthwind::journal {
 
@@ -10,6 +11,16 @@
 using base::LogOffset;
 using base::Result;
 
+namespace {
+
+/**
+ * Reads for callers of KeyedFollower::Confirm() at the same time. Further
+ * callers share one, so that they do not use up the log's rate of reads.
+ */
+constexpr std::size_t kMaxConfirmations = 8;
+
+} // namespace
+
 struct KeyedFollower::State : std::enable_shared_from_this<State>
 {
   State(FollowerOptions aOptions,
@@ -183,28 +194,43 @@
                             });
   }
 
-  void Confirm(const std::function<void(bool)>& aHandler)
+  void Confirm(std::function<void(bool)> aHandler)
   {
     if (!this->isLoaded) {
       aHandler(false);
       return;
     }
+    this->unconfirmed.push_back(std::move(aHandler));
+    this->SendConfirmation();
+  }
+
+  /** Confirms for all callers that wait, unless many reads are on their way. */
+  void SendConfirmation()
+  {
+    if (this->unconfirmed.empty() || this->confirmations >= kMaxConfirmations) {
+      return;
+    }
+    ++this->confirmations;
     const base::TimePoint sentAt = this->clock.Now();
     const LogOffset from = this->next;
-    this->log.Read(this->options.topic,
-                   from,
-                   base::Duration::zero(),
-                   this->OnExecutor<KeyedBatch>(
-                     [sentAt, from, aHandler](
-                       State& aSelf, const Result<KeyedBatch>& aBatch) {
-                       const bool isConfirmed =
-                         aBatch.has_value() &&
-                         aSelf.DeliverNewRecords(aBatch.value(), from);
-                       if (isConfirmed) {
-                         aSelf.observer.OnCurrent(sentAt);
-                       }
-                       aHandler(isConfirmed);
-                     }));
+    this->log.Read(
+      this->options.topic,
+      from,
+      base::Duration::zero(),
+      this->OnExecutor<KeyedBatch>(
+        [sentAt, from, handlers = std::exchange(this->unconfirmed, {})](
+          State& aSelf, const Result<KeyedBatch>& aBatch) {
+          --aSelf.confirmations;
+          const bool isConfirmed =
+            aBatch.has_value() && aSelf.DeliverNewRecords(aBatch.value(), from);
+          if (isConfirmed) {
+            aSelf.observer.OnCurrent(sentAt);
+          }
+          for (const auto& handler : handlers) {
+            handler(isConfirmed);
+          }
+          aSelf.SendConfirmation();
+        }));
   }
 
   const FollowerOptions options;
@@ -221,6 +247,10 @@
   bool isLoaded = false;
   bool isCurrent = false;
   bool isStopped = false;
+  /** Callers of Confirm() for whom no read was sent yet. */
+  std::vector<std::function<void(bool)>> unconfirmed;
+  /** Number of reads for callers of Confirm() that are on their way. */
+  std::size_t confirmations = 0;
   /** Whether the current outage was reported to the observer. */
   bool hasReportedOutage = false;
 };
--- a/libs/journal/tests/KeyedFollowerTest.cpp
+++ b/libs/journal/tests/KeyedFollowerTest.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 using namespace amaranthwind;
 using namespace amaranthwind::journal;
@@ -342,3 +343,32 @@
   confirm();
   CHECK(confirmed >= 3);
 }
+
+// Guards against a read of the log for each of many callers at once, as for
+// requests for jobs that do not exist, which use up the log's rate of reads.
+TEST_CASE("many callers share the reads that confirm the view")
+{
+  Fixture fixture;
+  DelayingLog log(fixture.log);
+  RecordingObserver observer;
+  KeyedFollower follower(
+    { .topic = kTopic }, fixture.clock, fixture.executor, log, observer);
+  follower.Start();
+  fixture.executor.RunDue();
+  REQUIRE(observer.loads == 1);
+  log.isDelaying = true;
+  constexpr int kCallers = 1000;
+  constexpr std::size_t kMaxReads = 10;
+  int confirmed = 0;
+  for (int i = 0; i < kCallers; ++i) {
+    follower.Confirm([&](bool aIsConfirmed) { confirmed += aIsConfirmed; });
+  }
+  fixture.executor.RunDue();
+  CHECK(log.delayedReads.size() <= kMaxReads);
+  log.isDelaying = false;
+  for (const auto& answer : std::exchange(log.delayedReads, {})) {
+    answer();
+    fixture.executor.RunDue();
+  }
+  CHECK(confirmed == kCallers);
+}
