--- a/tests/endtoend/UntrustedPeersTest.cpp
+++ b/tests/endtoend/UntrustedPeersTest.cpp
@@ -164,3 +164,15 @@
   Crowd crowd(fixture.At(Listener::Peers).address, kConnections);
   fixture.CheckHolds(Listener::Peers);
 }
+
+// Guards against giving up the leadership for good because a stranger names a
+// leader that no log knows.
+TEST_CASE("untrusted peers: a notice of a leader that does not exist")
+{
+  UntrustedFixture fixture;
+  constexpr std::uint64_t kToken = 1'000'000'000;
+  Crowd crowd(fixture.At(Listener::Peers).address, 1);
+  crowd.SendInTurn(MakeFrame(
+    protocol::LeaderNotice{ base::FencingToken(kToken), "127.0.0.1:1" }));
+  fixture.CheckHolds(Listener::Peers);
+}
