--- /dev/null
+++ b/review/rig-3/Play.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "amaranthwind/frontend/HttpClient.h"
+#include "amaranthwind/frontend/HttpServer.h"
+#include "amaranthwind/net/IoPool.h"
+#include "harness/Process.h"
+#include "standins/PlatformStore.h"
+#include "standins/PlatformWorker.h"
+
+#include <boost/json.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace play {
+
+namespace json = boost::json;
+using Clock = std::chrono::steady_clock;
+
+/** Bounds of the settings of sites/bancos-andinos.toml, in milliseconds. */
+constexpr std::int64_t kVisibleMs = 3000;
+constexpr std::int64_t kReclaimMs = 3400;
+constexpr std::int64_t kContactMs = 3000;
+
+/** Exit codes of a script. */
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCouldNotRun = 2;
+
+/** The project's stand-in of a worker, in front of which requests can fail. */
+class Worker final : public amaranthwind::frontend::HttpHandler
+{
+public:
+  explicit Worker(amaranthwind::standins::PlatformWorker& aWorker)
+    : worker(aWorker)
+  {
+  }
+  void Handle(amaranthwind::frontend::HttpRequest aRequest,
+              amaranthwind::frontend::HttpResponder aRespond) override;
+  /** While set, starts are refused with 503, and nothing is done. */
+  std::atomic<bool> refusesStarts{ false };
+  std::atomic<unsigned> refusedStarts{ 0 };
+
+private:
+  amaranthwind::standins::PlatformWorker& worker;
+};
+
+struct Answer
+{
+  /** 0 without a response. */
+  unsigned status = 0;
+  std::string body;
+};
+
+/**
+ * A small deployment: stand-ins of the platform's store and of workers in this
+ * process, schedulers and agents as processes with the commands of the deploy
+ * file.
+ */
+class Play
+{
+public:
+  Play(const std::string& aRecordFile,
+       std::size_t aSchedulers,
+       std::size_t aWorkers);
+  ~Play();
+  Play(const Play&) = delete;
+  Play& operator=(const Play&) = delete;
+
+  /** Writes the desired state. */
+  void Configure(const json::object& aState);
+  /** Starts all processes; false if a scheduler does not become ready. */
+  bool Start();
+  /** Asks the scheduler and records the question and the answer. */
+  Answer Ask(std::size_t aScheduler,
+             std::string_view aMethod,
+             std::string_view aHost,
+             std::string_view aPath,
+             std::string_view aKey,
+             const std::string& aBody = {});
+  /** Writes a line with the time since the start. */
+  void Record(const std::string& aText);
+  std::int64_t NowMs() const;
+  /** Whether a work item of the job was started by an executor. */
+  bool HasBegun(std::string_view aJob) const;
+  /** Number of work items of the job that were started. */
+  std::size_t BegunItems(std::string_view aJob) const;
+  /** Writes the starts and ends that the executors have seen. */
+  void RecordRuns();
+
+  struct Scheduler
+  {
+    std::string client;
+    std::string ready;
+    std::string settings;
+    std::unique_ptr<amaranthwind::harness::Process> process;
+  };
+  struct Side
+  {
+    std::string settings;
+    std::unique_ptr<amaranthwind::standins::PlatformWorker> worker;
+    std::unique_ptr<Worker> handler;
+    std::unique_ptr<amaranthwind::frontend::HttpServer> server;
+    std::unique_ptr<amaranthwind::harness::Process> agent;
+  };
+  std::vector<Scheduler> schedulers;
+  std::vector<Side> sides;
+
+private:
+  std::unique_ptr<amaranthwind::harness::Process> Spawn(
+    const std::string& aRole,
+    const std::string& aSettings,
+    const std::string& aName);
+  std::string WriteSettings(const std::string& aName,
+                            const json::object& aSettings) const;
+  Answer Send(const std::string& aAddress,
+              amaranthwind::frontend::HttpRequest aRequest);
+
+  const Clock::time_point begin = Clock::now();
+  std::ofstream record;
+  std::mutex recordMutex;
+  std::string folder;
+  amaranthwind::net::IoPool pool{ 2 };
+
+public:
+  amaranthwind::standins::PlatformStore store{ pool };
+
+private:
+  amaranthwind::frontend::HttpServer storeServer{ pool,
+                                                  { .maxConnections = 4096 },
+                                                  store };
+};
+
+/** Whether the disruption is to be applied. */
+bool
+HasTrouble();
+
+void
+Sleep(std::int64_t aMs);
+
+/** A queue of the desired state. */
+json::object
+MakeQueue(std::string_view aName,
+          std::string_view aHost,
+          std::string_view aPrefix,
+          unsigned aPriority);
+
+/** A tenant with one key; aGuaranteed GPUs, none if 0. */
+json::object
+MakeTenant(std::string_view aName, std::string_view aKey, unsigned aGuaranteed);
+
+} // namespace play
