Review case 13: members of a gang start from different checkpoints

HandleEnd() sets the checkpoint of an end for the ended member only, while HandleRunning() sets it for the whole gang. Measured by review/13/run.sh: after the crash of one executor the two members of run 2 are told to start from 4,000 and 4,500 ms of work; held with TROUBLE=0.

--- a/review/rig-3/Play.cc
+++ b/review/rig-3/Play.cc
@@ -3,6 +3,7 @@
 #include "harness/Address.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <stdexcept>
@@ -19,15 +20,154 @@
 
 } // namespace
 
+void
+Checkpoints::OnStart(const std::string& aTask,
+                     std::uint64_t aRun,
+                     std::size_t aGangSize,
+                     std::string_view aCheckpoint)
+{
+  const std::lock_guard lock(this->mutex);
+  GangRun& run = this->runs[{ aTask.substr(0, aTask.rfind('.')), aRun }];
+  ++run.members;
+  if (!aCheckpoint.empty()) {
+    run.resumedMs =
+      std::stoll(std::string(aCheckpoint.substr(0, 8)), nullptr, 16);
+  }
+  if (run.members == aGangSize) {
+    run.begin = Clock::now();
+  }
+}
+
+std::string
+Checkpoints::Newest(const std::string& aTask, std::uint64_t aRun) const
+{
+  const std::lock_guard lock(this->mutex);
+  const auto found =
+    this->runs.find({ aTask.substr(0, aTask.rfind('.')), aRun });
+  if (found == this->runs.end() || !found->second.begin) {
+    return {};
+  }
+  const GangRun& run = found->second;
+  const auto worked = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        run.end.value_or(Clock::now()) - *run.begin)
+                        .count();
+  const std::int64_t saved = run.resumedMs + worked / 500 * 500;
+  if (saved == 0) {
+    return {};
+  }
+  char text[9];
+  std::snprintf(text, sizeof(text), "%08llx", static_cast<long long>(saved));
+  return text + aTask.substr(0, 8);
+}
+
+void
+Checkpoints::Break()
+{
+  const std::lock_guard lock(this->mutex);
+  for (auto& [key, run] : this->runs) {
+    if (run.begin && !run.end) {
+      run.end = Clock::now();
+    }
+  }
+}
+
 void
 Worker::Handle(frontend::HttpRequest aRequest, frontend::HttpResponder aRespond)
 {
-  if (this->refusesStarts.load() && aRequest.path == "/api/run-start") {
+  if (aRequest.path == "/api/run-start") {
+    this->HandleStart(std::move(aRequest), std::move(aRespond));
+  } else if (aRequest.path == "/api/hold") {
+    const json::object body = json::parse(aRequest.body).as_object();
+    const auto* wait = body.if_contains("wait-ms");
+    const std::chrono::milliseconds time(
+      wait == nullptr ? 0 : wait->to_number<std::int64_t>());
+    this->HandleHold(
+      std::move(aRequest), std::move(aRespond), Clock::now() + time);
+  } else {
+    this->worker.Handle(std::move(aRequest), std::move(aRespond));
+  }
+}
+
+void
+Worker::HandleHold(frontend::HttpRequest aRequest,
+                   frontend::HttpResponder aRespond,
+                   Clock::time_point aUntil)
+{
+  frontend::HttpRequest request = aRequest;
+  this->worker.Handle(
+    std::move(request),
+    [this,
+     aUntil,
+     repeated = std::move(aRequest),
+     respond = std::move(aRespond)](frontend::HttpResponse aResponse) mutable {
+      const bool isFinal = aResponse.status != 200 ||
+                           this->AddCheckpoints(aResponse.body) ||
+                           Clock::now() >= aUntil;
+      if (isFinal) {
+        respond(std::move(aResponse));
+        return;
+      }
+      this->pool.RunAfter(10ms, [this, aUntil, repeated, respond] {
+        this->HandleHold(repeated, respond, aUntil);
+      });
+    });
+}
+
+void
+Worker::HandleStart(frontend::HttpRequest aRequest,
+                    frontend::HttpResponder aRespond)
+{
+  if (this->refusesStarts.load()) {
     ++this->refusedStarts;
     aRespond({ 503, "application/json", {}, "" });
     return;
   }
-  this->worker.Handle(std::move(aRequest), std::move(aRespond));
+  const json::object body = json::parse(aRequest.body).as_object();
+  StartOrder order{ std::string(body.at("task").as_string()),
+                    body.at("run-id").to_number<std::uint64_t>(),
+                    {} };
+  if (const auto* checkpoint = body.if_contains("checkpoint")) {
+    order.checkpoint = std::string(checkpoint->as_string());
+  }
+  const std::string spec(body.at("spec").as_string());
+  const auto gang = spec.find("gang=");
+  const std::size_t size =
+    gang == std::string::npos ? 1 : std::stoul(spec.substr(gang + 5));
+  this->worker.Handle(
+    std::move(aRequest),
+    [this, order, size, respond = std::move(aRespond)](
+      frontend::HttpResponse aResponse) {
+      if (aResponse.status == 200) {
+        this->checkpoints.OnStart(order.task, order.run, size, order.checkpoint);
+        const std::lock_guard lock(this->mutex);
+        this->orders.push_back(order);
+      }
+      respond(std::move(aResponse));
+    });
+}
+
+bool
+Worker::AddCheckpoints(std::string& aHoldReply) const
+{
+  json::object reply = json::parse(aHoldReply).as_object();
+  for (const auto& [list, column] : { std::pair("running", 0), { "ended", 1 } }) {
+    for (auto& value : reply.at(list).as_array()) {
+      json::array& row = value.as_array();
+      const std::string task(row[column].as_string());
+      const auto run = row[column + 1].to_number<std::uint64_t>();
+      row[list == std::string_view("running") ? 2 : 4] =
+        this->checkpoints.Newest(task, run);
+    }
+  }
+  aHoldReply = json::serialize(reply);
+  return !reply.at("ended").as_array().empty();
+}
+
+std::vector<StartOrder>
+Worker::Orders() const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->orders;
 }
 
 Play::Play(const std::string& aRecordFile,
@@ -79,7 +219,8 @@
       "r" + std::to_string(i / 3),
       control);
     side.worker->SetZone("cali-norte");
-    side.handler = std::make_unique<Worker>(*side.worker);
+    side.handler = std::make_unique<Worker>(
+      this->pool, *side.worker, this->checkpoints);
     side.server = std::make_unique<frontend::HttpServer>(
       this->pool, frontend::HttpServerOptions{}, *side.handler);
     const std::string app =
--- a/review/rig-3/Play.h
+++ b/review/rig-3/Play.h
@@ -15,6 +15,7 @@
 #include <deque>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -37,12 +38,55 @@
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
 
+/**
+ * The checkpoints of the gangs that run on the workers: a new one every
+ * `checkpoint-s` (0.5 s) of work, which starts when all members are present.
+ * All members produce the same value. Thread-safe.
+ */
+class Checkpoints
+{
+public:
+  /** A member of the run was told to start, from the given checkpoint. */
+  void OnStart(const std::string& aTask,
+               std::uint64_t aRun,
+               std::size_t aGangSize,
+               std::string_view aCheckpoint);
+  /** The newest checkpoint of the run; empty if there is none. */
+  std::string Newest(const std::string& aTask, std::uint64_t aRun) const;
+  /** The gangs that run now stop working. */
+  void Break();
+
+private:
+  struct GangRun
+  {
+    std::size_t members = 0;
+    std::int64_t resumedMs = 0;
+    std::optional<Clock::time_point> begin;
+    std::optional<Clock::time_point> end;
+  };
+  mutable std::mutex mutex;
+  /** By the step's name and the number of the run. */
+  std::map<std::pair<std::string, std::uint64_t>, GangRun> runs;
+};
+
+/** What an executor was told to start. */
+struct StartOrder
+{
+  std::string task;
+  std::uint64_t run = 0;
+  std::string checkpoint;
+};
+
 /** The project's stand-in of a worker, in front of which requests can fail. */
 class Worker final : public amaranthwind::frontend::HttpHandler
 {
 public:
-  explicit Worker(amaranthwind::standins::PlatformWorker& aWorker)
-    : worker(aWorker)
+  Worker(amaranthwind::net::IoPool& aPool,
+         amaranthwind::standins::PlatformWorker& aWorker,
+         Checkpoints& aCheckpoints)
+    : pool(aPool)
+    , worker(aWorker)
+    , checkpoints(aCheckpoints)
   {
   }
   void Handle(amaranthwind::frontend::HttpRequest aRequest,
@@ -50,9 +94,24 @@
   /** While set, starts are refused with 503, and nothing is done. */
   std::atomic<bool> refusesStarts{ false };
   std::atomic<unsigned> refusedStarts{ 0 };
+  /** The starts that were carried out. */
+  std::vector<StartOrder> Orders() const;
 
 private:
+  void HandleStart(amaranthwind::frontend::HttpRequest aRequest,
+                   amaranthwind::frontend::HttpResponder aRespond);
+  /** The response to a hold waits for an end, until aUntil. */
+  void HandleHold(amaranthwind::frontend::HttpRequest aRequest,
+                  amaranthwind::frontend::HttpResponder aRespond,
+                  Clock::time_point aUntil);
+  /** Adds the checkpoints to a reply; true if it lists an end. */
+  bool AddCheckpoints(std::string& aHoldReply) const;
+
+  amaranthwind::net::IoPool& pool;
   amaranthwind::standins::PlatformWorker& worker;
+  Checkpoints& checkpoints;
+  mutable std::mutex mutex;
+  std::vector<StartOrder> orders;
 };
 
 struct Answer
@@ -113,6 +172,7 @@
     std::unique_ptr<amaranthwind::frontend::HttpServer> server;
     std::unique_ptr<amaranthwind::harness::Process> agent;
   };
+  Checkpoints checkpoints;
   std::vector<Scheduler> schedulers;
   std::vector<Side> sides;
 
