--- a/review/rig-3/Play.cc
+++ b/review/rig-3/Play.cc
@@ -101,7 +101,7 @@
      repeated = std::move(aRequest),
      respond = std::move(aRespond)](frontend::HttpResponse aResponse) mutable {
       const bool isFinal = aResponse.status != 200 ||
-                           this->AddCheckpoints(aResponse.body) ||
+                           this->CompleteReply(aResponse.body) ||
                            Clock::now() >= aUntil;
       if (isFinal) {
         respond(std::move(aResponse));
@@ -141,13 +141,17 @@
         this->checkpoints.OnStart(order.task, order.run, size, order.checkpoint);
         const std::lock_guard lock(this->mutex);
         this->orders.push_back(order);
+        if (this->failsRuns.load()) {
+          ++this->failedRuns;
+          this->failing.insert({ order.task, order.run });
+        }
       }
       respond(std::move(aResponse));
     });
 }
 
 bool
-Worker::AddCheckpoints(std::string& aHoldReply) const
+Worker::CompleteReply(std::string& aHoldReply) const
 {
   json::object reply = json::parse(aHoldReply).as_object();
   for (const auto& [list, column] : { std::pair("running", 0), { "ended", 1 } }) {
@@ -157,6 +161,11 @@
       const auto run = row[column + 1].to_number<std::uint64_t>();
       row[list == std::string_view("running") ? 2 : 4] =
         this->checkpoints.Newest(task, run);
+      const std::lock_guard lock(this->mutex);
+      if (list == std::string_view("ended") &&
+          this->failing.contains({ task, run }) && row[3].as_string() == "done") {
+        row[3] = "failed";
+      }
     }
   }
   aHoldReply = json::serialize(reply);
@@ -285,18 +294,30 @@
   this->store.Put("keyed.op", "config", json::serialize(aState));
 }
 
+void
+Play::Restart(std::size_t aScheduler)
+{
+  this->schedulers[aScheduler].process =
+    this->Spawn("scheduler",
+                this->schedulers[aScheduler].settings,
+                "scheduler-" + std::to_string(aScheduler));
+}
+
+void
+Play::RestartAgent(std::size_t aSide)
+{
+  this->sides[aSide].agent = this->Spawn(
+    "agent", this->sides[aSide].settings, "side-" + std::to_string(aSide));
+}
+
 bool
 Play::Start()
 {
   for (std::size_t i = 0; i < this->schedulers.size(); ++i) {
-    this->schedulers[i].process =
-      this->Spawn("scheduler",
-                  this->schedulers[i].settings,
-                  "scheduler-" + std::to_string(i));
+    this->Restart(i);
   }
   for (std::size_t i = 0; i < this->sides.size(); ++i) {
-    this->sides[i].agent =
-      this->Spawn("agent", this->sides[i].settings, "side-" + std::to_string(i));
+    this->RestartAgent(i);
     this->sides[i].worker->Register();
   }
   const auto end = Clock::now() + 20s;
--- a/review/rig-3/Play.h
+++ b/review/rig-3/Play.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -94,6 +95,9 @@
   /** While set, starts are refused with 503, and nothing is done. */
   std::atomic<bool> refusesStarts{ false };
   std::atomic<unsigned> refusedStarts{ 0 };
+  /** While set, what is started will end as failed. */
+  std::atomic<bool> failsRuns{ false };
+  std::atomic<unsigned> failedRuns{ 0 };
   /** The starts that were carried out. */
   std::vector<StartOrder> Orders() const;
 
@@ -104,14 +108,16 @@
   void HandleHold(amaranthwind::frontend::HttpRequest aRequest,
                   amaranthwind::frontend::HttpResponder aRespond,
                   Clock::time_point aUntil);
-  /** Adds the checkpoints to a reply; true if it lists an end. */
-  bool AddCheckpoints(std::string& aHoldReply) const;
+  /** Adds checkpoints and failures to a reply; true if it lists an end. */
+  bool CompleteReply(std::string& aHoldReply) const;
 
   amaranthwind::net::IoPool& pool;
   amaranthwind::standins::PlatformWorker& worker;
   Checkpoints& checkpoints;
   mutable std::mutex mutex;
   std::vector<StartOrder> orders;
+  /** Task and run. */
+  std::set<std::pair<std::string, std::uint64_t>> failing;
 };
 
 struct Answer
@@ -147,6 +153,9 @@
              std::string_view aPath,
              std::string_view aKey,
              const std::string& aBody = {});
+  /** Starts the process anew, after it has ended. */
+  void Restart(std::size_t aScheduler);
+  void RestartAgent(std::size_t aSide);
   /** Writes a line with the time since the start. */
   void Record(const std::string& aText);
   std::int64_t NowMs() const;
