--- a/review/13/play.cc
+++ b/review/13/play.cc
@@ -32,11 +32,10 @@
     return kCouldNotRun;
   }
   Play play(argv[1], 2, kExecutors);
-  play.Configure(
-    { { "version", 1 },
-      { "routes", { MakeQueue("scoring", kHost, kPrefix, 1) } },
-      { "services", { { { "name", "planner" } } } },
-      { "tenants", { MakeTenant("club", kKey, 0) } } });
+  play.Configure({ { "version", 1 },
+                   { "routes", { MakeQueue("scoring", kHost, kPrefix, 1) } },
+                   { "services", { { { "name", "planner" } } } },
+                   { "tenants", { MakeTenant("club", kKey, 0) } } });
   if (!play.Start()) {
     return kCouldNotRun;
   }
--- a/review/rig-3/Play.cc
+++ b/review/rig-3/Play.cc
@@ -133,28 +133,29 @@
   const auto gang = spec.find("gang=");
   const std::size_t size =
     gang == std::string::npos ? 1 : std::stoul(spec.substr(gang + 5));
-  this->worker.Handle(
-    std::move(aRequest),
-    [this, order, size, respond = std::move(aRespond)](
-      frontend::HttpResponse aResponse) {
-      if (aResponse.status == 200) {
-        this->checkpoints.OnStart(order.task, order.run, size, order.checkpoint);
-        const std::lock_guard lock(this->mutex);
-        this->orders.push_back(order);
-        if (this->failsRuns.load()) {
-          ++this->failedRuns;
-          this->failing.insert({ order.task, order.run });
-        }
-      }
-      respond(std::move(aResponse));
-    });
+  this->worker.Handle(std::move(aRequest),
+                      [this, order, size, respond = std::move(aRespond)](
+                        frontend::HttpResponse aResponse) {
+                        if (aResponse.status == 200) {
+                          this->checkpoints.OnStart(
+                            order.task, order.run, size, order.checkpoint);
+                          const std::lock_guard lock(this->mutex);
+                          this->orders.push_back(order);
+                          if (this->failsRuns.load()) {
+                            ++this->failedRuns;
+                            this->failing.insert({ order.task, order.run });
+                          }
+                        }
+                        respond(std::move(aResponse));
+                      });
 }
 
 bool
 Worker::CompleteReply(std::string& aHoldReply) const
 {
   json::object reply = json::parse(aHoldReply).as_object();
-  for (const auto& [list, column] : { std::pair("running", 0), { "ended", 1 } }) {
+  for (const auto& [list, column] :
+       { std::pair("running", 0), { "ended", 1 } }) {
     for (auto& value : reply.at(list).as_array()) {
       json::array& row = value.as_array();
       const std::string task(row[column].as_string());
@@ -163,7 +164,8 @@
         this->checkpoints.Newest(task, run);
       const std::lock_guard lock(this->mutex);
       if (list == std::string_view("ended") &&
-          this->failing.contains({ task, run }) && row[3].as_string() == "done") {
+          this->failing.contains({ task, run }) &&
+          row[3].as_string() == "done") {
         row[3] = "failed";
       }
     }
@@ -197,55 +199,55 @@
     scheduler.client = harness::AllocateAddress();
     scheduler.ready = harness::AllocateAddress();
     const std::string name = "scheduler-" + std::to_string(i);
-    scheduler.settings = this->WriteSettings(
-      name,
-      { { "id", name },
-        { "region", "valle-cauca" },
-        { "zone", "cali-norte" },
-        { "innerListen", harness::AllocateAddress() },
-        { "adminListen", harness::AllocateAddress() },
-        { "clientListen", scheduler.client },
-        { "readyListen", scheduler.ready },
-        { "logService", log },
-        { "logRecordBytes", 262144 },
-        { "logAppendBytes", 2097152 },
-        { "maxLeaseMs", 6000 },
-        { "stopTimeMs", 900 },
-        { "revokeLimitMs", 5000 },
-        { "configurationLimitMs", 2000 },
-        { "cancelLimitMs", 3000 },
-        { "learnRunTimes", false },
-        { "logFormat", "json" } });
+    scheduler.settings =
+      this->WriteSettings(name,
+                          { { "id", name },
+                            { "region", "valle-cauca" },
+                            { "zone", "cali-norte" },
+                            { "innerListen", harness::AllocateAddress() },
+                            { "adminListen", harness::AllocateAddress() },
+                            { "clientListen", scheduler.client },
+                            { "readyListen", scheduler.ready },
+                            { "logService", log },
+                            { "logRecordBytes", 262144 },
+                            { "logAppendBytes", 2097152 },
+                            { "maxLeaseMs", 6000 },
+                            { "stopTimeMs", 900 },
+                            { "revokeLimitMs", 5000 },
+                            { "configurationLimitMs", 2000 },
+                            { "cancelLimitMs", 3000 },
+                            { "learnRunTimes", false },
+                            { "logFormat", "json" } });
   }
   const auto group = std::make_shared<standins::WorkerGroup>();
   for (std::size_t i = 0; i < aWorkers; ++i) {
     Side& side = this->sides.emplace_back();
     const std::string control = harness::AllocateAddress();
-    side.worker = std::make_unique<standins::PlatformWorker>(
-      this->pool,
-      group,
-      "w-" + std::to_string(i),
-      "r" + std::to_string(i / 3),
-      control);
+    side.worker =
+      std::make_unique<standins::PlatformWorker>(this->pool,
+                                                 group,
+                                                 "w-" + std::to_string(i),
+                                                 "r" + std::to_string(i / 3),
+                                                 control);
     side.worker->SetZone("cali-norte");
-    side.handler = std::make_unique<Worker>(
-      this->pool, *side.worker, this->checkpoints);
+    side.handler =
+      std::make_unique<Worker>(this->pool, *side.worker, this->checkpoints);
     side.server = std::make_unique<frontend::HttpServer>(
       this->pool, frontend::HttpServerOptions{}, *side.handler);
     const std::string app =
       side.server->Listen(harness::AllocateAddress()).value();
     const std::string name = "side-" + std::to_string(i);
-    side.settings = this->WriteSettings(
-      name,
-      { { "id", name },
-        { "region", "valle-cauca" },
-        { "zone", "cali-norte" },
-        { "adminListen", harness::AllocateAddress() },
-        { "registrationListen", control },
-        { "workerAddress", app },
-        { "logService", log },
-        { "maxLeaseMs", 6000 },
-        { "logFormat", "json" } });
+    side.settings =
+      this->WriteSettings(name,
+                          { { "id", name },
+                            { "region", "valle-cauca" },
+                            { "zone", "cali-norte" },
+                            { "adminListen", harness::AllocateAddress() },
+                            { "registrationListen", control },
+                            { "workerAddress", app },
+                            { "logService", log },
+                            { "maxLeaseMs", 6000 },
+                            { "logFormat", "json" } });
   }
 }
 
@@ -399,8 +401,8 @@
     }
   }
   std::sort(begun.begin(), begun.end());
-  return static_cast<std::size_t>(
-    std::unique(begun.begin(), begun.end()) - begun.begin());
+  return static_cast<std::size_t>(std::unique(begun.begin(), begun.end()) -
+                                  begun.begin());
 }
 
 bool
