Review rig: a store whose partition of the jobs can be silent

The case on a cancelling that is answered with 410 needs a store that does and answers nothing for one partition, and processes that start again are used in trials.

--- a/review/rig-3/Play.cc
+++ b/review/rig-3/Play.cc
@@ -181,6 +181,50 @@
   return this->orders;
 }
 
+bool
+StoreFront::IsSilent(const std::string& aTopic) const
+{
+  return this->isSilent.load() && aTopic == "keyed.jobs";
+}
+
+void
+StoreFront::Handle(frontend::HttpRequest aRequest,
+                   frontend::HttpResponder aRespond)
+{
+  const std::string topic(aRequest.QueryValue("topic"));
+  const std::string request = aRequest.path + "?" + aRequest.query;
+  if (this->IsSilent(topic)) {
+    this->Keep(std::move(aRespond), request);
+    return;
+  }
+  this->store.Handle(std::move(aRequest),
+                     [this, topic, request, respond = std::move(aRespond)](
+                       frontend::HttpResponse aResponse) {
+                       if (this->IsSilent(topic)) {
+                         this->Keep(respond, request);
+                       } else {
+                         respond(std::move(aResponse));
+                       }
+                     });
+}
+
+void
+StoreFront::Keep(frontend::HttpResponder aRespond, const std::string& aRequest)
+{
+  if (this->onUnanswered) {
+    this->onUnanswered(aRequest);
+  }
+  const std::lock_guard lock(this->mutex);
+  this->unanswered.push_back(std::move(aRespond));
+}
+
+void
+StoreFront::Clear()
+{
+  const std::lock_guard lock(this->mutex);
+  this->unanswered.clear();
+}
+
 Play::Play(const std::string& aRecordFile,
            std::size_t aSchedulers,
            std::size_t aWorkers)
@@ -260,6 +304,7 @@
   for (auto& scheduler : this->schedulers) {
     scheduler.process.reset();
   }
+  this->storeFront.Clear();
   this->storeServer.Stop();
   this->pool.Stop();
   // Destroyed after the pool has stopped, because their clients and servers use
@@ -384,7 +429,13 @@
 std::int64_t
 Play::NowMs() const
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() -
+  return this->At(Clock::now());
+}
+
+std::int64_t
+Play::At(Clock::time_point aTime) const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime -
                                                                this->begin)
     .count();
 }
--- a/review/rig-3/Play.h
+++ b/review/rig-3/Play.h
@@ -120,6 +120,36 @@
   std::set<std::pair<std::string, std::uint64_t>> failing;
 };
 
+/**
+ * The store. The partition with the jobs can be silent: then it does nothing
+ * and answers nothing.
+ */
+class StoreFront final : public amaranthwind::frontend::HttpHandler
+{
+public:
+  explicit StoreFront(amaranthwind::standins::PlatformStore& aStore)
+    : store(aStore)
+  {
+  }
+  void Handle(amaranthwind::frontend::HttpRequest aRequest,
+              amaranthwind::frontend::HttpResponder aRespond) override;
+  std::atomic<bool> isSilent{ false };
+  /** Told of each request that gets no answer; may be empty. */
+  std::function<void(const std::string&)> onUnanswered;
+  /** Drops what was kept; to be called before the servers stop. */
+  void Clear();
+
+private:
+  bool IsSilent(const std::string& aTopic) const;
+  void Keep(amaranthwind::frontend::HttpResponder aRespond,
+            const std::string& aRequest);
+
+  amaranthwind::standins::PlatformStore& store;
+  std::mutex mutex;
+  /** Without an answer, so that their connections stay open. */
+  std::vector<amaranthwind::frontend::HttpResponder> unanswered;
+};
+
 struct Answer
 {
   /** 0 without a response. */
@@ -159,6 +189,8 @@
   /** Writes a line with the time since the start. */
   void Record(const std::string& aText);
   std::int64_t NowMs() const;
+  /** The time since the start, in milliseconds. */
+  std::int64_t At(Clock::time_point aTime) const;
   /** Whether a work item of the job was started by an executor. */
   bool HasBegun(std::string_view aJob) const;
   /** Number of work items of the job that were started. */
@@ -203,11 +235,12 @@
 
 public:
   amaranthwind::standins::PlatformStore store{ pool };
+  StoreFront storeFront{ store };
 
 private:
   amaranthwind::frontend::HttpServer storeServer{ pool,
                                                   { .maxConnections = 4096 },
-                                                  store };
+                                                  storeFront };
 };
 
 /** Whether the disruption is to be applied. */
