Review case 13: a job runs after its cancelling was answered with 410

Coordinator::Cancel() writes no record for a job that the log doesn't hold yet, and the append under way accepts it later.

--- a/review/13/play.cc
+++ b/review/13/play.cc
@@ -1,11 +1,11 @@
-// An executor with a member of a checkpointing gang crashes: the members are
-// started again from different checkpoints.
+// While a partition of the store is silent a job gets no ack. Its client
+// cancels it and is told that there is no such job. Then the job runs.
 
 #include "rig-3/Play.h"
 
 #include <iostream>
-#include <map>
-#include <set>
+#include <optional>
+#include <thread>
 
 using namespace play;
 
@@ -14,14 +14,20 @@
 constexpr std::string_view kHost = "jobs.example";
 constexpr std::string_view kPrefix = "/scoring/";
 constexpr std::string_view kKey = "key-club";
+constexpr std::string_view kJob = "00000000000000e0";
 constexpr std::size_t kExecutors = 8;
-/** How long the executor that crashes is away. */
-constexpr std::int64_t kAwayMs = 4500;
-/** Two members that need an executor each. */
+/** How long the partition is silent. */
+constexpr std::int64_t kSilenceMs = 3800;
+constexpr std::int64_t kCancelMs = 3000;
+/** From an answer that neither cancels nor denies the job to the next attempt.
+ */
+constexpr std::int64_t kAskAgainMs = 100;
+constexpr std::size_t kMaxAttempts = 40;
+/** The second step begins when the first has been done for 6 s. */
 constexpr const char* kBody =
-  R"({"spec":"20000 gang=2","steps":[{"count":2,"cpu":26000,"mem-mb":140000,)"
-  R"("gpu":8,"estimate-ms":20000,"gang":true,"checkpointing":true}]})";
-constexpr std::string_view kJob = "00000000000000d0";
+  R"({"spec":"6000","steps":[{"count":1,"cpu":1000,"mem-mb":64,"gpu":1,)"
+  R"("estimate-ms":6000},{"count":1,"cpu":1000,"mem-mb":64,"gpu":1,)"
+  R"("estimate-ms":6000,"depends-on":[0]}]})";
 
 } // namespace
 
@@ -31,7 +37,8 @@
   if (argc != 2) {
     return kCouldNotRun;
   }
-  Play play(argv[1], 2, kExecutors);
+  Play play(argv[1], 3, kExecutors);
+  play.store.SetAnswerTime(std::chrono::milliseconds(4));
   play.Configure({ { "version", 1 },
                    { "routes", { MakeQueue("scoring", kHost, kPrefix, 1) } },
                    { "services", { { { "name", "planner" } } } },
@@ -40,61 +47,60 @@
     return kCouldNotRun;
   }
   const std::string path = std::string(kPrefix) + std::string(kJob);
-  if (play.Ask(0, "POST", kHost, path, kKey, kBody).status != 200) {
-    return kCouldNotRun;
+  if (HasTrouble()) {
+    play.storeFront.onUnanswered = [&](const std::string& aRequest) {
+      play.Record("the store doesn't answer " + aRequest);
+    };
+    play.Record("the partition with the jobs is silent from now on");
+    play.storeFront.isSilent = true;
   }
-  const std::int64_t acceptedAt = play.NowMs();
-  while (play.BegunItems(kJob) < 2) {
-    if (play.NowMs() > acceptedAt + 10'000) {
-      return kCouldNotRun;
-    }
-    Sleep(5);
+  const std::int64_t begin = play.NowMs();
+  std::thread end;
+  if (HasTrouble()) {
+    end = std::thread([&] {
+      Sleep(begin + kSilenceMs - play.NowMs());
+      play.storeFront.isSilent = false;
+      play.Record("the partition answers again");
+    });
   }
-  // Shortly after a checkpoint, as most moments are, compared to the interval
-  // at which agents report.
-  Sleep(4600);
-  auto* crashing = [&]() -> Play::Side* {
-    for (auto& side : play.sides) {
-      if (side.worker->Running() > 0) {
-        return &side;
-      }
+  const Answer submitted = play.Ask(0, "POST", kHost, path, kKey, kBody);
+  // The client doesn't want the job any more, and asks until it has an answer.
+  std::optional<std::int64_t> cancelledAt;
+  unsigned status = 0;
+  for (std::size_t i = 1; !cancelledAt && i <= kMaxAttempts; ++i) {
+    status =
+      play.Ask(i % play.schedulers.size(), "DELETE", kHost, path, kKey).status;
+    if (status == 200 || status == 410) {
+      cancelledAt = play.NowMs();
+    } else {
+      Sleep(kAskAgainMs);
     }
-    return nullptr;
-  }();
-  if (crashing == nullptr) {
-    return kCouldNotRun;
   }
-  if (HasTrouble()) {
-    play.Record("an executor with a member of the gang crashes");
-    play.checkpoints.Break();
-    crashing->worker->PowerOff();
-    Sleep(kAwayMs);
-    play.Record("an executor starts again on its machine");
-    crashing->worker->PowerOn();
+  if (end.joinable()) {
+    end.join();
   }
-  Sleep(12'000);
-  play.Ask(0, "GET", kHost, path, kKey);
-  std::map<std::uint64_t, std::set<std::string>> checkpoints;
-  for (std::size_t i = 0; i < play.sides.size(); ++i) {
-    for (const StartOrder& order : play.sides[i].handler->Orders()) {
-      play.Record("executor w-" + std::to_string(i) + " was told to start " +
-                  order.task + " run " + std::to_string(order.run) +
-                  " from checkpoint \"" + order.checkpoint + "\"");
-      checkpoints[order.run].insert(order.checkpoint);
-    }
+  if (!cancelledAt) {
+    return kCouldNotRun;
   }
+  Sleep(20'000);
+  play.Ask(1, "GET", kHost, path, kKey);
   play.RecordRuns();
   bool isBroken = false;
-  for (const auto& [run, values] : checkpoints) {
-    if (values.size() > 1) {
-      play.Record("UNASKED: the members of run " + std::to_string(run) +
-                  " carry different checkpoints");
-      isBroken = true;
+  for (const auto& side : play.sides) {
+    for (const auto& entry : side.worker->History()) {
+      using Event = amaranthwind::standins::PlatformWorker::RunEvent;
+      const std::int64_t late = play.At(entry.at) - *cancelledAt;
+      if (entry.runEvent == Event::Start && late > kCancelMs) {
+        play.Record("UNASKED: " + entry.task + " run " +
+                    std::to_string(entry.run) + " was started " +
+                    std::to_string(late) +
+                    " ms after the cancelling was answered with " +
+                    std::to_string(status));
+        isBroken = true;
+      }
     }
   }
-  if (HasTrouble() && checkpoints.size() < 2) {
-    return kCouldNotRun;
-  }
-  std::cout << (isBroken ? "broken" : "held") << std::endl;
+  std::cout << (isBroken ? "broken" : "held") << " POST " << submitted.status
+            << " DELETE " << status << std::endl;
   return isBroken ? kBroken : kHeld;
 }
