--- a/review/rig-3/Play.cc
+++ b/review/rig-3/Play.cc
@@ -141,8 +141,8 @@
                             order.task, order.run, size, order.checkpoint);
                           const std::lock_guard lock(this->mutex);
                           this->orders.push_back(order);
-                          if (this->failsRuns.load()) {
-                            ++this->failedRuns;
+                          if (!this->hopelessJob.empty() &&
+                              order.task.starts_with(this->hopelessJob)) {
                             this->failing.insert({ order.task, order.run });
                           }
                         }
@@ -151,7 +151,7 @@
 }
 
 bool
-Worker::CompleteReply(std::string& aHoldReply) const
+Worker::CompleteReply(std::string& aHoldReply)
 {
   json::object reply = json::parse(aHoldReply).as_object();
   for (const auto& [list, column] :
@@ -167,6 +167,7 @@
           this->failing.contains({ task, run }) &&
           row[3].as_string() == "done") {
         row[3] = "failed";
+        this->listedFailures.insert({ task, run });
       }
     }
   }
@@ -174,6 +175,13 @@
   return !reply.at("ended").as_array().empty();
 }
 
+std::size_t
+Worker::FailedRuns() const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->listedFailures.size();
+}
+
 std::vector<StartOrder>
 Worker::Orders() const
 {
--- a/review/rig-3/Play.h
+++ b/review/rig-3/Play.h
@@ -95,9 +95,10 @@
   /** While set, starts are refused with 503, and nothing is done. */
   std::atomic<bool> refusesStarts{ false };
   std::atomic<unsigned> refusedStarts{ 0 };
-  /** While set, what is started will end as failed. */
-  std::atomic<bool> failsRuns{ false };
-  std::atomic<unsigned> failedRuns{ 0 };
+  /** The work items of this job end as failed; none if empty. */
+  std::string hopelessJob;
+  /** Runs that ended as failed. */
+  std::size_t FailedRuns() const;
   /** The starts that were carried out. */
   std::vector<StartOrder> Orders() const;
 
@@ -109,7 +110,7 @@
                   amaranthwind::frontend::HttpResponder aRespond,
                   Clock::time_point aUntil);
   /** Adds checkpoints and failures to a reply; true if it lists an end. */
-  bool CompleteReply(std::string& aHoldReply) const;
+  bool CompleteReply(std::string& aHoldReply);
 
   amaranthwind::net::IoPool& pool;
   amaranthwind::standins::PlatformWorker& worker;
@@ -118,6 +119,7 @@
   std::vector<StartOrder> orders;
   /** Task and run. */
   std::set<std::pair<std::string, std::uint64_t>> failing;
+  std::set<std::pair<std::string, std::uint64_t>> listedFailures;
 };
 
 /**
