--- a/review/13/play.cc
+++ b/review/13/play.cc
@@ -23,6 +23,11 @@
  */
 constexpr std::int64_t kAskAgainMs = 100;
 constexpr std::size_t kMaxAttempts = 40;
+/** Between two jobs; the site has 1.07 jobs a second. */
+constexpr std::int64_t kPaceMs = 1000;
+constexpr const char* kOtherBody =
+  R"({"spec":"200","steps":[{"count":1,"cpu":1000,"mem-mb":64,"gpu":1,)"
+  R"("estimate-ms":200}]})";
 /** The second step begins when the first has been done for 6 s. */
 constexpr const char* kBody =
   R"({"spec":"6000","steps":[{"count":1,"cpu":1000,"mem-mb":64,"gpu":1,)"
@@ -46,6 +51,21 @@
   if (!play.Start()) {
     return kCouldNotRun;
   }
+  // Clients that don't give up: one of four does, a share of 0.25.
+  for (const std::string_view id :
+       { "00000000000000a0", "00000000000000a1", "00000000000000a2" }) {
+    if (play
+          .Ask(0,
+               "POST",
+               kHost,
+               std::string(kPrefix) + std::string(id),
+               kKey,
+               kOtherBody)
+          .status != 200) {
+      return kCouldNotRun;
+    }
+    Sleep(kPaceMs);
+  }
   const std::string path = std::string(kPrefix) + std::string(kJob);
   if (HasTrouble()) {
     play.storeFront.onUnanswered = [&](const std::string& aRequest) {
@@ -90,7 +110,8 @@
     for (const auto& entry : side.worker->History()) {
       using Event = amaranthwind::standins::PlatformWorker::RunEvent;
       const std::int64_t late = play.At(entry.at) - *cancelledAt;
-      if (entry.runEvent == Event::Start && late > kCancelMs) {
+      if (entry.runEvent == Event::Start && entry.task.starts_with(kJob) &&
+          late > kCancelMs) {
         play.Record("UNASKED: " + entry.task + " run " +
                     std::to_string(entry.run) + " was started " +
                     std::to_string(late) +
