Record the cancellation of a job that is not in the log

Cause: Cancel() wrote no record for a job that the log does not hold. The append of its submission may be under way all the same: the coordinator's writer repeats an append without an answer, also when it has returned the caller's record as unconfirmed, an entry's own append may be carried out late, and neither knows of the cancellation.

Change: the cancellation is recorded in any case before it is answered. The records of the table already make a job cancelled whichever of the two comes first. A successor took a cancellation without a job for the rest of a deletion and dropped it; now it is kept for the retention of ended jobs, counted anew by each coordinator. The record names the account for that; older versions read any value as a cancellation.

--- a/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/Coordinator.h
@@ -141,6 +141,7 @@
               base::Duration aTimeout,
               DoneHandler aHandler) override;
   void Cancel(const base::JobId& aJob,
+              const base::AccountId& aAccount,
               base::Duration aTimeout,
               DoneHandler aHandler) override;
   void Find(const base::JobId& aJob, StatusHandler aHandler) override;
--- a/libs/coordinator/include/amaranthwind/coordinator/JobService.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/JobService.h
@@ -34,8 +34,18 @@
                       base::Duration aTimeout,
                       DoneHandler aHandler) = 0;
 
-  /** Errors: UnknownJob, LogUnavailable, AppendUnconfirmed, NotReady. */
+  /**
+   * Once the handler was called with success or UnknownJob, the job never runs,
+   * also if it is accepted later: an earlier call of Submit() may still take
+   * effect.
+   * @param aAccount Account of the caller.
+   * Errors: UnknownJob (no such job is known, which is recorded),
+   * LogUnavailable (not cancelled), AppendUnconfirmed (may have been
+   * cancelled), NotReady, QueueFull (not cancelled; too many unknown jobs have
+   * been cancelled).
+   */
   virtual void Cancel(const base::JobId& aJob,
+                      const base::AccountId& aAccount,
                       base::Duration aTimeout,
                       DoneHandler aHandler) = 0;
 
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -34,6 +34,21 @@
 constexpr base::Duration kTickInterval = 500ms;
 /** Interval between attempts to reach the previous coordinator. */
 constexpr base::Duration kPredecessorRetryInterval = 500ms;
+/**
+ * Limit of the memory for cancellations of jobs that are not accepted, which
+ * counts each as a job without steps.
+ */
+constexpr std::size_t kMaxEarlyCancellationBytes =
+  std::size_t{ 4 } * 1024 * 1024;
+
+job::WorkflowSpec
+MakeEmptyJob(const base::JobId& aJob, const base::AccountId& aAccount)
+{
+  job::WorkflowSpec spec;
+  spec.id = aJob;
+  spec.account = aAccount;
+  return spec;
+}
 
 /**
  * Notes progress during a scheduling pass. A leader whose passes are long is
@@ -107,6 +122,7 @@
         { "accepted_bytes",
           "Memory that the accepted jobs may take, by their sizes." }))
     , budget(aClock, aOptions.maxAcceptedBytes)
+    , earlyCancellations(aClock, kMaxEarlyCancellationBytes)
     , table(aCodec)
     , submissions(aClock, aExecutor, aHeartbeatExecutor, aLog, *this, aMetrics)
     , sessions(aMakePort, aClock, aExecutor, aLogger, this->load, *this)
@@ -184,8 +200,10 @@
       if (entry == nullptr) {
         this->budget.OnForgotten(id);
         this->directory.Publish(id, std::nullopt);
+        this->OnUnacceptedJob(id);
         continue;
       }
+      this->earlyCancellations.OnForgotten(id);
       this->budget.OnJob(id, *entry->spec);
       this->directory.Publish(id,
                               JobStatus{ entry->Phase(), entry->spec->kind });
@@ -199,6 +217,20 @@
     }
   }
 
+  void OnUnacceptedJob(const base::JobId& aJob)
+  {
+    const auto* cancellation = this->table.FindEarlyCancellation(aJob);
+    if (cancellation == nullptr) {
+      this->earlyCancellations.OnForgotten(aJob);
+      return;
+    }
+    this->earlyCancellations.OnJob(
+      aJob, MakeEmptyJob(aJob, cancellation->cancelledBy));
+    if (this->runner != nullptr) {
+      this->runner->OnEarlyCancellation(aJob);
+    }
+  }
+
   void OnCurrent(TimePoint aAsOf) override
   {
     this->currentAsOf.store(
@@ -482,37 +514,90 @@
                             protocol::AppendRecordReply{ number, aState });
     };
     const auto key = ledger::ParseKey(aAppend.key);
-    const bool isAccepted = key.kind == ledger::RecordKind::Accepted;
-    const bool isOfCaller =
-      isAccepted || key.kind == ledger::RecordKind::Cancelled;
-    if (this->runner == nullptr || !isOfCaller ||
-        (isAccepted && !this->ReserveForPeer(key.step.job, aAppend.value))) {
+    if (this->runner == nullptr || !this->ReserveForPeer(key, aAppend.value)) {
       reply(protocol::AppendState::NotAppended);
       return;
     }
     this->runner->Append(
       { aAppend.key, aAppend.value },
-      [this, isAccepted, job = key.step.job, reply](
-        protocol::AppendState aState) {
-        if (isAccepted && aState != protocol::AppendState::Queued) {
-          this->budget.OnSubmitted(
-            job, aState != protocol::AppendState::NotAppended);
+      [this, key, reply](protocol::AppendState aState) {
+        if (aState != protocol::AppendState::Queued) {
+          WorkBudget& reserved = key.kind == ledger::RecordKind::Accepted
+                                   ? this->budget
+                                   : this->earlyCancellations;
+          reserved.OnSubmitted(key.step.job,
+                               aState != protocol::AppendState::NotAppended);
         }
         reply(aState);
       });
   }
 
-  /** Whether there is room for a job that another entry accepts. */
-  bool ReserveForPeer(const base::JobId& aJob, std::string_view aValue)
+  /**
+   * Whether another entry may append the record through this one, and there is
+   * room for what it accepts or cancels.
+   */
+  bool ReserveForPeer(const ledger::RecordKey& aKey, std::string_view aValue)
   {
+    const base::JobId& job = aKey.step.job;
+    if (aKey.kind == ledger::RecordKind::Cancelled) {
+      return !aValue.empty() &&
+             this->ReserveCancellation(job, ledger::CancellingAccount(aValue))
+               .has_value();
+    }
+    if (aKey.kind != ledger::RecordKind::Accepted) {
+      return false;
+    }
     auto spec = this->codec.DecodeWorkflow(aValue);
     if (spec.has_error()) {
       return false;
     }
-    spec.value().id = aJob;
+    spec.value().id = job;
     return this->budget.Reserve(spec.value()).has_value();
   }
 
+  /** A job that is known has its room already. Thread-safe. */
+  base::Result<void> ReserveCancellation(const base::JobId& aJob,
+                                         const base::AccountId& aAccount)
+  {
+    return this->directory.Find(aJob)
+             ? base::success()
+             : this->earlyCancellations.Reserve(MakeEmptyJob(aJob, aAccount));
+  }
+
+  /** Cancels a job of which the log has been read to its end. Thread-safe. */
+  void AppendCancellation(const base::JobId& aJob,
+                          const base::AccountId& aAccount,
+                          base::Duration aTimeout,
+                          DoneHandler aHandler)
+  {
+    const auto reserved = this->ReserveCancellation(aJob, aAccount);
+    if (reserved.has_error()) {
+      aHandler(reserved);
+      return;
+    }
+    this->submissions.Append(
+      { ledger::CancelledKey(aJob), ledger::CancelledValue(aAccount) },
+      aTimeout,
+      [self = this->shared_from_this(), aJob, handler = std::move(aHandler)](
+        const base::Result<void>& aResult) {
+        self->earlyCancellations.OnSubmitted(aJob,
+                                             aResult.has_value() ||
+                                               aResult.error().code ==
+                                                 ErrorCode::AppendUnconfirmed);
+        const bool isKnown = self->directory.Find(aJob).has_value();
+        self->logger.Info(
+          aResult.has_value() ? "job cancelled" : "job cancellation failed",
+          { { "job", aJob },
+            { "isKnown", isKnown },
+            { "result",
+              aResult.has_value() ? std::string("durable")
+                                  : base::Describe(aResult.error()) } });
+        handler(aResult.has_value() && !isKnown
+                  ? base::Fail(ErrorCode::UnknownJob, aJob.View())
+                  : aResult);
+      });
+  }
+
   void OnAppendReply(ConnectionId aConnection,
                      const protocol::AppendRecordReply& aReply) override
   {
@@ -573,6 +658,7 @@
   telemetry::Gauge evacuatedZoneCount;
   telemetry::Gauge acceptedBytes;
   WorkBudget budget;
+  WorkBudget earlyCancellations;
   JobDirectory directory;
   std::atomic<bool> isLoaded{ false };
   std::atomic<TimePoint::rep> currentAsOf{ 0 };
@@ -773,29 +859,25 @@
 
 void
 Coordinator::Cancel(const base::JobId& aJob,
+                    const base::AccountId& aAccount,
                     base::Duration aTimeout,
                     DoneHandler aHandler)
 {
   this->Find(
     aJob,
-    [self = this->impl, aJob, aTimeout, handler = std::move(aHandler)](
-      const base::Result<JobStatus>& aStatus) {
-      if (aStatus.has_error()) {
+    [self = this->impl,
+     aJob,
+     aAccount,
+     deadline = this->impl->clock.Now() + aTimeout,
+     handler = std::move(aHandler)](const base::Result<JobStatus>& aStatus) {
+      const bool isRecorded =
+        aStatus.has_value() || aStatus.error().code == ErrorCode::UnknownJob;
+      if (!isRecorded) {
         handler(base::failure(aStatus.error()));
         return;
       }
-      self->submissions.Append(
-        { ledger::CancelledKey(aJob), "1" },
-        aTimeout,
-        [self, aJob, handler](const base::Result<void>& aResult) {
-          self->logger.Info(
-            aResult.has_value() ? "job cancelled" : "job cancellation failed",
-            { { "job", aJob },
-              { "result",
-                aResult.has_value() ? std::string("durable")
-                                    : base::Describe(aResult.error()) } });
-          handler(aResult);
-        });
+      self->AppendCancellation(
+        aJob, aAccount, deadline - self->clock.Now(), handler);
     });
 }
 
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -137,6 +137,14 @@
   }
 }
 
+void
+DispatchRunner::OnEarlyCancellation(const base::JobId& aJob)
+{
+  if (this->dispatcher != nullptr) {
+    this->dispatcher->OnEarlyCancellation(aJob, this->Now());
+  }
+}
+
 void
 DispatchRunner::OnJobsConfirmed(base::TimePoint aAsOf)
 {
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -58,6 +58,7 @@
   bool IsDispatching() const noexcept { return this->dispatcher != nullptr; }
 
   void OnJob(const ledger::JobEntry& aJob);
+  void OnEarlyCancellation(const base::JobId& aJob);
   /** OnJob() was called for all records acknowledged before this time. */
   void OnJobsConfirmed(base::TimePoint aAsOf);
   void OnGuarantees(std::span<const dispatch::AccountGuarantee> aGuarantees);
--- a/libs/coordinator/tests/Fleet.h
+++ b/libs/coordinator/tests/Fleet.h
@@ -97,7 +97,8 @@
   {
     if (this->isCut) {
       aHandler(base::Fail(base::ErrorCode::LogUnavailable));
-    } else if (!this->dropsAppends) {
+    } else if (!this->dropsAppends &&
+               !(this->dropsJobAppends && aTopic.name == "jobs")) {
       this->log.Append(
         aTopic, aRecords, aConditions, this->Guard(std::move(aHandler)));
     }
@@ -131,6 +132,8 @@
   bool isCut = false;
   /** Appends have no effect and no answer. */
   bool dropsAppends = false;
+  /** As dropsAppends, for the topic of the jobs only. */
+  bool dropsJobAppends = false;
 
 private:
   /** Loses answers that arrive while the process is cut off. */
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -56,7 +56,10 @@
   base::Duration stopRetryInterval = std::chrono::milliseconds(1500);
   /** Maximum time that a worker needs to stop a task. */
   base::Duration stopTime = std::chrono::milliseconds(900);
-  /** How long the records of an ended job are kept. */
+  /**
+   * How long the records of an ended job are kept, and the cancellation of a
+   * job that was not accepted: longer than an append may be on its way.
+   */
   base::Duration retention = std::chrono::seconds(180);
 };
 
@@ -242,6 +245,8 @@
 
   /** Handles a record that accepts or cancels a job. */
   Effects OnJob(const ledger::JobEntry& aJob, const ClockReading& aNow);
+  /** Handles a record that cancels a job that no record accepts. */
+  void OnEarlyCancellation(const base::JobId& aJob, const ClockReading& aNow);
   Effects OnGuarantees(std::span<const AccountGuarantee> aGuarantees,
                        const ClockReading& aNow);
   /**
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -676,6 +676,8 @@
   bool hasInheritedTasks = false;
   /** Jobs whose deletion a previous coordinator did not finish. */
   std::vector<ForgetJob> orphans;
+  /** When cancellations of jobs that are not accepted became known. */
+  std::map<base::JobId, base::TimePoint> earlyCancellations;
 
   /** Steps that have changed since their last record was written. */
   std::set<job::StepId> dirtySteps;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -24,6 +24,10 @@
   aJobs.ForEach([this](const base::JobId&, const ledger::JobEntry& aEntry) {
     this->state->Restore(aEntry);
   });
+  aJobs.ForEachEarlyCancellation(
+    [this](const base::JobId& aId, const ledger::JobEntry&) {
+      this->state->earlyCancellations.emplace(aId, this->state->callTime.now);
+    });
   aJobs.ForEachOrphan(
     [this](const base::JobId& aId, const ledger::JobEntry& aEntry) {
       ForgetJob& orphan = this->state->orphans.emplace_back();
@@ -64,6 +68,13 @@
   return call.Finish();
 }
 
+void
+Dispatcher::OnEarlyCancellation(const base::JobId& aJob,
+                                const ClockReading& aNow)
+{
+  this->state->earlyCancellations.emplace(aJob, aNow.now);
+}
+
 Effects
 Dispatcher::OnGuarantees(std::span<const AccountGuarantee> aGuarantees,
                          const ClockReading& aNow)
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -113,6 +113,7 @@
   const auto [found, isNew] = this->jobs.try_emplace(aEntry.spec->id);
   Job& job = found->second;
   if (isNew) {
+    this->earlyCancellations.erase(found->first);
     job.spec = aEntry.spec;
     job.acceptedOffset = aEntry.acceptedOffset;
     job.criticalPath = CriticalPath(*job.spec);
@@ -178,6 +179,15 @@
   for (ForgetJob& orphan : std::exchange(this->orphans, {})) {
     this->effects.emplace_back(std::move(orphan));
   }
+  std::erase_if(this->earlyCancellations, [this](const auto& aCancellation) {
+    const auto& [job, knownSince] = aCancellation;
+    const bool isOld =
+      this->callTime.now - knownSince >= this->options.retention;
+    if (isOld) {
+      this->effects.emplace_back(ForgetJob{ job, {} });
+    }
+    return isOld;
+  });
   for (auto position = this->jobs.begin(); position != this->jobs.end();) {
     const auto current = position++;
     const Job& job = current->second;
--- a/libs/ledger/include/amaranthwind/ledger/JobTable.h
+++ b/libs/ledger/include/amaranthwind/ledger/JobTable.h
@@ -34,10 +34,17 @@
   /** Offset of the record that accepted the job; defines submission order. */
   base::LogOffset acceptedOffset;
   bool isCancelRequested = false;
+  /** Account that cancelled the job; empty if it is not known. */
+  base::AccountId cancelledBy;
   /** Keyed by occurrence and step; only steps that have a record. */
   std::map<std::pair<std::uint32_t, std::uint32_t>, StepRecord> steps;
 
   JobPhase Phase() const;
+  /** The job was cancelled, and no record accepts it (yet). */
+  bool IsEarlyCancellation() const noexcept
+  {
+    return this->isCancelRequested && !this->isAccepted && this->steps.empty();
+  }
 };
 
 /** A record that could not be decoded. */
@@ -74,9 +81,18 @@
   /** Visits the jobs in unspecified order. */
   void ForEach(const std::function<void(const base::JobId&, const JobEntry&)>&
                  aVisit) const;
+  /** Returns null if the job is accepted or was not cancelled. */
+  const JobEntry* FindEarlyCancellation(const base::JobId& aJob) const;
   /**
-   * Visits the steps and cancellations that were left behind when the deletion
-   * of a job was interrupted.
+   * Visits the cancellations of jobs that no record accepts. An append of the
+   * job may still take effect.
+   */
+  void ForEachEarlyCancellation(
+    const std::function<void(const base::JobId&, const JobEntry&)>& aVisit)
+    const;
+  /**
+   * Visits the steps that were left behind when the deletion of a job was
+   * interrupted.
    */
   void ForEachOrphan(const std::function<void(const base::JobId&,
                                               const JobEntry&)>& aVisit) const;
--- a/libs/ledger/include/amaranthwind/ledger/Records.h
+++ b/libs/ledger/include/amaranthwind/ledger/Records.h
@@ -88,6 +88,12 @@
 CancelledKey(const base::JobId& aJob);
 std::string
 StepKey(const job::StepId& aStep);
+/** Value of the record that cancels a job on behalf of a client account. */
+std::string
+CancelledValue(const base::AccountId& aAccount);
+/** The account that cancelled the job; empty in records of older versions. */
+base::AccountId
+CancellingAccount(std::string_view aValue);
 /** Parses a key; one that matches no known form has the kind Other. */
 RecordKey
 ParseKey(std::string_view aKey);
--- a/libs/ledger/src/JobTable.cpp
+++ b/libs/ledger/src/JobTable.cpp
@@ -89,7 +89,9 @@
           this->jobs.erase(found);
         }
       } else {
-        this->jobs[key.step.job].isCancelRequested = true;
+        JobEntry& entry = this->jobs[key.step.job];
+        entry.isCancelRequested = true;
+        entry.cancelledBy = CancellingAccount(aRecord.value);
       }
       return std::nullopt;
     case RecordKind::Step:
@@ -171,12 +173,32 @@
   }
 }
 
+const JobEntry*
+JobTable::FindEarlyCancellation(const base::JobId& aJob) const
+{
+  const auto found = this->jobs.find(aJob);
+  return found == this->jobs.end() || !found->second.IsEarlyCancellation()
+           ? nullptr
+           : &found->second;
+}
+
+void
+JobTable::ForEachEarlyCancellation(
+  const std::function<void(const base::JobId&, const JobEntry&)>& aVisit) const
+{
+  for (const auto& [id, entry] : this->jobs) {
+    if (entry.IsEarlyCancellation()) {
+      aVisit(id, entry);
+    }
+  }
+}
+
 void
 JobTable::ForEachOrphan(
   const std::function<void(const base::JobId&, const JobEntry&)>& aVisit) const
 {
   for (const auto& [id, entry] : this->jobs) {
-    if (!entry.isAccepted) {
+    if (!entry.isAccepted && !entry.IsEarlyCancellation()) {
       aVisit(id, entry);
     }
   }
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -7,13 +7,15 @@
 constexpr std::string_view kAccepted = "a/";
 constexpr std::string_view kCancelled = "c/";
 constexpr std::string_view kStep = "s/";
+/** Before the account in the value of a cancellation. */
+constexpr std::string_view kCancelledBy = "1/";
 
 std::string
-MakeKey(std::string_view aPrefix, std::string_view aRest)
+Join(std::string_view aPrefix, std::string_view aRest)
 {
-  std::string key(aPrefix);
-  key += aRest;
-  return key;
+  std::string joined(aPrefix);
+  joined += aRest;
+  return joined;
 }
 
 } // namespace
@@ -21,19 +23,19 @@
 std::string
 AcceptedKey(const base::JobId& aJob)
 {
-  return MakeKey(kAccepted, aJob.View());
+  return Join(kAccepted, aJob.View());
 }
 
 std::string
 CancelledKey(const base::JobId& aJob)
 {
-  return MakeKey(kCancelled, aJob.View());
+  return Join(kCancelled, aJob.View());
 }
 
 std::string
 StepKey(const job::StepId& aStep)
 {
-  std::string key = MakeKey(kStep, aStep.job.View());
+  std::string key = Join(kStep, aStep.job.View());
   key += '.';
   key += std::to_string(aStep.occurrence);
   key += '.';
@@ -41,6 +43,20 @@
   return key;
 }
 
+std::string
+CancelledValue(const base::AccountId& aAccount)
+{
+  return Join(kCancelledBy, aAccount.View());
+}
+
+base::AccountId
+CancellingAccount(std::string_view aValue)
+{
+  return base::AccountId(aValue.starts_with(kCancelledBy)
+                           ? aValue.substr(kCancelledBy.size())
+                           : std::string_view());
+}
+
 RecordKey
 ParseKey(std::string_view aKey)
 {
--- a/libs/ledger/tests/JobTableTest.cpp
+++ b/libs/ledger/tests/JobTableTest.cpp
@@ -198,6 +198,26 @@
   CHECK(changes.jobs == std::vector{ kJob });
 }
 
+// Guards against a job that runs although it was cancelled: the append of its
+// submission takes effect after that of its cancellation.
+TEST_CASE("a job is cancelled by a record that precedes its acceptance")
+{
+  const base::AccountId account("club/1");
+  JobTable table(kCodec);
+  const journal::KeyedRecord cancelled{ base::LogOffset(0),
+                                        CancelledKey(kJob),
+                                        CancelledValue(account) };
+  table.Apply(std::span(&cancelled, 1));
+  CHECK(table.Find(kJob) == nullptr);
+  REQUIRE(table.FindEarlyCancellation(kJob) != nullptr);
+  CHECK(table.FindEarlyCancellation(kJob)->cancelledBy == account);
+  CHECK(CancellingAccount("1").IsEmpty());
+  const auto accepted = Accepted(1, OneStep());
+  table.Apply(std::span(&accepted, 1));
+  CHECK(table.FindEarlyCancellation(kJob) == nullptr);
+  CHECK(table.Find(kJob)->Phase() == JobPhase::Cancelled);
+}
+
 // Guards against one corrupt record hiding the others.
 TEST_CASE("an undecodable record is reported and changes nothing")
 {
