Append no record whose caller has given up

What callers could see: an entry that was suspended, or whose threads were held up, with a submission or a cancellation in hand appended it when it went on, long after the client's deadline: a job that nobody waits for takes effect after its cancellation may have been answered and forgotten.

Cause: Submissions looked at the caller's deadline only after a failed append.

Change: it is checked before the record goes to the coordinator and before the entry appends it itself; the refusal says that the record was not appended, which is then certain.

Evidence: "a submission whose deadline has passed is not appended" fails on the code before in both forms (1 append, result success) and passes now.

--- a/libs/coordinator/src/Submissions.cpp
+++ b/libs/coordinator/src/Submissions.cpp
@@ -77,6 +77,11 @@
     if (attempt->isTaken.exchange(true)) {
       return;
     }
+    if (this->clock.Now() >= attempt->callerDeadline) {
+      attempt->Finish(
+        base::Fail(ErrorCode::LogUnavailable, "deadline has passed"));
+      return;
+    }
     this->shared.AppendShared(
       attempt->record, aTimeout, [this, attempt](AppendState aState) {
         if (aState == AppendState::Durable) {
@@ -100,9 +105,11 @@
 {
   aAttempt->deadline =
     std::min(aAttempt->callerDeadline, this->clock.Now() + kMaxAppendTime);
-  if (aAttempt->mayBeAppended && this->clock.Now() >= aAttempt->deadline) {
-    aAttempt->Finish(
-      base::Fail(ErrorCode::AppendUnconfirmed, aAttempt->record.key));
+  if (this->clock.Now() >= aAttempt->deadline) {
+    aAttempt->Finish(base::Fail(aAttempt->mayBeAppended
+                                  ? ErrorCode::AppendUnconfirmed
+                                  : ErrorCode::LogUnavailable,
+                                aAttempt->record.key));
     return;
   }
   if (!aAttempt->mayBeAppended) {
--- a/libs/coordinator/tests/CoordinatorTest.cpp
+++ b/libs/coordinator/tests/CoordinatorTest.cpp
@@ -86,12 +86,22 @@
                     base::Duration,
                     AppendHandler aHandler) override
   {
-    aHandler(protocol::AppendState::NotAppended);
+    if (this->executor == nullptr) {
+      aHandler(protocol::AppendState::NotAppended);
+      return;
+    }
+    this->executor->RunAfter(this->delay, [handler = std::move(aHandler)] {
+      handler(protocol::AppendState::NotAppended);
+    });
   }
   base::Result<void> CheckAlone(const journal::KeyedValue&) override
   {
     return base::success();
   }
+
+  /** If set, records are returned after the delay. */
+  base::Executor* executor = nullptr;
+  base::Duration delay{};
 };
 
 } // namespace
@@ -250,6 +260,34 @@
   }
 }
 
+// Guards against a record that takes effect long after its caller gave up: the
+// entry was suspended while the request waited.
+TEST_CASE("a submission whose deadline has passed is not appended")
+{
+  base::ManualClock clock;
+  clock.Advance(1h);
+  base::ManualExecutor executor(clock);
+  journal::testing::FakeKeyedLog log;
+  NoCoordinator coordinator;
+  telemetry::Metrics metrics;
+  Submissions submissions(clock, executor, executor, log, coordinator, metrics);
+  std::optional<base::Result<void>> result;
+  submissions.Append(
+    { "a/j", "1" }, 3s, [&](const auto& aResult) { result = aResult; });
+  SUBCASE("before it reached the coordinator") {}
+  SUBCASE("before the entry appended it itself")
+  {
+    coordinator.delay = 4s;
+    coordinator.executor = &executor;
+    executor.RunDue();
+  }
+  clock.Advance(4s);
+  executor.RunDue();
+  REQUIRE(result.has_value());
+  CHECK(result->error().code == ErrorCode::LogUnavailable);
+  CHECK(log.appends == 0);
+}
+
 TEST_CASE("the directory counts the pending jobs of a kind")
 {
   JobDirectory directory;
