Do not refuse a job that an earlier submission may still accept

What callers could see: a client submits a job, gets no answer, sends it again as the protocol says, and gets 503, which says that the job was not accepted and never runs; then the first submission's append takes effect and the job runs.

Cause: the result of a submission followed from its own append only. WorkBudget knew of the other one, but kept one state for all submissions of a job, so that the second one's failure also gave away the room of the first.

Change: WorkBudget counts the submissions of a job and says, when one has ended, whether the job may still get into the log. If so, the answer is that the result is not known (504), also from the coordinator to an entry that forwards. An entry that reaches neither the log nor the coordinator cannot know of a submission elsewhere; its 503 speaks for itself only.

Evidence: "a job that may still be accepted is not refused" fails on the code before in both forms (log-unavailable) and passes now, like "the room of a job is kept while any submission of it may count".

--- a/libs/coordinator/include/amaranthwind/coordinator/JobService.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/JobService.h
@@ -26,8 +26,9 @@
 
   /**
    * Accepts the job durably; submitting a known id again has no effect.
-   * Errors: LogUnavailable (this call has not accepted the job and never will),
-   * AppendUnconfirmed (the job may have been accepted), TooLarge, QueueFull
+   * Errors: LogUnavailable (this call has not accepted the job and never will,
+   * and no other that is known here may), AppendUnconfirmed (the job may have
+   * been accepted, or an earlier call may still accept it), TooLarge, QueueFull
    * (too much work is accepted already; this job is not and never will be).
    */
   virtual void Submit(job::WorkflowSpec aSpec,
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -521,14 +521,18 @@
     this->runner->Append(
       { aAppend.key, aAppend.value },
       [this, key, reply](protocol::AppendState aState) {
-        if (aState != protocol::AppendState::Queued) {
-          WorkBudget& reserved = key.kind == ledger::RecordKind::Accepted
-                                   ? this->budget
-                                   : this->earlyCancellations;
-          reserved.OnSubmitted(key.step.job,
-                               aState != protocol::AppendState::NotAppended);
+        if (aState == protocol::AppendState::Queued) {
+          reply(aState);
+          return;
         }
-        reply(aState);
+        WorkBudget& reserved = key.kind == ledger::RecordKind::Accepted
+                                 ? this->budget
+                                 : this->earlyCancellations;
+        const bool mayBeInLog = reserved.OnSubmitted(
+          key.step.job, aState != protocol::AppendState::NotAppended);
+        reply(aState == protocol::AppendState::NotAppended && mayBeInLog
+                ? protocol::AppendState::Unconfirmed
+                : aState);
       });
   }
 
@@ -555,6 +559,27 @@
     return this->budget.Reserve(spec.value()).has_value();
   }
 
+  /**
+   * Result of a submission whose own append has ended as given: it is not
+   * refused if another submission of the job is in the log or may get there.
+   * Thread-safe.
+   */
+  base::Result<void> ResultOf(const base::JobId& aJob,
+                              const base::Result<void>& aAppended)
+  {
+    const bool isUnconfirmed =
+      aAppended.has_error() &&
+      aAppended.error().code == ErrorCode::AppendUnconfirmed;
+    const bool mayBeInLog =
+      this->budget.OnSubmitted(aJob, aAppended.has_value() || isUnconfirmed);
+    if (aAppended.has_value() || this->directory.Find(aJob)) {
+      return base::success();
+    }
+    return mayBeInLog && !isUnconfirmed
+             ? base::Fail(ErrorCode::AppendUnconfirmed, aJob.View())
+             : aAppended;
+  }
+
   /** A job that is known has its room already. Thread-safe. */
   base::Result<void> ReserveCancellation(const base::JobId& aJob,
                                          const base::AccountId& aAccount)
@@ -833,27 +858,24 @@
      account = aSpec.account,
      kind = aSpec.kind,
      urgency = aSpec.urgency,
-     handler = std::move(aHandler)](const base::Result<void>& aResult) {
+     handler = std::move(aHandler)](const base::Result<void>& aAppended) {
       self->submitTime.Observe(self->clock.Now() - start);
-      self->budget.OnSubmitted(id,
-                               aResult.has_value() ||
-                                 aResult.error().code ==
-                                   ErrorCode::AppendUnconfirmed);
+      const base::Result<void> result = self->ResultOf(id, aAppended);
       self->logger.Info(
-        aResult.has_value() ? "job accepted" : "job submission failed",
+        result.has_value() ? "job accepted" : "job submission failed",
         { { "job", id },
           { "account", account },
           { "kind", kind },
           { "urgency", urgency },
           { "tasks", tasks },
           { "result",
-            aResult.has_value() ? std::string("durable")
-                                : base::Describe(aResult.error()) },
+            result.has_value() ? std::string("durable")
+                               : base::Describe(result.error()) },
           { "tookMs",
             std::chrono::duration_cast<std::chrono::milliseconds>(
               self->clock.Now() - start)
               .count() } });
-      handler(aResult);
+      handler(result);
     });
 }
 
--- a/libs/coordinator/src/WorkBudget.cpp
+++ b/libs/coordinator/src/WorkBudget.cpp
@@ -57,7 +57,7 @@
   this->RemoveExpired();
   const auto known = this->jobs.find(aSpec.id);
   if (known != this->jobs.end()) {
-    known->second.expiresAt.reset();
+    ++known->second.submissions;
     return base::success();
   }
   BOOST_OUTCOME_TRY(this->CheckRoom(aSpec.account, bytes));
@@ -65,7 +65,7 @@
       this->reserved + bytes > this->limit / kReservedDivisor) {
     return Fail(ErrorCode::QueueFull, "jobs being accepted");
   }
-  this->Add(aSpec.id, { aSpec.account, bytes, true, std::nullopt });
+  this->Add(aSpec.id, { aSpec.account, bytes, true, 1, std::nullopt });
   return base::success();
 }
 
@@ -84,19 +84,27 @@
   return result;
 }
 
-void
+bool
 WorkBudget::OnSubmitted(const base::JobId& aJob, bool aMayBeInLog)
 {
   const std::lock_guard lock(this->mutex);
   const auto known = this->jobs.find(aJob);
-  if (known == this->jobs.end() || !known->second.isReserved) {
-    return;
+  if (known == this->jobs.end()) {
+    return aMayBeInLog;
+  }
+  Entry& entry = known->second;
+  if (!entry.isReserved) {
+    return true;
   }
+  entry.submissions -= std::min(entry.submissions, 1U);
   if (aMayBeInLog) {
-    known->second.expiresAt = this->clock.Now() + kMaxAppendDelay;
-  } else {
-    this->Remove(aJob);
+    entry.mayAppearUntil = this->clock.Now() + kMaxAppendDelay;
+  }
+  if (entry.submissions > 0 || entry.mayAppearUntil) {
+    return true;
   }
+  this->Remove(aJob);
+  return false;
 }
 
 void
@@ -108,7 +116,8 @@
     return;
   }
   this->Remove(aJob);
-  this->Add(aJob, { aSpec.account, FootprintOf(aSpec), false, std::nullopt });
+  this->Add(aJob,
+            { aSpec.account, FootprintOf(aSpec), false, 0, std::nullopt });
 }
 
 void
@@ -185,8 +194,9 @@
   const std::vector<base::JobId> ids(this->reservations.begin(),
                                      this->reservations.end());
   for (const auto& id : ids) {
-    const auto& expiresAt = this->jobs.at(id).expiresAt;
-    if (expiresAt && *expiresAt <= now) {
+    const Entry& entry = this->jobs.at(id);
+    if (entry.submissions == 0 && entry.mayAppearUntil &&
+        *entry.mayAppearUntil <= now) {
       this->Remove(id);
     }
   }
--- a/libs/coordinator/src/WorkBudget.h
+++ b/libs/coordinator/src/WorkBudget.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/job/Workflow.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <mutex>
 #include <optional>
 #include <unordered_map>
@@ -50,10 +51,12 @@
   /** As Reserve() for a job that has its room, because others were accepted. */
   base::Result<void> Check(const base::JobId& aJob);
   /**
-   * The submission has ended. If the job may be in the log, its room stays
+   * A submission has ended. If the job may be in the log, its room stays
    * reserved until it is read or a time has passed.
+   * @return Whether the job may be in the log, or may still get there, by this
+   * or another submission of it.
    */
-  void OnSubmitted(const base::JobId& aJob, bool aMayBeInLog);
+  bool OnSubmitted(const base::JobId& aJob, bool aMayBeInLog);
 
   /** The job was read from the log. */
   void OnJob(const base::JobId& aJob, const job::WorkflowSpec& aSpec);
@@ -69,8 +72,10 @@
     base::AccountId account;
     std::size_t bytes = 0;
     bool isReserved = false;
-    /** When the room of a job that was not read is free again. */
-    std::optional<base::TimePoint> expiresAt;
+    /** Submissions under way. */
+    std::uint32_t submissions = 0;
+    /** Until then, an append without an answer may take effect. */
+    std::optional<base::TimePoint> mayAppearUntil;
   };
 
   base::Result<void> CheckRoom(const base::AccountId& aAccount,
--- /dev/null
+++ b/libs/coordinator/tests/RefusalTest.cpp
@@ -0,0 +1,92 @@
+#include "Fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+using namespace amaranthwind;
+using namespace amaranthwind::coordinator;
+using namespace amaranthwind::coordinator::testing;
+using namespace std::chrono_literals;
+using base::ErrorCode;
+
+namespace {
+
+constexpr base::Duration kTimeout = 2700ms;
+constexpr std::uint32_t kTasksPerStep = 1000;
+
+job::WorkflowSpec
+MakeJob(const char* aId, std::uint32_t aSteps)
+{
+  job::WorkflowSpec spec;
+  spec.id = base::JobId(aId);
+  spec.account = base::AccountId("club");
+  spec.kind = base::WorkKindId("kind");
+  spec.pool = base::PoolId("pool");
+  spec.maxAttempts = 1;
+  job::StepSpec step;
+  step.count = kTasksPerStep;
+  step.need = { 1000, 64, 1 };
+  spec.steps.assign(aSteps, step);
+  return spec;
+}
+
+struct Submission
+{
+  Submission(EntryProcess& aEntry, const job::WorkflowSpec& aSpec)
+  {
+    aEntry.coordinator->Submit(
+      aSpec, kTimeout, [this](const auto& aResult) { this->result = aResult; });
+  }
+  /** The error; empty if there is no result or the job was accepted. */
+  std::optional<ErrorCode> Error() const
+  {
+    return this->result && this->result->has_error()
+             ? std::optional(this->result->error().code)
+             : std::nullopt;
+  }
+
+  std::optional<base::Result<void>> result;
+};
+
+struct Cell
+{
+  Cell()
+  {
+    this->fleet.Run(3s);
+    this->other = &this->fleet.Start("other");
+    this->fleet.Run(2s);
+    REQUIRE(this->fleet.Holder() == "leader");
+  }
+
+  Fleet fleet;
+  EntryProcess& leader = fleet.Start("leader");
+  EntryProcess* other = nullptr;
+};
+
+} // namespace
+
+// Guards against the refusal of a job that runs: an earlier submission of it
+// had no answer, and its append takes effect after the refusal.
+TEST_CASE("a job that may still be accepted is not refused")
+{
+  Cell cell;
+  const auto job = MakeJob("j", 1);
+  cell.leader.log.dropsJobAppends = true;
+  const Submission first(cell.leader, job);
+  cell.fleet.Run(2s);
+  REQUIRE_FALSE(first.result.has_value());
+  EntryProcess* second = nullptr;
+  SUBCASE("at the same entry")
+  {
+    second = &cell.leader;
+  }
+  SUBCASE("at another entry, by the word of the coordinator")
+  {
+    second = cell.other;
+  }
+  second->log.isCut = true;
+  const Submission again(*second, job);
+  cell.fleet.Run(kTimeout);
+  CHECK(again.Error() == ErrorCode::AppendUnconfirmed);
+}
--- a/libs/coordinator/tests/WorkBudgetTest.cpp
+++ b/libs/coordinator/tests/WorkBudgetTest.cpp
@@ -124,6 +124,30 @@
   CHECK(fixture.budget.Used() == 2 * FootprintOf(spec));
 }
 
+// Guards against a refusal, and against room that is given away, while another
+// submission of the same job may still take effect.
+TEST_CASE("the room of a job is kept while any submission of it may count")
+{
+  Fixture fixture;
+  const auto spec = MakeSpec(1, "account", kSmallTasks);
+  REQUIRE(fixture.budget.Reserve(spec).has_value());
+  REQUIRE(fixture.budget.Reserve(spec).has_value());
+  CHECK(fixture.budget.OnSubmitted(spec.id, false));
+  CHECK(fixture.budget.Used() == FootprintOf(spec));
+  SUBCASE("the other one fails, too")
+  {
+    CHECK_FALSE(fixture.budget.OnSubmitted(spec.id, false));
+    CHECK(fixture.budget.Used() == 0);
+  }
+  SUBCASE("the other one has no definite result")
+  {
+    CHECK(fixture.budget.OnSubmitted(spec.id, true));
+    REQUIRE(fixture.budget.Reserve(spec).has_value());
+    CHECK(fixture.budget.OnSubmitted(spec.id, false));
+    CHECK(fixture.budget.Used() == FootprintOf(spec));
+  }
+}
+
 // Guards against schedulers that each accept up to the limit before they read
 // what the others have accepted.
 TEST_CASE("what is accepted and not read yet is limited to a part")
