Confirm the view of the log before a job is refused for its room

What callers could see: a job was accepted by one entry, its answer was lost, and another entry that had not read it yet refused it with 429, which says that it never runs.

Cause: Submit() asked only what was read already.

Change: before the refusal the log is read to its end, by the reads that requests for unknown jobs share, so that refusals cost no more than those.

Evidence: "a job that another entry has accepted is not refused for its room" fails on the code before (QueueFull at once) and passes now.

--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -839,13 +839,27 @@
   }
   const auto reserved = this->impl->budget.Reserve(aSpec);
   if (reserved.has_error()) {
-    this->impl->logger.Info("job submission failed",
-                            { { "job", aSpec.id },
-                              { "account", aSpec.account },
-                              { "tasks", tasks },
-                              { "acceptedBytes", this->impl->budget.Used() },
-                              { "result", base::Describe(reserved.error()) } });
-    aHandler(reserved);
+    // Another entry may have accepted the job very recently.
+    this->Find(aSpec.id,
+               [self = this->impl,
+                reserved,
+                tasks,
+                id = aSpec.id,
+                account = aSpec.account,
+                handler = std::move(aHandler)](const auto& aStatus) {
+                 if (aStatus.has_value()) {
+                   handler(base::success());
+                   return;
+                 }
+                 self->logger.Info(
+                   "job submission failed",
+                   { { "job", id },
+                     { "account", account },
+                     { "tasks", tasks },
+                     { "acceptedBytes", self->budget.Used() },
+                     { "result", base::Describe(reserved.error()) } });
+                 handler(reserved);
+               });
     return;
   }
   this->impl->submissions.Append(
--- a/libs/coordinator/tests/RefusalTest.cpp
+++ b/libs/coordinator/tests/RefusalTest.cpp
@@ -90,3 +90,27 @@
   cell.fleet.Run(kTimeout);
   CHECK(again.Error() == ErrorCode::AppendUnconfirmed);
 }
+
+// Guards against a refusal for lack of room of a job that another entry has
+// accepted, and that this one has not read yet.
+TEST_CASE("a job that another entry has accepted is not refused for its room")
+{
+  Cell cell;
+  cell.other->decisionThread.Freeze();
+  const Submission large(*cell.other, MakeJob("large", 12));
+  cell.fleet.Run(1s);
+  REQUIRE((large.result && large.result->has_value()));
+  const auto job = MakeJob("j", 2);
+  const Submission unknown(*cell.other, MakeJob("unknown", 2));
+  const Submission first(cell.leader, job);
+  cell.fleet.Run(1s);
+  REQUIRE((first.result && first.result->has_value()));
+  const Submission again(*cell.other, job);
+  cell.fleet.Run(100ms);
+  CHECK_FALSE(again.Error().has_value());
+  cell.other->decisionThread.Thaw();
+  cell.fleet.Run(1s);
+  REQUIRE(again.result.has_value());
+  CHECK(again.result->has_value());
+  CHECK(unknown.Error() == ErrorCode::QueueFull);
+}
