entry: Do not cancel a job as unknown while it is being accepted

What callers could see: a DELETE or GET of a job whose acceptance is still being appended got 404, which says that nothing has run, and the job ran.

Cause: the coordinator of a cell answered from the accepted jobs only, although it knows which ones it is accepting.

Change: such a request gets the answer that a repeated submission gets already: the outcome is not known yet (504, outcome-unknown, with a time to return). An entry that is not the coordinator asks it and passes the answer on. Records of an earlier coordinator have no effect after a hand-over, so that nothing has to be kept for unknown jobs.

--- a/libs/entry/src/CellJobs.cpp
+++ b/libs/entry/src/CellJobs.cpp
@@ -39,6 +39,18 @@
     ErrorCode::NotReady, "coordinator of " + this->options.zone.Text()));
 }
 
+JobResult
+CellService::MakeUnknownJobError(const base::JobId& aJob) const
+{
+  if (this->acceptingJobs.contains(aJob)) {
+    // Its acceptance is being appended; the outcome is not known yet.
+    return boost::outcome_v2::failure(codec::ErrorReply{
+      { ErrorCode::OutcomeUnknown, aJob.Text() }, false, kRetryAfter });
+  }
+  return boost::outcome_v2::failure(codec::ErrorReply{
+    { ErrorCode::UnknownJob, aJob.Text() }, false, std::nullopt });
+}
+
 std::optional<JobView>
 CellService::FindJobView(const base::JobId& aJob) const
 {
@@ -89,9 +101,7 @@
     return;
   }
   if (!this->acceptingJobs.insert(aSpec.id).second) {
-    // The same submission is being appended; its outcome is not known yet.
-    aHandler(boost::outcome_v2::failure(codec::ErrorReply{
-      { ErrorCode::OutcomeUnknown, aSpec.id.Text() }, false, kRetryAfter }));
+    aHandler(this->MakeUnknownJobError(aSpec.id));
     return;
   }
   this->AppendOnce(
@@ -147,8 +157,7 @@
     if (auto view = this->FindJobView(aJob)) {
       handler(std::move(*view));
     } else {
-      handler(boost::outcome_v2::failure(codec::ErrorReply{
-        { ErrorCode::UnknownJob, aJob.Text() }, false, std::nullopt }));
+      handler(this->MakeUnknownJobError(aJob));
     }
   });
 }
@@ -170,8 +179,7 @@
   }
   auto view = this->FindJobView(aJob);
   if (!view) {
-    aHandler(boost::outcome_v2::failure(codec::ErrorReply{
-      { ErrorCode::UnknownJob, aJob.Text() }, false, std::nullopt }));
+    aHandler(this->MakeUnknownJobError(aJob));
     return;
   }
   if (view->state.phase == journal::JobPhase::Ended ||
--- a/libs/entry/src/CellService.h
+++ b/libs/entry/src/CellService.h
@@ -208,6 +208,8 @@
   void CancelOnLoop(const base::JobId& aJob, const JobHandler& aHandler);
   std::optional<JobView> FindJobView(const base::JobId& aJob) const;
   JobResult MakeNotCoordinatorError() const;
+  /** For a job that is not accepted, or not yet. */
+  JobResult MakeUnknownJobError(const base::JobId& aJob) const;
 
   void PublishStatusIfDue(base::TimePoint aNow);
   CellStatus MakeStatus() const;
--- a/libs/entry/src/JobService.cpp
+++ b/libs/entry/src/JobService.cpp
@@ -63,6 +63,13 @@
   return MakeErrorResponse({ aError, aIsNotRun, std::nullopt });
 }
 
+bool
+IsBeingAccepted(const JobResult& aResult)
+{
+  return aResult.has_error() &&
+         aResult.error().error.code == ErrorCode::OutcomeUnknown;
+}
+
 } // namespace
 
 JobService::JobService(const base::ZoneId& aDefaultZone,
@@ -194,7 +201,7 @@
               [this, aCell, aJob, cell, handler = std::move(aHandler)](
                 const JobResult& aResult) {
                 const bool isLast = aCell + 1 == this->cells.size();
-                if (aResult.has_value() || isLast) {
+                if (aResult.has_value() || IsBeingAccepted(aResult) || isLast) {
                   handler(aResult.has_value() ? cell : nullptr, aResult);
                 } else {
                   this->FindJob(aCell + 1, aJob, handler);
@@ -214,7 +221,7 @@
     [this, aRequest, aRespond, aIsForwarded](CellService* aCell,
                                              const JobResult& aResult) {
       if (aCell == nullptr) {
-        this->QueryCoordinators(0, aRequest, aRespond, aIsForwarded);
+        this->AnswerUnknown(aResult, aRequest, aRespond, aIsForwarded);
         return;
       }
       // Only the coordinator knows why a job is waiting. If it can't be
@@ -242,7 +249,7 @@
     [this, job, aRequest, aRespond, aIsForwarded](CellService* aCell,
                                                   const JobResult& aResult) {
       if (aCell == nullptr) {
-        this->QueryCoordinators(0, aRequest, aRespond, aIsForwarded);
+        this->AnswerUnknown(aResult, aRequest, aRespond, aIsForwarded);
         return;
       }
       const auto& spec = aResult.value().state.spec;
@@ -265,6 +272,19 @@
     });
 }
 
+void
+JobService::AnswerUnknown(const JobResult& aResult,
+                          const HttpRequest& aRequest,
+                          const HttpResponder& aRespond,
+                          bool aIsForwarded)
+{
+  if (IsBeingAccepted(aResult)) {
+    aRespond(MakeErrorResponse(aResult.error()));
+  } else {
+    this->QueryCoordinators(0, aRequest, aRespond, aIsForwarded);
+  }
+}
+
 void
 JobService::QueryCoordinators(std::size_t aCell,
                               const HttpRequest& aRequest,
--- a/libs/entry/src/JobService.h
+++ b/libs/entry/src/JobService.h
@@ -61,6 +61,11 @@
   void FindJob(std::size_t aCell,
                const base::JobId& aJob,
                std::function<void(CellService*, const JobResult&)> aHandler);
+  /** For a job that no local cell has accepted. */
+  void AnswerUnknown(const JobResult& aResult,
+                     const frontend::HttpRequest& aRequest,
+                     const frontend::HttpResponder& aRespond,
+                     bool aIsForwarded);
   /** For a job that no local cell knows: queries other coordinators in turn. */
   void QueryCoordinators(std::size_t aCell,
                          const frontend::HttpRequest& aRequest,
--- a/tests/endtoend/GangFailureTest.cpp
+++ b/tests/endtoend/GangFailureTest.cpp
@@ -229,6 +229,54 @@
     GetJobState(deployment, deployment.entries[1], "during").has_value());
 }
 
+// Guards against a job that runs although its cancellation was answered with
+// "unknown job": its acceptance was still being appended.
+TEST_CASE("a job that is being accepted is not cancelled as unknown")
+{
+  constexpr auto kInterval = 50ms;
+  constexpr std::uint16_t kNotFound = 404;
+  constexpr std::uint16_t kOutcomeUnknown = 504;
+  constexpr std::uint16_t kCancelled = 202;
+  Deployment deployment({ .entries = 2, .executors = 0, .workers = 1 });
+  REQUIRE(deployment.Start());
+  REQUIRE(deployment.PublishNote(kNote).exit == 0);
+  REQUIRE(SubmitGang(deployment,
+                     deployment.entries[0],
+                     { .id = "warm-up", .members = 1, .runMs = 10 }));
+  REQUIRE(WaitForPhase(deployment, deployment.entries[0], "warm-up", "ended"));
+  frontend::HttpRequest request;
+  request.method = "DELETE";
+  request.path = "/v1/jobs/slow";
+  request.headers = { { "X-Client-Account", "lamps" }, { "X-Caller", "test" } };
+  std::uint16_t status = 0;
+  const auto cancel = [&](std::size_t aEntry) {
+    const auto result =
+      deployment.Send(deployment.entries[aEntry].http, request);
+    status = result.response.has_value() ? result.response.value().status : 0;
+  };
+  deployment.ControlLog(R"({"delayMs":2000})");
+  std::thread submission([&] {
+    TrySubmitGang(
+      deployment, deployment.entries[0], { .id = "slow", .members = 1 });
+  });
+  const bool isInDoubt = Deployment::WaitUntil([&] {
+    std::this_thread::sleep_for(kInterval);
+    cancel(0);
+    return status != kNotFound;
+  });
+  CHECK(isInDoubt);
+  CHECK(status == kOutcomeUnknown);
+  cancel(1);
+  CHECK(status == kOutcomeUnknown);
+  deployment.ControlLog(R"({"delayMs":0})");
+  submission.join();
+  CHECK(Deployment::WaitUntil([&] {
+    cancel(0);
+    return status == kCancelled;
+  }));
+  CHECK(WaitForPhase(deployment, deployment.entries[1], "slow", "ended"));
+}
+
 // Guards against a job that is accepted twice or not at all when the log
 // appends its acceptance record but the append response is lost.
 TEST_CASE("a job is accepted once when the append response is lost")
