Count a job as waiting until a task of it has begun

What callers saw: the queue's `waiting`, and `pending` as a job's state, left out jobs that had been placed once, whatever became of their starts.

Cause: JobEntry::Phase() took the record of a placement, which precedes the order, for the beginning of a run.

Change: the coordinator records once for a job that a task has begun, when a worker has confirmed a start, listed a run or listed an end. Reports of agents now tell the runs that the worker has listed from those that are only being started; they had listed both alike. It is a record of its own (`b/<job>`), so that schedulers of older versions still read the records of the steps, and a wide step is not written again for it. It costs one small record for each job, which shares an append with others.

SimulatedCell::Placed() had counted running jobs and now counts the jobs with a placement in the log, which is what its test is about, with the same bound.

--- a/libs/agent/src/AgentReports.cpp
+++ b/libs/agent/src/AgentReports.cpp
@@ -74,6 +74,7 @@
   }
   for (const auto& [run, task] : this->listedTasks) {
     report.running.push_back(task);
+    report.running.back().hasBegun = true;
   }
   for (const auto& [run, state] : this->runs) {
     if (!this->listedTasks.contains(run) && !state.isCancellationOnly) {
--- a/libs/coordinator/include/amaranthwind/coordinator/JobService.h
+++ b/libs/coordinator/include/amaranthwind/coordinator/JobService.h
@@ -56,7 +56,7 @@
    */
   virtual void Find(const base::JobId& aJob, StatusHandler aHandler) = 0;
 
-  /** Number of accepted jobs of the kind without any placed task. */
+  /** Number of accepted jobs of the kind of which no task has begun to run. */
   virtual base::Result<std::uint32_t> CountPendingJobs(
     const base::WorkKindId& aKind) const = 0;
 };
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -355,6 +355,9 @@
       this->QueueRecord(
         { std::move(key), this->EncodeStep(std::move(persist->record)) },
         persist->version);
+    } else if (const auto* begin =
+                 std::get_if<dispatch::PersistBegin>(&effect)) {
+      this->QueueRecord({ ledger::BegunKey(begin->job), "1" });
     } else if (const auto* start = std::get_if<dispatch::StartTask>(&effect)) {
       this->sessions.SendTo(
         ConnectionOf(start->session),
@@ -382,6 +385,7 @@
       // record is deleted first: the deletions may be divided among appends.
       this->QueueRecord({ ledger::AcceptedKey(forget->job), {} });
       this->QueueRecord({ ledger::CancelledKey(forget->job), {} });
+      this->QueueRecord({ ledger::BegunKey(forget->job), {} });
       for (const auto& step : forget->steps) {
         this->QueueRecord({ ledger::StepKey(step), {} });
       }
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -2043,31 +2043,32 @@
 }
 
 std::size_t
-SimulatedCell::CountJobs(std::span<const ledger::JobPhase> aPhases) const
+SimulatedCell::Completed() const
 {
   std::size_t count = 0;
   for (const auto& job : this->jobs) {
     this->entries.front()->coordinator.Find(job, [&](const auto& aStatus) {
-      count +=
-        aStatus.has_value()
-          ? std::count(aPhases.begin(), aPhases.end(), aStatus.value().phase)
-          : 0;
+      count += aStatus.has_value() &&
+                   aStatus.value().phase == ledger::JobPhase::Completed
+                 ? 1
+                 : 0;
     });
   }
   return count;
 }
 
 std::size_t
-SimulatedCell::Completed() const
-{
-  return this->CountJobs(std::array{ ledger::JobPhase::Completed });
-}
-
-std::size_t
-SimulatedCell::Placed() const
-{
-  return this->CountJobs(
-    std::array{ ledger::JobPhase::Running, ledger::JobPhase::Completed });
+SimulatedCell::Placed()
+{
+  std::set<base::JobId> placed;
+  for (const auto& [key, record] :
+       this->log.PartitionOf({ std::string(kJobTopic), 0 }).newest) {
+    const auto parsed = ledger::ParseKey(key);
+    if (parsed.kind == ledger::RecordKind::Step) {
+      placed.insert(parsed.step.job);
+    }
+  }
+  return placed.size();
 }
 
 void
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -442,8 +442,8 @@
   /** Changes the time of the appends from now on. */
   void SetAppendTime(base::Duration aTime);
   const LogUse& Use() const noexcept { return this->use; }
-  /** Jobs of which a task was placed. */
-  std::size_t Placed() const;
+  /** Jobs of which the log has a placement. */
+  std::size_t Placed();
   void Run(base::Duration aTime);
   /** Closes all connections of entries and agents after the delay. */
   void CloseConnections(base::Duration aDelay);
@@ -476,7 +476,6 @@
   struct Vm;
   struct CallFaults;
 
-  std::size_t CountJobs(std::span<const ledger::JobPhase> aPhases) const;
   /** Whether the newest record of its step says that the task is done. */
   bool IsDoneInLog(const job::TaskId& aTask);
   /** Tells the agent that the worker ends; without an answer it ends later. */
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -96,6 +96,12 @@
   std::uint64_t version = 0;
 };
 
+/** Records that a task of the job has begun to run. */
+struct PersistBegin
+{
+  base::JobId job;
+};
+
 /** Sends an order to start a run, in the given session only. */
 struct StartTask
 {
@@ -140,8 +146,12 @@
   std::vector<job::StepId> steps;
 };
 
-using Effect =
-  std::variant<PersistStep, StartTask, StopTask, AcknowledgeEnds, ForgetJob>;
+using Effect = std::variant<PersistStep,
+                            PersistBegin,
+                            StartTask,
+                            StopTask,
+                            AcknowledgeEnds,
+                            ForgetJob>;
 using Effects = std::vector<Effect>;
 
 /** The run time of a completed run and what was expected before it started. */
--- a/libs/dispatch/include/amaranthwind/dispatch/WorkerReport.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/WorkerReport.h
@@ -49,6 +49,8 @@
   std::string checkpoint;
   /** Progress, from 0 to 100. */
   std::uint32_t percent = 0;
+  /** The worker has listed the run; otherwise its start may have no answer. */
+  bool hasBegun = false;
 
   bool operator==(const RunningTask&) const = default;
 };
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -109,6 +109,8 @@
   std::shared_ptr<const job::WorkflowSpec> spec;
   base::LogOffset acceptedOffset;
   bool isCancelled = false;
+  /** A task is known to have begun to run. */
+  bool hasBegun = false;
   bool hasEnded = false;
   base::TimePoint endedAt{};
   /** Keyed by occurrence and step. */
@@ -429,6 +431,8 @@
   Task* TakeCompletedTask(const ledger::WorkerIncarnation& aLife,
                           const job::TaskRun& aCompleted);
   void HandleRunning(Worker& aWorker, const RunningTask& aRunning);
+  /** A run of the job has begun, whatever became of it since. */
+  void NoteBegun(const base::JobId& aJob);
   void Reconcile(Worker& aWorker, const WorkerReport& aReport);
   /** Handles a run that the report does not list but its task is on. */
   void HandleMissingRun(Worker& aWorker, const job::TaskRun& aRun, Task& aTask);
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -77,6 +77,7 @@
 {
   this->Add(aEntry);
   Job& job = *this->FindJob(aEntry.spec->id);
+  job.hasBegun = aEntry.HasBegun();
   for (const auto& [key, record] : aEntry.steps) {
     if (key.second >= aEntry.spec->steps.size()) {
       continue;
@@ -212,6 +213,15 @@
   }
 }
 
+void
+Dispatcher::State::NoteBegun(const base::JobId& aJob)
+{
+  Job* job = this->FindJob(aJob);
+  if (job != nullptr && !job->hasEnded && !std::exchange(job->hasBegun, true)) {
+    this->effects.emplace_back(PersistBegin{ aJob });
+  }
+}
+
 Job*
 Dispatcher::State::FindJob(const base::JobId& aJob)
 {
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -237,6 +237,7 @@
 {
   const bool heldResources = aWorker.info && aWorker.info->life == aLife &&
                              this->ReleaseResources(aWorker, aEnd.run);
+  this->NoteBegun(aEnd.run.task.step.job);
   // An end is listed again until the worker has received its acknowledgement.
   const bool isNew = aEnd.number > aWorker.lastEnd;
   const Task* known = this->FindRun(aEnd.run);
@@ -416,6 +417,9 @@
 Dispatcher::State::HandleRunning(Worker& aWorker, const RunningTask& aRunning)
 {
   const job::StepSpec* spec = this->SpecOf(aRunning.run.task.step);
+  if (aRunning.hasBegun) {
+    this->NoteBegun(aRunning.run.task.step.job);
+  }
   if (!aWorker.allocations.contains(aRunning.run)) {
     // Started late, or by a previous coordinator.
     this->AllocateResources(aWorker,
@@ -662,6 +666,7 @@
                          task->incarnation == aWorker.info->life;
   SettleStart(aWorker, aRun);
   if (aOutcome == OrderOutcome::Started) {
+    this->NoteBegun(aRun.task.step.job);
     aWorker.startFailures = 0;
     if (isCurrent && task->phase == Phase::Ordered) {
       task->phase = Phase::Running;
--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -50,6 +50,7 @@
     std::distance(this->jobs.begin(), this->jobs.find(aJob))));
   const auto found = this->cancelled.find(aJob);
   entry.isCancelRequested = found != this->cancelled.end();
+  entry.isBegun = this->begun.contains(base::JobId(aJob));
   for (const auto& [id, record] : this->durable) {
     if (id.job.View() == aJob) {
       entry.steps[{ id.occurrence, id.step }] = record;
@@ -99,6 +100,10 @@
                           ledger::CancelledKey(spec.id),
                           "1" });
     }
+    if (this->begun.contains(spec.id)) {
+      records.push_back(
+        { base::LogOffset(records.size()), ledger::BegunKey(spec.id), "1" });
+    }
   }
   for (const auto& [id, record] : this->durable) {
     this->codec.steps[ledger::StepKey(id)] = record;
@@ -131,6 +136,9 @@
   for (const auto& effect : aEffects) {
     if (const auto* persist = std::get_if<PersistStep>(&effect)) {
       this->writes.push_back(*persist);
+    } else if (const auto* begin = std::get_if<PersistBegin>(&effect)) {
+      this->begun.insert(begin->job);
+      ++this->begins;
     } else if (const auto* start = std::get_if<StartTask>(&effect)) {
       this->starts.push_back(*start);
       this->SendOrder(start->agent, start->session, effect);
@@ -191,7 +199,7 @@
   }
   aAgent.receivedOrder = aStart.number;
   if (!aAgent.refusesStarts) {
-    aAgent.running[aStart.run] = { aStart.run, {}, 0 };
+    aAgent.running[aStart.run] = { aStart.run, {}, 0, true };
   }
   if (!aAgent.losesOutcomes) {
     this->Outcome(aStart.agent.Text(),
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -185,6 +186,10 @@
 
   std::map<std::string, Agent> agents;
   std::map<job::StepId, ledger::StepRecord> durable;
+  /** Jobs of which a task is recorded to have begun. */
+  std::set<base::JobId> begun;
+  /** Number of these records. */
+  int begins = 0;
   std::vector<StartTask> starts;
   std::vector<StopTask> stopOrders;
   std::vector<std::string> stops;
--- a/libs/dispatch/tests/DispatcherTest.cpp
+++ b/libs/dispatch/tests/DispatcherTest.cpp
@@ -40,6 +40,67 @@
   CHECK(harness.starts.size() == 3);
 }
 
+// Guards against a job that is shown as running, and not counted as waiting,
+// because it was placed once: its worker refuses or never answers the start.
+TEST_CASE("a job is pending until a task is known to have begun")
+{
+  DispatcherHarness harness(1);
+  auto& agent = harness.agents.at("vm-0");
+  SUBCASE("its start is refused")
+  {
+    agent.refusesStarts = true;
+  }
+  SUBCASE("its start has no answer, and the agent tries")
+  {
+    agent.ignoresOrders = true;
+  }
+  harness.Submit(DispatcherHarness::MakeJob("j", 2, 1));
+  harness.Run(1s);
+  REQUIRE_FALSE(harness.starts.empty());
+  CHECK(harness.Phase("j") == JobPhase::Pending);
+  harness.TakeOver();
+  harness.Run(1s);
+  CHECK(harness.Phase("j") == JobPhase::Pending);
+  agent.refusesStarts = false;
+  agent.ignoresOrders = false;
+  harness.Reconnect("vm-0");
+  harness.Run(30s);
+  CHECK(harness.Phase("j") == JobPhase::Running);
+}
+
+// Guards against a job that is taken for pending for good: the answer to its
+// start was lost, or the coordinator changed before it was recorded.
+TEST_CASE("a job is running once a report or an end shows that it has begun")
+{
+  DispatcherHarness harness;
+  for (auto& [name, agent] : harness.agents) {
+    agent.losesOutcomes = true;
+  }
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 1));
+  REQUIRE(harness.Running("j").size() == 1);
+  CHECK(harness.Phase("j") == JobPhase::Pending);
+  SUBCASE("a report of its worker")
+  {
+    harness.Run(600ms);
+  }
+  SUBCASE("the end of its run")
+  {
+    harness.EndAll("j", EndKind::Lapsed);
+  }
+  SUBCASE("a report to the next coordinator")
+  {
+    harness.TakeOver();
+    harness.Run(600ms);
+  }
+  CHECK(harness.Phase("j") == JobPhase::Running);
+  // What becomes of its runs later does not matter.
+  harness.Restart(harness.agents.begin()->first);
+  harness.TakeOver();
+  harness.Run(10s);
+  CHECK(harness.Phase("j") == JobPhase::Running);
+  CHECK(harness.begins == 1);
+}
+
 // Guards against a duplicate run after a takeover: the next coordinator does
 // not know of an order that was sent before its placement was durable.
 TEST_CASE("the start order is sent only after the placement is durable")
--- a/libs/ledger/include/amaranthwind/ledger/JobTable.h
+++ b/libs/ledger/include/amaranthwind/ledger/JobTable.h
@@ -18,7 +18,7 @@
 
 enum class JobPhase : std::uint8_t
 {
-  Pending, // No task has been placed yet.
+  Pending, // No task has begun to run yet.
   Running,
   Completed,
   Failed,
@@ -36,14 +36,22 @@
   bool isCancelRequested = false;
   /** Account that cancelled the job; empty if it is not known. */
   base::AccountId cancelledBy;
+  /** Whether a record says that a task has begun to run. */
+  bool isBegun = false;
   /** Keyed by occurrence and step; only steps that have a record. */
   std::map<std::pair<std::uint32_t, std::uint32_t>, StepRecord> steps;
 
   JobPhase Phase() const;
+  /**
+   * Whether a task is known to have begun to run; one that is placed may still
+   * be refused by its worker.
+   */
+  bool HasBegun() const;
   /** The job was cancelled, and no record accepts it (yet). */
   bool IsEarlyCancellation() const noexcept
   {
-    return this->isCancelRequested && !this->isAccepted && this->steps.empty();
+    return this->isCancelRequested && !this->isAccepted && !this->isBegun &&
+           this->steps.empty();
   }
 };
 
@@ -91,22 +99,26 @@
     const std::function<void(const base::JobId&, const JobEntry&)>& aVisit)
     const;
   /**
-   * Visits the steps that were left behind when the deletion of a job was
-   * interrupted.
+   * Visits what was left behind when the deletion of a job was interrupted.
    */
   void ForEachOrphan(const std::function<void(const base::JobId&,
                                               const JobEntry&)>& aVisit) const;
   std::size_t Size() const noexcept { return this->jobs.size(); }
 
 private:
+  using Jobs = std::unordered_map<base::JobId, JobEntry>;
+
   std::optional<base::Error> ApplyRecord(const journal::KeyedRecord& aRecord);
   std::optional<base::Error> ApplyAccepted(const base::JobId& aJob,
                                            const journal::KeyedRecord& aRecord);
+  void ApplyBegun(const base::JobId& aJob, const journal::KeyedRecord& aRecord);
+  /** Erases the entry if no record is left that it was made from. */
+  void EraseIfEmpty(Jobs::iterator aEntry);
   std::optional<base::Error> ApplyStep(const job::StepId& aStep,
                                        const journal::KeyedRecord& aRecord);
 
   const RecordCodec& codec;
-  std::unordered_map<base::JobId, JobEntry> jobs;
+  Jobs jobs;
 };
 
 } // namespace amaranthwind::ledger
--- a/libs/ledger/include/amaranthwind/ledger/Records.h
+++ b/libs/ledger/include/amaranthwind/ledger/Records.h
@@ -72,6 +72,7 @@
 {
   Accepted,  // The job specification; written by any entry.
   Cancelled, // A cancellation request; written by any entry.
+  Begun,     // A task of the job has begun to run; by the coordinator.
   Step,      // A StepRecord.
   Other,
 };
@@ -87,6 +88,8 @@
 std::string
 CancelledKey(const base::JobId& aJob);
 std::string
+BegunKey(const base::JobId& aJob);
+std::string
 StepKey(const job::StepId& aStep);
 /** Value of the record that cancels a job on behalf of a client account. */
 std::string
--- a/libs/ledger/src/JobTable.cpp
+++ b/libs/ledger/src/JobTable.cpp
@@ -6,6 +6,21 @@
 
 namespace amaranthwind::ledger {
 
+bool
+JobEntry::HasBegun() const
+{
+  // The records of older versions tell it of runs that have ended only.
+  const auto hasEnded = [](const TaskRecord& aTask) {
+    return aTask.phase == TaskPhase::Done || aTask.failures > 0;
+  };
+  return this->isBegun ||
+         std::any_of(
+           this->steps.begin(), this->steps.end(), [&](const auto& aStep) {
+             const auto& tasks = aStep.second.tasks;
+             return std::any_of(tasks.begin(), tasks.end(), hasEnded);
+           });
+}
+
 JobPhase
 JobEntry::Phase() const
 {
@@ -13,7 +28,6 @@
     return JobPhase::Pending;
   }
   std::size_t done = 0;
-  bool hasStarted = false;
   for (const auto& [key, record] : this->steps) {
     if (record.hasFailed) {
       return JobPhase::Failed;
@@ -27,7 +41,6 @@
           this->spec->steps[key.second].count) {
       ++done;
     }
-    hasStarted = hasStarted || !record.tasks.empty();
   }
   if (done == this->spec->steps.size() * this->spec->Occurrences()) {
     return JobPhase::Completed;
@@ -35,7 +48,7 @@
   if (this->isCancelRequested) {
     return JobPhase::Cancelled;
   }
-  return hasStarted ? JobPhase::Running : JobPhase::Pending;
+  return this->HasBegun() ? JobPhase::Running : JobPhase::Pending;
 }
 
 JobTable::JobTable(const RecordCodec& aCodec)
@@ -94,6 +107,9 @@
         entry.cancelledBy = CancellingAccount(aRecord.value);
       }
       return std::nullopt;
+    case RecordKind::Begun:
+      this->ApplyBegun(key.step.job, aRecord);
+      return std::nullopt;
     case RecordKind::Step:
       return this->ApplyStep(key.step, aRecord);
     case RecordKind::Other:
@@ -127,6 +143,31 @@
   return std::nullopt;
 }
 
+void
+JobTable::ApplyBegun(const base::JobId& aJob,
+                     const journal::KeyedRecord& aRecord)
+{
+  if (!aRecord.value.empty()) {
+    this->jobs[aJob].isBegun = true;
+    return;
+  }
+  const auto found = this->jobs.find(aJob);
+  if (found != this->jobs.end()) {
+    found->second.isBegun = false;
+    this->EraseIfEmpty(found);
+  }
+}
+
+void
+JobTable::EraseIfEmpty(Jobs::iterator aEntry)
+{
+  const JobEntry& entry = aEntry->second;
+  if (!entry.isAccepted && !entry.isCancelRequested && !entry.isBegun &&
+      entry.steps.empty()) {
+    this->jobs.erase(aEntry);
+  }
+}
+
 std::optional<base::Error>
 JobTable::ApplyStep(const job::StepId& aStep,
                     const journal::KeyedRecord& aRecord)
@@ -135,12 +176,8 @@
   if (aRecord.value.empty()) {
     const auto found = this->jobs.find(aStep.job);
     if (found != this->jobs.end()) {
-      JobEntry& entry = found->second;
-      entry.steps.erase(key);
-      if (!entry.isAccepted && !entry.isCancelRequested &&
-          entry.steps.empty()) {
-        this->jobs.erase(found);
-      }
+      found->second.steps.erase(key);
+      this->EraseIfEmpty(found);
     }
     return std::nullopt;
   }
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -6,6 +6,7 @@
 
 constexpr std::string_view kAccepted = "a/";
 constexpr std::string_view kCancelled = "c/";
+constexpr std::string_view kBegun = "b/";
 constexpr std::string_view kStep = "s/";
 /** Before the account in the value of a cancellation. */
 constexpr std::string_view kCancelledBy = "1/";
@@ -32,6 +33,12 @@
   return Join(kCancelled, aJob.View());
 }
 
+std::string
+BegunKey(const base::JobId& aJob)
+{
+  return Join(kBegun, aJob.View());
+}
+
 std::string
 StepKey(const job::StepId& aStep)
 {
@@ -67,6 +74,9 @@
   } else if (aKey.starts_with(kCancelled)) {
     parsed.kind = RecordKind::Cancelled;
     parsed.step.job = base::JobId(aKey.substr(kCancelled.size()));
+  } else if (aKey.starts_with(kBegun)) {
+    parsed.kind = RecordKind::Begun;
+    parsed.step.job = base::JobId(aKey.substr(kBegun.size()));
   } else if (aKey.starts_with(kStep)) {
     // A step key has the form of a task id without its index.
     auto task = job::ParseTaskId(std::string(aKey.substr(kStep.size())) + ".0");
--- a/libs/ledger/tests/JobTableTest.cpp
+++ b/libs/ledger/tests/JobTableTest.cpp
@@ -137,6 +137,8 @@
 {
   CHECK(ParseKey(AcceptedKey(kJob)).kind == RecordKind::Accepted);
   CHECK(ParseKey(CancelledKey(kJob)).step.job == kJob);
+  CHECK(ParseKey(BegunKey(kJob)).kind == RecordKind::Begun);
+  CHECK(ParseKey(BegunKey(kJob)).step.job == kJob);
   const job::StepId step{ kJob, 3, 4 };
   CHECK(ParseKey(StepKey(step)).kind == RecordKind::Step);
   CHECK(ParseKey(StepKey(step)).step == step);
@@ -161,6 +163,13 @@
     PhaseAfter(
       { accepted, StepAt(2, MakeStep(TaskPhase::Done, TaskPhase::Placed)) }) ==
     JobPhase::Running);
+  // A task that is placed may still be refused.
+  auto placed = MakeStep(TaskPhase::Placed, TaskPhase::Idle);
+  placed.tasks[1].failures = 0;
+  const journal::KeyedRecord begun{ base::LogOffset(3), BegunKey(kJob), "1" };
+  CHECK(PhaseAfter({ accepted, StepAt(2, placed) }) == JobPhase::Pending);
+  CHECK(PhaseAfter({ accepted, StepAt(2, placed), begun }) ==
+        JobPhase::Running);
   CHECK(PhaseAfter({ accepted, done }) == JobPhase::Completed);
   CHECK(PhaseAfter({ accepted, StepAt(2, failed) }) == JobPhase::Failed);
   // A cancellation after completion has no effect.
@@ -244,6 +253,23 @@
   CHECK(table.Size() == 0);
 }
 
+// Guards against records that are left in the log for good, and that make a job
+// of what is left of one.
+TEST_CASE("a job that has begun leaves nothing when its records are deleted")
+{
+  const journal::KeyedRecord begun{ base::LogOffset(0), BegunKey(kJob), "1" };
+  JobTable table(kCodec);
+  table.Load(std::span(&begun, 1));
+  CHECK(table.Find(kJob) == nullptr);
+  CHECK(table.FindEarlyCancellation(kJob) == nullptr);
+  int orphans = 0;
+  table.ForEachOrphan([&](const auto&, const auto&) { ++orphans; });
+  CHECK(orphans == 1);
+  const journal::KeyedRecord dropped{ base::LogOffset(1), BegunKey(kJob), {} };
+  table.Apply(std::span(&dropped, 1));
+  CHECK(table.Size() == 0);
+}
+
 // Guards against work that runs again, and against records that are left in the
 // log, when the deletion of a job is divided and its writer fails.
 TEST_CASE("what is left of a partly deleted job is no job but an orphan")
--- a/libs/protocol/src/AgentDecoder.cpp
+++ b/libs/protocol/src/AgentDecoder.cpp
@@ -85,8 +85,10 @@
     for (const auto* each : *aReport.running()) {
       BOOST_OUTCOME_TRY(auto run,
                         ToRun(each->run(), "AgentReport.running.run"));
-      aRunning.push_back(
-        { std::move(run), Text(each->checkpoint()), each->percent() });
+      aRunning.push_back({ std::move(run),
+                           Text(each->checkpoint()),
+                           each->percent(),
+                           each->has_begun() });
     }
   }
   if (aReport.ended() != nullptr) {
--- a/libs/protocol/src/AgentEncoder.cpp
+++ b/libs/protocol/src/AgentEncoder.cpp
@@ -70,6 +70,7 @@
     running->run = ToWire(each.run);
     running->checkpoint = each.checkpoint;
     running->percent = each.percent;
+    running->has_begun = each.hasBegun;
     aOut.running.push_back(std::move(running));
   }
   for (const auto& each : aEnded) {
