Confirm a view at once after an answer that came late

What callers saw: after a silence of the store each scheduler refused requests with 503 for 0.6 s longer than it needed.

Cause: a read confirms the view as of the time it was sent, which is before the silence if an earlier attempt had no answer, and the next read waited for records.

Change: after a late answer one read does not wait. The next one does, so that a slow log gets no more reads than before but for every other one.

Evidence: "a late answer is followed by a read that does not wait" fails on the code before in both forms and passes now.

--- a/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
+++ b/libs/journal/include/amaranthwind/journal/testing/FakeKeyedLog.h
@@ -23,6 +23,8 @@
   bool isDown = false;
   /** Appends take effect but fail with AppendUnconfirmed. */
   bool losesAnswers = false;
+  /** Every read waits, also for records that exist. */
+  bool holdsReads = false;
   /** Larger appends are refused with TooLarge. */
   std::size_t maxAppendBytes = SIZE_MAX;
   /** What Limits() says. */
@@ -118,7 +120,8 @@
       aHandler(base::Fail(base::ErrorCode::LogUnavailable));
     } else if (aFrom < partition.first) {
       aHandler(base::Fail(base::ErrorCode::OffsetExpired));
-    } else if (aFrom < EndOf(partition) || aWait == base::Duration::zero()) {
+    } else if (!this->holdsReads &&
+               (aFrom < EndOf(partition) || aWait == base::Duration::zero())) {
       aHandler(this->ReadFrom(partition, aFrom));
     } else {
       this->waitingReads.push_back({ aTopic, aFrom, std::move(aHandler) });
--- a/libs/journal/src/KeyedFollower.cpp
+++ b/libs/journal/src/KeyedFollower.cpp
@@ -18,6 +18,8 @@
  * callers share one, so that they do not use up the log's rate of reads.
  */
 constexpr std::size_t kMaxConfirmations = 8;
+/** An answer that takes longer, beside the wait for records, is late. */
+constexpr base::Duration kLateAnswer = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -112,16 +114,20 @@
   {
     const base::TimePoint sentAt = this->clock.Now();
     const LogOffset from = this->next;
-    // The first read after a load or an outage does not wait, to find out
-    // whether the view is current.
-    const base::Duration wait =
-      this->isCurrent ? this->options.wait : base::Duration::zero();
+    // The first read after a load, an outage or a late answer does not wait, to
+    // find out whether the view is current.
+    const base::Duration wait = this->isCurrent && !this->wasLate
+                                  ? this->options.wait
+                                  : base::Duration::zero();
     this->log.Read(
       this->options.topic,
       from,
       wait,
       this->OnExecutor<KeyedBatch>(
-        [sentAt, from](State& aSelf, const Result<KeyedBatch>& aBatch) {
+        [sentAt, from, wait](State& aSelf, const Result<KeyedBatch>& aBatch) {
+          // In a slow log, every other read still waits.
+          aSelf.wasLate =
+            !aSelf.wasLate && aSelf.clock.Now() - sentAt > wait + kLateAnswer;
           aSelf.OnRead(aBatch, from, sentAt);
         }));
   }
@@ -246,6 +252,8 @@
   LogOffset next;
   bool isLoaded = false;
   bool isCurrent = false;
+  /** The newest answer confirms the view as of a time long ago. */
+  bool wasLate = false;
   bool isStopped = false;
   /** Callers of Confirm() for whom no read was sent yet. */
   std::vector<std::function<void(bool)>> unconfirmed;
--- a/libs/journal/tests/KeyedFollowerTest.cpp
+++ b/libs/journal/tests/KeyedFollowerTest.cpp
@@ -219,6 +219,30 @@
   CHECK(fixture.observer.asOf == sent);
 }
 
+// Guards against requests that are refused for longer than needed: the answer
+// that ends a silence confirms the view as of a time long ago, and the next
+// read waits for records.
+TEST_CASE("a late answer is followed by a read that does not wait")
+{
+  Fixture fixture;
+  fixture.follower.Start();
+  fixture.executor.RunDue();
+  REQUIRE(fixture.log.Waiting() == 1);
+  fixture.clock.Advance(5s);
+  SUBCASE("with records")
+  {
+    fixture.Append("a", "3");
+  }
+  SUBCASE("without records")
+  {
+    fixture.log.TimeOutWaitingReads();
+    fixture.executor.RunDue();
+  }
+  CHECK(fixture.observer.asOf == fixture.clock.Now());
+  // Only one: a log that is always slow is still read with waits.
+  CHECK(fixture.log.Waiting() == 1);
+}
+
 TEST_CASE("a view is confirmed only by a successful read of the log")
 {
   Fixture fixture;
