Soak: Cancel jobs whose submission has no definite result

The soak cancelled jobs only after it had polled them, once and whatever the answer, so that it could not see a job that runs after its cancellation was answered with 410. Callers now cancel half of the jobs whose submission got no answer or 504, until that is acknowledged, and a job that was cancelled as unknown must not be shown as anything but cancelled afterwards.

--- a/tests/soak/History.cpp
+++ b/tests/soak/History.cpp
@@ -116,6 +116,9 @@
     if (job.wasReportedMissing) {
       violations.push_back("accepted job reported as missing: " + id);
     }
+    if (job.wasRevived) {
+      violations.push_back("job was accepted after it was cancelled: " + id);
+    }
     if (job.wasReportedCompleted && finishedTasksOfJob[id] != job.tasks) {
       violations.push_back("job reported as completed with " +
                            std::to_string(finishedTasksOfJob[id]) + " of " +
--- a/tests/soak/History.h
+++ b/tests/soak/History.h
@@ -22,6 +22,10 @@
   /** A submission got no response, or one that does not tell its outcome. */
   bool hasUnknownOutcome = false;
   bool wasCancelSent = false;
+  /** A cancellation returned 410 although no submission returned 200. */
+  bool wasCancelledAsUnknown = false;
+  /** Another state than "cancelled" after that. */
+  bool wasRevived = false;
   bool wasReportedCompleted = false;
   bool wasReportedFailed = false;
   /** Status 410 after the job was accepted. */
@@ -67,6 +71,7 @@
  * - a job is reported as completed only if all its tasks are done, and every
  *   job that was accepted and not cancelled is reported as completed;
  * - an accepted job is never reported as missing;
+ * - a job that was cancelled as unknown never runs afterwards;
  * - the tasks on a worker never use more accelerators than it has.
  */
 std::vector<std::string>
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -35,6 +35,7 @@
 /** Longer than kRevokeLimit, so that every withdrawn key is probed after it. */
 constexpr auto kKeyRotationInterval = 7500ms;
 constexpr std::size_t kSubmitAttempts = 4;
+constexpr std::size_t kCancelAttempts = 40;
 
 // HTTP status codes.
 constexpr unsigned kOk = 200;
@@ -103,7 +104,10 @@
   {
   }
 
-  /** Submits a job, polls it up to three times and cancels one job in eight. */
+  /**
+   * Submits a job, polls it up to three times and cancels one job in eight, and
+   * half of those whose submission has no definite result.
+   */
   void RunOneJob()
   {
     const std::string id = this->Submit();
@@ -113,8 +117,7 @@
       this->PollJob(id);
     }
     if (this->random() % 8 == 0) {
-      this->history.Update(id, [](auto& aJob) { aJob.wasCancelSent = true; });
-      this->Send("DELETE", id);
+      this->Cancel(id);
     }
   }
 
@@ -136,12 +139,33 @@
         aRecord.wasReportedMissing || (isAccepted && status == kGone);
       aRecord.wasReportedCompleted =
         aRecord.wasReportedCompleted || state == "completed";
+      aRecord.wasRevived =
+        aRecord.wasRevived || (aRecord.wasCancelledAsUnknown &&
+                               !state.empty() && state != "cancelled");
       aRecord.wasReportedFailed =
         aRecord.wasReportedFailed || state == "failed";
     });
   }
 
 private:
+  /** Cancels the job until that is acknowledged. */
+  void Cancel(const std::string& aJob)
+  {
+    this->history.Update(aJob,
+                         [](auto& aRecord) { aRecord.wasCancelSent = true; });
+    for (std::size_t i = 0; i < kCancelAttempts; ++i) {
+      const unsigned status = this->Send("DELETE", aJob);
+      if (status == kOk || status == kGone) {
+        this->history.Update(aJob, [&](auto& aRecord) {
+          aRecord.wasCancelledAsUnknown =
+            status == kGone && !aRecord.isAccepted;
+        });
+        return;
+      }
+      std::this_thread::sleep_for(100ms);
+    }
+  }
+
   std::string Submit()
   {
     std::string id = MakeId(this->random);
@@ -178,6 +202,10 @@
       if (status == kOk) {
         break;
       }
+      if (!isRefused && this->random() % 2 == 0) {
+        this->Cancel(id);
+        break;
+      }
       std::this_thread::sleep_for(100ms);
     }
     return id;
@@ -244,6 +272,17 @@
   }
 }
 
+/** A late append of a submission may still have taken effect. */
+void
+PollCancelledJobs(const CallerHistory& aHistory, Caller& aCaller)
+{
+  for (const auto& [id, job] : aHistory.Jobs()) {
+    if (job.wasCancelledAsUnknown) {
+      aCaller.PollJob(id);
+    }
+  }
+}
+
 /** A delayed start may still violate an invariant after all jobs have ended. */
 void
 WaitForDelayedRequests(const harness::PlatformDeployment& aDeployment)
@@ -335,6 +374,7 @@
     Caller poller(deployment, keys, history, aOptions.seed);
     WaitForJobsToEnd(history, poller);
     WaitForDelayedRequests(deployment);
+    PollCancelledJobs(history, poller);
 
     std::vector<std::vector<standins::PlatformWorker::HistoryEntry>> histories;
     for (const auto& worker : deployment.workers) {
@@ -348,6 +388,7 @@
     report.jobs = jobs.size();
     for (const auto& [id, job] : jobs) {
       report.accepted += job.isAccepted ? 1 : 0;
+      report.cancelledAsUnknown += job.wasCancelledAsUnknown ? 1 : 0;
     }
     report.taskStarts = deployment.Starts().size();
     if (!report.violations.empty()) {
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -20,6 +20,8 @@
 {
   std::size_t jobs = 0;
   std::size_t accepted = 0;
+  /** Jobs whose cancellation was answered with 410. */
+  std::size_t cancelledAsUnknown = 0;
   std::size_t taskStarts = 0;
   std::vector<std::string> faults;
   /** Violated invariants; empty if the run passed. */
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -49,6 +49,7 @@
                    { "seed", options.seed },
                    { "jobs", report.jobs },
                    { "accepted", report.accepted },
+                   { "cancelledAsUnknown", report.cancelledAsUnknown },
                    { "starts", report.taskStarts },
                    { "faults", json::value_from(report.faults) },
                    { "broken", json::value_from(report.violations) },
