Confirm a view at once also after a read that failed late

A failure no longer counts.

Evidence: the new case "after an outage" of "a late answer is followed by a read that does not wait" fails on the code before and passes now.

--- a/libs/journal/src/KeyedFollower.cpp
+++ b/libs/journal/src/KeyedFollower.cpp
@@ -126,8 +126,8 @@
       this->OnExecutor<KeyedBatch>(
         [sentAt, from, wait](State& aSelf, const Result<KeyedBatch>& aBatch) {
           // In a slow log, every other read still waits.
-          aSelf.wasLate =
-            !aSelf.wasLate && aSelf.clock.Now() - sentAt > wait + kLateAnswer;
+          aSelf.wasLate = aBatch.has_value() && !aSelf.wasLate &&
+                          aSelf.clock.Now() - sentAt > wait + kLateAnswer;
           aSelf.OnRead(aBatch, from, sentAt);
         }));
   }
--- a/libs/journal/tests/KeyedFollowerTest.cpp
+++ b/libs/journal/tests/KeyedFollowerTest.cpp
@@ -238,6 +238,17 @@
     fixture.log.TimeOutWaitingReads();
     fixture.executor.RunDue();
   }
+  SUBCASE("after an outage")
+  {
+    fixture.log.holdsReads = true;
+    fixture.log.FailWaitingReads({ base::ErrorCode::LogUnavailable, {} });
+    fixture.executor.Advance(1s);
+    REQUIRE(fixture.log.Waiting() == 1);
+    fixture.clock.Advance(5s);
+    fixture.log.holdsReads = false;
+    fixture.log.TimeOutWaitingReads();
+    fixture.executor.RunDue();
+  }
   CHECK(fixture.observer.asOf == fixture.clock.Now());
   // Only one: a log that is always slow is still read with waits.
   CHECK(fixture.log.Waiting() == 1);
