Rename a field that was called like the method that reads it

JobEntry::isBegun says whether the record exists, HasBegun() whether a task is known to have begun. The field is now hasBegunRecord. No change of behaviour.

--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -50,7 +50,7 @@
     std::distance(this->jobs.begin(), this->jobs.find(aJob))));
   const auto found = this->cancelled.find(aJob);
   entry.isCancelRequested = found != this->cancelled.end();
-  entry.isBegun = this->begun.contains(base::JobId(aJob));
+  entry.hasBegunRecord = this->begun.contains(base::JobId(aJob));
   for (const auto& [id, record] : this->durable) {
     if (id.job.View() == aJob) {
       entry.steps[{ id.occurrence, id.step }] = record;
--- a/libs/ledger/include/amaranthwind/ledger/JobTable.h
+++ b/libs/ledger/include/amaranthwind/ledger/JobTable.h
@@ -37,7 +37,7 @@
   /** Account that cancelled the job; empty if it is not known. */
   base::AccountId cancelledBy;
   /** Whether a record says that a task has begun to run. */
-  bool isBegun = false;
+  bool hasBegunRecord = false;
   /** Keyed by occurrence and step; only steps that have a record. */
   std::map<std::pair<std::uint32_t, std::uint32_t>, StepRecord> steps;
 
@@ -50,8 +50,8 @@
   /** The job was cancelled, and no record accepts it (yet). */
   bool IsEarlyCancellation() const noexcept
   {
-    return this->isCancelRequested && !this->isAccepted && !this->isBegun &&
-           this->steps.empty();
+    return this->isCancelRequested && !this->isAccepted &&
+           !this->hasBegunRecord && this->steps.empty();
   }
 };
 
--- a/libs/ledger/src/JobTable.cpp
+++ b/libs/ledger/src/JobTable.cpp
@@ -13,7 +13,7 @@
   const auto hasEnded = [](const TaskRecord& aTask) {
     return aTask.phase == TaskPhase::Done || aTask.failures > 0;
   };
-  return this->isBegun ||
+  return this->hasBegunRecord ||
          std::any_of(
            this->steps.begin(), this->steps.end(), [&](const auto& aStep) {
              const auto& tasks = aStep.second.tasks;
@@ -148,12 +148,12 @@
                      const journal::KeyedRecord& aRecord)
 {
   if (!aRecord.value.empty()) {
-    this->jobs[aJob].isBegun = true;
+    this->jobs[aJob].hasBegunRecord = true;
     return;
   }
   const auto found = this->jobs.find(aJob);
   if (found != this->jobs.end()) {
-    found->second.isBegun = false;
+    found->second.hasBegunRecord = false;
     this->EraseIfEmpty(found);
   }
 }
@@ -162,7 +162,7 @@
 JobTable::EraseIfEmpty(Jobs::iterator aEntry)
 {
   const JobEntry& entry = aEntry->second;
-  if (!entry.isAccepted && !entry.isCancelRequested && !entry.isBegun &&
+  if (!entry.isAccepted && !entry.isCancelRequested && !entry.hasBegunRecord &&
       entry.steps.empty()) {
     this->jobs.erase(aEntry);
   }
