Record the cancellation of a job once

Found when the change was read again: each further DELETE of a job that is cancelled already, also of one that no log holds, appended another record, so that a client could make the log grow without a limit on its jobs.

Change: a cancellation that was read back is answered at once, with 200 or 410 as before.

Evidence: "a job that was cancelled is not recorded as cancelled again" passes (it was written with the change; the code before was not run with it).

--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -595,6 +595,15 @@
                           base::Duration aTimeout,
                           DoneHandler aHandler)
   {
+    const auto known = this->directory.Find(aJob);
+    if (known && known->phase == ledger::JobPhase::Cancelled) {
+      aHandler(base::success());
+      return;
+    }
+    if (!known && this->earlyCancellations.WasRead(aJob)) {
+      aHandler(base::Fail(ErrorCode::UnknownJob, aJob.View()));
+      return;
+    }
     const auto reserved = this->ReserveCancellation(aJob, aAccount);
     if (reserved.has_error()) {
       aHandler(reserved);
@@ -906,9 +915,8 @@
      aAccount,
      deadline = this->impl->clock.Now() + aTimeout,
      handler = std::move(aHandler)](const base::Result<JobStatus>& aStatus) {
-      const bool isRecorded =
-        aStatus.has_value() || aStatus.error().code == ErrorCode::UnknownJob;
-      if (!isRecorded) {
+      if (aStatus.has_error() &&
+          aStatus.error().code != ErrorCode::UnknownJob) {
         handler(base::failure(aStatus.error()));
         return;
       }
--- a/libs/coordinator/src/WorkBudget.cpp
+++ b/libs/coordinator/src/WorkBudget.cpp
@@ -130,6 +130,14 @@
   }
 }
 
+bool
+WorkBudget::WasRead(const base::JobId& aJob) const
+{
+  const std::lock_guard lock(this->mutex);
+  const auto known = this->jobs.find(aJob);
+  return known != this->jobs.end() && !known->second.isReserved;
+}
+
 std::size_t
 WorkBudget::Used() const
 {
--- a/libs/coordinator/src/WorkBudget.h
+++ b/libs/coordinator/src/WorkBudget.h
@@ -63,6 +63,8 @@
   /** The records of the job were deleted. */
   void OnForgotten(const base::JobId& aJob);
 
+  /** Whether the job was read from the log and not deleted since. */
+  bool WasRead(const base::JobId& aJob) const;
   /** Bytes of all jobs that are known or being submitted. */
   std::size_t Used() const;
 
--- a/libs/coordinator/tests/EarlyCancellationTest.cpp
+++ b/libs/coordinator/tests/EarlyCancellationTest.cpp
@@ -136,6 +136,29 @@
   CHECK(cell.PhaseAt(*cell.other) == JobPhase::Cancelled);
 }
 
+// Guards against a client that fills the log by cancelling the same job again
+// and again.
+TEST_CASE("a job that was cancelled is not recorded as cancelled again")
+{
+  Cell cell;
+  SUBCASE("as unknown")
+  {
+    REQUIRE(IsUnknown(cell.Cancel(*cell.other)));
+  }
+  SUBCASE("after it was accepted")
+  {
+    cell.Submit(cell.leader);
+    REQUIRE(cell.Cancel(*cell.other)->has_value());
+  }
+  cell.fleet.Run(1s);
+  const auto& records = cell.fleet.log.PartitionOf(kJobs).records;
+  const std::size_t before = records.size();
+  REQUIRE(cell.Cancel(cell.leader).has_value());
+  REQUIRE(cell.Cancel(*cell.other).has_value());
+  cell.fleet.Run(1s);
+  CHECK(records.size() == before);
+}
+
 // Guards against a successor that drops the cancellation of a job that the log
 // does not hold yet, as what is left of an old job.
 TEST_CASE("a successor keeps the cancellation of a job that comes later")
