--- a/libs/coordinator/tests/EarlyCancellationTest.cpp
+++ b/libs/coordinator/tests/EarlyCancellationTest.cpp
@@ -34,16 +34,9 @@
   return spec;
 }
 
-/** A coordinator and an entry that forwards to it. */
-struct Cell
+struct Cell : LeaderAndOther
 {
-  Cell()
-  {
-    this->fleet.Run(3s);
-    this->other = &this->fleet.Start("other");
-    this->fleet.Run(2s);
-    REQUIRE(this->fleet.Holder() == "leader");
-  }
+  Cell() { REQUIRE(this->fleet.Holder() == "leader"); }
 
   void Submit(EntryProcess& aEntry)
   {
@@ -96,9 +89,6 @@
       ledger::CancelledKey(kJob));
   }
 
-  Fleet fleet;
-  EntryProcess& leader = fleet.Start("leader");
-  EntryProcess* other = nullptr;
   std::optional<base::Result<void>> submitted;
 };
 
--- a/libs/coordinator/tests/Fleet.h
+++ b/libs/coordinator/tests/Fleet.h
@@ -436,4 +436,19 @@
   int steps = 0;
 };
 
+/** A coordinator and an entry that forwards to it. */
+struct LeaderAndOther
+{
+  LeaderAndOther()
+  {
+    this->fleet.Run(std::chrono::seconds(3));
+    this->other = &this->fleet.Start("other");
+    this->fleet.Run(std::chrono::seconds(2));
+  }
+
+  Fleet fleet;
+  EntryProcess& leader = fleet.Start("leader");
+  EntryProcess* other = nullptr;
+};
+
 } // namespace amaranthwind::coordinator::testing
--- a/libs/coordinator/tests/RefusalTest.cpp
+++ b/libs/coordinator/tests/RefusalTest.cpp
@@ -49,28 +49,14 @@
   std::optional<base::Result<void>> result;
 };
 
-struct Cell
-{
-  Cell()
-  {
-    this->fleet.Run(3s);
-    this->other = &this->fleet.Start("other");
-    this->fleet.Run(2s);
-    REQUIRE(this->fleet.Holder() == "leader");
-  }
-
-  Fleet fleet;
-  EntryProcess& leader = fleet.Start("leader");
-  EntryProcess* other = nullptr;
-};
-
 } // namespace
 
 // Guards against the refusal of a job that runs: an earlier submission of it
 // had no answer, and its append takes effect after the refusal.
 TEST_CASE("a job that may still be accepted is not refused")
 {
-  Cell cell;
+  LeaderAndOther cell;
+  REQUIRE(cell.fleet.Holder() == "leader");
   const auto job = MakeJob("j", 1);
   cell.leader.log.dropsJobAppends = true;
   const Submission first(cell.leader, job);
@@ -95,7 +81,8 @@
 // accepted, and that this one has not read yet.
 TEST_CASE("a job that another entry has accepted is not refused for its room")
 {
-  Cell cell;
+  LeaderAndOther cell;
+  REQUIRE(cell.fleet.Holder() == "leader");
   cell.other->decisionThread.Freeze();
   const Submission large(*cell.other, MakeJob("large", 12));
   cell.fleet.Run(1s);
