Test that a job whose record was read is accepted although no append is answered

Cause: "Do not refuse a job that an earlier submission may still accept" also looks whether the job is known when an append has ended without an answer. In the test the store drops the answers to appends only; the scheduler reads the record in the log, so that the job is accepted for certain, and "the outcome is not known" is less than the scheduler knows.

"a job is accepted once it is read, also if its append has no answer" checks it without processes.

--- a/libs/coordinator/tests/RefusalTest.cpp
+++ b/libs/coordinator/tests/RefusalTest.cpp
@@ -77,6 +77,19 @@
   CHECK(again.Error() == ErrorCode::AppendUnconfirmed);
 }
 
+// Guards against an answer that leaves the outcome open although the job was
+// read from the log: only the answer to its append was lost.
+TEST_CASE("a job is accepted once it is read, also if its append has no answer")
+{
+  LeaderAndOther cell;
+  REQUIRE(cell.fleet.Holder() == "leader");
+  cell.fleet.log.losesAnswers = true;
+  const Submission submission(cell.leader, MakeJob("j", 1));
+  cell.fleet.Run(kTimeout);
+  REQUIRE(submission.result.has_value());
+  CHECK(submission.result->has_value());
+}
+
 // Guards against a refusal for lack of room of a job that another entry has
 // accepted, and that this one has not read yet.
 TEST_CASE("a job that another entry has accepted is not refused for its room")
