--- /dev/null
+++ b/libs/dispatch/include/amaranthwind/dispatch/EndRecord.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "amaranthwind/base/Ids.h"
+#include "amaranthwind/dispatch/WorkerReport.h"
+#include "amaranthwind/ledger/Records.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthwind::dispatch {
+
+/** Log topic of the ends that agents record. */
+inline constexpr std::string_view kEndTopic = "ends";
+
+/** Limit of the ends in one record. */
+inline constexpr std::size_t kMaxRecordedEnds = 512;
+
+/**
+ * Ends of one life of a worker, recorded by its agent because no coordinator
+ * has acknowledged them in time. A record may be appended late or twice. It
+ * stays in the log until a coordinator has made its ends durable in the records
+ * of their steps. Checkpoints are left out.
+ */
+struct EndRecord
+{
+  base::AgentId agent;
+  ledger::WorkerIncarnation life;
+  /** In the order of their numbers; not empty. */
+  std::vector<EndedTask> ends;
+
+  bool operator==(const EndRecord&) const = default;
+};
+
+/** Key of the record in its topic; no other record of the topic has the same.
+ */
+std::string
+EndRecordKey(const EndRecord& aRecord);
+
+} // namespace amaranthwind::dispatch
