Coordinator: handle the ends that agents record

An end was durable only with the coordinator's record of its step. If all VMs lost power before, the task ran again. The coordinator now follows the ends that agents record themselves while it leads, handles them like reported ends of an earlier life, and deletes a record once the records of the steps that its ends changed are durable.

A task whose run was released without an end is placed again only when the recorded ends are known as of the release, and no task before they were confirmed in the term. Only the task itself waits: if all tasks waited while any release is newer than the view, releases that follow each other more closely than a read of a slow log takes would stop all placements.

--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -112,6 +112,7 @@
     , logger(aLogger)
     , decisions(aLogger, aMetrics)
     , load(aClock, aLogger, aMetrics)
+    , endRecordLog(aLogger, aMetrics)
     , submitTime(aMetrics.MakeHistogram(
         { "submit_seconds", "From a job's request to its acceptance." },
         std::array{ 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1.0, 3.0 }))
@@ -266,6 +267,7 @@
       this->sessions,
       this->decisions,
       this->load,
+      this->endRecordLog,
       [this] {
         // Deferred because StepDown() destroys the runner, which calls this.
         this->executor.Post([this] { this->leaderLog.StepDown(); });
@@ -688,6 +690,7 @@
   telemetry::Logger& logger;
   DecisionLog decisions;
   LoadMonitor load;
+  EndRecordLog endRecordLog;
   telemetry::Histogram submitTime;
   telemetry::Gauge evacuatedZoneCount;
   telemetry::Gauge acceptedBytes;
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -46,6 +46,7 @@
                                AgentSessions& aSessions,
                                DecisionLog& aDecisions,
                                LoadMonitor& aLoad,
+                               EndRecordLog& aEndRecordLog,
                                std::function<void()> aOnFenced)
   : options(aOptions)
   , token(aToken)
@@ -56,6 +57,7 @@
   , decisions(aDecisions)
   , load(aLoad)
   , maxRecordBytes(aLog.Limits().recordBytes)
+  , endRecords(aClock, aExecutor, aLog, aEndRecordLog, *this)
 {
   journal::FencedWriterOptions writerOptions;
   writerOptions.topic = { std::string(kJobTopic), 0 };
@@ -78,8 +80,9 @@
 {
   this->writer->Write(
     { { std::string(kTermKey), std::to_string(this->token.Get()) } },
-    [alive = this->isAlive, done = std::move(aDone)] {
+    [this, alive = this->isAlive, done = std::move(aDone)] {
       if (*alive) {
+        this->endRecords.Confirm();
         done();
       }
     });
@@ -118,9 +121,31 @@
   if (this->hasPredecessorSteppedDown) {
     this->OnPredecessorSteppedDown();
   }
+  this->endRecords.Begin();
   this->OnGuarantees(aGuarantees);
 }
 
+void
+DispatchRunner::OnRecordedEnds(std::span<const ReadEndRecord> aRecords)
+{
+  {
+    const LoadMonitor::Measurement measurement(this->load,
+                                               DecisionWork::RecordedEnds);
+    for (const auto& [offset, record] : aRecords) {
+      this->ExecuteEffects(
+        this->dispatcher->OnRecordedEnds(record, offset, this->Now()));
+    }
+  }
+  this->FinishBatch();
+}
+
+void
+DispatchRunner::OnEndsConfirmed(base::TimePoint aAsOf)
+{
+  this->ExecuteEffects(this->dispatcher->OnEndsConfirmed(aAsOf, this->Now()));
+  this->FinishBatch();
+}
+
 dispatch::ClockReading
 DispatchRunner::Now() const
 {
@@ -389,6 +414,11 @@
       for (const auto& step : forget->steps) {
         this->QueueRecord({ ledger::StepKey(step), {} });
       }
+    } else if (const auto* deletion =
+                 std::get_if<dispatch::DeleteEndRecord>(&effect)) {
+      this->endRecords.Delete(deletion->offset);
+    } else if (std::holds_alternative<dispatch::ConfirmEnds>(effect)) {
+      this->endRecords.Confirm();
     }
   }
   this->WriteNext();
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -2,6 +2,7 @@
 
 #include "AgentSessions.h"
 #include "DecisionLog.h"
+#include "EndRecords.h"
 #include "LoadMonitor.h"
 #include "RecordForwarder.h"
 #include "amaranthwind/coordinator/Coordinator.h"
@@ -26,7 +27,7 @@
  * sends its orders to the agents. Confined to one executor; after destruction
  * no callback of the term has an effect.
  */
-class DispatchRunner
+class DispatchRunner final : private EndRecordObserver
 {
 public:
   /** @param aOnFenced Called when another coordinator writes, which ends the
@@ -41,8 +42,9 @@
                  AgentSessions& aSessions,
                  DecisionLog& aDecisions,
                  LoadMonitor& aLoad,
+                 EndRecordLog& aEndRecordLog,
                  std::function<void()> aOnFenced);
-  ~DispatchRunner();
+  ~DispatchRunner() override;
   DispatchRunner(const DispatchRunner&) = delete;
   DispatchRunner& operator=(const DispatchRunner&) = delete;
 
@@ -113,6 +115,8 @@
     base::TimePoint decidedAt{};
   };
 
+  void OnRecordedEnds(std::span<const ReadEndRecord> aRecords) override;
+  void OnEndsConfirmed(base::TimePoint aAsOf) override;
   void ExecuteEffects(dispatch::Effects aEffects);
   /** Queues the record until the next append that has room for it. */
   void QueueRecord(journal::KeyedValue aRecord, std::uint64_t aVersion = 0);
@@ -147,6 +151,7 @@
   /** Largest record that the log takes, see journal::SizeOf(). */
   const std::size_t maxRecordBytes;
   std::unique_ptr<journal::FencedWriter> writer;
+  EndRecords endRecords;
   /** In the order in which they must become durable. */
   std::deque<UnwrittenRecord> unwritten;
   /** Submitted records that wait for the append under way. */
--- a/libs/coordinator/src/LoadMonitor.cpp
+++ b/libs/coordinator/src/LoadMonitor.cpp
@@ -14,7 +14,7 @@
                                               0.03,   0.1,   0.3,   1.0,
                                               2.0,    4.0,   8.0,   15.0 };
 constexpr std::array<std::string_view, kDecisionWorkCount> kWorkNames{
-  "report", "outcome", "record", "persisted", "tick", "pass", "encode"
+  "report", "outcome", "record", "persisted", "tick", "pass", "encode", "ends"
 };
 constexpr base::Duration kSummaryInterval = 2s;
 /** Queueing time from which messages are handled too late to answer in time. */
--- a/libs/coordinator/src/LoadMonitor.h
+++ b/libs/coordinator/src/LoadMonitor.h
@@ -23,9 +23,10 @@
   Tick,
   Pass,
   Encode,
+  RecordedEnds,
 };
 
-inline constexpr std::size_t kDecisionWorkCount = 7;
+inline constexpr std::size_t kDecisionWorkCount = 8;
 
 /**
  * Measures how busy and how late the decision thread is. The functions for the
--- a/libs/dispatch/benchmark/FleetSimulation.cpp
+++ b/libs/dispatch/benchmark/FleetSimulation.cpp
@@ -378,6 +378,7 @@
     this->ExecuteEffects(aEffects);
     const ClockReading now = this->Now();
     this->ExecuteEffects(this->dispatcher->OnJobsConfirmed(now.now, now));
+    this->ExecuteEffects(this->dispatcher->OnEndsConfirmed(now.now, now));
     if (this->dispatcher->NeedsSchedule(now)) {
       this->ExecuteEffects(this->dispatcher->Schedule(this->Now()));
     }
--- a/libs/dispatch/benchmark/PassBenchmark.cpp
+++ b/libs/dispatch/benchmark/PassBenchmark.cpp
@@ -171,6 +171,7 @@
                  this->now,
                  MakeLearner(isLearned, aWorkers, this->now.now))
   {
+    this->dispatcher.OnEndsConfirmed(this->now.now, this->now);
     for (std::uint32_t i = 0; i < aWorkers; ++i) {
       WorkerReport report;
       report.agent = base::AgentId("vm-" + std::to_string(i));
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/Ids.h"
+#include "amaranthwind/dispatch/EndRecord.h"
 #include "amaranthwind/dispatch/Packing.h"
 #include "amaranthwind/dispatch/WorkerReport.h"
 #include "amaranthwind/estimation/RunTimeLearner.h"
@@ -146,12 +147,30 @@
   std::vector<job::StepId> steps;
 };
 
+/**
+ * The record of ends that OnRecordedEnds() was given with this offset may be
+ * deleted, since everything that its ends have changed is durable.
+ */
+struct DeleteEndRecord
+{
+  base::LogOffset offset;
+};
+
+/**
+ * A run was released without an end. Asks for a call of OnEndsConfirmed() with
+ * the present time or a later one, for which its task waits.
+ */
+struct ConfirmEnds
+{};
+
 using Effect = std::variant<PersistStep,
                             PersistBegin,
                             StartTask,
                             StopTask,
                             AcknowledgeEnds,
-                            ForgetJob>;
+                            ForgetJob,
+                            DeleteEndRecord,
+                            ConfirmEnds>;
 using Effects = std::vector<Effect>;
 
 /** The run time of a completed run and what was expected before it started. */
@@ -232,6 +251,11 @@
  * evacuations where zones can be evacuated, are known as of a recent moment;
  * see OnJobsConfirmed() and OnEvacuations().
  *
+ * The agent of a lost worker may have recorded an end that it could not report.
+ * A task whose run was released without an end is therefore placed again only
+ * once the recorded ends are known as of its release, and no task is placed
+ * before they were confirmed at all; see OnEndsConfirmed().
+ *
  * Owns no thread and reads no clock. Not thread-safe.
  */
 class Dispatcher
@@ -273,6 +297,19 @@
                     const job::TaskRun& aRun,
                     OrderOutcome aOutcome,
                     const ClockReading& aNow);
+  /**
+   * Handles ends that an agent has recorded. They may also be reported, before
+   * or afterwards, and a record may be handled any number of times.
+   * @param aOffset Identifies the record in DeleteEndRecord.
+   */
+  Effects OnRecordedEnds(const EndRecord& aRecord,
+                         base::LogOffset aOffset,
+                         const ClockReading& aNow);
+  /**
+   * OnRecordedEnds() was called for all records acknowledged before this time,
+   * which must be after the previous coordinators were fenced off.
+   */
+  Effects OnEndsConfirmed(base::TimePoint aAsOf, const ClockReading& aNow);
   Effects OnPersisted(std::uint64_t aVersion, const ClockReading& aNow);
   /**
    * The previous coordinator is known to issue no more grants; those that it
@@ -296,7 +333,8 @@
 
   /**
    * Whether a scheduling pass could place tasks since the last one. False while
-   * the jobs or the evacuations are not known as of a recent moment.
+   * the jobs or the evacuations are not known as of a recent moment, and until
+   * the recorded ends are confirmed.
    */
   bool NeedsSchedule(const ClockReading& aNow);
   /** Runs a scheduling pass, which places and preempts tasks. */
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -64,6 +64,8 @@
   base::TimePoint stopRequestedAt{};
   /** When the latest failed run ended. */
   base::TimePoint failedAt{};
+  /** When its latest run was released without an end. */
+  base::TimePoint releasedAt{};
   /** Number of times it was preempted. */
   std::uint32_t preemptions = 0;
   /** Placed by a previous coordinator and not reported since. */
@@ -171,6 +173,11 @@
   std::size_t awaitedBytes = 0;
   /** Number of the latest end that was handled. */
   std::uint64_t lastEnd = 0;
+  /**
+   * Runs whose recorded end was handled, and when: a report that was sent
+   * before may still list them as running.
+   */
+  std::map<job::TaskRun, base::TimePoint> recordedEnds;
 
   /** Whether another start may be ordered now. */
   bool HasRoomForStart() const noexcept;
@@ -415,6 +422,7 @@
    * its next life, or of none, releases the tasks of the life that was known.
    */
   void HandlePastEnds(Worker& aWorker, const WorkerReport& aReport);
+  void HandleRecordedEnds(const EndRecord& aRecord);
   /** aLife is that of the run, which may be over; aWorker may have none. */
   void HandleEnd(Worker& aWorker,
                  const ledger::WorkerIncarnation& aLife,
@@ -430,6 +438,11 @@
    */
   Task* TakeCompletedTask(const ledger::WorkerIncarnation& aLife,
                           const job::TaskRun& aCompleted);
+  /**
+   * Handles the running tasks of a report except those that have ended by a
+   * record that is newer than the report.
+   */
+  void HandleAllRunning(Worker& aWorker, const WorkerReport& aReport);
   void HandleRunning(Worker& aWorker, const RunningTask& aRunning);
   /** A run of the job has begun, whatever became of it since. */
   void NoteBegun(const base::JobId& aJob);
@@ -463,6 +476,11 @@
                          const job::TaskRun& aRun,
                          const fleet::TaskResources& aNeed);
   bool ReleaseResources(Worker& aWorker, const job::TaskRun& aRun);
+  /**
+   * The task's run is released without an end, which may have been recorded;
+   * the task waits until that is known.
+   */
+  void ReleaseWithoutEnd(Task& aTask);
   void MarkLost(Step& aStep, std::uint32_t aIndex, std::string_view aReason);
   void RequestStop(Step& aStep, std::uint32_t aIndex, std::string_view aReason);
   OrderNumber NextOrder();
@@ -569,6 +587,7 @@
   /** The placement is still to be ordered. */
   bool IsToBeStarted(const job::TaskRun& aRun);
   void OrderStart(const job::TaskRun& aRun);
+  /** Acknowledges reported ends and releases recorded ones for deletion. */
   void AcknowledgeDurableEnds();
 
   // The scheduling pass (Scheduling.cpp).
@@ -578,6 +597,8 @@
   void UpdateGuaranteedJobs();
   bool MayPreempt(const Candidate& aCandidate) const;
   bool IsReady(Job& aJob, const Step& aStep);
+  /** The idle tasks that may be placed again by what is known of their ends. */
+  std::vector<std::uint32_t> IdleTasks(const Step& aStep) const;
   bool PlaceGang(const Candidate& aCandidate, const UsableWorkers& aUsable);
   /** Chooses workers for a gang, the fastest that have room for all of it. */
   std::vector<std::uint32_t> PackGang(const Candidate& aCandidate,
@@ -707,6 +728,13 @@
   std::vector<AcknowledgeEnds> unwrittenAcks;
   /** With the version of the last record that must be durable before. */
   std::deque<std::pair<std::uint64_t, AcknowledgeEnds>> pendingAcks;
+  /** As unwrittenAcks and pendingAcks, for the records of ends. */
+  std::vector<DeleteEndRecord> unwrittenDeletions;
+  std::deque<std::pair<std::uint64_t, DeleteEndRecord>> pendingDeletions;
+  /** All ends recorded before this time were handled; empty if unconfirmed. */
+  std::optional<base::TimePoint> endsAsOf;
+  /** When a run was last released without an end. */
+  base::TimePoint lastReleaseAt{};
   OrderNumber lastOrder;
 
   // State of the current scheduling pass.
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -117,6 +117,29 @@
   return call.Finish();
 }
 
+Effects
+Dispatcher::OnRecordedEnds(const EndRecord& aRecord,
+                           base::LogOffset aOffset,
+                           const ClockReading& aNow)
+{
+  CallScope call(this->state->callTime, this->state->effects, aNow);
+  this->state->HandleRecordedEnds(aRecord);
+  this->state->unwrittenDeletions.push_back({ aOffset });
+  return call.Finish();
+}
+
+Effects
+Dispatcher::OnEndsConfirmed(base::TimePoint aAsOf, const ClockReading& aNow)
+{
+  CallScope call(this->state->callTime, this->state->effects, aNow);
+  auto& known = this->state->endsAsOf;
+  if (!known || *known < this->state->lastReleaseAt) {
+    this->state->mustSchedule = true;
+  }
+  known = std::max(known.value_or(aAsOf), aAsOf);
+  return call.Finish();
+}
+
 Effects
 Dispatcher::OnPersisted(std::uint64_t aVersion, const ClockReading& aNow)
 {
@@ -176,7 +199,8 @@
 Dispatcher::NeedsSchedule(const ClockReading& aNow)
 {
   this->state->callTime = aNow;
-  return this->state->mustSchedule && this->state->AreInputsRecent();
+  return this->state->mustSchedule && this->state->endsAsOf.has_value() &&
+         this->state->AreInputsRecent();
 }
 
 Effects
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -331,6 +331,9 @@
   for (auto& ack : std::exchange(this->unwrittenAcks, {})) {
     this->pendingAcks.emplace_back(this->lastVersion, std::move(ack));
   }
+  for (const auto& deletion : std::exchange(this->unwrittenDeletions, {})) {
+    this->pendingDeletions.emplace_back(this->lastVersion, deletion);
+  }
 }
 
 void
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -39,18 +39,6 @@
 /** Maximum number of blocked steps of a pool with reserved resources. */
 constexpr std::size_t kMaxReservations = 2;
 
-std::vector<std::uint32_t>
-IdleTasks(const Step& aStep)
-{
-  std::vector<std::uint32_t> idle;
-  for (std::uint32_t i = 0; i < aStep.tasks.size(); ++i) {
-    if (aStep.tasks[i].phase == Phase::Idle) {
-      idle.push_back(i);
-    }
-  }
-  return idle;
-}
-
 double
 Fraction(std::uint64_t aUsed, std::uint64_t aTotal)
 {
@@ -220,6 +208,20 @@
     });
 }
 
+std::vector<std::uint32_t>
+Dispatcher::State::IdleTasks(const Step& aStep) const
+{
+  std::vector<std::uint32_t> idle;
+  for (std::uint32_t i = 0; i < aStep.tasks.size(); ++i) {
+    const Task& task = aStep.tasks[i];
+    if (task.phase == Phase::Idle && this->endsAsOf &&
+        task.releasedAt <= *this->endsAsOf) {
+      idle.push_back(i);
+    }
+  }
+  return idle;
+}
+
 std::vector<Candidate>
 Dispatcher::State::CollectCandidates()
 {
@@ -242,7 +244,7 @@
       }
       for (std::uint32_t s = 0; s < job.spec->steps.size(); ++s) {
         Step& step = this->EnsureStep(job, k, s);
-        auto idle = IdleTasks(step);
+        auto idle = this->IdleTasks(step);
         const bool allTasksIdle = idle.size() == step.tasks.size();
         if (idle.empty() || (job.spec->steps[s].isGang && !allTasksIdle) ||
             !this->IsReady(job, step)) {
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -130,9 +130,7 @@
     lastEnd = std::max(lastEnd, end.number);
   }
   worker.lastEnd = std::max(worker.lastEnd, lastEnd);
-  for (const auto& running : aReport.running) {
-    this->HandleRunning(worker, running);
-  }
+  this->HandleAllRunning(worker, aReport);
   if (!aReport.mayHaveMoreEnds) {
     this->Reconcile(worker, aReport);
   }
@@ -230,6 +228,34 @@
   }
 }
 
+void
+Dispatcher::State::HandleRecordedEnds(const EndRecord& aRecord)
+{
+  Worker unknown;
+  unknown.agent = aRecord.agent;
+  const auto found = this->workers.find(aRecord.agent);
+  Worker& worker = found == this->workers.end() ? unknown : found->second;
+  for (const auto& end : aRecord.ends) {
+    const Task* task = this->FindRun(end.run);
+    if (task != nullptr && task->phase == Phase::Done) {
+      continue;
+    }
+    const job::StepSpec* spec = this->SpecOf(end.run.task.step);
+    const bool isOnThisLife = task != nullptr && task->IsOnWorker() &&
+                              task->incarnation == aRecord.life;
+    const bool completes =
+      spec != nullptr && !spec->isLongRunning && end.kind == EndKind::Done;
+    if (!isOnThisLife && !completes) {
+      continue;
+    }
+    this->HandleEnd(worker, aRecord.life, end);
+    if (worker.info && worker.info->life == aRecord.life) {
+      worker.lastEnd = std::max(worker.lastEnd, end.number);
+      worker.recordedEnds.emplace(end.run, this->callTime.now);
+    }
+  }
+}
+
 void
 Dispatcher::State::HandleEnd(Worker& aWorker,
                              const ledger::WorkerIncarnation& aLife,
@@ -288,6 +314,7 @@
   if (aEnd.kind == EndKind::Done && !spec.isLongRunning) {
     aWorker.failureStreak = 0;
     task->phase = Phase::Done;
+    task->phaseStartedAt = this->callTime.now;
     if (spec.isGang) {
       // The end of one member completes the gang. The resources of the others
       // are released when their own ends are reported.
@@ -413,6 +440,23 @@
   }
 }
 
+void
+Dispatcher::State::HandleAllRunning(Worker& aWorker,
+                                    const WorkerReport& aReport)
+{
+  std::map<job::TaskRun, base::TimePoint> outdated;
+  for (const auto& running : aReport.running) {
+    const auto ended = aWorker.recordedEnds.find(running.run);
+    if (ended != aWorker.recordedEnds.end() &&
+        this->callTime.now - ended->second < this->options.stopRetryInterval) {
+      outdated.insert(*ended);
+    } else {
+      this->HandleRunning(aWorker, running);
+    }
+  }
+  aWorker.recordedEnds = std::move(outdated);
+}
+
 void
 Dispatcher::State::HandleRunning(Worker& aWorker, const RunningTask& aRunning)
 {
@@ -609,6 +653,7 @@
   aWorker.readyStarts.clear();
   aWorker.awaitedStarts.clear();
   aWorker.awaitedBytes = 0;
+  aWorker.recordedEnds.clear();
   for (const auto& [run, need] : allocations) {
     Task* task = this->FindRun(run);
     if (task != nullptr && task->IsOnWorker() &&
@@ -695,7 +740,7 @@
     return;
   }
   Step& step = *this->FindStep(aRun.task.step);
-  task->phase = Phase::Idle;
+  this->ReleaseWithoutEnd(*task);
   this->MarkDirty(step);
   if (this->SpecOf(step.id)->isGang) {
     this->StopGangMembers(step, aRun.run, "gang member did not start");
@@ -740,13 +785,24 @@
   return true;
 }
 
+void
+Dispatcher::State::ReleaseWithoutEnd(Task& aTask)
+{
+  aTask.phase = Phase::Idle;
+  aTask.releasedAt = this->callTime.now;
+  if (this->lastReleaseAt != this->callTime.now) {
+    this->lastReleaseAt = this->callTime.now;
+    this->effects.emplace_back(ConfirmEnds{});
+  }
+}
+
 void
 Dispatcher::State::MarkLost(Step& aStep,
                             std::uint32_t aIndex,
                             std::string_view aReason)
 {
   Task& task = aStep.tasks[aIndex];
-  task.phase = Phase::Idle;
+  this->ReleaseWithoutEnd(task);
   this->MarkDirty(aStep);
   this->mustSchedule = true;
   this->observer.OnLost({ { aStep.id, aIndex }, task.run }, aReason);
@@ -969,6 +1025,11 @@
     this->effects.emplace_back(std::move(this->pendingAcks.front().second));
     this->pendingAcks.pop_front();
   }
+  while (!this->pendingDeletions.empty() &&
+         this->pendingDeletions.front().first <= this->persistedVersion) {
+    this->effects.emplace_back(this->pendingDeletions.front().second);
+    this->pendingDeletions.pop_front();
+  }
 }
 
 } // namespace amaranthwind::dispatch
--- a/libs/dispatch/tests/DispatcherHarness.cpp
+++ b/libs/dispatch/tests/DispatcherHarness.cpp
@@ -156,6 +156,10 @@
                         agent.ended.upper_bound(ack->number));
     } else if (const auto* forget = std::get_if<ForgetJob>(&effect)) {
       this->forgotten.push_back(*forget);
+    } else if (const auto* deletion = std::get_if<DeleteEndRecord>(&effect)) {
+      this->deletedEndRecords.push_back(deletion->offset);
+    } else if (std::holds_alternative<ConfirmEnds>(effect)) {
+      ++this->endConfirmations;
     }
   }
   if (this->persistsImmediately) {
@@ -178,6 +182,19 @@
   }
 }
 
+void
+DispatcherHarness::HandleRecord(const EndRecord& aRecord,
+                                base::LogOffset aOffset)
+{
+  this->Finish(this->dispatcher->OnRecordedEnds(aRecord, aOffset, this->now));
+}
+
+void
+DispatcherHarness::KnowEnds(base::TimePoint aAsOf)
+{
+  this->Finish(this->dispatcher->OnEndsConfirmed(aAsOf, this->now));
+}
+
 void
 DispatcherHarness::DeliverOrders(const std::string& aAgent)
 {
@@ -248,6 +265,10 @@
     this->ExecuteEffects(
       this->dispatcher->OnJobsConfirmed(this->now.now, this->now));
   }
+  if (this->areEndsConfirmed) {
+    this->ExecuteEffects(
+      this->dispatcher->OnEndsConfirmed(this->now.now, this->now));
+  }
   if (this->areEvacuationsConfirmed) {
     this->ExecuteEffects(this->dispatcher->OnEvacuations(
       this->evacuated, this->now.now, this->now));
--- a/libs/dispatch/tests/DispatcherHarness.h
+++ b/libs/dispatch/tests/DispatcherHarness.h
@@ -88,6 +88,9 @@
   void Report(const std::string& aAgent);
   WorkerReport MakeReport(const std::string& aAgent) const;
   void Handle(const WorkerReport& aReport, SessionId aSession);
+  void HandleRecord(const EndRecord& aRecord, base::LogOffset aOffset);
+  /** The ends recorded before this time were read. */
+  void KnowEnds(base::TimePoint aAsOf);
   /** Delivers the orders that the agent's connection has delayed. */
   void DeliverOrders(const std::string& aAgent);
   /** The agent connects again; orders that were not delivered are lost. */
@@ -201,6 +204,9 @@
   /** Why done ends were ignored. */
   std::vector<std::string> ignoredEnds;
   std::vector<AcknowledgeEnds> acknowledgements;
+  std::vector<base::LogOffset> deletedEndRecords;
+  /** Number of requests to confirm the recorded ends. */
+  int endConfirmations = 0;
   std::vector<RunTimeOutcome> runTimes;
   std::optional<estimation::LearnedSummary> Learned() const
   {
@@ -217,6 +223,8 @@
   bool persistsImmediately = true;
   /** The log was read to its end before each event. */
   bool areJobsConfirmed = true;
+  /** The recorded ends were read to their end before each event. */
+  bool areEndsConfirmed = true;
   /** The evacuations were read to their end before each event. */
   bool areEvacuationsConfirmed = true;
   ClockReading now{ base::TimePoint{ std::chrono::hours(1) },
