Count a recorded failure whose run was released before

A coordinator that takes a worker for lost confirms the recorded ends only then. A failed end that it reads so was ignored, since the task was off the worker already, and the task got one attempt more.

Tests for failures of a released run and of several gang members, and for deletions by a former coordinator that was frozen.

--- a/libs/coordinator/tests/EndRecordsTest.cpp
+++ b/libs/coordinator/tests/EndRecordsTest.cpp
@@ -263,6 +263,39 @@
   CHECK(end.Phase(next) == ledger::JobPhase::Completed);
 }
 
+// Guards against the loss of an end by the deletion of a coordinator that was
+// frozen and wakes up after its successor has begun.
+TEST_CASE("a late deletion by a former coordinator loses no end")
+{
+  RecordedEnd end;
+  const journal::KeyedRecord record =
+    end.fleet.log.PartitionOf(kTopic).newest.begin()->second;
+  end.entry.Thaw();
+  end.fleet.Run(200ms);
+  REQUIRE(end.Phase(end.entry) == ledger::JobPhase::Completed);
+  REQUIRE(end.Kept() == 1);
+  end.entry.Freeze();
+  EntryProcess& next = end.fleet.Start("f", 2);
+  SUBCASE("that comes before the successor's") {}
+  SUBCASE("that comes after the successor's")
+  {
+    end.fleet.Run(6s);
+    REQUIRE(end.Kept() == 0);
+    // The agent had no answer to its append and repeats it.
+    Append(end.fleet.log, { record.key, record.value });
+  }
+  end.fleet.Run(2s);
+  end.entry.Thaw();
+  end.fleet.Run(3s);
+  REQUIRE(end.fleet.Holder() == "f");
+  CHECK(end.Kept() == 0);
+  ReportingAgent other(end.fleet, "other");
+  other.Connect(next);
+  other.Run(20s);
+  CHECK(other.starts.empty());
+  CHECK(end.Phase(next) == ledger::JobPhase::Completed);
+}
+
 // Guards against ends that are dropped since no dispatcher exists yet, and
 // against a term that relies on a view from before it has fenced off others.
 TEST_CASE("records are kept until the term begins and views are not")
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -64,7 +64,7 @@
   base::TimePoint stopRequestedAt{};
   /** When the latest failed run ended. */
   base::TimePoint failedAt{};
-  /** When its latest run was released without an end. */
+  /** When its latest run was released without an end; zero if it was not. */
   base::TimePoint releasedAt{};
   /** Number of times it was preempted. */
   std::uint32_t preemptions = 0;
@@ -423,6 +423,11 @@
    */
   void HandlePastEnds(Worker& aWorker, const WorkerReport& aReport);
   void HandleRecordedEnds(const EndRecord& aRecord);
+  /**
+   * Counts the recorded failure of a run that was released before the record
+   * was read.
+   */
+  void CountReleasedFailure(Worker& aWorker, const EndedTask& aEnd);
   /** aLife is that of the run, which may be over; aWorker may have none. */
   void HandleEnd(Worker& aWorker,
                  const ledger::WorkerIncarnation& aLife,
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -596,6 +596,7 @@
     task.phaseStartedAt = this->callTime.now;
     task.startedAt = this->callTime.now;
     task.isInherited = false;
+    task.releasedAt = {};
     const job::TaskRun run{ { step.id, aTasks[i] }, task.run };
     const fleet::TaskResources usedBefore = worker.used;
     this->AllocateResources(worker, run, RequiredResources(spec));
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -240,6 +240,12 @@
     if (task != nullptr && task->phase == Phase::Done) {
       continue;
     }
+    if (task != nullptr && task->phase == Phase::Idle &&
+        task->releasedAt != base::TimePoint{} &&
+        task->incarnation == aRecord.life && end.kind == EndKind::Failed) {
+      this->CountReleasedFailure(worker, end);
+      continue;
+    }
     const job::StepSpec* spec = this->SpecOf(end.run.task.step);
     const bool isOnThisLife = task != nullptr && task->IsOnWorker() &&
                               task->incarnation == aRecord.life;
@@ -256,6 +262,26 @@
   }
 }
 
+void
+Dispatcher::State::CountReleasedFailure(Worker& aWorker, const EndedTask& aEnd)
+{
+  Step& step = *this->FindStep(aEnd.run.task.step);
+  const std::uint32_t index = aEnd.run.task.index;
+  Job& job = *this->FindJob(step.id.job);
+  const job::StepSpec& spec = job.spec->steps[step.id.step];
+  step.tasks[index].releasedAt = {};
+  this->mustSchedule = true;
+  if (spec.isLongRunning || (spec.isGang && step.failedRun == aEnd.run.run)) {
+    return;
+  }
+  step.failedRun = aEnd.run.run;
+  this->RecordTaskFailure(aWorker, step, index);
+  this->MarkDirty(step);
+  this->observer.OnEnded(
+    aEnd.run, aWorker.agent, aEnd.kind, step.tasks[index].failures);
+  this->UpdateJobOutcome(job);
+}
+
 void
 Dispatcher::State::HandleEnd(Worker& aWorker,
                              const ledger::WorkerIncarnation& aLife,
--- a/libs/dispatch/tests/RecordedEndsTest.cpp
+++ b/libs/dispatch/tests/RecordedEndsTest.cpp
@@ -188,7 +188,8 @@
   CHECK(harness.Phase("j") == JobPhase::Completed);
 }
 
-// Guards against a record that stays in the log for good.
+// Guards against a record that stays in the log for good, and against a log
+// line for each end that a new coordinator reads again.
 TEST_CASE("a record of ends that are known is deleted at once")
 {
   RunningJob job;
@@ -196,6 +197,11 @@
   const EndRecord record = job.Record(EndKind::Done);
   harness.EndAll("j", EndKind::Done);
   REQUIRE(harness.Phase("j") == JobPhase::Completed);
+  SUBCASE("to the coordinator that has handled their report") {}
+  SUBCASE("to its successor")
+  {
+    harness.TakeOver();
+  }
   harness.HandleRecord(record, kOffset);
   CHECK(harness.deletedEndRecords == std::vector{ kOffset });
   CHECK(harness.ignoredEnds.empty());
@@ -260,6 +266,17 @@
     harness.TakeOver();
     harness.HandleRecord(record, kOffset);
   }
+  SUBCASE("record twice after the worker was lost")
+  {
+    isReported = false;
+    harness.areEndsConfirmed = false;
+    harness.now.now += 1ms;
+    harness.agents.at(job.agent).isReporting = false;
+    harness.Run(20s);
+    harness.HandleRecord(record, kOffset);
+    harness.HandleRecord(record, base::LogOffset(6));
+    harness.areEndsConfirmed = true;
+  }
   SUBCASE("record after a takeover only")
   {
     isReported = false;
@@ -279,6 +296,30 @@
   CHECK(harness.starts.size() == 2);
 }
 
+// Guards against a gang that uses up its attempts in one run, since several of
+// its members fail and each end comes in two ways.
+TEST_CASE("recorded failures of several members of a gang count once")
+{
+  DispatcherHarness harness(2);
+  job::WorkflowSpec spec = DispatcherHarness::MakeJob("gang", 2, 8);
+  spec.steps[0].isGang = true;
+  harness.Submit(spec);
+  const auto runs = harness.Running("gang");
+  REQUIRE(runs.size() == 2);
+  const EndRecord first = MakeRecord(harness, runs[0], EndKind::Failed);
+  const EndRecord second = MakeRecord(harness, runs[1], EndKind::Failed);
+  harness.End(runs[0], EndKind::Failed);
+  harness.End(runs[1], EndKind::Failed);
+  harness.HandleRecord(first, kOffset);
+  harness.HandleRecord(second, base::LogOffset(6));
+  harness.Run(3s);
+  REQUIRE(harness.starts.size() == 4);
+  CHECK(harness.Phase("gang") == JobPhase::Running);
+  harness.EndAll("gang", EndKind::Failed);
+  harness.Run(3s);
+  CHECK(harness.Phase("gang") == JobPhase::Failed);
+}
+
 // Guards against other writers, and agents whose record is late, that change
 // tasks which are not theirs or take the coordinator down.
 TEST_CASE("an odd record of ends changes nothing and is deleted")
