Agent records ends that no coordinator acknowledges in time

An end is durable only with the coordinator's record of its step. That takes up to 167 ms with a coordinator on a small entry and longer during a hand-over, and if all VMs lose power meanwhile, the task runs again. An agent therefore appends a done or failed end to the topic "ends" once it has been unacknowledged for 40 ms. Nothing reads the topic yet.

EndRecorder decides, KeyedEndLog encodes and appends.

The lines on acknowledged ends tell their number, how many of them were recorded and the time since the oldest was listed. Metrics: the time from listing to acknowledgement, and the number of recorded ends.

--- a/libs/agent/include/amaranthwind/agent/WorkerAgent.h
+++ b/libs/agent/include/amaranthwind/agent/WorkerAgent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "amaranthwind/agent/EndRecorder.h"
 #include "amaranthwind/agent/WorkerPort.h"
 #include "amaranthwind/base/Clock.h"
 #include "amaranthwind/base/Executor.h"
@@ -38,6 +39,8 @@
   std::size_t unacknowledgedEnds = 0;
   /** Of lives of the worker that are over. */
   std::size_t pastEnds = 0;
+  /** Neither acknowledged nor recorded, of all lives. */
+  std::size_t unrecordedEnds = 0;
   base::FencingToken token;
 };
 
@@ -62,6 +65,7 @@
               base::Executor& aExecutor,
               WorkerPort& aWorker,
               CoordinatorPort& aCoordinator,
+              EndRecorder& aEndRecorder,
               telemetry::Logger& aLogger);
   ~WorkerAgent();
   WorkerAgent(const WorkerAgent&) = delete;
--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -400,6 +400,7 @@
         : std::pair(this->unacknowledgedEnds.end(), false);
     if (isNew) {
       hasChanges = true;
+      this->endRecorder.OnListed(this->workerInfo->life, end);
       this->LimitCheckpoint(end.run, added->second.checkpoint);
       this->logger.Info("task ended",
                         { { "task", ToLogText(end.run) },
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -89,12 +89,14 @@
         base::Executor& aExecutor,
         WorkerPort& aWorker,
         CoordinatorPort& aCoordinator,
+        EndRecorder& aEndRecorder,
         telemetry::Logger& aLogger)
     : options(aOptions)
     , clock(aClock)
     , executor(aExecutor)
     , worker(aWorker)
     , coordinator(aCoordinator)
+    , endRecorder(aEndRecorder)
     , logger(aLogger)
   {
   }
@@ -232,6 +234,7 @@
   base::Executor& executor;
   WorkerPort& worker;
   CoordinatorPort& coordinator;
+  EndRecorder& endRecorder;
   telemetry::Logger& logger;
   bool isStopped = false;
 
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -25,12 +25,14 @@
                          base::Executor& aExecutor,
                          WorkerPort& aWorker,
                          CoordinatorPort& aCoordinator,
+                         EndRecorder& aEndRecorder,
                          telemetry::Logger& aLogger)
   : state(std::make_shared<State>(aOptions,
                                   aClock,
                                   aExecutor,
                                   aWorker,
                                   aCoordinator,
+                                  aEndRecorder,
                                   aLogger))
 {
 }
@@ -165,6 +167,10 @@
                                std::uint64_t aNumber)
 {
   State& self = *this->state;
+  const AcknowledgedEnds ends =
+    self.endRecorder.OnAcknowledged(aIncarnation, aNumber);
+  const auto sinceListed =
+    std::chrono::duration_cast<std::chrono::milliseconds>(ends.sinceListed);
   if (!self.workerInfo || self.workerInfo->life != aIncarnation) {
     const std::size_t count = self.pastEnds.Acknowledge(aIncarnation, aNumber);
     if (count > 0) {
@@ -173,6 +179,8 @@
                          { "born", aIncarnation.born },
                          { "number", aNumber },
                          { "count", count },
+                         { "recorded", ends.recorded },
+                         { "sinceListedMs", sinceListed.count() },
                          { "token", self.token } });
     }
     return;
@@ -183,6 +191,9 @@
   self.logger.Info("ends acknowledged",
                    { { "worker", aIncarnation.id },
                      { "number", aNumber },
+                     { "count", ends.count },
+                     { "recorded", ends.recorded },
+                     { "sinceListedMs", sinceListed.count() },
                      { "token", self.token } });
   self.lastAcknowledgedEnd = aNumber;
   self.unacknowledgedEnds.erase(self.unacknowledgedEnds.begin(),
@@ -269,9 +280,13 @@
 WorkerAgent::Status() const
 {
   const State& self = *this->state;
-  return { self.workerInfo.has_value(), self.IsGranted(),
-           self.listedTasks.size(),     self.unacknowledgedEnds.size(),
-           self.pastEnds.Size(),        self.token };
+  return { self.workerInfo.has_value(),
+           self.IsGranted(),
+           self.listedTasks.size(),
+           self.unacknowledgedEnds.size(),
+           self.pastEnds.Size(),
+           self.endRecorder.Unrecorded(),
+           self.token };
 }
 
 } // namespace amaranthwind::agent
--- a/libs/agent/tests/CoordinatorLinkTest.cpp
+++ b/libs/agent/tests/CoordinatorLinkTest.cpp
@@ -1,4 +1,5 @@
 #include "amaranthwind/agent/CoordinatorLink.h"
+#include "amaranthwind/agent/KeyedEndLog.h"
 
 #include "amaranthwind/base/ManualExecutor.h"
 #include "amaranthwind/codec/ClaimCodec.h"
@@ -136,8 +137,16 @@
   SlowCoordinator coordinator(executor, 2500ms);
   UnusedWorker worker;
   CoordinatorLink link(clock, executor, coordinator.MakePorts(), log, logger);
-  WorkerAgent agent(
-    { .id = base::AgentId("vm") }, clock, executor, worker, link, logger);
+  telemetry::Metrics metrics;
+  KeyedEndLog endLog(log);
+  EndRecorder endRecorder({}, clock, executor, endLog, logger, metrics);
+  WorkerAgent agent({ .id = base::AgentId("vm") },
+                    clock,
+                    executor,
+                    worker,
+                    link,
+                    endRecorder,
+                    logger);
   const journal::KeyedValue claim{
     std::string(membership::kLeaderKey),
     codec::EncodeClaim(
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -1,6 +1,9 @@
 #include "amaranthwind/agent/WorkerAgent.h"
 
+#include "amaranthwind/agent/KeyedEndLog.h"
 #include "amaranthwind/base/ManualExecutor.h"
+#include "amaranthwind/codec/EndRecordCodec.h"
+#include "amaranthwind/journal/testing/FakeKeyedLog.h"
 
 #include <doctest/doctest.h>
 
@@ -283,9 +286,19 @@
   FakeCoordinator coordinator;
   NullLogSink sink;
   telemetry::Logger logger{ sink, clock, "agent" };
-  WorkerAgent agent{
-    { .id = base::AgentId("vm") }, clock, executor, worker, coordinator, logger
+  telemetry::Metrics metrics;
+  journal::testing::FakeKeyedLog log;
+  KeyedEndLog endLog{ log };
+  EndRecorder endRecorder{
+    { .agent = base::AgentId("vm") }, clock, executor, endLog, logger, metrics
   };
+  WorkerAgent agent{ { .id = base::AgentId("vm") },
+                     clock,
+                     executor,
+                     worker,
+                     coordinator,
+                     endRecorder,
+                     logger };
 };
 
 using Outcomes = std::vector<OrderOutcome>;
@@ -382,6 +395,47 @@
   CHECK(fixture.coordinator.lastReport.pastEnds.empty());
 }
 
+// Guards against losing an end with all VMs, whatever becomes of its worker.
+TEST_CASE("an end that no coordinator acknowledges is recorded")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(1s);
+  fixture.coordinator.isReachable = false;
+  fixture.worker.EndRun(kRun, EndKind::Done);
+  for (int i = 0; i < 2000 && fixture.agent.Status().unacknowledgedEnds == 0;
+       ++i) {
+    fixture.executor.Advance(1ms);
+  }
+  REQUIRE(fixture.agent.Status().unacknowledgedEnds == 1);
+  fixture.executor.Advance(20ms);
+  const auto& newest = fixture.log.PartitionOf({ "ends", 0 }).newest;
+  REQUIRE(newest.empty());
+  SUBCASE("its life goes on") {}
+  SUBCASE("the worker was replaced")
+  {
+    fixture.worker.born = 200;
+    fixture.worker.ended.clear();
+    fixture.agent.OnRegistration(MakeWorker({ kIncarnation.id, 200 }), 1);
+  }
+  fixture.executor.Advance(20ms);
+  REQUIRE(newest.size() == 1);
+  const dispatch::EndRecord expected{ base::AgentId("vm"),
+                                      kIncarnation,
+                                      { { 1, kRun, EndKind::Done, {} } } };
+  CHECK(codec::DecodeEndRecord(newest.begin()->second.value).value() ==
+        expected);
+  CHECK(fixture.agent.Status().unrecordedEnds == 0);
+  // The worker keeps the end until a coordinator has acknowledged it.
+  fixture.Run(2s);
+  CHECK(fixture.worker.lastSeen == 0);
+  fixture.agent.OnEndAcknowledged(kIncarnation, 1);
+  fixture.Run(2s);
+  CHECK(fixture.log.PartitionOf({ "ends", 0 }).records.size() == 1);
+  CHECK(fixture.agent.Status().unacknowledgedEnds == 0);
+  CHECK(fixture.agent.Status().pastEnds == 0);
+}
+
 // Guards against an end that the worker keeps for ever.
 TEST_CASE("the ends of a life that goes on are those of the worker again")
 {
@@ -805,6 +859,7 @@
                         fixture.executor,
                         fixture.worker,
                         coordinator,
+                        fixture.endRecorder,
                         fixture.logger);
   fixture.agent.Stop();
   restarted.Start();
@@ -835,11 +890,16 @@
   FakeCoordinator coordinator;
   NullLogSink sink;
   telemetry::Logger logger(sink, clock, "agent");
+  telemetry::Metrics metrics;
+  journal::testing::FakeKeyedLog log;
+  KeyedEndLog endLog(log);
+  EndRecorder endRecorder({}, clock, executor, endLog, logger, metrics);
   WorkerAgent agent({ .id = base::AgentId("vm") },
                     clock,
                     executor,
                     worker,
                     coordinator,
+                    endRecorder,
                     logger);
   agent.Start();
   executor.Advance(2s);
@@ -867,6 +927,7 @@
                         fixture.executor,
                         fixture.worker,
                         coordinator,
+                        fixture.endRecorder,
                         fixture.logger);
   fixture.agent.Stop();
   restarted.Start();
@@ -1246,6 +1307,7 @@
                           fixture.executor,
                           fixture.worker,
                           coordinator,
+                          fixture.endRecorder,
                           fixture.logger);
     restarted.Start();
     restarted.OnRegistration(MakeWorker(late), 7);
--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -1,6 +1,7 @@
 #include "SimulatedCell.h"
 
 #include "DispatchRunner.h"
+#include "amaranthwind/agent/KeyedEndLog.h"
 #include "amaranthwind/membership/LeaderTopic.h"
 
 #include <algorithm>
@@ -1380,6 +1381,9 @@
   telemetry::Logger logger;
   WorkerLink worker;
   agent::CoordinatorLink link;
+  telemetry::Metrics metrics;
+  agent::KeyedEndLog endLog{ log };
+  agent::EndRecorder endRecorder;
   agent::WorkerAgent agent;
 };
 
@@ -1492,11 +1496,18 @@
            ? static_cast<journal::KeyedLog&>(log)
            : aCell.log,
          logger)
+  , endRecorder({ .agent = base::AgentId(aVm.name) },
+                aCell.time,
+                process,
+                endLog,
+                logger,
+                metrics)
   , agent({ .id = base::AgentId(aVm.name) },
           aCell.time,
           process,
           worker,
           link,
+          endRecorder,
           logger)
 {
   this->process.Post([this] {
