Log whether a worker's lease held when an end was listed

An end that is acknowledged after its run was given up is excused only if the worker's lease lapsed on its own clock in between, and no log told that. "task ended" now says by how much the worker's clock was past the latest deadline that this process gave it, and whether an earlier process, or a request to an earlier life under the same id, may have given a later one. A lapse that is certain has a line of its own, once for each deadline, with the ends that wait for their acknowledgement. It is looked for in the answers of the worker, before the lease is renewed and before ends are acknowledged.

--- a/libs/agent/src/AgentCommands.cpp
+++ b/libs/agent/src/AgentCommands.cpp
@@ -112,7 +112,7 @@
   late.life = this->workerInfo->life;
   late.sentAt = this->clock.Now();
   ++late.unanswered;
-  this->ExtendLeaseBound();
+  this->ExtendLeaseBound(*deadline);
   StartRequest request{ this->workerInfo->life.id,
                         aRun,
                         run.payload,
--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -37,6 +37,13 @@
 /** Well above the seconds that an unanswered request may take to arrive. */
 constexpr Duration kMaxRequestDelay = 30s;
 
+/** Formats a time in milliseconds, or "none". */
+std::string
+ToLogText(const std::optional<WorkerClockTime>& aTime)
+{
+  return aTime ? std::to_string(aTime->count()) : "none";
+}
+
 } // namespace
 
 void
@@ -56,6 +63,7 @@
 WorkerAgent::State::BeginIncarnation(const dispatch::WorkerInfo& aInfo)
 {
   this->EndIncarnation("replaced");
+  this->givenLease.BeginLife(aInfo.life.id == this->lastWorkerId);
   this->workerInfo = aInfo;
   this->registeredAt = this->clock.Now();
   this->incarnationStart = this->registeredAt;
@@ -247,9 +255,43 @@
 }
 
 void
-WorkerAgent::State::ExtendLeaseBound()
+WorkerAgent::State::ExtendLeaseBound(WorkerClockTime aDeadline)
 {
   this->leaseBound = std::max(this->leaseBound, this->grantUntil);
+  // A lapse before the request would not be seen any more afterwards.
+  if (const auto clock = this->EarliestWorkerClock()) {
+    this->LogLapse(*clock);
+  }
+  this->givenLease.OnDeadline(aDeadline);
+}
+
+std::optional<WorkerClockTime>
+WorkerAgent::State::EarliestWorkerClock() const
+{
+  if (!this->workerClock) {
+    return std::nullopt;
+  }
+  const Duration sinceReading = this->clock.Now() - this->workerClock->second;
+  return this->workerClock->first +
+         std::chrono::floor<WorkerClockTime>(sinceReading * kMinClockRate);
+}
+
+void
+WorkerAgent::State::LogLapse(WorkerClockTime aClock)
+{
+  if (!this->givenLease.TakeLapse(aClock)) {
+    return;
+  }
+  const auto& ends = this->unacknowledgedEnds;
+  this->logger.Info(
+    "lease of the worker has lapsed",
+    { { "worker", this->workerInfo->life.id },
+      { "born", this->workerInfo->life.born },
+      { "pastDeadlineMs", ToLogText(this->givenLease.TimePast(aClock)) },
+      { "running", this->listedTasks.size() },
+      { "unacknowledgedEnds", ends.size() },
+      { "firstEnd", ends.empty() ? 0 : ends.begin()->first },
+      { "lastEnd", ends.empty() ? 0 : ends.rbegin()->first } });
 }
 
 void
@@ -305,7 +347,7 @@
   }
   request.wait = aWait;
   if (request.deadline) {
-    this->ExtendLeaseBound();
+    this->ExtendLeaseBound(*request.deadline);
   }
   this->worker.Hold(request,
                     this->BindToIncarnation<base::Result<HoldReply>>(
@@ -374,6 +416,8 @@
   if (!this->workerClock || answer.clock > this->workerClock->first) {
     this->workerClock = { answer.clock, now };
   }
+  this->givenLease.OnClock(answer.clock);
+  this->LogLapse(answer.clock);
   if (aNumber > this->taskListHoldNumber) {
     this->ApplyTaskList(answer, aNumber);
   }
@@ -401,10 +445,15 @@
     if (isNew) {
       hasChanges = true;
       this->LimitCheckpoint(end.run, added->second.checkpoint);
-      this->logger.Info("task ended",
-                        { { "task", ToLogText(end.run) },
-                          { "number", end.number },
-                          { "kind", static_cast<unsigned>(end.kind) } });
+      this->logger.Info(
+        "task ended",
+        { { "task", ToLogText(end.run) },
+          { "number", end.number },
+          { "kind", static_cast<unsigned>(end.kind) },
+          { "pastDeadlineMs",
+            ToLogText(this->givenLease.TimePast(aAnswer.clock)) },
+          { "mayHaveOtherDeadline",
+            this->givenLease.MayHaveOther(aAnswer.clock) ? "yes" : "no" } });
     }
   }
   std::set<TaskRun> ended;
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "GivenLease.h"
 #include "PastEnds.h"
 
 #include "amaranthwind/agent/WorkerAgent.h"
@@ -96,6 +97,7 @@
     , worker(aWorker)
     , coordinator(aCoordinator)
     , logger(aLogger)
+    , givenLease(aOptions.maxLease)
   {
   }
 
@@ -162,7 +164,12 @@
    * the lease is not to be extended.
    */
   std::optional<WorkerClockTime> LeaseDeadline() const;
-  void ExtendLeaseBound();
+  /** To be called when a request with the deadline is sent. */
+  void ExtendLeaseBound(WorkerClockTime aDeadline);
+  /** Earliest time that the worker's clock may show; empty if unknown. */
+  std::optional<WorkerClockTime> EarliestWorkerClock() const;
+  /** Logs if the worker's lease has lapsed by the given time. */
+  void LogLapse(WorkerClockTime aClock);
   /** Continues the loop of holds, which has at most one hold in flight. */
   void ContinueHoldLoop();
   /** Sends a hold outside the loop, which the worker answers immediately. */
@@ -293,6 +300,7 @@
   TimePoint grantUntil{};
   /** Upper bound of the end of the worker's lease. */
   TimePoint leaseBound{};
+  GivenLease givenLease;
   std::uint64_t lastReport = 0;
   std::uint64_t lastAnsweredReport = 0;
   bool isReportScheduled = false;
--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -180,6 +180,9 @@
   if (aNumber <= self.lastAcknowledgedEnd) {
     return;
   }
+  if (const auto clock = self.EarliestWorkerClock()) {
+    self.LogLapse(*clock);
+  }
   self.logger.Info("ends acknowledged",
                    { { "worker", aIncarnation.id },
                      { "number", aNumber },
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -1,11 +1,14 @@
 #include "amaranthwind/agent/WorkerAgent.h"
 
+#include "GivenLease.h"
 #include "amaranthwind/base/ManualExecutor.h"
 
 #include <doctest/doctest.h>
 
 #include <deque>
 #include <map>
+#include <string>
+#include <vector>
 
 using namespace amaranthwind;
 using namespace amaranthwind::agent;
@@ -228,13 +231,41 @@
   std::vector<OrderOutcome> outcomes;
 };
 
-class NullLogSink final : public telemetry::LogSink
+class MemorySink final : public telemetry::LogSink
 {
 public:
-  bool IsEnabled(telemetry::LogLevel) const noexcept override { return false; }
-  void Write(telemetry::LogLevel, std::string_view) noexcept override {}
+  bool IsEnabled(telemetry::LogLevel) const noexcept override { return true; }
+  void Write(telemetry::LogLevel, std::string_view aLine) noexcept override
+  {
+    this->lines.emplace_back(aLine);
+  }
+  /** The lines with this message. */
+  std::vector<std::string> Find(const std::string& aMessage) const
+  {
+    std::vector<std::string> found;
+    for (const auto& line : this->lines) {
+      if (line.starts_with("agent: " + aMessage)) {
+        found.push_back(line);
+      }
+    }
+    return found;
+  }
+
+  std::vector<std::string> lines;
 };
 
+/** Value of a field of a log line; empty if the line lacks it. */
+std::string
+FieldOf(const std::string& aLine, const std::string& aKey)
+{
+  const auto start = aLine.find(" " + aKey + "=");
+  if (start == std::string::npos) {
+    return {};
+  }
+  const auto value = start + aKey.size() + 2;
+  return aLine.substr(value, aLine.find(' ', value) - value);
+}
+
 dispatch::WorkerInfo
 MakeWorker(const ledger::WorkerIncarnation& aIncarnation = kIncarnation,
            bool aIsDraining = false)
@@ -281,7 +312,7 @@
   base::ManualExecutor executor{ clock };
   FakeWorker worker{ executor, clock };
   FakeCoordinator coordinator;
-  NullLogSink sink;
+  MemorySink sink;
   telemetry::Logger logger{ sink, clock, "agent" };
   WorkerAgent agent{
     { .id = base::AgentId("vm") }, clock, executor, worker, coordinator, logger
@@ -833,7 +864,7 @@
   worker.isUnresponsive = true;
   worker.running[kRun] = { kRun, "saved", 40 };
   FakeCoordinator coordinator;
-  NullLogSink sink;
+  MemorySink sink;
   telemetry::Logger logger(sink, clock, "agent");
   WorkerAgent agent({ .id = base::AgentId("vm") },
                     clock,
@@ -1313,3 +1344,99 @@
   CHECK(fixture.coordinator.reports - reports <= 60);
   CHECK(fixture.worker.holds - holds <= 20);
 }
+
+// Guards against logs that do not tell whether a run that completed after the
+// coordinator had given it up still held its lease.
+TEST_CASE("the log tells whether the lease held when an end was listed")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(2s);
+  const std::string ended = "task ended";
+  SUBCASE("while the worker may hold a lease of an earlier process")
+  {
+    fixture.worker.EndRun(kRun, EndKind::Done);
+    fixture.Run(1s);
+    const auto lines = fixture.sink.Find(ended);
+    REQUIRE(lines.size() == 1);
+    CHECK(std::stoi(FieldOf(lines[0], "pastDeadlineMs")) < 0);
+    CHECK(FieldOf(lines[0], "mayHaveOtherDeadline") == "yes");
+  }
+  SUBCASE("while grants renew the lease")
+  {
+    fixture.Run(6s);
+    fixture.worker.EndRun(kRun, EndKind::Done);
+    fixture.Run(1s);
+    const auto lines = fixture.sink.Find(ended);
+    REQUIRE(lines.size() == 1);
+    CHECK(std::stoi(FieldOf(lines[0], "pastDeadlineMs")) < 0);
+    CHECK(FieldOf(lines[0], "mayHaveOtherDeadline") == "no");
+    CHECK(fixture.sink.Find("lease of the worker has lapsed").empty());
+  }
+  SUBCASE("after the grants ended")
+  {
+    fixture.coordinator.isReachable = false;
+    fixture.Run(8s);
+    CHECK(fixture.worker.LeaseLeft() < 0ms);
+    fixture.worker.EndRun(kRun, EndKind::Lapsed);
+    fixture.Run(3s);
+    const auto lines = fixture.sink.Find(ended);
+    REQUIRE(lines.size() == 1);
+    CHECK(std::stoi(FieldOf(lines[0], "pastDeadlineMs")) > 0);
+    CHECK(FieldOf(lines[0], "mayHaveOtherDeadline") == "no");
+  }
+}
+
+// Guards against an acknowledgement of which no log tells whether the lease
+// lapsed after the end, and against a line for each answered hold.
+TEST_CASE("a lapse between an end and its acknowledgement is logged once")
+{
+  Fixture fixture;
+  const std::string lapsed = "lease of the worker has lapsed";
+  fixture.Start();
+  fixture.Run(6s);
+  fixture.coordinator.isReachable = false;
+  fixture.worker.EndRun(kRun, EndKind::Done);
+  fixture.Run(4s);
+  CHECK(fixture.sink.Find(lapsed).empty());
+  SUBCASE("seen in the answers of the worker")
+  {
+    fixture.Run(10s);
+  }
+  SUBCASE("while the agent was suspended, before the lease is renewed")
+  {
+    fixture.clock.Advance(2s);
+    fixture.coordinator.isReachable = true;
+    fixture.Run(3s);
+    CHECK(fixture.worker.LeaseLeft() > 0ms);
+  }
+  SUBCASE("inferred when the end is acknowledged")
+  {
+    fixture.worker.isUnresponsive = true;
+    fixture.Run(1300ms);
+    fixture.agent.OnEndAcknowledged(kIncarnation, 1);
+  }
+  const auto lines = fixture.sink.Find(lapsed);
+  REQUIRE(lines.size() == 1);
+  CHECK(std::stoi(FieldOf(lines[0], "pastDeadlineMs")) > 0);
+  CHECK(FieldOf(lines[0], "firstEnd") == "1");
+  CHECK(FieldOf(lines[0], "lastEnd") == "1");
+}
+
+// Guards against a lapse that is logged although a request to the life before,
+// carried out late, may have extended the lease.
+TEST_CASE("a deadline given to an earlier life under the same id counts")
+{
+  GivenLease lease(6s);
+  lease.OnClock(1000ms);
+  lease.OnDeadline(60'000ms);
+  lease.BeginLife(true);
+  lease.OnClock(100ms);
+  CHECK_FALSE(lease.TakeLapse(59'000ms));
+  CHECK(lease.TakeLapse(60'001ms));
+  CHECK_FALSE(lease.TakeLapse(61'000ms));
+  lease.BeginLife(false);
+  lease.OnClock(100ms);
+  CHECK_FALSE(lease.TakeLapse(6100ms));
+  CHECK(lease.TakeLapse(6101ms));
+}
