Log where a decision of a superseded leader is refused

A leader that was frozen decides before it learns of its successor, and the logs did not show where that ended. They now name the token whose records the log refused, the records that were not durable when a term ended, and the grants that an agent rejected.

--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -133,7 +133,12 @@
 {
   State& self = *this->state;
   const auto sent = self.sentReports.find(aSequence);
-  if (sent == self.sentReports.end() || aToken < self.token) {
+  if (aToken < self.token) {
+    self.logger.Info("grant rejected: stale fencing token",
+                     { { "report", aSequence }, { "token", aToken } });
+    return;
+  }
+  if (sent == self.sentReports.end()) {
     return;
   }
   const TimePoint now = self.clock.Now();
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -726,6 +726,8 @@
   CHECK(fixture.worker.starts == 0);
   CHECK(fixture.worker.stops == 0);
   CHECK_FALSE(fixture.agent.Status().isGranted);
+  CHECK(fixture.sink.Find("command rejected: stale fencing token").size() == 2);
+  CHECK_FALSE(fixture.sink.Find("grant rejected: stale fencing token").empty());
 }
 
 TEST_CASE("stopping an unknown run is reported as absent")
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -266,7 +266,9 @@
       this->sessions,
       this->decisions,
       this->load,
-      [this] {
+      [this, aToken] {
+        this->logger.Warning("records refused: a newer coordinator writes",
+                             { { "token", aToken } });
         // Deferred because StepDown() destroys the runner, which calls this.
         this->executor.Post([this] { this->leaderLog.StepDown(); });
       });
@@ -309,8 +311,11 @@
 
   void OnDeposed() override
   {
-    this->logger.Warning("stopped coordinating", {});
     if (this->runner != nullptr) {
+      this->logger.Warning(
+        "stopped coordinating",
+        { { "token", this->runner->Token() },
+          { "undurableRecords", this->runner->UndurableRecords() } });
       this->runner->GiveUpSubmissions();
     }
     this->runner.reset();
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -337,6 +337,13 @@
   this->nextPassAt = end + (end - start);
 }
 
+std::size_t
+DispatchRunner::UndurableRecords() const
+{
+  return this->unwritten.size() + this->submitted.size() +
+         this->writer->Pending();
+}
+
 dispatch::Dispatcher::Counts
 DispatchRunner::Count() const
 {
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -91,6 +91,8 @@
   void FinishBatch();
 
   base::FencingToken Token() const noexcept { return this->token; }
+  /** Records of decisions and of callers that are not known to be durable. */
+  std::size_t UndurableRecords() const;
   dispatch::Dispatcher::Counts Count() const;
 
 private:
