--- a/libs/agent/src/WorkerAgent.cpp
+++ b/libs/agent/src/WorkerAgent.cpp
@@ -135,7 +135,12 @@
 {
   State& self = *this->state;
   const auto sent = self.sentReports.find(aSequence);
-  if (sent == self.sentReports.end() || aToken < self.token) {
+  if (aToken < self.token) {
+    self.logger.Info("grant rejected: stale fencing token",
+                     { { "report", aSequence }, { "token", aToken } });
+    return;
+  }
+  if (sent == self.sentReports.end()) {
     return;
   }
   const TimePoint now = self.clock.Now();
@@ -188,6 +193,9 @@
   if (aNumber <= self.lastAcknowledgedEnd) {
     return;
   }
+  if (const auto clock = self.EarliestWorkerClock()) {
+    self.LogLapse(*clock);
+  }
   self.logger.Info("ends acknowledged",
                    { { "worker", aIncarnation.id },
                      { "number", aNumber },
--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -268,7 +268,9 @@
       this->decisions,
       this->load,
       this->endRecordLog,
-      [this] {
+      [this, aToken] {
+        this->logger.Warning("records refused: a newer coordinator writes",
+                             { { "token", aToken } });
         // Deferred because StepDown() destroys the runner, which calls this.
         this->executor.Post([this] { this->leaderLog.StepDown(); });
       });
@@ -311,8 +313,11 @@
 
   void OnDeposed() override
   {
-    this->logger.Warning("stopped coordinating", {});
     if (this->runner != nullptr) {
+      this->logger.Warning(
+        "stopped coordinating",
+        { { "token", this->runner->Token() },
+          { "undurableRecords", this->runner->UndurableRecords() } });
       this->runner->GiveUpSubmissions();
     }
     this->runner.reset();
