Rule out late starts of runs that were given up on a worker

What callers saw: a task started again after a run of it had ended as done, or two runs at a time, if an agent is killed while a start has no answer and is away for longer than the grant.

Cause: a request without an answer may be carried out 2 to 12 s later. The agent process that sent it is gone, and the coordinator forgot the start when the grant of the worker had expired, as if an expired lease ruled it out. Once the next process has renewed the lease of the worker, the late start begins the run, beside or after a later run elsewhere. Whether a worker judges a start by its own deadline or by its present lease is not told by the platform's protocol.

The orders that a report causes go ahead of the grant that answers it.

"the start of a run that was given up is ruled out on its worker" failed before (0 stops, 1 expected, 1 of 1 run) and passes now. dispatch_tests: 134 of 134, coordinator_tests: 87 of 87. Not covered: a late start that is carried out before the stop, and a second change of the coordinator meanwhile.

--- a/libs/coordinator/src/Coordinator.cpp
+++ b/libs/coordinator/src/Coordinator.cpp
@@ -406,11 +406,13 @@
                            { { "agent", aReport.report.agent } });
       return;
     }
-    this->sessions.SendTo(aConnection,
-                          protocol::AgentGrant{ aReport.sequence,
-                                                election.OwnToken(),
-                                                this->options.grant });
+    // The stops that the report causes go ahead of the grant: with a new lease,
+    // the worker could carry out a late start of a run that was given up.
+    const base::FencingToken token = election.OwnToken();
     this->runner->OnReport(aConnection, aReport, aReceivedAt);
+    this->sessions.SendTo(
+      aConnection,
+      protocol::AgentGrant{ aReport.sequence, token, this->options.grant });
   }
 
   void OnOutcome(ConnectionId aConnection,
--- a/libs/coordinator/tests/OrderSessionTest.cpp
+++ b/libs/coordinator/tests/OrderSessionTest.cpp
@@ -49,6 +49,9 @@
       this->starts.emplace_back(aConnection, *start);
     }
     this->stops += std::holds_alternative<protocol::AgentStop>(message) ? 1 : 0;
+    if (std::holds_alternative<protocol::AgentGrant>(message)) {
+      this->stopsBeforeLastGrant = this->stops;
+    }
   }
 
   std::unique_ptr<protocol::MessagePort> port;
@@ -56,6 +59,7 @@
   std::uint64_t sequence = 0;
   std::vector<std::pair<ConnectionId, protocol::AgentStart>> starts;
   int stops = 0;
+  int stopsBeforeLastGrant = 0;
 };
 
 job::WorkflowSpec
@@ -141,3 +145,16 @@
   CHECK(ordered.agent.starts[1].second.number == OrderNumber(2));
   CHECK(ordered.agent.stops == 0);
 }
+
+// Guards against a run that a worker begins late, when it has a lease again:
+// the process of the agent that sent the start got no answer and was restarted.
+TEST_CASE("the start of a run that was given up is ruled out on its worker")
+{
+  OrderedStart ordered{ kToken, OrderNumber(0) };
+  ordered.fleet.Run(7s);
+  ordered.agent.Connect();
+  ordered.agent.Report(kToken, OrderNumber(0));
+  ordered.fleet.Run(300ms);
+  CHECK(ordered.agent.stops == 1);
+  CHECK(ordered.agent.stopsBeforeLastGrant == 1);
+}
--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "GivenUpRuns.h"
 #include "amaranthwind/dispatch/Dispatcher.h"
 
 #include <deque>
@@ -469,6 +470,11 @@
                       OrderNumber aOrder,
                       base::TimePoint aSentAt) const;
   void StopOrphanedRun(Worker& aWorker, const job::TaskRun& aRun);
+  /**
+   * Stops the runs that were given up on a worker that reports again and does
+   * not list them, so that no late start begins them.
+   */
+  void RuleOutGivenUpRuns(Worker& aWorker, const WorkerReport& aReport);
   void EndIncarnation(Worker& aWorker, std::string_view aReason);
   void ExpireSilentWorkers();
   void ExpireInheritedTasks();
@@ -741,6 +747,7 @@
   /** When a run was last released without an end. */
   base::TimePoint lastReleaseAt{};
   OrderNumber lastOrder;
+  GivenUpRuns givenUpRuns;
 
   // State of the current scheduling pass.
   std::map<base::PoolId, Pool> pools;
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -131,6 +131,7 @@
   }
   worker.lastEnd = std::max(worker.lastEnd, lastEnd);
   this->HandleAllRunning(worker, aReport);
+  this->RuleOutGivenUpRuns(worker, aReport);
   if (!aReport.mayHaveMoreEnds) {
     this->Reconcile(worker, aReport);
   }
@@ -557,6 +558,31 @@
     aWorker.agent, aWorker.session, stop.order, aWorker.info->life, aRun });
 }
 
+void
+Dispatcher::State::RuleOutGivenUpRuns(Worker& aWorker,
+                                      const WorkerReport& aReport)
+{
+  const auto runs = this->givenUpRuns.Take(aWorker.info->life.id);
+  if (runs.empty()) {
+    return;
+  }
+  const ReportedRuns reported(aReport);
+  for (const auto& run : runs) {
+    if (reported.Contains(run)) {
+      continue; // Its end is listed, or it is stopped as orphaned.
+    }
+    // The stop is repeated until its outcome is known, and the room stays taken
+    // as long.
+    const job::StepSpec* spec = this->SpecOf(run.task.step);
+    this->AllocateResources(aWorker,
+                            run,
+                            spec == nullptr ? fleet::TaskResources{}
+                                            : RequiredResources(*spec));
+    aWorker.awaitedStarts.emplace(run, 0);
+    this->StopOrphanedRun(aWorker, run);
+  }
+}
+
 void
 Dispatcher::State::Reconcile(Worker& aWorker, const WorkerReport& aReport)
 {
@@ -572,8 +598,8 @@
     if (task != nullptr && task->IsOnWorker() &&
         task->incarnation == aWorker.info->life) {
       this->HandleMissingRun(aWorker, run, *task);
-    } else if (aWorker.awaitedStarts.contains(run) && task != nullptr &&
-               !this->MayStillStart(aWorker, *task)) {
+    } else if (aWorker.awaitedStarts.contains(run) &&
+               (task == nullptr || !this->MayStillStart(aWorker, *task))) {
       // The worker may still carry out the start, also after the agent that
       // sent it was restarted, until a stop rules that out.
       this->StopOrphanedRun(aWorker, run);
@@ -681,6 +707,7 @@
   aWorker.awaitedBytes = 0;
   aWorker.recordedEnds.clear();
   for (const auto& [run, need] : allocations) {
+    this->givenUpRuns.Add(aWorker.info->life.id, run, this->callTime.now);
     Task* task = this->FindRun(run);
     if (task != nullptr && task->IsOnWorker() &&
         task->incarnation == aWorker.info->life) {
@@ -828,6 +855,9 @@
                             std::string_view aReason)
 {
   Task& task = aStep.tasks[aIndex];
+  this->givenUpRuns.Add(task.incarnation.id,
+                        { { aStep.id, aIndex }, task.run },
+                        this->callTime.now);
   this->ReleaseWithoutEnd(task);
   this->MarkDirty(aStep);
   this->mustSchedule = true;
