Tests that an end which was listed to an agent is never followed by a start

The simulated cell counted an end only when it was acknowledged, so that no test noticed that a listed end is forgotten with all VMs, or with its own VM, before the coordinator has recorded it.

The monitor now also counts a done end 101 ms after an answer of the worker with it reached the agent, unless in these 100 ms the life or the agent ended, or the agent was frozen, cut off from its worker, its requests to the worker were disturbed, or it was cut off from the log; a cut from the log excuses ends for 3 s after it (contact-ms), and a slower log from then on. Nothing that happens to the entries, or to the links between entries and agents, excuses it. As before, an end does not count if the lease has expired since. An end of a gang that counts bars each member of the gang. Appends of agents take the time of the log.

--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -30,6 +30,13 @@
 constexpr auto kMaxLease = 6000ms;
 constexpr base::Duration kGangTimeout = 4000ms;
 constexpr double kSlowClockRate = 0.98;
+/** An end counts once it has been listed for more than 100 ms, undisturbed. */
+constexpr base::Duration kListedTime = 101ms;
+/** How long after its end a disturbance of the log still counts as near. */
+constexpr base::Duration kContactTime = 3000ms;
+/** Until the event that triggers a fault has taken effect elsewhere. */
+constexpr std::uint64_t kMaxTriggerDelayMs = 40;
+constexpr std::uint64_t kMaxListedDelayMs = 600;
 
 /** Charges processor time for records by their number of tasks. */
 class ChargedCodec final : public ledger::RecordCodec
@@ -535,8 +542,10 @@
   this->Event("start " + job::ToText(aRun.task) + "#" +
               std::to_string(aRun.run) + " on " + aWorker);
   TaskState& task = this->tasks[aRun.task];
-  if (task.acknowledgedDone) {
-    this->Violation(aRun, "started after an acknowledged completion");
+  if (!task.done.empty()) {
+    this->Violation(aRun, "started after " + task.done);
+  } else if (this->doneGangs.contains(aRun.task.step)) {
+    this->Violation(aRun, "started after the completion of its gang");
   }
   if (!task.running.empty()) {
     this->Violation(aRun,
@@ -578,16 +587,39 @@
   if (this->isDoneInLog && !this->isDoneInLog(aRun.task)) {
     this->Violation(aRun, "its completion is acknowledged but not in the log");
   }
-  TaskState& task = this->tasks[aRun.task];
-  if (!task.acknowledgedDone) {
-    task.acknowledgedDone = { aRun.run, aEndedAt };
-  }
-  for (const auto& [run, at] : task.starts) {
-    if (at > aEndedAt) {
-      this->Violation({ aRun.task, run },
-                      "started before the acknowledgement of the completion "
-                      "of run " +
-                        std::to_string(aRun.run));
+  this->CountDone(aRun, aEndedAt, "an acknowledged completion");
+}
+
+void
+RunMonitor::OnDoneListed(const job::TaskRun& aRun, base::TimePoint aEndedAt)
+{
+  this->Event("listed " + job::ToText(aRun.task) + "#" +
+              std::to_string(aRun.run));
+  this->CountDone(aRun, aEndedAt, "a listed completion");
+}
+
+void
+RunMonitor::CountDone(const job::TaskRun& aRun,
+                      base::TimePoint aEndedAt,
+                      std::string_view aDescription)
+{
+  const bool isInGang = this->isGang && this->isGang(aRun);
+  if (isInGang) {
+    this->doneGangs.insert(aRun.task.step);
+  }
+  for (auto& [id, task] : this->tasks) {
+    if (id != aRun.task && (!isInGang || id.step != aRun.task.step)) {
+      continue;
+    }
+    for (const auto& [run, at] : task.starts) {
+      if (at > aEndedAt) {
+        this->Violation({ id, run },
+                        "started before " + std::string(aDescription) +
+                          " of run " + std::to_string(aRun.run) + " counted");
+      }
+    }
+    if (id == aRun.task && task.done.empty()) {
+      task.done = aDescription;
     }
   }
 }
@@ -893,7 +925,8 @@
   this->lapsed += aKind == EndKind::Lapsed ? 1 : 0;
   ++this->lastEnd;
   this->ended[this->lastEnd] = { { this->lastEnd, aRun, aKind, {} },
-                                 this->time.Now() };
+                                 this->time.Now(),
+                                 {} };
   this->monitor.OnEnded(this->Name(), aRun, aKind);
   if (this->gangs.IsGang(aRun) && aKind != EndKind::Done) {
     this->gangs.OnEnded(aRun);
@@ -903,6 +936,46 @@
   }
 }
 
+void
+SimulatedWorker::OnListed(const agent::HoldReply& aReply)
+{
+  if (!this->life || aReply.born != this->life->born) {
+    return;
+  }
+  const base::TimePoint now = this->time.Now();
+  for (const auto& end : aReply.ended) {
+    const auto found = this->ended.find(end.number);
+    if (found == this->ended.end() || end.kind != EndKind::Done) {
+      continue;
+    }
+    auto& listedAt = found->second.listedAt;
+    if (!listedAt && this->onDoneListed) {
+      this->onDoneListed();
+    }
+    if (!listedAt || *listedAt < this->disturbedUntil) {
+      listedAt = now;
+      this->Schedule(kListedTime, [this, number = end.number, now] {
+        this->CountListed(number, now);
+      });
+    }
+  }
+}
+
+void
+SimulatedWorker::CountListed(std::uint64_t aNumber, base::TimePoint aListedAt)
+{
+  const auto found = this->ended.find(aNumber);
+  if (found == this->ended.end() || found->second.listedAt != aListedAt ||
+      this->disturbedUntil > aListedAt) {
+    return;
+  }
+  // An end does not count if the lease has expired since.
+  const KnownEnd& known = found->second;
+  if (this->lapseSeenAt < known.endedAt && this->ClockTime() < this->lease) {
+    this->monitor.OnDoneListed(known.end.run, known.endedAt);
+  }
+}
+
 void
 SimulatedWorker::CheckLease()
 {
@@ -1056,6 +1129,7 @@
            std::shared_ptr<SimulatedNode> aNode)
     : cell(aCell)
     , log(aLog)
+    , appendLog(*aCell.delayedLog)
     , node(std::move(aNode))
   {
   }
@@ -1074,7 +1148,7 @@
       return;
     }
     if (!this->IsCut()) {
-      this->log.Append(aTopic, aRecords, aConditions, answer);
+      this->appendLog.Append(aTopic, aRecords, aConditions, answer);
       return;
     }
     // A call over a cut link may still be carried out, seconds later.
@@ -1086,7 +1160,8 @@
          records =
            std::vector<journal::KeyedValue>(aRecords.begin(), aRecords.end()),
          aConditions] {
-          this->log.Append(aTopic, records, aConditions, [](const auto&) {});
+          this->appendLog.Append(
+            aTopic, records, aConditions, [](const auto&) {});
         });
     }
   }
@@ -1167,6 +1242,8 @@
 
   SimulatedCell& cell;
   journal::KeyedLog& log;
+  /** Takes time for an append, whoever sends it. */
+  journal::KeyedLog& appendLog;
   const std::shared_ptr<SimulatedNode> node;
   base::TimePoint answeredAsOf{};
 };
@@ -1350,7 +1427,14 @@
       "hold last-seen " + std::to_string(aRequest.lastSeen),
       aRequest.wait + kHoldMargin,
       base::Result<agent::HoldReply>(base::Fail(base::ErrorCode::TimedOut)),
-      std::move(aHandler),
+      std::function<void(base::Result<agent::HoldReply>)>(
+        [this, handler = std::move(aHandler)](
+          const base::Result<agent::HoldReply>& aReply) {
+          if (aReply.has_value()) {
+            this->OnListed(aReply.value());
+          }
+          handler(aReply);
+        }),
       [aRequest](SimulatedWorker& aWorker, const auto& aAnswer) {
         aWorker.Hold(aRequest, aAnswer);
       });
@@ -1363,6 +1447,7 @@
             const Reply& aNoReply,
             std::function<void(Reply)> aHandler,
             Action aAction);
+  void OnListed(const agent::HoldReply& aReply);
 
   SimulatedCell& cell;
   Vm& vm;
@@ -1399,6 +1484,9 @@
       aCell.CheckEvacuation(*this);
       aCell.OnTrigger(FaultTrigger::StartAccepted);
     };
+    this->worker.onDoneListed = [&aCell] {
+      aCell.OnTrigger(FaultTrigger::DoneListed);
+    };
   }
 
   const std::uint32_t number;
@@ -1411,6 +1499,12 @@
   std::unique_ptr<Agent> agent;
 };
 
+void
+SimulatedCell::WorkerLink::OnListed(const agent::HoldReply& aReply)
+{
+  this->vm.worker.OnListed(aReply);
+}
+
 template<typename Reply, typename Action>
 void
 SimulatedCell::WorkerLink::Call(const std::string& aText,
@@ -1523,6 +1617,9 @@
   this->monitor.isDoneInLog = [this](const job::TaskId& aTask) {
     return this->IsDoneInLog(aTask);
   };
+  this->monitor.isGang = [this](const job::TaskRun& aRun) {
+    return this->gangs.IsGang(aRun);
+  };
   for (std::uint32_t i = 0; i < aOptions.entries; ++i) {
     this->entryIncarnations.push_back(0);
     this->entries.emplace_back();
@@ -1578,9 +1675,22 @@
   }
 }
 
+void
+SimulatedCell::DisturbAgent(Vm& aVm, base::Duration aLength)
+{
+  aVm.worker.Disturb(this->time.Now() + aLength);
+}
+
+void
+SimulatedCell::DisturbLogOf(Vm& aVm, base::Duration aLength)
+{
+  this->DisturbAgent(aVm, aLength + kContactTime);
+}
+
 void
 SimulatedCell::KillAgent(Vm& aVm, bool aHasLostPower)
 {
+  this->DisturbAgent(aVm, 0ms);
   if (aVm.agent != nullptr) {
     this->network.Remove(*aVm.agent->node, aHasLostPower);
     aVm.agent->process.Kill();
@@ -1778,7 +1888,10 @@
     if (aFault.trigger != aTrigger) {
       return false;
     }
-    this->time.Schedule(std::chrono::milliseconds(aFault.seed % 40),
+    const std::uint64_t maxDelay = aTrigger == FaultTrigger::DoneListed
+                                     ? kMaxListedDelayMs
+                                     : kMaxTriggerDelayMs;
+    this->time.Schedule(std::chrono::milliseconds(aFault.seed % maxDelay),
                         [this, aFault] { this->Begin(aFault); });
     return true;
   });
@@ -1896,6 +2009,7 @@
         if (vm->agent != nullptr) {
           this->network.Freeze(*vm->agent->node, aFault.length);
           vm->agent->process.busyUntil = vm->agent->node->frozenUntil;
+          this->DisturbAgent(*vm, aFault.length);
         }
       }
       break;
@@ -1907,6 +2021,7 @@
     case FaultKind::CutAgentsFromLog:
       for (Vm* const vm : hitVms) {
         cut(vm->name, "log");
+        this->DisturbLogOf(*vm, aFault.length);
       }
       break;
     case FaultKind::CutAgentsFromEntries:
@@ -1929,6 +2044,7 @@
       for (Vm* const vm : hitVms) {
         vm->callFaults.random.seed(draw());
         cut(vm->name, vm->name + "-worker");
+        this->DisturbAgent(*vm, aFault.length);
       }
       break;
     case FaultKind::DisturbWorkerCalls:
@@ -1936,6 +2052,7 @@
         vm->callFaults.random.seed(draw());
         vm->callFaults.until =
           std::max(vm->callFaults.until, this->time.Now() + aFault.length);
+        this->DisturbAgent(*vm, aFault.length);
       }
       break;
   }
@@ -2027,6 +2144,11 @@
 SimulatedCell::SetAppendTime(base::Duration aTime)
 {
   this->delayedLog->appendTime = aTime;
+  if (aTime > this->options.appendTime) {
+    for (const auto& vm : this->vms) {
+      vm->worker.Disturb(base::TimePoint::max());
+    }
+  }
 }
 
 void
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -184,9 +184,12 @@
   void OnWorkerGone(const std::string& aWorker);
   /** The end of a completed run has been acknowledged. */
   void OnDoneAcknowledged(const job::TaskRun& aRun, base::TimePoint aEndedAt);
+  /** It has been listed for as long as makes it count, undisturbed. */
+  void OnDoneListed(const job::TaskRun& aRun, base::TimePoint aEndedAt);
 
   /** Whether the log says that the task is done. */
   std::function<bool(const job::TaskId&)> isDoneInLog;
+  std::function<bool(const job::TaskRun&)> isGang;
   /** Called for each event, with a description. */
   std::function<void(const std::string&)> onEvent;
   std::vector<std::string> violations;
@@ -196,14 +199,22 @@
   {
     std::map<std::pair<std::string, std::uint32_t>, base::TimePoint> running;
     std::vector<std::pair<std::uint32_t, base::TimePoint>> starts;
-    std::optional<std::pair<std::uint32_t, base::TimePoint>> acknowledgedDone;
+    /** Why it must not start any more; empty if it may. */
+    std::string done;
   };
 
+  /** Neither the task nor another member of its gang may start after the end.
+   */
+  void CountDone(const job::TaskRun& aRun,
+                 base::TimePoint aEndedAt,
+                 std::string_view aDescription);
+
   void Violation(const job::TaskRun& aRun, const std::string& aText);
   void Event(const std::string& aText) const;
 
   const SimulatedTime& time;
   std::map<job::TaskId, TaskState> tasks;
+  std::set<job::StepId> doneGangs;
 };
 
 /** Gang runs, whose members are on several workers. */
@@ -266,6 +277,13 @@
     const std::function<void(base::Result<agent::HoldReply>)>& aHandler);
 
   void End(const job::TaskRun& aRun, dispatch::EndKind aKind);
+  /** The agent has received the reply. */
+  void OnListed(const agent::HoldReply& aReply);
+  /** Ends that are listed until then count only if they are listed again. */
+  void Disturb(base::TimePoint aUntil)
+  {
+    this->disturbedUntil = std::max(this->disturbedUntil, aUntil);
+  }
 
   std::optional<ledger::WorkerIncarnation> life;
   /** Counts the lives. */
@@ -279,6 +297,8 @@
   int lapsed = 0;
   std::uint32_t highestRun = 0;
   std::function<void()> onStarted;
+  /** A done end was listed for the first time. */
+  std::function<void()> onDoneListed;
 
 private:
   struct ParkedHold
@@ -290,6 +310,8 @@
   {
     dispatch::EndedTask end;
     base::TimePoint endedAt{};
+    /** Since when the agent knows it, with no disturbance. */
+    std::optional<base::TimePoint> listedAt;
   };
 
   /** Runs the action after the delay unless the life has ended. */
@@ -302,6 +324,7 @@
   void ExtendLease(agent::WorkerClockTime aDeadline);
   void ForgetEnds(std::uint64_t aLastSeen);
   void CheckLease();
+  void CountListed(std::uint64_t aNumber, base::TimePoint aListedAt);
 
   SimulatedTime& time;
   RunMonitor& monitor;
@@ -313,6 +336,7 @@
   agent::WorkerClockTime lease{};
   /** When the lease was last found to have expired. */
   base::TimePoint lapseSeenAt{};
+  base::TimePoint disturbedUntil{};
   std::map<job::TaskId, std::uint32_t> barredRuns;
   std::map<std::uint64_t, KnownEnd> ended;
   std::uint64_t lastEnd = 0;
@@ -352,7 +376,9 @@
   Time,
   StartAccepted,
   JobAccepted,
+  DoneListed,
 };
+/** Triggers that are drawn at random; the last one is not. */
 inline constexpr std::uint8_t kFaultTriggers = 3;
 
 struct Fault
@@ -439,7 +465,10 @@
   const std::vector<std::string>& Violations() const;
   /** Accepted jobs that an entry does not show as completed. */
   std::vector<std::string> Unfinished();
-  /** Changes the time of the appends from now on. */
+  /**
+   * Changes the time of the appends from now on. Ends do not count as listed
+   * any more once it has been longer than at first.
+   */
   void SetAppendTime(base::Duration aTime);
   const LogUse& Use() const noexcept { return this->use; }
   /** Jobs of which the log has a placement. */
@@ -485,6 +514,13 @@
   void OnTrigger(FaultTrigger aTrigger);
   void KillEntry(std::size_t aEntry, bool aHasLostPower);
   void StartEntry(std::size_t aEntry);
+  /**
+   * An end does not count as listed while its agent is down, frozen, or cut off
+   * from its worker or the log. Nothing that happens to the entries excuses it.
+   */
+  void DisturbAgent(Vm& aVm, base::Duration aLength);
+  /** What a disturbance of the log delays may be late for this long. */
+  void DisturbLogOf(Vm& aVm, base::Duration aLength);
   void KillAgent(Vm& aVm, bool aHasLostPower);
   void StartAgent(Vm& aVm);
   void StartWorker(Vm& aVm, bool aKeepsId);
