Soak: ends that were listed to agents count while only schedulers are disturbed

The soak counted an end only when it was acknowledged, so that losing the power of a VM excused each end that no coordinator had recorded.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -27,11 +27,13 @@
   harness::PlatformDeployment& aDeployment,
   std::vector<std::unique_ptr<LoopbackProxy>>& aProxies,
   EventCount aAcceptedJobs,
-  std::uint64_t aSeed)
+  std::uint64_t aSeed,
+  Scope aScope)
   : deployment(aDeployment)
   , proxies(aProxies)
   , random(aSeed)
   , acceptedJobs(std::move(aAcceptedJobs))
+  , scope(aScope)
 {
   const auto now = std::chrono::duration_cast<milliseconds>(
     std::chrono::system_clock::now().time_since_epoch());
@@ -73,7 +75,9 @@
       (this->triggeredLoss->count() > this->triggeredLoss->countBefore ||
        Clock::now() >= this->triggeredLoss->latest)) {
     this->triggeredLoss.reset();
-    this->ScheduleRecovery(this->RandomDuration(0, 30),
+    this->ScheduleRecovery(this->scope == Scope::Everything
+                             ? this->RandomDuration(0, 30)
+                             : this->RandomDuration(100, 300),
                            [this] { this->InjectGroupLoss(); });
   }
   if (Clock::now() >= this->nextFault) {
@@ -104,15 +108,20 @@
 void
 FaultInjector::InjectRandomFault()
 {
+  if (this->scope == Scope::SchedulersAndPower) {
+    const std::uint64_t kind = this->RandomBelow(8);
+    if (kind < 4) {
+      this->InjectSchedulerFault();
+    } else if (kind < 7) {
+      this->ThrottleAllSchedulers();
+    } else {
+      this->InjectOrArmGroupLoss();
+    }
+    return;
+  }
   const std::uint64_t kind = this->RandomBelow(18);
   if (kind < 3) {
-    auto& scheduler =
-      this->deployment
-        .schedulers[this->RandomBelow(this->deployment.schedulers.size())];
-    this->InjectProcessFault(
-      scheduler.process, scheduler.name, [this, &scheduler] {
-        this->deployment.StartScheduler(scheduler);
-      });
+    this->InjectSchedulerFault();
   } else if (kind < 5) {
     const auto index = this->RandomBelow(this->deployment.workers.size());
     auto& worker = this->deployment.workers[index];
@@ -139,6 +148,18 @@
   }
 }
 
+void
+FaultInjector::InjectSchedulerFault()
+{
+  auto& scheduler =
+    this->deployment
+      .schedulers[this->RandomBelow(this->deployment.schedulers.size())];
+  this->InjectProcessFault(
+    scheduler.process, scheduler.name, [this, &scheduler] {
+      this->deployment.StartScheduler(scheduler);
+    });
+}
+
 void
 FaultInjector::InjectProcessFault(std::unique_ptr<harness::Process>& aProcess,
                                   const std::string& aName,
@@ -361,7 +382,8 @@
     return;
   }
   const bool includesAll = this->RandomBelow(2) == 0;
-  const bool includesWorkers = this->RandomBelow(2) == 0;
+  const bool includesWorkers =
+    this->RandomBelow(2) == 0 || this->scope == Scope::SchedulersAndPower;
   const auto downTime = this->RandomDuration(50, 4000);
   std::string names;
   std::vector<std::unique_ptr<harness::Process>*> lost;
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -28,12 +28,19 @@
   using Clock = std::chrono::steady_clock;
   /** Number of events so far; never decreases. */
   using EventCount = std::function<std::size_t()>;
+  enum class Scope : std::uint8_t
+  {
+    Everything,
+    /** Faults of schedulers, and losses of power of whole VMs. */
+    SchedulersAndPower,
+  };
 
   /** @param aAcceptedJobs Counts the jobs that schedulers have accepted. */
   FaultInjector(harness::PlatformDeployment& aDeployment,
                 std::vector<std::unique_ptr<LoopbackProxy>>& aProxies,
                 EventCount aAcceptedJobs,
-                std::uint64_t aSeed);
+                std::uint64_t aSeed,
+                Scope aScope);
 
   /** Starts and ends the faults that are due; call every few milliseconds. */
   void Update();
@@ -78,6 +85,7 @@
   /** Ends the faults whose end is due by aTime. */
   void RunRecoveriesUntil(Clock::time_point aTime);
   void InjectRandomFault();
+  void InjectSchedulerFault();
   void InjectProcessFault(std::unique_ptr<harness::Process>& aProcess,
                           const std::string& aName,
                           std::function<void()> aStart);
@@ -118,6 +126,7 @@
   Clock::time_point nextFault = Clock::now();
   std::priority_queue<Recovery> recoveries;
   EventCount acceptedJobs;
+  const Scope scope;
   std::optional<TriggeredLoss> triggeredLoss;
   std::vector<std::string> log;
   /** No fault may be prolonged while all of them are being ended. */
--- a/tests/soak/History.cpp
+++ b/tests/soak/History.cpp
@@ -61,15 +61,19 @@
 {
   std::vector<std::string> violations;
   const auto events = MergeByTime(aWorkers);
-  /** Successful ends that were acknowledged, at any time, as worker and id. */
+  /** Successful ends that count, as of any time, as worker and id. */
   std::set<std::pair<std::size_t, std::uint64_t>> acknowledgedEnds;
   for (const auto& event : events) {
-    if (event.entry.runEvent == RunEvent::DoneAcknowledged) {
+    if (event.entry.runEvent == RunEvent::DoneAcknowledged ||
+        event.entry.runEvent == RunEvent::DoneListed) {
       acknowledgedEnds.insert({ event.worker, event.entry.endId });
     }
   }
   std::map<std::string, std::size_t> activeRuns;
-  /** Excludes ends that a crash discarded before their acknowledgement. */
+  /**
+   * Tasks, and gangs by their jobs. Excludes ends that a crash discarded before
+   * they counted.
+   */
   std::set<std::string> acknowledgedTasks;
   std::set<std::string> finishedTasks;
   std::map<std::string, std::size_t> finishedTasksOfJob;
@@ -79,6 +83,8 @@
     const auto job = aJobs.find(GetJobId(entry.task));
     const std::uint32_t accelerators =
       job == aJobs.end() ? 0 : job->second.accelerators;
+    const std::string& unit =
+      job != aJobs.end() && job->second.isGang ? job->first : entry.task;
     if (entry.runEvent == RunEvent::Start) {
       const bool mayHaveBeenAccepted =
         job != aJobs.end() &&
@@ -90,7 +96,7 @@
         violations.push_back("two concurrent runs of a task: " +
                              Describe(event));
       }
-      if (acknowledgedTasks.contains(entry.task)) {
+      if (acknowledgedTasks.contains(unit)) {
         violations.push_back("task runs again after its acknowledged end: " +
                              Describe(event));
       }
@@ -99,7 +105,8 @@
         violations.push_back("worker exceeds its accelerators: " +
                              Describe(event));
       }
-    } else if (entry.runEvent != RunEvent::DoneAcknowledged) {
+    } else if (entry.runEvent != RunEvent::DoneAcknowledged &&
+               entry.runEvent != RunEvent::DoneListed) {
       --activeRuns[entry.task];
       usedAccelerators[event.worker] -= accelerators;
       if (entry.runEvent == RunEvent::Done) {
@@ -107,7 +114,7 @@
           ++finishedTasksOfJob[GetJobId(entry.task)];
         }
         if (acknowledgedEnds.contains({ event.worker, entry.endId })) {
-          acknowledgedTasks.insert(entry.task);
+          acknowledgedTasks.insert(unit);
         }
       }
     }
--- a/tests/soak/History.h
+++ b/tests/soak/History.h
@@ -19,6 +19,8 @@
   std::uint32_t accelerators = 0;
   /** A submission returned 200. */
   bool isAccepted = false;
+  /** All tasks form one gang. */
+  bool isGang = false;
   /** A submission got no response, or one that does not tell its outcome. */
   bool hasUnknownOutcome = false;
   bool wasCancelSent = false;
@@ -65,8 +67,8 @@
 /**
  * Compares the responses to callers with the workers' histories. Returns one
  * line for each violation of these invariants:
- * - a task has no two concurrent runs, and no run after a successful end was
- *   acknowledged;
+ * - a task has no two concurrent runs, and neither it nor its gang runs after a
+ *   successful end was acknowledged, or listed for long enough to count;
  * - no task runs of a job whose submissions were all refused;
  * - a job is reported as completed only if all its tasks are done, and every
  *   job that was accepted and not cancelled is reported as completed;
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -188,6 +188,7 @@
     this->history.Update(id, [&](auto& aJob) {
       aJob.tasks = count;
       aJob.accelerators = accelerators;
+      aJob.isGang = isGang;
     });
     for (std::size_t i = 0; i < kSubmitAttempts; ++i) {
       const unsigned status = this->Send("POST", id, body);
@@ -330,6 +331,9 @@
     for (std::size_t i = 0; i < deployment.workers.size(); ++i) {
       deployment.workers[i].worker->SetZone(
         std::string(kZones[i % kZones.size()]));
+      if (aOptions.sparesAgents) {
+        deployment.workers[i].worker->CountListedEnds();
+      }
     }
     if (!deployment.Start()) {
       report.violations.emplace_back("the deployment did not become ready");
@@ -355,7 +359,9 @@
       deployment,
       proxies,
       [&history] { return history.AcceptedJobs(); },
-      aOptions.seed);
+      aOptions.seed,
+      aOptions.sparesAgents ? FaultInjector::Scope::SchedulersAndPower
+                            : FaultInjector::Scope::Everything);
     const auto end = Clock::now() + aOptions.duration;
     auto nextKeyRotation = Clock::now() + kFirstKeyRotation;
     for (auto now = Clock::now(); now < end; now = Clock::now()) {
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -14,6 +14,8 @@
   std::size_t workers = 4;
   /** How long faults are injected; all jobs have to end afterwards. */
   std::chrono::seconds duration{ 10 };
+  /** Disturb schedulers only, and lose the power of whole VMs. */
+  bool sparesAgents = false;
 };
 
 struct SoakReport
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -13,6 +13,7 @@
 
 Usage:
   fault_soak [--seed=N] [--runs=N] [--seconds=N] [--schedulers=N] [--workers=N]
+             [--spare-agents]
   fault_soak --help
 
 Options:
@@ -21,6 +22,8 @@
   --seconds=N     Duration of fault injection in each run [default: 10].
   --schedulers=N  Number of schedulers [default: 3].
   --workers=N     Number of workers, each with its own agent [default: 4].
+  --spare-agents  Disturb schedulers only, and lose the power of whole VMs. The
+                  ends that workers have listed to their agents then count.
 
 Exit codes: 0 no invariant was violated, 1 at least one was violated.
 )";
@@ -43,6 +46,7 @@
     options.seed = number("--seed") + i;
     options.schedulers = number("--schedulers");
     options.workers = number("--workers");
+    options.sparesAgents = arguments["--spare-agents"].asBool();
     options.duration = std::chrono::seconds(number("--seconds"));
     const SoakReport report = RunSoak(options);
     std::cout << json::serialize(json::object{
--- a/tests/standins/PlatformWorker.cpp
+++ b/tests/standins/PlatformWorker.cpp
@@ -431,6 +431,27 @@
   });
 }
 
+void
+PlatformWorker::CountListedEnd(std::uint64_t aId)
+{
+  this->Update();
+  for (const auto& end : this->ended) {
+    if (end.id == aId && !end.hasLeaseExpired) {
+      this->LogEvent("listed in time " + end.task + "#" +
+                     std::to_string(end.run));
+      this->history.push_back(
+        { Clock::now(), end.task, end.run, RunEvent::DoneListed, end.id });
+    }
+  }
+}
+
+void
+PlatformWorker::CountListedEnds()
+{
+  std::lock_guard lock(this->mutex);
+  this->countsListedEnds = true;
+}
+
 HttpResponse
 PlatformWorker::Start(std::string_view aBody)
 {
@@ -498,8 +519,13 @@
   }
   json::array ends;
   for (auto& end : this->ended) {
-    this->listedEnds += end.wasListed ? 0 : 1;
-    end.wasListed = true;
+    if (!std::exchange(end.wasListed, true)) {
+      ++this->listedEnds;
+      if (this->countsListedEnds && end.outcome == "done") {
+        this->RunInIncarnation(
+          kListedTime, [this, id = end.id] { this->CountListedEnd(id); });
+      }
+    }
     ends.push_back(
       json::array{ end.number, end.task, end.run, end.outcome, "" });
   }
--- a/tests/standins/PlatformWorker.h
+++ b/tests/standins/PlatformWorker.h
@@ -95,7 +95,18 @@
     Done,
     OtherEnd,
     DoneAcknowledged,
+    /** Listed for kListedTime; only after CountListedEnds(). */
+    DoneListed,
   };
+  /** An end counts once it has been listed for more than 100 ms. */
+  static constexpr std::chrono::milliseconds kListedTime{ 101 };
+  /**
+   * From now on, the history has the ends that count although nobody has
+   * acknowledged them. The caller must not disturb agents, links or the store,
+   * other than by a loss of power of worker and agent.
+   */
+  void CountListedEnds();
+
   struct HistoryEntry
   {
     Clock::time_point at;
@@ -173,6 +184,8 @@
   void Execute(const frontend::HttpRequest& aRequest,
                const frontend::HttpResponder& aRespond);
   void AcknowledgeEnds(std::uint64_t aLastSeen);
+  /** The end has been listed for kListedTime. */
+  void CountListedEnd(std::uint64_t aId);
   Clock::time_point LeaseEnd() const;
   DueEnd DueEndOf(const Run& aRun) const;
   /** Ends the tasks of the group that are due, in the order of time. */
@@ -211,6 +224,7 @@
   bool isDraining = false;
   bool hasDeregistered = false;
   bool dropsStartReplies = false;
+  bool countsListedEnds = false;
   LateShares lateShares;
   std::size_t delayedRequests = 0;
   base::RandomEngine random;
