Bound the rate at which the recorded ends are confirmed

Each run that is released without an end asks for a confirmation. When many starts are refused one after another, a read of the log followed the other without a pause.

Test: requests in quick succession share reads.

--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -24,8 +24,9 @@
 
 /**
  * Runs the dispatcher for one term of leadership: persists its decisions and
- * sends its orders to the agents. Confined to one executor; after destruction
- * no callback of the term has an effect.
+ * sends its orders to the agents, and passes on the ends that agents have
+ * recorded in the log, which are read from the beginning of the term. Confined
+ * to one executor; after destruction no callback of the term has an effect.
  */
 class DispatchRunner final : private EndRecordObserver
 {
@@ -48,10 +49,14 @@
   DispatchRunner(const DispatchRunner&) = delete;
   DispatchRunner& operator=(const DispatchRunner&) = delete;
 
-  /** Fences off previous coordinators, then calls aDone. */
+  /**
+   * Fences off previous coordinators, then confirms the recorded ends and calls
+   * aDone.
+   */
   void FencePredecessors(std::function<void()> aDone);
   /**
-   * Starts dispatching from the jobs in the table.
+   * Starts dispatching from the jobs in the table, after the recorded ends that
+   * were read so far. Tasks are placed once these are confirmed.
    * @param aLearned What a predecessor has learned.
    */
   void StartDispatching(const ledger::JobTable& aJobs,
--- a/libs/coordinator/src/EndRecords.cpp
+++ b/libs/coordinator/src/EndRecords.cpp
@@ -20,6 +20,11 @@
 /** Collects the deletions that share an append. */
 constexpr base::Duration kDeletionInterval = 1s;
 constexpr base::Duration kConfirmationRetryInterval = 100ms;
+/**
+ * Shortest time between two confirmations. When many workers are lost or refuse
+ * their starts, a read for each would use up the log's rate of reads.
+ */
+constexpr base::Duration kMinConfirmationInterval = 50ms;
 /** Longer than an append can wait in a log that refuses longer queues. */
 constexpr base::Duration kAnswerTimeout = 4s;
 /** Limit of the size of an append, so that it fits through a narrow link. */
@@ -270,23 +275,21 @@
       std::exchange(this->isConfirming, true)) {
     return;
   }
+  this->nextConfirmationAt = this->clock.Now() + kMinConfirmationInterval;
   this->follower.Confirm([this, alive = this->isAlive](bool aIsConfirmed) {
     if (!*alive) {
       return;
     }
-    if (aIsConfirmed) {
-      // Confirm() may have been called again after the read was sent.
-      this->isConfirming = false;
-      this->SendConfirmation();
-    } else {
-      this->RunAfter(kConfirmationRetryInterval,
-                     &EndRecords::RetryConfirmation);
-    }
+    // Confirm() may have been called again after the read was sent.
+    const base::Duration untilNext = std::max(
+      this->nextConfirmationAt - this->clock.Now(), base::Duration::zero());
+    this->RunAfter(aIsConfirmed ? untilNext : kConfirmationRetryInterval,
+                   &EndRecords::RepeatConfirmation);
   });
 }
 
 void
-EndRecords::RetryConfirmation()
+EndRecords::RepeatConfirmation()
 {
   this->isConfirming = false;
   this->SendConfirmation();
--- a/libs/coordinator/src/EndRecords.h
+++ b/libs/coordinator/src/EndRecords.h
@@ -105,7 +105,7 @@
   void ForgetNewest(const std::string& aKey);
   void PassOnView();
   void SendConfirmation();
-  void RetryConfirmation();
+  void RepeatConfirmation();
   void ScheduleDeletions(base::Duration aDelay);
   void SendDeletions();
   void OnDeletionAnswer(const std::map<std::string, base::LogOffset>& aSent,
@@ -133,7 +133,9 @@
   /** The view is wanted as of this time. */
   base::TimePoint wantedAsOf{};
   base::TimePoint confirmedAsOf{};
+  /** A read is on its way, or the next one has to wait. */
   bool isConfirming = false;
+  base::TimePoint nextConfirmationAt{};
   journal::KeyedFollower follower;
   /** Disables callbacks that run after destruction. */
   std::shared_ptr<bool> isAlive = std::make_shared<bool>(true);
--- a/libs/coordinator/tests/EndRecordsTest.cpp
+++ b/libs/coordinator/tests/EndRecordsTest.cpp
@@ -339,6 +339,23 @@
   CHECK(term.log.reads <= reads + 1);
 }
 
+// Guards against a read of the log for each of many starts that are refused.
+TEST_CASE("views that are wanted in quick succession share reads")
+{
+  Term term;
+  const int reads = term.log.reads;
+  constexpr int kMilliseconds = 1000;
+  for (int i = 0; i < kMilliseconds; ++i) {
+    term.records->Confirm();
+    term.executor.Advance(1ms);
+  }
+  CHECK(term.log.reads - reads <= kMilliseconds / 50 + 1);
+  const base::TimePoint last = term.clock.Now();
+  term.records->Confirm();
+  term.executor.Advance(50ms);
+  CHECK(term.asOf >= last);
+}
+
 // Guards against other writers whose entry takes the coordinator down, or is
 // lost although a later version might understand it.
 TEST_CASE("records that cannot be decoded are left alone")
