Give up recording an end that is too large alone; end-to-end test

An end that the log refuses as too large in an append of its own was sent again for ever and kept later ends from being recorded.

The end-to-end test kills the only scheduler, and fails if the recorder appends nothing.

--- a/libs/agent/src/EndRecorder.cpp
+++ b/libs/agent/src/EndRecorder.cpp
@@ -44,7 +44,7 @@
   {
     Unrecorded,
     Recorded,
-    Exempt, // Of a kind that is not recorded.
+    Exempt, // Of a kind that is not recorded, or too large for the log.
   };
 
   struct KeptEnd
@@ -235,6 +235,22 @@
     return wait;
   }
 
+  /** Divides the next append, or gives up an end that is too large alone. */
+  void OnTooLarge(const Batch& aBatch, std::size_t aCount)
+  {
+    if (aCount > 1) {
+      this->maxRecordedEnds = aCount / 2;
+      return;
+    }
+    const EndRecord& record = aBatch.records.front();
+    for (KeptEnd& each : this->ends) {
+      if (each.life == record.life &&
+          each.end.number == record.ends.front().number) {
+        each.phase = Phase::Exempt;
+      }
+    }
+  }
+
   void OnFailure(const Batch& aBatch, Duration aTook, const base::Error& aError)
   {
     std::size_t count = 0;
@@ -243,7 +259,7 @@
     }
     this->isUnconfirmed = aError.code == ErrorCode::AppendUnconfirmed;
     if (aError.code == ErrorCode::TooLarge) {
-      this->maxRecordedEnds = std::max<std::size_t>(count / 2, 1);
+      this->OnTooLarge(aBatch, count);
     }
     const Duration wait = this->DelayNextAppend();
     // The backoff bounds the number of these lines.
--- a/libs/agent/tests/EndRecorderTest.cpp
+++ b/libs/agent/tests/EndRecorderTest.cpp
@@ -381,6 +381,25 @@
   CHECK(fixture.recorder.Unrecorded() == 0);
 }
 
+// Guards against an end that keeps all others from being recorded.
+TEST_CASE("an end that is too large alone is given up")
+{
+  Fixture fixture;
+  fixture.log.maxEnds = 0;
+  fixture.List(1);
+  fixture.executor.Advance(10s);
+  CHECK(fixture.log.appends.size() == 1);
+  CHECK(fixture.sink.Count("recording ends failed error=too-large") == 1);
+  CHECK(fixture.recorder.Unrecorded() == 0);
+  fixture.log.maxEnds = 1;
+  fixture.List(2);
+  fixture.executor.Advance(1s);
+  CHECK(fixture.log.Numbers() == Numbers{ { 1 }, { 2 } });
+  const AcknowledgedEnds ends = fixture.recorder.OnAcknowledged(kLife, 2);
+  CHECK(ends.count == 2);
+  CHECK(ends.recorded == 1);
+}
+
 // Guards against memory that grows as long as nobody acknowledges the ends.
 TEST_CASE("what is kept is bounded")
 {
--- a/tests/endtoend/PlatformTest.cpp
+++ b/tests/endtoend/PlatformTest.cpp
@@ -137,6 +137,37 @@
   CheckEachTaskStartedOnce(deployment, kTasks);
 }
 
+// Guards against ends that exist nowhere but on the VM of their worker, which
+// may lose power, while no coordinator records them.
+TEST_CASE("platform: agents record ends while there is no coordinator")
+{
+  PlatformDeployment deployment(1, 2);
+  REQUIRE(deployment.Start());
+  auto& scheduler = deployment.schedulers[0];
+  REQUIRE(deployment.Send(scheduler, "POST", kFirstJobId, MakeJobBody(1500)) ==
+          200);
+  REQUIRE(
+    PlatformDeployment::WaitUntil([&] { return deployment.Running() == 3; }));
+  scheduler.process->Kill();
+  scheduler.process.reset();
+  const std::size_t appends = deployment.store.Appends().done;
+  CHECK(
+    PlatformDeployment::WaitUntil([&] { return deployment.Running() == 0; }));
+  CHECK(PlatformDeployment::WaitUntil(
+    [&] { return deployment.store.Appends().done > appends; }));
+  // The ends are recorded once, although nobody acknowledges them.
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  CHECK(deployment.store.Appends().done <= appends + 3);
+  std::size_t unacknowledged = 0;
+  for (const auto& worker : deployment.workers) {
+    unacknowledged += worker.worker->UnacknowledgedEnds();
+  }
+  CHECK(unacknowledged == 3);
+  deployment.StartScheduler(scheduler);
+  CHECK(IsCompleted(deployment, kFirstJobId));
+  CheckEachTaskStartedOnce(deployment, kTasks);
+}
+
 // Guards against a second run of tasks whose agent lost its state in a restart.
 TEST_CASE("platform: tasks keep running when their agent restarts")
 {
