Rule out late starts on the next life of a worker as well

What callers saw: a task that had completed started again on a worker that had crashed and come back under its id.

Cause: an attempt to start a run that got no answer may be carried out seconds later, on the next life of the worker, although a later attempt was answered and the run has completed. The agent rules such attempts out, but not those of an earlier process of its own; the coordinator remembered only the runs that it had given up.

The class is now called LateStarts.

"the start of a completed run is stopped on the worker's next life" fails without the memory of ordered starts (0 stop orders, 1 expected) and passes with it. dispatch_tests: 135 of 135, coordinator_tests: 96 of 96.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "GivenUpRuns.h"
+#include "LateStarts.h"
 #include "amaranthwind/dispatch/Dispatcher.h"
 
 #include <deque>
@@ -470,11 +470,8 @@
                       OrderNumber aOrder,
                       base::TimePoint aSentAt) const;
   void StopOrphanedRun(Worker& aWorker, const job::TaskRun& aRun);
-  /**
-   * Stops the runs that were given up on a worker that reports again and does
-   * not list them, so that no late start begins them.
-   */
-  void RuleOutGivenUpRuns(Worker& aWorker, const WorkerReport& aReport);
+  /** Stops the runs that a late start may begin and that are not reported. */
+  void RuleOutLateStarts(Worker& aWorker, const WorkerReport& aReport);
   void EndIncarnation(Worker& aWorker, std::string_view aReason);
   void ExpireSilentWorkers();
   void ExpireInheritedTasks();
@@ -747,7 +744,7 @@
   /** When a run was last released without an end. */
   base::TimePoint lastReleaseAt{};
   OrderNumber lastOrder;
-  GivenUpRuns givenUpRuns;
+  LateStarts lateStarts;
 
   // State of the current scheduling pass.
   std::map<base::PoolId, Pool> pools;
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -187,7 +187,7 @@
   this->state->ExpireSilentWorkers();
   this->state->ExpireInheritedTasks();
   this->state->ForgetOldJobs();
-  this->state->givenUpRuns.ForgetOld(aNow.now);
+  this->state->lateStarts.ForgetOld(aNow.now);
   if (this->state->runTimes != nullptr) {
     this->state->runTimes->OnTick(aNow.now);
   }
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -131,7 +131,7 @@
   }
   worker.lastEnd = std::max(worker.lastEnd, lastEnd);
   this->HandleAllRunning(worker, aReport);
-  this->RuleOutGivenUpRuns(worker, aReport);
+  this->RuleOutLateStarts(worker, aReport);
   if (!aReport.mayHaveMoreEnds) {
     this->Reconcile(worker, aReport);
   }
@@ -559,10 +559,10 @@
 }
 
 void
-Dispatcher::State::RuleOutGivenUpRuns(Worker& aWorker,
-                                      const WorkerReport& aReport)
+Dispatcher::State::RuleOutLateStarts(Worker& aWorker,
+                                     const WorkerReport& aReport)
 {
-  const auto runs = this->givenUpRuns.Take(aWorker.info->life.id);
+  const auto runs = this->lateStarts.Take(aWorker.info->life);
   if (runs.empty()) {
     return;
   }
@@ -707,7 +707,7 @@
   aWorker.awaitedBytes = 0;
   aWorker.recordedEnds.clear();
   for (const auto& [run, need] : allocations) {
-    this->givenUpRuns.Add(aWorker.info->life.id, run, this->callTime.now);
+    this->lateStarts.OnGivenUp(aWorker.info->life, run, this->callTime.now);
     Task* task = this->FindRun(run);
     if (task != nullptr && task->IsOnWorker() &&
         task->incarnation == aWorker.info->life) {
@@ -855,9 +855,8 @@
                             std::string_view aReason)
 {
   Task& task = aStep.tasks[aIndex];
-  this->givenUpRuns.Add(task.incarnation.id,
-                        { { aStep.id, aIndex }, task.run },
-                        this->callTime.now);
+  this->lateStarts.OnGivenUp(
+    task.incarnation, { { aStep.id, aIndex }, task.run }, this->callTime.now);
   this->ReleaseWithoutEnd(task);
   this->MarkDirty(aStep);
   this->mustSchedule = true;
@@ -931,6 +930,7 @@
 {
   aTask.order = this->NextOrder();
   aTask.phaseStartedAt = this->callTime.now;
+  this->lateStarts.OnOrdered(aTask.incarnation, aRun, this->callTime.now);
   const std::string& payload = this->FindJob(aRun.task.step.job)->spec->payload;
   Worker& worker = this->workers.at(aTask.agent);
   const std::size_t bytes = payload.size() + aTask.checkpoint.size();
--- a/libs/dispatch/tests/GivenUpRunsTest.cpp
+++ b/libs/dispatch/tests/LateStartsTest.cpp
@@ -113,3 +113,35 @@
   start.ComeBack();
   CHECK(start.Stops() == 0);
 }
+
+// Guards against an attempt to start the run that got no answer, while a later
+// one did: it may begin the run again on the next life of the worker.
+TEST_CASE("the start of a completed run is stopped on the worker's next life")
+{
+  DispatcherHarness harness(1);
+  harness.Submit(DispatcherHarness::MakeJob("j", 1, 8));
+  REQUIRE(harness.Running("j").size() == 1);
+  const job::TaskRun run = harness.Running("j")[0];
+  harness.EndAll("j", EndKind::Done);
+  CHECK(harness.Phase("j") == ledger::JobPhase::Completed);
+  harness.stopOrders.clear();
+  SUBCASE("which begins soon")
+  {
+    harness.Restart("vm-0");
+    harness.Report("vm-0");
+    REQUIRE(harness.stopOrders.size() == 1);
+    CHECK(harness.stopOrders[0].run == run);
+  }
+  SUBCASE("but not on the same life")
+  {
+    harness.Report("vm-0");
+    CHECK(harness.stopOrders.empty());
+  }
+  SUBCASE("but not when it can no longer arrive")
+  {
+    harness.Run(60s);
+    harness.Restart("vm-0");
+    harness.Report("vm-0");
+    CHECK(harness.stopOrders.empty());
+  }
+}
