Record a release once the recorded ends are known as of it

A coordinator that loses power after it has recorded the release of a run, but before it has read the recorded ends, left a successor that took the failure for counted: HandleRecordedEnds() counts a failure of an idle task only if this coordinator has released its run. The job then had one run more than its attempts. The step record now shows the run as placed until the ends are known, so that a successor handles the record as that of a placed run, and the step is written again after that.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -406,6 +406,7 @@
    * Any number of the first ones may be all that a successor reads.
    */
   void FlushWrites();
+  ledger::StepRecord ToRecord(const Step& aStep) const;
   void WriteStep(const job::StepId& aStep);
 
   // Workers (WorkerState.cpp).
@@ -492,6 +493,15 @@
    * the task waits until that is known.
    */
   void ReleaseWithoutEnd(Task& aTask);
+  /**
+   * Whether the task's latest run, if it was released without an end, has none
+   * among the recorded ends that were not read yet.
+   */
+  bool AreEndsKnown(const Task& aTask) const;
+  /** A task was released and the recorded ends are not known as of then. */
+  bool HasUnrecordedRelease(const Step& aStep) const;
+  /** Writes the steps again whose releases may be recorded by now. */
+  void RecordReleases();
   void MarkLost(Step& aStep, std::uint32_t aIndex, std::string_view aReason);
   void RequestStop(Step& aStep, std::uint32_t aIndex, std::string_view aReason);
   OrderNumber NextOrder();
@@ -746,6 +756,8 @@
   std::optional<base::TimePoint> endsAsOf;
   /** When a run was last released without an end. */
   base::TimePoint lastReleaseAt{};
+  /** Steps whose records show released runs as placed. */
+  std::set<job::StepId> unrecordedReleases;
   OrderNumber lastOrder;
   GivenUpRuns givenUpRuns;
 
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -137,6 +137,7 @@
     this->state->mustSchedule = true;
   }
   known = std::max(known.value_or(aAsOf), aAsOf);
+  this->state->RecordReleases();
   return call.Finish();
 }
 
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -273,8 +273,8 @@
            : &job->spec->steps[aStep.step];
 }
 
-static ledger::StepRecord
-ToRecord(const Step& aStep)
+ledger::StepRecord
+Dispatcher::State::ToRecord(const Step& aStep) const
 {
   ledger::StepRecord record;
   record.id = aStep.id;
@@ -284,8 +284,12 @@
     if (task.run == 0) {
       continue;
     }
+    // A release is not recorded before the recorded ends are known as of it: a
+    // successor counts a recorded failure only of a run that was not released.
+    const bool isPlaced = task.IsOnWorker() || (task.phase == Phase::Idle &&
+                                                !this->AreEndsKnown(task));
     const auto phase = task.phase == Phase::Done ? ledger::TaskPhase::Done
-                       : task.IsOnWorker()       ? ledger::TaskPhase::Placed
+                       : isPlaced                ? ledger::TaskPhase::Placed
                                                  : ledger::TaskPhase::Idle;
     record.tasks.push_back({ i,
                              phase,
@@ -341,8 +345,11 @@
 {
   // The records of a job that was forgotten meanwhile are being deleted.
   if (const Step* step = this->FindStep(aStep)) {
+    if (this->HasUnrecordedRelease(*step)) {
+      this->unrecordedReleases.insert(aStep);
+    }
     this->effects.emplace_back(
-      PersistStep{ ToRecord(*step), ++this->lastVersion });
+      PersistStep{ this->ToRecord(*step), ++this->lastVersion });
   }
 }
 
--- a/libs/dispatch/src/Scheduling.cpp
+++ b/libs/dispatch/src/Scheduling.cpp
@@ -215,7 +215,7 @@
   for (std::uint32_t i = 0; i < aStep.tasks.size(); ++i) {
     const Task& task = aStep.tasks[i];
     if (task.phase == Phase::Idle && this->endsAsOf &&
-        task.releasedAt <= *this->endsAsOf) {
+        this->AreEndsKnown(task)) {
       idle.push_back(i);
     }
   }
--- a/libs/dispatch/src/WorkerState.cpp
+++ b/libs/dispatch/src/WorkerState.cpp
@@ -849,6 +849,38 @@
   }
 }
 
+bool
+Dispatcher::State::AreEndsKnown(const Task& aTask) const
+{
+  return aTask.releasedAt == base::TimePoint{} ||
+         (this->endsAsOf && aTask.releasedAt <= *this->endsAsOf);
+}
+
+void
+Dispatcher::State::RecordReleases()
+{
+  std::erase_if(this->unrecordedReleases, [this](const job::StepId& aStep) {
+    Step* step = this->FindStep(aStep);
+    if (step == nullptr) {
+      return true;
+    }
+    if (this->HasUnrecordedRelease(*step)) {
+      return false;
+    }
+    this->MarkDirty(*step);
+    return true;
+  });
+}
+
+bool
+Dispatcher::State::HasUnrecordedRelease(const Step& aStep) const
+{
+  return std::any_of(
+    aStep.tasks.begin(), aStep.tasks.end(), [this](const Task& aTask) {
+      return aTask.phase == Phase::Idle && !this->AreEndsKnown(aTask);
+    });
+}
+
 void
 Dispatcher::State::MarkLost(Step& aStep,
                             std::uint32_t aIndex,
--- a/libs/dispatch/tests/RecordedEndsTest.cpp
+++ b/libs/dispatch/tests/RecordedEndsTest.cpp
@@ -277,6 +277,20 @@
     harness.HandleRecord(record, base::LogOffset(6));
     harness.areEndsConfirmed = true;
   }
+  SUBCASE("record after a takeover, the run was released before")
+  {
+    isReported = false;
+    harness.areEndsConfirmed = false;
+    harness.now.now += 1ms;
+    harness.agents.at(job.agent).isReporting = false;
+    harness.Run(20s);
+    REQUIRE(harness.Running("j").empty());
+    harness.TakeOver();
+    harness.HandleRecord(record, kOffset);
+    harness.TakeOver();
+    harness.HandleRecord(record, kOffset);
+    harness.areEndsConfirmed = true;
+  }
   SUBCASE("record after a takeover only")
   {
     isReported = false;
@@ -296,6 +310,28 @@
   CHECK(harness.starts.size() == 2);
 }
 
+// Guards against a successor that takes a released task for placed, and waits
+// until the grants of its worker have expired.
+TEST_CASE("a release is durable once the recorded ends are known")
+{
+  RunningJob job(1);
+  auto& harness = job.harness;
+  harness.areEndsConfirmed = false;
+  harness.now.now += 1ms;
+  job.LosePower();
+  harness.Run(20s);
+  const auto phase = [&harness] {
+    REQUIRE(harness.durable.size() == 1);
+    return harness.durable.begin()->second.tasks.at(0).phase;
+  };
+  CHECK(phase() == ledger::TaskPhase::Placed);
+  harness.KnowEnds(harness.now.now - 60s);
+  CHECK(phase() == ledger::TaskPhase::Placed);
+  harness.KnowEnds(harness.now.now);
+  CHECK(phase() == ledger::TaskPhase::Idle);
+  REQUIRE(harness.starts.size() == 1);
+}
+
 // Guards against a gang that uses up its attempts in one run, since several of
 // its members fail and each end comes in two ways.
 TEST_CASE("recorded failures of several members of a gang count once")
