Count the failure of a gang's run once across a takeover

Which run of a gang has failed last was known to one coordinator only. If it was lost after it had counted the end of one member, its successor counted the end of another member of the same run as a further attempt, and the job could fail after one run. The record of a placed member now leaves the present run out of its failures, so that the successor can tell; the format is unchanged, and records of older versions read as before.

--- a/libs/dispatch/src/DispatchState.h
+++ b/libs/dispatch/src/DispatchState.h
@@ -406,7 +406,7 @@
    * Any number of the first ones may be all that a successor reads.
    */
   void FlushWrites();
-  ledger::StepRecord ToRecord(const Step& aStep) const;
+  ledger::StepRecord ToRecord(const Step& aStep);
   void WriteStep(const job::StepId& aStep);
 
   // Workers (WorkerState.cpp).
--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -72,6 +72,22 @@
   return LongestChain(aSpec, estimates);
 }
 
+/** See ledger::TaskRecord::failures. */
+static void
+RestoreGangFailures(Step& aGang)
+{
+  std::uint32_t failures = 0;
+  for (const Task& member : aGang.tasks) {
+    failures = std::max(failures, member.failures);
+  }
+  for (Task& member : aGang.tasks) {
+    if (member.IsOnWorker() && member.failures < failures) {
+      aGang.failedRun = member.run;
+    }
+    member.failures = failures;
+  }
+}
+
 void
 Dispatcher::State::Restore(const ledger::JobEntry& aEntry)
 {
@@ -104,6 +120,9 @@
         this->hasInheritedTasks = true;
       }
     }
+    if (aEntry.spec->steps[key.second].isGang) {
+      RestoreGangFailures(step);
+    }
   }
   this->UpdateJobOutcome(job);
 }
@@ -274,8 +293,9 @@
 }
 
 ledger::StepRecord
-Dispatcher::State::ToRecord(const Step& aStep) const
+Dispatcher::State::ToRecord(const Step& aStep)
 {
+  const bool isGang = this->SpecOf(aStep.id)->isGang;
   ledger::StepRecord record;
   record.id = aStep.id;
   record.hasFailed = aStep.hasFailed;
@@ -291,10 +311,13 @@
     const auto phase = task.phase == Phase::Done ? ledger::TaskPhase::Done
                        : isPlaced                ? ledger::TaskPhase::Placed
                                                  : ledger::TaskPhase::Idle;
+    // Tells a successor whether the failure of the gang's run was counted when
+    // the other members' ends arrive.
+    const bool excludesRun = isGang && isPlaced && task.run == aStep.failedRun;
     record.tasks.push_back({ i,
                              phase,
                              task.run,
-                             task.failures,
+                             task.failures - (excludesRun ? 1 : 0),
                              task.incarnation,
                              task.placedOn,
                              task.checkpoint });
--- a/libs/dispatch/tests/RecordedEndsTest.cpp
+++ b/libs/dispatch/tests/RecordedEndsTest.cpp
@@ -356,6 +356,49 @@
   CHECK(harness.Phase("gang") == JobPhase::Failed);
 }
 
+// Guards against a job that fails after one run of its gang, since a successor
+// does not know that the failure of the run was counted.
+TEST_CASE("the failure of a gang counts once if a takeover divides its ends")
+{
+  DispatcherHarness harness(2);
+  job::WorkflowSpec spec = DispatcherHarness::MakeJob("gang", 2, 8);
+  spec.steps[0].isGang = true;
+  harness.Submit(spec);
+  const auto runs = harness.Running("gang");
+  REQUIRE(runs.size() == 2);
+  const EndRecord first = MakeRecord(harness, runs[0], EndKind::Failed);
+  const EndRecord second = MakeRecord(harness, runs[1], EndKind::Failed);
+  for (auto& [name, agent] : harness.agents) {
+    agent.isReporting = false;
+    agent.ignoresOrders = true;
+  }
+  harness.End(runs[0], EndKind::Failed);
+  harness.End(runs[1], EndKind::Failed);
+  harness.HandleRecord(first, kOffset);
+  harness.TakeOver();
+  SUBCASE("one that reads both records")
+  {
+    harness.HandleRecord(first, kOffset);
+    harness.HandleRecord(second, base::LogOffset(6));
+  }
+  SUBCASE("one that gets reports") {}
+  SUBCASE("a second one")
+  {
+    harness.TakeOver();
+  }
+  for (auto& [name, agent] : harness.agents) {
+    agent.isReporting = true;
+    agent.ignoresOrders = false;
+  }
+  harness.Run(3s);
+  REQUIRE(harness.starts.size() == 4);
+  CHECK(harness.Phase("gang") == JobPhase::Running);
+  harness.EndAll("gang", EndKind::Failed);
+  harness.Run(3s);
+  CHECK(harness.Phase("gang") == JobPhase::Failed);
+  CHECK(harness.starts.size() == 4);
+}
+
 // Guards against other writers, and agents whose record is late, that change
 // tasks which are not theirs or take the coordinator down.
 TEST_CASE("an odd record of ends changes nothing and is deleted")
--- a/libs/ledger/include/amaranthwind/ledger/Records.h
+++ b/libs/ledger/include/amaranthwind/ledger/Records.h
@@ -44,7 +44,11 @@
   TaskPhase phase = TaskPhase::Idle;
   /** Number of the latest run. */
   std::uint32_t run = 0;
-  /** Number of failed runs. */
+  /**
+   * Number of failed runs. That of a placed member of a gang is without the
+   * latest run, so that it is less than that of a member whose failure in that
+   * run was counted.
+   */
   std::uint32_t failures = 0;
   /** Worker of the latest placement. */
   WorkerIncarnation worker;
