--- a/libs/dispatch/src/JobState.cpp
+++ b/libs/dispatch/src/JobState.cpp
@@ -72,6 +72,22 @@
   return LongestChain(aSpec, estimates);
 }
 
+/** See ledger::TaskRecord::failures. */
+static void
+RestoreGangFailures(Step& aGang)
+{
+  std::uint32_t failures = 0;
+  for (const Task& member : aGang.tasks) {
+    failures = std::max(failures, member.failures);
+  }
+  for (Task& member : aGang.tasks) {
+    if (member.IsOnWorker() && member.failures < failures) {
+      aGang.failedRun = member.run;
+    }
+    member.failures = failures;
+  }
+}
+
 void
 Dispatcher::State::Restore(const ledger::JobEntry& aEntry)
 {
@@ -104,6 +120,9 @@
         this->hasInheritedTasks = true;
       }
     }
+    if (aEntry.spec->steps[key.second].isGang) {
+      RestoreGangFailures(step);
+    }
   }
   this->UpdateJobOutcome(job);
 }
@@ -273,9 +292,10 @@
            : &job->spec->steps[aStep.step];
 }
 
-static ledger::StepRecord
-ToRecord(const Step& aStep)
+ledger::StepRecord
+Dispatcher::State::ToRecord(const Step& aStep)
 {
+  const bool isGang = this->SpecOf(aStep.id)->isGang;
   ledger::StepRecord record;
   record.id = aStep.id;
   record.hasFailed = aStep.hasFailed;
@@ -284,13 +304,20 @@
     if (task.run == 0) {
       continue;
     }
+    // A release is not recorded before the recorded ends are known as of it: a
+    // successor counts a recorded failure only of a run that was not released.
+    const bool isPlaced = task.IsOnWorker() || (task.phase == Phase::Idle &&
+                                                !this->AreEndsKnown(task));
     const auto phase = task.phase == Phase::Done ? ledger::TaskPhase::Done
-                       : task.IsOnWorker()       ? ledger::TaskPhase::Placed
+                       : isPlaced                ? ledger::TaskPhase::Placed
                                                  : ledger::TaskPhase::Idle;
+    // Tells a successor whether the failure of the gang's run was counted when
+    // the other members' ends arrive.
+    const bool excludesRun = isGang && isPlaced && task.run == aStep.failedRun;
     record.tasks.push_back({ i,
                              phase,
                              task.run,
-                             task.failures,
+                             task.failures - (excludesRun ? 1 : 0),
                              task.incarnation,
                              task.placedOn,
                              task.checkpoint });
@@ -341,8 +368,11 @@
 {
   // The records of a job that was forgotten meanwhile are being deleted.
   if (const Step* step = this->FindStep(aStep)) {
+    if (this->HasUnrecordedRelease(*step)) {
+      this->unrecordedReleases.insert(aStep);
+    }
     this->effects.emplace_back(
-      PersistStep{ ToRecord(*step), ++this->lastVersion });
+      PersistStep{ this->ToRecord(*step), ++this->lastVersion });
   }
 }
 
--- a/libs/dispatch/tests/RecordedEndsTest.cpp
+++ b/libs/dispatch/tests/RecordedEndsTest.cpp
@@ -277,6 +277,20 @@
     harness.HandleRecord(record, base::LogOffset(6));
     harness.areEndsConfirmed = true;
   }
+  SUBCASE("record after a takeover, the run was released before")
+  {
+    isReported = false;
+    harness.areEndsConfirmed = false;
+    harness.now.now += 1ms;
+    harness.agents.at(job.agent).isReporting = false;
+    harness.Run(20s);
+    REQUIRE(harness.Running("j").empty());
+    harness.TakeOver();
+    harness.HandleRecord(record, kOffset);
+    harness.TakeOver();
+    harness.HandleRecord(record, kOffset);
+    harness.areEndsConfirmed = true;
+  }
   SUBCASE("record after a takeover only")
   {
     isReported = false;
@@ -296,6 +310,28 @@
   CHECK(harness.starts.size() == 2);
 }
 
+// Guards against a successor that takes a released task for placed, and waits
+// until the grants of its worker have expired.
+TEST_CASE("a release is durable once the recorded ends are known")
+{
+  RunningJob job(1);
+  auto& harness = job.harness;
+  harness.areEndsConfirmed = false;
+  harness.now.now += 1ms;
+  job.LosePower();
+  harness.Run(20s);
+  const auto phase = [&harness] {
+    REQUIRE(harness.durable.size() == 1);
+    return harness.durable.begin()->second.tasks.at(0).phase;
+  };
+  CHECK(phase() == ledger::TaskPhase::Placed);
+  harness.KnowEnds(harness.now.now - 60s);
+  CHECK(phase() == ledger::TaskPhase::Placed);
+  harness.KnowEnds(harness.now.now);
+  CHECK(phase() == ledger::TaskPhase::Idle);
+  REQUIRE(harness.starts.size() == 1);
+}
+
 // Guards against a gang that uses up its attempts in one run, since several of
 // its members fail and each end comes in two ways.
 TEST_CASE("recorded failures of several members of a gang count once")
@@ -320,6 +356,49 @@
   CHECK(harness.Phase("gang") == JobPhase::Failed);
 }
 
+// Guards against a job that fails after one run of its gang, since a successor
+// does not know that the failure of the run was counted.
+TEST_CASE("the failure of a gang counts once if a takeover divides its ends")
+{
+  DispatcherHarness harness(2);
+  job::WorkflowSpec spec = DispatcherHarness::MakeJob("gang", 2, 8);
+  spec.steps[0].isGang = true;
+  harness.Submit(spec);
+  const auto runs = harness.Running("gang");
+  REQUIRE(runs.size() == 2);
+  const EndRecord first = MakeRecord(harness, runs[0], EndKind::Failed);
+  const EndRecord second = MakeRecord(harness, runs[1], EndKind::Failed);
+  for (auto& [name, agent] : harness.agents) {
+    agent.isReporting = false;
+    agent.ignoresOrders = true;
+  }
+  harness.End(runs[0], EndKind::Failed);
+  harness.End(runs[1], EndKind::Failed);
+  harness.HandleRecord(first, kOffset);
+  harness.TakeOver();
+  SUBCASE("one that reads both records")
+  {
+    harness.HandleRecord(first, kOffset);
+    harness.HandleRecord(second, base::LogOffset(6));
+  }
+  SUBCASE("one that gets reports") {}
+  SUBCASE("a second one")
+  {
+    harness.TakeOver();
+  }
+  for (auto& [name, agent] : harness.agents) {
+    agent.isReporting = true;
+    agent.ignoresOrders = false;
+  }
+  harness.Run(3s);
+  REQUIRE(harness.starts.size() == 4);
+  CHECK(harness.Phase("gang") == JobPhase::Running);
+  harness.EndAll("gang", EndKind::Failed);
+  harness.Run(3s);
+  CHECK(harness.Phase("gang") == JobPhase::Failed);
+  CHECK(harness.starts.size() == 4);
+}
+
 // Guards against other writers, and agents whose record is late, that change
 // tasks which are not theirs or take the coordinator down.
 TEST_CASE("an odd record of ends changes nothing and is deleted")
