Test that ends of many agents at once are durable in time

Appends to one partition take turns, 4 ms each. An agent whose append waits behind those of 71 others has to make a later end durable in time all the same.

--- a/libs/coordinator/tests/DurableEndTest.cpp
+++ b/libs/coordinator/tests/DurableEndTest.cpp
@@ -264,6 +264,37 @@
   }
 }
 
+// Guards against an append of an agent that waits behind those of other agents
+// and holds up the record of the next end.
+TEST_CASE(
+  "an end that was listed to an agent outlasts a loss of all VMs beside "
+  "ends of many agents")
+{
+  constexpr std::uint32_t kAgents = 72;
+  constexpr base::Duration kInterval = 120ms;
+  SimulatedCell cell(MakeOptions({}, kAgents));
+  cell.Inject({ FaultKind::FreezeEntries,
+                FaultTrigger::Time,
+                kSubmitTime + 1500ms,
+                2500ms,
+                kAll,
+                0 });
+  cell.Inject({ FaultKind::PowerLossOfAll,
+                FaultTrigger::Time,
+                kSubmitTime + 2440ms,
+                500ms,
+                kAll,
+                0 });
+  cell.Run(kSubmitTime);
+  cell.SubmitUntilAccepted(MakeJob(0, kAgents * 2, true));
+  cell.Run(kInterval);
+  cell.SubmitUntilAccepted(MakeJob(1, kAgents * 6, false));
+  cell.Run(kQuietTime);
+  for (const auto& problem : FindProblems(cell)) {
+    FAIL_CHECK(problem);
+  }
+}
+
 // As above, with coordinators that are slow or disturbed and losses of power of
 // any VMs at any time. The environment sets the first seed and their number
 // (AMARANTHWIND_LOSS_SEED, AMARANTHWIND_LOSS_SEEDS) and whether to print all
