Spread the records of ends over eight partitions

What callers saw: with many agents, tasks could still run again after a loss of all VMs although their ends had been listed for over 100 ms.

Cause: a partition of the log takes one append at a time, and all agents shared one. When the ends of 72 agents come at once beside a frozen coordinator, the last append is answered after 216 ms, and the agent's next ends wait for it.

Change: the records of an agent go to one of eight partitions, by a hash of its id. The coordinator follows all of them, and its view is as old as the oldest. Confirmations are at least 100 ms apart instead of 50, as each takes eight reads.

"an end that was listed to an agent outlasts a loss of all VMs beside ends of many agents" failed before (49 tasks started again) and passes now.

--- a/libs/agent/include/amaranthwind/agent/EndLog.h
+++ b/libs/agent/include/amaranthwind/agent/EndLog.h
@@ -24,9 +24,9 @@
   virtual ~EndLog() = default;
 
   /**
-   * Appends all records or none. The handler is called once, on any thread.
-   * Errors: LogUnavailable (not appended), AppendUnconfirmed (may be appended
-   * now or later), TooLarge.
+   * Appends all records or none; they are of one agent, and at least one. The
+   * handler is called once, on any thread. Errors: LogUnavailable (not
+   * appended), AppendUnconfirmed (may be appended now or later), TooLarge.
    */
   virtual void Append(std::span<const dispatch::EndRecord> aRecords,
                       const EndAppendConditions& aConditions,
--- a/libs/agent/include/amaranthwind/agent/KeyedEndLog.h
+++ b/libs/agent/include/amaranthwind/agent/KeyedEndLog.h
@@ -6,8 +6,9 @@
 namespace amaranthwind::agent {
 
 /**
- * Log of ends in a topic of the platform's log. The topic has a queue of its
- * own, so that these appends delay none of the coordinator's. Thread-safe.
+ * Log of ends in a topic of the platform's log. Its partitions have queues of
+ * their own, so that these appends delay none of the coordinator's.
+ * Thread-safe.
  */
 class KeyedEndLog final : public EndLog
 {
--- a/libs/agent/src/KeyedEndLog.cpp
+++ b/libs/agent/src/KeyedEndLog.cpp
@@ -23,7 +23,8 @@
   conditions.timeout = aConditions.timeout;
   conditions.isRepeat = aConditions.isRepeat;
   this->log.Append(
-    { std::string(dispatch::kEndTopic), 0 },
+    { std::string(dispatch::kEndTopic),
+      dispatch::EndPartitionOf(aRecords.front().agent) },
     values,
     conditions,
     [handler = std::move(aHandler)](const base::Result<base::LogOffset>& aAt) {
--- a/libs/coordinator/src/DispatchRunner.cpp
+++ b/libs/coordinator/src/DispatchRunner.cpp
@@ -57,8 +57,12 @@
   , decisions(aDecisions)
   , load(aLoad)
   , maxRecordBytes(aLog.Limits().recordBytes)
-  , endRecords(aClock, aExecutor, aLog, aEndRecordLog, *this)
 {
+  EndRecordObserver& observer = *this;
+  for (std::uint32_t i = 0; i < dispatch::kEndPartitions; ++i) {
+    this->endRecords.push_back(std::make_unique<EndRecords>(
+      i, aClock, aExecutor, aLog, aEndRecordLog, observer));
+  }
   journal::FencedWriterOptions writerOptions;
   writerOptions.topic = { std::string(kJobTopic), 0 };
   writerOptions.producer = kProducer;
@@ -82,7 +86,7 @@
     { { std::string(kTermKey), std::to_string(this->token.Get()) } },
     [this, alive = this->isAlive, done = std::move(aDone)] {
       if (*alive) {
-        this->endRecords.Confirm();
+        this->ConfirmEnds();
         done();
       }
     });
@@ -121,7 +125,9 @@
   if (this->hasPredecessorSteppedDown) {
     this->OnPredecessorSteppedDown();
   }
-  this->endRecords.Begin();
+  for (const auto& partition : this->endRecords) {
+    partition->Begin();
+  }
   this->OnGuarantees(aGuarantees);
 }
 
@@ -131,19 +137,35 @@
   {
     const LoadMonitor::Measurement measurement(this->load,
                                                DecisionWork::RecordedEnds);
-    for (const auto& [offset, record] : aRecords) {
+    for (const auto& [id, record] : aRecords) {
       this->ExecuteEffects(
-        this->dispatcher->OnRecordedEnds(record, offset, this->Now()));
+        this->dispatcher->OnRecordedEnds(record, id, this->Now()));
     }
   }
   this->FinishBatch();
 }
 
 void
-DispatchRunner::OnEndsConfirmed(base::TimePoint aAsOf)
+DispatchRunner::OnEndsConfirmed(std::uint32_t aPartition, base::TimePoint aAsOf)
 {
-  this->ExecuteEffects(this->dispatcher->OnEndsConfirmed(aAsOf, this->Now()));
-  this->FinishBatch();
+  const auto oldest = [this] {
+    return *std::min_element(this->endsAsOf.begin(), this->endsAsOf.end());
+  };
+  const base::TimePoint before = oldest();
+  this->endsAsOf.at(aPartition) = aAsOf;
+  if (oldest() > before) {
+    this->ExecuteEffects(
+      this->dispatcher->OnEndsConfirmed(oldest(), this->Now()));
+    this->FinishBatch();
+  }
+}
+
+void
+DispatchRunner::ConfirmEnds()
+{
+  for (const auto& partition : this->endRecords) {
+    partition->Confirm();
+  }
 }
 
 dispatch::ClockReading
@@ -423,9 +445,9 @@
       }
     } else if (const auto* deletion =
                  std::get_if<dispatch::DeleteEndRecord>(&effect)) {
-      this->endRecords.Delete(deletion->offset);
+      this->endRecords.at(deletion->id.partition)->Delete(deletion->id.offset);
     } else if (std::holds_alternative<dispatch::ConfirmEnds>(effect)) {
-      this->endRecords.Confirm();
+      this->ConfirmEnds();
     }
   }
   this->WriteNext();
--- a/libs/coordinator/src/DispatchRunner.h
+++ b/libs/coordinator/src/DispatchRunner.h
@@ -8,12 +8,14 @@
 #include "amaranthwind/coordinator/Coordinator.h"
 #include "amaranthwind/journal/FencedWriter.h"
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace amaranthwind::coordinator {
 
@@ -123,7 +125,10 @@
   };
 
   void OnRecordedEnds(std::span<const ReadEndRecord> aRecords) override;
-  void OnEndsConfirmed(base::TimePoint aAsOf) override;
+  void OnEndsConfirmed(std::uint32_t aPartition,
+                       base::TimePoint aAsOf) override;
+  /** Confirms the recorded ends of all partitions. */
+  void ConfirmEnds();
   void ExecuteEffects(dispatch::Effects aEffects);
   /** Queues the record until the next append that has room for it. */
   void QueueRecord(journal::KeyedValue aRecord, std::uint64_t aVersion = 0);
@@ -158,7 +163,10 @@
   /** Largest record that the log takes, see journal::SizeOf(). */
   const std::size_t maxRecordBytes;
   std::unique_ptr<journal::FencedWriter> writer;
-  EndRecords endRecords;
+  /** By partition. */
+  std::vector<std::unique_ptr<EndRecords>> endRecords;
+  /** As of when the recorded ends are known, by partition. */
+  std::array<base::TimePoint, dispatch::kEndPartitions> endsAsOf{};
   /** In the order in which they must become durable. */
   std::deque<UnwrittenRecord> unwritten;
   /** Submitted records that wait for the append under way. */
--- a/libs/coordinator/src/EndRecords.cpp
+++ b/libs/coordinator/src/EndRecords.cpp
@@ -24,7 +24,7 @@
  * Shortest time between two confirmations. When many workers are lost or refuse
  * their starts, a read for each would use up the log's rate of reads.
  */
-constexpr base::Duration kMinConfirmationInterval = 50ms;
+constexpr base::Duration kMinConfirmationInterval = 100ms;
 /** Longer than an append can wait in a log that refuses longer queues. */
 constexpr base::Duration kAnswerTimeout = 4s;
 /** Limit of the size of an append, so that it fits through a narrow link. */
@@ -33,9 +33,9 @@
 constexpr std::size_t kMaxLoggedText = 64;
 
 journal::KeyedTopic
-EndTopic()
+EndTopic(std::uint32_t aPartition)
 {
-  return { std::string(dispatch::kEndTopic), 0 };
+  return { std::string(dispatch::kEndTopic), aPartition };
 }
 
 } // namespace
@@ -66,7 +66,8 @@
   this->logger.Info("recorded ends read",
                     { { "records", aRecords.size() },
                       { "ends", ends },
-                      { "offset", aRecords.front().offset },
+                      { "partition", aRecords.front().id.partition },
+                      { "offset", aRecords.front().id.offset },
                       { "agent", aRecords.front().record.agent } });
 }
 
@@ -100,32 +101,36 @@
 }
 
 void
-EndRecordLog::OnUnavailable(const base::Error& aError)
+EndRecordLog::OnUnavailable(std::uint32_t aPartition, const base::Error& aError)
 {
-  this->logger.Warning(
-    "log unavailable",
-    { { "topic", dispatch::kEndTopic }, { "error", base::Describe(aError) } });
+  this->logger.Warning("log unavailable",
+                       { { "topic", dispatch::kEndTopic },
+                         { "partition", aPartition },
+                         { "error", base::Describe(aError) } });
 }
 
 void
-EndRecordLog::OnAvailable()
+EndRecordLog::OnAvailable(std::uint32_t aPartition)
 {
-  this->logger.Info("log available again",
-                    { { "topic", dispatch::kEndTopic } });
+  this->logger.Info(
+    "log available again",
+    { { "topic", dispatch::kEndTopic }, { "partition", aPartition } });
 }
 
-EndRecords::EndRecords(const base::Clock& aClock,
+EndRecords::EndRecords(std::uint32_t aPartition,
+                       const base::Clock& aClock,
                        base::Executor& aExecutor,
                        journal::KeyedLog& aLog,
                        EndRecordLog& aRecordLog,
                        EndRecordObserver& aObserver)
-  : clock(aClock)
+  : partition(aPartition)
+  , clock(aClock)
   , executor(aExecutor)
   , log(aLog)
   , recordLog(aRecordLog)
   , observer(aObserver)
   , deletionBackoff({ .first = kDeletionInterval, .max = 30s })
-  , follower({ .topic = EndTopic(), .wait = kReadWait },
+  , follower({ .topic = EndTopic(aPartition), .wait = kReadWait },
              aClock,
              aExecutor,
              aLog,
@@ -217,7 +222,8 @@
     }
     this->newest.emplace(record.key, record.offset);
     this->keys.emplace(record.offset, record.key);
-    decoded.push_back({ record.offset, std::move(ends.value()) });
+    decoded.push_back(
+      { { this->partition, record.offset }, std::move(ends.value()) });
   }
   if (undecodable != nullptr) {
     this->recordLog.OnUndecodable(failures, *undecodable, *error);
@@ -242,20 +248,20 @@
 {
   if (this->hasBegun && this->validFrom &&
       this->confirmedAsOf >= *this->validFrom) {
-    this->observer.OnEndsConfirmed(this->confirmedAsOf);
+    this->observer.OnEndsConfirmed(this->partition, this->confirmedAsOf);
   }
 }
 
 void
 EndRecords::OnUnavailable(const base::Error& aError)
 {
-  this->recordLog.OnUnavailable(aError);
+  this->recordLog.OnUnavailable(this->partition, aError);
 }
 
 void
 EndRecords::OnAvailable()
 {
-  this->recordLog.OnAvailable();
+  this->recordLog.OnAvailable(this->partition);
 }
 
 void
@@ -347,7 +353,7 @@
     return;
   }
   this->log.Append(
-    EndTopic(),
+    EndTopic(this->partition),
     records,
     { .expectedEnd = std::nullopt,
       .stamp = std::nullopt,
--- a/libs/coordinator/src/EndRecords.h
+++ b/libs/coordinator/src/EndRecords.h
@@ -6,6 +6,7 @@
 #include "amaranthwind/telemetry/Logger.h"
 #include "amaranthwind/telemetry/Metrics.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,7 +19,7 @@
 /** A record of ends as it was read. */
 struct ReadEndRecord
 {
-  base::LogOffset offset;
+  dispatch::EndRecordId id;
   dispatch::EndRecord record;
 };
 
@@ -28,8 +29,9 @@
 public:
   virtual ~EndRecordObserver() = default;
   virtual void OnRecordedEnds(std::span<const ReadEndRecord> aRecords) = 0;
-  /** All records acknowledged before aAsOf were passed on. */
-  virtual void OnEndsConfirmed(base::TimePoint aAsOf) = 0;
+  /** All records of the partition acknowledged before aAsOf were passed on. */
+  virtual void OnEndsConfirmed(std::uint32_t aPartition,
+                               base::TimePoint aAsOf) = 0;
 };
 
 /** Logs and counts the records of ends, over all terms of an entry. */
@@ -45,8 +47,8 @@
                      const base::Error& aError);
   void OnDeleted(std::size_t aCount);
   void OnDeletionFailed(std::size_t aCount, const base::Error& aError);
-  void OnUnavailable(const base::Error& aError);
-  void OnAvailable();
+  void OnUnavailable(std::uint32_t aPartition, const base::Error& aError);
+  void OnAvailable(std::uint32_t aPartition);
 
 private:
   telemetry::Logger& logger;
@@ -56,10 +58,10 @@
 };
 
 /**
- * Follows the records of ends that agents write while no coordinator
- * acknowledges them, for one term of leadership, and deletes those whose ends
- * are durable elsewhere. Records that are read before Begin() are kept; the log
- * keeps the newest of each key only, which bounds them.
+ * Follows one partition of the records of ends that agents write while no
+ * coordinator acknowledges them, for one term of leadership, and deletes those
+ * whose ends are durable elsewhere. Records that are read before Begin() are
+ * kept; the log keeps the newest of each key only, which bounds them.
  *
  * A deletion needs no fencing, however late it takes effect: when it is sent,
  * the records of the steps that the ends changed are confirmed to be in the
@@ -73,7 +75,8 @@
 {
 public:
   /** All references must outlive the object. */
-  EndRecords(const base::Clock& aClock,
+  EndRecords(std::uint32_t aPartition,
+             const base::Clock& aClock,
              base::Executor& aExecutor,
              journal::KeyedLog& aLog,
              EndRecordLog& aRecordLog,
@@ -112,6 +115,7 @@
                         const base::Result<base::LogOffset>& aResult);
   void RunAfter(base::Duration aDelay, void (EndRecords::*aTask)());
 
+  const std::uint32_t partition;
   const base::Clock& clock;
   base::Executor& executor;
   journal::KeyedLog& log;
--- a/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/Dispatcher.h
@@ -148,12 +148,12 @@
 };
 
 /**
- * The record of ends that OnRecordedEnds() was given with this offset may be
+ * The record of ends that OnRecordedEnds() was given with this id may be
  * deleted, since everything that its ends have changed is durable.
  */
 struct DeleteEndRecord
 {
-  base::LogOffset offset;
+  EndRecordId id;
 };
 
 /**
@@ -300,10 +300,10 @@
   /**
    * Handles ends that an agent has recorded. They may also be reported, before
    * or afterwards, and a record may be handled any number of times.
-   * @param aOffset Identifies the record in DeleteEndRecord.
+   * @param aId Identifies the record in DeleteEndRecord.
    */
   Effects OnRecordedEnds(const EndRecord& aRecord,
-                         base::LogOffset aOffset,
+                         const EndRecordId& aId,
                          const ClockReading& aNow);
   /**
    * OnRecordedEnds() was called for all records acknowledged before this time,
--- a/libs/dispatch/include/amaranthwind/dispatch/EndRecord.h
+++ b/libs/dispatch/include/amaranthwind/dispatch/EndRecord.h
@@ -5,6 +5,7 @@
 #include "amaranthwind/ledger/Records.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,12 @@
 /** Log topic of the ends that agents record. */
 inline constexpr std::string_view kEndTopic = "ends";
 
+/**
+ * Partitions that the records are spread over. A partition takes one append at
+ * a time, so that the records of many agents in one would be late.
+ */
+inline constexpr std::uint32_t kEndPartitions = 8;
+
 /** Limit of the ends in one record. */
 inline constexpr std::size_t kMaxRecordedEnds = 512;
 
@@ -33,6 +40,19 @@
   bool operator==(const EndRecord&) const = default;
 };
 
+/** Identifies a record as it was read. */
+struct EndRecordId
+{
+  std::uint32_t partition = 0;
+  base::LogOffset offset;
+
+  auto operator<=>(const EndRecordId&) const = default;
+};
+
+/** Partition of the records of an agent, below kEndPartitions. */
+std::uint32_t
+EndPartitionOf(const base::AgentId& aAgent) noexcept;
+
 /** Key of the record in its topic; no other record of the topic has the same.
  */
 std::string
--- a/libs/dispatch/src/Dispatcher.cpp
+++ b/libs/dispatch/src/Dispatcher.cpp
@@ -119,12 +119,12 @@
 
 Effects
 Dispatcher::OnRecordedEnds(const EndRecord& aRecord,
-                           base::LogOffset aOffset,
+                           const EndRecordId& aId,
                            const ClockReading& aNow)
 {
   CallScope call(this->state->callTime, this->state->effects, aNow);
   this->state->HandleRecordedEnds(aRecord);
-  this->state->unwrittenDeletions.push_back({ aOffset });
+  this->state->unwrittenDeletions.push_back({ aId });
   return call.Finish();
 }
 
