Adopt the ends of an answer that was overtaken by a later hold's

Cause: an agent has a hold that waits at its worker, and sends others that do not, after a stop for example. It numbered holds by when they were sent and dropped the list of one that was answered after a later one. A hold that waits is answered when a run ends, so that just its answer lists the end. The next hold waits again, for up to 1 s; until then nobody knows the end although the worker has listed it, and if the worker ends first, nobody ever does.

Change: the list of what runs is still taken from the latest hold only, but ends are adopted from every answer of the present life: an end is listed for good.

"an end counts though a later hold was answered before" failed before (no end was reported) and passes now; agent_tests: 64 of 64.

--- a/libs/agent/src/AgentIncarnation.cpp
+++ b/libs/agent/src/AgentIncarnation.cpp
@@ -420,6 +420,14 @@
   this->LogLapse(answer.clock);
   if (aNumber > this->taskListHoldNumber) {
     this->ApplyTaskList(answer, aNumber);
+  } else if (this->AdoptEnds(answer)) {
+    // A hold that waited is answered after later ones. Its list of what runs is
+    // outdated, but an end is listed for good.
+    for (const auto& end : answer.ended) {
+      this->listedTasks.erase(end.run);
+      this->runs.erase(end.run);
+    }
+    this->ReportChange();
   }
   aContinuation(*this, true);
 }
@@ -437,26 +445,7 @@
     listed = task;
     this->LimitCheckpoint(task.run, listed.checkpoint);
   }
-  for (const auto& end : aAnswer.ended) {
-    const auto [added, isNew] =
-      end.number > this->lastAcknowledgedEnd
-        ? this->unacknowledgedEnds.emplace(end.number, end)
-        : std::pair(this->unacknowledgedEnds.end(), false);
-    if (isNew) {
-      hasChanges = true;
-      this->endRecorder.OnListed(this->workerInfo->life, end);
-      this->LimitCheckpoint(end.run, added->second.checkpoint);
-      this->logger.Info(
-        "task ended",
-        { { "task", ToLogText(end.run) },
-          { "number", end.number },
-          { "kind", static_cast<unsigned>(end.kind) },
-          { "pastDeadlineMs",
-            ToLogText(this->givenLease.TimePast(aAnswer.clock)) },
-          { "mayHaveOtherDeadline",
-            this->givenLease.MayHaveOther(aAnswer.clock) ? "yes" : "no" } });
-    }
-  }
+  hasChanges = this->AdoptEnds(aAnswer) || hasChanges;
   std::set<TaskRun> ended;
   for (const auto& [number, end] : this->unacknowledgedEnds) {
     ended.insert(end.run);
@@ -480,6 +469,33 @@
   }
 }
 
+bool
+WorkerAgent::State::AdoptEnds(const HoldReply& aAnswer)
+{
+  bool hasNewEnds = false;
+  for (const auto& end : aAnswer.ended) {
+    const auto [added, isNew] =
+      end.number > this->lastAcknowledgedEnd
+        ? this->unacknowledgedEnds.emplace(end.number, end)
+        : std::pair(this->unacknowledgedEnds.end(), false);
+    if (isNew) {
+      hasNewEnds = true;
+      this->endRecorder.OnListed(this->workerInfo->life, end);
+      this->LimitCheckpoint(end.run, added->second.checkpoint);
+      this->logger.Info(
+        "task ended",
+        { { "task", ToLogText(end.run) },
+          { "number", end.number },
+          { "kind", static_cast<unsigned>(end.kind) },
+          { "pastDeadlineMs",
+            ToLogText(this->givenLease.TimePast(aAnswer.clock)) },
+          { "mayHaveOtherDeadline",
+            this->givenLease.MayHaveOther(aAnswer.clock) ? "yes" : "no" } });
+    }
+  }
+  return hasNewEnds;
+}
+
 void
 WorkerAgent::State::LimitCheckpoint(const TaskRun& aRun,
                                     std::string& aCheckpoint)
--- a/libs/agent/src/AgentState.h
+++ b/libs/agent/src/AgentState.h
@@ -183,6 +183,9 @@
                     std::uint64_t aLastSeen,
                     void (*aContinuation)(State&, bool));
   void ApplyTaskList(const HoldReply& aAnswer, std::uint64_t aNumber);
+  /** Keeps the ends that were not listed before; returns whether there are any.
+   */
+  bool AdoptEnds(const HoldReply& aAnswer);
   /** Drops a checkpoint that is too long. */
   void LimitCheckpoint(const TaskRun& aRun, std::string& aCheckpoint);
   /**
--- a/libs/agent/tests/WorkerAgentTest.cpp
+++ b/libs/agent/tests/WorkerAgentTest.cpp
@@ -374,6 +374,25 @@
   CHECK(fixture.coordinator.lastReport.worker->coldFor == 0s);
 }
 
+// Guards against an end that is dropped because a later hold was answered
+// before the one that lists it, and that the worker, which leaves, lists to no
+// other.
+TEST_CASE("an end counts though a later hold was answered before")
+{
+  Fixture fixture;
+  fixture.Start();
+  fixture.Run(2500ms);
+  // The worker answers the hold after the stop while another one waits.
+  fixture.agent.OnStop({ kToken, {} }, kIncarnation, { kRun.task, 9 });
+  fixture.executor.Advance(20ms);
+  fixture.worker.EndRun(kRun, EndKind::Done);
+  fixture.worker.closesConnections = true;
+  fixture.Run(1500ms);
+  REQUIRE(fixture.coordinator.lastReport.ended.size() == 1);
+  CHECK(fixture.coordinator.lastReport.ended[0].run == kRun);
+  CHECK(fixture.coordinator.lastReport.running.empty());
+}
+
 // Guards against running a done task again after its worker's life was over.
 TEST_CASE("the ends of a life that is over are reported until acknowledged")
 {
