--- a/libs/coordinator/tests/SimulatedCell.cpp
+++ b/libs/coordinator/tests/SimulatedCell.cpp
@@ -33,7 +33,7 @@
 constexpr double kSlowClockRate = 0.98;
 /** An end counts once it has been listed for more than 100 ms, undisturbed. */
 constexpr base::Duration kListedTime = 101ms;
-/** How long after its end a disturbance of the log still counts as near. */
+/** How long after its end a fault of the log still excuses late records. */
 constexpr base::Duration kContactTime = 3000ms;
 /** Until the event that triggers a fault has taken effect elsewhere. */
 constexpr std::uint64_t kMaxTriggerDelayMs = 40;
--- a/libs/coordinator/tests/SimulatedCell.h
+++ b/libs/coordinator/tests/SimulatedCell.h
@@ -310,7 +310,7 @@
   {
     dispatch::EndedTask end;
     base::TimePoint endedAt{};
-    /** Since when the agent knows it, with no disturbance. */
+    /** Since when the agent knows it, with no fault of its own or the log. */
     std::optional<base::TimePoint> listedAt;
   };
 
@@ -519,7 +519,7 @@
    * from its worker or the log. Nothing that happens to the entries excuses it.
    */
   void DisturbAgent(Vm& aVm, base::Duration aLength);
-  /** What a disturbance of the log delays may be late for this long. */
+  /** As DisturbAgent(), and for the time in which a hanging append fails. */
   void DisturbLogOf(Vm& aVm, base::Duration aLength);
   void KillAgent(Vm& aVm, bool aHasLostPower);
   void StartAgent(Vm& aVm);
