--- a/libs/coordinator/tests/DurableEndTest.cpp
+++ b/libs/coordinator/tests/DurableEndTest.cpp
@@ -1,3 +1,4 @@
+#include "OneStepJob.h"
 #include "SimulatedCell.h"
 
 #include <doctest/doctest.h>
@@ -46,21 +47,9 @@
 job::WorkflowSpec
 MakeJob(std::uint32_t aNumber, std::uint32_t aTasks, bool aIsGang)
 {
-  job::WorkflowSpec spec;
-  spec.id = base::JobId("job-" + std::to_string(aNumber));
-  spec.account = base::AccountId("club");
-  spec.kind = base::WorkKindId("kind");
-  spec.pool = base::PoolId("pool");
-  spec.urgency = 1;
-  spec.maxAttempts = 2;
-  spec.stretch = 3;
-  spec.slack = 1s;
-  job::StepSpec step;
-  step.count = aTasks;
-  step.need = { 1000, 1024, 1 };
-  step.estimate = kTaskTime;
-  step.isGang = aIsGang;
-  spec.steps = { step };
+  job::WorkflowSpec spec = testing::MakeOneStepJob(
+    "job-" + std::to_string(aNumber), aTasks, kTaskTime);
+  spec.steps[0].isGang = aIsGang;
   return spec;
 }
 
--- a/libs/coordinator/tests/EndRecordsTest.cpp
+++ b/libs/coordinator/tests/EndRecordsTest.cpp
@@ -1,5 +1,6 @@
 #include "EndRecords.h"
 #include "Fleet.h"
+#include "OneStepJob.h"
 
 #include "amaranthwind/codec/EndRecordCodec.h"
 
@@ -164,21 +165,7 @@
 job::WorkflowSpec
 MakeJob()
 {
-  job::WorkflowSpec spec;
-  spec.id = base::JobId("j");
-  spec.account = base::AccountId("club");
-  spec.kind = base::WorkKindId("kind");
-  spec.pool = base::PoolId("pool");
-  spec.urgency = 1;
-  spec.maxAttempts = 2;
-  spec.stretch = 3;
-  spec.slack = 1s;
-  job::StepSpec step;
-  step.count = 1;
-  step.need = { 1000, 1024, 1 };
-  step.estimate = 3s;
-  spec.steps = { step };
-  return spec;
+  return testing::MakeOneStepJob("j", 1, 3s);
 }
 
 /** A task whose agent has recorded its end, which no coordinator has read. */
--- a/libs/coordinator/tests/FrozenLeaderTest.cpp
+++ b/libs/coordinator/tests/FrozenLeaderTest.cpp
@@ -2,6 +2,7 @@
 // entry has replaced it.
 
 #include "Fleet.h"
+#include "OneStepJob.h"
 
 #include <doctest/doctest.h>
 
@@ -118,21 +119,8 @@
 job::WorkflowSpec
 MakeJob(std::uint32_t aTasks)
 {
-  job::WorkflowSpec spec;
-  spec.id = base::JobId("j");
-  spec.account = base::AccountId("club");
-  spec.kind = base::WorkKindId("kind");
-  spec.pool = base::PoolId("pool");
-  spec.urgency = 1;
-  spec.maxAttempts = 2;
-  spec.stretch = 3;
-  spec.slack = 1s;
-  job::StepSpec step;
-  step.count = aTasks;
-  step.need = { 1000, 1024, 1 };
-  step.estimate = 60s;
-  step.isGang = aTasks > 1;
-  spec.steps = { step };
+  job::WorkflowSpec spec = testing::MakeOneStepJob("j", aTasks, 60s);
+  spec.steps[0].isGang = aTasks > 1;
   return spec;
 }
 
--- a/libs/coordinator/tests/LossTest.cpp
+++ b/libs/coordinator/tests/LossTest.cpp
@@ -1,3 +1,4 @@
+#include "OneStepJob.h"
 #include "SimulatedCell.h"
 
 #include <doctest/doctest.h>
@@ -28,24 +29,15 @@
 job::WorkflowSpec
 MakeJob(std::uint32_t aNumber, std::uint64_t aKind)
 {
-  job::WorkflowSpec spec;
-  spec.id = base::JobId("job-" + std::to_string(aNumber));
-  spec.account = base::AccountId("club");
-  spec.kind = base::WorkKindId("kind");
-  spec.pool = base::PoolId("pool");
-  spec.urgency = 1;
-  spec.maxAttempts = 2;
-  spec.stretch = 3;
-  spec.slack = 1s;
-  job::StepSpec step;
-  step.count = 3;
-  step.need = { 8000, 1024, 1 };
-  step.estimate = 2s;
-  step.isGang = aKind == 1;
-  spec.steps = { step };
+  job::WorkflowSpec spec =
+    testing::MakeOneStepJob("job-" + std::to_string(aNumber), 3, 2s);
+  job::StepSpec& first = spec.steps[0];
+  first.need.milliCores = 8000;
+  first.isGang = aKind == 1;
   if (aKind == 2) {
-    step.dependsOn = { 0 };
-    spec.steps.push_back(step);
+    job::StepSpec second = first;
+    second.dependsOn = { 0 };
+    spec.steps.push_back(second);
   }
   return spec;
 }
--- a/libs/coordinator/tests/SlowCoordinatorTest.cpp
+++ b/libs/coordinator/tests/SlowCoordinatorTest.cpp
@@ -1,3 +1,4 @@
+#include "OneStepJob.h"
 #include "SimulatedCell.h"
 
 #include <doctest/doctest.h>
@@ -15,21 +16,7 @@
 job::WorkflowSpec
 MakeWideJob(std::uint32_t aNumber)
 {
-  job::WorkflowSpec spec;
-  spec.id = base::JobId("job-" + std::to_string(aNumber));
-  spec.account = base::AccountId("club");
-  spec.kind = base::WorkKindId("kind");
-  spec.pool = base::PoolId("pool");
-  spec.urgency = 1;
-  spec.maxAttempts = 2;
-  spec.stretch = 3;
-  spec.slack = 1s;
-  job::StepSpec step;
-  step.count = 40;
-  step.need = { 1000, 1024, 1 };
-  step.estimate = 3s;
-  spec.steps = { step };
-  return spec;
+  return testing::MakeOneStepJob("job-" + std::to_string(aNumber), 40, 3s);
 }
 
 void
